Add the wire package: frame splitter, startup packets, server messages

The stand-in and the proxy both speak the server side of the PostgreSQL protocol, which pg-protocol does not cover. The splitter reports ranges of the chunk a frame arrived in, so relaying copies nothing; it joins only a frame that spans chunks. Frame sizes are bounded; malformed lengths and startup packets are typed errors.

--- /dev/null
+++ b/packages/wire/src/frame_splitter.ts
@@ -0,0 +1,121 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {FRAME_HEADER_BYTES, LENGTH_FIELD_BYTES} from './protocol_constants.js';
+
+/**
+ * Splits a byte stream into protocol frames without copying: each frame is
+ * reported as a range of the buffer that it arrived in. Only a frame that
+ * spans several chunks is joined, once.
+ */
+
+/** Why a byte stream cannot be split further. @public */
+export type FrameError =
+  | {readonly kind: 'malformedLength'; readonly length: number}
+  | {
+      readonly kind: 'frameTooLarge';
+      readonly length: number;
+      readonly maxFrameBytes: number;
+    };
+
+/**
+ * Receives one frame: the range from `start` (its type byte) to `end`
+ * (excluded) of `buffer`.
+ *
+ * @public
+ */
+export type FrameHandler = (
+  type: number,
+  buffer: Buffer,
+  start: number,
+  end: number,
+) => void;
+
+const NO_BYTES = Buffer.alloc(0);
+
+/** Splits one direction of one connection. @public */
+export class FrameSplitter {
+  private rest: Buffer = NO_BYTES;
+  /** Chunks of a frame that has not arrived whole, after `rest`. */
+  private parts: Buffer[] = [];
+  private bufferedBytes = 0;
+  private neededBytes = 0;
+
+  private constructor(private readonly maxFrameBytes: number) {}
+
+  static create(maxFrameBytes: number): FrameSplitter {
+    return new FrameSplitter(maxFrameBytes);
+  }
+
+  /** Bytes kept of a frame that has not arrived whole. */
+  getBufferedBytes(): number {
+    return this.bufferedBytes;
+  }
+
+  /** Reports each frame that `chunk` completes. After a failure the stream is lost. */
+  push(chunk: Buffer, handleFrame: FrameHandler): Result<void, FrameError> {
+    const buffer = this.joinRest(chunk);
+    return buffer === null
+      ? success(undefined)
+      : this.split(buffer, handleFrame);
+  }
+
+  private joinRest(chunk: Buffer): Buffer | null {
+    if (this.bufferedBytes === 0) {
+      return chunk;
+    }
+    this.parts.push(chunk);
+    this.bufferedBytes += chunk.length;
+    if (this.bufferedBytes < this.neededBytes) {
+      return null;
+    }
+    const joined = Buffer.concat(
+      [this.rest, ...this.parts],
+      this.bufferedBytes,
+    );
+    this.rest = NO_BYTES;
+    this.parts = [];
+    this.bufferedBytes = 0;
+    return joined;
+  }
+
+  private split(
+    buffer: Buffer,
+    handleFrame: FrameHandler,
+  ): Result<void, FrameError> {
+    let start = 0;
+    while (buffer.length - start >= FRAME_HEADER_BYTES) {
+      const length = buffer.readInt32BE(start + 1);
+      if (length < LENGTH_FIELD_BYTES) {
+        return failure({kind: 'malformedLength', length});
+      }
+      if (length > this.maxFrameBytes) {
+        const {maxFrameBytes} = this;
+        return failure({kind: 'frameTooLarge', length, maxFrameBytes});
+      }
+      const end = start + 1 + length;
+      if (end > buffer.length) {
+        this.keep(buffer, start, 1 + length);
+        return success(undefined);
+      }
+      handleFrame(buffer[start]!, buffer, start, end);
+      start = end;
+    }
+    this.keep(buffer, start, FRAME_HEADER_BYTES);
+    return success(undefined);
+  }
+
+  private keep(buffer: Buffer, start: number, neededBytes: number): void {
+    this.rest = start === buffer.length ? NO_BYTES : buffer.subarray(start);
+    this.bufferedBytes = this.rest.length;
+    this.neededBytes = neededBytes;
+  }
+}
+
+/** Describes a frame error for a log or an error message. @public */
+export function describeFrameError(error: FrameError): string {
+  switch (error.kind) {
+    case 'malformedLength':
+      return `message length ${error.length} is malformed`;
+    case 'frameTooLarge':
+      return `message of ${error.length} bytes exceeds ${error.maxFrameBytes} bytes`;
+  }
+}
--- /dev/null
+++ b/packages/wire/src/startup_options_test.ts
@@ -0,0 +1,24 @@
+import {describe, expect, it} from 'vitest';
+import {parseStartupOptions} from './startup_options.js';
+
+describe('parseStartupOptions', () => {
+  it.each([
+    [
+      '-c a=1 -c b=2',
+      [
+        ['a', '1'],
+        ['b', '2'],
+      ],
+    ],
+    ['-ca=1', [['a', '1']]],
+    ['--a=1=2', [['a', '1=2']]],
+    ['-c a=with\\ space', [['a', 'with space']]],
+    ['  ', []],
+  ])('reads %j', (options, expected) => {
+    expect(parseStartupOptions(options)).toEqual({ok: true, value: expected});
+  });
+
+  it.each(['-c', '-c a', '-x', '--=1'])('refuses %j', options => {
+    expect(parseStartupOptions(options).ok).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/wire/src/startup_packet.ts
@@ -0,0 +1,122 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {ByteReader} from './byte_reader.js';
+
+/**
+ * The packets that open a connection. They have a length but no type byte.
+ */
+
+/** Greatest length of an opening packet, as in PostgreSQL. @public */
+export const MAX_STARTUP_PACKET_BYTES = 10_000;
+
+const SSL_REQUEST_CODE = 80877103;
+const GSS_ENCRYPTION_REQUEST_CODE = 80877104;
+const CANCEL_REQUEST_CODE = 80877102;
+const PROTOCOL_MAJOR_VERSION = 3;
+const MIN_STARTUP_PACKET_BYTES = 8;
+const CODE_END = 8;
+const CANCEL_PACKET_BYTES = 16;
+
+/** A packet that opens a connection. @public */
+export type StartupPacket =
+  | {readonly kind: 'sslRequest'}
+  | {readonly kind: 'gssEncryptionRequest'}
+  | {
+      readonly kind: 'cancelRequest';
+      readonly processId: number;
+      readonly secretKey: number;
+    }
+  | {
+      readonly kind: 'startup';
+      readonly minorVersion: number;
+      readonly parameters: ReadonlyMap<string, string>;
+    };
+
+/** Why an opening packet was refused. @public */
+export type StartupError =
+  | {readonly kind: 'malformedStartup'; readonly reason: string}
+  | {readonly kind: 'unsupportedVersion'; readonly version: string};
+
+/** A packet and the bytes that it took. @public */
+export interface ReadStartupPacket {
+  readonly packet: StartupPacket;
+  readonly length: number;
+}
+
+/** Reads the opening packet at the start of `bytes`; null while it is incomplete. @public */
+export function readStartupPacket(
+  bytes: Buffer,
+): Result<ReadStartupPacket | null, StartupError> {
+  if (bytes.length < CODE_END) {
+    return success(null);
+  }
+  const length = bytes.readInt32BE(0);
+  if (length < MIN_STARTUP_PACKET_BYTES || length > MAX_STARTUP_PACKET_BYTES) {
+    return malformed(`packet length ${length}`);
+  }
+  if (bytes.length < length) {
+    return success(null);
+  }
+  const packet = parsePacket(bytes.subarray(0, length));
+  return packet.ok ? success({packet: packet.value, length}) : packet;
+}
+
+function parsePacket(bytes: Buffer): Result<StartupPacket, StartupError> {
+  const code = bytes.readInt32BE(4);
+  switch (code) {
+    case SSL_REQUEST_CODE:
+      return success({kind: 'sslRequest'});
+    case GSS_ENCRYPTION_REQUEST_CODE:
+      return success({kind: 'gssEncryptionRequest'});
+    case CANCEL_REQUEST_CODE:
+      return parseCancelRequest(bytes);
+    default:
+      return parseStartupMessage(bytes, code);
+  }
+}
+
+function parseCancelRequest(
+  bytes: Buffer,
+): Result<StartupPacket, StartupError> {
+  if (bytes.length !== CANCEL_PACKET_BYTES) {
+    return malformed('cancel request length');
+  }
+  return success({
+    kind: 'cancelRequest',
+    processId: bytes.readInt32BE(8),
+    secretKey: bytes.readInt32BE(12),
+  });
+}
+
+function parseStartupMessage(
+  bytes: Buffer,
+  code: number,
+): Result<StartupPacket, StartupError> {
+  const major = code >>> 16;
+  const minorVersion = code & 0xffff;
+  if (major !== PROTOCOL_MAJOR_VERSION) {
+    return failure({
+      kind: 'unsupportedVersion',
+      version: `${major}.${minorVersion}`,
+    });
+  }
+  const parameters = new Map<string, string>();
+  const reader = ByteReader.create(bytes, CODE_END, bytes.length);
+  for (;;) {
+    const name = reader.readText();
+    if (reader.hasFailed()) {
+      return malformed('parameter list is not terminated');
+    }
+    if (name === '') {
+      break;
+    }
+    parameters.set(name, reader.readText());
+  }
+  if (reader.hasFailed() || !reader.isAtEnd()) {
+    return malformed('parameter list');
+  }
+  return success({kind: 'startup', minorVersion, parameters});
+}
+
+function malformed(reason: string): Result<never, StartupError> {
+  return failure({kind: 'malformedStartup', reason});
+}
--- /dev/null
+++ b/packages/wire/src/startup_packet_test.ts
@@ -0,0 +1,43 @@
+import {serialize} from 'pg-protocol';
+import {describe, expect, it} from 'vitest';
+import {readStartupPacket} from './startup_packet.js';
+
+describe('readStartupPacket', () => {
+  it('reads the parameters of a startup message', () => {
+    const bytes = serialize.startup({user: 'ana', database: 'sched-db-1'});
+    const read = readStartupPacket(bytes);
+    expect(read).toMatchObject({
+      value: {length: bytes.length, packet: {kind: 'startup'}},
+    });
+    if (read.ok && read.value?.packet.kind === 'startup') {
+      expect(read.value.packet.parameters.get('user')).toBe('ana');
+      expect(read.value.packet.parameters.get('database')).toBe('sched-db-1');
+    }
+  });
+
+  it('waits for the rest of an incomplete packet', () => {
+    const bytes = serialize.startup({user: 'ana'});
+    expect(readStartupPacket(bytes.subarray(0, 12))).toEqual({
+      ok: true,
+      value: null,
+    });
+  });
+
+  it('reads a request for TLS and a cancel request', () => {
+    expect(readStartupPacket(serialize.requestSsl())).toMatchObject({
+      value: {packet: {kind: 'sslRequest'}},
+    });
+    expect(readStartupPacket(serialize.cancel(7, 9))).toMatchObject({
+      value: {packet: {kind: 'cancelRequest', processId: 7, secretKey: 9}},
+    });
+  });
+
+  it.each([
+    ['a length that is too small', '000000070003000000'],
+    ['a length that is too large', '7fffffff0003000000'],
+    ['parameters without an end', '0000000c0003000061626300'],
+    ['an older protocol', '0000000900020000000000'],
+  ])('refuses %s', (_name, hex) => {
+    expect(readStartupPacket(Buffer.from(hex, 'hex')).ok).toBe(false);
+  });
+});
