Resolve what a read requires and choose its backend server

A read goes to the nearest replica that is known to cover its place; one that only lags within its usual time is used where none is known, as the answer is checked anyway.

--- /dev/null
+++ b/packages/routing/src/read_requirement_test.ts
@@ -0,0 +1,111 @@
+import {describe, expect, it} from 'vitest';
+import {
+  EMPTY_CONFIGURATION,
+  type ReadRule,
+} from '@filbertrun/model/configuration.js';
+import {resolveReadRequirement} from './read_requirement.js';
+
+const FLOOR = {term: 1, position: 5};
+
+function createRule(rule: Partial<ReadRule>): ReadRule {
+  return {
+    application: '*',
+    databaseGroup: 'outings-db-1',
+    table: '*',
+    consistency: 'session',
+    maxAgeMs: null,
+    priority: 'normal',
+    ...rule,
+  };
+}
+
+function resolve(
+  readRules: readonly ReadRule[],
+  tables: readonly string[],
+  application = 'site',
+) {
+  return resolveReadRequirement(
+    {...EMPTY_CONFIGURATION, readRules},
+    {application, databaseGroup: 'outings-db-1', tables, floor: FLOOR},
+  );
+}
+
+const STRICT_SEATS = createRule({
+  table: 'seats',
+  consistency: 'strict',
+  priority: 'booking',
+});
+const OLD_TIMES = createRule({
+  application: 'site',
+  table: 'times',
+  consistency: 'age',
+  maxAgeMs: 5000,
+  priority: 'lookup',
+});
+
+describe('resolveReadRequirement', () => {
+  it('gives an unlisted read the session guarantee', () => {
+    expect(resolve([], ['a'])).toEqual({
+      requirement: {kind: 'session', floor: FLOOR},
+      priority: 'normal',
+    });
+  });
+
+  it('applies the age of a listed read and keeps its floor', () => {
+    expect(resolve([OLD_TIMES], ['times'])).toEqual({
+      requirement: {kind: 'age', floor: FLOOR, maxAgeMs: 5000},
+      priority: 'lookup',
+    });
+  });
+
+  it('does not apply a rule to another application or group', () => {
+    const other = {...OLD_TIMES, databaseGroup: 'outings-db-2'};
+    expect(resolve([OLD_TIMES], ['times'], 'guide').requirement.kind).toBe(
+      'session',
+    );
+    expect(resolve([other], ['times']).requirement.kind).toBe('session');
+  });
+
+  it.each([
+    ['application and table', {application: 'site', table: 'times'}],
+    ['application', {application: 'site'}],
+    ['table', {table: 'times'}],
+    ['neither', {}],
+  ])('prefers the most specific rule, here one of %s', (_name, names) => {
+    const scopes = [
+      {},
+      {table: 'times'},
+      {application: 'site'},
+      {application: 'site', table: 'times'},
+    ];
+    const index = scopes.findIndex(
+      scope => JSON.stringify(scope) === JSON.stringify(names),
+    );
+    const rules = scopes
+      .slice(0, index + 1)
+      .map((scope, age) =>
+        createRule({...scope, consistency: 'age', maxAgeMs: age + 1}),
+      );
+    expect(resolve(rules, ['times']).requirement).toMatchObject({
+      maxAgeMs: index + 1,
+    });
+  });
+
+  it('takes the strictest requirement and the highest priority of all tables', () => {
+    expect(resolve([STRICT_SEATS, OLD_TIMES], ['times', 'seats'])).toEqual({
+      requirement: {kind: 'strict'},
+      priority: 'booking',
+    });
+  });
+
+  it('keeps the age bound when another table has only the session guarantee', () => {
+    expect(resolve([OLD_TIMES], ['times', 'a']).requirement.kind).toBe('age');
+  });
+
+  it('takes the stricter of two rules for the same read', () => {
+    const looser = {...OLD_TIMES, maxAgeMs: 60_000};
+    expect(resolve([OLD_TIMES, looser], ['times']).requirement).toMatchObject({
+      maxAgeMs: 5000,
+    });
+  });
+});
--- a/packages/routing/src/read_route.ts
+++ b/packages/routing/src/read_route.ts
@@ -34,6 +34,12 @@
   readonly knownPosition: LogPosition;
   readonly freeSlots: number;
   readonly latencyMs: number;
+  /**
+   * Time within which the instance has lately caught up with the primary, or
+   * null when unknown. A read may be sent on the strength of it, because the
+   * answer still has to prove that it covers the required place.
+   */
+  readonly expectedLagMs?: number | null;
 }
 
 /** Where a read goes. @public */
