Report the burn of service-level objectives as text, JSON and one HTML page

Cause: nobody is at hand at night, so the report must say whether anybody has to act. Change: objectives per application, burn over 5 min to 3 days with the workbook's thresholds, write gaps, plots drawn as SVG on the server. A test met the oldest bucket of a full hour missing: each ring now holds one bucket more than its span.

--- /dev/null
+++ b/apps/report/src/main.ts
@@ -0,0 +1,78 @@
+#!/usr/bin/env node
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {readSettingsOrExit} from '@filbertrun/observability/settings.js';
+import type {AlertLevel} from '@filbertrun/report/burn.js';
+import {createBurnReport} from '@filbertrun/report/burn_report.js';
+import {formatHtmlReport} from '@filbertrun/report/html_report.js';
+import {formatTextReport} from '@filbertrun/report/text_report.js';
+import {REPORT_SETTINGS} from './report_settings.js';
+import {collectSnapshots} from './snapshot_source.js';
+
+/**
+ * `filbertrun-report`: prints the service-level burn of a set of proxies.
+ * Exit codes: 0 report made, 1 alert at or above `--fail-on`, 2 bad settings,
+ * 3 no proxy answered.
+ */
+
+const PROGRAM_NAME = 'filbertrun-report';
+
+const EXIT_CODE_ALERT = 1;
+const EXIT_CODE_NO_SOURCE = 3;
+
+/** Alerts in rising order of urgency. */
+const ALERT_ORDER: readonly AlertLevel[] = ['none', 'ticket', 'page'];
+
+/** `--json` is short for `--format json`. */
+function expandShortFlags(argv: readonly string[]): readonly string[] {
+  return argv.flatMap(argument =>
+    argument === '--json' ? ['--format', 'json'] : [argument],
+  );
+}
+
+function isFailing(
+  alert: AlertLevel,
+  failOn: 'never' | 'ticket' | 'page',
+): boolean {
+  if (failOn === 'never') {
+    return false;
+  }
+  return ALERT_ORDER.indexOf(alert) >= ALERT_ORDER.indexOf(failOn);
+}
+
+async function main(): Promise<number> {
+  const settings = readSettingsOrExit(
+    REPORT_SETTINGS,
+    PROGRAM_NAME,
+    expandShortFlags(process.argv.slice(2)),
+  );
+  const {snapshots, missing} = await collectSnapshots(settings);
+  for (const {source, reason} of missing) {
+    process.stderr.write(
+      `${PROGRAM_NAME}: no snapshot from ${source}: ${reason}\n`,
+    );
+  }
+  if (snapshots.length === 0) {
+    process.stderr.write(
+      `${PROGRAM_NAME}: no snapshots; name proxies with --operator-urls or files with --snapshot-files\n`,
+    );
+    return EXIT_CODE_NO_SOURCE;
+  }
+  const report = createBurnReport({
+    snapshots,
+    missingSources: missing.map(each => each.source),
+    objectives: settings.objectives,
+    nowMs: Date.now(),
+  });
+  if (settings.html !== '') {
+    await writeFile(settings.html, formatHtmlReport(report));
+  }
+  const output =
+    settings.format === 'json'
+      ? `${JSON.stringify(report)}\n`
+      : formatTextReport(report);
+  process.stdout.write(output);
+  return isFailing(report.alert, settings.failOn) ? EXIT_CODE_ALERT : 0;
+}
+
+process.exitCode = await main();
--- a/packages/observability/src/service_level_recorder.ts
+++ b/packages/observability/src/service_level_recorder.ts
@@ -11,11 +11,14 @@
  * three days stay within a fixed number of buckets.
  */
 
-/** Resolutions at which counts are kept. */
+/**
+ * Resolutions at which counts are kept. Each holds one bucket more than its
+ * span, because the newest is still filling.
+ */
 const RESOLUTIONS = [
-  {bucketMs: 10_000, bucketCount: 360},
-  {bucketMs: 60_000, bucketCount: 360},
-  {bucketMs: 600_000, bucketCount: 432},
+  {bucketMs: 10_000, bucketCount: 361},
+  {bucketMs: 60_000, bucketCount: 361},
+  {bucketMs: 600_000, bucketCount: 433},
 ] as const;
 
 /** Applications that are told apart; the rest are counted together. */
--- /dev/null
+++ b/packages/report/src/event_counts.ts
@@ -0,0 +1,129 @@
+import {
+  LATENCY_BOUNDS_MS,
+  type ServiceLevelBucket,
+  type ServiceLevelSnapshot,
+} from '@filbertrun/observability/service_level_snapshot.js';
+
+/**
+ * Sums the counts of all proxies over a window that ends now.
+ */
+
+/** What happened to one application during a window. @public */
+export interface WindowCounts {
+  readonly statements: number;
+  readonly failures: number;
+  readonly reads: number;
+  readonly replicaReads: number;
+  /** Statements by latency class, see `LATENCY_BOUNDS_MS`. */
+  readonly latencyCounts: readonly number[];
+  /** Start of the oldest bucket that was counted, or null without any. */
+  readonly earliestMs: number | null;
+}
+
+/** The counts of a window in which nothing happened. @public */
+export const EMPTY_COUNTS: WindowCounts = {
+  statements: 0,
+  failures: 0,
+  reads: 0,
+  replicaReads: 0,
+  latencyCounts: LATENCY_BOUNDS_MS.map(() => 0).concat(0),
+  earliestMs: null,
+};
+
+/** A span of time, milliseconds since the Unix epoch; the end is excluded. @public */
+export interface TimeSpan {
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
+/** Names of all applications in the snapshots, sorted. @public */
+export function getApplications(
+  snapshots: readonly ServiceLevelSnapshot[],
+): readonly string[] {
+  const names = new Set<string>();
+  for (const snapshot of snapshots) {
+    for (const series of snapshot.series) {
+      names.add(series.application);
+    }
+  }
+  return [...names].sort();
+}
+
+/** Sums what happened to an application within a span. @public */
+export function sumCounts(
+  snapshots: readonly ServiceLevelSnapshot[],
+  application: string,
+  span: TimeSpan,
+): WindowCounts {
+  let total = EMPTY_COUNTS;
+  for (const snapshot of snapshots) {
+    for (const series of snapshot.series) {
+      if (series.application !== application) {
+        continue;
+      }
+      const buckets = selectBuckets(series.resolutions, span);
+      total = buckets.reduce(addBucket, total);
+    }
+  }
+  return total;
+}
+
+interface Resolution {
+  readonly bucketMs: number;
+  readonly buckets: readonly ServiceLevelBucket[];
+}
+
+/** Buckets that each resolution holds besides the one that is filling. */
+const BUCKETS_PER_SPAN = 360;
+
+/** Takes the buckets of the finest resolution that reaches over the span. */
+function selectBuckets(
+  resolutions: readonly Resolution[],
+  span: TimeSpan,
+): readonly ServiceLevelBucket[] {
+  const spanMs = span.endMs - span.startMs;
+  const ordered = [...resolutions].sort(
+    (left, right) => left.bucketMs - right.bucketMs,
+  );
+  const coarsest = ordered.at(-1);
+  const fitting =
+    ordered.find(each => each.bucketMs * BUCKETS_PER_SPAN >= spanMs) ??
+    coarsest;
+  const buckets = fitting?.buckets ?? [];
+  const bucketMs = fitting?.bucketMs ?? 0;
+  return buckets.filter(
+    bucket =>
+      bucket.startMs + bucketMs > span.startMs && bucket.startMs < span.endMs,
+  );
+}
+
+function addBucket(
+  total: WindowCounts,
+  bucket: ServiceLevelBucket,
+): WindowCounts {
+  return {
+    statements: total.statements + bucket.statements,
+    failures: total.failures + bucket.failures,
+    reads: total.reads + bucket.reads,
+    replicaReads: total.replicaReads + bucket.replicaReads,
+    latencyCounts: total.latencyCounts.map(
+      (count, index) => count + (bucket.latencyCounts[index] ?? 0),
+    ),
+    earliestMs: Math.min(total.earliestMs ?? bucket.startMs, bucket.startMs),
+  };
+}
+
+/** Statements that took longer than `boundMs`. @public */
+export function countSlowStatements(
+  counts: WindowCounts,
+  boundMs: number,
+): number {
+  let slow = 0;
+  for (const [index, count] of counts.latencyCounts.entries()) {
+    const classBoundMs = LATENCY_BOUNDS_MS[index] ?? Infinity;
+    if (classBoundMs > boundMs) {
+      slow += count;
+    }
+  }
+  return slow;
+}
--- /dev/null
+++ b/packages/report/src/html_report.ts
@@ -0,0 +1,212 @@
+import * as echarts from 'echarts';
+import type {BurnReport, ObjectiveBurn, TimelinePoint} from './burn_report.js';
+import {formatDuration, formatTarget} from './text_report.js';
+
+/**
+ * Writes the service-level report as one self-contained HTML page with SVG
+ * plots.
+ */
+
+const PLOT_SIZE = {widthPx: 860, heightPx: 260} as const;
+
+/** Burn rates that the plot marks, with the alert that each belongs to. */
+const MARKED_RATES = [
+  {rate: 14.4, label: 'page 14.4x'},
+  {rate: 6, label: 'page 6x'},
+  {rate: 1, label: 'ticket 1x'},
+] as const;
+
+/** A rate below this is drawn at it, since the axis is logarithmic. */
+const LOWEST_DRAWN_RATE = 0.01;
+
+const STYLE = `
+body{font:15px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:900px;color:#1c2733}
+table{border-collapse:collapse;width:100%;font-size:14px}
+th,td{padding:.3rem .6rem;border-bottom:1px solid #dde3ea;text-align:left}
+td.number,th.number{text-align:right;font-variant-numeric:tabular-nums}
+.page{background:#fbdcd9}.ticket{background:#fdf1cf}
+h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:2rem}
+.note{color:#56657a}`;
+
+/** Writes the page. @public */
+export function formatHtmlReport(report: BurnReport): string {
+  const plots: string[] = [plotBurn(report.objectives)];
+  for (const [application, timeline] of Object.entries(report.timelines)) {
+    plots.push(plotTimeline(application, timeline));
+  }
+  plots.push(plotWriteGaps(report));
+  return [
+    '<!doctype html>',
+    '<html lang="en"><head><meta charset="utf-8">',
+    '<title>filbertrun: service-level burn</title>',
+    `<style>${STYLE}</style></head><body>`,
+    formatSummary(report),
+    formatTable(report.objectives),
+    ...plots.filter(plot => plot !== ''),
+    '</body></html>',
+    '',
+  ].join('\n');
+}
+
+function formatSummary(report: BurnReport): string {
+  const missing =
+    report.missingSources.length === 0
+      ? ''
+      : ` No answer from ${escapeHtml(report.missingSources.join(', '))}.`;
+  const takenAt = new Date(report.takenAtMs).toISOString();
+  return [
+    '<h1>Service-level burn</h1>',
+    `<p class="note">${takenAt}. Proxies: ${escapeHtml(report.entryVms.join(', '))}.`,
+    ` Counts reach back ${formatDuration(report.historyMs)}.${missing}</p>`,
+    `<p class="${report.alert}"><strong>Alert: ${report.alert}</strong></p>`,
+  ].join('\n');
+}
+
+function formatTable(objectives: readonly ObjectiveBurn[]): string {
+  const windows = objectives[0]?.windows ?? [];
+  const heading = windows
+    .map(each => `<th class="number">${each.window}</th>`)
+    .join('');
+  const rows = objectives.map(formatRow).join('\n');
+  return `<table><thead><tr><th>Application</th><th>Indicator</th><th>Objective</th>
+<th class="number">Budget left</th>${heading}<th>Alert</th></tr></thead><tbody>
+${rows}</tbody></table>`;
+}
+
+function formatRow(burn: ObjectiveBurn): string {
+  const cells = burn.windows.map(each => {
+    const rate = each.burnRate === null ? '–' : `${each.burnRate.toFixed(2)}×`;
+    return `<td class="number">${rate}</td>`;
+  });
+  const budget = `${(burn.budgetLeft * 100).toFixed(1)}%`;
+  return [
+    `<tr class="${burn.alert}"><td>${escapeHtml(burn.application)}</td>`,
+    `<td>${burn.indicator}</td><td>${escapeHtml(formatTarget(burn))}</td>`,
+    `<td class="number">${budget}</td>${cells.join('')}`,
+    `<td>${burn.alert}</td></tr>`,
+  ].join('');
+}
+
+function plotBurn(objectives: readonly ObjectiveBurn[]): string {
+  const windows = objectives[0]?.windows ?? [];
+  const series = objectives.map(burn => ({
+    name: `${burn.application} ${burn.indicator}`,
+    type: 'bar' as const,
+    data: burn.windows.map(each =>
+      each.burnRate === null
+        ? null
+        : Math.max(LOWEST_DRAWN_RATE, each.burnRate),
+    ),
+  }));
+  const [first, ...rest] = series;
+  if (first === undefined) {
+    return '';
+  }
+  const marks = MARKED_RATES.map(mark => ({
+    yAxis: mark.rate,
+    label: {formatter: mark.label, position: 'insideEndTop' as const},
+  }));
+  const markLine = {symbol: 'none', silent: true, data: marks};
+  return renderPlot('Burn rate by window', {
+    legend: {type: 'scroll', bottom: 0},
+    grid: {left: 60, right: 20, top: 20, bottom: 60},
+    xAxis: {type: 'category', data: windows.map(each => each.window)},
+    yAxis: {
+      type: 'log',
+      min: LOWEST_DRAWN_RATE,
+      startValue: LOWEST_DRAWN_RATE,
+      name: 'rate',
+    },
+    series: [{...first, markLine}, ...rest],
+  });
+}
+
+function plotTimeline(
+  application: string,
+  timeline: readonly TimelinePoint[],
+): string {
+  if (timeline.every(point => point.statements === 0)) {
+    return '';
+  }
+  return renderPlot(`${application}: the last hour`, {
+    legend: {bottom: 0},
+    grid: {left: 60, right: 60, top: 30, bottom: 60},
+    xAxis: {
+      type: 'category',
+      data: timeline.map(point => formatClock(point.startMs)),
+    },
+    yAxis: [
+      {type: 'value', name: 'a minute'},
+      {type: 'value', name: 'replica share', min: 0, max: 1},
+    ],
+    series: [
+      createBars('answered', timeline, each => each.statements - each.failures),
+      createBars('not answered', timeline, each => each.failures),
+      {
+        name: 'replica share of reads',
+        type: 'line',
+        yAxisIndex: 1,
+        showSymbol: false,
+        data: timeline.map(point =>
+          point.reads === 0 ? null : point.replicaReads / point.reads,
+        ),
+      },
+    ],
+  });
+}
+
+function createBars(
+  name: string,
+  timeline: readonly TimelinePoint[],
+  getCount: (point: TimelinePoint) => number,
+): echarts.BarSeriesOption {
+  return {name, type: 'bar', stack: 'statements', data: timeline.map(getCount)};
+}
+
+function plotWriteGaps(report: BurnReport): string {
+  if (report.writeGaps.length === 0) {
+    return '<h2>Write gaps</h2><p class="note">None.</p>';
+  }
+  return renderPlot('Write gaps (ms)', {
+    grid: {left: 60, right: 20, top: 20, bottom: 60},
+    xAxis: {
+      type: 'category',
+      data: report.writeGaps.map(
+        gap => `${formatClock(gap.startMs)} ${gap.databaseGroup}`,
+      ),
+    },
+    yAxis: {type: 'value', name: 'ms'},
+    series: [
+      {
+        type: 'bar',
+        barMaxWidth: 40,
+        data: report.writeGaps.map(gap => Math.round(gap.durationMs)),
+      },
+    ],
+  });
+}
+
+function renderPlot(title: string, option: echarts.EChartsOption): string {
+  const chart = echarts.init(null, null, {
+    renderer: 'svg',
+    ssr: true,
+    width: PLOT_SIZE.widthPx,
+    height: PLOT_SIZE.heightPx,
+  });
+  chart.setOption({animation: false, ...option});
+  const svg = chart.renderToSVGString();
+  chart.dispose();
+  return `<h2>${escapeHtml(title)}</h2>\n${svg}`;
+}
+
+function formatClock(timeMs: number): string {
+  return new Date(timeMs).toISOString().slice(11, 16);
+}
+
+function escapeHtml(text: string): string {
+  return text
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;')
+    .replaceAll('"', '&quot;');
+}
