Add the group manager: majority waits, confirmed terms, failover core

Cause: writes need a primary that holds them on a majority, and a group needs another primary when it loses its own.

--- /dev/null
+++ b/packages/group/src/failover_claim.ts
@@ -0,0 +1,154 @@
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import {
+  backOff,
+  createStep,
+  type FailoverContext,
+  type FailoverStep,
+} from './failover_step.js';
+import type {
+  ClaimReadOutcome,
+  ClaimRecord,
+  ClaimWriteOutcome,
+  FailoverCommand,
+} from './failover_messages.js';
+import type {FailoverPhase, FailoverState} from './failover_state.js';
+
+/**
+ * The claim step of a change of primary. The claim keeps managers from
+ * duelling and publishes the change. Safety does not rest on it: a term is
+ * in force only once a majority of instances obeys it for one claim id.
+ */
+
+type ClaimingPhase = Extract<FailoverPhase, {kind: 'claiming'}>;
+
+/** Time that the holder of another claim has to promote. */
+const FOREIGN_CLAIM_LIMIT_MS = 600;
+
+/** Takes the claim as read from the table. @internal */
+export function handleClaimRead(
+  state: FailoverState,
+  outcome: ClaimReadOutcome,
+  context: FailoverContext,
+): FailoverStep {
+  const phase = state.phase;
+  if (phase.kind !== 'claiming') {
+    return createStep(state);
+  }
+  if (outcome.kind === 'unavailable') {
+    // The instances' own terms keep this safe while the table is down.
+    return beginFencing(state, phase, context);
+  }
+  if (phase.step === 'readingBack') {
+    return outcome.claim?.claimId === phase.claimId
+      ? beginFencing(state, phase, context)
+      : createStep(backOff(state, context));
+  }
+  if (mustYield(state, outcome.claim, context)) {
+    return createStep(noteForeignClaim(state, outcome.claim, context));
+  }
+  return writeClaim(state, phase, outcome);
+}
+
+/** Takes the outcome of the conditional write. @internal */
+export function handleClaimWritten(
+  state: FailoverState,
+  outcome: ClaimWriteOutcome,
+  context: FailoverContext,
+): FailoverStep {
+  const phase = state.phase;
+  if (phase.kind !== 'claiming') {
+    return createStep(state);
+  }
+  switch (outcome) {
+    case 'written':
+    case 'unavailable':
+      return beginFencing(state, phase, context);
+    case 'conflict':
+      return createStep(backOff(state, context));
+    case 'outcomeUnknown':
+      return createStep({...state, phase: {...phase, step: 'readingBack'}}, [
+        {kind: 'readClaim', attempt: state.attempt},
+      ]);
+    default:
+      return exhaustiveSwitchError(outcome);
+  }
+}
+
+function writeClaim(
+  state: FailoverState,
+  phase: ClaimingPhase,
+  outcome: Extract<ClaimReadOutcome, {kind: 'read'}>,
+): FailoverStep {
+  const term = Math.max(phase.term, (outcome.claim?.term ?? 0) + 1);
+  return createStep({...state, phase: {...phase, step: 'writing', term}}, [
+    {
+      kind: 'writeClaim',
+      attempt: state.attempt,
+      claim: {term, claimId: phase.claimId, primary: null},
+      expectedRevision: outcome.revision,
+    },
+  ]);
+}
+
+/** Whether another proxy's unfinished claim still has time. */
+function mustYield(
+  state: FailoverState,
+  claim: ClaimRecord | null,
+  context: FailoverContext,
+): boolean {
+  if (claim === null || claim.primary !== null) {
+    return false;
+  }
+  const isOwn = claim.claimId.startsWith(`${state.claimPrefix}.`);
+  if (isOwn || claim.term <= (state.view?.term ?? 0)) {
+    return false;
+  }
+  return (
+    state.foreignClaim?.claimId !== claim.claimId ||
+    context.nowMs - state.foreignClaim.seenAtMs < FOREIGN_CLAIM_LIMIT_MS
+  );
+}
+
+function noteForeignClaim(
+  state: FailoverState,
+  claim: ClaimRecord | null,
+  context: FailoverContext,
+): FailoverState {
+  const next = backOff(state, context);
+  if (claim === null || state.foreignClaim?.claimId === claim.claimId) {
+    return next;
+  }
+  return {
+    ...next,
+    foreignClaim: {claimId: claim.claimId, seenAtMs: context.nowMs},
+  };
+}
+
+function beginFencing(
+  state: FailoverState,
+  phase: ClaimingPhase,
+  context: FailoverContext,
+): FailoverStep {
+  const commands: FailoverCommand[] = state.servers.map(backendServer => ({
+    kind: 'raiseTerm',
+    attempt: state.attempt,
+    backendServer,
+    term: phase.term,
+    claimId: phase.claimId,
+  }));
+  return createStep(
+    {
+      ...state,
+      phase: {
+        kind: 'fencing',
+        sinceMs: context.nowMs,
+        reason: phase.reason,
+        term: phase.term,
+        claimId: phase.claimId,
+        raised: [],
+        answeredCount: 0,
+      },
+    },
+    commands,
+  );
+}
--- /dev/null
+++ b/packages/group/src/failover_core.ts
@@ -0,0 +1,392 @@
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {FailoverCommand, FailoverEvent} from './failover_messages.js';
+import {
+  getObserved,
+  getServingPrimary,
+  withObserved,
+  type ChangeReason,
+  type FailoverPhase,
+  type FailoverState,
+} from './failover_state.js';
+import type {GroupView} from './group_peers.js';
+import type {InstanceStatus} from './instance_control.js';
+import {
+  adoptView,
+  backOff,
+  createStep,
+  type FailoverContext,
+  type FailoverStep,
+} from './failover_step.js';
+import {handleClaimRead, handleClaimWritten} from './failover_claim.js';
+import {handlePromoted, handleTermRaised} from './failover_promotion.js';
+import {
+  getCutOffInstances,
+  isPrimaryFailing,
+  isRecent,
+  isSuspectedByZones,
+} from './primary_judgement.js';
+
+/**
+ * Decides when a database group needs another primary and carries the change
+ * out: suspicion, claim, fence, promotion, redirection. Pure: it takes events
+ * and gives the next state with commands. docs/design/failover.md has the
+ * argument for its safety.
+ */
+
+/** Time to collect votes before a suspicion is decided. */
+const VOTE_LIMIT_MS = 150;
+
+/** Delay of a watcher behind the one ranked before it. */
+const RANK_DELAY_MS = 200;
+
+/** Time that a claim in the table may take before it is done without. */
+const CLAIM_LIMIT_MS = 250;
+
+/** Time that raising the term or promoting may take. */
+const FENCE_LIMIT_MS = 800;
+
+/** Time without suspicions after this process was itself paused. */
+const STALL_QUIET_MS = 500;
+
+/** Pause between two requests to follow, per instance. */
+const REDIRECT_INTERVAL_MS = 300;
+
+/** Takes one event. @public */
+export function reduceFailover(
+  state: FailoverState,
+  event: FailoverEvent,
+  context: FailoverContext,
+): FailoverStep {
+  switch (event.kind) {
+    case 'statusObserved':
+      return createStep(observeStatus(state, event.status, context));
+    case 'instanceFailed':
+      return createStep(
+        withObserved(state, event.backendServer, {
+          ...getObserved(state, event.backendServer),
+          failure: event.health,
+        }),
+      );
+    case 'viewHeard':
+      return createStep(adoptView(state, event.view, context.rules));
+    case 'tick':
+      return handleTick(state, event, context);
+    case 'loopStalled':
+      return createStep(handleStall(state, context));
+    case 'serversChanged':
+      return createStep(handleServers(state, event.servers));
+    case 'votesCollected':
+      return createStep(handleVotes(state, event));
+    case 'claimRead':
+      return event.attempt === state.attempt
+        ? handleClaimRead(state, event.outcome, context)
+        : createStep(state);
+    case 'claimWritten':
+      return event.attempt === state.attempt
+        ? handleClaimWritten(state, event.outcome, context)
+        : createStep(state);
+    case 'termRaised':
+      return handleTermRaised(state, event, context);
+    case 'promoted':
+      return handlePromoted(state, event, context);
+    case 'changeRequested':
+      return beginChange(
+        state,
+        {kind: 'planned', target: event.target},
+        context,
+      );
+    default:
+      return exhaustiveSwitchError(event);
+  }
+}
+
+function observeStatus(
+  state: FailoverState,
+  status: InstanceStatus,
+  context: FailoverContext,
+): FailoverState {
+  const previous = getObserved(state, status.backendServer);
+  if (previous.status !== null && status.term < previous.status.term) {
+    // An instance never lowers its term, so this answer was overtaken.
+    return state;
+  }
+  const isOrphan = status.role === 'replica' && status.primary === null;
+  const next = withObserved(state, status.backendServer, {
+    status,
+    answeredAtMs: context.nowMs,
+    failure: null,
+    orphanSinceMs: isOrphan ? (previous.orphanSinceMs ?? context.nowMs) : null,
+    redirectedAtMs: previous.redirectedAtMs,
+  });
+  const raised = {
+    ...next,
+    highestTerm: Math.max(next.highestTerm, status.term),
+  };
+  const primary =
+    status.role === 'primary' ? status.backendServer : status.primary;
+  if (primary === null) {
+    return raised;
+  }
+  const view = {
+    databaseGroup: state.databaseGroup,
+    term: status.term,
+    claimId: status.claimId,
+    primary,
+  };
+  return adoptView(raised, view, context.rules);
+}
+
+function handleStall(
+  state: FailoverState,
+  context: FailoverContext,
+): FailoverState {
+  const instances = new Map(state.instances);
+  for (const [server, observed] of instances) {
+    instances.set(server, {...observed, failure: null, orphanSinceMs: null});
+  }
+  return {
+    ...state,
+    instances,
+    phase: {kind: 'watching'},
+    attempt: state.attempt + 1,
+    quietUntilMs: context.nowMs + STALL_QUIET_MS,
+  };
+}
+
+/** Abandons an attempt, because its majority was one of other instances. */
+function handleServers(
+  state: FailoverState,
+  servers: readonly BackendServerId[],
+): FailoverState {
+  return {
+    ...state,
+    servers,
+    phase: {kind: 'watching'},
+    attempt: state.attempt + 1,
+  };
+}
+
+function handleVotes(
+  state: FailoverState,
+  event: Extract<FailoverEvent, {kind: 'votesCollected'}>,
+): FailoverState {
+  if (event.attempt !== state.attempt || state.phase.kind !== 'suspecting') {
+    return state;
+  }
+  return {...state, phase: {...state.phase, votes: event.votes}};
+}
+
+type TickEvent = Extract<FailoverEvent, {kind: 'tick'}>;
+
+function handleTick(
+  state: FailoverState,
+  event: TickEvent,
+  context: FailoverContext,
+): FailoverStep {
+  switch (state.phase.kind) {
+    case 'watching':
+      return handleWatchingTick(state, event, context);
+    case 'suspecting':
+      return handleSuspectingTick(state, state.phase, event, context);
+    case 'claiming':
+      return context.nowMs - state.phase.sinceMs >= CLAIM_LIMIT_MS
+        ? handleClaimRead(state, {kind: 'unavailable'}, context)
+        : createStep(state);
+    case 'fencing':
+    case 'promoting':
+      return context.nowMs - state.phase.sinceMs >= FENCE_LIMIT_MS
+        ? createStep(backOff(state, context))
+        : createStep(state);
+    default:
+      return exhaustiveSwitchError(state.phase);
+  }
+}
+
+function handleWatchingTick(
+  state: FailoverState,
+  event: TickEvent,
+  context: FailoverContext,
+): FailoverStep {
+  if (event.watchRank === null) {
+    return createStep(state);
+  }
+  if (context.nowMs >= state.quietUntilMs && isSuspicious(state, context)) {
+    return beginSuspicion(state, context);
+  }
+  return redirectFollowers(state, event.watchRank, context);
+}
+
+function isSuspicious(state: FailoverState, context: FailoverContext): boolean {
+  const cutOff = getCutOffInstances(state, context.nowMs);
+  return (
+    isPrimaryFailing(state) ||
+    cutOff.length >= context.rules.getMajority(state.servers.length)
+  );
+}
+
+function beginSuspicion(
+  state: FailoverState,
+  context: FailoverContext,
+): FailoverStep {
+  const attempt = state.attempt + 1;
+  const commands: FailoverCommand[] = [];
+  if (state.view !== null) {
+    commands.push({
+      kind: 'collectVotes',
+      attempt,
+      backendServer: state.view.primary,
+    });
+  }
+  for (const backendServer of state.servers) {
+    commands.push({kind: 'requestStatus', backendServer});
+  }
+  return createStep(
+    {
+      ...state,
+      attempt,
+      phase: {
+        kind: 'suspecting',
+        sinceMs: context.nowMs,
+        votes: state.view === null ? [] : null,
+      },
+    },
+    commands,
+  );
+}
+
+function handleSuspectingTick(
+  state: FailoverState,
+  phase: Extract<FailoverPhase, {kind: 'suspecting'}>,
+  event: TickEvent,
+  context: FailoverContext,
+): FailoverStep {
+  if (event.watchRank === null || !isSuspicious(state, context)) {
+    return createStep({...state, phase: {kind: 'watching'}});
+  }
+  const elapsedMs = context.nowMs - phase.sinceMs;
+  const isVoteOver = phase.votes !== null || elapsedMs >= VOTE_LIMIT_MS;
+  const isTurn = elapsedMs >= event.watchRank * RANK_DELAY_MS;
+  if (!isVoteOver || !isTurn) {
+    return createStep(state, requestStatuses(state));
+  }
+  if (isConfirmedLoss(state, phase.votes ?? [], event, context)) {
+    return beginChange(state, {kind: 'failover'}, context);
+  }
+  const isExpired = elapsedMs >= VOTE_LIMIT_MS + FENCE_LIMIT_MS;
+  return isExpired
+    ? createStep(backOff(state, context))
+    : createStep(state, requestStatuses(state));
+}
+
+function isConfirmedLoss(
+  state: FailoverState,
+  votes: NonNullable<Extract<FailoverPhase, {kind: 'suspecting'}>['votes']>,
+  event: TickEvent,
+  context: FailoverContext,
+): boolean {
+  const majority = context.rules.getMajority(state.servers.length);
+  if (getCutOffInstances(state, context.nowMs).length >= majority) {
+    return true;
+  }
+  if (!isPrimaryFailing(state) || state.view === null) {
+    return false;
+  }
+  const recentCount = state.servers.filter(server =>
+    isRecent(getObserved(state, server), context.nowMs),
+  ).length;
+  return (
+    recentCount >= majority &&
+    isSuspectedByZones(context.ownZone, votes, event.knownZones)
+  );
+}
+
+function requestStatuses(state: FailoverState): readonly FailoverCommand[] {
+  return state.servers.map(backendServer => ({
+    kind: 'requestStatus' as const,
+    backendServer,
+  }));
+}
+
+function beginChange(
+  state: FailoverState,
+  reason: ChangeReason,
+  context: FailoverContext,
+): FailoverStep {
+  const attempt = state.attempt + 1;
+  const claimId = `${state.claimPrefix}.${attempt}`;
+  return createStep(
+    {
+      ...state,
+      attempt,
+      phase: {
+        kind: 'claiming',
+        step: 'reading',
+        sinceMs: context.nowMs,
+        reason,
+        term: state.highestTerm + 1,
+        claimId,
+      },
+    },
+    [{kind: 'readClaim', attempt}],
+  );
+}
+
+/** Makes instances that follow no one, or an old primary, follow the current one. */
+function redirectFollowers(
+  state: FailoverState,
+  watchRank: number,
+  context: FailoverContext,
+): FailoverStep {
+  const view = state.view;
+  const primary = getServingPrimary(state);
+  if (view === null || primary === null || watchRank > 0) {
+    return createStep(state);
+  }
+  let next = state;
+  const commands: FailoverCommand[] = [];
+  for (const backendServer of state.servers) {
+    if (!mustRedirect(state, view, backendServer, context.nowMs)) {
+      continue;
+    }
+    next = withObserved(next, backendServer, {
+      ...getObserved(next, backendServer),
+      redirectedAtMs: context.nowMs,
+    });
+    commands.push({
+      kind: 'follow',
+      backendServer,
+      term: view.term,
+      claimId: view.claimId,
+      primary,
+    });
+  }
+  return createStep(next, commands);
+}
+
+function mustRedirect(
+  state: FailoverState,
+  view: GroupView,
+  backendServer: BackendServerId,
+  nowMs: number,
+): boolean {
+  const observed = getObserved(state, backendServer);
+  if (
+    observed.status === null ||
+    backendServer === view.primary ||
+    !isRecent(observed, nowMs) ||
+    nowMs - observed.redirectedAtMs < REDIRECT_INTERVAL_MS
+  ) {
+    return false;
+  }
+  const status = observed.status;
+  if (status.term < view.term) {
+    return true;
+  }
+  return (
+    status.term === view.term &&
+    status.claimId === view.claimId &&
+    status.role === 'replica' &&
+    status.primary !== view.primary
+  );
+}
--- /dev/null
+++ b/packages/group/src/freshness_ring.ts
@@ -0,0 +1,48 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+
+interface FreshnessEntry {
+  readonly timeMs: number;
+  readonly position: LogPosition;
+}
+
+/** Entries kept; at one confirmation a second they span several minutes. */
+const RING_CAPACITY = 512;
+
+/**
+ * Remembers at which times of this process's monotonic clock the primary was
+ * proved to hold which place. A replica that holds the place of time `t` has
+ * data no older than `t`, so ages need no synchronised clocks.
+ *
+ * @internal
+ */
+export class FreshnessRing {
+  private readonly entries: FreshnessEntry[] = [];
+
+  private constructor() {}
+
+  static create(): FreshnessRing {
+    return new FreshnessRing();
+  }
+
+  /** Records that all writes before `timeMs` are at or before `position`. */
+  record(timeMs: number, position: LogPosition): void {
+    this.entries.push({timeMs, position});
+    if (this.entries.length > RING_CAPACITY) {
+      this.entries.shift();
+    }
+  }
+
+  /**
+   * The oldest place that is fresh enough: data that covers it is no older
+   * than `maxAgeMs`. Null when none is known.
+   */
+  getPosition(nowMs: number, maxAgeMs: number): LogPosition | null {
+    const earliestMs = nowMs - maxAgeMs;
+    for (const entry of this.entries) {
+      if (entry.timeMs >= earliestMs) {
+        return entry.position;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/group/src/group_manager.ts
@@ -0,0 +1,435 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {BackendServer} from '@filbertrun/model/configuration.js';
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
+import {
+  getLaterPosition,
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
+import {ClaimTable} from './claim_table.js';
+import {FailoverDriver} from './failover_driver.js';
+import {
+  getObserved,
+  getServingPrimary,
+  type FailoverState,
+} from './failover_state.js';
+import {FreshnessRing} from './freshness_ring.js';
+import type {
+  MajorityUnproven,
+  NoPrimary,
+  PrimaryChangeError,
+  TermUnconfirmed,
+} from './group_error.js';
+import type {GroupPeers, GroupView, InstanceHealth} from './group_peers.js';
+import {GroupRules} from './group_rules.js';
+import type {InstanceConnector, InstanceEvent} from './instance_connector.js';
+import type {InstanceStatus, TermConfirmation} from './instance_control.js';
+import {InstanceLinks} from './instance_links.js';
+import {MajorityTracker} from './majority_tracker.js';
+import {PrimaryChange} from './primary_change.js';
+import {PrimaryWaiters} from './primary_waiters.js';
+import {TermConfirmer} from './term_confirmer.js';
+
+/** What a group manager is made of. @public */
+export interface GroupManagerOptions {
+  readonly databaseGroup: DatabaseGroupName;
+  readonly backendServers: readonly BackendServer[];
+  readonly entryVm: string;
+  readonly availabilityZone: AvailabilityZone;
+  readonly connector: InstanceConnector;
+  readonly platform: PlatformTable;
+  readonly peers: GroupPeers;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Replaced only by the mutation run of the fuzzer. */
+  readonly rules?: GroupRules;
+}
+
+/** What routing needs to know of one instance. @public */
+export interface GroupCandidate {
+  readonly server: BackendServer;
+  readonly isPrimary: boolean;
+  /** Whether the instance is active and not known to have failed. */
+  readonly isAvailable: boolean;
+  /** Lower bound of what the instance holds. */
+  readonly knownPosition: LogPosition;
+  readonly latencyMs: number;
+}
+
+/** How often a manager works while it watches the group. */
+const MAINTENANCE_INTERVAL_MS = 100;
+
+/** Pause between two proofs of freshness while reads ask for them. */
+const FRESHNESS_INTERVAL_MS = 250;
+
+/** Time for which one request keeps the proofs going. */
+const FRESHNESS_DEMAND_MS = 5000;
+
+/** Upper bound of the random part of a claim prefix. */
+const PREFIX_RANGE = 2 ** 31 - 1;
+
+/**
+ * One database group as one proxy sees and manages it: who is primary, what a
+ * majority holds, how fresh data is, and the change of primary.
+ *
+ * @public
+ */
+export class GroupManager {
+  private readonly listeners = new Set<() => void>();
+  private readonly positions = new Map<BackendServerId, LogPosition>();
+  private readonly links: InstanceLinks;
+  private readonly driver: FailoverDriver;
+  private readonly tracker: MajorityTracker;
+  private readonly waiters: PrimaryWaiters;
+  private readonly confirmer: TermConfirmer;
+  private readonly change: PrimaryChange;
+  private readonly freshness = FreshnessRing.create();
+  private readonly rules: GroupRules;
+  private readonly stopListening: () => void;
+  private timer: Timer | null = null;
+  private servers: readonly BackendServer[];
+  private freshnessDemandMs = -Infinity;
+  private lastConfirmationMs = -Infinity;
+  private holdUntilMs = -Infinity;
+  /** Term in which the hold began. */
+  private holdTerm = 0;
+  private isDisposed = false;
+
+  private constructor(private readonly options: GroupManagerOptions) {
+    const {clock, random, databaseGroup, peers} = options;
+    this.rules = options.rules ?? GroupRules.create();
+    this.servers = options.backendServers;
+    this.tracker = MajorityTracker.create(clock, this.rules);
+    this.waiters = PrimaryWaiters.create(clock);
+    this.confirmer = TermConfirmer.create(this.rules, () => this.runRound());
+    this.links = InstanceLinks.create(this.getVoters(), {
+      connector: options.connector,
+      clock,
+      random,
+      listener: {
+        handleStatus: (server, status) => this.handleStatus(server, status),
+        handleFailure: (server, health) =>
+          this.driver.handleEvent({
+            kind: 'instanceFailed',
+            backendServer: server.backendServer,
+            health,
+          }),
+        handleEvent: (server, event) => this.handleEvent(server, event),
+      },
+    });
+    this.driver = FailoverDriver.create({
+      databaseGroup,
+      claimPrefix: `${options.entryVm}.${random.nextInteger(0, PREFIX_RANGE)}`,
+      servers: this.getVoters(),
+      ownZone: options.availabilityZone,
+      clock,
+      random,
+      rules: this.rules,
+      peers,
+      claims: ClaimTable.create(options.platform, databaseGroup),
+      logger: options.logger,
+      getLink: server => this.links.get(server),
+      onState: state => this.handleState(state),
+    });
+    this.change = PrimaryChange.create({
+      databaseGroup,
+      clock,
+      peers,
+      driver: this.driver,
+      links: this.links,
+    });
+    const stopViews = peers.onView(databaseGroup, view =>
+      this.driver.handleEvent({kind: 'viewHeard', view}),
+    );
+    const stopHolds = peers.onHold(databaseGroup, holdMs =>
+      this.handleHold(holdMs),
+    );
+    this.stopListening = () => {
+      stopViews();
+      stopHolds();
+    };
+  }
+
+  static create(options: GroupManagerOptions): GroupManager {
+    const manager = new GroupManager(options);
+    manager.maintain();
+    return manager;
+  }
+
+  /** The primary that takes writes now; null during a change. */
+  getPrimary(): BackendServer | null {
+    if (this.isHeld()) {
+      return null;
+    }
+    const primary = getServingPrimary(this.driver.getState());
+    const server = this.servers.find(each => each.backendServer === primary);
+    return server ?? null;
+  }
+
+  /** The highest term known to have a primary, or 0. */
+  getTerm(): number {
+    return this.driver.getState().view?.term ?? 0;
+  }
+
+  /** What this proxy tells others about the group, or null. */
+  getView(): GroupView | null {
+    return this.driver.getState().view;
+  }
+
+  /** Waits for a primary until `deadlineMs` of the clock. */
+  waitForPrimary(
+    deadlineMs: number,
+  ): Promise<Result<BackendServer, NoPrimary>> {
+    const primary = this.getPrimary();
+    return primary === null
+      ? this.waiters.wait(deadlineMs)
+      : Promise.resolve(success(primary));
+  }
+
+  /**
+   * Resolves once a majority of the group holds `position` in its own term.
+   * After an error the write's outcome is unknown.
+   */
+  waitForMajority(
+    position: LogPosition,
+    deadlineMs: number,
+  ): Promise<Result<void, MajorityUnproven>> {
+    return this.tracker.waitFor(position, deadlineMs);
+  }
+
+  /** Proves that the primary is still current, at a moment after the call. */
+  confirmTerm(): Promise<Result<TermConfirmation, TermUnconfirmed>> {
+    return this.confirmer.confirm();
+  }
+
+  /** Lower bound of what an instance holds. */
+  getKnownPosition(backendServer: BackendServerId): LogPosition {
+    return this.positions.get(backendServer) ?? ORIGIN_POSITION;
+  }
+
+  /** Takes a place that an instance reported on another connection. */
+  notePosition(backendServer: BackendServerId, position: LogPosition): void {
+    this.positions.set(
+      backendServer,
+      getLaterPosition(this.getKnownPosition(backendServer), position),
+    );
+  }
+
+  /**
+   * A place such that data which covers it is no older than `maxAgeMs`, or
+   * null when none is known yet.
+   */
+  getFreshPosition(maxAgeMs: number): LogPosition | null {
+    const nowMs = this.options.clock.nowMs();
+    this.freshnessDemandMs = nowMs;
+    return this.freshness.getPosition(nowMs, maxAgeMs);
+  }
+
+  /** Tells that a caller's connection to an instance broke. */
+  reportConnectionLoss(backendServer: BackendServerId): void {
+    this.links.get(backendServer)?.pollIfDue(0);
+  }
+
+  /** What routing needs to know of each instance that is not removed. */
+  getCandidates(): readonly GroupCandidate[] {
+    const state = this.driver.getState();
+    const primary = getServingPrimary(state);
+    const candidates: GroupCandidate[] = [];
+    for (const server of this.getVoters()) {
+      const observed = getObserved(state, server.backendServer);
+      candidates.push({
+        server,
+        isPrimary: server.backendServer === primary,
+        isAvailable: server.state === 'active' && observed.failure === null,
+        knownPosition: this.getKnownPosition(server.backendServer),
+        latencyMs: this.links.get(server.backendServer)?.getLatencyMs() ?? 0,
+      });
+    }
+    return candidates;
+  }
+
+  /** How an instance looks from here, asked anew; answers suspicions of other proxies. */
+  async probe(backendServer: BackendServerId): Promise<InstanceHealth> {
+    const link = this.links.get(backendServer);
+    if (link === null) {
+      return 'unknown';
+    }
+    const result = await link.poll();
+    if (result.ok) {
+      return 'healthy';
+    }
+    return result.error.kind === 'timedOut' ? 'silent' : 'refused';
+  }
+
+  /** Moves the primary to `target` as planned. */
+  changePrimary(
+    target: BackendServerId,
+  ): Promise<Result<GroupView, PrimaryChangeError>> {
+    return this.change.run(target);
+  }
+
+  /** Takes the instances of a newer configuration. */
+  setBackendServers(servers: readonly BackendServer[]): void {
+    this.servers = servers;
+    this.links.setServers(this.getVoters());
+    this.driver.handleEvent({
+      kind: 'serversChanged',
+      servers: this.getVoters().map(server => server.backendServer),
+    });
+    this.updateWanted();
+    this.notify();
+  }
+
+  /** Calls `listener` when the primary, the term or an instance changed. Returns a function that ends it. */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.timer?.cancel();
+    this.stopListening();
+    this.driver.dispose();
+    this.links.dispose();
+    this.tracker.dispose();
+    this.waiters.dispose();
+    this.confirmer.dispose();
+    this.listeners.clear();
+  }
+
+  private getVoters(): readonly BackendServer[] {
+    return this.servers.filter(server => server.state !== 'removed');
+  }
+
+  private isHeld(): boolean {
+    return this.options.clock.nowMs() < this.holdUntilMs;
+  }
+
+  private handleStatus(server: BackendServer, status: InstanceStatus): void {
+    this.notePosition(server.backendServer, status.position);
+    for (const replica of status.replicas) {
+      this.notePosition(replica.backendServer, replica.confirmed);
+    }
+    this.driver.handleEvent({kind: 'statusObserved', status});
+  }
+
+  private handleEvent(server: BackendServer, event: InstanceEvent): void {
+    switch (event.kind) {
+      case 'majorityAdvanced':
+        this.tracker.handleMajority(event.position);
+        return;
+      case 'positionReported':
+        this.notePosition(server.backendServer, event.position);
+        return;
+      case 'roleReported':
+        this.links.get(server.backendServer)?.pollIfDue(0);
+        return;
+      case 'closed':
+        return;
+    }
+  }
+
+  private handleState(state: FailoverState): void {
+    const view = state.view;
+    if (view !== null) {
+      this.tracker.handleTerm(view.term);
+      if (view.term > this.holdTerm) {
+        this.holdUntilMs = -Infinity;
+      }
+    }
+    this.updateWanted();
+    this.resolveWaiters();
+    this.notify();
+  }
+
+  /** Keeps new writes waiting while a planned change is under way. */
+  private handleHold(holdMs: number): void {
+    this.holdTerm = this.getTerm();
+    const nowMs = this.options.clock.nowMs();
+    this.holdUntilMs = holdMs > 0 ? nowMs + holdMs : -Infinity;
+    if (holdMs > 0) {
+      this.options.clock.startTimer(holdMs, () => this.resolveWaiters());
+    }
+    this.resolveWaiters();
+    this.notify();
+  }
+
+  private resolveWaiters(): void {
+    const primary = this.getPrimary();
+    if (primary !== null) {
+      this.waiters.resolveAll(primary);
+    }
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) {
+      listener();
+    }
+  }
+
+  private maintain(): void {
+    if (this.isDisposed) {
+      return;
+    }
+    this.updateWanted();
+    this.links.pollDue();
+    this.renewFreshness();
+    this.timer = this.options.clock.startTimer(MAINTENANCE_INTERVAL_MS, () =>
+      this.maintain(),
+    );
+  }
+
+  /** Watchers hold a connection to each instance, others to the primary only. */
+  private updateWanted(): void {
+    const rank = this.options.peers.getWatchRank(this.options.databaseGroup);
+    const primary = getServingPrimary(this.driver.getState());
+    this.links.setWanted(primary, rank !== null || primary === null);
+  }
+
+  private renewFreshness(): void {
+    const nowMs = this.options.clock.nowMs();
+    const isDemanded = nowMs - this.freshnessDemandMs < FRESHNESS_DEMAND_MS;
+    const isDue = nowMs - this.lastConfirmationMs >= FRESHNESS_INTERVAL_MS;
+    if (isDemanded && isDue) {
+      this.lastConfirmationMs = nowMs;
+      void this.confirmer.confirm();
+    }
+  }
+
+  private async runRound(): Promise<Result<TermConfirmation, TermUnconfirmed>> {
+    const state = this.driver.getState();
+    const primary = getServingPrimary(state);
+    const link = primary === null ? null : this.links.get(primary);
+    if (link === null || state.view === null) {
+      return failure({kind: 'termUnconfirmed', reason: 'no primary'});
+    }
+    const startMs = this.options.clock.nowMs();
+    const result = await link.run(control => control.confirmTerm());
+    if (!result.ok) {
+      return failure({kind: 'termUnconfirmed', reason: result.error.kind});
+    }
+    if (!this.rules.isConfirmationOfTerm(result.value, this.getTerm())) {
+      return failure({kind: 'termUnconfirmed', reason: 'other term'});
+    }
+    this.lastConfirmationMs = startMs;
+    this.freshness.record(
+      this.rules.getFreshnessTimeMs({
+        startMs,
+        endMs: this.options.clock.nowMs(),
+      }),
+      result.value.position,
+    );
+    this.tracker.handleMajority(result.value.majorityPosition);
+    return result;
+  }
+}
--- a/packages/group/src/instance_control.ts
+++ b/packages/group/src/instance_control.ts
@@ -40,8 +40,16 @@
 
 /** Why an instance did not do what it was asked. @public */
 export type InstanceError =
+  /** The connection was refused or broke. */
   | {readonly kind: 'unreachable'; readonly reason: string}
+  /** Nothing answered in time; the command may have taken effect. */
   | {readonly kind: 'timedOut'}
+  /** The instance is alive and answered with an error. */
+  | {
+      readonly kind: 'failed';
+      readonly sqlState: string;
+      readonly reason: string;
+    }
   | {readonly kind: 'rejected'; readonly status: InstanceStatus};
 
 /** What a primary proved about itself. @public */
--- /dev/null
+++ b/packages/group/src/instance_link.ts
@@ -0,0 +1,247 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {failure, type Result} from '@filbertrun/base/result.js';
+import type {BackendServer} from '@filbertrun/model/configuration.js';
+import type {
+  InstanceConnection,
+  InstanceConnector,
+  InstanceEvent,
+} from './instance_connector.js';
+import type {
+  InstanceControl,
+  InstanceError,
+  InstanceStatus,
+} from './instance_control.js';
+
+/** What a link reports. @internal */
+export interface InstanceLinkListener {
+  handleStatus(server: BackendServer, status: InstanceStatus): void;
+  handleFailure(server: BackendServer, health: 'refused' | 'silent'): void;
+  handleEvent(server: BackendServer, event: InstanceEvent): void;
+}
+
+/** What a link is made of. @internal */
+export interface InstanceLinkOptions {
+  readonly server: BackendServer;
+  readonly connector: InstanceConnector;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly listener: InstanceLinkListener;
+}
+
+/** Shortest and longest pause before a lost connection is made again. */
+const RECONNECT_MINIMUM_MS = 80;
+const RECONNECT_MAXIMUM_MS = 160;
+
+/** Unanswered polls in a row after which the connection is replaced. */
+const SILENT_POLL_LIMIT = 3;
+
+/** Weight of the newest sample in the smoothed latency. */
+const LATENCY_WEIGHT = 0.2;
+
+type Opening = Promise<Result<InstanceConnection, InstanceError>>;
+
+/**
+ * Keeps at most one control connection to one instance, while it is wanted.
+ *
+ * @internal
+ */
+export class InstanceLink {
+  private connection: InstanceConnection | null = null;
+  private opening: Opening | null = null;
+  private reconnectTimer: Timer | null = null;
+  private isWanted = false;
+  private isDisposed = false;
+  private isPolling = false;
+  private silentPolls = 0;
+  private lastPollMs = -Infinity;
+  private latencyMs = 0;
+
+  private constructor(private readonly options: InstanceLinkOptions) {}
+
+  static create(options: InstanceLinkOptions): InstanceLink {
+    return new InstanceLink(options);
+  }
+
+  getServer(): BackendServer {
+    return this.options.server;
+  }
+
+  getLatencyMs(): number {
+    return this.latencyMs;
+  }
+
+  isConnected(): boolean {
+    return this.connection !== null;
+  }
+
+  /** Opens or closes the connection as `isWanted` says. */
+  setWanted(isWanted: boolean): void {
+    if (this.isWanted === isWanted) {
+      return;
+    }
+    this.isWanted = isWanted;
+    if (isWanted) {
+      void this.open();
+    } else {
+      this.drop();
+    }
+  }
+
+  /** Asks for the status if the last answer is older than `intervalMs`. */
+  pollIfDue(intervalMs: number): void {
+    const isDue = this.options.clock.nowMs() - this.lastPollMs >= intervalMs;
+    if (isDue && this.connection !== null && !this.isPolling) {
+      void this.poll();
+    }
+  }
+
+  /** Asks for the status and reports the answer. */
+  async poll(): Promise<Result<InstanceStatus, InstanceError>> {
+    this.isPolling = true;
+    const startMs = this.options.clock.nowMs();
+    this.lastPollMs = startMs;
+    const result = await this.run(control => control.getStatus());
+    this.isPolling = false;
+    if (result.ok) {
+      this.recordLatency(this.options.clock.nowMs() - startMs);
+    }
+    return result;
+  }
+
+  /** Runs a command on the connection, which is made when there is none. */
+  async run<T>(
+    command: (control: InstanceControl) => Promise<Result<T, InstanceError>>,
+  ): Promise<Result<T, InstanceError>> {
+    const opened = await this.open();
+    const result = opened.ok ? await command(opened.value) : opened;
+    this.report(result);
+    return result;
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.isWanted = false;
+    this.drop();
+  }
+
+  private open(): Opening {
+    if (this.isDisposed) {
+      return Promise.resolve(
+        failure({kind: 'unreachable', reason: 'disposed'}),
+      );
+    }
+    if (this.connection !== null) {
+      return Promise.resolve({ok: true, value: this.connection});
+    }
+    this.opening ??= this.connect();
+    return this.opening;
+  }
+
+  private async connect(): Opening {
+    this.cancelReconnect();
+    const result = await this.options.connector.connect(
+      this.options.server,
+      event => this.handleEvent(event),
+    );
+    this.opening = null;
+    if (!result.ok) {
+      this.report(result);
+      this.scheduleReconnect();
+      return result;
+    }
+    if (this.isDisposed) {
+      result.value.close();
+      return failure({kind: 'unreachable', reason: 'disposed'});
+    }
+    this.connection = result.value;
+    this.silentPolls = 0;
+    return result;
+  }
+
+  private handleEvent(event: InstanceEvent): void {
+    if (this.isDisposed) {
+      return;
+    }
+    if (event.kind === 'closed') {
+      this.connection = null;
+      this.options.listener.handleFailure(this.options.server, 'refused');
+      this.scheduleReconnect();
+    }
+    this.options.listener.handleEvent(this.options.server, event);
+  }
+
+  private report<T>(result: Result<T, InstanceError>): void {
+    if (this.isDisposed) {
+      return;
+    }
+    if (result.ok) {
+      this.silentPolls = 0;
+      if (isStatus(result.value)) {
+        this.options.listener.handleStatus(this.options.server, result.value);
+      }
+      return;
+    }
+    switch (result.error.kind) {
+      case 'unreachable':
+        this.options.listener.handleFailure(this.options.server, 'refused');
+        break;
+      case 'timedOut':
+        this.options.listener.handleFailure(this.options.server, 'silent');
+        this.countSilence();
+        break;
+      case 'rejected':
+        this.options.listener.handleStatus(
+          this.options.server,
+          result.error.status,
+        );
+        break;
+      case 'failed':
+        break;
+    }
+  }
+
+  private countSilence(): void {
+    this.silentPolls++;
+    if (this.silentPolls >= SILENT_POLL_LIMIT && this.connection !== null) {
+      this.drop();
+      this.scheduleReconnect();
+    }
+  }
+
+  private drop(): void {
+    this.cancelReconnect();
+    this.connection?.close();
+    this.connection = null;
+  }
+
+  private scheduleReconnect(): void {
+    if (!this.isWanted || this.reconnectTimer !== null) {
+      return;
+    }
+    const delayMs = this.options.random.nextInteger(
+      RECONNECT_MINIMUM_MS,
+      RECONNECT_MAXIMUM_MS,
+    );
+    this.reconnectTimer = this.options.clock.startTimer(delayMs, () => {
+      this.reconnectTimer = null;
+      void this.open();
+    });
+  }
+
+  private cancelReconnect(): void {
+    this.reconnectTimer?.cancel();
+    this.reconnectTimer = null;
+  }
+
+  private recordLatency(sampleMs: number): void {
+    this.latencyMs =
+      this.latencyMs === 0
+        ? sampleMs
+        : this.latencyMs + LATENCY_WEIGHT * (sampleMs - this.latencyMs);
+  }
+}
+
+function isStatus(value: unknown): value is InstanceStatus {
+  return typeof value === 'object' && value !== null && 'role' in value;
+}
--- /dev/null
+++ b/packages/group/src/instance_links.ts
@@ -0,0 +1,92 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {BackendServer} from '@filbertrun/model/configuration.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {InstanceConnector} from './instance_connector.js';
+import {InstanceLink, type InstanceLinkListener} from './instance_link.js';
+
+/** What the links of a group share. @internal */
+export interface InstanceLinksOptions {
+  readonly connector: InstanceConnector;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly listener: InstanceLinkListener;
+}
+
+/** Pause between two polls of the primary and of a replica. */
+const PRIMARY_POLL_INTERVAL_MS = 200;
+const REPLICA_POLL_INTERVAL_MS = 500;
+
+/** The control connections to the instances of one group. @internal */
+export class InstanceLinks {
+  private readonly links = new Map<BackendServerId, InstanceLink>();
+  private primary: BackendServerId | null = null;
+
+  private constructor(private readonly options: InstanceLinksOptions) {}
+
+  static create(
+    servers: readonly BackendServer[],
+    options: InstanceLinksOptions,
+  ): InstanceLinks {
+    const links = new InstanceLinks(options);
+    links.setServers(servers);
+    return links;
+  }
+
+  get(backendServer: BackendServerId): InstanceLink | null {
+    return this.links.get(backendServer) ?? null;
+  }
+
+  /** Adds links to new instances and ends those to instances that went. */
+  setServers(servers: readonly BackendServer[]): void {
+    const names = new Set(servers.map(server => server.backendServer));
+    for (const [name, link] of this.links) {
+      if (!names.has(name)) {
+        link.dispose();
+        this.links.delete(name);
+      }
+    }
+    for (const server of servers) {
+      this.addServer(server);
+    }
+  }
+
+  /** Holds the connection to the primary, and to all when `isAll`. */
+  setWanted(primary: BackendServerId | null, isAll: boolean): void {
+    this.primary = primary;
+    for (const [name, link] of this.links) {
+      link.setWanted(isAll || name === primary);
+    }
+  }
+
+  /** Polls the instances whose last answer is due for renewal. */
+  pollDue(): void {
+    for (const [name, link] of this.links) {
+      link.pollIfDue(
+        name === this.primary
+          ? PRIMARY_POLL_INTERVAL_MS
+          : REPLICA_POLL_INTERVAL_MS,
+      );
+    }
+  }
+
+  dispose(): void {
+    for (const link of this.links.values()) {
+      link.dispose();
+    }
+    this.links.clear();
+  }
+
+  private addServer(server: BackendServer): void {
+    const existing = this.links.get(server.backendServer);
+    const known = existing?.getServer();
+    if (known?.host === server.host && known.port === server.port) {
+      return;
+    }
+    existing?.dispose();
+    this.links.set(
+      server.backendServer,
+      InstanceLink.create({...this.options, server}),
+    );
+  }
+}
--- /dev/null
+++ b/packages/group/src/majority_tracker.ts
@@ -0,0 +1,105 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {MajorityUnproven} from './group_error.js';
+import type {GroupRules} from './group_rules.js';
+
+interface Waiter {
+  readonly position: LogPosition;
+  readonly timer: Timer;
+  readonly settle: (result: Result<void, MajorityUnproven>) => void;
+}
+
+/**
+ * Holds the acknowledgements that wait until a majority of the group holds a
+ * write. Waiters of a term that has ended without proof end as unproven.
+ *
+ * @internal
+ */
+export class MajorityTracker {
+  private readonly waiters = new Set<Waiter>();
+  private latest: LogPosition | null = null;
+  private term = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly rules: GroupRules,
+  ) {}
+
+  static create(clock: Clock, rules: GroupRules): MajorityTracker {
+    return new MajorityTracker(clock, rules);
+  }
+
+  /** Resolves once a majority holds `position`, at the latest at `deadlineMs`. */
+  waitFor(
+    position: LogPosition,
+    deadlineMs: number,
+  ): Promise<Result<void, MajorityUnproven>> {
+    if (!this.rules.mustWaitForMajority() || this.isProven(position)) {
+      return Promise.resolve(success(undefined));
+    }
+    if (position.term < this.term) {
+      return Promise.resolve(createUnproven('termChanged'));
+    }
+    return new Promise(resolve => {
+      const waiter: Waiter = {
+        position,
+        timer: this.clock.startTimer(deadlineMs - this.clock.nowMs(), () =>
+          waiter.settle(createUnproven('deadline')),
+        ),
+        settle: result => {
+          waiter.timer.cancel();
+          this.waiters.delete(waiter);
+          resolve(result);
+        },
+      };
+      this.waiters.add(waiter);
+    });
+  }
+
+  /** Takes a place that a majority holds, as its primary told. */
+  handleMajority(position: LogPosition): void {
+    this.latest = position;
+    for (const waiter of [...this.waiters]) {
+      if (this.rules.isMajorityProof(position, waiter.position)) {
+        waiter.settle(success(undefined));
+      }
+    }
+  }
+
+  /** Ends the waiters of older terms. */
+  handleTerm(term: number): void {
+    if (term <= this.term) {
+      return;
+    }
+    this.term = term;
+    for (const waiter of [...this.waiters]) {
+      if (waiter.position.term < term) {
+        waiter.settle(createUnproven('termChanged'));
+      }
+    }
+  }
+
+  /** Last place known to be held by a majority. */
+  getLatest(): LogPosition | null {
+    return this.latest;
+  }
+
+  dispose(): void {
+    for (const waiter of [...this.waiters]) {
+      waiter.settle(createUnproven('disposed'));
+    }
+  }
+
+  private isProven(position: LogPosition): boolean {
+    return (
+      this.latest !== null && this.rules.isMajorityProof(this.latest, position)
+    );
+  }
+}
+
+function createUnproven(
+  reason: MajorityUnproven['reason'],
+): Result<void, MajorityUnproven> {
+  return failure({kind: 'majorityUnproven', reason});
+}
--- /dev/null
+++ b/packages/group/src/term_confirmer.ts
@@ -0,0 +1,100 @@
+import {failure, type Result} from '@filbertrun/base/result.js';
+import type {TermUnconfirmed} from './group_error.js';
+import type {GroupRules} from './group_rules.js';
+import type {TermConfirmation} from './instance_control.js';
+
+/** Runs one confirmation round with the primary. @internal */
+export type ConfirmationRound = () => Promise<
+  Result<TermConfirmation, TermUnconfirmed>
+>;
+
+interface PendingCall {
+  readonly sequence: number;
+  readonly resolve: (result: Result<TermConfirmation, TermUnconfirmed>) => void;
+}
+
+/**
+ * Batches confirmations of the primary's term. A call joins only a round that
+ * begins after it, because an earlier round says nothing of the time since.
+ *
+ * @internal
+ */
+export class TermConfirmer {
+  private pending: PendingCall[] = [];
+  private isRunning = false;
+  private isStartScheduled = false;
+
+  private nextSequence = 0;
+
+  private constructor(
+    private readonly rules: GroupRules,
+    private readonly runRound: ConfirmationRound,
+  ) {}
+
+  static create(rules: GroupRules, runRound: ConfirmationRound): TermConfirmer {
+    return new TermConfirmer(rules, runRound);
+  }
+
+  /** Confirms the term at a moment after the call. */
+  confirm(): Promise<Result<TermConfirmation, TermUnconfirmed>> {
+    return new Promise(resolve => {
+      this.pending.push({sequence: this.nextSequence++, resolve});
+      this.scheduleRound();
+    });
+  }
+
+  dispose(): void {
+    const abandoned = this.pending;
+    this.pending = [];
+    for (const call of abandoned) {
+      call.resolve(failure({kind: 'termUnconfirmed', reason: 'disposed'}));
+    }
+  }
+
+  /** Starts a round once the calls of this turn have joined it. */
+  private scheduleRound(): void {
+    if (this.isRunning || this.isStartScheduled) {
+      return;
+    }
+    this.isStartScheduled = true;
+    queueMicrotask(() => {
+      this.isStartScheduled = false;
+      void this.run();
+    });
+  }
+
+  private async run(): Promise<void> {
+    if (this.isRunning || this.pending.length === 0) {
+      return;
+    }
+    this.isRunning = true;
+    const roundSequence = this.nextSequence++;
+    const joined = this.pending;
+    this.pending = [];
+    const result = await this.runRound();
+    this.isRunning = false;
+    for (const call of joined) {
+      call.resolve(result);
+    }
+    this.resolveLateCalls(roundSequence, result);
+    if (this.pending.length > 0) {
+      this.scheduleRound();
+    }
+  }
+
+  /** Answers calls made during the round, as far as the rules allow. */
+  private resolveLateCalls(
+    roundSequence: number,
+    result: Result<TermConfirmation, TermUnconfirmed>,
+  ): void {
+    const waiting: PendingCall[] = [];
+    for (const call of this.pending) {
+      if (this.rules.mayJoinRound(call.sequence, roundSequence)) {
+        call.resolve(result);
+      } else {
+        waiting.push(call);
+      }
+    }
+    this.pending = waiting;
+  }
+}
