Add the replication core of the stand-in

Terms, log and replication of one instance as a plain class, so that the stand-in and a fuzzer run the same code. Raft-like check of the previous place; a record is cut only by one of a newer term; a replica confirms the place that matched.

--- /dev/null
+++ b/packages/standin/src/replica_progress.ts
@@ -0,0 +1,80 @@
+import type {ReplicaReport} from '@filbertrun/group/instance_control.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import {
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+
+/** What a primary knows of one replica in its term. @internal */
+export class ReplicaProgress {
+  private confirmed: LogPosition = ORIGIN_POSITION;
+  private answeredSequence = 0;
+  private lastSentAtMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(
+    private nextPosition: number,
+    private lastAnswerAtMs: number,
+  ) {}
+
+  static create(nextPosition: number, nowMs: number): ReplicaProgress {
+    return new ReplicaProgress(nextPosition, nowMs);
+  }
+
+  /** Position of the next record to send. */
+  getNextPosition(): number {
+    return this.nextPosition;
+  }
+
+  /** Last place that the replica confirmed. */
+  getConfirmed(): LogPosition {
+    return this.confirmed;
+  }
+
+  /** Highest sequence that the replica answered. */
+  getAnsweredSequence(): number {
+    return this.answeredSequence;
+  }
+
+  getLastSentAtMs(): number {
+    return this.lastSentAtMs;
+  }
+
+  recordSent(recordCount: number, nowMs: number): void {
+    this.nextPosition += recordCount;
+    this.lastSentAtMs = nowMs;
+  }
+
+  recordAcknowledged(
+    confirmed: LogPosition,
+    sequence: number,
+    nowMs: number,
+  ): void {
+    this.recordAnswer(sequence, nowMs);
+    if (confirmed.position > this.confirmed.position) {
+      this.confirmed = confirmed;
+    }
+    this.nextPosition = Math.max(this.nextPosition, confirmed.position + 1);
+  }
+
+  /** Goes back to after `hintPosition`, but never before what is confirmed. */
+  recordMismatch(hintPosition: number, sequence: number, nowMs: number): void {
+    this.recordAnswer(sequence, nowMs);
+    const target = Math.max(hintPosition, this.confirmed.position) + 1;
+    this.nextPosition = Math.min(this.nextPosition, target);
+    // Sends again at the next tick.
+    this.lastSentAtMs = Number.NEGATIVE_INFINITY;
+  }
+
+  createReport(backendServer: BackendServerId, nowMs: number): ReplicaReport {
+    return {
+      backendServer,
+      confirmed: this.confirmed,
+      silentForMs: nowMs - this.lastAnswerAtMs,
+    };
+  }
+
+  private recordAnswer(sequence: number, nowMs: number): void {
+    this.answeredSequence = Math.max(this.answeredSequence, sequence);
+    this.lastAnswerAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/standin/src/replication_core.ts
@@ -0,0 +1,532 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import type {
+  InstanceRole,
+  InstanceStatus,
+} from '@filbertrun/group/instance_control.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import {
+  ORIGIN_POSITION,
+  comparePositions,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import {ReplicationLog, type LogRecordBody} from './replication_log.js';
+import type {
+  AcknowledgeMessage,
+  AppendMessage,
+  MismatchMessage,
+  ReplicationEffect,
+  ReplicationMessage,
+} from './replication_message.js';
+import {ReplicaProgress} from './replica_progress.js';
+
+/**
+ * Terms, log and replication of one instance of a database group, without
+ * sockets or timers: calls and messages go in, effects come out. The host
+ * carries out the effects in order after each call, and calls `handleTick`
+ * when `getDelayToNextTickMs` has passed and after it appended records.
+ */
+
+/** Default time between heartbeats of a primary. @public */
+export const DEFAULT_HEARTBEAT_INTERVAL_MS = 20;
+
+/** Records that one message carries at most. */
+const MAX_RECORDS_PER_MESSAGE = 1000;
+
+/** Records held by every instance that are kept before they are dropped. */
+const RETAINED_RECORDS = 10_000;
+
+/** What a replication core is made of. @public */
+export interface ReplicationCoreOptions {
+  readonly backendServer: BackendServerId;
+  /** The other instances of the group. */
+  readonly peers: readonly BackendServerId[];
+  readonly clock: Clock;
+  readonly heartbeatIntervalMs?: number;
+  /** How long records wait before they are sent to a replica; default 0. */
+  readonly getReplicationLagMs?: (replica: BackendServerId) => number;
+}
+
+interface PendingConfirmation {
+  readonly ticket: number;
+  /** An answer to a message of this sequence or a later one counts. */
+  readonly sequence: number;
+}
+
+/** Terms, log and replication of one instance. @public */
+export class ReplicationCore<Change> {
+  private role: InstanceRole = 'replica';
+  private term = 0;
+  private claimId = '';
+  private primary: BackendServerId | null = null;
+  private primaryHeardAtMs: number | null = null;
+  private readonly log = ReplicationLog.create<Change>();
+  private progress: ReadonlyMap<BackendServerId, ReplicaProgress> = new Map();
+  private majority: LogPosition = ORIGIN_POSITION;
+  private nextSequence = 1;
+  private nextTicket = 1;
+  private confirmations: PendingConfirmation[] = [];
+  private effects: ReplicationEffect<Change>[] = [];
+
+  private constructor(private readonly options: ReplicationCoreOptions) {}
+
+  static create<Change>(
+    options: ReplicationCoreOptions,
+  ): ReplicationCore<Change> {
+    return new ReplicationCore(options);
+  }
+
+  getRole(): InstanceRole {
+    return this.role;
+  }
+
+  getTerm(): number {
+    return this.term;
+  }
+
+  /** The end of the log; a replica has applied all of it. */
+  getEnd(): LogPosition {
+    return this.log.getEnd();
+  }
+
+  getLog(): ReplicationLog<Change> {
+    return this.log;
+  }
+
+  /** Place that a majority holds, as far as this primary knows in its term. */
+  getMajority(): LogPosition {
+    return this.majority;
+  }
+
+  getStatus(): InstanceStatus {
+    const nowMs = this.options.clock.nowMs();
+    const replicas = [...this.progress].map(([backendServer, progress]) =>
+      progress.createReport(backendServer, nowMs),
+    );
+    return {
+      backendServer: this.options.backendServer,
+      role: this.role,
+      term: this.term,
+      claimId: this.claimId,
+      position: this.getEnd(),
+      primary: this.primary,
+      primarySilentForMs:
+        this.primaryHeardAtMs === null ? null : nowMs - this.primaryHeardAtMs,
+      replicas,
+    };
+  }
+
+  /** Takes the effects that have not been carried out yet. */
+  takeEffects(): readonly ReplicationEffect<Change>[] {
+    const effects = this.effects;
+    this.effects = [];
+    return effects;
+  }
+
+  /** Obeys no term below `term` from now on; false when it is refused. */
+  raiseTerm(term: number, claimId: string): boolean {
+    if (this.isSameClaim(term, claimId)) {
+      return true;
+    }
+    if (term <= this.term) {
+      return false;
+    }
+    this.becomeReplica(term, claimId, null);
+    return true;
+  }
+
+  /**
+   * Becomes the primary of the term that the same claim raised it to. A
+   * replica that follows a primary of this term is refused, so that a claim
+   * whose holder repeats itself never gives a term two primaries.
+   */
+  promote(term: number, claimId: string): boolean {
+    if (!this.isSameClaim(term, claimId)) {
+      return false;
+    }
+    if (this.role === 'primary') {
+      return true;
+    }
+    if (term === 0 || this.primary !== null) {
+      return false;
+    }
+    this.role = 'primary';
+    this.primary = this.options.backendServer;
+    this.primaryHeardAtMs = null;
+    this.startLeading();
+    this.effects.push({kind: 'roleChanged'});
+    this.appendBody({kind: 'termStart', claimId});
+    return true;
+  }
+
+  /**
+   * Becomes a replica of `primary`. The log is cut back when the primary's
+   * first records arrive. A primary is not deposed within its own term.
+   */
+  follow(term: number, claimId: string, primary: BackendServerId): boolean {
+    const isSelf = primary === this.options.backendServer;
+    if (isSelf || (term === this.term && this.role === 'primary')) {
+      return false;
+    }
+    if (term < this.term || !this.isNewOrSameClaim(term, claimId)) {
+      return false;
+    }
+    this.becomeReplica(term, claimId, primary);
+    return true;
+  }
+
+  /** Appends a change on the primary and returns its place. */
+  appendChange(change: Change): LogPosition {
+    if (this.role !== 'primary') {
+      throw new Error('Only a primary appends');
+    }
+    return this.appendBody({kind: 'change', change});
+  }
+
+  /** Asks a majority to answer in this term; `termConfirmed` repeats the ticket. */
+  startConfirmation(): number {
+    const ticket = this.nextTicket++;
+    this.confirmations.push({ticket, sequence: this.nextSequence});
+    this.settleConfirmations();
+    return ticket;
+  }
+
+  /** Forgets what a process loses when it ends: all but term, claim, role and log. */
+  restart(): void {
+    this.effects = [];
+    this.primaryHeardAtMs = null;
+    this.confirmations = [];
+    if (this.role === 'primary') {
+      this.startLeading();
+    }
+  }
+
+  handleMessage(message: ReplicationMessage<Change>): void {
+    switch (message.kind) {
+      case 'append':
+        this.handleAppend(message);
+        return;
+      case 'acknowledge':
+        this.handleAcknowledge(message);
+        return;
+      case 'mismatch':
+        this.handleMismatch(message);
+        return;
+      case 'staleTerm':
+        // Only a call or the newer primary itself deposes this one.
+        return;
+      default:
+        exhaustiveSwitchError(message);
+    }
+  }
+
+  /** Sends the records, heartbeats and probes that are due. */
+  handleTick(): void {
+    if (this.role !== 'primary') {
+      return;
+    }
+    const mustProbe = this.confirmations.some(
+      pending => pending.sequence === this.nextSequence,
+    );
+    const sequence = this.nextSequence++;
+    for (const [replica, progress] of this.progress) {
+      this.sendDue(replica, progress, sequence, mustProbe);
+    }
+  }
+
+  /** Time until `handleTick` has something to send; null on a replica. */
+  getDelayToNextTickMs(): number | null {
+    if (this.role !== 'primary') {
+      return null;
+    }
+    const nowMs = this.options.clock.nowMs();
+    let delayMs = this.getHeartbeatIntervalMs();
+    for (const [replica, progress] of this.progress) {
+      const heartbeatDueMs =
+        progress.getLastSentAtMs() + this.getHeartbeatIntervalMs();
+      delayMs = Math.min(delayMs, heartbeatDueMs - nowMs);
+      const record = this.log.getRecord(progress.getNextPosition());
+      if (record !== null) {
+        const dueMs = record.appendedAtMs + this.getLagMs(replica);
+        delayMs = Math.min(delayMs, dueMs - nowMs);
+      }
+    }
+    return Math.max(0, delayMs);
+  }
+
+  private isSameClaim(term: number, claimId: string): boolean {
+    return term === this.term && claimId === this.claimId;
+  }
+
+  private isNewOrSameClaim(term: number, claimId: string): boolean {
+    return term > this.term || this.isSameClaim(term, claimId);
+  }
+
+  private getHeartbeatIntervalMs(): number {
+    return this.options.heartbeatIntervalMs ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
+  }
+
+  private getLagMs(replica: BackendServerId): number {
+    return this.options.getReplicationLagMs?.(replica) ?? 0;
+  }
+
+  private becomeReplica(
+    term: number,
+    claimId: string,
+    primary: BackendServerId | null,
+  ): void {
+    const isChanged =
+      term !== this.term || primary !== this.primary || this.role !== 'replica';
+    this.term = term;
+    this.claimId = claimId;
+    this.role = 'replica';
+    this.progress = new Map();
+    this.majority = ORIGIN_POSITION;
+    this.confirmations = [];
+    if (primary !== this.primary) {
+      this.primary = primary;
+      this.primaryHeardAtMs = null;
+    }
+    if (isChanged) {
+      this.effects.push({kind: 'roleChanged'});
+    }
+  }
+
+  private startLeading(): void {
+    const nextPosition = this.getEnd().position + 1;
+    const nowMs = this.options.clock.nowMs();
+    this.majority = ORIGIN_POSITION;
+    this.progress = new Map(
+      this.options.peers.map(peer => [
+        peer,
+        ReplicaProgress.create(nextPosition, nowMs),
+      ]),
+    );
+  }
+
+  private appendBody(body: LogRecordBody<Change>): LogPosition {
+    const position = this.getEnd().position + 1;
+    const appendedAtMs = this.options.clock.nowMs();
+    this.log.append({term: this.term, position, body, appendedAtMs});
+    if (this.options.peers.length === 0) {
+      this.advanceMajority();
+    }
+    return {term: this.term, position};
+  }
+
+  private sendDue(
+    replica: BackendServerId,
+    progress: ReplicaProgress,
+    sequence: number,
+    mustProbe: boolean,
+  ): void {
+    const nowMs = this.options.clock.nowMs();
+    const isHeartbeatDue =
+      nowMs - progress.getLastSentAtMs() >= this.getHeartbeatIntervalMs();
+    const records = this.collectRecords(replica, progress.getNextPosition());
+    if (records.length === 0 && !mustProbe && !isHeartbeatDue) {
+      return;
+    }
+    const previousPosition = progress.getNextPosition() - 1;
+    const previousTerm = this.log.getTermAt(previousPosition);
+    if (previousTerm === null) {
+      throw new Error(`No record at ${previousPosition} to send after`);
+    }
+    progress.recordSent(records.length, nowMs);
+    this.send(replica, {
+      kind: 'append',
+      from: this.options.backendServer,
+      term: this.term,
+      claimId: this.claimId,
+      sequence,
+      previous: {term: previousTerm, position: previousPosition},
+      records,
+      heldByAll: this.getPositionHeldByAll(),
+    });
+  }
+
+  private collectRecords(replica: BackendServerId, firstPosition: number) {
+    const latestMs = this.options.clock.nowMs() - this.getLagMs(replica);
+    const records = [];
+    let record = this.log.getRecord(firstPosition);
+    while (record !== null && records.length < MAX_RECORDS_PER_MESSAGE) {
+      // Times of older terms come from another primary's clock.
+      if (record.term === this.term && record.appendedAtMs > latestMs) {
+        break;
+      }
+      records.push(record);
+      record = this.log.getRecord(record.position + 1);
+    }
+    return records;
+  }
+
+  private getPositionHeldByAll(): number {
+    let held = this.getEnd().position;
+    for (const progress of this.progress.values()) {
+      held = Math.min(held, progress.getConfirmed().position);
+    }
+    return held;
+  }
+
+  private handleAppend(message: AppendMessage<Change>): void {
+    const isOwnTermOfPrimary =
+      message.term === this.term && this.role === 'primary';
+    if (message.term < this.term || isOwnTermOfPrimary) {
+      this.send(message.from, {
+        kind: 'staleTerm',
+        from: this.options.backendServer,
+        term: this.term,
+      });
+      return;
+    }
+    this.becomeReplica(message.term, message.claimId, message.from);
+    this.primaryHeardAtMs = this.options.clock.nowMs();
+    const hintPosition = this.findMismatch(message.previous);
+    const {from, term, sequence} = message;
+    const self = this.options.backendServer;
+    if (hintPosition !== null) {
+      this.send(from, {
+        kind: 'mismatch',
+        from: self,
+        term,
+        sequence,
+        hintPosition,
+      });
+      return;
+    }
+    const confirmed = this.takeRecords(message);
+    this.dropHeldByAll(message.heldByAll);
+    this.send(from, {
+      kind: 'acknowledge',
+      from: self,
+      term,
+      sequence,
+      confirmed,
+    });
+  }
+
+  /** Null when the log contains `previous`, else where the primary tries next. */
+  private findMismatch(previous: LogPosition): number | null {
+    if (previous.position < this.log.getBase().position) {
+      // The dropped prefix is held by all, so it equals the primary's.
+      return null;
+    }
+    const termThere = this.log.getTermAt(previous.position);
+    if (termThere === null) {
+      return this.getEnd().position;
+    }
+    if (termThere === previous.term) {
+      return null;
+    }
+    return this.log.getPositionBeforeTermOf(previous.position);
+  }
+
+  /** Takes the records of a message and returns the last place that matches. */
+  private takeRecords(message: AppendMessage<Change>): LogPosition {
+    let matched = message.previous;
+    for (const record of message.records) {
+      matched = {term: record.term, position: record.position};
+      if (record.position <= this.log.getBase().position) {
+        continue;
+      }
+      const termThere = this.log.getTermAt(record.position);
+      if (termThere === record.term) {
+        continue;
+      }
+      if (termThere !== null) {
+        this.cutFrom(record.position, termThere, message.term);
+      }
+      this.log.append(record);
+      this.effects.push({kind: 'applyRecord', record});
+    }
+    return matched;
+  }
+
+  private cutFrom(position: number, termThere: number, term: number): void {
+    if (termThere >= term) {
+      throw new Error(`A record of term ${termThere} is not cut in ${term}`);
+    }
+    for (const record of this.log.truncateFrom(position)) {
+      this.effects.push({kind: 'undoRecord', record});
+    }
+  }
+
+  private handleAcknowledge(message: AcknowledgeMessage): void {
+    const progress = this.findProgress(message);
+    if (progress === null) {
+      return;
+    }
+    const nowMs = this.options.clock.nowMs();
+    progress.recordAcknowledged(message.confirmed, message.sequence, nowMs);
+    this.advanceMajority();
+    this.settleConfirmations();
+    this.dropHeldByAll(this.getPositionHeldByAll());
+  }
+
+  private handleMismatch(message: MismatchMessage): void {
+    const progress = this.findProgress(message);
+    if (progress === null) {
+      return;
+    }
+    const nowMs = this.options.clock.nowMs();
+    const lowest = this.log.getBase().position;
+    const hint = Math.max(lowest, message.hintPosition);
+    progress.recordMismatch(hint, message.sequence, nowMs);
+    this.settleConfirmations();
+  }
+
+  private findProgress(
+    message: AcknowledgeMessage | MismatchMessage,
+  ): ReplicaProgress | null {
+    if (this.role !== 'primary' || message.term !== this.term) {
+      return null;
+    }
+    return this.progress.get(message.from) ?? null;
+  }
+
+  private advanceMajority(): void {
+    const places = [this.getEnd()];
+    for (const progress of this.progress.values()) {
+      places.push(progress.getConfirmed());
+    }
+    places.sort((left, right) => right.position - left.position);
+    const place = places[Math.floor(places.length / 2)];
+    // A record of an older term counts only below one of this term.
+    if (place === undefined || place.term !== this.term) {
+      return;
+    }
+    if (comparePositions(place, this.majority) > 0) {
+      this.majority = place;
+      this.effects.push({kind: 'majorityAdvanced', majority: place});
+    }
+  }
+
+  private settleConfirmations(): void {
+    const required = Math.floor((this.options.peers.length + 1) / 2);
+    const unsettled: PendingConfirmation[] = [];
+    for (const pending of this.confirmations) {
+      let answers = 0;
+      for (const progress of this.progress.values()) {
+        answers += progress.getAnsweredSequence() >= pending.sequence ? 1 : 0;
+      }
+      if (answers < required) {
+        unsettled.push(pending);
+        continue;
+      }
+      this.effects.push({kind: 'termConfirmed', ticket: pending.ticket});
+    }
+    this.confirmations = unsettled;
+  }
+
+  private dropHeldByAll(position: number): void {
+    const end = Math.min(position, this.getEnd().position);
+    const surplus = end - this.log.getBase().position;
+    if (surplus >= 2 * RETAINED_RECORDS) {
+      this.log.dropThrough(end - RETAINED_RECORDS);
+    }
+  }
+
+  private send(to: BackendServerId, message: ReplicationMessage<Change>): void {
+    this.effects.push({kind: 'send', to, message});
+  }
+}
--- /dev/null
+++ b/packages/standin/src/replication_log.ts
@@ -0,0 +1,98 @@
+import {
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+
+/**
+ * The log of one instance: records at consecutive positions from 1, of which
+ * a prefix that every instance holds may have been dropped.
+ */
+
+/** What a record holds: the start of a term, or a change of data. @public */
+export type LogRecordBody<Change> =
+  | {readonly kind: 'termStart'; readonly claimId: string}
+  | {readonly kind: 'change'; readonly change: Change};
+
+/** A record of the log. @public */
+export interface LogRecord<Change> extends LogPosition {
+  readonly body: LogRecordBody<Change>;
+  /** When the primary of `term` appended it, on that primary's clock. */
+  readonly appendedAtMs: number;
+}
+
+/** The log of one instance. @public */
+export class ReplicationLog<Change> {
+  private records: LogRecord<Change>[] = [];
+  /** Last place before `records`. */
+  private base: LogPosition = ORIGIN_POSITION;
+
+  private constructor() {}
+
+  static create<Change>(): ReplicationLog<Change> {
+    return new ReplicationLog();
+  }
+
+  /** The last place of the log. */
+  getEnd(): LogPosition {
+    const last = this.records[this.records.length - 1];
+    return last === undefined
+      ? this.base
+      : {term: last.term, position: last.position};
+  }
+
+  /** The last place that was dropped, or the origin. */
+  getBase(): LogPosition {
+    return this.base;
+  }
+
+  /** Term of the record at a position; null when the log has none there. */
+  getTermAt(position: number): number | null {
+    if (position === this.base.position) {
+      return this.base.term;
+    }
+    return this.getRecord(position)?.term ?? null;
+  }
+
+  /** The record at a position, or null. */
+  getRecord(position: number): LogRecord<Change> | null {
+    return this.records[position - this.base.position - 1] ?? null;
+  }
+
+  /** Adds a record; its position must follow the end. */
+  append(record: LogRecord<Change>): void {
+    const expected = this.getEnd().position + 1;
+    if (record.position !== expected) {
+      throw new Error(`Position ${record.position} does not follow the end`);
+    }
+    this.records.push(record);
+  }
+
+  /** Removes the records from `position` on and returns them, last first. */
+  truncateFrom(position: number): readonly LogRecord<Change>[] {
+    const index = position - this.base.position - 1;
+    if (index < 0) {
+      throw new Error(`Position ${position} was dropped and cannot be undone`);
+    }
+    return this.records.splice(index).reverse();
+  }
+
+  /** Drops the records up to `position`. */
+  dropThrough(position: number): void {
+    const term = this.getTermAt(position);
+    if (term === null || position <= this.base.position) {
+      return;
+    }
+    this.records = this.records.slice(position - this.base.position);
+    this.base = {term, position};
+  }
+
+  /** Last position before the run of records that have the term of `position`. */
+  getPositionBeforeTermOf(position: number): number {
+    const term = this.getTermAt(position);
+    let before = position - 1;
+    while (before > this.base.position && this.getTermAt(before) === term) {
+      before--;
+    }
+    return before;
+  }
+}
