Never answer an unlisted read of a session without a floor from old data

Cause: every replica covers the origin, so a session that had written nothing could be answered from data of any age though no rule of the sheet allows it; and an age read that fell back to the primary could be answered by a replaced one that is cut off. Change: such a read is strict; an age read at the primary needs a confirmed term. The route property now expects a confirmation for every requirement but the session's, which is stricter than before. Conclusion: both promises hold by the route alone.

--- a/packages/routing/src/choose_read_route.ts
+++ b/packages/routing/src/choose_read_route.ts
@@ -45,18 +45,18 @@
   options: ReadRouteOptions,
 ): ReadRoute {
   if (requirement.kind === 'strict') {
-    return {kind: 'primary', mustConfirmTerm: true};
+    return createPrimaryRoute(requirement);
   }
   const requiredPosition = getRequiredPosition(requirement, options);
   if (requiredPosition === null) {
-    return createPrimaryRoute();
+    return createPrimaryRoute(requirement);
   }
   const replicas = findEligibleReplicas(candidates, requiredPosition, options);
   const freeReplicas = replicas.filter(replica => replica.freeSlots > 0);
   const canUsePrimary =
     freeReplicas.length === 0 && hasSparePrimary(candidates, options);
   if (replicas.length === 0 || canUsePrimary) {
-    return createPrimaryRoute();
+    return createPrimaryRoute(requirement);
   }
   // Without a free slot anywhere, waiting for a replica spares the primary,
   // whose slots the writes need.
@@ -83,8 +83,13 @@
   return getLaterPosition(requirement.floor, options.freshPosition);
 }
 
-function createPrimaryRoute(): ReadRoute {
-  return {kind: 'primary', mustConfirmTerm: false};
+/**
+ * A floor is checked against the answer itself. Nothing in an answer tells its
+ * age: a replaced primary that is cut off would answer with data of any age,
+ * so for an age bound the primary must prove that it is current.
+ */
+function createPrimaryRoute(requirement: ReadRequirement): ReadRoute {
+  return {kind: 'primary', mustConfirmTerm: requirement.kind !== 'session'};
 }
 
 function findEligibleReplicas(
--- a/packages/routing/src/choose_read_route_test.ts
+++ b/packages/routing/src/choose_read_route_test.ts
@@ -89,6 +89,12 @@
     expect(choose(age, [NEAR], {freshPosition: null}).kind).toBe('primary');
   });
 
+  it('makes the primary confirm its term for an age, not for a floor', () => {
+    const age: ReadRequirement = {kind: 'age', floor: FLOOR, maxAgeMs: 1000};
+    expect(choose(age, [PRIMARY])).toMatchObject({mustConfirmTerm: true});
+    expect(choose(SESSION, [PRIMARY])).toMatchObject({mustConfirmTerm: false});
+  });
+
   it('uses a replica that is expected to have caught up', () => {
     const behind = createCandidate({
       knownPosition: {term: 1, position: 10},
@@ -176,7 +182,7 @@
             expect(route.requiredPosition).toEqual(place);
           } else {
             expect(free).toEqual([]);
-            expect(route.mustConfirmTerm).toBe(required.kind === 'strict');
+            expect(route.mustConfirmTerm).toBe(required.kind !== 'session');
           }
         },
       ),
--- a/packages/routing/src/read_requirement.ts
+++ b/packages/routing/src/read_requirement.ts
@@ -5,7 +5,11 @@
   type ReadRule,
   type RequestPriority,
 } from '@filbertrun/model/configuration.js';
-import type {LogPosition} from '@filbertrun/model/log_position.js';
+import {
+  comparePositions,
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
 import type {ReadRequirement} from './read_route.js';
 
 /**
@@ -28,13 +32,27 @@
   readonly priority: RequestPriority;
 }
 
-/** The rule for reads that no rule names. */
-const DEFAULT_RULE = {
+/**
+ * The rule for reads that no rule names, of a session that has a floor for the
+ * database group: data that covers the floor is current for the session.
+ */
+const SESSION_RULE = {
   consistency: 'session',
   maxAgeMs: null,
   priority: 'normal',
 } as const satisfies Partial<ReadRule>;
 
+/**
+ * The rule for reads that no rule names, of a session without a floor. Every
+ * replica covers the origin, however old its data, and only a rule allows old
+ * data; so the read must be current.
+ */
+const CURRENT_RULE = {
+  consistency: 'strict',
+  maxAgeMs: null,
+  priority: 'normal',
+} as const satisfies Partial<ReadRule>;
+
 /** What the resolution needs of a rule. */
 type AppliedRule = Pick<ReadRule, 'consistency' | 'maxAgeMs' | 'priority'>;
 
@@ -81,8 +99,8 @@
       }
     }
     return {
-      requirement: createRequirement(strictest ?? DEFAULT_RULE, read.floor),
-      priority: priority ?? DEFAULT_RULE.priority,
+      requirement: createRequirement(strictest ?? CURRENT_RULE, read.floor),
+      priority: priority ?? CURRENT_RULE.priority,
     };
   }
 
@@ -94,11 +112,17 @@
       this.rules.get(createKey(databaseGroup, application, ANY_NAME)) ??
       this.rules.get(createKey(databaseGroup, ANY_NAME, table)) ??
       this.rules.get(createKey(databaseGroup, ANY_NAME, ANY_NAME)) ??
-      DEFAULT_RULE
+      getDefaultRule(read)
     );
   }
 }
 
+function getDefaultRule(read: ReadDescription): AppliedRule {
+  const hasFloor = comparePositions(read.floor, ORIGIN_POSITION) > 0;
+  // A read that names no table depends on no data.
+  return hasFloor || read.tables.length === 0 ? SESSION_RULE : CURRENT_RULE;
+}
+
 const indexes = new WeakMap<Configuration, ReadRuleIndex>();
 
 /** What a read requires under a configuration. @public */
--- a/packages/routing/src/read_requirement_test.ts
+++ b/packages/routing/src/read_requirement_test.ts
@@ -3,6 +3,10 @@
   EMPTY_CONFIGURATION,
   type ReadRule,
 } from '@filbertrun/model/configuration.js';
+import {
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
 import {resolveReadRequirement} from './read_requirement.js';
 
 const FLOOR = {term: 1, position: 5};
@@ -23,10 +27,11 @@
   readRules: readonly ReadRule[],
   tables: readonly string[],
   application = 'site',
+  floor: LogPosition = FLOOR,
 ) {
   return resolveReadRequirement(
     {...EMPTY_CONFIGURATION, readRules},
-    {application, databaseGroup: 'outings-db-1', tables, floor: FLOOR},
+    {application, databaseGroup: 'outings-db-1', tables, floor},
   );
 }
 
@@ -51,6 +56,31 @@
     });
   });
 
+  it('requires current data for an unlisted read of a session without a floor', () => {
+    expect(resolve([], ['a'], 'site', ORIGIN_POSITION).requirement).toEqual({
+      kind: 'strict',
+    });
+  });
+
+  it('lets a listed session read without a floor be answered by any replica', () => {
+    const listed = createRule({table: 'a'});
+    expect(
+      resolve([listed], ['a'], 'site', ORIGIN_POSITION).requirement,
+    ).toEqual({kind: 'session', floor: ORIGIN_POSITION});
+  });
+
+  it('requires nothing of a read that names no table', () => {
+    expect(resolve([], [], 'site', ORIGIN_POSITION).requirement).toEqual({
+      kind: 'session',
+      floor: ORIGIN_POSITION,
+    });
+  });
+
+  it('requires current data when one of several tables is unlisted', () => {
+    const both = resolve([OLD_TIMES], ['times', 'a'], 'site', ORIGIN_POSITION);
+    expect(both.requirement).toEqual({kind: 'strict'});
+  });
+
   it('applies the age of a listed read and keeps its floor', () => {
     expect(resolve([OLD_TIMES], ['times'])).toEqual({
       requirement: {kind: 'age', floor: FLOOR, maxAgeMs: 5000},
