--- a/packages/group/src/failover_core.ts
+++ b/packages/group/src/failover_core.ts
@@ -111,7 +111,9 @@
     // An instance never lowers its term, so this answer was overtaken.
     return state;
   }
-  const isOrphan = status.role === 'replica' && status.primary === null;
+  const isOrphan =
+    status.role === 'replica' &&
+    (status.primary === null || status.primarySilentForMs === null);
   const next = withObserved(state, status.backendServer, {
     status,
     answeredAtMs: context.nowMs,
@@ -340,7 +342,10 @@
 ): FailoverStep {
   const view = state.view;
   const primary = getServingPrimary(state);
-  if (view === null || primary === null || watchRank > 0) {
+  if (view === null || view.claimId === null || primary === null) {
+    return createStep(state);
+  }
+  if (watchRank > 0) {
     return createStep(state);
   }
   let next = state;
--- a/packages/group/src/failover_state.ts
+++ b/packages/group/src/failover_state.ts
@@ -16,7 +16,7 @@
   readonly answeredAtMs: number;
   /** How the last call failed, or null when it did not. */
   readonly failure: 'refused' | 'silent' | null;
-  /** Since when the instance has been a replica without a primary, or null. */
+  /** Since when the instance has been a replica that has not heard from a primary, or null. */
   readonly orphanSinceMs: number | null;
   /** When the instance was last told to follow. */
   readonly redirectedAtMs: number;
--- a/packages/group/src/failover_step.ts
+++ b/packages/group/src/failover_step.ts
@@ -33,7 +33,9 @@
   view: GroupView,
   rules: GroupRules,
 ): FailoverState {
-  if (!rules.isNewerView(view.term, state.view?.term ?? -1)) {
+  const known = state.view;
+  const completesClaim = known?.term === view.term && known.claimId === null;
+  if (!completesClaim && !rules.isNewerView(view.term, known?.term ?? -1)) {
     return state;
   }
   return {
--- a/packages/group/src/group_peers.ts
+++ b/packages/group/src/group_peers.ts
@@ -13,7 +13,8 @@
 export interface GroupView {
   readonly databaseGroup: DatabaseGroupName;
   readonly term: number;
-  readonly claimId: string;
+  /** Claim of the term; null when the one that told did not know it. */
+  readonly claimId: string | null;
   readonly primary: BackendServerId;
 }
 
