Add the configuration manager and the peer protocol

Thin versions: a configuration is an object named by its hash, accepted by a conditional write with a change id; proxies take newer versions from the platform and from peers. The peer protocol is trpc over WebSocket.

--- /dev/null
+++ b/packages/configuration/src/configuration_manager.ts
@@ -0,0 +1,332 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {Configuration} from '@filbertrun/model/configuration.js';
+import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import type {
+  ObjectStore,
+  PlatformTable,
+} from '@filbertrun/platform/platform_service.js';
+import {createActor, type Actor} from 'xstate';
+import {
+  computeObjectName,
+  encodeBody,
+  parseBody,
+} from './configuration_body.js';
+import {
+  configurationMachine,
+  isNewer,
+  type VersionName,
+} from './configuration_core.js';
+import type {ConfigurationPointer} from './configuration_pointer.js';
+import {
+  PlatformConfigurationSource,
+  type ConfigurationPeers,
+  type ConfigurationSource,
+} from './configuration_source.js';
+import type {HeldConfiguration} from './plan_change.js';
+import {computePollDelayMs} from './poll_delay.js';
+import {rebuildConfiguration} from './rebuild_configuration.js';
+
+/**
+ * Keeps one proxy on the newest accepted configuration.
+ *
+ * @public
+ */
+
+/** What a manager works with. @public */
+export interface ConfigurationManagerOptions {
+  readonly platform: PlatformTable & ObjectStore;
+  readonly peers: ConfigurationPeers;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** Whether the proxy holds a configuration that it may act on. @public */
+export type ConfigurationReadiness = 'notReady' | 'ready' | 'disposed';
+
+type ConfigurationListener = (configuration: Configuration) => void;
+
+/** Longest wait for answers at the start while the platform is silent. */
+const START_TIMEOUT_MS = 3000;
+
+/** Keeps one proxy on the newest accepted configuration. @public */
+export class ConfigurationManager {
+  private readonly actor: Actor<typeof configurationMachine>;
+  private readonly platformSource: ConfigurationSource;
+  private readonly listeners = new Set<ConfigurationListener>();
+  private readonly fetching = new Set<string>();
+  private pollTimer: Timer | null = null;
+  private startTimer: Timer | null = null;
+  private failedPolls = 0;
+  private isDisposed = false;
+
+  private constructor(private readonly options: ConfigurationManagerOptions) {
+    this.actor = createActor(configurationMachine);
+    this.platformSource = PlatformConfigurationSource.create(options.platform);
+  }
+
+  /** Creates a manager that asks the platform and the peers at once. */
+  static create(options: ConfigurationManagerOptions): ConfigurationManager {
+    const manager = new ConfigurationManager(options);
+    manager.start();
+    return manager;
+  }
+
+  /** Whether the manager holds a configuration that may be acted on. */
+  getReadiness(): ConfigurationReadiness {
+    return this.actor.getSnapshot().value;
+  }
+
+  /** The configuration in force; null until the manager is ready. */
+  getCurrent(): Configuration | null {
+    if (this.getReadiness() === 'notReady') {
+      return null;
+    }
+    return this.getHeld()?.configuration ?? null;
+  }
+
+  /** Version that is held, 0 when none is; it never falls. */
+  getVersion(): number {
+    return this.getHeld()?.configuration.version ?? 0;
+  }
+
+  /** Name of the held version for announcements; null when none is held. */
+  getVersionName(): VersionName | null {
+    const pointer = this.getPointer();
+    return pointer === null
+      ? null
+      : {version: pointer.version, objectName: pointer.objectName};
+  }
+
+  /** The pointer of the held version, which a peer may ask for. */
+  getPointer(): ConfigurationPointer | null {
+    return this.getHeld()?.pointer ?? null;
+  }
+
+  /** The held body if it has this name; a peer may ask for it. */
+  getBody(objectName: string): string | null {
+    const held = this.getHeld();
+    if (held === null || held.pointer?.objectName !== objectName) {
+      return null;
+    }
+    return encodeBody(held.configuration);
+  }
+
+  /**
+   * Calls `listener` with each configuration that comes into force, the
+   * present one included. Gives a function that ends the calls.
+   */
+  onChange(listener: ConfigurationListener): () => void {
+    this.listeners.add(listener);
+    const current = this.getCurrent();
+    if (current !== null) {
+      listener(current);
+    }
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+
+  /** Takes note of the version that a peer holds and fetches a newer one. */
+  handleAnnouncement(entryVm: EntryVmId, name: VersionName): void {
+    if (this.isDisposed || !isNewer(name.version, this.getHeld())) {
+      return;
+    }
+    const source = this.options.peers.getSource(entryVm);
+    if (source !== null) {
+      void this.learnFromPeer(source, `peer ${entryVm}`);
+    }
+  }
+
+  /** Reads the platform's table now, for example after a change was accepted. */
+  async refresh(): Promise<void> {
+    await this.learnFromPlatform();
+  }
+
+  /** Stops polling; the held configuration stays readable. */
+  dispose(): void {
+    this.isDisposed = true;
+    this.pollTimer?.cancel();
+    this.startTimer?.cancel();
+    this.listeners.clear();
+    this.actor.send({type: 'disposed'});
+  }
+
+  private start(): void {
+    this.actor.start();
+    this.startTimer = this.options.clock.startTimer(START_TIMEOUT_MS, () => {
+      this.notifyIfReady(() => this.actor.send({type: 'allAnswered'}));
+    });
+    void this.askPeersAtStart();
+    void this.poll();
+  }
+
+  private async askPeersAtStart(): Promise<void> {
+    const asked: Promise<void>[] = [];
+    for (const entryVm of this.options.peers.listPeers()) {
+      const source = this.options.peers.getSource(entryVm);
+      if (source !== null) {
+        asked.push(this.learnFromPeer(source, `peer ${entryVm}`));
+      }
+    }
+    await Promise.all(asked);
+    if (asked.length > 0 && !this.isDisposed) {
+      this.notifyIfReady(() => this.actor.send({type: 'allAnswered'}));
+    }
+  }
+
+  private async poll(): Promise<void> {
+    const isAnswered = await this.learnFromPlatform();
+    if (this.isDisposed) {
+      return;
+    }
+    this.failedPolls = isAnswered ? 0 : this.failedPolls + 1;
+    if (this.getReadiness() === 'notReady' && !isAnswered) {
+      void this.askPeersAtStart();
+    }
+    const delayMs = computePollDelayMs(
+      this.options.peers.getProxyCount(),
+      this.failedPolls,
+      this.options.random,
+    );
+    this.pollTimer = this.options.clock.startTimer(delayMs, () => {
+      void this.poll();
+    });
+  }
+
+  private async learnFromPlatform(): Promise<boolean> {
+    const pointer = await this.platformSource.getPointer();
+    if (this.isDisposed || !pointer.ok) {
+      return false;
+    }
+    const version = pointer.value?.version ?? 0;
+    this.notifyIfReady(() =>
+      this.actor.send({type: 'platformAnswered', version}),
+    );
+    await this.obtain(pointer.value, this.platformSource, 'platform');
+    return true;
+  }
+
+  private async learnFromPeer(
+    source: ConfigurationSource,
+    sourceName: string,
+  ): Promise<void> {
+    const pointer = await source.getPointer();
+    if (this.isDisposed || !pointer.ok) {
+      return;
+    }
+    const version = pointer.value?.version ?? 0;
+    this.notifyIfReady(() => this.actor.send({type: 'peerAnswered', version}));
+    await this.obtain(pointer.value, source, sourceName);
+  }
+
+  private async obtain(
+    pointer: ConfigurationPointer | null,
+    source: ConfigurationSource,
+    sourceName: string,
+  ): Promise<void> {
+    if (pointer === null || !isNewer(pointer.version, this.getHeld())) {
+      return;
+    }
+    const fetchKey = `${pointer.version} ${sourceName}`;
+    if (this.fetching.has(fetchKey)) {
+      return;
+    }
+    this.fetching.add(fetchKey);
+    const configuration = await this.getConfiguration(pointer, source);
+    this.fetching.delete(fetchKey);
+    if (configuration !== null && !this.isDisposed) {
+      this.take({pointer, configuration}, sourceName);
+    }
+  }
+
+  private async getConfiguration(
+    pointer: ConfigurationPointer,
+    source: ConfigurationSource,
+  ): Promise<Configuration | null> {
+    const held = this.getHeld();
+    if (held !== null) {
+      const rebuilt = rebuildConfiguration(held.configuration, pointer);
+      if (rebuilt !== null) {
+        return rebuilt;
+      }
+    }
+    const sources =
+      source === this.platformSource
+        ? this.getBodySources()
+        : [source, this.platformSource];
+    for (const candidate of sources) {
+      const configuration = await fetchBody(candidate, pointer);
+      if (configuration !== null) {
+        return configuration;
+      }
+    }
+    return null;
+  }
+
+  private getBodySources(): readonly ConfigurationSource[] {
+    const sources = [this.platformSource];
+    for (const entryVm of this.options.peers.listPeers()) {
+      const source = this.options.peers.getSource(entryVm);
+      if (source !== null) {
+        sources.push(source);
+      }
+    }
+    return sources;
+  }
+
+  private take(held: HeldConfiguration, sourceName: string): void {
+    const before = this.getVersion();
+    if (!isNewer(held.configuration.version, this.getHeld())) {
+      return;
+    }
+    this.actor.send({type: 'configurationObtained', held});
+    this.options.logger.info('configuration_in_force', {
+      version: held.configuration.version,
+      previousVersion: before,
+      objectName: computeObjectName(encodeBody(held.configuration)),
+      source: sourceName,
+    });
+    this.notify();
+  }
+
+  /** Runs a step and tells the listeners when it made the manager ready. */
+  private notifyIfReady(step: () => void): void {
+    const before = this.getReadiness();
+    step();
+    if (before === 'notReady' && this.getReadiness() === 'ready') {
+      this.notify();
+    }
+  }
+
+  private notify(): void {
+    const current = this.getCurrent();
+    if (current === null) {
+      return;
+    }
+    for (const listener of this.listeners) {
+      listener(current);
+    }
+  }
+
+  private getHeld(): HeldConfiguration | null {
+    return this.actor.getSnapshot().context.held;
+  }
+}
+
+async function fetchBody(
+  source: ConfigurationSource,
+  pointer: ConfigurationPointer,
+): Promise<Configuration | null> {
+  const body = await source.getBody(pointer.objectName);
+  if (!body.ok || body.value === null) {
+    return null;
+  }
+  const parsed = parseBody(body.value, pointer.objectName);
+  if (!parsed.ok || parsed.value.version !== pointer.version) {
+    return null;
+  }
+  return parsed.value;
+}
--- /dev/null
+++ b/packages/configuration/src/plan_change.ts
@@ -0,0 +1,205 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {
+  EMPTY_CONFIGURATION,
+  type Configuration,
+} from '@filbertrun/model/configuration.js';
+import {createHash} from 'node:crypto';
+import {applyChange, describeApplyError} from './apply_change.js';
+import {computeObjectName, encodeBody} from './configuration_body.js';
+import {
+  describeChange,
+  doPartsOverlap,
+  getChangedParts,
+  type ChangeRequest,
+  type ConfigurationChange,
+} from './configuration_change.js';
+import {
+  appendRecordedChange,
+  type ConfigurationPointer,
+  type RecordedChange,
+} from './configuration_pointer.js';
+
+/**
+ * Decides what a requested change does to the configuration that the
+ * platform's table names now.
+ *
+ * @public
+ */
+
+/** A version and its pointer. @public */
+export interface HeldConfiguration {
+  readonly pointer: ConfigurationPointer | null;
+  readonly configuration: Configuration;
+}
+
+/** What holds before the first change. @public */
+export const NOTHING_ACCEPTED: HeldConfiguration = {
+  pointer: null,
+  configuration: EMPTY_CONFIGURATION,
+};
+
+/** The answer to an accepted change. @public */
+export interface ChangeReceipt {
+  readonly changeId: string;
+  /** Version from which the change is in force. */
+  readonly version: number;
+  readonly objectName: string;
+  /** `repeated`: accepted before; `unchanged`: already so, nothing written. */
+  readonly effect: 'accepted' | 'repeated' | 'unchanged';
+}
+
+/** Why a change was refused for good. @public */
+export type ChangeRefusal =
+  | {readonly kind: 'conflict'; readonly winner: RecordedChange}
+  | {readonly kind: 'baseTooOld'; readonly oldestKnownVersion: number}
+  | {readonly kind: 'baseInFuture'; readonly currentVersion: number}
+  | {readonly kind: 'changeIdReused'; readonly earlier: RecordedChange}
+  | {readonly kind: 'invalid'; readonly reason: string};
+
+/** What to do with a requested change. @public */
+export type ChangePlan =
+  | {readonly kind: 'answer'; readonly receipt: ChangeReceipt}
+  | {
+      readonly kind: 'write';
+      readonly pointer: ConfigurationPointer;
+      readonly body: string;
+      readonly receipt: ChangeReceipt;
+    };
+
+/** Plans a change on top of what is accepted now. @public */
+export function planChange(
+  held: HeldConfiguration,
+  request: ChangeRequest,
+): Result<ChangePlan, ChangeRefusal> {
+  const repeated = findRepeatedChange(held, request);
+  if (repeated !== null) {
+    return repeated;
+  }
+  const refusal = checkBase(held, request);
+  if (refusal !== null) {
+    return failure(refusal);
+  }
+  const applied = applyChange(held.configuration, request.change);
+  if (!applied.ok) {
+    const reason = describeApplyError(applied.error);
+    return failure({kind: 'invalid', reason});
+  }
+  if (applied.value === held.configuration) {
+    const receipt = createReceipt(held, request.changeId, 'unchanged');
+    return success({kind: 'answer', receipt});
+  }
+  return success(createWrite(held, request, applied.value));
+}
+
+/** Describes a refusal for a person. @public */
+export function describeRefusal(refusal: ChangeRefusal): string {
+  switch (refusal.kind) {
+    case 'conflict':
+      return `change ${refusal.winner.changeId} won with version ${refusal.winner.version}: ${refusal.winner.summary}`;
+    case 'baseTooOld':
+      return `the base version is older than version ${refusal.oldestKnownVersion}, the oldest whose changes are known`;
+    case 'baseInFuture':
+      return `the base version is newer than the current version ${refusal.currentVersion}`;
+    case 'changeIdReused':
+      return `the change id was used for another change, version ${refusal.earlier.version}: ${refusal.earlier.summary}`;
+    case 'invalid':
+      return refusal.reason;
+  }
+}
+
+function findRepeatedChange(
+  held: HeldConfiguration,
+  request: ChangeRequest,
+): Result<ChangePlan, ChangeRefusal> | null {
+  const earlier = held.pointer?.changes.find(
+    recorded => recorded.changeId === request.changeId,
+  );
+  if (earlier === undefined) {
+    return null;
+  }
+  if (earlier.digest !== computeChangeDigest(request.change)) {
+    return failure({kind: 'changeIdReused', earlier});
+  }
+  const receipt: ChangeReceipt = {
+    ...createReceipt(held, request.changeId, 'repeated'),
+    version: earlier.version,
+  };
+  return success({kind: 'answer', receipt});
+}
+
+function checkBase(
+  held: HeldConfiguration,
+  request: ChangeRequest,
+): ChangeRefusal | null {
+  const {baseVersion} = request;
+  const currentVersion = held.configuration.version;
+  if (baseVersion === null || baseVersion === currentVersion) {
+    return null;
+  }
+  if (baseVersion > currentVersion) {
+    return {kind: 'baseInFuture', currentVersion};
+  }
+  const changes = held.pointer?.changes ?? [];
+  const oldestKnownVersion = (changes[0]?.version ?? 1) - 1;
+  if (baseVersion < oldestKnownVersion) {
+    return {kind: 'baseTooOld', oldestKnownVersion};
+  }
+  const parts = getChangedParts(request.change);
+  for (const winner of changes) {
+    if (winner.version > baseVersion && doPartsOverlap(winner.parts, parts)) {
+      return {kind: 'conflict', winner};
+    }
+  }
+  return null;
+}
+
+function createWrite(
+  held: HeldConfiguration,
+  request: ChangeRequest,
+  configuration: Configuration,
+): ChangePlan {
+  const body = encodeBody(configuration);
+  const objectName = computeObjectName(body);
+  const {changeId, change} = request;
+  const {version} = configuration;
+  const changes = appendRecordedChange(
+    held.pointer?.changes ?? [],
+    {
+      changeId,
+      version,
+      digest: computeChangeDigest(change),
+      parts: getChangedParts(change),
+      summary: describeChange(change).slice(0, 400),
+    },
+    change,
+  );
+  return {
+    kind: 'write',
+    pointer: {schemaVersion: 1, version, objectName, changes},
+    body,
+    receipt: {changeId, version, objectName, effect: 'accepted'},
+  };
+}
+
+function createReceipt(
+  held: HeldConfiguration,
+  changeId: string,
+  effect: ChangeReceipt['effect'],
+): ChangeReceipt {
+  return {
+    changeId,
+    version: held.configuration.version,
+    objectName:
+      held.pointer?.objectName ??
+      computeObjectName(encodeBody(held.configuration)),
+    effect,
+  };
+}
+
+/** Hash that tells whether two requests with one id ask for the same change. */
+function computeChangeDigest(change: ConfigurationChange): string {
+  return createHash('sha256')
+    .update(JSON.stringify(change))
+    .digest('hex')
+    .slice(0, 16);
+}
--- /dev/null
+++ b/packages/peer/src/fake_peer_handler.ts
@@ -0,0 +1,63 @@
+import type {Heartbeat, PeerHandler} from './peer_protocol.js';
+
+/**
+ * A peer that knows nothing, for tests of the transport.
+ *
+ * @internal
+ */
+
+/** A heartbeat of a peer that knows nothing. @internal */
+export const HEARTBEAT: Heartbeat = {
+  sender: {
+    entryVm: 'entry-1',
+    availabilityZone: 'kochi',
+    peerUrl: 'http://10.0.0.1:7000',
+    incarnation: 1,
+    state: 'live',
+  },
+  configuration: null,
+  membersDigest: 0,
+  groupViewsDigest: 0,
+  updates: [],
+};
+
+/** Creates a handler that answers each call with an empty answer. @internal */
+export function createFakeHandler(
+  overrides: Partial<PeerHandler> = {},
+): PeerHandler {
+  return {
+    heartbeat: async () => HEARTBEAT,
+    getMembers: async () => [],
+    askSilence: async () => ({silentForMs: null}),
+    getConfigurationPointer: async () => ({kind: 'notReady'}),
+    getConfigurationBody: async () => ({body: null}),
+    askSuspicion: async () => ({
+      entryVm: 'entry-1',
+      availabilityZone: 'kochi',
+      isWatching: false,
+      term: 0,
+      primary: null,
+      silentForMs: null,
+      isSuspected: false,
+    }),
+    announceGroupViews: async () => ({}),
+    getGroupViews: async () => [],
+    announceConfiguration: async () => ({}),
+    submitChange: async () => ({
+      ok: false,
+      error: {kind: 'unavailable', reason: 'not configured'},
+    }),
+    changePrimary: async () => ({kind: 'refused', reason: 'not configured'}),
+    getStatus: async () => ({
+      entryVm: 'entry-1',
+      availabilityZone: 'kochi',
+      incarnation: 1,
+      isReady: false,
+      isLeaving: false,
+      configuration: null,
+      members: [],
+      groupViews: [],
+    }),
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/packages/peer/src/peer_router.ts
@@ -0,0 +1,47 @@
+import {initTRPC, TRPCError, type AnyRouter} from '@trpc/server';
+import {isAllowed} from './peer_credentials.js';
+import {
+  PEER_PROCEDURES,
+  type PeerHandler,
+  type PeerProcedure,
+  type PeerRole,
+} from './peer_protocol.js';
+
+/**
+ * The trpc router of the peer interface.
+ *
+ * @public
+ */
+
+/** What is known of a caller. @public */
+export interface PeerContext {
+  readonly role: PeerRole;
+}
+
+type AnyAnswer = (input: unknown) => Promise<unknown>;
+
+/** Creates the router that answers with `handler`. @public */
+export function createPeerRouter(handler: PeerHandler): AnyRouter {
+  const trpc = initTRPC.context<PeerContext>().create({isDev: false});
+  const names = Object.keys(PEER_PROCEDURES) as PeerProcedure[];
+  const entries = names.map(name => {
+    const {input, role} = PEER_PROCEDURES[name];
+    // The schema of the same name has checked the input by then.
+    const answer = handler[name] as AnyAnswer;
+    const procedure = trpc.procedure.input(input).mutation(call => {
+      requireRole(call.ctx, role);
+      return answer(call.input);
+    });
+    return [name, procedure] as const;
+  });
+  return trpc.router(Object.fromEntries(entries));
+}
+
+function requireRole(context: PeerContext, needed: PeerRole): void {
+  if (!isAllowed(context.role, needed)) {
+    throw new TRPCError({
+      code: 'FORBIDDEN',
+      message: 'This procedure is for proxies only.',
+    });
+  }
+}
