--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -46,6 +46,11 @@
 /** Whether the proxy holds a configuration that it may act on. @public */
 export type ConfigurationReadiness = 'notReady' | 'ready' | 'disposed';
 
+/** What a peer is told; an unready proxy has nothing to say of what was accepted. @public */
+export type PointerAnswer =
+  | {readonly kind: 'notReady'}
+  | {readonly kind: 'held'; readonly pointer: ConfigurationPointer | null};
+
 type ConfigurationListener = (configuration: Configuration) => void;
 
 /** Longest wait for answers at the start while the platform is silent. */
@@ -105,6 +110,14 @@
     return this.getHeld()?.pointer ?? null;
   }
 
+  /** What a peer is told that asks for the pointer. */
+  getPointerForPeer(): PointerAnswer {
+    if (this.getReadiness() === 'notReady') {
+      return {kind: 'notReady'};
+    }
+    return {kind: 'held', pointer: this.getPointer()};
+  }
+
   /** The held body if it has this name; a peer may ask for it. */
   getBody(objectName: string): string | null {
     const held = this.getHeld();
--- /dev/null
+++ b/packages/configuration/src/configuration_manager_test.ts
@@ -0,0 +1,154 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {SilentLogger} from '@filbertrun/observability/logger.js';
+import {InMemoryPlatformService} from '@filbertrun/platform/in_memory_platform_service.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {
+  createDrain,
+  createGroup,
+  createRequest,
+} from './configuration_fixtures.js';
+import {ConfigurationManager} from './configuration_manager.js';
+import type {ConfigurationSource} from './configuration_source.js';
+import {submitChange} from './submit_change.js';
+
+let clock: VirtualClock;
+let platform: InMemoryPlatformService;
+let sources: Map<string, ConfigurationSource>;
+
+async function pass(durationMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
+    await new Promise(resolve => setImmediate(resolve));
+    clock.advance(50);
+  }
+  await new Promise(resolve => setImmediate(resolve));
+}
+
+function createManager(usedPlatform = platform): ConfigurationManager {
+  return ConfigurationManager.create({
+    platform: usedPlatform,
+    peers: {
+      listPeers: () => [...sources.keys()],
+      getSource: entryVm => sources.get(entryVm) ?? null,
+      getProxyCount: () => 5,
+    },
+    clock,
+    random: SeededRandom.create(1),
+    logger: SilentLogger.create(),
+  });
+}
+
+function addPeer(entryVm: string, manager: ConfigurationManager): void {
+  sources.set(entryVm, {
+    getPointer: async () => {
+      const answer = manager.getPointerForPeer();
+      return answer.kind === 'held'
+        ? success(answer.pointer)
+        : failure({kind: 'sourceFailed', reason: 'notReady'});
+    },
+    getBody: async name => success(manager.getBody(name)),
+  });
+}
+
+async function submit(changeId: string, backendServer: string) {
+  const random = SeededRandom.create(2);
+  const request = createRequest(changeId, createDrain(backendServer));
+  return submitChange(request, {platform, clock, random});
+}
+
+beforeEach(async () => {
+  clock = VirtualClock.create();
+  platform = InMemoryPlatformService.create({clock});
+  sources = new Map();
+  const databaseGroups = [createGroup('outings-db-1')];
+  await submitChange(
+    createRequest('start', {kind: 'replaceDatabaseGroups', databaseGroups}),
+    {platform, clock, random: SeededRandom.create(2)},
+  );
+});
+
+describe('ConfigurationManager', () => {
+  it('is ready once the platform has answered', async () => {
+    const manager = createManager();
+    expect(manager.getReadiness()).toBe('notReady');
+    await pass(50);
+    expect(manager.getReadiness()).toBe('ready');
+    expect(manager.getCurrent()?.version).toBe(1);
+  });
+
+  it('takes a new version by polling and tells its listeners', async () => {
+    const manager = createManager();
+    await pass(50);
+    const versions: number[] = [];
+    manager.onChange(configuration => versions.push(configuration.version));
+    await submit('drain-1', 'outings-db-1-a');
+    await pass(2000);
+    expect(versions).toEqual([1, 2]);
+  });
+
+  it('is not ready while nothing can be reached', async () => {
+    platform.setOutage(true);
+    const manager = createManager();
+    await pass(20_000);
+    expect(manager.getReadiness()).toBe('notReady');
+    expect(manager.getCurrent()).toBeNull();
+  });
+
+  it('starts from a peer while the platform is down', async () => {
+    const peer = createManager();
+    await submit('drain-1', 'outings-db-1-a');
+    await pass(2000);
+    addPeer('entry-1', peer);
+    platform.setOutage(true);
+    const manager = createManager();
+    await pass(4000);
+    expect(manager.getCurrent()?.version).toBe(2);
+  });
+
+  it('does not take the emptiness of a peer that is starting for an answer', async () => {
+    platform.setOutage(true);
+    addPeer('entry-1', createManager());
+    const manager = createManager();
+    await pass(20_000);
+    expect(manager.getReadiness()).toBe('notReady');
+  });
+
+  it('follows the announcement of a peer while the platform is down', async () => {
+    const peer = createManager();
+    const cutOff = InMemoryPlatformService.create({clock});
+    addPeer('entry-1', peer);
+    cutOff.setOutage(true);
+    const manager = createManager(cutOff);
+    await pass(5000);
+    await submit('drain-1', 'outings-db-1-a');
+    await peer.refresh();
+    const name = peer.getVersionName();
+    expect(name?.version).toBe(2);
+    if (name !== null) {
+      manager.handleAnnouncement('entry-1', name);
+    }
+    await pass(50);
+    expect(manager.getCurrent()?.version).toBe(2);
+  });
+
+  it('needs no body from the object store for a small change', async () => {
+    const manager = createManager();
+    await pass(50);
+    await submit('drain-1', 'outings-db-1-a');
+    platform.getObject = async () =>
+      failure({kind: 'unavailable', reason: 'the object store is down'});
+    await pass(2000);
+    expect(manager.getVersion()).toBe(2);
+  });
+
+  it('never goes back to an older version', async () => {
+    const manager = createManager();
+    await submit('drain-1', 'outings-db-1-a');
+    await pass(2000);
+    const older = InMemoryPlatformService.create({clock});
+    platform.getEntry = older.getEntry.bind(older);
+    await pass(5000);
+    expect(manager.getCurrent()?.version).toBe(2);
+  });
+});
