--- /dev/null
+++ b/packages/standin/src/admin_server.ts
@@ -0,0 +1,74 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {adminCommandSchema, type AdminCommand} from './admin_command.js';
+import {readBody, sendJson} from './http_body.js';
+
+/** What the admin interface acts on. @internal */
+export interface AdminTarget {
+  /** Carries out a command; rejects when it names something unknown. */
+  runCommand(command: AdminCommand): Promise<void>;
+  getState(): unknown;
+}
+
+const PATH_PREFIX = '/admin/';
+
+/** Serves the admin interface over HTTP. @internal */
+export class AdminServer {
+  private readonly server: http.Server;
+
+  private constructor(private readonly target: AdminTarget) {
+    this.server = http.createServer((request, response) => {
+      this.handleRequest(request, response).catch(error =>
+        sendJson(response, 400, {error: String(error)}),
+      );
+    });
+  }
+
+  static create(target: AdminTarget): AdminServer {
+    return new AdminServer(target);
+  }
+
+  /** Listens and returns the base URL. */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    const address = this.server.address();
+    const boundPort =
+      address !== null && typeof address === 'object' ? address.port : port;
+    return `http://${host}:${boundPort}`;
+  }
+
+  dispose(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = request.url ?? '';
+    if (request.method === 'GET' && url === `${PATH_PREFIX}state`) {
+      sendJson(response, 200, this.target.getState());
+      return;
+    }
+    if (request.method !== 'POST' || !url.startsWith(PATH_PREFIX)) {
+      sendJson(response, 404, {error: 'not found'});
+      return;
+    }
+    const text = await readBody(request);
+    const fields: unknown = text === '' ? {} : JSON.parse(text);
+    const kind = url.slice(PATH_PREFIX.length);
+    const command = adminCommandSchema.safeParse({
+      ...(fields as object),
+      kind,
+    });
+    if (!command.success) {
+      sendJson(response, 400, {error: command.error.message});
+      return;
+    }
+    await this.target.runCommand(command.data);
+    sendJson(response, 200, {});
+  }
+}
--- /dev/null
+++ b/packages/standin/src/gated_socket.ts
@@ -0,0 +1,141 @@
+import type {Socket} from 'node:net';
+import type {Clock} from '@filbertrun/base/clock.js';
+import {DelayQueue} from './delay_queue.js';
+
+/** Whether bytes get through now, and how long they take. @internal */
+export interface LinkRules {
+  canReceive(): boolean;
+  canSend(): boolean;
+  /** Delay of what is received; it stands for both ways. */
+  getReceiveDelayMs(): number;
+  /** Delay of what is sent. */
+  getSendDelayMs(): number;
+}
+
+/** Told of what a socket receives. @internal */
+export interface SocketListener {
+  handleData(chunk: Buffer): void;
+  handleDrained(): void;
+  handleClosed(): void;
+}
+
+/**
+ * A socket behind a network that can be cut or slow. While it is cut, bytes
+ * wait, as they do in a real network until they are sent again; the end of the
+ * connection waits too.
+ *
+ * @internal
+ */
+export class GatedSocket {
+  private readonly received: DelayQueue;
+  private readonly sent: DelayQueue;
+  private heldBytes: Buffer[] = [];
+  private mustEnd = false;
+  private hasEnded = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly rules: LinkRules,
+    private readonly listener: SocketListener,
+    clock: Clock,
+  ) {
+    this.received = DelayQueue.create(clock);
+    this.sent = DelayQueue.create(clock);
+    socket.setNoDelay(true);
+    socket.on('data', chunk => this.handleData(chunk));
+    socket.on('drain', () => listener.handleDrained());
+    // An error is always followed by `close`.
+    socket.on('error', () => {});
+    socket.on('end', () => this.handleEnd());
+    socket.on('close', () => this.handleEnd());
+    this.update();
+  }
+
+  static create(
+    socket: Socket,
+    rules: LinkRules,
+    listener: SocketListener,
+    clock: Clock,
+  ): GatedSocket {
+    return new GatedSocket(socket, rules, listener, clock);
+  }
+
+  /** Applies the rules after they have changed. */
+  update(): void {
+    if (this.rules.canReceive()) {
+      this.socket.resume();
+    } else {
+      this.socket.pause();
+    }
+    this.sendHeld();
+  }
+
+  /** Sends bytes; false when the receiver must first take what was sent. */
+  write(bytes: Buffer): boolean {
+    const delayMs = this.rules.getSendDelayMs();
+    this.sent.add(delayMs, () => this.writeNow(bytes));
+    return !this.socket.writableNeedDrain && this.heldBytes.length === 0;
+  }
+
+  /** Closes the connection after what was written. */
+  end(): void {
+    this.sent.add(this.rules.getSendDelayMs(), () => {
+      this.mustEnd = true;
+      this.sendHeld();
+    });
+  }
+
+  destroy(): void {
+    this.received.dispose();
+    this.sent.dispose();
+    this.socket.destroy();
+  }
+
+  private handleData(chunk: Buffer): void {
+    this.received.add(this.rules.getReceiveDelayMs(), () =>
+      this.listener.handleData(chunk),
+    );
+  }
+
+  private handleEnd(): void {
+    if (this.hasEnded) {
+      return;
+    }
+    this.hasEnded = true;
+    this.received.add(0, () => {
+      this.listener.handleClosed();
+      this.end();
+    });
+  }
+
+  private writeNow(bytes: Buffer): void {
+    if (this.rules.canSend() && this.heldBytes.length === 0) {
+      this.writeToSocket(bytes);
+      return;
+    }
+    this.heldBytes.push(bytes);
+  }
+
+  private sendHeld(): void {
+    if (!this.rules.canSend()) {
+      return;
+    }
+    const held = this.heldBytes;
+    this.heldBytes = [];
+    for (const bytes of held) {
+      this.writeToSocket(bytes);
+    }
+    if (this.mustEnd && this.socket.writable) {
+      this.socket.end();
+    }
+    if (held.length > 0 && !this.socket.writableNeedDrain) {
+      this.listener.handleDrained();
+    }
+  }
+
+  private writeToSocket(bytes: Buffer): void {
+    if (this.socket.writable) {
+      this.socket.write(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/group_functions.ts
@@ -0,0 +1,92 @@
+import type {FromCall} from 'pgsql-ast-parser';
+import {Scope, compileExpression} from './expression.js';
+import {SQL_STATE, SqlError} from './sql_error.js';
+import type {SqlType} from './sql_value.js';
+import type {OutputColumn, StatementPlan} from './statement_plan.js';
+
+/**
+ * The functions of the replication interface, as
+ * docs/design/instance_protocol.md lists them.
+ */
+
+type ColumnList = readonly (readonly [string, SqlType])[];
+
+interface GroupFunction {
+  readonly argumentTypes: readonly SqlType[];
+  readonly columns: ColumnList;
+}
+
+const STATUS_COLUMNS: ColumnList = [
+  ['backend_server', 'text'],
+  ['role', 'text'],
+  ['term', 'int8'],
+  ['claim_id', 'text'],
+  ['log_position', 'text'],
+  ['primary_server', 'text'],
+  ['primary_silent_ms', 'int8'],
+  ['replicas', 'text'],
+];
+
+const CALL_COLUMNS: ColumnList = [['accepted', 'bool'], ...STATUS_COLUMNS];
+
+const GROUP_FUNCTIONS: ReadonlyMap<string, GroupFunction> = new Map([
+  ['group_status', {argumentTypes: [], columns: STATUS_COLUMNS}],
+  [
+    'group_raise_term',
+    {argumentTypes: ['int8', 'text'], columns: CALL_COLUMNS},
+  ],
+  ['group_promote', {argumentTypes: ['int8', 'text'], columns: CALL_COLUMNS}],
+  [
+    'group_follow',
+    {argumentTypes: ['int8', 'text', 'text'], columns: CALL_COLUMNS},
+  ],
+  [
+    'group_confirm_term',
+    {
+      argumentTypes: [],
+      columns: [
+        ['term', 'int8'],
+        ['log_position', 'text'],
+        ['majority_position', 'text'],
+      ],
+    },
+  ],
+]);
+
+/** Whether a name is one of the replication interface. @internal */
+export function isGroupFunction(name: string): boolean {
+  return GROUP_FUNCTIONS.has(name);
+}
+
+/** Compiles a call in FROM; all columns are selected. @internal */
+export function compileGroupCall(call: FromCall): StatementPlan {
+  const functionName = call.function.name;
+  const definition = GROUP_FUNCTIONS.get(functionName);
+  if (definition?.argumentTypes.length !== call.args.length) {
+    throw SqlError.create(
+      SQL_STATE.undefinedObject,
+      `function ${functionName} has other arguments`,
+    );
+  }
+  const scope = Scope.create(null, []);
+  const compiled = call.args.map((argument, index) =>
+    compileExpression(argument, scope, definition.argumentTypes[index] ?? null),
+  );
+  return {
+    body: {
+      kind: 'groupCall',
+      functionName,
+      arguments: compiled,
+      columns: createColumns(definition.columns),
+    },
+    parameterTypes: scope.parameterTypes.map(type => type ?? 'text'),
+  };
+}
+
+function createColumns(columns: ColumnList): readonly OutputColumn[] {
+  return columns.map(([name, type], index) => ({
+    name,
+    type,
+    expression: {type, name, evaluate: row => row[index] ?? null},
+  }));
+}
--- /dev/null
+++ b/packages/standin/src/instance_core.ts
@@ -0,0 +1,465 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {InstanceStatus} from '@filbertrun/group/instance_control.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import {
+  formatPosition,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import {Database, type Commit} from './database.js';
+import {
+  DatabaseConnection,
+  type ConnectionListener,
+} from './database_connection.js';
+import {ReplicationCore} from './replication_core.js';
+import type {ReplicationMessage} from './replication_message.js';
+import {SlotGate} from './slot_gate.js';
+import {SQL_STATE, SqlError} from './sql_error.js';
+import type {Row, SqlValue} from './sql_value.js';
+import {StatementCache} from './statement_cache.js';
+import {LockTable, type Transaction} from './transaction.js';
+
+/** Limits of an instance. @public */
+export interface InstanceLimits {
+  /** Statements that run at once; others wait. */
+  readonly slots: number;
+  readonly maxConnections: number;
+  /** Time that a new connection takes. */
+  readonly connectTimeMs: number;
+  /** Time that each statement holds its slot. */
+  readonly serviceTimeMs: number;
+  /** Longest wait for another transaction's row. */
+  readonly lockTimeoutMs: number;
+}
+
+/** What an instance is made of. @public */
+export interface InstanceOptions {
+  readonly backendServer: BackendServerId;
+  readonly peers: readonly BackendServerId[];
+  readonly clock: Clock;
+  readonly limits: InstanceLimits;
+  readonly getReplicationLagMs?: (replica: BackendServerId) => number;
+  /** Sends a message to another instance of the group. */
+  readonly sendReplication: (
+    to: BackendServerId,
+    message: ReplicationMessage<Commit>,
+  ) => void;
+  /** Calls back soon, after the current turn of the loop. */
+  readonly defer: (callback: () => void) => void;
+}
+
+/** Longest wait for an answer of a replica. */
+const CONFIRMATION_TIMEOUT_MS = 1000;
+
+/** Claim under which a group starts. */
+const INITIAL_CLAIM_ID = 'initial';
+
+/** Term in which a group starts. */
+const INITIAL_TERM = 1;
+
+const SILENT_LISTENER: ConnectionListener = {
+  handleRoleChanged: () => {},
+  handleMajority: () => {},
+  handleCancelled: () => {},
+  handleTerminated: () => {},
+};
+
+interface PendingConfirmation {
+  readonly end: LogPosition;
+  readonly timer: Timer;
+  resolve(row: Row): void;
+  reject(error: SqlError): void;
+}
+
+/**
+ * One instance of a database group without sockets: storage, locks,
+ * replication and connections. Time comes from its clock.
+ *
+ * @public
+ */
+export class InstanceCore {
+  readonly database = Database.create();
+  readonly locks = LockTable.create();
+  readonly statements = StatementCache.create(this.database);
+  readonly slots: SlotGate;
+  readonly replication: ReplicationCore<Commit>;
+  private readonly connections = new Map<number, DatabaseConnection>();
+  private readonly confirmations = new Map<number, PendingConfirmation>();
+  private limits: InstanceLimits;
+  private nextProcessId = 1;
+  private executedStatements = 0;
+  private tickTimer: Timer | null = null;
+  private isTickDeferred = false;
+  private isPaused = false;
+  private isRunning = true;
+  private wasPrimary = false;
+
+  private constructor(private readonly options: InstanceOptions) {
+    this.limits = options.limits;
+    this.slots = SlotGate.create(options.limits.slots);
+    this.replication = ReplicationCore.create(options);
+  }
+
+  static create(options: InstanceOptions): InstanceCore {
+    return new InstanceCore(options);
+  }
+
+  /** Starts a new group: all its instances are raised, one is promoted. */
+  bootstrap(isPrimary: boolean): void {
+    this.replication.raiseTerm(INITIAL_TERM, INITIAL_CLAIM_ID);
+    if (isPrimary) {
+      this.replication.promote(INITIAL_TERM, INITIAL_CLAIM_ID);
+    }
+    this.runEffects();
+    this.scheduleTick();
+  }
+
+  getLimits(): InstanceLimits {
+    return this.limits;
+  }
+
+  setLimits(limits: InstanceLimits): void {
+    this.limits = limits;
+    this.slots.setSlots(limits.slots);
+  }
+
+  getConnectionCount(): number {
+    return this.connections.size;
+  }
+
+  getPosition(): LogPosition {
+    return this.replication.getEnd();
+  }
+
+  /** Opens a connection, or refuses it when there are too many. */
+  openConnection(
+    listener: ConnectionListener,
+    secretKey: number,
+    startupParameters: ReadonlyMap<string, string>,
+  ): Result<DatabaseConnection, SqlError> {
+    if (this.connections.size >= this.limits.maxConnections) {
+      return failure(
+        SqlError.createFatal(
+          SQL_STATE.tooManyConnections,
+          'sorry, too many clients already',
+        ),
+      );
+    }
+    const connection = DatabaseConnection.create(
+      this,
+      listener,
+      this.nextProcessId++,
+      secretKey,
+      startupParameters,
+    );
+    this.connections.set(connection.processId, connection);
+    return success(connection);
+  }
+
+  removeConnection(connection: DatabaseConnection): void {
+    this.connections.delete(connection.processId);
+  }
+
+  /** Ends the statement of the connection that the key belongs to. */
+  cancelStatement(processId: number, secretKey: number): void {
+    const connection = this.connections.get(processId);
+    if (connection?.secretKey === secretKey) {
+      connection.cancel();
+    }
+  }
+
+  /** Runs a statement without a connection and commits it. */
+  runStatement(sql: string): void {
+    const connection = DatabaseConnection.create(
+      this,
+      SILENT_LISTENER,
+      0,
+      0,
+      new Map(),
+    );
+    const answer = connection.execute(this.statements.getPlan(sql), []);
+    if (answer instanceof Promise) {
+      throw new Error('The statement would have to wait');
+    }
+    connection.commitImplicit();
+  }
+
+  /** Statements that were given a slot since the start. */
+  getExecutedStatements(): number {
+    return this.executedStatements;
+  }
+
+  countStatement(): void {
+    this.executedStatements++;
+  }
+
+  checkPrimary(): void {
+    if (this.replication.getRole() !== 'primary') {
+      throw SqlError.create(
+        SQL_STATE.readOnlyTransaction,
+        'cannot write on a replica',
+      );
+    }
+  }
+
+  /** Commits a transaction; null when it changed nothing. */
+  commit(transaction: Transaction): LogPosition | null {
+    const commit = transaction.createCommit(this.database);
+    const position = commit.length === 0 ? null : this.appendCommit(commit);
+    this.endTransaction(transaction);
+    return position;
+  }
+
+  rollback(transaction: Transaction): void {
+    this.endTransaction(transaction);
+  }
+
+  /** Appends and applies a commit on the primary. */
+  appendCommit(commit: Commit): LogPosition {
+    this.database.apply(commit);
+    const position = this.replication.appendChange(commit);
+    this.scheduleTick();
+    return position;
+  }
+
+  /** Calls a function of the replication interface. */
+  callGroupFunction(
+    name: string,
+    values: readonly SqlValue[],
+  ): Row | Promise<Row> {
+    const term = Number(values[0]);
+    const claimId = String(values[1]);
+    switch (name) {
+      case 'group_status':
+        return createStatusRow(this.replication.getStatus());
+      case 'group_raise_term':
+        return this.changeTerm(this.replication.raiseTerm(term, claimId));
+      case 'group_promote':
+        return this.changeTerm(this.replication.promote(term, claimId));
+      case 'group_follow':
+        return this.changeTerm(
+          this.replication.follow(term, claimId, String(values[2])),
+        );
+      case 'group_confirm_term':
+        return this.confirmTerm();
+      default:
+        throw SqlError.create(
+          SQL_STATE.undefinedObject,
+          `function ${name} does not exist`,
+        );
+    }
+  }
+
+  handleReplication(message: ReplicationMessage<Commit>): void {
+    if (!this.isRunning) {
+      return;
+    }
+    this.replication.handleMessage(message);
+    this.runEffects();
+    this.startTickTimer();
+  }
+
+  /** Stops sending to the other instances until it is switched off. */
+  setPaused(isPaused: boolean): void {
+    this.isPaused = isPaused;
+    this.scheduleTick();
+  }
+
+  /** Starts a timer and returns how to stop it. */
+  startTimer(delayMs: number, callback: () => void): () => void {
+    const timer = this.options.clock.startTimer(delayMs, callback);
+    return () => timer.cancel();
+  }
+
+  /** Ends the process: connections and open transactions are lost. */
+  crash(): void {
+    this.isRunning = false;
+    this.tickTimer?.cancel();
+    this.tickTimer = null;
+    const error = SqlError.createFatal(
+      SQL_STATE.crashShutdown,
+      'the instance crashed',
+    );
+    for (const connection of [...this.connections.values()]) {
+      connection.listener.handleTerminated(error);
+      connection.close();
+    }
+    this.rejectConfirmations(error);
+  }
+
+  /** Starts again with its log, term and role. */
+  restart(): void {
+    this.isRunning = true;
+    this.replication.restart();
+    this.scheduleTick();
+  }
+
+  dispose(): void {
+    this.crash();
+  }
+
+  private endTransaction(transaction: Transaction): void {
+    this.locks.release(transaction);
+    transaction.notifyEnd();
+  }
+
+  private changeTerm(isAccepted: boolean): Row {
+    this.runEffects();
+    this.scheduleTick();
+    return [isAccepted, ...createStatusRow(this.replication.getStatus())];
+  }
+
+  private confirmTerm(): Promise<Row> {
+    this.checkPrimary();
+    const end = this.replication.getEnd();
+    return new Promise((resolve, reject) => {
+      const ticket = this.replication.startConfirmation();
+      const timer = this.options.clock.startTimer(
+        CONFIRMATION_TIMEOUT_MS,
+        () => {
+          this.confirmations.delete(ticket);
+          reject(
+            SqlError.create(
+              SQL_STATE.queryCanceled,
+              'no replica confirmed the term in time',
+            ),
+          );
+        },
+      );
+      this.confirmations.set(ticket, {end, timer, resolve, reject});
+      this.runEffects();
+      this.scheduleTick();
+    });
+  }
+
+  private scheduleTick(): void {
+    if (this.isTickDeferred) {
+      return;
+    }
+    this.isTickDeferred = true;
+    this.options.defer(() => {
+      this.isTickDeferred = false;
+      this.runTick();
+    });
+  }
+
+  private runTick(): void {
+    if (!this.isRunning || this.isPaused) {
+      return;
+    }
+    this.replication.handleTick();
+    this.runEffects();
+    this.startTickTimer();
+  }
+
+  private startTickTimer(): void {
+    this.tickTimer?.cancel();
+    this.tickTimer = null;
+    const delayMs = this.replication.getDelayToNextTickMs();
+    if (delayMs === null) {
+      return;
+    }
+    this.tickTimer = this.options.clock.startTimer(delayMs, () => {
+      this.tickTimer = null;
+      this.runTick();
+    });
+  }
+
+  private runEffects(): void {
+    for (const effect of this.replication.takeEffects()) {
+      switch (effect.kind) {
+        case 'send':
+          this.options.sendReplication(effect.to, effect.message);
+          break;
+        case 'applyRecord':
+          if (effect.record.body.kind === 'change') {
+            this.database.apply(effect.record.body.change);
+          }
+          break;
+        case 'undoRecord':
+          if (effect.record.body.kind === 'change') {
+            this.database.undo(effect.record.body.change);
+          }
+          break;
+        case 'roleChanged':
+          this.handleRoleChanged();
+          break;
+        case 'majorityAdvanced':
+          this.notifyMajority(effect.majority);
+          break;
+        case 'termConfirmed':
+          this.settleConfirmation(effect.ticket);
+          break;
+      }
+    }
+  }
+
+  private handleRoleChanged(): void {
+    const isPrimary = this.replication.getRole() === 'primary';
+    if (isPrimary === this.wasPrimary) {
+      return;
+    }
+    this.wasPrimary = isPrimary;
+    if (!isPrimary) {
+      this.rejectConfirmations(
+        SqlError.create(
+          SQL_STATE.readOnlyTransaction,
+          'the primary was replaced',
+        ),
+      );
+    }
+    for (const connection of [...this.connections.values()]) {
+      connection.listener.handleRoleChanged();
+      if (!isPrimary) {
+        connection.handleDemoted();
+      }
+    }
+  }
+
+  private notifyMajority(majority: LogPosition): void {
+    for (const connection of this.connections.values()) {
+      connection.listener.handleMajority(majority);
+    }
+  }
+
+  private settleConfirmation(ticket: number): void {
+    const pending = this.confirmations.get(ticket);
+    if (pending === undefined) {
+      return;
+    }
+    this.confirmations.delete(ticket);
+    pending.timer.cancel();
+    pending.resolve([
+      this.replication.getTerm(),
+      formatPosition(pending.end),
+      formatPosition(this.replication.getMajority()),
+    ]);
+  }
+
+  private rejectConfirmations(error: SqlError): void {
+    for (const pending of this.confirmations.values()) {
+      pending.timer.cancel();
+      pending.reject(error);
+    }
+    this.confirmations.clear();
+  }
+}
+
+function createStatusRow(status: InstanceStatus): Row {
+  const silentMs = status.primarySilentForMs;
+  const replicas = status.replicas.map(replica => ({
+    backendServer: replica.backendServer,
+    confirmed: formatPosition(replica.confirmed),
+    silentForMs: Math.round(replica.silentForMs),
+  }));
+  return [
+    status.backendServer,
+    status.role,
+    status.term,
+    status.claimId,
+    formatPosition(status.position),
+    status.primary,
+    silentMs === null ? null : Math.round(silentMs),
+    JSON.stringify(replicas),
+  ];
+}
--- /dev/null
+++ b/packages/standin/src/instance_host.ts
@@ -0,0 +1,214 @@
+import {randomInt} from 'node:crypto';
+import net from 'node:net';
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {Commit} from './database.js';
+import {GatedSocket, type LinkRules} from './gated_socket.js';
+import type {InstanceCore} from './instance_core.js';
+import type {ReplicationMessage} from './replication_message.js';
+import type {LoginRules} from './session_startup.js';
+import {WireSession} from './wire_session.js';
+import type {ZoneNetwork} from './zone_network.js';
+
+/** What an instance host is made of. @internal */
+export interface InstanceHostOptions {
+  readonly core: InstanceCore;
+  readonly rules: LoginRules;
+  readonly availabilityZone: AvailabilityZone;
+  readonly network: ZoneNetwork;
+  readonly clock: Clock;
+  readonly host: string;
+  /** 0 for any free port. */
+  readonly port: number;
+}
+
+/** Faults of an instance. @internal */
+export interface InstanceFaults {
+  readonly isCrashed: boolean;
+  readonly isPaused: boolean;
+  /** Whether it exchanges nothing with the other instances of its group. */
+  readonly isIsolated: boolean;
+  readonly answerDelayMs: number;
+  /** Commits whose answer is still to be lost, with their connection. */
+  readonly answersToDrop: number;
+}
+
+const NO_FAULTS: InstanceFaults = {
+  isCrashed: false,
+  isPaused: false,
+  isIsolated: false,
+  answerDelayMs: 0,
+  answersToDrop: 0,
+};
+
+/** Largest value of a secret key. */
+const MAX_SECRET_KEY = 2 ** 31 - 1;
+
+/** Serves an instance on a port and plays its faults. @internal */
+export class InstanceHost {
+  private faults: InstanceFaults = NO_FAULTS;
+  private server: net.Server | null = null;
+  private port: number;
+  private readonly sockets = new Set<GatedSocket>();
+  private readonly inbox: ReplicationMessage<Commit>[] = [];
+  private readonly stopListening: () => void;
+
+  private constructor(private readonly options: InstanceHostOptions) {
+    this.port = options.port;
+    this.stopListening = options.network.onChange(() => this.updateSockets());
+  }
+
+  static create(options: InstanceHostOptions): InstanceHost {
+    return new InstanceHost(options);
+  }
+
+  getCore(): InstanceCore {
+    return this.options.core;
+  }
+
+  getAvailabilityZone(): AvailabilityZone {
+    return this.options.availabilityZone;
+  }
+
+  getFaults(): InstanceFaults {
+    return this.faults;
+  }
+
+  getPort(): number {
+    return this.port;
+  }
+
+  /** Accepts connections. */
+  async listen(): Promise<void> {
+    const server = net.createServer({allowHalfOpen: true}, socket =>
+      this.handleConnection(socket),
+    );
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.port, this.options.host, resolve);
+    });
+    const address = server.address();
+    if (address !== null && typeof address === 'object') {
+      this.port = address.port;
+    }
+  }
+
+  /** Changes the faults that can be switched on and off. */
+  setFaults(change: Partial<Omit<InstanceFaults, 'isCrashed'>>): void {
+    this.faults = {...this.faults, ...change};
+    this.options.core.setPaused(this.faults.isPaused);
+    this.updateSockets();
+    if (this.faults.isPaused) {
+      return;
+    }
+    for (const message of this.inbox.splice(0)) {
+      this.options.core.handleReplication(message);
+    }
+  }
+
+  /** Ends the instance at once: connections break and the port closes. */
+  crash(): void {
+    if (this.faults.isCrashed) {
+      return;
+    }
+    this.faults = {...this.faults, isCrashed: true};
+    this.inbox.length = 0;
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+    this.sockets.clear();
+    this.server?.close();
+    this.server = null;
+    this.options.core.crash();
+  }
+
+  /** Starts a crashed instance with its log, term and role. */
+  async restart(): Promise<void> {
+    if (!this.faults.isCrashed) {
+      return;
+    }
+    await this.listen();
+    this.faults = {...this.faults, isCrashed: false};
+    this.options.core.restart();
+  }
+
+  /** Takes a message of another instance of the group. */
+  handleReplication(message: ReplicationMessage<Commit>): void {
+    if (this.faults.isCrashed || this.faults.isIsolated) {
+      return;
+    }
+    if (this.faults.isPaused) {
+      this.inbox.push(message);
+      return;
+    }
+    this.options.core.handleReplication(message);
+  }
+
+  dispose(): void {
+    this.stopListening();
+    this.crash();
+  }
+
+  private updateSockets(): void {
+    for (const socket of this.sockets) {
+      socket.update();
+    }
+  }
+
+  private handleConnection(socket: net.Socket): void {
+    const {core, rules, clock, network} = this.options;
+    const callerZone = network.findZoneOfAddress(socket.remoteAddress);
+    const session = WireSession.create({
+      core,
+      rules,
+      transport: {
+        write: (bytes, hasCommit) => this.write(gated, bytes, hasCommit),
+        end: () => gated.end(),
+      },
+      defer: callback => setImmediate(callback),
+      createSecretKey: () => randomInt(MAX_SECRET_KEY),
+    });
+    const listener = {
+      handleData: (chunk: Buffer) => session.handleData(chunk),
+      handleDrained: () => session.handleDrained(),
+      handleClosed: () => session.handleClosed(),
+    };
+    const linkRules = this.createLinkRules(callerZone);
+    const gated: GatedSocket = GatedSocket.create(
+      socket,
+      linkRules,
+      listener,
+      clock,
+    );
+    this.sockets.add(gated);
+    socket.on('close', () => this.sockets.delete(gated));
+  }
+
+  private write(
+    socket: GatedSocket,
+    bytes: Buffer,
+    hasCommit: boolean,
+  ): boolean {
+    if (hasCommit && this.faults.answersToDrop > 0) {
+      const answersToDrop = this.faults.answersToDrop - 1;
+      this.faults = {...this.faults, answersToDrop};
+      socket.destroy();
+      return true;
+    }
+    return socket.write(bytes);
+  }
+
+  private createLinkRules(callerZone: AvailabilityZone | null): LinkRules {
+    const {network, availabilityZone} = this.options;
+    return {
+      canReceive: () =>
+        !this.faults.isPaused && !network.isCut(callerZone, availabilityZone),
+      canSend: () =>
+        !this.faults.isPaused && !network.isCut(availabilityZone, callerZone),
+      getReceiveDelayMs: () =>
+        network.getRoundTripMs(callerZone, availabilityZone),
+      getSendDelayMs: () => this.faults.answerDelayMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/standin/src/platform_server.ts
@@ -0,0 +1,245 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {InMemoryPlatformService} from '@filbertrun/platform/in_memory_platform_service.js';
+import {listedVmSchema} from '@filbertrun/platform/http_platform_service.js';
+import type {
+  ListedVm,
+  PlatformError,
+} from '@filbertrun/platform/platform_service.js';
+import type {Result} from '@filbertrun/base/result.js';
+import {z} from 'zod';
+import {readBody, sendJson} from './http_body.js';
+import {PLATFORM_ZONE, type ZoneNetwork} from './zone_network.js';
+
+/** What a platform server is made of. @internal */
+export interface PlatformServerOptions {
+  readonly platform: InMemoryPlatformService;
+  readonly network: ZoneNetwork;
+  /** Replaces the peer URL of a VM by one for a reader in a zone. */
+  readonly getPeerUrl: (
+    vm: ListedVm,
+    readerZone: AvailabilityZone | null,
+  ) => Promise<string>;
+}
+
+const conditionalWriteSchema = z
+  .object({
+    value: z.string(),
+    expectedRevision: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+const vmBodySchema = z
+  .object({
+    availabilityZone: z.string().min(1).max(64),
+    peerUrl: z.string().min(1).max(255),
+    state: z.enum(['live', 'leaving']),
+  })
+  .readonly();
+
+const PATH_PATTERN = /^\/(table|objects|vms)(?:\/([^/?]+))?$/;
+
+/** Serves the platform over HTTP behind the network between the zones. @internal */
+export class PlatformServer {
+  private readonly server: http.Server;
+  private readonly held = new Set<() => void>();
+  private readonly stopListening: () => void;
+
+  private constructor(private readonly options: PlatformServerOptions) {
+    this.server = http.createServer((request, response) => {
+      this.handleRequest(request, response).catch(() => response.destroy());
+    });
+    this.stopListening = options.network.onChange(() => this.releaseHeld());
+  }
+
+  static create(options: PlatformServerOptions): PlatformServer {
+    return new PlatformServer(options);
+  }
+
+  /** Listens and returns the base URL. */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    const address = this.server.address();
+    const boundPort =
+      address !== null && typeof address === 'object' ? address.port : port;
+    return `http://${host}:${boundPort}`;
+  }
+
+  dispose(): void {
+    this.stopListening();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {network} = this.options;
+    const zone = network.findZoneOfAddress(request.socket.remoteAddress);
+    const body = await readBody(request);
+    await this.waitWhile(() => network.isCut(zone, PLATFORM_ZONE));
+    if (request.socket.destroyed) {
+      return;
+    }
+    const answer = await this.answer(request, body, zone);
+    await this.waitWhile(() => network.isCut(PLATFORM_ZONE, zone));
+    if (typeof answer.body === 'string') {
+      response.writeHead(answer.status);
+      response.end(answer.body);
+      return;
+    }
+    sendJson(response, answer.status, answer.body.json);
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    body: string,
+    zone: AvailabilityZone | null,
+  ): Promise<HttpAnswer> {
+    const match = PATH_PATTERN.exec(request.url ?? '');
+    const name = decodeName(match?.[2] ?? '');
+    const route = `${request.method} ${match?.[1]}`;
+    if (match === null || name === null) {
+      return NOT_FOUND;
+    }
+    if (route === 'GET vms' && name === '') {
+      return this.listVms(zone);
+    }
+    if (name === '') {
+      return NOT_FOUND;
+    }
+    switch (route) {
+      case 'GET table':
+        return this.getEntry(name);
+      case 'PUT table':
+        return this.putEntry(name, body);
+      case 'GET objects':
+        return this.getObject(name);
+      case 'PUT objects':
+        return this.putObject(name, body);
+      case 'PUT vms':
+        return this.putVm(name, body);
+      case 'DELETE vms':
+        this.options.platform.removeVm(name);
+        return createJson({});
+      default:
+        return NOT_FOUND;
+    }
+  }
+
+  private async getEntry(key: string): Promise<HttpAnswer> {
+    const result = await this.options.platform.getEntry(key);
+    return createAnswer(result, entry =>
+      entry === null ? NOT_FOUND : createJson(entry),
+    );
+  }
+
+  private async putEntry(key: string, body: string): Promise<HttpAnswer> {
+    const write = conditionalWriteSchema.safeParse(parseJson(body));
+    if (!write.success) {
+      return BAD_REQUEST;
+    }
+    const result = await this.options.platform.putEntry({key, ...write.data});
+    return createAnswer(result, createJson);
+  }
+
+  private async getObject(name: string): Promise<HttpAnswer> {
+    const result = await this.options.platform.getObject(name);
+    return createAnswer(result, body =>
+      body === null ? NOT_FOUND : {status: 200, body},
+    );
+  }
+
+  private async putObject(name: string, body: string): Promise<HttpAnswer> {
+    const result = await this.options.platform.putObject(name, body);
+    return createAnswer(result, () => createJson({}));
+  }
+
+  private async listVms(zone: AvailabilityZone | null): Promise<HttpAnswer> {
+    const result = await this.options.platform.listVms();
+    if (!result.ok) {
+      return createFailure(result.error);
+    }
+    const vms: ListedVm[] = [];
+    for (const vm of result.value) {
+      const peerUrl = await this.options.getPeerUrl(vm, zone);
+      vms.push({...vm, peerUrl});
+    }
+    return createJson(vms);
+  }
+
+  private putVm(entryVm: string, body: string): HttpAnswer {
+    const parsed = vmBodySchema.safeParse(parseJson(body));
+    if (!parsed.success) {
+      return BAD_REQUEST;
+    }
+    const vm = listedVmSchema.parse({entryVm, ...parsed.data});
+    this.options.platform.putVm(vm);
+    return createJson(vm);
+  }
+
+  private async waitWhile(isCut: () => boolean): Promise<void> {
+    while (isCut()) {
+      await new Promise<void>(resolve => this.held.add(resolve));
+    }
+  }
+
+  private releaseHeld(): void {
+    const held = [...this.held];
+    this.held.clear();
+    for (const release of held) {
+      release();
+    }
+  }
+}
+
+interface HttpAnswer {
+  readonly status: number;
+  /** Text, or a value to send as JSON. */
+  readonly body: string | {readonly json: unknown};
+}
+
+const NOT_FOUND: HttpAnswer = {status: 404, body: ''};
+const BAD_REQUEST: HttpAnswer = {status: 400, body: ''};
+
+function createJson(json: unknown): HttpAnswer {
+  return {status: 200, body: {json}};
+}
+
+function createAnswer<T>(
+  result: Result<T, PlatformError>,
+  createSuccess: (value: T) => HttpAnswer,
+): HttpAnswer {
+  return result.ok ? createSuccess(result.value) : createFailure(result.error);
+}
+
+function createFailure(error: PlatformError): HttpAnswer {
+  switch (error.kind) {
+    case 'conflict':
+      return {status: 409, body: {json: error.current}};
+    case 'unavailable':
+    case 'outcomeUnknown':
+    case 'malformed':
+      return {status: 503, body: error.reason};
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
+
+function decodeName(text: string): string | null {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/standin/src/portal.ts
@@ -0,0 +1,61 @@
+import type {Answer} from './database_connection.js';
+import type {FieldDescription} from './message_writer.js';
+import type {Row, SqlValue, WireFormat} from './sql_value.js';
+import type {OutputColumn, StatementPlan} from './statement_plan.js';
+
+/**
+ * A statement bound to its parameters, whose answer is taken in one or more
+ * parts.
+ *
+ * @internal
+ */
+export class Portal {
+  private answer: Answer | null = null;
+  private iterator: Iterator<Row> | null = null;
+
+  private constructor(
+    readonly plan: StatementPlan,
+    readonly parameters: readonly SqlValue[],
+    readonly fields: readonly FieldDescription[],
+  ) {}
+
+  static create(
+    plan: StatementPlan,
+    parameters: readonly SqlValue[],
+    resultFormats: readonly WireFormat[],
+  ): Portal {
+    const fields = createFields(plan.body.columns, resultFormats);
+    return new Portal(plan, parameters, fields);
+  }
+
+  /** The answer once the statement has run, or null. */
+  getAnswer(): Answer | null {
+    return this.answer;
+  }
+
+  setAnswer(answer: Answer): void {
+    this.answer = answer;
+    this.iterator = answer.rows[Symbol.iterator]();
+  }
+
+  /** The next row of the answer, or null after the last. */
+  takeRow(): Row | null {
+    const next = this.iterator?.next();
+    if (next === undefined || next.done === true) {
+      return null;
+    }
+    return next.value;
+  }
+}
+
+function createFields(
+  columns: readonly OutputColumn[],
+  formats: readonly WireFormat[],
+): readonly FieldDescription[] {
+  const [only = 'text'] = formats;
+  return columns.map(({name, type}, index) => ({
+    name,
+    type,
+    format: formats.length > 1 ? (formats[index] ?? 'text') : only,
+  }));
+}
--- /dev/null
+++ b/packages/standin/src/query_processor.ts
@@ -0,0 +1,410 @@
+import {formatPosition} from '@filbertrun/model/log_position.js';
+import {
+  MAJORITY_CHANNEL,
+  type DatabaseConnection,
+} from './database_connection.js';
+import type {FrontendMessage} from './frontend_message.js';
+import type {InstanceCore} from './instance_core.js';
+import type {MessageWriter} from './message_writer.js';
+import {Portal} from './portal.js';
+import {PreparedStatements} from './prepared_statements.js';
+import {SQL_STATE, SqlError} from './sql_error.js';
+import type {StatementPlan} from './statement_plan.js';
+import {splitStatements} from './statement_splitter.js';
+
+/** What a query processor is made of. @internal */
+export interface QueryProcessorOptions {
+  readonly core: InstanceCore;
+  readonly connection: DatabaseConnection;
+  readonly writer: MessageWriter;
+  readonly defer: (callback: () => void) => void;
+  /** Sends what was written; false when the client must first take it. */
+  readonly flush: () => boolean;
+  /** Goes on with the messages that wait. */
+  readonly resume: () => void;
+  /** Ends the connection with an error. */
+  readonly fail: (error: unknown) => void;
+}
+
+/** Bytes of an answer that are written in one turn of the loop. */
+const MAX_BYTES_PER_TURN = 64 * 1024;
+
+/** How the answer that is under way goes on. */
+interface Execution {
+  readonly portal: Portal;
+  /** 0 for all rows. */
+  readonly maxRows: number;
+  sentRows: number;
+  /** Statements of the same simple query that follow, or null if extended. */
+  readonly following: readonly string[] | null;
+}
+
+/** Runs the simple and the extended query protocol on a connection. @internal */
+export class QueryProcessor {
+  private readonly prepared: PreparedStatements;
+  private execution: Execution | null = null;
+  private isSkippingToSync = false;
+  private isCancelled = false;
+  private isDisposed = false;
+  private isWaitingForDrain = false;
+  /** Command tag whose commit waits for the next message. */
+  private heldTag: string | null = null;
+  private hasCommit = false;
+  private reported: ReadonlyMap<string, string>;
+
+  private constructor(private readonly options: QueryProcessorOptions) {
+    this.prepared = PreparedStatements.create(
+      options.core.statements,
+      options.writer,
+    );
+    this.reported = options.connection.parameters.getReported();
+  }
+
+  static create(options: QueryProcessorOptions): QueryProcessor {
+    return new QueryProcessor(options);
+  }
+
+  /** Whether an answer is under way, so that further messages must wait. */
+  isBusy(): boolean {
+    return this.execution !== null;
+  }
+
+  /** Whether a commit was acknowledged since the last call. */
+  takeHasCommit(): boolean {
+    const hasCommit = this.hasCommit;
+    this.hasCommit = false;
+    return hasCommit;
+  }
+
+  handleMessage(message: FrontendMessage): void {
+    if (this.isSkippingToSync && message.kind !== 'sync') {
+      return;
+    }
+    try {
+      this.settleHeldTag(message.kind === 'sync');
+      this.dispatch(message);
+    } catch (error) {
+      this.handleFailure(error, message.kind === 'query');
+    }
+  }
+
+  handleDrained(): void {
+    if (!this.isWaitingForDrain) {
+      return;
+    }
+    this.isWaitingForDrain = false;
+    this.continueStreaming();
+  }
+
+  handleCancelled(): void {
+    this.isCancelled = this.execution !== null;
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+  }
+
+  private dispatch(message: FrontendMessage): void {
+    switch (message.kind) {
+      case 'query':
+        this.runSimpleQuery(splitStatements(message.sql));
+        return;
+      case 'parse':
+        this.prepared.parse(message);
+        return;
+      case 'bind':
+        this.prepared.bind(message);
+        return;
+      case 'describe':
+        this.prepared.describe(message);
+        return;
+      case 'close':
+        this.prepared.close(message);
+        return;
+      case 'execute':
+        this.start({
+          portal: this.prepared.getPortal(message.portal),
+          maxRows: message.maxRows,
+          sentRows: 0,
+          following: null,
+        });
+        return;
+      case 'sync':
+        this.isSkippingToSync = false;
+        this.writeReady();
+        return;
+      case 'flush':
+        return;
+      case 'authentication':
+      case 'terminate':
+        throw SqlError.createFatal(
+          SQL_STATE.protocolViolation,
+          `unexpected message "${message.kind}"`,
+        );
+    }
+  }
+
+  private runSimpleQuery(statements: readonly string[]): void {
+    const [text, ...following] = statements;
+    if (text === undefined) {
+      this.options.writer.writeEmptyQueryResponse();
+      this.writeReady();
+      return;
+    }
+    const plan = this.options.core.statements.getPlan(text);
+    const portal = Portal.create(plan, [], []);
+    this.start({portal, maxRows: 0, sentRows: 0, following});
+  }
+
+  private start(execution: Execution): void {
+    this.isCancelled = false;
+    const {portal} = execution;
+    if (portal.getAnswer() !== null) {
+      this.execution = execution;
+      this.stream(execution);
+      return;
+    }
+    const answer = this.options.connection.execute(
+      portal.plan,
+      portal.parameters,
+    );
+    this.execution = execution;
+    if (!(answer instanceof Promise)) {
+      portal.setAnswer(answer);
+      this.writeHead(execution);
+      this.stream(execution);
+      return;
+    }
+    answer.then(
+      settled =>
+        this.resumeWith(execution, () => {
+          portal.setAnswer(settled);
+          this.writeHead(execution);
+          this.stream(execution);
+        }),
+      error =>
+        this.resumeWith(execution, () => {
+          throw error;
+        }),
+    );
+  }
+
+  /** Goes on with an answer outside of the turn in which its message came. */
+  private resumeWith(execution: Execution, action: () => void): void {
+    if (this.isDisposed || this.execution !== execution) {
+      return;
+    }
+    try {
+      action();
+    } catch (error) {
+      this.handleFailure(error, execution.following !== null);
+    }
+    if (!this.isBusy()) {
+      this.options.resume();
+    }
+  }
+
+  private writeHead({portal, following}: Execution): void {
+    const {writer, connection} = this.options;
+    const answer = portal.getAnswer();
+    const hasRows = portal.fields.length > 0;
+    // The commit that follows reports its own place before CommandComplete.
+    if (answer !== null && (hasRows || !connection.hasImplicitTransaction())) {
+      this.writePosition(formatPosition(answer.position));
+    }
+    if (following !== null && hasRows) {
+      writer.writeRowDescription(portal.fields);
+    }
+  }
+
+  private continueStreaming(): void {
+    const {execution} = this;
+    if (execution !== null) {
+      this.resumeWith(execution, () => this.stream(execution));
+    }
+  }
+
+  /** Writes rows until the end, the row limit or the bound of one turn. */
+  private stream(execution: Execution): void {
+    const {portal, maxRows} = execution;
+    const {writer} = this.options;
+    for (;;) {
+      if (this.isCancelled) {
+        throw SqlError.create(
+          SQL_STATE.queryCanceled,
+          'canceling statement due to user request',
+        );
+      }
+      if (maxRows > 0 && execution.sentRows >= maxRows) {
+        this.finishExecution(portal);
+        writer.writePortalSuspended();
+        return;
+      }
+      if (writer.getSize() >= MAX_BYTES_PER_TURN) {
+        this.pause();
+        return;
+      }
+      const row = portal.takeRow();
+      if (row === null) {
+        break;
+      }
+      writer.writeDataRow(row, portal.fields);
+      execution.sentRows++;
+    }
+    this.finishExecution(portal);
+    this.complete(execution);
+  }
+
+  private pause(): void {
+    this.isWaitingForDrain = !this.options.flush();
+    if (!this.isWaitingForDrain) {
+      this.options.defer(() => this.continueStreaming());
+    }
+  }
+
+  private finishExecution(portal: Portal): void {
+    this.execution = null;
+    if (portal.getAnswer()?.isStreamed === true) {
+      this.options.connection.finishStreaming();
+    }
+  }
+
+  private complete({portal, sentRows, following}: Execution): void {
+    const {connection, writer} = this.options;
+    const answer = portal.getAnswer();
+    if (answer === null) {
+      return;
+    }
+    if (portal.plan.body.kind === 'empty') {
+      writer.writeEmptyQueryResponse();
+    } else {
+      const tag = answer.countsRows ? `${answer.tag} ${sentRows}` : answer.tag;
+      if (answer.commitPosition !== null) {
+        this.writeCommitPosition(formatPosition(answer.commitPosition));
+      }
+      this.writeChangedParameters(portal.plan);
+      const isHeld = connection.hasImplicitTransaction();
+      if (isHeld && following?.length !== 0) {
+        this.heldTag = tag;
+        this.settleHeldTagBefore(following);
+      } else {
+        this.commitAndComplete(tag);
+      }
+    }
+    this.handleSessionStatement(portal.plan);
+    if (following === null) {
+      return;
+    }
+    if (following.length === 0) {
+      this.writeReady();
+      return;
+    }
+    this.runSimpleQuery(following);
+  }
+
+  /** Inside one simple query the transaction goes on to its last statement. */
+  private settleHeldTagBefore(following: readonly string[] | null): void {
+    if (following !== null) {
+      this.settleHeldTag(false);
+    }
+  }
+
+  private settleHeldTag(isSync: boolean): void {
+    const tag = this.heldTag;
+    this.heldTag = null;
+    if (tag === null) {
+      if (isSync) {
+        this.commitImplicit();
+      }
+      return;
+    }
+    if (isSync) {
+      this.commitAndComplete(tag);
+    } else {
+      this.options.writer.writeCommandComplete(tag);
+    }
+  }
+
+  private commitAndComplete(tag: string): void {
+    this.commitImplicit();
+    this.options.writer.writeCommandComplete(tag);
+  }
+
+  private commitImplicit(): void {
+    const position = this.options.connection.commitImplicit();
+    if (position !== null) {
+      this.writeCommitPosition(formatPosition(position));
+    }
+  }
+
+  private writeCommitPosition(position: string): void {
+    this.hasCommit = true;
+    this.writePosition(position);
+  }
+
+  private writePosition(position: string): void {
+    this.options.writer.writeParameterStatus('group_position', position);
+  }
+
+  private writeChangedParameters(plan: StatementPlan): void {
+    if (plan.body.kind !== 'utility') {
+      return;
+    }
+    const reported = this.options.connection.parameters.getReported();
+    for (const [name, value] of reported) {
+      if (this.reported.get(name) !== value) {
+        this.options.writer.writeParameterStatus(name, value);
+      }
+    }
+    this.reported = reported;
+  }
+
+  private handleSessionStatement({body}: StatementPlan): void {
+    if (body.kind !== 'utility') {
+      return;
+    }
+    const {core, connection, writer} = this.options;
+    const {statement} = body;
+    if (statement.kind === 'deallocate') {
+      this.prepared.deallocate(statement.name);
+    }
+    if (statement.kind === 'discard') {
+      this.prepared.deallocate(null);
+    }
+    const isListen =
+      statement.kind === 'listen' && statement.channel === MAJORITY_CHANNEL;
+    if (isListen && core.replication.getRole() === 'primary') {
+      const majority = formatPosition(core.replication.getMajority());
+      writer.writeNotification(
+        connection.processId,
+        MAJORITY_CHANNEL,
+        majority,
+      );
+    }
+  }
+
+  private writeReady(): void {
+    const status = this.options.connection.getTransactionStatus();
+    if (status === 'I') {
+      this.prepared.closePortals();
+    }
+    this.options.writer.writeReadyForQuery(status);
+  }
+
+  private handleFailure(error: unknown, isSimpleQuery: boolean): void {
+    const {connection, writer, fail} = this.options;
+    this.execution = null;
+    this.heldTag = null;
+    if (!(error instanceof SqlError) || error.severity === 'FATAL') {
+      fail(error);
+      return;
+    }
+    connection.handleStatementFailed();
+    writer.writeError(error);
+    if (isSimpleQuery) {
+      this.writeReady();
+    } else {
+      this.isSkippingToSync = true;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/scram_verifier.ts
@@ -0,0 +1,110 @@
+import {
+  createHash,
+  createHmac,
+  pbkdf2Sync,
+  randomBytes,
+  timingSafeEqual,
+} from 'node:crypto';
+import {SQL_STATE, SqlError} from './sql_error.js';
+
+/** Name of the mechanism. @internal */
+export const SCRAM_MECHANISM = 'SCRAM-SHA-256';
+
+/** Rounds of the key derivation, as PostgreSQL uses. */
+const ITERATIONS = 4096;
+
+const KEY_BYTES = 32;
+const SALT_BYTES = 16;
+const NONCE_BYTES = 18;
+
+/** Proves that a client knows a password without learning it. @internal */
+export class ScramVerifier {
+  private constructor(
+    private readonly salt: Buffer,
+    private readonly storedKey: Buffer,
+    private readonly serverKey: Buffer,
+  ) {}
+
+  /** Derives the keys once; each login then costs only a few hashes. */
+  static create(password: string): ScramVerifier {
+    const salt = randomBytes(SALT_BYTES);
+    const salted = pbkdf2Sync(password, salt, ITERATIONS, KEY_BYTES, 'sha256');
+    const storedKey = hash(createMac(salted, 'Client Key'));
+    return new ScramVerifier(salt, storedKey, createMac(salted, 'Server Key'));
+  }
+
+  startExchange(): ScramExchange {
+    return ScramExchange.create(this.salt, this.storedKey, this.serverKey);
+  }
+}
+
+/** One login. @internal */
+export class ScramExchange {
+  private clientFirstBare = '';
+  private serverFirst = '';
+  private nonce = '';
+
+  private constructor(
+    private readonly salt: Buffer,
+    private readonly storedKey: Buffer,
+    private readonly serverKey: Buffer,
+  ) {}
+
+  static create(
+    salt: Buffer,
+    storedKey: Buffer,
+    serverKey: Buffer,
+  ): ScramExchange {
+    return new ScramExchange(salt, storedKey, serverKey);
+  }
+
+  /** Answers the client's first message. */
+  answerFirst(message: string): string {
+    const match = /^[ny],[^,]*,(n=[^,]*,r=([^,]+).*)$/s.exec(message);
+    if (match === null) {
+      throw createPasswordError();
+    }
+    const [, bare = '', clientNonce = ''] = match;
+    this.clientFirstBare = bare;
+    this.nonce = clientNonce + randomBytes(NONCE_BYTES).toString('base64');
+    const salt = this.salt.toString('base64');
+    this.serverFirst = `r=${this.nonce},s=${salt},i=${ITERATIONS}`;
+    return this.serverFirst;
+  }
+
+  /** Checks the proof in the client's final message and answers with its own. */
+  answerFinal(message: string): string {
+    const match = /^(c=[^,]*,r=([^,]+)),p=(.+)$/s.exec(message);
+    if (match?.[2] !== this.nonce || this.nonce === '') {
+      throw createPasswordError();
+    }
+    const signedText = `${this.clientFirstBare},${this.serverFirst},${match[1]}`;
+    const signature = createMac(this.storedKey, signedText);
+    const proof = Buffer.from(match[3] ?? '', 'base64');
+    if (proof.length !== KEY_BYTES) {
+      throw createPasswordError();
+    }
+    const clientKey = Buffer.from(
+      proof.map((byte, index) => byte ^ (signature[index] ?? 0)),
+    );
+    if (!timingSafeEqual(hash(clientKey), this.storedKey)) {
+      throw createPasswordError();
+    }
+    return `v=${createMac(this.serverKey, signedText).toString('base64')}`;
+  }
+}
+
+function createMac(key: Buffer, text: string): Buffer {
+  return createHmac('sha256', key).update(text).digest();
+}
+
+function hash(bytes: Buffer): Buffer {
+  return createHash('sha256').update(bytes).digest();
+}
+
+function createPasswordError(): SqlError {
+  return SqlError.createFatal(
+    SQL_STATE.invalidPassword,
+    'password authentication failed',
+  );
+}
--- /dev/null
+++ b/packages/standin/src/slot_gate.ts
@@ -0,0 +1,62 @@
+/**
+ * Limits the statements that run at once. Others wait in order of arrival.
+ *
+ * @internal
+ */
+export class SlotGate {
+  private usedSlots = 0;
+  private readonly waiters = new Set<() => void>();
+
+  private constructor(private slots: number) {}
+
+  static create(slots: number): SlotGate {
+    return new SlotGate(slots);
+  }
+
+  getUsedSlots(): number {
+    return this.usedSlots;
+  }
+
+  getWaiterCount(): number {
+    return this.waiters.size;
+  }
+
+  setSlots(slots: number): void {
+    this.slots = slots;
+    this.admitWaiters();
+  }
+
+  /** Takes a slot if one is free and nobody waits. */
+  tryAcquire(): boolean {
+    if (this.usedSlots >= this.slots || this.waiters.size > 0) {
+      return false;
+    }
+    this.usedSlots++;
+    return true;
+  }
+
+  /** Calls `onAcquired` once a slot is taken; returns how to stop waiting. */
+  acquire(onAcquired: () => void): () => void {
+    this.waiters.add(onAcquired);
+    this.admitWaiters();
+    return () => {
+      this.waiters.delete(onAcquired);
+    };
+  }
+
+  release(): void {
+    this.usedSlots--;
+    this.admitWaiters();
+  }
+
+  private admitWaiters(): void {
+    for (const waiter of this.waiters) {
+      if (this.usedSlots >= this.slots) {
+        return;
+      }
+      this.waiters.delete(waiter);
+      this.usedSlots++;
+      waiter();
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/statement_cache.ts
@@ -0,0 +1,120 @@
+import {LRUCache} from 'lru-cache';
+import {parse, type Statement} from 'pgsql-ast-parser';
+import type {Database} from './database.js';
+import {SQL_STATE, SqlError} from './sql_error.js';
+import {compileStatement} from './statement_compiler.js';
+import type {StatementPlan} from './statement_plan.js';
+import {splitStatements} from './statement_splitter.js';
+import {parseUtilityStatement} from './utility_statement.js';
+
+/** Texts whose parsed or compiled form is kept. */
+const MAX_CACHED_TEXTS = 5000;
+
+/** Parsed statements do not depend on an instance, so all share them. */
+const parsedStatements = new LRUCache<string, Statement>({
+  max: MAX_CACHED_TEXTS,
+});
+
+interface CachedPlans {
+  readonly catalogVersion: number;
+  readonly plans: readonly StatementPlan[];
+}
+
+/** Compiles texts against the tables of one instance and keeps the plans. @internal */
+export class StatementCache {
+  private readonly cache = new LRUCache<string, CachedPlans>({
+    max: MAX_CACHED_TEXTS,
+  });
+
+  private constructor(private readonly database: Database) {}
+
+  static create(database: Database): StatementCache {
+    return new StatementCache(database);
+  }
+
+  /** Compiles a text that holds one statement or none. */
+  getPlan(sql: string): StatementPlan {
+    const cached = this.findCached(sql);
+    if (cached?.length === 1 && cached[0] !== undefined) {
+      return cached[0];
+    }
+    const texts = splitStatements(sql);
+    const [text] = texts;
+    if (texts.length > 1) {
+      throw SqlError.create(
+        SQL_STATE.syntaxError,
+        'cannot insert multiple commands into a prepared statement',
+      );
+    }
+    const plan = text === undefined ? EMPTY_PLAN : this.compile(text);
+    this.keep(sql, [plan]);
+    return plan;
+  }
+
+  /** Plans of all statements of a text if they are known, else null. */
+  findCached(sql: string): readonly StatementPlan[] | null {
+    const cached = this.cache.get(sql);
+    if (cached?.catalogVersion !== this.database.getCatalogVersion()) {
+      return null;
+    }
+    return cached.plans;
+  }
+
+  private keep(sql: string, plans: readonly StatementPlan[]): void {
+    const catalogVersion = this.database.getCatalogVersion();
+    this.cache.set(sql, {catalogVersion, plans});
+  }
+
+  private compile(text: string): StatementPlan {
+    const utility = parseUtilityStatement(text);
+    if (utility === null) {
+      return compileStatement(parseStatement(text), this.database);
+    }
+    const columns =
+      utility.kind === 'show'
+        ? [
+            {
+              name: utility.parameter,
+              type: 'text' as const,
+              expression: SHOWN_VALUE,
+            },
+          ]
+        : [];
+    return {
+      body: {kind: 'utility', statement: utility, columns},
+      parameterTypes: [],
+    };
+  }
+}
+
+const SHOWN_VALUE = {
+  type: 'text',
+  name: 'value',
+  evaluate: (row: readonly (string | number | boolean | null)[]) =>
+    row[0] ?? null,
+} as const;
+
+const EMPTY_PLAN: StatementPlan = {
+  body: {kind: 'empty', columns: []},
+  parameterTypes: [],
+};
+
+function parseStatement(text: string): Statement {
+  const known = parsedStatements.get(text);
+  if (known !== undefined) {
+    return known;
+  }
+  let statements: readonly Statement[];
+  try {
+    statements = parse(text);
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    throw SqlError.create(SQL_STATE.syntaxError, message.split('\n')[0] ?? '');
+  }
+  const [statement] = statements;
+  if (statement === undefined || statements.length > 1) {
+    throw SqlError.create(SQL_STATE.syntaxError, 'not a single statement');
+  }
+  parsedStatements.set(text, statement);
+  return statement;
+}
