--- /dev/null
+++ b/apps/bench/src/scenario_registry.ts
@@ -0,0 +1,17 @@
+import type {Scenario} from './scenario.js';
+
+/**
+ * The scenarios by name.
+ */
+
+const SCENARIOS: readonly Scenario[] = [];
+
+/** All scenarios. @public */
+export function getScenarios(): readonly Scenario[] {
+  return SCENARIOS;
+}
+
+/** The scenario of a name, or null. @public */
+export function findScenario(name: string): Scenario | null {
+  return SCENARIOS.find(scenario => scenario.name === name) ?? null;
+}
--- /dev/null
+++ b/packages/membership/src/connection_shares.ts
@@ -0,0 +1,91 @@
+import type {
+  DatabaseGroupName,
+  EntryVmId,
+} from '@filbertrun/model/identifiers.js';
+import {DutyAssignment, type DutyMember} from './duty_assignment.js';
+import type {MemberRecord} from './member.js';
+
+/**
+ * The share of an instance's connection limit that one proxy may use.
+ *
+ * A proxy counts every other one that may still hold connections. To count
+ * one too many only makes a share smaller, so the sum of the shares stays
+ * within the limit as long as each proxy counts at least those that do hold.
+ * That is why a proxy that is held for dead counts for a while longer, and why
+ * a new one waits until the others must have noticed it.
+ *
+ * @public
+ */
+
+/** Time for which a proxy that is held for dead still counts. */
+export const RELEASE_DELAY_MS = 1500;
+
+/** Time that a new proxy waits before it takes its share. */
+export const JOIN_DELAY_MS = 1500;
+
+/** A member with the time at which its state was learned. @public */
+export interface TimedMember {
+  readonly record: MemberRecord;
+  readonly changedAtMs: number;
+}
+
+/** What the shares of one proxy depend on. @public */
+export interface SharePopulation {
+  readonly self: DutyMember;
+  /** Time from which the proxy takes part; null while it may not. */
+  readonly joinedAtMs: number | null;
+  readonly others: readonly TimedMember[];
+}
+
+/** An instance whose connections are shared. @public */
+export interface SharedInstance {
+  readonly databaseGroup: DatabaseGroupName;
+  readonly maxConnections: number;
+}
+
+/** The proxies that may hold connections now, this one included. @public */
+export function getShareHolders(
+  population: SharePopulation,
+  nowMs: number,
+): readonly DutyMember[] {
+  const holders: DutyMember[] = [population.self];
+  for (const {record, changedAtMs} of population.others) {
+    if (mayHoldConnections(record, nowMs - changedAtMs)) {
+      holders.push(record);
+    }
+  }
+  return holders;
+}
+
+/** Whether the proxy may use its own share yet. @public */
+export function hasJoined(population: SharePopulation, nowMs: number): boolean {
+  const {joinedAtMs} = population;
+  return joinedAtMs !== null && nowMs - joinedAtMs >= JOIN_DELAY_MS;
+}
+
+/** Connections that `entryVm` may open to an instance. @public */
+export function computeShare(
+  assignment: DutyAssignment,
+  entryVm: EntryVmId,
+  instance: SharedInstance,
+): number {
+  const {databaseGroup, maxConnections} = instance;
+  const holders = assignment.getHolders(databaseGroup, maxConnections);
+  const rank = holders.indexOf(entryVm);
+  if (rank === -1) {
+    return 0;
+  }
+  return Math.ceil((maxConnections - rank) / holders.length);
+}
+
+function mayHoldConnections(record: MemberRecord, inStateMs: number): boolean {
+  switch (record.state) {
+    case 'live':
+    case 'leaving':
+      return true;
+    case 'dead':
+      return inStateMs < RELEASE_DELAY_MS;
+    case 'left':
+      return false;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/duty_assignment.ts
@@ -0,0 +1,89 @@
+import type {
+  AvailabilityZone,
+  DatabaseGroupName,
+  EntryVmId,
+} from '@filbertrun/model/identifiers.js';
+import {
+  computeHash,
+  createCandidate,
+  findBest,
+  groupByZone,
+  selectSpread,
+  type RendezvousCandidate,
+} from './rendezvous.js';
+
+/**
+ * Which proxies watch a database group, and which hold connections to it.
+ *
+ * @public
+ */
+
+/** A proxy that can take a duty. @public */
+export interface DutyMember {
+  readonly entryVm: EntryVmId;
+  readonly availabilityZone: AvailabilityZone;
+}
+
+/** Fewest connections that make a share worth holding. */
+const MIN_SHARE_CONNECTIONS = 2;
+
+/** Assigns duties among a set of proxies. @public */
+export class DutyAssignment {
+  private readonly zones: ReadonlyMap<string, readonly RendezvousCandidate[]>;
+
+  private constructor(private readonly members: readonly DutyMember[]) {
+    this.zones = groupByZone(
+      members.map(member =>
+        createCandidate(member.entryVm, member.availabilityZone),
+      ),
+    );
+  }
+
+  static create(members: readonly DutyMember[]): DutyAssignment {
+    return new DutyAssignment(members);
+  }
+
+  /** The proxy of each availability zone that watches a database group. */
+  getWatchers(databaseGroup: DatabaseGroupName): readonly EntryVmId[] {
+    const keyHash = computeHash(`watch/${databaseGroup}`);
+    const watchers: EntryVmId[] = [];
+    for (const candidates of this.zones.values()) {
+      const best = findBest(keyHash, candidates);
+      if (best !== null) {
+        watchers.push(best.name);
+      }
+    }
+    return watchers;
+  }
+
+  /** Whether a proxy watches a database group for its availability zone. */
+  isWatcher(member: DutyMember, databaseGroup: DatabaseGroupName): boolean {
+    const candidates = this.zones.get(member.availabilityZone) ?? [];
+    const keyHash = computeHash(`watch/${databaseGroup}`);
+    return findBest(keyHash, candidates)?.name === member.entryVm;
+  }
+
+  /**
+   * The proxies that hold connections to an instance of a database group, in
+   * the order in which they get the odd connections. All proxies do while the
+   * limit gives each a useful share.
+   */
+  getHolders(
+    databaseGroup: DatabaseGroupName,
+    maxConnections: number,
+  ): readonly EntryVmId[] {
+    const count = Math.min(
+      this.members.length,
+      computeMaxHolders(maxConnections),
+    );
+    const keyHash = computeHash(`hold/${databaseGroup}`);
+    return selectSpread(keyHash, this.zones, count).map(
+      candidate => candidate.name,
+    );
+  }
+}
+
+/** Most proxies that share the connections of one instance. @public */
+export function computeMaxHolders(maxConnections: number): number {
+  return Math.max(1, Math.floor(maxConnections / MIN_SHARE_CONNECTIONS));
+}
--- /dev/null
+++ b/packages/membership/src/member_table.ts
@@ -0,0 +1,143 @@
+import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import {supersedes, type MemberRecord, type MemberState} from './member.js';
+import {computeHash} from './rendezvous.js';
+
+/**
+ * The table of the other proxies that one proxy knows.
+ *
+ * @public
+ */
+
+/** One row of the table. @public */
+export interface MemberEntry {
+  readonly record: MemberRecord;
+  /** When the present state was learned. */
+  readonly changedAtMs: number;
+  /** When the member was last heard from directly; null when never. */
+  readonly heardAtMs: number | null;
+  /** When this proxy began to send it heartbeats; null while it does not. */
+  readonly watchedSinceMs: number | null;
+}
+
+/** The other proxies by name. @public */
+export type MemberTable = ReadonlyMap<EntryVmId, MemberEntry>;
+
+/** Members that a table holds at most. */
+export const MAX_MEMBERS = 2000;
+
+/** Time after which a member that is gone is forgotten. */
+const FORGET_DELAY_MS = 600_000;
+
+/** Whether a member takes part in duties or still finishes its work. @public */
+export function isPresent(state: MemberState): boolean {
+  return state === 'live' || state === 'leaving';
+}
+
+/** Adds a record if it is news; gives the same table otherwise. @public */
+export function mergeRecord(
+  table: MemberTable,
+  record: MemberRecord,
+  nowMs: number,
+): MemberTable {
+  const held = table.get(record.entryVm);
+  if (held === undefined) {
+    const isWorthless = !isPresent(record.state) || table.size >= MAX_MEMBERS;
+    return isWorthless ? table : setEntry(table, createEntry(record, nowMs));
+  }
+  if (!supersedes(record, held.record)) {
+    return table;
+  }
+  const isNewLife = record.incarnation !== held.record.incarnation;
+  return setEntry(table, {
+    ...held,
+    record,
+    changedAtMs: nowMs,
+    watchedSinceMs: isNewLife ? null : held.watchedSinceMs,
+  });
+}
+
+/** Notes that a member was heard from directly. @public */
+export function noteHeard(
+  table: MemberTable,
+  entryVm: EntryVmId,
+  heardAtMs: number,
+): MemberTable {
+  const entry = table.get(entryVm);
+  if (entry === undefined || (entry.heardAtMs ?? -Infinity) >= heardAtMs) {
+    return table;
+  }
+  return setEntry(table, {...entry, heardAtMs});
+}
+
+/** Notes which members this proxy sends heartbeats to. @public */
+export function noteWatched(
+  table: MemberTable,
+  watched: readonly EntryVmId[],
+  nowMs: number,
+): MemberTable {
+  const next = new Map(table);
+  for (const [entryVm, entry] of table) {
+    const isWatched = watched.includes(entryVm);
+    const watchedSinceMs = isWatched ? (entry.watchedSinceMs ?? nowMs) : null;
+    next.set(entryVm, {...entry, watchedSinceMs});
+  }
+  return next;
+}
+
+/** Drops members that have been gone for long. @public */
+export function forgetGone(table: MemberTable, nowMs: number): MemberTable {
+  const next = new Map(table);
+  for (const [entryVm, {record, changedAtMs}] of table) {
+    const isGone = !isPresent(record.state);
+    if (isGone && nowMs - changedAtMs > FORGET_DELAY_MS) {
+      next.delete(entryVm);
+    }
+  }
+  return next.size === table.size ? table : next;
+}
+
+/** The records of the members that are present. @public */
+export function getPresentRecords(table: MemberTable): readonly MemberRecord[] {
+  const records: MemberRecord[] = [];
+  for (const {record} of table.values()) {
+    if (isPresent(record.state)) {
+      records.push(record);
+    }
+  }
+  return records;
+}
+
+/** Hash of the present members, the same on proxies that agree on them. @public */
+export function computeDigest(self: MemberRecord, table: MemberTable): number {
+  let digest = hashRecord(self);
+  for (const {record} of table.values()) {
+    if (isPresent(record.state)) {
+      digest ^= hashRecord(record);
+    }
+  }
+  return digest >>> 0;
+}
+
+/** Hashes of records, which never change; each heartbeat needs all of them. */
+const recordHashes = new WeakMap<MemberRecord, number>();
+
+function hashRecord(record: MemberRecord): number {
+  const known = recordHashes.get(record);
+  if (known !== undefined) {
+    return known;
+  }
+  const {entryVm, incarnation, state} = record;
+  const hash = computeHash(`${entryVm} ${incarnation} ${state}`);
+  recordHashes.set(record, hash);
+  return hash;
+}
+
+function createEntry(record: MemberRecord, nowMs: number): MemberEntry {
+  return {record, changedAtMs: nowMs, heardAtMs: null, watchedSinceMs: null};
+}
+
+function setEntry(table: MemberTable, entry: MemberEntry): MemberTable {
+  const next = new Map(table);
+  next.set(entry.record.entryVm, entry);
+  return next;
+}
--- /dev/null
+++ b/packages/membership/src/membership_core.ts
@@ -0,0 +1,561 @@
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import {addGossip, takeGossip, type GossipQueue} from './gossip_queue.js';
+import {
+  decideInquiry,
+  noteVote,
+  startInquiry,
+  type Inquiry,
+} from './inquiry.js';
+import {MAX_UPDATES_PER_HEARTBEAT, type MemberRecord} from './member.js';
+import {
+  computeDigest,
+  forgetGone,
+  getPresentRecords,
+  isPresent,
+  mergeRecord,
+  noteHeard,
+  noteWatched,
+  type MemberEntry,
+  type MemberTable,
+} from './member_table.js';
+import type {MembershipMessage} from './membership_message.js';
+import {selectNeighbours, selectWatchers} from './neighbours.js';
+
+/**
+ * Decides which proxies are alive, from heartbeats, from what others say and
+ * from the platform's list.
+ *
+ * @public
+ */
+
+/** Time between two heartbeats to one neighbour among few proxies. */
+export const HEARTBEAT_INTERVAL_MS = 500;
+
+/** Time between two heartbeats to one neighbour among many proxies. */
+export const SLOW_HEARTBEAT_INTERVAL_MS = 1000;
+
+/** Members above which heartbeats are slow. */
+const MAX_FAST_MEMBERS = 16;
+
+/** Heartbeats that a neighbour may leave unanswered before it is inquired about. */
+const MISSED_HEARTBEATS = 3;
+
+/** Time after which an unconfirmed suspicion stands. */
+const UNCONFIRMED_DEAD_AFTER_MS = 10_000;
+
+/** Delay of one timer that means that the process was paused. */
+export const STALL_THRESHOLD_MS = 1000;
+
+/** Shortest time between two requests for a whole table. */
+const MEMBERS_REQUEST_INTERVAL_MS = 10_000;
+
+/** Time for which gossip may settle a disagreement by itself. */
+const GOSSIP_SETTLE_MS = 3000;
+
+/** Shortest time between two heartbeats to members that are held for dead. */
+const REVIVAL_INTERVAL_MS = 2000;
+
+/** The state of membership in one proxy. @public */
+export interface MembershipState {
+  readonly self: MemberRecord;
+  readonly table: MemberTable;
+  readonly neighbours: readonly EntryVmId[];
+  readonly inquiries: ReadonlyMap<EntryVmId, Inquiry>;
+  readonly gossip: GossipQueue;
+  readonly lastChangeAtMs: number;
+  readonly lastMembersRequestAtMs: number;
+  readonly lastRevivalAtMs: number;
+  /**
+   * When the proxy may take part in shares and duties again; null while it
+   * has no contact since its start or since it was paused.
+   */
+  readonly joinedAtMs: number | null;
+  readonly startedAtMs: number;
+}
+
+/** What can happen to membership. @public */
+export type MembershipEvent =
+  | {readonly kind: 'tick'; readonly nowMs: number}
+  | {
+      readonly kind: 'messageReceived';
+      readonly nowMs: number;
+      readonly message: MembershipMessage;
+      /** Whether it answers a heartbeat of this proxy. */
+      readonly isAnswer: boolean;
+    }
+  | {
+      readonly kind: 'recordsReceived';
+      readonly nowMs: number;
+      readonly records: readonly MemberRecord[];
+    }
+  | {
+      readonly kind: 'voteReceived';
+      readonly nowMs: number;
+      readonly subject: EntryVmId;
+      readonly voter: EntryVmId;
+      /** Null when the voter never heard from the subject. */
+      readonly silentForMs: number | null;
+    }
+  | {readonly kind: 'leaveStarted'; readonly nowMs: number}
+  | {readonly kind: 'leaveEnded'; readonly nowMs: number}
+  | {
+      readonly kind: 'stallDetected';
+      readonly nowMs: number;
+      readonly stalledForMs: number;
+    };
+
+/** What membership asks its surroundings to do. @public */
+export type MembershipCommand =
+  | {
+      readonly kind: 'sendHeartbeat';
+      readonly entryVm: EntryVmId;
+      readonly peerUrl: string;
+    }
+  | {
+      readonly kind: 'askSilence';
+      readonly voter: EntryVmId;
+      readonly voterUrl: string;
+      readonly subject: EntryVmId;
+    }
+  | {
+      readonly kind: 'requestMembers';
+      readonly entryVm: EntryVmId;
+      readonly peerUrl: string;
+    }
+  | {readonly kind: 'memberChanged'; readonly record: MemberRecord}
+  | {readonly kind: 'suspended'}
+  | {readonly kind: 'joined'};
+
+/** The next state and what is to be done. @public */
+export interface MembershipStep {
+  readonly state: MembershipState;
+  readonly commands: readonly MembershipCommand[];
+}
+
+/** Creates the state of a proxy that has just started. @public */
+export function createMembershipState(
+  self: MemberRecord,
+  nowMs: number,
+): MembershipState {
+  return {
+    self,
+    table: new Map(),
+    neighbours: [],
+    inquiries: new Map(),
+    gossip: addGossip(new Map(), self.entryVm, 0),
+    lastChangeAtMs: nowMs,
+    lastMembersRequestAtMs: nowMs - MEMBERS_REQUEST_INTERVAL_MS,
+    lastRevivalAtMs: nowMs,
+    joinedAtMs: null,
+    startedAtMs: nowMs,
+  };
+}
+
+/** Time between two heartbeats to one neighbour. @public */
+export function getHeartbeatIntervalMs(state: MembershipState): number {
+  return state.table.size > MAX_FAST_MEMBERS
+    ? SLOW_HEARTBEAT_INTERVAL_MS
+    : HEARTBEAT_INTERVAL_MS;
+}
+
+/** Advances membership by one event. @public */
+export function transitionMembership(
+  state: MembershipState,
+  event: MembershipEvent,
+  random: RandomSource,
+): MembershipStep {
+  switch (event.kind) {
+    case 'tick':
+      return handleTick(state, event.nowMs, random);
+    case 'messageReceived':
+      return handleMessage(state, event);
+    case 'recordsReceived':
+      return mergeRecords(state, event.records, event.nowMs);
+    case 'voteReceived':
+      return handleVote(state, event);
+    case 'leaveStarted':
+      return changeOwnState(state, 'leaving', event.nowMs);
+    case 'leaveEnded':
+      return changeOwnState(state, 'left', event.nowMs);
+    case 'stallDetected':
+      return handleStall(state, event.nowMs, event.stalledForMs);
+    default:
+      return exhaustiveSwitchError(event);
+  }
+}
+
+/**
+ * Creates the message of the next heartbeat or answer. What the receiver
+ * believes wrongly of itself goes first, so that it can refute it.
+ *
+ * @public
+ */
+export function createMessage(
+  state: MembershipState,
+  receiver: EntryVmId,
+): {readonly state: MembershipState; readonly message: MembershipMessage} {
+  const taken = takeGossip(state.gossip, MAX_UPDATES_PER_HEARTBEAT - 1);
+  const names = new Set(taken.names);
+  const held = state.table.get(receiver)?.record;
+  if (held !== undefined && !isPresent(held.state)) {
+    names.add(receiver);
+  }
+  const updates: MemberRecord[] = [];
+  for (const name of names) {
+    const record = state.table.get(name)?.record;
+    if (record !== undefined) {
+      updates.push(record);
+    }
+  }
+  const message: MembershipMessage = {
+    sender: state.self,
+    membersDigest: computeDigest(state.self, state.table),
+    updates,
+  };
+  return {state: {...state, gossip: taken.queue}, message};
+}
+
+function handleTick(
+  state: MembershipState,
+  nowMs: number,
+  random: RandomSource,
+): MembershipStep {
+  const cleaned = {...state, table: forgetGone(state.table, nowMs)};
+  const inquired = advanceInquiries(cleaned, nowMs, random);
+  const joined = joinIfAlone(inquired.state, nowMs);
+  const revived = chooseRevival(joined.state, nowMs, random);
+  const heartbeats: MembershipCommand[] = [];
+  for (const entryVm of revived.state.neighbours) {
+    const entry = revived.state.table.get(entryVm);
+    if (entry !== undefined) {
+      heartbeats.push(createHeartbeatCommand(entry.record));
+    }
+  }
+  return {
+    state: revived.state,
+    commands: [
+      ...inquired.commands,
+      ...joined.commands,
+      ...heartbeats,
+      ...revived.commands,
+    ],
+  };
+}
+
+function handleMessage(
+  state: MembershipState,
+  event: Extract<MembershipEvent, {kind: 'messageReceived'}>,
+): MembershipStep {
+  const {message, nowMs} = event;
+  if (message.sender.entryVm === state.self.entryVm) {
+    return {state, commands: []};
+  }
+  const merged = mergeRecords(
+    state,
+    [message.sender, ...message.updates],
+    nowMs,
+  );
+  const heard: MembershipState = {
+    ...merged.state,
+    table: noteHeard(merged.state.table, message.sender.entryVm, nowMs),
+    inquiries: removeKey(merged.state.inquiries, message.sender.entryVm),
+  };
+  const joined =
+    event.isAnswer && heard.joinedAtMs === null
+      ? join(heard, nowMs)
+      : {state: heard, commands: []};
+  const compared = requestMembersIfDifferent(joined.state, message, nowMs);
+  return {
+    state: compared.state,
+    commands: [...merged.commands, ...joined.commands, ...compared.commands],
+  };
+}
+
+function mergeRecords(
+  state: MembershipState,
+  records: readonly MemberRecord[],
+  nowMs: number,
+): MembershipStep {
+  let next = state;
+  const commands: MembershipCommand[] = [];
+  for (const record of records) {
+    if (record.entryVm === state.self.entryVm) {
+      next = refuteIfNeeded(next, record, nowMs);
+      continue;
+    }
+    const table = mergeRecord(next.table, record, nowMs);
+    if (table !== next.table) {
+      next = noteChange({...next, table}, record.entryVm, nowMs);
+      commands.push({kind: 'memberChanged', record});
+    }
+  }
+  return {state: updateNeighbours(next, state, nowMs), commands};
+}
+
+/** Raises the own incarnation above what others believe of this proxy. */
+function refuteIfNeeded(
+  state: MembershipState,
+  record: MemberRecord,
+  nowMs: number,
+): MembershipState {
+  const {self} = state;
+  const isOlder = record.incarnation < self.incarnation;
+  const isSame =
+    record.incarnation === self.incarnation && record.state === self.state;
+  const isBehind =
+    record.incarnation === self.incarnation && record.state === 'live';
+  if (isOlder || isSame || isBehind) {
+    return state;
+  }
+  const refuted = {...self, incarnation: record.incarnation + 1};
+  return noteChange({...state, self: refuted}, self.entryVm, nowMs);
+}
+
+function handleVote(
+  state: MembershipState,
+  event: Extract<MembershipEvent, {kind: 'voteReceived'}>,
+): MembershipStep {
+  const inquiry = state.inquiries.get(event.subject);
+  if (inquiry === undefined) {
+    return {state, commands: []};
+  }
+  const noted = noteVote(inquiry, event.voter, event.silentForMs);
+  const inquiries = new Map(state.inquiries).set(event.subject, noted);
+  return settleInquiry({...state, inquiries}, event.subject, event.nowMs);
+}
+
+/** A paused proxy gives up its shares and duties until it has contact again. */
+function handleStall(
+  state: MembershipState,
+  nowMs: number,
+  stalledForMs: number,
+): MembershipStep {
+  if (stalledForMs < STALL_THRESHOLD_MS) {
+    return {state, commands: []};
+  }
+  // Silence during the pause says nothing about the others.
+  const watched = noteWatched(state.table, [], nowMs);
+  const table = noteWatched(watched, state.neighbours, nowMs);
+  return {
+    state: {
+      ...state,
+      table,
+      inquiries: new Map(),
+      joinedAtMs: null,
+      startedAtMs: nowMs,
+    },
+    commands: [{kind: 'suspended'}],
+  };
+}
+
+function changeOwnState(
+  state: MembershipState,
+  ownState: 'leaving' | 'left',
+  nowMs: number,
+): MembershipStep {
+  const self = {...state.self, state: ownState};
+  const next = noteChange({...state, self}, self.entryVm, nowMs);
+  const commands = next.neighbours.flatMap(entryVm => {
+    const entry = next.table.get(entryVm);
+    return entry === undefined ? [] : [createHeartbeatCommand(entry.record)];
+  });
+  return {state: next, commands};
+}
+
+function advanceInquiries(
+  state: MembershipState,
+  nowMs: number,
+  random: RandomSource,
+): MembershipStep {
+  let next = state;
+  const commands: MembershipCommand[] = [];
+  for (const entryVm of state.neighbours) {
+    const entry = next.table.get(entryVm);
+    if (entry === undefined || !isSilent(next, entry, nowMs)) {
+      continue;
+    }
+    if (next.inquiries.has(entryVm)) {
+      const settled = settleInquiry(next, entryVm, nowMs);
+      next = settled.state;
+      commands.push(...settled.commands);
+      continue;
+    }
+    const started = beginInquiry(next, entry, nowMs, random);
+    next = started.state;
+    commands.push(...started.commands);
+  }
+  return {state: next, commands};
+}
+
+function beginInquiry(
+  state: MembershipState,
+  entry: MemberEntry,
+  nowMs: number,
+  random: RandomSource,
+): MembershipStep {
+  const subject = entry.record;
+  const present = getPresentRecords(state.table);
+  const watchers = selectWatchers(subject, present);
+  const inquiry = startInquiry(
+    state.self,
+    present.filter(
+      record =>
+        record.entryVm !== subject.entryVm && watchers.includes(record.entryVm),
+    ),
+    nowMs,
+    random,
+  );
+  const inquiries = new Map(state.inquiries).set(subject.entryVm, inquiry);
+  const commands = inquiry.voters.map(voter => ({
+    kind: 'askSilence' as const,
+    voter: voter.entryVm,
+    voterUrl: voter.peerUrl,
+    subject: subject.entryVm,
+  }));
+  return {state: {...state, inquiries}, commands};
+}
+
+function settleInquiry(
+  state: MembershipState,
+  subject: EntryVmId,
+  nowMs: number,
+): MembershipStep {
+  const inquiry = state.inquiries.get(subject);
+  const entry = state.table.get(subject);
+  if (inquiry === undefined || entry === undefined) {
+    return {state, commands: []};
+  }
+  const silentForMs = nowMs - getLastContactMs(entry, nowMs);
+  const verdict = decideInquiry(inquiry, nowMs, getSuspectAfterMs(state));
+  if (verdict.kind === 'heard') {
+    const table = noteHeard(state.table, subject, nowMs - verdict.silentForMs);
+    const inquiries = removeKey(state.inquiries, subject);
+    return {state: {...state, table, inquiries}, commands: []};
+  }
+  const isConfirmed = verdict.kind === 'confirmed';
+  if (!isConfirmed && silentForMs < UNCONFIRMED_DEAD_AFTER_MS) {
+    const inquiries =
+      verdict.kind === 'unanswered'
+        ? removeKey(state.inquiries, subject)
+        : state.inquiries;
+    return {state: {...state, inquiries}, commands: []};
+  }
+  const record: MemberRecord = {...entry.record, state: 'dead'};
+  const inquiries = removeKey(state.inquiries, subject);
+  return mergeRecords({...state, inquiries}, [record], nowMs);
+}
+
+function isSilent(
+  state: MembershipState,
+  entry: MemberEntry,
+  nowMs: number,
+): boolean {
+  return nowMs - getLastContactMs(entry, nowMs) >= getSuspectAfterMs(state);
+}
+
+function getLastContactMs(entry: MemberEntry, nowMs: number): number {
+  return Math.max(entry.heardAtMs ?? -Infinity, entry.watchedSinceMs ?? nowMs);
+}
+
+function getSuspectAfterMs(state: MembershipState): number {
+  return getHeartbeatIntervalMs(state) * MISSED_HEARTBEATS;
+}
+
+function joinIfAlone(state: MembershipState, nowMs: number): MembershipStep {
+  const waitedMs = nowMs - state.startedAtMs;
+  const isAlone =
+    state.joinedAtMs === null &&
+    waitedMs >= (state.neighbours.length === 0 ? 1000 : JOIN_ALONE_AFTER_MS);
+  return isAlone ? join(state, nowMs) : {state, commands: []};
+}
+
+/** Time after which a proxy that reaches no other takes part by itself. */
+const JOIN_ALONE_AFTER_MS = 10_000;
+
+function join(state: MembershipState, nowMs: number): MembershipStep {
+  return {state: {...state, joinedAtMs: nowMs}, commands: [{kind: 'joined'}]};
+}
+
+/** Now and then greets a member that is held for dead, to heal a partition. */
+function chooseRevival(
+  state: MembershipState,
+  nowMs: number,
+  random: RandomSource,
+): MembershipStep {
+  if (nowMs - state.lastRevivalAtMs < REVIVAL_INTERVAL_MS) {
+    return {state, commands: []};
+  }
+  const dead: MemberRecord[] = [];
+  for (const {record} of state.table.values()) {
+    if (record.state === 'dead') {
+      dead.push(record);
+    }
+  }
+  const next = {...state, lastRevivalAtMs: nowMs};
+  const chosen = dead[random.nextInteger(0, Math.max(0, dead.length - 1))];
+  const commands = chosen === undefined ? [] : [createHeartbeatCommand(chosen)];
+  return {state: next, commands};
+}
+
+function requestMembersIfDifferent(
+  state: MembershipState,
+  message: MembershipMessage,
+  nowMs: number,
+): MembershipStep {
+  const isEqual =
+    message.membersDigest === computeDigest(state.self, state.table);
+  const isSettling = nowMs - state.lastChangeAtMs < GOSSIP_SETTLE_MS;
+  const isTooSoon =
+    nowMs - state.lastMembersRequestAtMs < MEMBERS_REQUEST_INTERVAL_MS;
+  const isNewcomer = state.table.size <= 1;
+  if (isEqual || isTooSoon || (isSettling && !isNewcomer)) {
+    return {state, commands: []};
+  }
+  const {entryVm, peerUrl} = message.sender;
+  return {
+    state: {...state, lastMembersRequestAtMs: nowMs},
+    commands: [{kind: 'requestMembers', entryVm, peerUrl}],
+  };
+}
+
+function noteChange(
+  state: MembershipState,
+  entryVm: EntryVmId,
+  nowMs: number,
+): MembershipState {
+  const gossip = addGossip(state.gossip, entryVm, state.table.size);
+  return {...state, gossip, lastChangeAtMs: nowMs};
+}
+
+/** Chooses the neighbours anew when the set of present members has changed. */
+function updateNeighbours(
+  state: MembershipState,
+  before: MembershipState,
+  nowMs: number,
+): MembershipState {
+  if (state.table === before.table) {
+    return state;
+  }
+  const neighbours = selectNeighbours(
+    state.self,
+    getPresentRecords(state.table),
+  );
+  const table = noteWatched(state.table, neighbours, nowMs);
+  return {...state, neighbours, table};
+}
+
+function createHeartbeatCommand(record: MemberRecord): MembershipCommand {
+  const {entryVm, peerUrl} = record;
+  return {kind: 'sendHeartbeat', entryVm, peerUrl};
+}
+
+function removeKey<K, V>(map: ReadonlyMap<K, V>, key: K): ReadonlyMap<K, V> {
+  if (!map.has(key)) {
+    return map;
+  }
+  const next = new Map(map);
+  next.delete(key);
+  return next;
+}
--- /dev/null
+++ b/packages/membership/src/neighbours.ts
@@ -0,0 +1,108 @@
+import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import type {DutyMember} from './duty_assignment.js';
+import {computeHash, computeScore} from './rendezvous.js';
+
+/**
+ * Which proxies exchange heartbeats. Few proxies all do. Many form rings: each
+ * ring orders them by another hash, and a proxy sends to the next one on each.
+ * So every proxy sends to and hears from the same small number of others, and
+ * one change touches only its own places on the rings.
+ *
+ * @public
+ */
+
+/** Others up to which every proxy sends to every other. */
+export const MAX_FULL_MESH_OTHERS = 6;
+
+/** Rings of all proxies. */
+const GLOBAL_RINGS = 4;
+
+/** Rings within an availability zone, which keep a cut-off zone connected. */
+const ZONE_RINGS = 2;
+
+/** The proxies to which `self` sends heartbeats. @public */
+export function selectNeighbours(
+  self: DutyMember,
+  others: readonly DutyMember[],
+): readonly EntryVmId[] {
+  if (others.length <= MAX_FULL_MESH_OTHERS) {
+    return others.map(member => member.entryVm);
+  }
+  const chosen = new Set<EntryVmId>();
+  const sameZone = others.filter(
+    member => member.availabilityZone === self.availabilityZone,
+  );
+  for (let ring = 0; ring < ZONE_RINGS; ring++) {
+    addNextOnRing(chosen, `zone/${ring}`, self, sameZone);
+  }
+  for (let ring = 0; ring < GLOBAL_RINGS; ring++) {
+    addNextOnRing(chosen, `all/${ring}`, self, others);
+  }
+  return [...chosen];
+}
+
+/** The proxies that send heartbeats to `subject`, `members` included. @public */
+export function selectWatchers(
+  subject: DutyMember,
+  members: readonly DutyMember[],
+): readonly EntryVmId[] {
+  const others = members.filter(member => member.entryVm !== subject.entryVm);
+  if (others.length <= MAX_FULL_MESH_OTHERS) {
+    return others.map(member => member.entryVm);
+  }
+  const chosen = new Set<EntryVmId>();
+  const sameZone = others.filter(
+    member => member.availabilityZone === subject.availabilityZone,
+  );
+  for (let ring = 0; ring < ZONE_RINGS; ring++) {
+    addPreviousOnRing(chosen, `zone/${ring}`, subject, sameZone);
+  }
+  for (let ring = 0; ring < GLOBAL_RINGS; ring++) {
+    addPreviousOnRing(chosen, `all/${ring}`, subject, others);
+  }
+  return [...chosen];
+}
+
+function addNextOnRing(
+  chosen: Set<EntryVmId>,
+  ring: string,
+  self: DutyMember,
+  others: readonly DutyMember[],
+): void {
+  addNearest(chosen, ring, self, others, distance => distance);
+}
+
+function addPreviousOnRing(
+  chosen: Set<EntryVmId>,
+  ring: string,
+  self: DutyMember,
+  others: readonly DutyMember[],
+): void {
+  addNearest(chosen, ring, self, others, distance => RING_SIZE - distance);
+}
+
+const RING_SIZE = 2 ** 32;
+
+function addNearest(
+  chosen: Set<EntryVmId>,
+  ring: string,
+  self: DutyMember,
+  others: readonly DutyMember[],
+  measure: (distance: number) => number,
+): void {
+  const ringHash = computeHash(ring);
+  const start = computeScore(ringHash, computeHash(self.entryVm));
+  let nearest: EntryVmId | null = null;
+  let nearestDistance = Infinity;
+  for (const {entryVm} of others) {
+    const place = computeScore(ringHash, computeHash(entryVm));
+    const distance = measure((place - start + RING_SIZE) % RING_SIZE);
+    if (distance < nearestDistance) {
+      nearest = entryVm;
+      nearestDistance = distance;
+    }
+  }
+  if (nearest !== null) {
+    chosen.add(nearest);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/rendezvous.ts
@@ -0,0 +1,157 @@
+import {LRUCache} from 'lru-cache';
+import murmurhash from 'murmurhash';
+
+/**
+ * Rendezvous hashing: every proxy ranks the same candidates for a key in the
+ * same order, and a change of the candidates moves only the keys that the
+ * changed one held.
+ *
+ * @public
+ */
+
+/** A candidate for a duty. @public */
+export interface RendezvousCandidate {
+  readonly name: string;
+  readonly availabilityZone: string;
+  /** Hash of the name, from `computeHash`. */
+  readonly hash: number;
+}
+
+/** Names whose hashes are kept. */
+const MAX_CACHED_HASHES = 8192;
+
+const cachedHashes = new LRUCache<string, number>({max: MAX_CACHED_HASHES});
+
+/** Hash of a name, 32 bits without sign. @public */
+export function computeHash(name: string): number {
+  const cached = cachedHashes.get(name);
+  if (cached !== undefined) {
+    return cached;
+  }
+  const hash = murmurhash.v3(name);
+  cachedHashes.set(name, hash);
+  return hash;
+}
+
+/** Creates a candidate. @public */
+export function createCandidate(
+  name: string,
+  availabilityZone: string,
+): RendezvousCandidate {
+  return {name, availabilityZone, hash: computeHash(name)};
+}
+
+/**
+ * Combines the hashes of a key and a candidate with the finalizer of
+ * MurmurHash3, which costs far less than to hash the joined text.
+ *
+ * @public
+ */
+export function computeScore(keyHash: number, candidateHash: number): number {
+  let mixed = Math.imul(keyHash ^ 0x9e3779b9, 0x85ebca6b) ^ candidateHash;
+  mixed ^= mixed >>> 16;
+  mixed = Math.imul(mixed, 0x85ebca6b);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, 0xc2b2ae35);
+  mixed ^= mixed >>> 16;
+  return mixed >>> 0;
+}
+
+/** The candidate with the highest score for a key; null when there is none. @public */
+export function findBest(
+  keyHash: number,
+  candidates: readonly RendezvousCandidate[],
+): RendezvousCandidate | null {
+  let best: RendezvousCandidate | null = null;
+  let bestScore = -1;
+  for (const candidate of candidates) {
+    const score = computeScore(keyHash, candidate.hash);
+    if (isRankedBefore(score, candidate, bestScore, best)) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/**
+ * The first `count` candidates for a key, spread over the availability zones:
+ * the best of each zone in the order of their scores, then the second of each
+ * zone, and so on.
+ *
+ * @public
+ */
+export function selectSpread(
+  keyHash: number,
+  zones: ReadonlyMap<string, readonly RendezvousCandidate[]>,
+  count: number,
+): readonly RendezvousCandidate[] {
+  const ranked: RankedCandidate[] = [];
+  for (const candidates of zones.values()) {
+    ranked.push(...rankWithinZone(keyHash, candidates, count));
+  }
+  ranked.sort(compareRanked);
+  return ranked.slice(0, count).map(entry => entry.candidate);
+}
+
+/** Groups candidates by availability zone. @public */
+export function groupByZone(
+  candidates: readonly RendezvousCandidate[],
+): ReadonlyMap<string, readonly RendezvousCandidate[]> {
+  const zones = new Map<string, RendezvousCandidate[]>();
+  for (const candidate of candidates) {
+    const zone = zones.get(candidate.availabilityZone);
+    if (zone === undefined) {
+      zones.set(candidate.availabilityZone, [candidate]);
+      continue;
+    }
+    zone.push(candidate);
+  }
+  return zones;
+}
+
+interface RankedCandidate {
+  readonly candidate: RendezvousCandidate;
+  readonly score: number;
+  /** Place within the candidate's zone, from 0. */
+  readonly round: number;
+}
+
+function rankWithinZone(
+  keyHash: number,
+  candidates: readonly RendezvousCandidate[],
+  count: number,
+): readonly RankedCandidate[] {
+  const scored = candidates.map(candidate => ({
+    candidate,
+    score: computeScore(keyHash, candidate.hash),
+  }));
+  scored.sort(compareScored);
+  return scored.slice(0, count).map((entry, round) => ({...entry, round}));
+}
+
+function compareRanked(left: RankedCandidate, right: RankedCandidate): number {
+  return left.round - right.round || compareScored(left, right);
+}
+
+function compareScored(
+  left: Omit<RankedCandidate, 'round'>,
+  right: Omit<RankedCandidate, 'round'>,
+): number {
+  if (left.score !== right.score) {
+    return right.score - left.score;
+  }
+  return left.candidate.name < right.candidate.name ? -1 : 1;
+}
+
+function isRankedBefore(
+  score: number,
+  candidate: RendezvousCandidate,
+  bestScore: number,
+  best: RendezvousCandidate | null,
+): boolean {
+  if (best === null || score !== bestScore) {
+    return score > bestScore;
+  }
+  return candidate.name < best.name;
+}
--- /dev/null
+++ b/packages/peer/src/control_plane.ts
@@ -0,0 +1,296 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {ConfigurationManager} from '@filbertrun/configuration/configuration_manager.js';
+import {submitChange} from '@filbertrun/configuration/submit_change.js';
+import {
+  MembershipManager,
+  type MembershipIdentity,
+} from '@filbertrun/membership/membership_manager.js';
+import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import type {PlatformService} from '@filbertrun/platform/platform_service.js';
+import {GroupViewBoard} from './group_view_board.js';
+import {PeerConfigurationSources} from './peer_configuration_sources.js';
+import {PeerMembershipTransport} from './peer_membership_transport.js';
+import type {
+  ChangePrimaryAnswer,
+  ChangePrimaryRequest,
+  GroupView,
+  Heartbeat,
+  PeerHandler,
+  ProxyStatus,
+  SuspicionAnswer,
+} from './peer_protocol.js';
+import type {PeerTransport} from './peer_transport.js';
+
+/**
+ * All control work of one proxy: configuration, membership, the views of the
+ * database groups, and the messages between proxies that carry them.
+ *
+ * @public
+ */
+
+/** What the owner of the database groups answers for this proxy. @public */
+export interface GroupDelegate {
+  /** What this proxy saw of the primary of a database group. */
+  getSuspicion(databaseGroup: DatabaseGroupName, term: number): SuspicionAnswer;
+  /** Makes a planned change of primary. */
+  changePrimary(request: ChangePrimaryRequest): Promise<ChangePrimaryAnswer>;
+}
+
+/** What the control plane works with. @public */
+export interface ControlPlaneOptions {
+  readonly identity: MembershipIdentity;
+  /** Wall-clock time of the start. */
+  readonly startedAtEpochMs: number;
+  readonly platform: PlatformService;
+  readonly transport: PeerTransport;
+  /** Peers to try while the platform's list cannot be read; may be empty. */
+  readonly seedPeerUrls: readonly string[];
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** Time that a peer has to answer a question. */
+const PEER_TIMEOUT_MS = 1000;
+
+/** Shortest time between two requests for all views of a peer. */
+const VIEWS_REQUEST_INTERVAL_MS = 5000;
+
+/** Time for which announcements may settle a difference by themselves. */
+const VIEWS_SETTLE_MS = 2000;
+
+/** All control work of one proxy. @public */
+export class ControlPlane {
+  readonly configuration: ConfigurationManager;
+  readonly membership: MembershipManager;
+  readonly groupViews = GroupViewBoard.create();
+  private groupDelegate: GroupDelegate | null = null;
+  private lastViewsChangeAtMs: number;
+  private lastViewsRequestAtMs: number;
+
+  private constructor(private readonly options: ControlPlaneOptions) {
+    const {transport, clock} = options;
+    this.lastViewsChangeAtMs = clock.nowMs();
+    this.lastViewsRequestAtMs = clock.nowMs();
+    this.membership = MembershipManager.create({
+      ...options,
+      directory: options.platform,
+      transport: PeerMembershipTransport.create(transport, {
+        createHeartbeat: message => this.createHeartbeat(message),
+        handleAnswer: heartbeat => this.handlePeerState(heartbeat),
+      }),
+    });
+    this.configuration = ConfigurationManager.create({
+      ...options,
+      peers: PeerConfigurationSources.create(transport, this.membership),
+    });
+    this.configuration.onChange(() => this.membership.sendHeartbeatsNow());
+  }
+
+  /** Creates the managers; they begin to ask the platform and the peers. */
+  static create(options: ControlPlaneOptions): ControlPlane {
+    return new ControlPlane(options);
+  }
+
+  /** Sets who answers for the database groups of this proxy. */
+  setGroupDelegate(delegate: GroupDelegate): void {
+    this.groupDelegate = delegate;
+  }
+
+  /** Tells every proxy of a new view of a database group. */
+  announceGroupView(view: GroupView): void {
+    this.takeGroupViews([view], null);
+  }
+
+  /**
+   * Asks the proxies that watch a database group, one of each availability
+   * zone, what they saw of its primary. Gives the answers that came in time.
+   */
+  async gatherSuspicions(
+    databaseGroup: DatabaseGroupName,
+    term: number,
+    timeoutMs: number,
+  ): Promise<readonly SuspicionAnswer[]> {
+    const watchers = this.membership.getAssignment().getWatchers(databaseGroup);
+    const answers = await Promise.all(
+      watchers.map(entryVm =>
+        this.askSuspicion(entryVm, databaseGroup, term, timeoutMs),
+      ),
+    );
+    return answers.filter(answer => answer !== null);
+  }
+
+  /** The answers of this proxy to the procedures of the peer interface. */
+  createHandler(): PeerHandler {
+    return {
+      heartbeat: async heartbeat => this.handleHeartbeat(heartbeat),
+      getMembers: async () => this.membership.getRecords(),
+      askSilence: async ({entryVm}) => ({
+        silentForMs: this.membership.getSilenceMs(entryVm),
+      }),
+      getConfigurationPointer: async () =>
+        this.configuration.getPointerForPeer(),
+      getConfigurationBody: async ({objectName}) => ({
+        body: this.configuration.getBody(objectName),
+      }),
+      askSuspicion: async ({databaseGroup, term}) =>
+        this.getOwnSuspicion(databaseGroup, term),
+      announceGroupViews: async ({views}) => {
+        this.takeGroupViews(views, null);
+        return {};
+      },
+      getGroupViews: async () => this.groupViews.getViews(),
+      announceConfiguration: async ({version}) => {
+        if (version > this.configuration.getVersion()) {
+          await this.configuration.refresh();
+        }
+        return {};
+      },
+      submitChange: async request => {
+        const answer = await submitChange(request, this.options);
+        await this.configuration.refresh();
+        return answer;
+      },
+      changePrimary: async request => this.changePrimary(request),
+      getStatus: async () => this.getStatus(),
+    };
+  }
+
+  /** Stops all control work; the last known state stays readable. */
+  dispose(): void {
+    this.configuration.dispose();
+    this.membership.dispose();
+  }
+
+  private createHeartbeat(
+    message: Pick<Heartbeat, 'sender' | 'membersDigest' | 'updates'>,
+  ): Heartbeat {
+    return {
+      ...message,
+      configuration: this.configuration.getVersionName(),
+      groupViewsDigest: this.groupViews.getDigest(),
+    };
+  }
+
+  private handleHeartbeat(heartbeat: Heartbeat): Heartbeat {
+    const answer = this.membership.handleHeartbeat(heartbeat);
+    this.handlePeerState(heartbeat);
+    return this.createHeartbeat(answer);
+  }
+
+  /** Takes what a peer says of its configuration and its group views. */
+  private handlePeerState(heartbeat: Heartbeat): void {
+    const {sender, configuration, groupViewsDigest} = heartbeat;
+    if (configuration !== null) {
+      this.configuration.handleAnnouncement(sender.entryVm, configuration);
+    }
+    const nowMs = this.options.clock.nowMs();
+    const isDue =
+      nowMs - this.lastViewsRequestAtMs >= VIEWS_REQUEST_INTERVAL_MS &&
+      nowMs - this.lastViewsChangeAtMs >= VIEWS_SETTLE_MS;
+    if (groupViewsDigest !== this.groupViews.getDigest() && isDue) {
+      this.lastViewsRequestAtMs = nowMs;
+      void this.requestGroupViews(sender.peerUrl);
+    }
+  }
+
+  private async requestGroupViews(peerUrl: string): Promise<void> {
+    const views = await this.options.transport.call(
+      peerUrl,
+      'getGroupViews',
+      {},
+      PEER_TIMEOUT_MS,
+    );
+    if (views.ok) {
+      this.takeGroupViews(views.value, peerUrl);
+    }
+  }
+
+  /** Merges views and passes on what was new. */
+  private takeGroupViews(
+    views: readonly GroupView[],
+    fromUrl: string | null,
+  ): void {
+    const news = this.groupViews.merge(views);
+    if (news.length === 0) {
+      return;
+    }
+    this.lastViewsChangeAtMs = this.options.clock.nowMs();
+    for (const {peerUrl} of this.membership.getNeighbours()) {
+      if (peerUrl !== fromUrl) {
+        void this.options.transport.call(
+          peerUrl,
+          'announceGroupViews',
+          {views: news},
+          PEER_TIMEOUT_MS,
+        );
+      }
+    }
+  }
+
+  private async askSuspicion(
+    entryVm: string,
+    databaseGroup: DatabaseGroupName,
+    term: number,
+    timeoutMs: number,
+  ): Promise<SuspicionAnswer | null> {
+    if (entryVm === this.options.identity.entryVm) {
+      return this.getOwnSuspicion(databaseGroup, term);
+    }
+    const member = this.membership.getMember(entryVm);
+    if (member === null) {
+      return null;
+    }
+    const answer = await this.options.transport.call(
+      member.peerUrl,
+      'askSuspicion',
+      {databaseGroup, term},
+      timeoutMs,
+    );
+    return answer.ok ? answer.value : null;
+  }
+
+  private getOwnSuspicion(
+    databaseGroup: DatabaseGroupName,
+    term: number,
+  ): SuspicionAnswer {
+    if (this.groupDelegate !== null) {
+      return this.groupDelegate.getSuspicion(databaseGroup, term);
+    }
+    const {entryVm, availabilityZone} = this.options.identity;
+    return {
+      entryVm,
+      availabilityZone,
+      isWatching: false,
+      term: this.groupViews.getView(databaseGroup)?.term ?? 0,
+      primary: null,
+      silentForMs: null,
+      isSuspected: false,
+    };
+  }
+
+  private async changePrimary(
+    request: ChangePrimaryRequest,
+  ): Promise<ChangePrimaryAnswer> {
+    if (this.groupDelegate === null) {
+      return {kind: 'refused', reason: 'the proxy is starting'};
+    }
+    return this.groupDelegate.changePrimary(request);
+  }
+
+  private getStatus(): ProxyStatus {
+    const self = this.membership.getSelf();
+    return {
+      entryVm: self.entryVm,
+      availabilityZone: self.availabilityZone,
+      incarnation: self.incarnation,
+      isReady: this.configuration.getReadiness() === 'ready',
+      isLeaving: self.state !== 'live',
+      configuration: this.configuration.getVersionName(),
+      members: this.membership.getRecords(),
+      groupViews: this.groupViews.getViews(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/peer/src/control_plane_test.ts
@@ -0,0 +1,170 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {
+  createDrain,
+  createGroup,
+  createRequest,
+} from '@filbertrun/configuration/configuration_fixtures.js';
+import {submitChange} from '@filbertrun/configuration/submit_change.js';
+import {InMemoryPlatformService} from '@filbertrun/platform/in_memory_platform_service.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {FakeControlCluster} from './fake_control_cluster.js';
+
+const ZONES = ['mrk-a', 'mrk-b', 'agd-a', 'ouz-a'];
+const INSTANCE = {databaseGroup: 'sched-db-1', maxConnections: 20};
+
+let cluster: FakeControlCluster;
+
+async function startFive(): Promise<void> {
+  for (let index = 1; index <= 5; index++) {
+    cluster.start(index);
+  }
+  await cluster.pass(5000);
+}
+
+function getShares(): readonly number[] {
+  return [...cluster.nodes.values()].map(node =>
+    node.control.membership.getShare(INSTANCE),
+  );
+}
+
+function getVersions(): readonly number[] {
+  return [...cluster.nodes.values()].map(node =>
+    node.control.configuration.getVersion(),
+  );
+}
+
+async function accept(changeId: string): Promise<void> {
+  const {platform, clock} = cluster;
+  const change = {
+    kind: 'replaceDatabaseGroups',
+    databaseGroups: [createGroup(`sched-db-${changeId}`)],
+  } as const;
+  const random = SeededRandom.create(1);
+  await submitChange(createRequest(changeId, change), {
+    platform,
+    clock,
+    random,
+  });
+}
+
+beforeEach(() => {
+  cluster = FakeControlCluster.create(ZONES);
+});
+
+describe('membership among proxies', () => {
+  it('gives each of five proxies its share of the connections', async () => {
+    await startFive();
+    expect(getShares()).toEqual([4, 4, 4, 4, 4]);
+  });
+
+  it('takes up the share of a killed proxy within seconds', async () => {
+    await startFive();
+    cluster.kill(5);
+    await cluster.pass(5000);
+    expect(getShares()).toEqual([5, 5, 5, 5]);
+  });
+
+  it('takes up the share of a proxy that left as soon as it is gone', async () => {
+    await startFive();
+    const {control} = cluster.getNode(5);
+    control.membership.startLeaving();
+    await cluster.pass(1000);
+    expect(getShares().slice(0, 4)).toEqual([4, 4, 4, 4]);
+    control.membership.endLeaving();
+    await cluster.pass(10);
+    cluster.kill(5);
+    await cluster.pass(1000);
+    expect(getShares()).toEqual([5, 5, 5, 5]);
+  });
+
+  it('gives a replaced VM of the same name its share back', async () => {
+    await startFive();
+    cluster.kill(5);
+    await cluster.pass(10_000);
+    cluster.start(5);
+    await cluster.pass(6000);
+    expect(getShares()).toEqual([4, 4, 4, 4, 4]);
+  });
+
+  it('keeps a proxy that only some of the others cannot reach', async () => {
+    await startFive();
+    cluster.partition([1], [2]);
+    await cluster.pass(30_000);
+    expect(getShares()).toEqual([4, 4, 4, 4, 4]);
+  });
+
+  it('finds together again after a partition', async () => {
+    await startFive();
+    cluster.partition([1], [2, 3, 4, 5]);
+    await cluster.pass(30_000);
+    const {membership} = cluster.getNode(1).control;
+    expect(membership.getLiveMembers()).toHaveLength(1);
+    cluster.network.heal();
+    await cluster.pass(15_000);
+    expect(getShares()).toEqual([4, 4, 4, 4, 4]);
+  });
+});
+
+describe('the configuration among proxies', () => {
+  it('reaches a proxy whose link to the platform is down', async () => {
+    const cutOff = InMemoryPlatformService.create({clock: cluster.clock});
+    await accept('1');
+    cluster.start(1);
+    cluster.start(2);
+    await cluster.pass(2000);
+    cutOff.setOutage(true);
+    cluster.start(3, cutOff);
+    await cluster.pass(5000);
+    expect(getVersions()).toEqual([1, 1, 1]);
+    await accept('2');
+    await cluster.pass(2000);
+    expect(getVersions()).toEqual([2, 2, 2]);
+  });
+
+  it('is drained everywhere within two seconds of the acceptance', async () => {
+    await accept('1');
+    await startFive();
+    const submitted = await cluster
+      .getNode(3)
+      .control.createHandler()
+      .submitChange(createRequest('2', createDrain('sched-db-1-a')));
+    expect(submitted.ok).toBe(true);
+    await cluster.pass(100);
+    expect(getVersions()).toEqual([2, 2, 2, 2, 2]);
+  });
+});
+
+describe('group views among proxies', () => {
+  it('reach every proxy, and an older term does not replace a newer', async () => {
+    await startFive();
+    const view = {databaseGroup: 'sched-db-1', term: 2, primary: 'b'};
+    cluster.getNode(1).control.announceGroupView(view);
+    cluster.getNode(2).control.announceGroupView({...view, term: 1});
+    await cluster.pass(100);
+    for (const {control} of cluster.nodes.values()) {
+      expect(control.groupViews.getView('sched-db-1')).toEqual(view);
+    }
+  });
+
+  it('reach a proxy that was cut off when they were announced', async () => {
+    await startFive();
+    cluster.partition([5], [1, 2, 3, 4]);
+    const view = {databaseGroup: 'sched-db-1', term: 2, primary: 'b'};
+    cluster.getNode(1).control.announceGroupView(view);
+    await cluster.pass(3000);
+    cluster.network.heal();
+    await cluster.pass(10_000);
+    const {groupViews} = cluster.getNode(5).control;
+    expect(groupViews.getView('sched-db-1')).toEqual(view);
+  });
+
+  it('are asked of the watchers of each zone on suspicion', async () => {
+    await startFive();
+    const answers = await Promise.all([
+      cluster.getNode(1).control.gatherSuspicions('sched-db-1', 1, 500),
+      cluster.pass(1000),
+    ]);
+    const zones = answers[0].map(answer => answer.availabilityZone);
+    expect([...zones].sort()).toEqual([...ZONES].sort());
+  });
+});
--- /dev/null
+++ b/packages/peer/src/fake_control_cluster.ts
@@ -0,0 +1,110 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {SilentLogger} from '@filbertrun/observability/logger.js';
+import {InMemoryPlatformService} from '@filbertrun/platform/in_memory_platform_service.js';
+import type {PlatformService} from '@filbertrun/platform/platform_service.js';
+import {ControlPlane} from './control_plane.js';
+import {FakePeerNetwork} from './fake_peer_network.js';
+
+/**
+ * Proxies with their control planes on virtual time, for tests.
+ *
+ * @internal
+ */
+
+/** One proxy of the cluster. @internal */
+export interface FakeNode {
+  readonly entryVm: string;
+  readonly peerUrl: string;
+  readonly control: ControlPlane;
+}
+
+/** A cluster of control planes on virtual time. @internal */
+export class FakeControlCluster {
+  readonly clock = VirtualClock.create();
+  readonly network = FakePeerNetwork.create(this.clock);
+  readonly platform = InMemoryPlatformService.create({clock: this.clock});
+  readonly nodes = new Map<string, FakeNode>();
+  private starts = 0;
+
+  private constructor(private readonly zones: readonly string[]) {}
+
+  /** Creates a cluster without nodes; nodes are dealt to the zones in turn. */
+  static create(zones: readonly string[]): FakeControlCluster {
+    return new FakeControlCluster(zones);
+  }
+
+  /** Starts `entry-N`, or starts it again after `kill`. */
+  start(
+    index: number,
+    platform: PlatformService = this.platform,
+  ): ControlPlane {
+    const entryVm = `entry-${index}`;
+    const peerUrl = `http://${entryVm}:7000`;
+    const availabilityZone = this.zones[index % this.zones.length] ?? 'zone';
+    this.starts++;
+    const control = ControlPlane.create({
+      identity: {entryVm, availabilityZone, peerUrl},
+      startedAtEpochMs: 1_700_000_000_000 + this.clock.nowMs(),
+      platform,
+      transport: this.network.createTransport(peerUrl),
+      seedPeerUrls: [],
+      clock: this.clock,
+      random: SeededRandom.create(this.starts),
+      logger: SilentLogger.create(),
+    });
+    this.platform.putVm({entryVm, availabilityZone, peerUrl, state: 'live'});
+    this.network.attach(peerUrl, control.createHandler());
+    this.nodes.set(entryVm, {entryVm, peerUrl, control});
+    return control;
+  }
+
+  /** Ends a node without a word. */
+  kill(index: number): void {
+    const node = this.getNode(index);
+    this.network.detach(node.peerUrl);
+    node.control.dispose();
+    this.nodes.delete(node.entryVm);
+  }
+
+  getNode(index: number): FakeNode {
+    const node = this.nodes.get(`entry-${index}`);
+    if (node === undefined) {
+      throw new Error(`entry-${index} does not run`);
+    }
+    return node;
+  }
+
+  /** Cuts the links between two sets of nodes in both directions. */
+  partition(left: readonly number[], right: readonly number[]): void {
+    for (const from of left) {
+      for (const to of right) {
+        const fromUrl = `http://entry-${from}:7000`;
+        const toUrl = `http://entry-${to}:7000`;
+        this.network.cut(fromUrl, toUrl);
+        this.network.cut(toUrl, fromUrl);
+      }
+    }
+  }
+
+  /** Lets virtual time pass, with every promise settled on the way. */
+  async pass(durationMs: number): Promise<void> {
+    const endMs = this.clock.nowMs() + durationMs;
+    for (;;) {
+      await new Promise(resolve => setImmediate(resolve));
+      const leftMs = endMs - this.clock.nowMs();
+      const delayMs = this.clock.getDelayToNextTimerMs();
+      if (delayMs === null || delayMs > leftMs) {
+        this.clock.advance(leftMs);
+        return;
+      }
+      this.clock.advance(delayMs);
+    }
+  }
+
+  dispose(): void {
+    for (const node of this.nodes.values()) {
+      node.control.dispose();
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer/src/fake_peer_network.ts
@@ -0,0 +1,137 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {
+  PeerHandler,
+  PeerInput,
+  PeerOutput,
+  PeerProcedure,
+} from './peer_protocol.js';
+import type {PeerError, PeerTransport} from './peer_transport.js';
+
+/**
+ * A network of peers on virtual time, for tests: links have latency, can be
+ * cut in one direction, and a paused peer answers late.
+ *
+ * @internal
+ */
+
+/** Time that a message takes in one direction. */
+const LATENCY_MS = 1;
+
+/** Counts of what a node sent and received. @internal */
+export interface NodeTraffic {
+  readonly messages: number;
+  readonly bytes: number;
+}
+
+type AnyAnswer = (input: unknown) => Promise<unknown>;
+
+/** A network of peers on virtual time. @internal */
+export class FakePeerNetwork {
+  private readonly handlers = new Map<string, PeerHandler>();
+  private readonly cutLinks = new Set<string>();
+  private readonly traffic = new Map<string, NodeTraffic>();
+
+  private constructor(private readonly clock: VirtualClock) {}
+
+  static create(clock: VirtualClock): FakePeerNetwork {
+    return new FakePeerNetwork(clock);
+  }
+
+  /** Makes a peer answer at its URL. */
+  attach(peerUrl: string, handler: PeerHandler): void {
+    this.handlers.set(peerUrl, handler);
+  }
+
+  /** Takes a peer off the network, as when its process dies. */
+  detach(peerUrl: string): void {
+    this.handlers.delete(peerUrl);
+  }
+
+  /** Loses every message from one peer to another. */
+  cut(fromUrl: string, toUrl: string): void {
+    this.cutLinks.add(getLink(fromUrl, toUrl));
+  }
+
+  /** Ends every cut. */
+  heal(): void {
+    this.cutLinks.clear();
+  }
+
+  /** What a node has sent and received. */
+  getTraffic(peerUrl: string): NodeTraffic {
+    return this.traffic.get(peerUrl) ?? {messages: 0, bytes: 0};
+  }
+
+  /** Creates the transport of the peer at a URL. */
+  createTransport(ownUrl: string): PeerTransport {
+    return {
+      call: (peerUrl, procedure, input, timeoutMs) =>
+        this.call(ownUrl, peerUrl, procedure, input, timeoutMs),
+      forget: () => {},
+      dispose: () => {},
+    };
+  }
+
+  private call<P extends PeerProcedure>(
+    fromUrl: string,
+    toUrl: string,
+    procedure: P,
+    input: PeerInput<P>,
+    timeoutMs: number,
+  ): Promise<Result<PeerOutput<P>, PeerError>> {
+    return new Promise(resolve => {
+      const timer = this.clock.startTimer(timeoutMs, () => {
+        resolve(failure({kind: 'timedOut', timeoutMs}));
+      });
+      this.deliver(fromUrl, toUrl, input, () => {
+        void this.answer(toUrl, procedure, input).then(answer => {
+          this.deliver(toUrl, fromUrl, answer, () => {
+            timer.cancel();
+            resolve(answer);
+          });
+        });
+      });
+    });
+  }
+
+  private deliver(
+    fromUrl: string,
+    toUrl: string,
+    message: unknown,
+    receive: () => void,
+  ): void {
+    const bytes = JSON.stringify(message).length;
+    this.count(fromUrl, bytes);
+    if (this.cutLinks.has(getLink(fromUrl, toUrl))) {
+      return;
+    }
+    this.count(toUrl, bytes);
+    this.clock.startTimer(LATENCY_MS, receive);
+  }
+
+  private async answer<P extends PeerProcedure>(
+    peerUrl: string,
+    procedure: P,
+    input: PeerInput<P>,
+  ): Promise<Result<PeerOutput<P>, PeerError>> {
+    const handler = this.handlers.get(peerUrl);
+    if (handler === undefined) {
+      return failure({kind: 'unreachable', reason: 'refused'});
+    }
+    const answer = handler[procedure] as AnyAnswer;
+    return success((await answer(input)) as PeerOutput<P>);
+  }
+
+  private count(peerUrl: string, bytes: number): void {
+    const before = this.getTraffic(peerUrl);
+    this.traffic.set(peerUrl, {
+      messages: before.messages + 1,
+      bytes: before.bytes + bytes,
+    });
+  }
+}
+
+function getLink(fromUrl: string, toUrl: string): string {
+  return `${fromUrl} ${toUrl}`;
+}
