--- /dev/null
+++ b/apps/sheet/src/sheet_commands.ts
@@ -0,0 +1,150 @@
+import {readFile} from 'node:fs/promises';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {readCurrent} from '@filbertrun/configuration/submit_change.js';
+import type {Configuration, ReadRule} from '@filbertrun/model/configuration.js';
+import {
+  runChange,
+  type OperatorReport,
+} from '@filbertrun/peer/operator_report.js';
+import {
+  OPERATOR_EXIT_CODES,
+  type OperatorAccess,
+  type OperatorSettings,
+} from '@filbertrun/peer/operator_settings.js';
+import {describeDifference, diffRules} from '@filbertrun/sheet/diff_rules.js';
+import {parseSheet} from '@filbertrun/sheet/parse_sheet.js';
+import {
+  describeSheetError,
+  type SheetError,
+} from '@filbertrun/sheet/sheet_error.js';
+
+/**
+ * The commands of filbertrun-sheet.
+ *
+ * @internal
+ */
+
+/** Commands of the program. @internal */
+export const SHEET_COMMANDS = {
+  check: {
+    description: 'Checks a sheet against the database groups in force.',
+    operands: '<file>',
+  },
+  diff: {
+    description: 'Shows what a sheet would change.',
+    operands: '<file>',
+  },
+  accept: {
+    description: 'Checks a sheet and puts it in force.',
+    operands: '<file>',
+  },
+} as const;
+
+/** Names a command. @internal */
+export type SheetCommand = keyof typeof SHEET_COMMANDS;
+
+/** Settings that the commands read. @internal */
+export type SheetSettings = Pick<
+  OperatorSettings,
+  'changeId' | 'baseVersion' | 'wait' | 'waitTimeoutMs'
+>;
+
+interface LoadedSheet {
+  readonly configuration: Configuration;
+  readonly readRules: readonly ReadRule[];
+}
+
+/** Runs a command and reports. @internal */
+export async function runSheetCommand(
+  command: SheetCommand,
+  file: string,
+  settings: SheetSettings,
+  session: OperatorAccess,
+): Promise<OperatorReport> {
+  const loaded = await loadSheet(file, session);
+  if (!loaded.ok) {
+    return loaded.error;
+  }
+  const {configuration, readRules} = loaded.value;
+  switch (command) {
+    case 'check':
+      return {
+        exitCode: OPERATOR_EXIT_CODES.accepted,
+        text: `${file}: ${readRules.length} rules, no errors`,
+        json: {ok: true, rules: readRules.length},
+      };
+    case 'diff':
+      return reportDifferences(configuration, readRules);
+    case 'accept':
+      return runChange(
+        session.client,
+        {
+          changeId: settings.changeId,
+          baseVersion: settings.baseVersion,
+          change: {kind: 'replaceReadRules', readRules},
+        },
+        settings,
+      );
+    default:
+      return exhaustiveSwitchError(command);
+  }
+}
+
+async function loadSheet(
+  file: string,
+  session: OperatorAccess,
+): Promise<Result<LoadedSheet, OperatorReport>> {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return failure(reportProblem(OPERATOR_EXIT_CODES.invalidSettings, reason));
+  }
+  const current = await readCurrent(session.platform);
+  if (!current.ok) {
+    const reason = `the platform cannot be read: ${current.error.kind}`;
+    return failure(reportProblem(OPERATOR_EXIT_CODES.unavailable, reason));
+  }
+  const {configuration} = current.value.held;
+  const groups = configuration.databaseGroups.map(group => group.databaseGroup);
+  const parsed = parseSheet(text, groups);
+  if (!parsed.ok) {
+    return failure(reportSheetErrors(file, parsed.error));
+  }
+  return success({configuration, readRules: parsed.value});
+}
+
+function reportDifferences(
+  configuration: Configuration,
+  readRules: readonly ReadRule[],
+): OperatorReport {
+  const {version} = configuration;
+  const differences = diffRules(configuration.readRules, readRules);
+  const lines = differences.map(describeDifference);
+  lines.push(`${differences.length} differences from version ${version}`);
+  return {
+    exitCode: OPERATOR_EXIT_CODES.accepted,
+    text: lines.join('\n'),
+    json: {ok: true, version, differences},
+  };
+}
+
+function reportSheetErrors(
+  file: string,
+  errors: readonly SheetError[],
+): OperatorReport {
+  const messages = errors.map(describeSheetError);
+  const lines = messages.map(message => `${file}: ${message}`);
+  lines.push(`${file}: refused, ${errors.length} errors`);
+  return {
+    exitCode: OPERATOR_EXIT_CODES.refused,
+    text: lines.join('\n'),
+    json: {ok: false, errors, messages},
+  };
+}
+
+function reportProblem(exitCode: number, message: string): OperatorReport {
+  return {exitCode, text: message, json: {ok: false, message}};
+}
--- a/packages/configuration/src/plan_change.ts
+++ b/packages/configuration/src/plan_change.ts
@@ -1,9 +1,11 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {
+  configurationSchema,
   EMPTY_CONFIGURATION,
   type Configuration,
 } from '@filbertrun/model/configuration.js';
 import {createHash} from 'node:crypto';
+import {z} from 'zod';
 import {applyChange, describeApplyError} from './apply_change.js';
 import {computeObjectName, encodeBody} from './configuration_body.js';
 import {
@@ -88,7 +90,12 @@
     const receipt = createReceipt(held, request.changeId, 'unchanged');
     return success({kind: 'answer', receipt});
   }
-  return success(createWrite(held, request, applied.value));
+  const checked = configurationSchema.safeParse(applied.value);
+  if (!checked.success) {
+    const reason = z.prettifyError(checked.error);
+    return failure({kind: 'invalid', reason});
+  }
+  return success(createWrite(held, request, checked.data));
 }
 
 /** Describes a refusal for a person. @public */
--- a/packages/configuration/src/submit_change_test.ts
+++ b/packages/configuration/src/submit_change_test.ts
@@ -7,6 +7,7 @@
   createDrain,
   createGroup,
   createRequest,
+  createServer,
 } from './configuration_fixtures.js';
 import {readCurrent, submitChange} from './submit_change.js';
 
@@ -163,6 +164,20 @@
     expect(JSON.stringify(result)).toContain(reason);
   });
 
+  it('refuses a change that makes the configuration invalid', async () => {
+    const databaseGroups = [
+      {
+        databaseGroup: 'large',
+        backendServers: Array.from({length: 17}, (_, index) =>
+          createServer(`large-${index}`),
+        ),
+      },
+    ];
+    const change = {kind: 'replaceDatabaseGroups', databaseGroups} as const;
+    const result = await submit(createRequest('change-1', change));
+    expect(result).toMatchObject({error: {kind: 'invalid'}});
+  });
+
   it('refuses to drain the last active server of a group', async () => {
     await submit(createRequest('1', createDrain('outings-db-1-a')));
     await submit(createRequest('2', createDrain('outings-db-1-b')));
--- a/packages/observability/src/settings.ts
+++ b/packages/observability/src/settings.ts
@@ -22,6 +22,33 @@
   readonly schema: z.ZodType<T>;
   /** Whether the value must not appear in logs or `--help`. */
   readonly isSecret?: boolean;
+  /** Whether the flag stands alone; its text is then `true` or `false`. */
+  readonly isSwitch?: boolean;
+}
+
+/** A command of a program with what follows it on the command line. @public */
+export interface CommandDefinition {
+  readonly description: string;
+  /** Operands in the form of yargs: `<name>`, `[name]` or `<name..>`. */
+  readonly operands: string;
+}
+
+/** Commands by name. @public */
+export type CommandDefinitions = Readonly<Record<string, CommandDefinition>>;
+
+/** The command that was given. @public */
+export interface GivenCommand<C extends CommandDefinitions> {
+  readonly name: keyof C & string;
+  readonly operands: readonly string[];
+}
+
+/** A command and the settings for it. @public */
+export interface CommandSettings<
+  C extends CommandDefinitions,
+  D extends SettingDefinitions,
+> {
+  readonly command: GivenCommand<C>;
+  readonly settings: SettingValues<D>;
 }
 
 /** Definitions by setting name in camel case. @public */
@@ -83,14 +110,64 @@
   definitions: D,
   sources: SettingSources,
 ): Result<SettingValues<D>, SettingsError> {
-  const flags = parseFlags(definitions, sources);
-  if (!flags.ok) {
-    return flags;
+  const parsed = parseArguments(definitions, {}, sources);
+  return parsed.ok
+    ? resolveValues(definitions, parsed.value.flags, sources)
+    : parsed;
+}
+
+/**
+ * Reads a command, its operands and the settings.
+ *
+ * @public
+ */
+export function readCommandSettings<
+  C extends CommandDefinitions,
+  D extends SettingDefinitions,
+>(
+  commands: C,
+  definitions: D,
+  sources: SettingSources,
+): Result<CommandSettings<C, D>, SettingsError> {
+  const parsed = parseArguments(definitions, commands, sources);
+  if (!parsed.ok) {
+    return parsed;
+  }
+  const settings = resolveValues(definitions, parsed.value.flags, sources);
+  if (!settings.ok) {
+    return settings;
   }
+  const {command, operands} = parsed.value;
+  return success({
+    command: {name: command as keyof C & string, operands},
+    settings: settings.value,
+  });
+}
+
+/** Reads a command, or prints why it was refused and ends with exit code 2. @public */
+export function readCommandSettingsOrExit<
+  C extends CommandDefinitions,
+  D extends SettingDefinitions,
+>(
+  commands: C,
+  definitions: D,
+  programName: string,
+  argv: readonly string[] = process.argv.slice(2),
+): CommandSettings<C, D> {
+  const sources = {programName, argv, environment: process.env};
+  const result = readCommandSettings(commands, definitions, sources);
+  return result.ok ? result.value : exitWithError(programName, result.error);
+}
+
+function resolveValues<D extends SettingDefinitions>(
+  definitions: D,
+  flags: Readonly<Record<string, string | undefined>>,
+  sources: SettingSources,
+): Result<SettingValues<D>, SettingsError> {
   const values: Record<string, unknown> = {};
   for (const [name, definition] of Object.entries(definitions)) {
     const text =
-      flags.value[name] ??
+      flags[name] ??
       sources.environment[getEnvironmentVariable(name)] ??
       definition.defaultText;
     const value = readValue(name, definition, text);
@@ -125,13 +202,14 @@
     argv,
     environment: process.env,
   });
-  if (!settings.ok) {
-    process.stderr.write(
-      `${programName}: ${describeSettingsError(settings.error)}\n`,
-    );
-    process.exit(EXIT_CODE_INVALID_SETTINGS);
-  }
-  return settings.value;
+  return settings.ok
+    ? settings.value
+    : exitWithError(programName, settings.error);
+}
+
+function exitWithError(programName: string, error: SettingsError): never {
+  process.stderr.write(`${programName}: ${describeSettingsError(error)}\n`);
+  process.exit(EXIT_CODE_INVALID_SETTINGS);
 }
 
 function readValue(
@@ -159,16 +237,24 @@
   return success(parsed.data);
 }
 
-function parseFlags(
+interface ParsedArguments {
+  /** Texts of the flags that were given, by setting name. */
+  readonly flags: Readonly<Record<string, string | undefined>>;
+  readonly command: string;
+  readonly operands: readonly string[];
+}
+
+function parseArguments(
   definitions: SettingDefinitions,
+  commands: CommandDefinitions,
   sources: SettingSources,
-): Result<Readonly<Record<string, string | undefined>>, SettingsError> {
+): Result<ParsedArguments, SettingsError> {
   let problem: string | null = null;
   const parser = yargs([...sources.argv])
     .scriptName(sources.programName)
     .parserConfiguration({
       'parse-numbers': false,
-      'duplicate-arguments-array': false,
+      'parse-positional-numbers': false,
     })
     .strict()
     .version(false)
@@ -178,20 +264,58 @@
     });
   for (const [name, definition] of Object.entries(definitions)) {
     parser.option(toKebabCase(name), {
-      type: 'string',
+      type: definition.isSwitch === true ? 'boolean' : 'string',
       describe: `${definition.description} (${getEnvironmentVariable(name)}; ${definition.allowed})`,
       defaultDescription: describeDefault(definition),
     });
   }
-  const flags = parser.parseSync() as Record<string, string | undefined>;
-  if (flags['help'] !== undefined) {
+  for (const [name, {operands, description}] of Object.entries(commands)) {
+    parser.command(`${name} ${operands}`.trim(), description);
+  }
+  if (Object.keys(commands).length > 0) {
+    parser.demandCommand(1, 1, 'A command is required; see --help.');
+  }
+  const given: Readonly<Record<string, unknown>> = parser.parseSync();
+  if (given['help'] !== undefined) {
     // yargs has printed the help by now.
     process.exit(0);
   }
   if (problem !== null) {
     return failure({kind: 'unknownFlag', message: problem});
   }
-  return success(flags);
+  return success(collectArguments(definitions, commands, given));
+}
+
+function collectArguments(
+  definitions: SettingDefinitions,
+  commands: CommandDefinitions,
+  given: Readonly<Record<string, unknown>>,
+): ParsedArguments {
+  const flags: Record<string, string | undefined> = {};
+  for (const name of Object.keys(definitions)) {
+    // The last one counts when a flag is repeated.
+    const value = [given[name]].flat().at(-1);
+    flags[name] = value === undefined ? undefined : String(value);
+  }
+  const command = String((given['_'] as readonly unknown[])[0] ?? '');
+  return {flags, command, operands: collectOperands(commands[command], given)};
+}
+
+const OPERAND_PATTERN = /[A-Za-z-]+/g;
+
+function collectOperands(
+  definition: CommandDefinition | undefined,
+  given: Readonly<Record<string, unknown>>,
+): readonly string[] {
+  const names = definition?.operands.match(OPERAND_PATTERN) ?? [];
+  const operands: string[] = [];
+  for (const name of names) {
+    const value = given[name];
+    if (value !== undefined) {
+      operands.push(...[value].flat().map(String));
+    }
+  }
+  return operands;
 }
 
 function describeDefault(definition: SettingDefinition<unknown>): string {
--- a/packages/observability/src/settings_test.ts
+++ b/packages/observability/src/settings_test.ts
@@ -1,6 +1,10 @@
 import {describe, expect, it} from 'vitest';
 import {z} from 'zod';
-import {describeSettingsError, readSettings} from './settings.js';
+import {
+  describeSettingsError,
+  readCommandSettings,
+  readSettings,
+} from './settings.js';
 
 const DEFINITIONS = {
   listenPort: {
@@ -73,3 +77,58 @@
     expect(JSON.stringify(result)).not.toContain('short');
   });
 });
+
+const COMMANDS = {
+  drain: {description: 'Drains a server.', operands: '<server>'},
+  shift: {description: 'Shifts load.', operands: '<weights..>'},
+  status: {description: 'Prints the status.', operands: '[group]'},
+} as const;
+
+const COMMAND_DEFINITIONS = {
+  json: {
+    description: 'Prints JSON.',
+    allowed: 'true or false',
+    defaultText: 'false',
+    schema: z.enum(['true', 'false']).transform(text => text === 'true'),
+    isSwitch: true,
+  },
+} as const;
+
+function readCommand(...argv: string[]) {
+  return readCommandSettings(COMMANDS, COMMAND_DEFINITIONS, {
+    programName: 'test',
+    argv,
+    environment: {},
+  });
+}
+
+describe('readCommandSettings', () => {
+  it('gives the command, its operands and the settings', () => {
+    expect(readCommand('drain', '--json', '007')).toEqual({
+      ok: true,
+      value: {
+        command: {name: 'drain', operands: ['007']},
+        settings: {json: true},
+      },
+    });
+  });
+
+  it('gives several operands, and none where they may be left out', () => {
+    expect(readCommand('shift', 'a=1', 'b=2')).toMatchObject({
+      value: {command: {operands: ['a=1', 'b=2']}, settings: {json: false}},
+    });
+    expect(readCommand('status')).toMatchObject({
+      value: {command: {name: 'status', operands: []}},
+    });
+  });
+
+  it.each([[[]], [['drain']], [['no-such-command']], [['drain', 'a', 'b']]])(
+    'refuses %j',
+    argv => {
+      expect(readCommand(...argv)).toMatchObject({
+        ok: false,
+        error: {kind: 'unknownFlag'},
+      });
+    },
+  );
+});
--- a/packages/peer/src/control_plane.ts
+++ b/packages/peer/src/control_plane.ts
@@ -154,6 +154,11 @@
         return answer;
       },
       changePrimary: async request => this.changePrimary(request),
+      getVersion: async () => ({
+        entryVm: this.options.identity.entryVm,
+        isReady: this.configuration.getReadiness() === 'ready',
+        version: this.configuration.getVersion(),
+      }),
       getStatus: async () => this.getStatus(),
     };
   }
--- a/packages/peer/src/fake_peer_handler.ts
+++ b/packages/peer/src/fake_peer_handler.ts
@@ -48,6 +48,7 @@
       error: {kind: 'unavailable', reason: 'not configured'},
     }),
     changePrimary: async () => ({kind: 'refused', reason: 'not configured'}),
+    getVersion: async () => ({entryVm: 'entry-1', isReady: false, version: 0}),
     getStatus: async () => ({
       entryVm: 'entry-1',
       availabilityZone: 'kochi',
--- /dev/null
+++ b/packages/peer/src/operator_report.ts
@@ -0,0 +1,114 @@
+import {
+  describeRefusal,
+  type ChangeReceipt,
+} from '@filbertrun/configuration/plan_change.js';
+import type {ChangeError} from '@filbertrun/configuration/submit_change.js';
+import type {OperatorClient, RolloutReport} from './operator_client.js';
+import {
+  OPERATOR_EXIT_CODES,
+  type OperatorSettings,
+} from './operator_settings.js';
+import type {ChangeRequest} from '@filbertrun/configuration/configuration_change.js';
+
+/**
+ * What an operators' program prints of a change, and its exit code.
+ *
+ * @public
+ */
+
+/** Output and exit code of a program. @public */
+export interface OperatorReport {
+  readonly exitCode: number;
+  /** For a person. */
+  readonly text: string;
+  /** For a program. */
+  readonly json: Readonly<Record<string, unknown>>;
+}
+
+/** Submits a change, waits for it if asked to, and reports. @public */
+export async function runChange(
+  client: OperatorClient,
+  request: ChangeRequest,
+  settings: Pick<OperatorSettings, 'wait' | 'waitTimeoutMs'>,
+): Promise<OperatorReport> {
+  const answer = await client.submit(request);
+  if (!answer.ok) {
+    return reportError(request.changeId, answer.error);
+  }
+  if (!settings.wait) {
+    return reportReceipt(answer.value, null);
+  }
+  const rollout = await client.waitUntilInForce(
+    answer.value.version,
+    settings.waitTimeoutMs,
+  );
+  return reportReceipt(answer.value, rollout);
+}
+
+/** Prints a report in the form that was asked for. @public */
+export function printReport(report: OperatorReport, isJson: boolean): void {
+  if (isJson) {
+    process.stdout.write(`${JSON.stringify(report.json)}\n`);
+    return;
+  }
+  const isGood = report.exitCode === OPERATOR_EXIT_CODES.accepted;
+  const stream = isGood ? process.stdout : process.stderr;
+  stream.write(`${report.text}\n`);
+}
+
+/** Describes an error of a change for a person. @public */
+export function describeChangeError(error: ChangeError): string {
+  switch (error.kind) {
+    case 'unavailable':
+      return `not accepted: the platform is unavailable (${error.reason})`;
+    case 'outcomeUnknown':
+      return `the outcome is unknown; repeat the call with the same change id (${error.reason})`;
+    default:
+      return `refused: ${describeRefusal(error)}`;
+  }
+}
+
+function reportReceipt(
+  receipt: ChangeReceipt,
+  rollout: RolloutReport | null,
+): OperatorReport {
+  const {changeId, version, effect} = receipt;
+  const isInForce =
+    rollout === null ||
+    rollout.behind.length + rollout.unreachable.length === 0;
+  const lines = [`change ${changeId}: ${effect}, version ${version}`];
+  if (rollout !== null) {
+    lines.push(describeRollout(rollout));
+  }
+  return {
+    exitCode: isInForce
+      ? OPERATOR_EXIT_CODES.accepted
+      : OPERATOR_EXIT_CODES.notInForce,
+    text: lines.join('\n'),
+    json: {ok: true, ...receipt, rollout},
+  };
+}
+
+function describeRollout(rollout: RolloutReport): string {
+  const parts = [`in force on ${rollout.inForce.length} proxies`];
+  if (rollout.behind.length > 0) {
+    parts.push(`not yet on ${rollout.behind.join(', ')}`);
+  }
+  if (rollout.unreachable.length > 0) {
+    parts.push(`no answer from ${rollout.unreachable.join(', ')}`);
+  }
+  return parts.join('; ');
+}
+
+function reportError(changeId: string, error: ChangeError): OperatorReport {
+  const isRefused =
+    error.kind !== 'unavailable' && error.kind !== 'outcomeUnknown';
+  const message = describeChangeError(error);
+  return {
+    exitCode: isRefused
+      ? OPERATOR_EXIT_CODES.refused
+      : OPERATOR_EXIT_CODES.unavailable,
+    text: `change ${changeId}: ${message}`,
+    json: {ok: false, changeId, error, message},
+  };
+}
--- a/packages/peer/src/peer_protocol.ts
+++ b/packages/peer/src/peer_protocol.ts
@@ -247,6 +247,18 @@
     output: changePrimaryAnswerSchema,
     role: 'operator',
   },
+  /** Tells which version a proxy acts on. */
+  getVersion: {
+    input: emptySchema,
+    output: z
+      .object({
+        entryVm: nameSchema,
+        isReady: z.boolean(),
+        version: z.number().int().nonnegative(),
+      })
+      .readonly(),
+    role: 'operator',
+  },
   getStatus: {input: emptySchema, output: proxyStatusSchema, role: 'operator'},
 } as const satisfies Readonly<
   Record<
--- a/packages/peer/src/peer_router.ts
+++ b/packages/peer/src/peer_router.ts
@@ -26,10 +26,10 @@
   const names = Object.keys(PEER_PROCEDURES) as PeerProcedure[];
   const entries = names.map(name => {
     const {input, role} = PEER_PROCEDURES[name];
-    // The schema of the same name has checked the input by then.
-    const answer = handler[name] as AnyAnswer;
     const procedure = trpc.procedure.input(input).mutation(call => {
       requireRole(call.ctx, role);
+      // The schema of the same name has checked the input by now.
+      const answer = handler[name] as AnyAnswer;
       return answer(call.input);
     });
     return [name, procedure] as const;
