Add the connection pool with a bounded queue by priority and deadline

Connections and slots of an instance are scarce. The pool keeps to its share, paces connection attempts, backs off when the instance refuses, refuses on arrival what cannot be served in time, and closes what is not proven clean.

--- /dev/null
+++ b/packages/pool/src/backend_pool.ts
@@ -0,0 +1,426 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import {ConcurrencyLimit} from './concurrency_limit.js';
+import {ConnectionOpener} from './connection_opener.js';
+import {IdleConnections} from './idle_connections.js';
+import {
+  LeasedConnection,
+  type LeaseEnd,
+  type LeaseEvents,
+} from './leased_connection.js';
+import {
+  DEFAULT_POOL_LIMITS,
+  type AcquireRequest,
+  type BackendConnector,
+  type ConnectError,
+  type PoolError,
+  type PoolLease,
+  type PoolLimits,
+  type PoolStatus,
+} from './pool_types.js';
+import {ServiceTime} from './service_time.js';
+import {WaitQueue} from './wait_queue.js';
+
+/** What a pool is made of. @public */
+export interface BackendPoolOptions<C> {
+  readonly connector: BackendConnector<C>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly limits?: Partial<PoolLimits>;
+}
+
+/** Earliest return that a refusal suggests. */
+const MIN_RETRY_AFTER_MS = 5;
+
+/** Return that a draining or disposed backend server suggests. */
+const DRAINING_RETRY_AFTER_MS = 100;
+
+/** Entries that one arrival can push out of the queue. */
+const MAX_SHED_PER_ARRIVAL = 2;
+
+type LeaseResult<C> = Result<PoolLease<C>, PoolError>;
+
+interface WaitingEntry<C> {
+  readonly priority: RequestPriority;
+  readonly deadlineMs: number;
+  readonly settle: (result: LeaseResult<C>) => void;
+}
+
+type PoolState = 'open' | 'draining' | 'disposed';
+
+/**
+ * The connections of this proxy to one backend server: a bounded number, each
+ * leased to one session at a time, with a bounded queue by priority and
+ * deadline before them.
+ *
+ * @public
+ */
+export class BackendPool<C> {
+  private state: PoolState = 'open';
+  private readonly queue = WaitQueue.create<WaitingEntry<C>>();
+  private readonly serviceTime = ServiceTime.create();
+  private readonly concurrency: ConcurrencyLimit;
+  private readonly idle: IdleConnections<C>;
+  private readonly opener: ConnectionOpener<C>;
+  private readonly leaseEvents: LeaseEvents<C>;
+  private readonly drainWaiters: (() => void)[] = [];
+  private active = 0;
+  private suspended = 0;
+
+  private constructor(
+    private readonly connector: BackendConnector<C>,
+    private readonly clock: Clock,
+    random: RandomSource,
+    private limits: PoolLimits,
+  ) {
+    this.concurrency = ConcurrencyLimit.create(
+      limits.slots,
+      limits.maxConnections,
+    );
+    this.idle = IdleConnections.create(connector, clock, limits);
+    this.opener = ConnectionOpener.create({
+      connector,
+      clock,
+      random,
+      limits,
+      events: {
+        handleReady: () => this.dispatch(),
+        handleOpened: connection => this.handleOpened(connection),
+        handleFailed: error => this.handleConnectFailed(error),
+      },
+    });
+    this.leaseEvents = {
+      getNowMs: () => clock.nowMs(),
+      handleSuspended: () => this.handleSuspended(),
+      handleResumed: () => this.handleResumed(),
+      handleReleased: (end, wasActive) => this.handleReleased(end, wasActive),
+    };
+  }
+
+  static create<C>(options: BackendPoolOptions<C>): BackendPool<C> {
+    const limits = {...DEFAULT_POOL_LIMITS, ...options.limits};
+    const {connector, clock, random} = options;
+    return new BackendPool(connector, clock, random, limits);
+  }
+
+  /**
+   * Leases a connection. A request that cannot be served before its deadline
+   * is refused on arrival; one that is given up later is refused at that moment.
+   */
+  acquire(request: AcquireRequest): Promise<LeaseResult<C>> {
+    const refusal = this.findRefusal(request);
+    if (refusal !== null) {
+      return Promise.resolve(failure(refusal));
+    }
+    return new Promise(resolve => {
+      this.enqueue(request, resolve);
+      this.dispatch();
+    });
+  }
+
+  getStatus(): PoolStatus {
+    const roomForLeases =
+      this.limits.maxConnections - this.active - this.suspended;
+    const freeSlots = Math.min(
+      this.concurrency.value - this.active,
+      roomForLeases,
+    );
+    return {
+      openConnections: this.openConnections,
+      idleConnections: this.idle.size,
+      connectingConnections: this.opener.attemptCount,
+      activeLeases: this.active,
+      suspendedLeases: this.suspended,
+      queueLength: this.queue.length,
+      concurrencyLimit: this.concurrency.value,
+      freeSlots:
+        this.state === 'open' ? Math.max(0, freeSlots - this.queue.length) : 0,
+    };
+  }
+
+  /** Changes limits at run time, for example when a share changes. */
+  setLimits(limits: Partial<PoolLimits>): void {
+    this.limits = {...this.limits, ...limits};
+    this.concurrency.setBounds(this.limits.slots, this.limits.maxConnections);
+    this.idle.setLimits(this.limits);
+    this.idle.close(this.openConnections - this.limits.maxConnections);
+    this.dispatch();
+  }
+
+  /** Drops a connection that ended while it was idle. */
+  handleConnectionClosed(connection: C): void {
+    if (this.idle.remove(connection)) {
+      this.dispatch();
+    }
+  }
+
+  /** Refuses new leases; resolves when the last lease has come back. */
+  drain(): Promise<void> {
+    if (this.state === 'open') {
+      this.state = 'draining';
+    }
+    this.refuseAll({
+      kind: 'draining',
+      retryAfterMs: DRAINING_RETRY_AFTER_MS,
+    });
+    this.idle.close(this.idle.size);
+    return new Promise(resolve => {
+      this.drainWaiters.push(resolve);
+      this.settleDrain();
+    });
+  }
+
+  /** Takes new leases again after a drain. */
+  reopen(): void {
+    if (this.state === 'draining') {
+      this.state = 'open';
+    }
+  }
+
+  /** Ends the pool at once. Leases that are out are closed when they come back. */
+  dispose(): void {
+    this.state = 'disposed';
+    this.opener.dispose();
+    this.idle.dispose();
+    this.refuseAll({kind: 'disposed'});
+  }
+
+  private get openConnections(): number {
+    return this.idle.size + this.active + this.suspended;
+  }
+
+  /** Why a request is refused on arrival, or null. */
+  private findRefusal(request: AcquireRequest): PoolError | null {
+    if (this.state === 'disposed') {
+      return {kind: 'disposed'};
+    }
+    if (this.state === 'draining') {
+      return {kind: 'draining', retryAfterMs: DRAINING_RETRY_AFTER_MS};
+    }
+    if (request.signal?.aborted === true) {
+      return {kind: 'cancelled'};
+    }
+    const waitMs = this.estimateWaitMs(request.priority);
+    if (this.clock.nowMs() + waitMs >= request.deadlineMs) {
+      return createOverloadedError(waitMs);
+    }
+    return this.findConnectRefusal(request) ?? this.makeRoom(request, waitMs);
+  }
+
+  /** Refuses while no connection stands and none can be made in time. */
+  private findConnectRefusal(request: AcquireRequest): PoolError | null {
+    const error = this.opener.lastError;
+    if (error === null || this.openConnections + this.opener.attemptCount > 0) {
+      return null;
+    }
+    const retryAfterMs = this.opener.getDelayMs();
+    if (retryAfterMs <= 0) {
+      return null;
+    }
+    if (error.kind === 'unreachable') {
+      return {kind: 'unreachable', reason: error.reason, retryAfterMs};
+    }
+    const isInTime = this.clock.nowMs() + retryAfterMs < request.deadlineMs;
+    return isInTime ? null : createOverloadedError(retryAfterMs);
+  }
+
+  /** Displaces a less urgent entry from a full queue, or refuses. */
+  private makeRoom(request: AcquireRequest, waitMs: number): PoolError | null {
+    if (this.queue.length < this.limits.maxQueueLength) {
+      return null;
+    }
+    const displaced = this.queue.findDisplaceable(request.priority);
+    if (displaced === null) {
+      return createOverloadedError(waitMs);
+    }
+    displaced.settle(failure(createOverloadedError(waitMs)));
+    return null;
+  }
+
+  private estimateWaitMs(priority: RequestPriority): number {
+    const isBusy =
+      this.queue.length > 0 || this.active >= this.concurrency.value;
+    if (!isBusy) {
+      return 0;
+    }
+    const ahead = this.queue.countAhead(priority);
+    return this.serviceTime.estimateWaitMs(ahead, this.concurrency.value);
+  }
+
+  private enqueue(
+    request: AcquireRequest,
+    resolve: (result: LeaseResult<C>) => void,
+  ): void {
+    const {priority, deadlineMs, signal} = request;
+    const handleAbort = () => entry.settle(failure({kind: 'cancelled'}));
+    const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () => {
+      const waitMs = this.estimateWaitMs(priority);
+      entry.settle(failure(createOverloadedError(waitMs)));
+    });
+    const entry: WaitingEntry<C> = {
+      priority,
+      deadlineMs,
+      settle: result => {
+        timer.cancel();
+        signal?.removeEventListener('abort', handleAbort);
+        this.queue.remove(entry);
+        resolve(result);
+      },
+    };
+    signal?.addEventListener('abort', handleAbort);
+    this.queue.add(entry);
+    this.shedHopeless(priority);
+  }
+
+  /** Gives up less urgent entries that this arrival leaves no time for. */
+  private shedHopeless(priority: RequestPriority): void {
+    for (let count = 0; count < MAX_SHED_PER_ARRIVAL; count++) {
+      const latest = this.queue.findDisplaceable(priority);
+      if (latest === null) {
+        return;
+      }
+      const ahead = this.queue.countAhead(latest.priority) - 1;
+      const waitMs = this.serviceTime.estimateWaitMs(
+        ahead,
+        this.concurrency.value,
+      );
+      if (this.clock.nowMs() + waitMs < latest.deadlineMs) {
+        return;
+      }
+      latest.settle(failure(createOverloadedError(waitMs)));
+    }
+  }
+
+  /** Serves waiting entries while connections and concurrency allow. */
+  private dispatch(): void {
+    if (this.state !== 'open') {
+      return;
+    }
+    while (this.active < this.concurrency.value) {
+      const entry = this.queue.getFirst();
+      if (entry === null) {
+        return;
+      }
+      if (entry.deadlineMs <= this.clock.nowMs()) {
+        const waitMs = this.estimateWaitMs(entry.priority);
+        entry.settle(failure(createOverloadedError(waitMs)));
+        continue;
+      }
+      const connection = this.idle.take();
+      if (connection === null) {
+        this.connectIfNeeded();
+        return;
+      }
+      entry.settle(success(this.createLease(connection)));
+    }
+  }
+
+  private createLease(connection: C): PoolLease<C> {
+    this.active++;
+    return LeasedConnection.create(connection, this.active, this.leaseEvents);
+  }
+
+  private handleSuspended(): void {
+    this.active--;
+    this.suspended++;
+    this.dispatch();
+  }
+
+  private handleResumed(): void {
+    this.suspended--;
+    this.active++;
+  }
+
+  private handleReleased(end: LeaseEnd<C>, wasActive: boolean): void {
+    if (wasActive) {
+      this.active--;
+    } else {
+      this.suspended--;
+    }
+    if (end.serviceTimeMs !== null) {
+      this.serviceTime.record(end.serviceTimeMs);
+      this.concurrency.record(end.serviceTimeMs, end.activeAtStart);
+    }
+    this.takeConnection(end.connection, end.condition === 'clean');
+    this.settleDrain();
+  }
+
+  /** Keeps a connection for the next lease, or closes it. */
+  private takeConnection(connection: C, isClean: boolean): void {
+    const isSurplus = this.openConnections >= this.limits.maxConnections;
+    if (isClean && this.state === 'open' && !isSurplus) {
+      this.idle.add(connection);
+    } else {
+      this.connector.close(connection);
+    }
+    this.dispatch();
+  }
+
+  /** Asks for as many connections as the waiting entries need. */
+  private connectIfNeeded(): void {
+    let hasStarted = true;
+    while (hasStarted && this.needsConnection()) {
+      hasStarted = this.opener.requestAttempt();
+    }
+  }
+
+  private needsConnection(): boolean {
+    const {attemptCount} = this.opener;
+    const needed = Math.min(
+      this.queue.length,
+      this.concurrency.value - this.active,
+    );
+    const room = this.limits.maxConnections - this.openConnections;
+    return attemptCount < Math.min(needed, room);
+  }
+
+  private handleOpened(connection: C): void {
+    this.takeConnection(connection, true);
+  }
+
+  private handleConnectFailed(error: ConnectError): void {
+    if (this.openConnections + this.opener.attemptCount === 0) {
+      this.refuseWithoutConnection(error);
+    }
+    this.dispatch();
+  }
+
+  /** Gives up the entries for which the next attempt comes too late. */
+  private refuseWithoutConnection(error: ConnectError): void {
+    const retryAfterMs = this.opener.getDelayMs();
+    if (error.kind === 'unreachable') {
+      this.refuseAll({kind: 'unreachable', reason: error.reason, retryAfterMs});
+      return;
+    }
+    const nextAttemptMs = this.clock.nowMs() + retryAfterMs;
+    for (const entry of this.queue.getAll()) {
+      if (entry.deadlineMs <= nextAttemptMs) {
+        entry.settle(failure(createOverloadedError(retryAfterMs)));
+      }
+    }
+  }
+
+  private refuseAll(error: PoolError): void {
+    for (const entry of this.queue.getAll()) {
+      entry.settle(failure(error));
+    }
+  }
+
+  private settleDrain(): void {
+    if (this.state === 'open' || this.active + this.suspended > 0) {
+      return;
+    }
+    for (const resolve of this.drainWaiters.splice(0)) {
+      resolve();
+    }
+  }
+}
+
+function createOverloadedError(waitMs: number): PoolError {
+  return {
+    kind: 'overloaded',
+    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+  };
+}
--- /dev/null
+++ b/packages/pool/src/backend_pool_test.ts
@@ -0,0 +1,219 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import {BackendPool} from './backend_pool.js';
+import type {ConnectError, PoolError, PoolLease} from './pool_types.js';
+
+let clock: VirtualClock;
+let connectResult: Result<null, ConnectError>;
+let attempts: number;
+let closed: object[];
+let pool: BackendPool<object>;
+
+beforeEach(() => {
+  clock = VirtualClock.create();
+  connectResult = success(null);
+  attempts = 0;
+  closed = [];
+  pool = BackendPool.create<object>({
+    clock,
+    random: SeededRandom.create(1),
+    limits: {maxConnections: 2, slots: 2, maxQueueLength: 3},
+    connector: {
+      connect: () => {
+        attempts++;
+        return Promise.resolve(connectResult.ok ? success({}) : connectResult);
+      },
+      close: connection => closed.push(connection),
+      isUsable: () => true,
+    },
+  });
+});
+
+function acquire(
+  priority: RequestPriority = 'normal',
+  timeoutMs = 1000,
+): Promise<Result<PoolLease<object>, PoolError>> {
+  return pool.acquire({priority, deadlineMs: clock.nowMs() + timeoutMs});
+}
+
+async function settle(): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve));
+}
+
+async function lease(): Promise<PoolLease<object>> {
+  const result = acquire();
+  await settle();
+  clock.advance(10);
+  const settled = await result;
+  if (!settled.ok) {
+    throw new Error(settled.error.kind);
+  }
+  return settled.value;
+}
+
+/** Makes the mean service time known to the pool. */
+async function serveOne(serviceTimeMs: number): Promise<void> {
+  const served = await lease();
+  clock.advance(serviceTimeMs);
+  served.release('clean');
+}
+
+describe('BackendPool', () => {
+  it('uses a clean connection again and closes a doubtful one', async () => {
+    const first = await lease();
+    first.release('clean');
+    const second = await lease();
+    expect(second.connection).toBe(first.connection);
+    second.release('doubtful');
+    const third = await lease();
+    expect(third.connection).not.toBe(first.connection);
+    expect(closed).toEqual([first.connection]);
+  });
+
+  it('paces connection attempts', async () => {
+    void acquire();
+    void acquire();
+    await settle();
+    expect(attempts).toBe(1);
+    clock.advance(9);
+    expect(attempts).toBe(1);
+    clock.advance(1);
+    expect(attempts).toBe(2);
+  });
+
+  it('serves a booking before lookups that came earlier', async () => {
+    const held = [await lease(), await lease()];
+    const served: string[] = [];
+    for (const priority of ['lookup', 'normal', 'booking'] as const) {
+      void acquire(priority).then(() => served.push(priority));
+    }
+    held[0]?.release('clean');
+    held[1]?.release('clean');
+    await settle();
+    expect(served).toEqual(['booking', 'normal']);
+  });
+
+  it('displaces a lookup from a full queue for a booking', async () => {
+    await lease();
+    await lease();
+    const lookups = [acquire('lookup'), acquire('lookup'), acquire('lookup')];
+    const refused = await acquire('lookup');
+    void acquire('booking');
+    expect(refused).toMatchObject({error: {kind: 'overloaded'}});
+    expect(await lookups[2]).toMatchObject({error: {kind: 'overloaded'}});
+    expect(pool.getStatus().queueLength).toBe(3);
+  });
+
+  it('refuses on arrival what it cannot serve before the deadline', async () => {
+    await serveOne(100);
+    await lease();
+    await lease();
+    expect(await acquire('normal', 40)).toEqual(
+      failure({kind: 'overloaded', retryAfterMs: expect.any(Number)}),
+    );
+    void acquire('normal', 60);
+    expect(pool.getStatus().queueLength).toBe(1);
+  });
+
+  it('gives a request up at its deadline, and not before', async () => {
+    await lease();
+    await lease();
+    let result: Result<unknown, PoolError> | null = null;
+    void acquire('normal', 50).then(settled => {
+      result = settled;
+    });
+    clock.advance(49);
+    await settle();
+    expect(result).toBeNull();
+    clock.advance(1);
+    await settle();
+    expect(result).toMatchObject({error: {kind: 'overloaded'}});
+  });
+
+  it('waits through a refusal of the instance and backs off', async () => {
+    connectResult = failure({kind: 'refused'});
+    const result = acquire();
+    await settle();
+    expect(pool.getStatus().queueLength).toBe(1);
+    connectResult = success(null);
+    clock.advance(40);
+    expect((await result).ok).toBe(true);
+    expect(attempts).toBe(2);
+  });
+
+  it('says at once that an instance cannot be reached', async () => {
+    connectResult = failure({kind: 'unreachable', reason: 'ECONNREFUSED'});
+    expect(await acquire()).toMatchObject({error: {kind: 'unreachable'}});
+    expect(await acquire()).toMatchObject({error: {kind: 'unreachable'}});
+    expect(attempts).toBe(1);
+  });
+
+  it('lengthens the delay between failing attempts up to a bound', async () => {
+    connectResult = failure({kind: 'unreachable', reason: 'ECONNREFUSED'});
+    for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 10) {
+      void acquire();
+      await Promise.resolve();
+      await Promise.resolve();
+      clock.advance(10);
+    }
+    expect(attempts).toBeGreaterThan(20);
+    expect(attempts).toBeLessThan(60);
+  });
+
+  it('lets other leases run while a transaction waits for its caller', async () => {
+    pool.setLimits({maxConnections: 3, slots: 1});
+    const transaction = await lease();
+    const limit = pool.getStatus().concurrencyLimit;
+    transaction.suspend();
+    expect(pool.getStatus()).toMatchObject({
+      activeLeases: 0,
+      suspendedLeases: 1,
+      freeSlots: Math.min(limit, 2),
+    });
+    transaction.resume();
+    expect(pool.getStatus().activeLeases).toBe(1);
+  });
+
+  it('closes idle connections above a lowered limit', async () => {
+    const held = [await lease(), await lease()];
+    held[0]?.release('clean');
+    held[1]?.release('clean');
+    pool.setLimits({maxConnections: 1});
+    expect(closed).toHaveLength(1);
+    expect(pool.getStatus().openConnections).toBe(1);
+  });
+
+  it('closes connections that stay idle, but for the minimum', async () => {
+    const held = [await lease(), await lease()];
+    held[0]?.release('clean');
+    held[1]?.release('clean');
+    clock.advance(120_000);
+    expect(pool.getStatus().idleConnections).toBe(1);
+  });
+
+  it('drains: refuses new leases and waits for those in flight', async () => {
+    const held = await lease();
+    let isDrained = false;
+    void pool.drain().then(() => {
+      isDrained = true;
+    });
+    expect(await acquire()).toMatchObject({error: {kind: 'draining'}});
+    await settle();
+    expect(isDrained).toBe(false);
+    held.release('clean');
+    await settle();
+    expect(isDrained).toBe(true);
+    expect(closed).toEqual([held.connection]);
+  });
+
+  it('ends waiting requests when it is disposed', async () => {
+    await lease();
+    await lease();
+    const waiting = acquire();
+    pool.dispose();
+    expect(await waiting).toEqual(failure({kind: 'disposed'}));
+  });
+});
--- /dev/null
+++ b/packages/pool/src/concurrency_limit_test.ts
@@ -0,0 +1,39 @@
+import {describe, expect, it} from 'vitest';
+import {ConcurrencyLimit} from './concurrency_limit.js';
+
+function record(limit: ConcurrencyLimit, windows: number, latencyMs: number) {
+  for (let sample = 0; sample < windows * 20; sample++) {
+    limit.record(latencyMs, limit.value);
+  }
+}
+
+describe('ConcurrencyLimit', () => {
+  it('rises to its maximum while latency stays at the baseline', () => {
+    const limit = ConcurrencyLimit.create(2, 6);
+    expect(limit.value).toBe(2);
+    record(limit, 10, 5);
+    expect(limit.value).toBe(6);
+  });
+
+  it('falls to its minimum, not below, while latency is high', () => {
+    const limit = ConcurrencyLimit.create(2, 10);
+    record(limit, 10, 5);
+    record(limit, 12, 50);
+    expect(limit.value).toBe(2);
+  });
+
+  it('does not rise while it is not reached', () => {
+    const limit = ConcurrencyLimit.create(2, 6);
+    for (let sample = 0; sample < 100; sample++) {
+      limit.record(5, 1);
+    }
+    expect(limit.value).toBe(2);
+  });
+
+  it('takes a lasting change of latency as the new baseline', () => {
+    const limit = ConcurrencyLimit.create(2, 10);
+    record(limit, 5, 5);
+    record(limit, 80, 20);
+    expect(limit.value).toBe(10);
+  });
+});
--- /dev/null
+++ b/packages/pool/src/leased_connection.ts
@@ -0,0 +1,74 @@
+import type {ConnectionCondition, PoolLease} from './pool_types.js';
+
+/** How a lease ended. @internal */
+export interface LeaseEnd<C> {
+  readonly connection: C;
+  readonly condition: ConnectionCondition;
+  readonly activeAtStart: number;
+  /** Time of the lease, or null when a caller's pauses are part of it. */
+  readonly serviceTimeMs: number | null;
+}
+
+/** What a lease reports to its pool. @internal */
+export interface LeaseEvents<C> {
+  readonly getNowMs: () => number;
+  readonly handleSuspended: () => void;
+  readonly handleResumed: () => void;
+  readonly handleReleased: (end: LeaseEnd<C>, wasActive: boolean) => void;
+}
+
+/** A lease that reports each change of its state once. @internal */
+export class LeasedConnection<C> implements PoolLease<C> {
+  private state: 'active' | 'suspended' | 'released' = 'active';
+  private wasSuspended = false;
+  private readonly startMs: number;
+
+  private constructor(
+    readonly connection: C,
+    private readonly activeAtStart: number,
+    private readonly events: LeaseEvents<C>,
+  ) {
+    this.startMs = events.getNowMs();
+  }
+
+  static create<C>(
+    connection: C,
+    activeAtStart: number,
+    events: LeaseEvents<C>,
+  ): LeasedConnection<C> {
+    return new LeasedConnection(connection, activeAtStart, events);
+  }
+
+  suspend(): void {
+    if (this.state !== 'active') {
+      return;
+    }
+    this.state = 'suspended';
+    this.wasSuspended = true;
+    this.events.handleSuspended();
+  }
+
+  resume(): void {
+    if (this.state !== 'suspended') {
+      return;
+    }
+    this.state = 'active';
+    this.events.handleResumed();
+  }
+
+  release(condition: ConnectionCondition): void {
+    if (this.state === 'released') {
+      return;
+    }
+    const wasActive = this.state === 'active';
+    this.state = 'released';
+    const durationMs = this.events.getNowMs() - this.startMs;
+    const end: LeaseEnd<C> = {
+      connection: this.connection,
+      condition,
+      activeAtStart: this.activeAtStart,
+      serviceTimeMs: this.wasSuspended ? null : durationMs,
+    };
+    this.events.handleReleased(end, wasActive);
+  }
+}
