--- a/packages/standin/src/statement_cache.ts
+++ b/packages/standin/src/statement_cache.ts
@@ -1,7 +1,7 @@
 import {LRUCache} from 'lru-cache';
 import {parse, type Statement} from 'pgsql-ast-parser';
 import type {Database} from './database.js';
-import {SQL_STATE, SqlError} from './sql_error.js';
+import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import {compileStatement} from './statement_compiler.js';
 import type {StatementPlan} from './statement_plan.js';
 import {splitStatements} from './statement_splitter.js';
@@ -10,6 +10,10 @@
 /** Texts whose parsed or compiled form is kept. */
 const MAX_CACHED_TEXTS = 5000;
 
+/** Commands of PostgreSQL that the parser library does not know. */
+const UNPARSED_COMMAND_PATTERN =
+  /^(?:SAVEPOINT|RELEASE|DECLARE|FETCH|MOVE|CLOSE|COPY|LOCK|NOTIFY|EXECUTE|VACUUM|ANALYZE|EXPLAIN|CALL|DO|MERGE|GRANT|REVOKE|CLUSTER|REINDEX|CHECKPOINT|LOAD)\b/i;
+
 /** Parsed statements do not depend on an instance, so all share them. */
 const parsedStatements = new LRUCache<string, Statement>({
   max: MAX_CACHED_TEXTS,
@@ -108,6 +112,9 @@
   try {
     statements = parse(text);
   } catch (error) {
+    if (UNPARSED_COMMAND_PATTERN.test(text)) {
+      throw createNotSupportedError(`The statement "${text.slice(0, 60)}"`);
+    }
     const message = error instanceof Error ? error.message : String(error);
     throw SqlError.create(SQL_STATE.syntaxError, message.split('\n')[0] ?? '');
   }
--- a/packages/standin/src/statement_executor.ts
+++ b/packages/standin/src/statement_executor.ts
@@ -266,6 +266,9 @@
   columns: readonly OutputColumn[],
   context: EvaluationContext,
 ): readonly Row[] {
+  if (columns.length === 0) {
+    return [];
+  }
   return rows.map(row => projectRow(row, columns, context));
 }
 
--- /dev/null
+++ b/packages/standin/src/statement_executor_test.ts
@@ -0,0 +1,224 @@
+import {describe, expect, it} from 'vitest';
+import type {SqlValue} from './sql_value.js';
+import {
+  createPrimary,
+  getSqlState,
+  openConnection,
+  runSql,
+} from './testing/instance_fixture.js';
+
+async function createTables() {
+  const {core, clock} = createPrimary();
+  const connection = openConnection(core);
+  const run = (sql: string, parameters: readonly SqlValue[] = []) =>
+    runSql(core, connection, sql, parameters);
+  await run('CREATE TABLE seat (id int PRIMARY KEY, run text, taken bool)');
+  await run("INSERT INTO seat VALUES (1, 'a', true), (2, 'b', false)");
+  return {core, clock, connection, run};
+}
+
+describe('statements of the stand-in', () => {
+  it('selects by comparisons joined by AND', async () => {
+    const {run} = await createTables();
+    const sql = "SELECT run FROM seat WHERE id >= 1 AND run <> 'a'";
+    expect(await run(sql)).toEqual([['b']]);
+  });
+
+  it('does not match null in a comparison', async () => {
+    const {run} = await createTables();
+    await run('INSERT INTO seat VALUES (3)');
+    expect(await run("SELECT id FROM seat WHERE run <> 'a'")).toEqual([[2]]);
+    expect(await run('SELECT id FROM seat WHERE run IS NULL')).toEqual([[3]]);
+  });
+
+  it('sorts, limits and skips, with null last', async () => {
+    const {run} = await createTables();
+    await run('INSERT INTO seat VALUES (3)');
+    const sql = 'SELECT id FROM seat ORDER BY run DESC LIMIT $1 OFFSET 1';
+    expect(await run(sql, [2])).toEqual([[2], [1]]);
+  });
+
+  it('counts rows', async () => {
+    const {run} = await createTables();
+    expect(await run('SELECT count(*) AS n FROM seat')).toEqual([[2]]);
+  });
+
+  it('returns what INSERT, UPDATE and DELETE touched', async () => {
+    const {run} = await createTables();
+    const inserted = await run(
+      "INSERT INTO seat VALUES (1, 'x'), (5, 'y') ON CONFLICT DO NOTHING RETURNING id",
+    );
+    const updated = await run(
+      'UPDATE seat SET id = id + 1 WHERE id = 5 RETURNING *',
+    );
+    const deleted = await run('DELETE FROM seat WHERE id > 5 RETURNING id');
+    expect([inserted, updated, deleted]).toEqual([
+      [[5]],
+      [[6, 'y', null]],
+      [[6]],
+    ]);
+  });
+
+  it('computes generate_series only as it is taken', async () => {
+    const {core, connection} = await createTables();
+    const plan = core.statements.getPlan(
+      'SELECT n FROM generate_series(1, 1000000000) AS g(n) WHERE n > 2',
+    );
+    const answer = connection.execute(plan, []);
+    if (answer instanceof Promise) {
+      throw new Error('The statement waits');
+    }
+    expect(answer.rows[Symbol.iterator]().next().value).toEqual([3]);
+  });
+
+  it.each([
+    ['SELECT * FROM nothing', '42P01'],
+    ['SELECT nothing FROM seat', '42703'],
+    ['SELEC 1', '42601'],
+    ['CREATE TABLE seat (id int PRIMARY KEY)', '42P07'],
+    ["INSERT INTO seat VALUES (1, 'x')", '23505'],
+    ["INSERT INTO seat VALUES (8, 'x'), (8, 'y')", '23505'],
+    ['UPDATE seat SET id = 1 WHERE id = 2', '23505'],
+    ['INSERT INTO seat VALUES (NULL)', '23502'],
+    ["INSERT INTO seat VALUES ('x')", '22P02'],
+    ['INSERT INTO seat VALUES (3000000000)', '22003'],
+    ['SELECT 1 / 0', '22012'],
+    ['SHOW nothing', '42704'],
+    ['SELECT now()', '0A000'],
+    ['SELECT * FROM seat WHERE id = 1 OR id = 2', '0A000'],
+    ['SELECT run, count(*) FROM seat GROUP BY run', '0A000'],
+    ['SELECT * FROM seat a JOIN seat b ON a.id = b.id', '0A000'],
+    ['SAVEPOINT s', '0A000'],
+    ['DROP TABLE seat', '0A000'],
+    ['CREATE TABLE other (id int)', '0A000'],
+    ['INSERT INTO seat SELECT 1', '0A000'],
+  ])('answers %s with %s', async (sql, sqlState) => {
+    const {run} = await createTables();
+    expect(await getSqlState(run(sql))).toBe(sqlState);
+    expect(await run('SELECT count(*) FROM seat')).toEqual([[2]]);
+  });
+});
+
+describe('transactions of the stand-in', () => {
+  it('lets a second inserter of a key wait for the first', async () => {
+    const {core, run} = await createTables();
+    const second = openConnection(core);
+    await run('BEGIN');
+    await run('INSERT INTO seat VALUES (7)');
+    const waiting = runSql(core, second, 'INSERT INTO seat VALUES (7)');
+    await run('COMMIT');
+    expect(await getSqlState(waiting)).toBe('23505');
+  });
+
+  it('lets the second inserter through when the first rolls back', async () => {
+    const {core, run} = await createTables();
+    const second = openConnection(core);
+    await run('BEGIN');
+    await run('INSERT INTO seat VALUES (7)');
+    const waiting = runSql(core, second, 'INSERT INTO seat VALUES (7)');
+    await run('ROLLBACK');
+    expect(await getSqlState(waiting)).toBeNull();
+  });
+
+  it('frees the rows of a connection that closes', async () => {
+    const {core, connection, run} = await createTables();
+    const second = openConnection(core);
+    await run('BEGIN');
+    await run('SELECT * FROM seat WHERE id = 1 FOR UPDATE');
+    const waiting = runSql(core, second, 'DELETE FROM seat WHERE id = 1');
+    connection.close();
+    expect(await getSqlState(waiting)).toBeNull();
+    expect(core.slots.getUsedSlots()).toBe(0);
+    expect(core.getConnectionCount()).toBe(1);
+  });
+
+  it('gives up a wait for a row after the lock timeout', async () => {
+    const {core, clock, run} = await createTables();
+    const second = openConnection(core);
+    await run('BEGIN');
+    await run('UPDATE seat SET taken = false WHERE id = 1');
+    const waiting = runSql(core, second, 'DELETE FROM seat WHERE id = 1');
+    clock.advance(10_000);
+    expect(await getSqlState(waiting)).toBe('55P03');
+  });
+
+  it('ends one of two transactions that wait for each other', async () => {
+    const {core, run} = await createTables();
+    const second = openConnection(core);
+    await run('BEGIN');
+    await run('DELETE FROM seat WHERE id = 1');
+    await runSql(core, second, 'BEGIN');
+    await runSql(core, second, 'DELETE FROM seat WHERE id = 2');
+    const waiting = run('DELETE FROM seat WHERE id = 2');
+    const closing = runSql(core, second, 'DELETE FROM seat WHERE id = 1');
+    expect(await getSqlState(closing)).toBe('40P01');
+    await runSql(core, second, 'ROLLBACK');
+    expect(await getSqlState(waiting)).toBeNull();
+  });
+
+  it('takes nothing but the end after a failed statement', async () => {
+    const {run, connection} = await createTables();
+    await run('BEGIN');
+    await run('DELETE FROM seat WHERE id = 1');
+    expect(await getSqlState(run('SELECT 1 / 0'))).toBe('22012');
+    expect(await getSqlState(run('SELECT 1'))).toBe('25P02');
+    expect(connection.getTransactionStatus()).toBe('E');
+    await run('COMMIT');
+    expect(await run('SELECT count(*) FROM seat')).toEqual([[2]]);
+  });
+
+  it('takes SET back with its transaction and SET LOCAL at its end', async () => {
+    const {run} = await createTables();
+    await run("SET a.b = 'before'");
+    await run('BEGIN');
+    await run("SET a.b = 'inside'");
+    await run('ROLLBACK');
+    expect(await run('SHOW a.b')).toEqual([['before']]);
+    await run('BEGIN');
+    await run("SET LOCAL a.b = 'local'");
+    expect(await run('SHOW a.b')).toEqual([['local']]);
+    await run('COMMIT');
+    expect(await run('SHOW a.b')).toEqual([['before']]);
+  });
+
+  it('ends open transactions and refuses writes once it was raised', async () => {
+    const {core, run} = await createTables();
+    await run('BEGIN');
+    await run('DELETE FROM seat WHERE id = 1');
+    void core.callGroupFunction('group_raise_term', [2, 'claim']);
+    const other = openConnection(core);
+    const sql = 'DELETE FROM seat';
+    expect(await getSqlState(runSql(core, other, sql))).toBe('25006');
+    const count = 'SELECT count(*) FROM seat';
+    expect(await runSql(core, other, count)).toEqual([[2]]);
+  });
+});
+
+describe('slots of the stand-in', () => {
+  it('lets statements beyond the slots wait inside the instance', async () => {
+    const {core, clock} = createPrimary({
+      slots: 1,
+      maxConnections: 10,
+      connectTimeMs: 0,
+      serviceTimeMs: 0,
+      lockTimeoutMs: 1000,
+    });
+    const sleeper = openConnection(core);
+    const reader = openConnection(core);
+    const sleeping = runSql(core, sleeper, 'SELECT pg_sleep(1)');
+    const reading = runSql(core, reader, 'SELECT 1');
+    expect(core.slots.getWaiterCount()).toBe(1);
+    clock.advance(1000);
+    expect(await sleeping).toEqual([['']]);
+    expect(await reading).toEqual([[1]]);
+  });
+
+  it('cancels a statement that waits and frees its slot', async () => {
+    const {core} = createPrimary();
+    const connection = openConnection(core);
+    const sleeping = runSql(core, connection, 'SELECT pg_sleep(1)');
+    connection.cancel();
+    expect(await getSqlState(sleeping)).toBe('57014');
+    expect(core.slots.getUsedSlots()).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/standin/src/testing/instance_fixture.ts
@@ -0,0 +1,90 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {
+  Answer,
+  ConnectionListener,
+  DatabaseConnection,
+} from '../database_connection.js';
+import {InstanceCore, type InstanceLimits} from '../instance_core.js';
+import type {Row, SqlValue} from '../sql_value.js';
+
+/** Limits without any latency. @internal */
+export const FAST_LIMITS: InstanceLimits = {
+  slots: 100,
+  maxConnections: 100,
+  connectTimeMs: 0,
+  serviceTimeMs: 0,
+  lockTimeoutMs: 10_000,
+};
+
+const SILENT_LISTENER: ConnectionListener = {
+  handleRoleChanged: () => {},
+  handleMajority: () => {},
+  handleCancelled: () => {},
+  handleTerminated: () => {},
+};
+
+/** Creates a primary without replicas, on a clock that stands still. @internal */
+export function createPrimary(limits: InstanceLimits = FAST_LIMITS) {
+  const clock = VirtualClock.create();
+  const core = InstanceCore.create({
+    backendServer: 'a',
+    peers: [],
+    clock,
+    limits,
+    sendReplication: () => {},
+    defer: callback => {
+      clock.startTimer(0, callback);
+    },
+  });
+  core.bootstrap(true);
+  return {clock, core};
+}
+
+/** Opens a connection to an instance. @internal */
+export function openConnection(core: InstanceCore): DatabaseConnection {
+  const opened = core.openConnection(SILENT_LISTENER, 0, new Map());
+  if (!opened.ok) {
+    throw opened.error;
+  }
+  return opened.value;
+}
+
+/**
+ * Runs a statement as one simple query: it commits at its end unless a
+ * transaction block is open.
+ *
+ * @internal
+ */
+export async function runSql(
+  core: InstanceCore,
+  connection: DatabaseConnection,
+  sql: string,
+  parameters: readonly SqlValue[] = [],
+): Promise<readonly Row[]> {
+  try {
+    const plan = core.statements.getPlan(sql);
+    const pending: Answer | Promise<Answer> = connection.execute(
+      plan,
+      parameters,
+    );
+    const answer = pending instanceof Promise ? await pending : pending;
+    const rows = [...answer.rows];
+    connection.commitImplicit();
+    return rows;
+  } catch (error) {
+    connection.handleStatementFailed();
+    throw error;
+  }
+}
+
+/** SQLSTATE that a statement fails with, or null. @internal */
+export async function getSqlState(
+  statement: Promise<unknown>,
+): Promise<string | null> {
+  try {
+    await statement;
+    return null;
+  } catch (error) {
+    return (error as {readonly sqlState?: string}).sqlState ?? String(error);
+  }
+}
