--- a/packages/membership/src/duty_assignment.ts
+++ b/packages/membership/src/duty_assignment.ts
@@ -30,6 +30,8 @@
 /** Assigns duties among a set of proxies. @public */
 export class DutyAssignment {
   private readonly zones: ReadonlyMap<string, readonly RendezvousCandidate[]>;
+  /** Holders by group and count; the instances of a group share them. */
+  private readonly cachedHolders = new Map<string, readonly EntryVmId[]>();
 
   private constructor(private readonly members: readonly DutyMember[]) {
     this.zones = groupByZone(
@@ -76,10 +78,17 @@
       this.members.length,
       computeMaxHolders(maxConnections),
     );
+    const cacheKey = `${count} ${databaseGroup}`;
+    const cached = this.cachedHolders.get(cacheKey);
+    if (cached !== undefined) {
+      return cached;
+    }
     const keyHash = computeHash(`hold/${databaseGroup}`);
-    return selectSpread(keyHash, this.zones, count).map(
+    const holders = selectSpread(keyHash, this.zones, count).map(
       candidate => candidate.name,
     );
+    this.cachedHolders.set(cacheKey, holders);
+    return holders;
   }
 }
 
--- a/packages/membership/src/membership_manager.ts
+++ b/packages/membership/src/membership_manager.ts
@@ -10,7 +10,7 @@
   type SharedInstance,
   type SharePopulation,
 } from './connection_shares.js';
-import {DutyAssignment} from './duty_assignment.js';
+import {DutyAssignment, type DutyMember} from './duty_assignment.js';
 import {createIncarnation} from './incarnation.js';
 import type {MemberRecord} from './member.js';
 import {getPresentRecords} from './member_table.js';
@@ -73,6 +73,14 @@
 /** Reads of the list a second by all proxies together. */
 const LIST_BUDGET_PER_SECOND = 50;
 
+/** Time within which changes of members are told to the listeners together. */
+const NOTIFY_DELAY_MS = 50;
+
+interface KeyedAssignment {
+  readonly key: string;
+  readonly assignment: DutyAssignment;
+}
+
 type Listener = () => void;
 
 /** Runs membership in one proxy. @public */
@@ -80,6 +88,8 @@
   private state: MembershipState;
   private lastTickAtMs: number;
   private shareKey = '';
+  private shareAssignment: KeyedAssignment | null = null;
+  private notifyTimer: Timer | null = null;
   private tickTimer: Timer | null = null;
   private listTimer: Timer | null = null;
   private isDisposed = false;
@@ -175,8 +185,7 @@
     if (!mayUse) {
       return instances.map(() => 0);
     }
-    const holders = getShareHolders(population, nowMs);
-    const assignment = DutyAssignment.create(holders);
+    const assignment = this.getShareAssignment(population, nowMs);
     const {entryVm} = this.state.self;
     return instances.map(instance =>
       computeShare(assignment, entryVm, instance),
@@ -228,6 +237,7 @@
     this.isDisposed = true;
     this.tickTimer?.cancel();
     this.listTimer?.cancel();
+    this.notifyTimer?.cancel();
     this.listeners.clear();
   }
 
@@ -282,7 +292,7 @@
         return;
       case 'memberChanged':
         this.logMember(command.record);
-        this.notify();
+        this.notifySoon();
         return;
       case 'suspended':
         this.options.logger.warn('process_stalled', {});
@@ -363,20 +373,39 @@
     return {self, joinedAtMs, others: [...table.values()]};
   }
 
+  /** The assignment among those that may hold connections, kept while they stay the same. */
+  private getShareAssignment(
+    population: SharePopulation,
+    nowMs: number,
+  ): DutyAssignment {
+    const holders = getShareHolders(population, nowMs);
+    const key = describeHolders(holders);
+    if (this.shareAssignment?.key !== key) {
+      const assignment = DutyAssignment.create(holders);
+      this.shareAssignment = {key, assignment};
+    }
+    return this.shareAssignment.assignment;
+  }
+
   /** Delays that have passed change the shares without any message. */
   private notifyIfSharesChanged(nowMs: number): void {
     const population = this.getPopulation();
-    const names = getShareHolders(population, nowMs)
-      .map(holder => holder.entryVm)
-      .sort();
+    const holders = describeHolders(getShareHolders(population, nowMs));
     const mayUse = hasJoined(population, nowMs) && !this.isSuspended();
-    const shareKey = `${mayUse} ${names.join(' ')}`;
+    const shareKey = `${mayUse} ${holders}`;
     if (shareKey !== this.shareKey) {
       this.shareKey = shareKey;
       this.notify();
     }
   }
 
+  private notifySoon(): void {
+    this.notifyTimer ??= this.options.clock.startTimer(NOTIFY_DELAY_MS, () => {
+      this.notifyTimer = null;
+      this.notify();
+    });
+  }
+
   private notify(): void {
     for (const listener of this.listeners) {
       listener();
@@ -395,6 +424,13 @@
   }
 }
 
+function describeHolders(holders: readonly DutyMember[]): string {
+  const names = holders.map(
+    ({entryVm, availabilityZone}) => `${entryVm}/${availabilityZone}`,
+  );
+  return names.sort().join(' ');
+}
+
 function isLive(record: MemberRecord): boolean {
   return record.state === 'live';
 }
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -86,9 +86,10 @@
   zones: ReadonlyMap<string, readonly RendezvousCandidate[]>,
   count: number,
 ): readonly RendezvousCandidate[] {
+  const rounds = countRounds(zones, count);
   const ranked: RankedCandidate[] = [];
   for (const candidates of zones.values()) {
-    ranked.push(...rankWithinZone(keyHash, candidates, count));
+    ranked.push(...rankWithinZone(keyHash, candidates, rounds));
   }
   ranked.sort(compareRanked);
   return ranked.slice(0, count).map(entry => entry.candidate);
@@ -110,34 +111,60 @@
   return zones;
 }
 
-interface RankedCandidate {
+interface ScoredCandidate {
   readonly candidate: RendezvousCandidate;
   readonly score: number;
+}
+
+interface RankedCandidate extends ScoredCandidate {
   /** Place within the candidate's zone, from 0. */
   readonly round: number;
 }
 
+/** Candidates of one zone that can be among the first `count`. */
+function countRounds(
+  zones: ReadonlyMap<string, readonly RendezvousCandidate[]>,
+  count: number,
+): number {
+  for (let rounds = 1; rounds < count; rounds++) {
+    let available = 0;
+    for (const candidates of zones.values()) {
+      available += Math.min(rounds, candidates.length);
+    }
+    if (available >= count) {
+      return rounds;
+    }
+  }
+  return count;
+}
+
+/** The first `rounds` candidates of one zone. */
 function rankWithinZone(
   keyHash: number,
   candidates: readonly RendezvousCandidate[],
-  count: number,
+  rounds: number,
 ): readonly RankedCandidate[] {
-  const scored = candidates.map(candidate => ({
-    candidate,
-    score: computeScore(keyHash, candidate.hash),
-  }));
-  scored.sort(compareScored);
-  return scored.slice(0, count).map((entry, round) => ({...entry, round}));
+  const best: ScoredCandidate[] = [];
+  for (const candidate of candidates) {
+    const score = computeScore(keyHash, candidate.hash);
+    const last = best[rounds - 1];
+    if (last !== undefined && score < last.score) {
+      continue;
+    }
+    best.push({candidate, score});
+    best.sort(compareScored);
+    if (best.length > rounds) {
+      best.pop();
+    }
+  }
+  return best.map((entry, round) => ({...entry, round}));
 }
 
 function compareRanked(left: RankedCandidate, right: RankedCandidate): number {
   return left.round - right.round || compareScored(left, right);
 }
 
-function compareScored(
-  left: Omit<RankedCandidate, 'round'>,
-  right: Omit<RankedCandidate, 'round'>,
-): number {
+function compareScored(left: ScoredCandidate, right: ScoredCandidate): number {
   if (left.score !== right.score) {
     return right.score - left.score;
   }
