Let a proxy that was paused act on nothing that it knew before

An answer from before a pause proves no contact since, and a drain may have been accepted meanwhile: the proxy takes no work until a source has told it the newest version, and no share until a neighbour has answered again.

--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -158,6 +158,22 @@
     await this.learnFromPlatform();
   }
 
+  /**
+   * Asks the platform and the peers, and resolves once what the first of them
+   * holds is in force here, or once all have failed.
+   */
+  async catchUp(): Promise<void> {
+    const asked = [requireAnswer(this.learnFromPlatform())];
+    for (const entryVm of this.options.peers.listPeers()) {
+      const source = this.options.peers.getSource(entryVm);
+      if (source !== null) {
+        const learned = this.learnFromPeer(source, `peer ${entryVm}`);
+        asked.push(requireAnswer(learned));
+      }
+    }
+    await Promise.any(asked).catch(() => {});
+  }
+
   /** Stops polling; the held configuration stays readable. */
   dispose(): void {
     this.isDisposed = true;
@@ -177,7 +193,7 @@
   }
 
   private async askPeersAtStart(): Promise<void> {
-    const asked: Promise<void>[] = [];
+    const asked: Promise<boolean>[] = [];
     for (const entryVm of this.options.peers.listPeers()) {
       const source = this.options.peers.getSource(entryVm);
       if (source !== null) {
@@ -225,14 +241,15 @@
   private async learnFromPeer(
     source: ConfigurationSource,
     sourceName: string,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const pointer = await source.getPointer();
     if (this.isDisposed || !pointer.ok) {
-      return;
+      return false;
     }
     const version = pointer.value?.version ?? 0;
     this.notifyIfReady(() => this.actor.send({type: 'peerAnswered', version}));
     await this.obtain(pointer.value, source, sourceName);
+    return true;
   }
 
   private async obtain(
@@ -343,3 +360,10 @@
   }
   return parsed.value;
 }
+
+/** Rejects when the asked party gave no answer. */
+async function requireAnswer(asked: Promise<boolean>): Promise<void> {
+  if (!(await asked)) {
+    throw new Error('no answer');
+  }
+}
--- a/packages/membership/src/membership_core.ts
+++ b/packages/membership/src/membership_core.ts
@@ -72,6 +72,7 @@
    * has no contact since its start or since it was paused.
    */
   readonly joinedAtMs: number | null;
+  /** When the process started, or last noticed that it had been paused. */
   readonly startedAtMs: number;
 }
 
@@ -82,8 +83,8 @@
       readonly kind: 'messageReceived';
       readonly nowMs: number;
       readonly message: MembershipMessage;
-      /** Whether it answers a heartbeat of this proxy. */
-      readonly isAnswer: boolean;
+      /** When this proxy sent the heartbeat that it answers, else null. */
+      readonly askedAtMs: number | null;
     }
   | {
       readonly kind: 'recordsReceived';
@@ -262,8 +263,11 @@
     table: noteHeard(merged.state.table, message.sender.entryVm, nowMs),
     inquiries: removeKey(merged.state.inquiries, message.sender.entryVm),
   };
+  // An answer to a question from before a pause proves no contact since.
+  const isFreshAnswer =
+    event.askedAtMs !== null && event.askedAtMs >= heard.startedAtMs;
   const joined =
-    event.isAnswer && heard.joinedAtMs === null
+    isFreshAnswer && heard.joinedAtMs === null
       ? join(heard, nowMs)
       : {state: heard, commands: []};
   const compared = requestMembersIfDifferent(joined.state, message, nowMs);
--- a/packages/membership/src/membership_manager.ts
+++ b/packages/membership/src/membership_manager.ts
@@ -94,6 +94,7 @@
   private listTimer: Timer | null = null;
   private isDisposed = false;
   private readonly listeners = new Set<Listener>();
+  private readonly suspensionListeners = new Set<Listener>();
 
   private constructor(private readonly options: MembershipManagerOptions) {
     const {identity, clock, random, startedAtEpochMs} = options;
@@ -161,10 +162,12 @@
    * before each use of a share or a duty.
    */
   isSuspended(): boolean {
-    return (
-      this.state.joinedAtMs === null ||
-      this.getLatenessMs() >= STALL_THRESHOLD_MS
-    );
+    return this.state.joinedAtMs === null || this.isStalled();
+  }
+
+  /** Whether the process was paused and has not dealt with that yet. */
+  isStalled(): boolean {
+    return this.getLatenessMs() >= STALL_THRESHOLD_MS;
   }
 
   /** Duties among the members that take new ones. */
@@ -203,10 +206,21 @@
     };
   }
 
+  /**
+   * Calls `listener` when the process notices that it was paused, before it
+   * does anything else. Gives a function that ends the calls.
+   */
+  onSuspended(listener: Listener): () => void {
+    this.suspensionListeners.add(listener);
+    return () => {
+      this.suspensionListeners.delete(listener);
+    };
+  }
+
   /** Takes a heartbeat and gives the answer to it. */
   handleHeartbeat(message: MembershipMessage): MembershipMessage {
     const nowMs = this.options.clock.nowMs();
-    this.handle({kind: 'messageReceived', nowMs, message, isAnswer: false});
+    this.handle({kind: 'messageReceived', nowMs, message, askedAtMs: null});
     return this.createMessage(message.sender.entryVm);
   }
 
@@ -239,6 +253,7 @@
     this.listTimer?.cancel();
     this.notifyTimer?.cancel();
     this.listeners.clear();
+    this.suspensionListeners.clear();
   }
 
   private scheduleTick(): void {
@@ -296,6 +311,7 @@
         return;
       case 'suspended':
         this.options.logger.warn('process_stalled', {});
+        this.tellSuspended();
         this.notify();
         return;
       case 'joined':
@@ -309,6 +325,7 @@
     entryVm: EntryVmId,
     peerUrl: string,
   ): Promise<void> {
+    const askedAtMs = this.options.clock.nowMs();
     const message = this.createMessage(entryVm);
     const answer = await this.options.transport.sendHeartbeat(peerUrl, message);
     if (answer !== null) {
@@ -317,7 +334,7 @@
         kind: 'messageReceived',
         nowMs,
         message: answer,
-        isAnswer: true,
+        askedAtMs,
       });
     }
   }
@@ -399,6 +416,12 @@
     }
   }
 
+  private tellSuspended(): void {
+    for (const listener of this.suspensionListeners) {
+      listener();
+    }
+  }
+
   private notifySoon(): void {
     this.notifyTimer ??= this.options.clock.startTimer(NOTIFY_DELAY_MS, () => {
       this.notifyTimer = null;
--- a/packages/peer/src/control_plane.ts
+++ b/packages/peer/src/control_plane.ts
@@ -69,6 +69,8 @@
   private groupDelegate: GroupDelegate | null = null;
   private lastViewsChangeAtMs: number;
   private lastViewsRequestAtMs: number;
+  /** Attempts to learn of the newest configuration after a pause. */
+  private catchUps = 0;
 
   private constructor(private readonly options: ControlPlaneOptions) {
     const {transport, clock} = options;
@@ -87,6 +89,7 @@
       peers: PeerConfigurationSources.create(transport, this.membership),
     });
     this.configuration.onChange(() => this.membership.sendHeartbeatsNow());
+    this.membership.onSuspended(() => void this.catchUp());
   }
 
   /** Creates the managers; they begin to ask the platform and the peers. */
@@ -94,6 +97,16 @@
     return new ControlPlane(options);
   }
 
+  /**
+   * Whether this proxy may send new work to backend servers: it holds a
+   * configuration, and it was not paused, or has asked again since. Callers
+   * check it before each statement; it costs a comparison of two numbers.
+   */
+  mayTakeWork(): boolean {
+    const isReady = this.configuration.getReadiness() === 'ready';
+    return isReady && this.catchUps === 0 && !this.membership.isStalled();
+  }
+
   /** Sets who answers for the database groups of this proxy. */
   setGroupDelegate(delegate: GroupDelegate): void {
     this.groupDelegate = delegate;
@@ -201,6 +214,13 @@
     }
   }
 
+  /** A drain may have been accepted while the process was paused. */
+  private async catchUp(): Promise<void> {
+    this.catchUps++;
+    await this.configuration.catchUp();
+    this.catchUps--;
+  }
+
   private async requestGroupViews(peerUrl: string): Promise<void> {
     const views = await this.options.transport.call(
       peerUrl,
--- a/packages/peer/src/control_plane_test.ts
+++ b/packages/peer/src/control_plane_test.ts
@@ -105,6 +105,50 @@
   });
 });
 
+describe('a proxy that was paused', () => {
+  it('acts on nothing that it knew when it wakes, and joins again', async () => {
+    await startFive();
+    const {clock, control} = cluster.getNode(5);
+    clock.pause();
+    await cluster.pass(8000);
+    expect(getShares().slice(0, 4)).toEqual([5, 5, 5, 5]);
+    clock.resume();
+    expect(control.membership.isSuspended()).toBe(true);
+    expect(control.membership.getShare(INSTANCE)).toBe(0);
+    expect(control.membership.getLiveMembers()).toHaveLength(4);
+    await cluster.pass(5000);
+    expect(getShares()).toEqual([4, 4, 4, 4, 4]);
+  });
+
+  it('takes no work before it has learned of a drain that it slept through', async () => {
+    await accept('1');
+    await startFive();
+    const {clock, control} = cluster.getNode(5);
+    clock.pause();
+    const handler = cluster.getNode(1).control.createHandler();
+    await handler.submitChange(createRequest('2', createDrain('sched-db-1-a')));
+    await cluster.pass(5000);
+    expect(control.mayTakeWork()).toBe(false);
+    clock.resume();
+    let versionAtWork: number | null = null;
+    for (let step = 0; step < 50; step++) {
+      if (versionAtWork === null && control.mayTakeWork()) {
+        versionAtWork = control.configuration.getVersion();
+      }
+      await cluster.pass(1);
+    }
+    expect(versionAtWork).toBe(2);
+  });
+
+  it('knows that it was paused before its own timer runs', async () => {
+    await startFive();
+    const {clock, control} = cluster.getNode(5);
+    clock.pause();
+    await cluster.pass(3000);
+    expect(control.membership.isSuspended()).toBe(true);
+  });
+});
+
 describe('the configuration among proxies', () => {
   it('reaches a proxy whose link to the platform is down', async () => {
     const cutOff = InMemoryPlatformService.create({clock: cluster.clock});
--- a/packages/peer/src/fake_control_cluster.ts
+++ b/packages/peer/src/fake_control_cluster.ts
@@ -5,6 +5,7 @@
 import type {PlatformService} from '@filbertrun/platform/platform_service.js';
 import {ControlPlane} from './control_plane.js';
 import {FakePeerNetwork} from './fake_peer_network.js';
+import {PausableClock} from './pausable_clock.js';
 
 /**
  * Proxies with their control planes on virtual time, for tests.
@@ -17,6 +18,7 @@
   readonly entryVm: string;
   readonly peerUrl: string;
   readonly control: ControlPlane;
+  readonly clock: PausableClock;
 }
 
 /** A cluster of control planes on virtual time. @internal */
@@ -42,6 +44,7 @@
     const entryVm = `entry-${index}`;
     const peerUrl = `http://${entryVm}:7000`;
     const availabilityZone = this.zones[index % this.zones.length] ?? 'zone';
+    const clock = PausableClock.create(this.clock);
     this.starts++;
     const control = ControlPlane.create({
       identity: {entryVm, availabilityZone, peerUrl},
@@ -49,13 +52,13 @@
       platform,
       transport: this.network.createTransport(peerUrl),
       seedPeerUrls: [],
-      clock: this.clock,
+      clock,
       random: SeededRandom.create(this.starts),
       logger: SilentLogger.create(),
     });
     this.platform.putVm({entryVm, availabilityZone, peerUrl, state: 'live'});
-    this.network.attach(peerUrl, control.createHandler());
-    this.nodes.set(entryVm, {entryVm, peerUrl, control});
+    this.network.attach(peerUrl, control.createHandler(), clock);
+    this.nodes.set(entryVm, {entryVm, peerUrl, control, clock});
     return control;
   }
 
--- a/packages/peer/src/fake_peer_network.ts
+++ b/packages/peer/src/fake_peer_network.ts
@@ -1,5 +1,5 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {Clock} from '@filbertrun/base/clock.js';
 import type {
   PeerHandler,
   PeerInput,
@@ -24,28 +24,33 @@
   readonly bytes: number;
 }
 
+interface AttachedPeer {
+  readonly handler: PeerHandler;
+  readonly clock: Clock;
+}
+
 type AnyAnswer = (input: unknown) => Promise<unknown>;
 
 /** A network of peers on virtual time. @internal */
 export class FakePeerNetwork {
-  private readonly handlers = new Map<string, PeerHandler>();
+  private readonly peers = new Map<string, AttachedPeer>();
   private readonly cutLinks = new Set<string>();
   private readonly traffic = new Map<string, NodeTraffic>();
 
-  private constructor(private readonly clock: VirtualClock) {}
+  private constructor(private readonly clock: Clock) {}
 
-  static create(clock: VirtualClock): FakePeerNetwork {
+  static create(clock: Clock): FakePeerNetwork {
     return new FakePeerNetwork(clock);
   }
 
   /** Makes a peer answer at its URL. */
-  attach(peerUrl: string, handler: PeerHandler): void {
-    this.handlers.set(peerUrl, handler);
+  attach(peerUrl: string, handler: PeerHandler, clock: Clock): void {
+    this.peers.set(peerUrl, {handler, clock});
   }
 
   /** Takes a peer off the network, as when its process dies. */
   detach(peerUrl: string): void {
-    this.handlers.delete(peerUrl);
+    this.peers.delete(peerUrl);
   }
 
   /** Loses every message from one peer to another. */
@@ -81,7 +86,7 @@
     timeoutMs: number,
   ): Promise<Result<PeerOutput<P>, PeerError>> {
     return new Promise(resolve => {
-      const timer = this.clock.startTimer(timeoutMs, () => {
+      const timer = this.getClock(fromUrl).startTimer(timeoutMs, () => {
         resolve(failure({kind: 'timedOut', timeoutMs}));
       });
       this.deliver(fromUrl, toUrl, input, () => {
@@ -107,7 +112,12 @@
       return;
     }
     this.count(toUrl, bytes);
-    this.clock.startTimer(LATENCY_MS, receive);
+    // A paused process reads its messages when it wakes.
+    this.getClock(toUrl).startTimer(LATENCY_MS, receive);
+  }
+
+  private getClock(peerUrl: string): Clock {
+    return this.peers.get(peerUrl)?.clock ?? this.clock;
   }
 
   private async answer<P extends PeerProcedure>(
@@ -115,11 +125,11 @@
     procedure: P,
     input: PeerInput<P>,
   ): Promise<Result<PeerOutput<P>, PeerError>> {
-    const handler = this.handlers.get(peerUrl);
-    if (handler === undefined) {
+    const peer = this.peers.get(peerUrl);
+    if (peer === undefined) {
       return failure({kind: 'unreachable', reason: 'refused'});
     }
-    const answer = handler[procedure] as AnyAnswer;
+    const answer = peer.handler[procedure] as AnyAnswer;
     return success((await answer(input)) as PeerOutput<P>);
   }
 
