Add the failover-gap scenario and the caller's side of the bench

Bookings by key run on every proxy at fixed intervals while a primary is crashed or isolated; each acknowledged one is looked for afterwards. Blind repeats without a key run beside them as the baseline.

--- /dev/null
+++ b/apps/bench/src/caller_session.ts
@@ -0,0 +1,102 @@
+import type {DeployedProxy} from '@filbertrun/standin/deployment.js';
+import pg from 'pg';
+import {z} from 'zod';
+
+/** A caller as an unmodified driver sees it, plus its session token. */
+
+/** What a session needs to log in. @public */
+export interface CallerOptions {
+  readonly proxy: Pick<DeployedProxy, 'host' | 'port'>;
+  readonly user: string;
+  readonly password: string;
+  readonly databaseGroup: string;
+  readonly applicationName?: string;
+}
+
+/** What a statement returned. @public */
+export interface CallerAnswer {
+  readonly rows: readonly Readonly<Record<string, unknown>>[];
+  readonly rowCount: number;
+}
+
+const TOKEN_PARAMETER = 'filbertrun.session_token';
+const CONNECT_TIMEOUT_MS = 5_000;
+
+const parameterStatusSchema = z.object({
+  parameterName: z.string(),
+  parameterValue: z.string(),
+});
+
+/** One connection of a caller. @public */
+export class CallerSession {
+  private token: string | null = null;
+  private ended = false;
+
+  private constructor(private readonly client: pg.Client) {}
+
+  static async connect(options: CallerOptions): Promise<CallerSession> {
+    const client = new pg.Client({
+      host: options.proxy.host,
+      port: options.proxy.port,
+      user: options.user,
+      password: options.password,
+      database: options.databaseGroup,
+      application_name: options.applicationName ?? 'filbertrun-bench',
+      connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
+    });
+    const session = new CallerSession(client);
+    client.on('error', () => {
+      session.ended = true;
+    });
+    client.on('end', () => {
+      session.ended = true;
+    });
+    getConnection(client).on('parameterStatus', message => {
+      const status = parameterStatusSchema.safeParse(message);
+      if (status.success && status.data.parameterName === TOKEN_PARAMETER) {
+        session.token = status.data.parameterValue;
+      }
+    });
+    await client.connect();
+    return session;
+  }
+
+  /** The token that the proxy reported last, or null. */
+  get sessionToken(): string | null {
+    return this.token;
+  }
+
+  get hasEnded(): boolean {
+    return this.ended;
+  }
+
+  async query(
+    text: string,
+    values: readonly unknown[] = [],
+  ): Promise<CallerAnswer> {
+    const result =
+      values.length === 0
+        ? await this.client.query<Record<string, unknown>>(text)
+        : await this.client.query<Record<string, unknown>>(text, [...values]);
+    return {rows: result.rows, rowCount: result.rowCount ?? 0};
+  }
+
+  async useToken(token: string): Promise<void> {
+    await this.query(`SET ${TOKEN_PARAMETER} = '${token}'`);
+  }
+
+  async end(): Promise<void> {
+    this.ended = true;
+    await this.client.end().catch(() => undefined);
+  }
+}
+
+interface MessageEmitter {
+  on(event: string, listener: (message: unknown) => void): unknown;
+}
+
+/** The driver's connection, whose events its types leave out. */
+function getConnection(client: pg.Client): MessageEmitter {
+  return (client as unknown as {readonly connection: MessageEmitter})
+    .connection;
+}
--- /dev/null
+++ b/apps/bench/src/failover_gap_scenario.ts
@@ -0,0 +1,173 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {AdminCommand} from '@filbertrun/standin/admin_command.js';
+import {BenchDeployment, waitUntil} from './bench_deployment.js';
+import {BookingLoad} from './booking_load.js';
+import {sumCounts, type BookingCounts} from './booking_writer.js';
+import {summarize} from './latency_summary.js';
+import type {Scenario, ScenarioContext, ScenarioResult} from './scenario.js';
+
+/** Time without writes after a primary fails. */
+
+const TRIALS_PER_GROUP = 7;
+const WRITERS_PER_GROUP = 5;
+const BLIND_WRITERS_PER_GROUP = 1;
+const WRITE_INTERVAL_MS = 40;
+const MAX_OUTAGE_MS = 10_000;
+const MAX_REPAIR_MS = 10_000;
+const REST_MS = 700;
+const WRITERS_OF_A_GROUP = 100;
+
+/** Bookings after the fault that show that writes land again. */
+const BOOKINGS_OF_RECOVERY = 5;
+
+const CRASH_TARGET_MS = 1_000;
+const PARTITION_TARGET_MS = 1_500;
+
+type FaultKind = 'crash' | 'partition';
+
+interface GroupOutcome {
+  readonly gapsMs: Readonly<Record<FaultKind, readonly number[]>>;
+  readonly unrepaired: number;
+  readonly bookings: BookingCounts;
+  readonly blindBookings: BookingCounts;
+}
+
+/** @public */
+export const failoverGapScenario: Scenario = {
+  name: 'failover-gap',
+  description: 'time without writes after a crash or partition of a primary',
+  defaultPreset: 'atlas',
+  run: context => BenchDeployment.run(context, bench => run(context, bench)),
+};
+
+async function run(
+  context: ScenarioContext,
+  bench: BenchDeployment,
+): Promise<ScenarioResult> {
+  const outcomes = await Promise.all(
+    bench.description.databaseGroups.map((databaseGroup, index) =>
+      runGroup(context, bench, databaseGroup, index),
+    ),
+  );
+  const crashGapMs = summarize(outcomes.flatMap(each => each.gapsMs.crash));
+  const partitionGapMs = summarize(
+    outcomes.flatMap(each => each.gapsMs.partition),
+  );
+  const bookings = sumCounts(outcomes.map(each => each.bookings));
+  const blind = sumCounts(outcomes.map(each => each.blindBookings));
+  const {lostBookings, doubledBookings} = bookings;
+  let unrepaired = 0;
+  for (const outcome of outcomes) {
+    unrepaired += outcome.unrepaired;
+  }
+  return {
+    figures: {
+      crashGapMs: {...crashGapMs},
+      partitionGapMs: {...partitionGapMs},
+      lostBookings,
+      doubledBookings,
+      unrepaired,
+      acknowledgedBookings: bookings.acknowledged,
+      unknownOutcomes: bookings.unknownOutcomes,
+      refusals: bookings.refusals,
+      baselineBlindRepeat: {...blind},
+    },
+    violations: lostBookings + doubledBookings,
+    targets: [
+      {
+        target: `crashGapMs.p99 <= ${CRASH_TARGET_MS}`,
+        isMet: crashGapMs.p99 <= CRASH_TARGET_MS,
+      },
+      {
+        target: `partitionGapMs.p99 <= ${PARTITION_TARGET_MS}`,
+        isMet: partitionGapMs.p99 <= PARTITION_TARGET_MS,
+      },
+      {
+        target: 'lostBookings = 0 and doubledBookings = 0',
+        isMet: lostBookings + doubledBookings === 0,
+      },
+    ],
+    settings: {
+      trialsPerGroup: TRIALS_PER_GROUP,
+      writersPerGroup: WRITERS_PER_GROUP,
+      writeIntervalMs: WRITE_INTERVAL_MS,
+    },
+  };
+}
+
+async function runGroup(
+  context: ScenarioContext,
+  bench: BenchDeployment,
+  databaseGroup: string,
+  index: number,
+): Promise<GroupOutcome> {
+  const common = {bench, databaseGroup, intervalMs: WRITE_INTERVAL_MS};
+  const load = await BookingLoad.start({
+    ...common,
+    firstWriter: index * WRITERS_OF_A_GROUP,
+    writerCount: WRITERS_PER_GROUP,
+    repeatPolicy: 'byKey',
+  });
+  const blindLoad = await BookingLoad.start({
+    ...common,
+    firstWriter: index * WRITERS_OF_A_GROUP + WRITERS_PER_GROUP,
+    writerCount: BLIND_WRITERS_PER_GROUP,
+    repeatPolicy: 'blind',
+  });
+  const gapsMs: Record<FaultKind, number[]> = {crash: [], partition: []};
+  let unrepaired = 0;
+  for (let trial = 0; trial < 2 * TRIALS_PER_GROUP; trial++) {
+    const kind = trial % 2 === 0 ? 'crash' : 'partition';
+    await sleep(REST_MS);
+    const gapMs = await runTrial(bench, databaseGroup, load, kind);
+    gapsMs[kind].push(gapMs);
+    context.logger.info('trial', {databaseGroup, trial, kind, gapMs});
+    const isSettled = await waitUntil(
+      () => bench.isSettled(databaseGroup),
+      MAX_REPAIR_MS,
+    );
+    unrepaired += isSettled ? 0 : 1;
+  }
+  const bookings = await load.stop();
+  const blindBookings = await blindLoad.stop();
+  return {gapsMs, unrepaired, bookings, blindBookings};
+}
+
+/** Breaks the primary, waits for writes to land again, and repairs it. */
+async function runTrial(
+  bench: BenchDeployment,
+  databaseGroup: string,
+  load: BookingLoad,
+  kind: FaultKind,
+): Promise<number> {
+  const primary = await bench.getPrimary(databaseGroup);
+  const instance = primary.status.backendServer;
+  const faultAtMs = performance.now();
+  await bench.deployment.runAdminCommand(createFault(kind, instance));
+  await waitUntil(async () => {
+    const hasNewPrimary = await bench.getPrimary(databaseGroup).then(
+      current => current.status.backendServer !== instance,
+      () => false,
+    );
+    return (
+      hasNewPrimary &&
+      load.getAcknowledgedSince(performance.now() - REST_MS / 2) >=
+        BOOKINGS_OF_RECOVERY
+    );
+  }, MAX_OUTAGE_MS);
+  const gapMs = load.getLongestGapMs(faultAtMs, performance.now());
+  await bench.deployment.runAdminCommand(createRepair(kind, instance));
+  return gapMs;
+}
+
+function createFault(kind: FaultKind, instance: string): AdminCommand {
+  return kind === 'crash'
+    ? {kind: 'crash', instance}
+    : {kind: 'isolate', instance, isIsolated: true};
+}
+
+function createRepair(kind: FaultKind, instance: string): AdminCommand {
+  return kind === 'crash'
+    ? {kind: 'restart', instance}
+    : {kind: 'isolate', instance, isIsolated: false};
+}
--- a/apps/bench/src/scenario_registry.ts
+++ b/apps/bench/src/scenario_registry.ts
@@ -1,10 +1,11 @@
+import {failoverGapScenario} from './failover_gap_scenario.js';
 import type {Scenario} from './scenario.js';
 
 /**
  * The scenarios by name.
  */
 
-const SCENARIOS: readonly Scenario[] = [];
+const SCENARIOS: readonly Scenario[] = [failoverGapScenario];
 
 /** All scenarios. @public */
 export function getScenarios(): readonly Scenario[] {
