Split the large modules of the stand-in by duty

Scope, arithmetic, row access, SELECT and changes, a connection's transactions and waits, and term confirmations each get a module; the log finds its own mismatches and merges.

--- a/packages/standin/src/clause_compiler.ts
+++ b/packages/standin/src/clause_compiler.ts
@@ -1,12 +1,11 @@
 import type {Expr, SelectedColumn} from 'pgsql-ast-parser';
 import type {Database, Table} from './database.js';
 import {
-  Scope,
   compileExpression,
   compileOperands,
   splitConjunction,
-  type CompiledExpression,
 } from './expression.js';
+import {Scope, type CompiledExpression} from './scope.js';
 import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import type {
   Assignment,
--- a/packages/standin/src/create_table_compiler.ts
+++ b/packages/standin/src/create_table_compiler.ts
@@ -4,7 +4,8 @@
   CreateTableStatement,
 } from 'pgsql-ast-parser';
 import type {ColumnDefinition} from './database.js';
-import {Scope, compileExpression} from './expression.js';
+import {compileExpression} from './expression.js';
+import {Scope} from './scope.js';
 import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import {convertValue, getTypeByName, type SqlValue} from './sql_value.js';
 import type {CreateTablePlan} from './statement_plan.js';
--- a/packages/standin/src/database_connection.ts
+++ b/packages/standin/src/database_connection.ts
@@ -1,24 +1,30 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
-import type {EvaluationContext} from './expression.js';
-import type {InstanceCore} from './instance_core.js';
-import {SessionParameters} from './session_parameters.js';
-import {SQL_STATE, SqlError} from './sql_error.js';
-import type {Row, SqlValue} from './sql_value.js';
+import {createCommandAnswer, createRowsAnswer, type Answer} from './answer.js';
 import {
   checkTableIsNew,
   runDelete,
   runInsert,
-  runSelect,
   runUpdate,
-  type StatementEffect,
-} from './statement_executor.js';
+} from './change_executor.js';
+import {
+  ConnectionTransactions,
+  type TransactionStatus,
+} from './connection_transactions.js';
+import {ConnectionWait} from './connection_wait.js';
+import type {InstanceCore} from './instance_core.js';
+import type {EvaluationContext} from './scope.js';
+import {runSelect} from './select_executor.js';
+import {SessionParameters} from './session_parameters.js';
+import {SQL_STATE, SqlError} from './sql_error.js';
+import type {SqlValue} from './sql_value.js';
+import type {StatementEffect} from './statement_effect.js';
 import type {
   CreateTablePlan,
   GroupCallPlan,
   PlanBody,
   StatementPlan,
 } from './statement_plan.js';
-import {Transaction} from './transaction.js';
+import type {Transaction} from './transaction.js';
 import type {UtilityStatement} from './utility_statement.js';
 
 /** Told of what happens to a connection outside of its statements. @internal */
@@ -31,22 +37,6 @@
   handleTerminated(error: SqlError): void;
 }
 
-/** The answer of a statement. @internal */
-export interface Answer {
-  /** The place whose data the statement read. */
-  readonly position: LogPosition;
-  readonly rows: Iterable<Row>;
-  readonly isStreamed: boolean;
-  /** Command tag; the number of rows follows when `countsRows`. */
-  readonly tag: string;
-  readonly countsRows: boolean;
-  /** Place of the commit that the statement made, or null. */
-  readonly commitPosition: LogPosition | null;
-}
-
-/** State of a connection's transaction as ReadyForQuery reports it. @internal */
-export type TransactionStatus = 'I' | 'T' | 'E';
-
 type Attempt =
   | {readonly kind: 'answered'; readonly answer: Answer}
   | {readonly kind: 'blocked'; readonly holder: Transaction};
@@ -54,8 +44,6 @@
 /** Channel that tells of the place that a majority holds. @internal */
 export const MAJORITY_CHANNEL = 'group_majority';
 
-const NO_ROWS: readonly Row[] = [];
-
 /**
  * One connection to an instance, without its wire protocol: it runs one
  * statement at a time and holds the transaction, the parameters and at most
@@ -66,12 +54,10 @@
 export class DatabaseConnection {
   readonly parameters: SessionParameters;
   readonly channels = new Set<string>();
-  private explicit: Transaction | null = null;
-  private implicit: Transaction | null = null;
-  private hasFailed = false;
+  private readonly transactions: ConnectionTransactions;
+  private readonly wait = ConnectionWait.create();
   private holdsSlot = false;
   private isClosed = false;
-  private abortWait: ((error: SqlError) => void) | null = null;
 
   private constructor(
     private readonly core: InstanceCore,
@@ -81,6 +67,7 @@
     startupParameters: ReadonlyMap<string, string>,
   ) {
     this.parameters = SessionParameters.create(startupParameters);
+    this.transactions = ConnectionTransactions.create(core);
   }
 
   /** Called by the instance, which counts its connections. */
@@ -101,15 +88,12 @@
   }
 
   getTransactionStatus(): TransactionStatus {
-    if (this.explicit === null) {
-      return 'I';
-    }
-    return this.hasFailed ? 'E' : 'T';
+    return this.transactions.getStatus();
   }
 
   /** Whether writes wait for `commitImplicit`. */
   hasImplicitTransaction(): boolean {
-    return this.implicit !== null;
+    return this.transactions.hasImplicit();
   }
 
   /** Runs a statement; throws or rejects with a SqlError. */
@@ -123,7 +107,7 @@
       return this.runUtility(body.statement);
     }
     if (body.kind === 'empty') {
-      return this.createAnswer('', NO_ROWS, null);
+      return createCommandAnswer('', this.core.getPosition());
     }
     const context = {parameters, processId: this.processId};
     if (body.kind === 'groupCall') {
@@ -149,24 +133,19 @@
 
   /** Commits writes made outside of a transaction block. */
   commitImplicit(): LogPosition | null {
-    const transaction = this.implicit;
-    this.implicit = null;
-    return transaction === null ? null : this.core.commit(transaction);
+    return this.transactions.commitImplicit();
   }
 
   /** Notes a failed statement: the transaction can only be rolled back. */
   handleStatementFailed(): void {
     this.releaseSlot();
-    this.rollbackImplicit();
-    if (this.explicit !== null) {
-      this.hasFailed = true;
-    }
+    this.transactions.fail();
   }
 
-  /** Ends the statement that is waiting, if any. */
+  /** Ends the statement that is under way, if any. */
   cancel(): void {
     this.listener.handleCancelled();
-    this.abortWait?.(
+    this.wait.abort(
       SqlError.create(
         SQL_STATE.queryCanceled,
         'canceling statement due to user request',
@@ -176,10 +155,10 @@
 
   /** A replaced primary ends its open transactions. */
   handleDemoted(): void {
-    if (this.explicit === null && this.implicit === null) {
+    if (this.transactions.getCurrent() === null) {
       return;
     }
-    this.endTransactions();
+    this.transactions.end(false);
     const error = SqlError.createFatal(
       SQL_STATE.adminShutdown,
       'terminating connection: the primary was replaced',
@@ -194,16 +173,16 @@
       return;
     }
     this.isClosed = true;
-    this.abortWait?.(
+    this.wait.abort(
       SqlError.createFatal(SQL_STATE.adminShutdown, 'connection closed'),
     );
     this.releaseSlot();
-    this.endTransactions();
+    this.transactions.end(false);
     this.core.removeConnection(this);
   }
 
   private checkNotFailed(body: PlanBody): void {
-    if (!this.hasFailed) {
+    if (this.transactions.getStatus() !== 'E') {
       return;
     }
     const isEnd =
@@ -227,7 +206,7 @@
       }
       const delayMs = this.getServiceTimeMs(body, context);
       if (delayMs > 0) {
-        await this.wait(done => this.core.startTimer(delayMs, done));
+        await this.wait.wait(done => this.core.startTimer(delayMs, done));
       }
     } catch (error) {
       this.releaseSlot();
@@ -316,46 +295,36 @@
     if (isWrite) {
       this.core.checkPrimary();
     }
-    const current = this.explicit ?? this.implicit;
-    const effect = run(current);
-    const {intents, error} = effect;
-    if (intents.length > 0) {
-      const transaction = current ?? Transaction.create();
-      const holder = this.core.locks.findOtherHolder(intents, transaction);
-      if (holder !== null) {
-        return {kind: 'blocked', holder};
-      }
-      if (error === null) {
-        this.stage(effect, transaction);
-      }
-    }
-    if (error !== null) {
-      throw error;
+    const effect = run(this.transactions.getCurrent());
+    const holder = this.transactions.stage(effect);
+    if (holder !== null) {
+      return {kind: 'blocked', holder};
     }
-    const answer = this.createAnswer(tag, effect.rows, null, {
-      isStreamed: effect.isStreamed,
-      affectedRows: tag === 'SELECT' ? null : effect.affectedRows,
-    });
-    return {kind: 'answered', answer};
-  }
-
-  private stage(effect: StatementEffect, transaction: Transaction): void {
-    if (this.explicit === null) {
-      this.implicit = transaction;
+    if (effect.error !== null) {
+      throw effect.error;
     }
-    this.core.locks.lock(effect.intents, transaction);
-    for (const intent of effect.intents) {
-      if (intent.kind === 'change') {
-        transaction.stage(intent.table, intent.key, intent.after);
-      }
+    const {rows, isStreamed, affectedRows} = effect;
+    const answer = createRowsAnswer(
+      tag,
+      this.core.getPosition(),
+      rows,
+      isStreamed,
+    );
+    if (tag === 'SELECT') {
+      return {kind: 'answered', answer};
     }
+    const countedTag = `${tag} ${affectedRows}`;
+    return {
+      kind: 'answered',
+      answer: {...answer, tag: countedTag, countsRows: false},
+    };
   }
 
   /** A table is created by a commit of its own, outside of transaction blocks. */
   private createTable(plan: CreateTablePlan): Answer {
     this.core.checkPrimary();
     const {definition} = plan;
-    if (this.explicit !== null) {
+    if (this.transactions.hasExplicit()) {
       throw SqlError.create(
         SQL_STATE.featureNotSupported,
         'CREATE TABLE in a transaction block is not supported',
@@ -363,14 +332,14 @@
     }
     const {database} = this.core;
     if (plan.ifNotExists && database.findTable(definition.name) !== null) {
-      return this.createAnswer('CREATE TABLE', NO_ROWS, null);
+      return this.createCommandAnswer('CREATE TABLE');
     }
     checkTableIsNew(database, definition.name);
     this.commitImplicit();
     const position = this.core.appendCommit([
       {kind: 'createTable', definition},
     ]);
-    return this.createAnswer('CREATE TABLE', NO_ROWS, position);
+    return this.createCommandAnswer('CREATE TABLE', position);
   }
 
   private runGroupCall(
@@ -381,11 +350,12 @@
       argument.evaluate([], context),
     );
     const row = this.core.callGroupFunction(plan.functionName, values);
+    const position = this.core.getPosition();
     if (!(row instanceof Promise)) {
-      return this.createAnswer('SELECT', [row], null, SELECT_SHAPE);
+      return createRowsAnswer('SELECT', position, [row]);
     }
     return row.then(confirmed =>
-      this.createAnswer('SELECT', [confirmed], null, SELECT_SHAPE),
+      createRowsAnswer('SELECT', position, [confirmed]),
     );
   }
 
@@ -394,7 +364,7 @@
       case 'begin':
         return this.begin();
       case 'commit':
-        return this.endExplicit(!this.hasFailed);
+        return this.endExplicit(this.transactions.getStatus() !== 'E');
       case 'rollback':
         return this.endExplicit(false);
       case 'set':
@@ -403,55 +373,43 @@
           statement.value,
           statement.isLocal,
         );
-        return this.createAnswer('SET', NO_ROWS, null);
+        return this.createCommandAnswer('SET');
       case 'setTransaction':
-        return this.createAnswer('SET', NO_ROWS, null);
+        return this.createCommandAnswer('SET');
       case 'show':
-        return this.createAnswer(
-          'SHOW',
-          [[this.parameters.get(statement.parameter)]],
-          null,
-        );
+        return {
+          ...this.createCommandAnswer('SHOW'),
+          rows: [[this.parameters.get(statement.parameter)]],
+        };
       case 'reset':
         return this.reset(statement.parameter);
       case 'discard':
         this.parameters.resetAll();
         this.channels.clear();
-        return this.createAnswer('DISCARD ALL', NO_ROWS, null);
+        return this.createCommandAnswer('DISCARD ALL');
       case 'listen':
         this.channels.add(statement.channel);
-        return this.createAnswer('LISTEN', NO_ROWS, null);
+        return this.createCommandAnswer('LISTEN');
       case 'unlisten':
         this.unlisten(statement.channel);
-        return this.createAnswer('UNLISTEN', NO_ROWS, null);
+        return this.createCommandAnswer('UNLISTEN');
       case 'deallocate':
-        return this.createAnswer('DEALLOCATE', NO_ROWS, null);
+        return this.createCommandAnswer('DEALLOCATE');
     }
   }
 
   private begin(): Answer {
-    if (this.explicit === null) {
-      this.explicit = this.implicit ?? Transaction.create();
-      this.implicit = null;
+    if (this.transactions.begin()) {
       this.parameters.handleBegin();
     }
-    return this.createAnswer('BEGIN', NO_ROWS, null);
+    return this.createCommandAnswer('BEGIN');
   }
 
   private endExplicit(isCommitted: boolean): Answer {
-    const transaction = this.explicit ?? this.implicit;
-    this.explicit = null;
-    this.implicit = null;
-    this.hasFailed = false;
     this.parameters.handleEnd(isCommitted);
+    const position = this.transactions.end(isCommitted);
     const tag = isCommitted ? 'COMMIT' : 'ROLLBACK';
-    let position: LogPosition | null = null;
-    if (transaction !== null && isCommitted) {
-      position = this.core.commit(transaction);
-    } else if (transaction !== null) {
-      this.core.rollback(transaction);
-    }
-    return this.createAnswer(tag, NO_ROWS, position);
+    return this.createCommandAnswer(tag, position);
   }
 
   private reset(parameter: string | null): Answer {
@@ -460,7 +418,7 @@
     } else {
       this.parameters.set(parameter, null, false);
     }
-    return this.createAnswer('RESET', NO_ROWS, null);
+    return this.createCommandAnswer('RESET');
   }
 
   private unlisten(channel: string | null): void {
@@ -471,39 +429,11 @@
     }
   }
 
-  private createAnswer(
+  private createCommandAnswer(
     tag: string,
-    rows: Iterable<Row>,
-    commitPosition: LogPosition | null,
-    shape: AnswerShape = COMMAND_SHAPE,
+    commitPosition: LogPosition | null = null,
   ): Answer {
-    const {affectedRows} = shape;
-    return {
-      position: this.core.getPosition(),
-      rows,
-      isStreamed: shape.isStreamed,
-      tag: typeof affectedRows === 'number' ? `${tag} ${affectedRows}` : tag,
-      countsRows: affectedRows === null,
-      commitPosition,
-    };
-  }
-
-  private endTransactions(): void {
-    this.rollbackImplicit();
-    const transaction = this.explicit;
-    this.explicit = null;
-    this.hasFailed = false;
-    if (transaction !== null) {
-      this.core.rollback(transaction);
-    }
-  }
-
-  private rollbackImplicit(): void {
-    const transaction = this.implicit;
-    this.implicit = null;
-    if (transaction !== null) {
-      this.core.rollback(transaction);
-    }
+    return createCommandAnswer(tag, this.core.getPosition(), commitPosition);
   }
 
   private releaseSlot(): void {
@@ -514,7 +444,7 @@
   }
 
   private async waitForSlot(): Promise<void> {
-    await this.wait(done =>
+    await this.wait.wait(done =>
       this.core.slots.acquire(() => {
         this.holdsSlot = true;
         done();
@@ -523,64 +453,36 @@
   }
 
   private async waitForTransaction(holder: Transaction): Promise<void> {
-    const transaction = this.explicit ?? this.implicit;
+    const transaction = this.transactions.getCurrent();
     if (transaction?.wouldDeadlock(holder) === true) {
       throw SqlError.create(SQL_STATE.deadlockDetected, 'deadlock detected');
     }
     transaction?.setWaitsFor(holder);
-    const {lockTimeoutMs} = this.core.getLimits();
     try {
-      await this.wait(done => {
-        const stopListening = holder.onEnd(done);
-        const stopTimer = this.core.startTimer(lockTimeoutMs, () =>
-          this.abortWait?.(
-            SqlError.create(
-              SQL_STATE.lockNotAvailable,
-              'canceling statement due to lock timeout',
-            ),
-          ),
-        );
-        return () => {
-          stopListening();
-          stopTimer();
-        };
-      });
+      await this.wait.wait(done => this.startLockWait(holder, done));
     } finally {
       transaction?.setWaitsFor(null);
     }
   }
 
-  /** Waits for one event; a cancel, a lock timeout or the end rejects. */
-  private wait(start: (done: () => void) => () => void): Promise<void> {
-    return new Promise((resolve, reject) => {
-      let stop: () => void = () => {};
-      this.abortWait = error => {
-        this.abortWait = null;
-        stop();
-        reject(error);
-      };
-      stop = start(() => {
-        this.abortWait = null;
-        stop();
-        resolve();
-      });
-    });
+  private startLockWait(holder: Transaction, done: () => void): () => void {
+    const {lockTimeoutMs} = this.core.getLimits();
+    const stopListening = holder.onEnd(done);
+    const stopTimer = this.core.startTimer(lockTimeoutMs, () =>
+      this.wait.abort(
+        SqlError.create(
+          SQL_STATE.lockNotAvailable,
+          'canceling statement due to lock timeout',
+        ),
+      ),
+    );
+    return () => {
+      stopListening();
+      stopTimer();
+    };
   }
 }
 
-interface AnswerShape {
-  readonly isStreamed: boolean;
-  /** Rows changed; null when the rows of the answer are counted; undefined for none. */
-  readonly affectedRows: number | null | undefined;
-}
-
-const COMMAND_SHAPE: AnswerShape = {
-  isStreamed: false,
-  affectedRows: undefined,
-};
-
-const SELECT_SHAPE: AnswerShape = {isStreamed: false, affectedRows: null};
-
 function isSleep(body: PlanBody): boolean {
   return body.kind === 'select' && body.sleep !== null;
 }
--- a/packages/standin/src/expression.ts
+++ b/packages/standin/src/expression.ts
@@ -1,4 +1,6 @@
 import type {DataTypeDef, Expr, ExprBinary, ExprUnary} from 'pgsql-ast-parser';
+import {calculate, getArithmeticType, requireNumber} from './arithmetic.js';
+import type {CompiledExpression, EvaluationContext, Scope} from './scope.js';
 import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import {
   compareValues,
@@ -15,65 +17,6 @@
  * parameters.
  */
 
-/** What an expression can refer to besides the row. @internal */
-export interface EvaluationContext {
-  readonly parameters: readonly SqlValue[];
-  /** Process identifier that the connection reported at its start. */
-  readonly processId: number;
-}
-
-/** A compiled expression. @internal */
-export interface CompiledExpression {
-  /** Null for a literal or parameter whose type nothing states. */
-  readonly type: SqlType | null;
-  /** Column name that an answer gives the value. */
-  readonly name: string;
-  evaluate(row: Row, context: EvaluationContext): SqlValue;
-}
-
-/** A column that an expression may name. @internal */
-export interface ScopeColumn {
-  readonly name: string;
-  readonly type: SqlType;
-}
-
-/** What the expressions of a statement may name. @internal */
-export class Scope {
-  /** Types of `$1`, `$2`, …; null where nothing has stated one yet. */
-  readonly parameterTypes: (SqlType | null)[] = [];
-
-  private constructor(
-    readonly relation: string | null,
-    readonly columns: readonly ScopeColumn[],
-  ) {}
-
-  static create(
-    relation: string | null,
-    columns: readonly ScopeColumn[],
-  ): Scope {
-    return new Scope(relation, columns);
-  }
-
-  getColumnIndex(name: string, relation: string | null): number {
-    const isOtherRelation = relation !== null && relation !== this.relation;
-    const index = this.columns.findIndex(column => column.name === name);
-    if (index === -1 || isOtherRelation) {
-      throw SqlError.create(
-        SQL_STATE.undefinedColumn,
-        `column "${name}" does not exist`,
-      );
-    }
-    return index;
-  }
-
-  noteParameter(index: number, type: SqlType | null): void {
-    while (this.parameterTypes.length <= index) {
-      this.parameterTypes.push(null);
-    }
-    this.parameterTypes[index] ??= type;
-  }
-}
-
 /** Largest number of a parameter, as in the wire protocol. */
 const MAX_PARAMETERS = 65_535;
 
@@ -342,33 +285,6 @@
   };
 }
 
-function getArithmeticType(
-  left: SqlType | null,
-  right: SqlType | null,
-): SqlType {
-  if (left === 'float8' || right === 'float8') {
-    return 'float8';
-  }
-  return left === 'int8' || right === 'int8' ? 'int8' : 'int4';
-}
-
-function calculate(operator: string, left: number, right: number): number {
-  switch (operator) {
-    case '+':
-      return left + right;
-    case '-':
-      return left - right;
-    case '*':
-      return left * right;
-    default:
-      break;
-  }
-  if (right === 0) {
-    throw SqlError.create(SQL_STATE.divisionByZero, 'division by zero');
-  }
-  return operator === '/' ? left / right : left % right;
-}
-
 function compileConcatenation(
   expression: ExprBinary,
   scope: Scope,
@@ -395,13 +311,3 @@
   }
   throw createNotSupportedError(`The function ${name}`);
 }
-
-function requireNumber(value: boolean | number | string): number {
-  if (typeof value === 'number') {
-    return value;
-  }
-  throw SqlError.create(
-    SQL_STATE.datatypeMismatch,
-    'The operand is not a number',
-  );
-}
--- a/packages/standin/src/group_functions.ts
+++ b/packages/standin/src/group_functions.ts
@@ -1,5 +1,6 @@
 import type {FromCall} from 'pgsql-ast-parser';
-import {Scope, compileExpression} from './expression.js';
+import {compileExpression} from './expression.js';
+import {Scope} from './scope.js';
 import {SQL_STATE, SqlError} from './sql_error.js';
 import type {SqlType} from './sql_value.js';
 import type {OutputColumn, StatementPlan} from './statement_plan.js';
--- a/packages/standin/src/portal.ts
+++ b/packages/standin/src/portal.ts
@@ -1,4 +1,4 @@
-import type {Answer} from './database_connection.js';
+import type {Answer} from './answer.js';
 import type {FieldDescription} from './message_writer.js';
 import type {Row, SqlValue, WireFormat} from './sql_value.js';
 import type {OutputColumn, StatementPlan} from './statement_plan.js';
--- a/packages/standin/src/replication_core.ts
+++ b/packages/standin/src/replication_core.ts
@@ -19,6 +19,7 @@
   ReplicationMessage,
 } from './replication_message.js';
 import {ReplicaProgress} from './replica_progress.js';
+import {TermConfirmations} from './term_confirmations.js';
 
 /**
  * Terms, log and replication of one instance of a database group, without
@@ -47,12 +48,6 @@
   readonly getReplicationLagMs?: (replica: BackendServerId) => number;
 }
 
-interface PendingConfirmation {
-  readonly ticket: number;
-  /** An answer to a message of this sequence or a later one counts. */
-  readonly sequence: number;
-}
-
 /** Terms, log and replication of one instance. @public */
 export class ReplicationCore<Change> {
   private role: InstanceRole = 'replica';
@@ -64,8 +59,7 @@
   private progress: ReadonlyMap<BackendServerId, ReplicaProgress> = new Map();
   private majority: LogPosition = ORIGIN_POSITION;
   private nextSequence = 1;
-  private nextTicket = 1;
-  private confirmations: PendingConfirmation[] = [];
+  private readonly confirmations = TermConfirmations.create();
   private effects: ReplicationEffect<Change>[] = [];
 
   private constructor(private readonly options: ReplicationCoreOptions) {}
@@ -185,8 +179,7 @@
 
   /** Asks a majority to answer in this term; `termConfirmed` repeats the ticket. */
   startConfirmation(): number {
-    const ticket = this.nextTicket++;
-    this.confirmations.push({ticket, sequence: this.nextSequence});
+    const ticket = this.confirmations.add(this.nextSequence);
     this.settleConfirmations();
     return ticket;
   }
@@ -195,7 +188,7 @@
   restart(): void {
     this.effects = [];
     this.primaryHeardAtMs = null;
-    this.confirmations = [];
+    this.confirmations.clear();
     if (this.role === 'primary') {
       this.startLeading();
     }
@@ -225,9 +218,7 @@
     if (this.role !== 'primary') {
       return;
     }
-    const mustProbe = this.confirmations.some(
-      pending => pending.sequence === this.nextSequence,
-    );
+    const mustProbe = this.confirmations.isWaitingFor(this.nextSequence);
     const sequence = this.nextSequence++;
     for (const [replica, progress] of this.progress) {
       this.sendDue(replica, progress, sequence, mustProbe);
@@ -282,7 +273,7 @@
     this.role = 'replica';
     this.progress = new Map();
     this.majority = ORIGIN_POSITION;
-    this.confirmations = [];
+    this.confirmations.clear();
     if (primary !== this.primary) {
       this.primary = primary;
       this.primaryHeardAtMs = null;
@@ -381,7 +372,7 @@
     }
     this.becomeReplica(message.term, message.claimId, message.from);
     this.primaryHeardAtMs = this.options.clock.nowMs();
-    const hintPosition = this.findMismatch(message.previous);
+    const hintPosition = this.log.findMismatch(message.previous);
     const {from, term, sequence} = message;
     const self = this.options.backendServer;
     if (hintPosition !== null) {
@@ -394,63 +385,23 @@
       });
       return;
     }
-    const confirmed = this.takeRecords(message);
+    const {cut, added, matched} = this.log.merge(message);
+    for (const record of cut) {
+      this.effects.push({kind: 'undoRecord', record});
+    }
+    for (const record of added) {
+      this.effects.push({kind: 'applyRecord', record});
+    }
     this.dropHeldByAll(message.heldByAll);
     this.send(from, {
       kind: 'acknowledge',
       from: self,
       term,
       sequence,
-      confirmed,
+      confirmed: matched,
     });
   }
 
-  /** Null when the log contains `previous`, else where the primary tries next. */
-  private findMismatch(previous: LogPosition): number | null {
-    if (previous.position < this.log.getBase().position) {
-      // The dropped prefix is held by all, so it equals the primary's.
-      return null;
-    }
-    const termThere = this.log.getTermAt(previous.position);
-    if (termThere === null) {
-      return this.getEnd().position;
-    }
-    if (termThere === previous.term) {
-      return null;
-    }
-    return this.log.getPositionBeforeTermOf(previous.position);
-  }
-
-  /** Takes the records of a message and returns the last place that matches. */
-  private takeRecords(message: AppendMessage<Change>): LogPosition {
-    let matched = message.previous;
-    for (const record of message.records) {
-      matched = {term: record.term, position: record.position};
-      if (record.position <= this.log.getBase().position) {
-        continue;
-      }
-      const termThere = this.log.getTermAt(record.position);
-      if (termThere === record.term) {
-        continue;
-      }
-      if (termThere !== null) {
-        this.cutFrom(record.position, termThere, message.term);
-      }
-      this.log.append(record);
-      this.effects.push({kind: 'applyRecord', record});
-    }
-    return matched;
-  }
-
-  private cutFrom(position: number, termThere: number, term: number): void {
-    if (termThere >= term) {
-      throw new Error(`A record of term ${termThere} is not cut in ${term}`);
-    }
-    for (const record of this.log.truncateFrom(position)) {
-      this.effects.push({kind: 'undoRecord', record});
-    }
-  }
-
   private handleAcknowledge(message: AcknowledgeMessage): void {
     const progress = this.findProgress(message);
     if (progress === null) {
@@ -503,19 +454,10 @@
 
   private settleConfirmations(): void {
     const required = Math.floor((this.options.peers.length + 1) / 2);
-    const unsettled: PendingConfirmation[] = [];
-    for (const pending of this.confirmations) {
-      let answers = 0;
-      for (const progress of this.progress.values()) {
-        answers += progress.getAnsweredSequence() >= pending.sequence ? 1 : 0;
-      }
-      if (answers < required) {
-        unsettled.push(pending);
-        continue;
-      }
-      this.effects.push({kind: 'termConfirmed', ticket: pending.ticket});
+    const replicas = this.progress.values();
+    for (const ticket of this.confirmations.takeSettled(replicas, required)) {
+      this.effects.push({kind: 'termConfirmed', ticket});
     }
-    this.confirmations = unsettled;
   }
 
   private dropHeldByAll(position: number): void {
--- a/packages/standin/src/replication_log.ts
+++ b/packages/standin/src/replication_log.ts
@@ -20,6 +20,22 @@
   readonly appendedAtMs: number;
 }
 
+/** Records that a primary of a term sends. @public */
+export interface RecordBatch<Change> {
+  readonly term: number;
+  readonly previous: LogPosition;
+  readonly records: readonly LogRecord<Change>[];
+}
+
+/** How a log changed by a batch. @public */
+export interface MergeResult<Change> {
+  /** Records that were cut, last first. */
+  readonly cut: readonly LogRecord<Change>[];
+  readonly added: readonly LogRecord<Change>[];
+  /** Last place at which the log is known to equal the primary's. */
+  readonly matched: LogPosition;
+}
+
 /** The log of one instance. @public */
 export class ReplicationLog<Change> {
   private records: LogRecord<Change>[] = [];
@@ -95,4 +111,61 @@
     }
     return before;
   }
+
+  /**
+   * Null when the log contains `previous`, else the position after which a
+   * primary tries next.
+   */
+  findMismatch(previous: LogPosition): number | null {
+    if (previous.position < this.base.position) {
+      // The dropped prefix is held by all, so it equals the primary's.
+      return null;
+    }
+    const termThere = this.getTermAt(previous.position);
+    if (termThere === null) {
+      return this.getEnd().position;
+    }
+    if (termThere === previous.term) {
+      return null;
+    }
+    return this.getPositionBeforeTermOf(previous.position);
+  }
+
+  /**
+   * Takes records that follow `previous`, which the log contains. Records that
+   * it holds already are passed over; one of another term is cut with all that
+   * follow, which only a newer term may do.
+   */
+  merge(batch: RecordBatch<Change>): MergeResult<Change> {
+    const cut: LogRecord<Change>[] = [];
+    const added: LogRecord<Change>[] = [];
+    let matched: LogPosition = batch.previous;
+    for (const record of batch.records) {
+      matched = {term: record.term, position: record.position};
+      if (record.position <= this.base.position) {
+        continue;
+      }
+      const termThere = this.getTermAt(record.position);
+      if (termThere === record.term) {
+        continue;
+      }
+      if (termThere !== null) {
+        cut.push(...this.cutFrom(record.position, termThere, batch.term));
+      }
+      this.append(record);
+      added.push(record);
+    }
+    return {cut, added, matched};
+  }
+
+  private cutFrom(
+    position: number,
+    termThere: number,
+    term: number,
+  ): readonly LogRecord<Change>[] {
+    if (termThere >= term) {
+      throw new Error(`A record of term ${termThere} is not cut in ${term}`);
+    }
+    return this.truncateFrom(position);
+  }
 }
--- /dev/null
+++ b/packages/standin/src/row_access.ts
@@ -0,0 +1,101 @@
+import type {RowKey, Table} from './database.js';
+import type {EvaluationContext} from './scope.js';
+import type {Row, SqlValue} from './sql_value.js';
+import type {OutputColumn, RowFilter} from './statement_plan.js';
+import type {Transaction} from './transaction.js';
+
+/**
+ * Finds rows as a transaction sees them: the committed ones with its own
+ * changes.
+ */
+
+/** Stands for the row of an expression that names no column. @internal */
+export const NO_ROW: Row = [];
+
+/** The row with a key as a transaction sees it, or null. @internal */
+export function getVisibleRow(
+  table: Table,
+  key: RowKey,
+  transaction: Transaction | null,
+): Row | null {
+  const staged = transaction?.getOverlay(table.definition.name)?.get(key);
+  return staged === undefined ? (table.rows.get(key) ?? null) : staged;
+}
+
+/** The rows that match a filter as a transaction sees them. @internal */
+export function findRows(
+  table: Table,
+  filter: RowFilter,
+  transaction: Transaction | null,
+  context: EvaluationContext,
+): readonly Row[] {
+  if (filter.keyLookup !== null) {
+    const row = findRowByKey(table, filter, transaction, context);
+    return row !== null && matchesAll(filter, row, context) ? [row] : [];
+  }
+  const overlay = transaction?.getOverlay(table.definition.name) ?? null;
+  const found: Row[] = [];
+  for (const [key, row] of table.rows) {
+    const isStaged = overlay?.has(key) ?? false;
+    if (!isStaged && matchesAll(filter, row, context)) {
+      found.push(row);
+    }
+  }
+  for (const row of overlay?.values() ?? []) {
+    if (row !== null && matchesAll(filter, row, context)) {
+      found.push(row);
+    }
+  }
+  return found;
+}
+
+function findRowByKey(
+  table: Table,
+  filter: RowFilter,
+  transaction: Transaction | null,
+  context: EvaluationContext,
+): Row | null {
+  const values: SqlValue[] = [];
+  for (const expression of filter.keyLookup ?? []) {
+    values.push(expression.evaluate(NO_ROW, context));
+  }
+  const [only] = values;
+  const key =
+    values.length === 1 && only !== undefined ? only : JSON.stringify(values);
+  return getVisibleRow(table, key, transaction);
+}
+
+/** Whether a row matches every predicate of a filter. @internal */
+export function matchesAll(
+  filter: RowFilter,
+  row: Row,
+  context: EvaluationContext,
+): boolean {
+  for (const predicate of filter.predicates) {
+    if (predicate.evaluate(row, context) !== true) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/** Computes the columns of an answer for each row. @internal */
+export function project(
+  rows: readonly Row[],
+  columns: readonly OutputColumn[],
+  context: EvaluationContext,
+): readonly Row[] {
+  if (columns.length === 0) {
+    return [];
+  }
+  return rows.map(row => projectRow(row, columns, context));
+}
+
+/** Computes the columns of an answer for one row. @internal */
+export function projectRow(
+  row: Row,
+  columns: readonly OutputColumn[],
+  context: EvaluationContext,
+): Row {
+  return columns.map(column => column.expression.evaluate(row, context));
+}
--- a/packages/standin/src/select_compiler.ts
+++ b/packages/standin/src/select_compiler.ts
@@ -5,7 +5,8 @@
   SelectFromStatement,
 } from 'pgsql-ast-parser';
 import type {Database} from './database.js';
-import {Scope, compileExpression} from './expression.js';
+import {compileExpression} from './expression.js';
+import {Scope} from './scope.js';
 import {compileGroupCall, isGroupFunction} from './group_functions.js';
 import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import {
--- a/packages/standin/src/statement_compiler.ts
+++ b/packages/standin/src/statement_compiler.ts
@@ -15,11 +15,8 @@
 } from './clause_compiler.js';
 import {compileCreateTable} from './create_table_compiler.js';
 import type {Database, Table} from './database.js';
-import {
-  Scope,
-  compileExpression,
-  type CompiledExpression,
-} from './expression.js';
+import {compileExpression} from './expression.js';
+import {Scope, type CompiledExpression} from './scope.js';
 import {compileSelect} from './select_compiler.js';
 import {SQL_STATE, SqlError, createNotSupportedError} from './sql_error.js';
 import type {PlanBody, StatementPlan} from './statement_plan.js';
--- a/packages/standin/src/statement_plan.ts
+++ b/packages/standin/src/statement_plan.ts
@@ -1,4 +1,4 @@
-import type {CompiledExpression} from './expression.js';
+import type {CompiledExpression} from './scope.js';
 import type {Table, TableDefinition} from './database.js';
 import type {SqlType} from './sql_value.js';
 import type {UtilityStatement} from './utility_statement.js';
--- a/packages/standin/src/testing/instance_fixture.ts
+++ b/packages/standin/src/testing/instance_fixture.ts
@@ -1,6 +1,6 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {Answer} from '../answer.js';
 import type {
-  Answer,
   ConnectionListener,
   DatabaseConnection,
 } from '../database_connection.js';
