--- a/packages/standin/src/database_connection.ts
+++ b/packages/standin/src/database_connection.ts
@@ -25,7 +25,7 @@
   StatementPlan,
 } from './statement_plan.js';
 import type {Transaction} from './transaction.js';
-import type {UtilityStatement} from './utility_statement.js';
+import {UtilityExecutor} from './utility_executor.js';
 
 /** Told of what happens to a connection outside of its statements. @internal */
 export interface ConnectionListener {
@@ -53,8 +53,8 @@
  */
 export class DatabaseConnection {
   readonly parameters: SessionParameters;
-  readonly channels = new Set<string>();
   private readonly transactions: ConnectionTransactions;
+  private readonly utilities: UtilityExecutor;
   private readonly wait = ConnectionWait.create();
   private holdsSlot = false;
   private isClosed = false;
@@ -68,6 +68,11 @@
   ) {
     this.parameters = SessionParameters.create(startupParameters);
     this.transactions = ConnectionTransactions.create(core);
+    this.utilities = UtilityExecutor.create(
+      core,
+      this.parameters,
+      this.transactions,
+    );
   }
 
   /** Called by the instance, which counts its connections. */
@@ -87,6 +92,10 @@
     );
   }
 
+  isListening(channel: string): boolean {
+    return this.utilities.isListening(channel);
+  }
+
   getTransactionStatus(): TransactionStatus {
     return this.transactions.getStatus();
   }
@@ -104,7 +113,7 @@
     const {body} = plan;
     this.checkNotFailed(body);
     if (body.kind === 'utility') {
-      return this.runUtility(body.statement);
+      return this.utilities.run(body.statement);
     }
     if (body.kind === 'empty') {
       return createCommandAnswer('', this.core.getPosition());
@@ -332,14 +341,14 @@
     }
     const {database} = this.core;
     if (plan.ifNotExists && database.findTable(definition.name) !== null) {
-      return this.createCommandAnswer('CREATE TABLE');
+      return createCommandAnswer('CREATE TABLE', this.core.getPosition());
     }
     checkTableIsNew(database, definition.name);
     this.commitImplicit();
     const position = this.core.appendCommit([
       {kind: 'createTable', definition},
     ]);
-    return this.createCommandAnswer('CREATE TABLE', position);
+    return createCommandAnswer('CREATE TABLE', position, position);
   }
 
   private runGroupCall(
@@ -359,83 +368,6 @@
     );
   }
 
-  private runUtility(statement: UtilityStatement): Answer {
-    switch (statement.kind) {
-      case 'begin':
-        return this.begin();
-      case 'commit':
-        return this.endExplicit(this.transactions.getStatus() !== 'E');
-      case 'rollback':
-        return this.endExplicit(false);
-      case 'set':
-        this.parameters.set(
-          statement.parameter,
-          statement.value,
-          statement.isLocal,
-        );
-        return this.createCommandAnswer('SET');
-      case 'setTransaction':
-        return this.createCommandAnswer('SET');
-      case 'show':
-        return {
-          ...this.createCommandAnswer('SHOW'),
-          rows: [[this.parameters.get(statement.parameter)]],
-        };
-      case 'reset':
-        return this.reset(statement.parameter);
-      case 'discard':
-        this.parameters.resetAll();
-        this.channels.clear();
-        return this.createCommandAnswer('DISCARD ALL');
-      case 'listen':
-        this.channels.add(statement.channel);
-        return this.createCommandAnswer('LISTEN');
-      case 'unlisten':
-        this.unlisten(statement.channel);
-        return this.createCommandAnswer('UNLISTEN');
-      case 'deallocate':
-        return this.createCommandAnswer('DEALLOCATE');
-    }
-  }
-
-  private begin(): Answer {
-    if (this.transactions.begin()) {
-      this.parameters.handleBegin();
-    }
-    return this.createCommandAnswer('BEGIN');
-  }
-
-  private endExplicit(isCommitted: boolean): Answer {
-    this.parameters.handleEnd(isCommitted);
-    const position = this.transactions.end(isCommitted);
-    const tag = isCommitted ? 'COMMIT' : 'ROLLBACK';
-    return this.createCommandAnswer(tag, position);
-  }
-
-  private reset(parameter: string | null): Answer {
-    if (parameter === null) {
-      this.parameters.resetAll();
-    } else {
-      this.parameters.set(parameter, null, false);
-    }
-    return this.createCommandAnswer('RESET');
-  }
-
-  private unlisten(channel: string | null): void {
-    if (channel === null) {
-      this.channels.clear();
-    } else {
-      this.channels.delete(channel);
-    }
-  }
-
-  private createCommandAnswer(
-    tag: string,
-    commitPosition: LogPosition | null = null,
-  ): Answer {
-    return createCommandAnswer(tag, this.core.getPosition(), commitPosition);
-  }
-
   private releaseSlot(): void {
     if (this.holdsSlot) {
       this.holdsSlot = false;
--- a/packages/standin/src/group_functions.ts
+++ b/packages/standin/src/group_functions.ts
@@ -1,8 +1,10 @@
+import type {InstanceStatus} from '@filbertrun/group/instance_control.js';
+import {formatPosition} from '@filbertrun/model/log_position.js';
 import type {FromCall} from 'pgsql-ast-parser';
 import {compileExpression} from './expression.js';
 import {Scope} from './scope.js';
 import {SQL_STATE, SqlError} from './sql_error.js';
-import type {SqlType} from './sql_value.js';
+import type {Row, SqlType} from './sql_value.js';
 import type {OutputColumn, StatementPlan} from './statement_plan.js';
 
 /**
@@ -91,3 +93,23 @@
     expression: {type, name, evaluate: row => row[index] ?? null},
   }));
 }
+
+/** The status of an instance as `group_status` answers it. @internal */
+export function createStatusRow(status: InstanceStatus): Row {
+  const silentMs = status.primarySilentForMs;
+  const replicas = status.replicas.map(replica => ({
+    backendServer: replica.backendServer,
+    confirmed: formatPosition(replica.confirmed),
+    silentForMs: Math.round(replica.silentForMs),
+  }));
+  return [
+    status.backendServer,
+    status.role,
+    status.term,
+    status.claimId,
+    formatPosition(status.position),
+    status.primary,
+    silentMs === null ? null : Math.round(silentMs),
+    JSON.stringify(replicas),
+  ];
+}
--- a/packages/standin/src/instance_core.ts
+++ b/packages/standin/src/instance_core.ts
@@ -1,16 +1,14 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {InstanceStatus} from '@filbertrun/group/instance_control.js';
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
-import {
-  formatPosition,
-  type LogPosition,
-} from '@filbertrun/model/log_position.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import {ConfirmationCalls} from './confirmation_calls.js';
 import {Database, type Commit} from './database.js';
 import {
   DatabaseConnection,
   type ConnectionListener,
 } from './database_connection.js';
+import {createStatusRow} from './group_functions.js';
 import {ReplicationCore} from './replication_core.js';
 import type {ReplicationMessage} from './replication_message.js';
 import {SlotGate} from './slot_gate.js';
@@ -48,9 +46,6 @@
   readonly defer: (callback: () => void) => void;
 }
 
-/** Longest wait for an answer of a replica. */
-const CONFIRMATION_TIMEOUT_MS = 1000;
-
 /** Claim under which a group starts. */
 const INITIAL_CLAIM_ID = 'initial';
 
@@ -64,13 +59,6 @@
   handleTerminated: () => {},
 };
 
-interface PendingConfirmation {
-  readonly end: LogPosition;
-  readonly timer: Timer;
-  resolve(row: Row): void;
-  reject(error: SqlError): void;
-}
-
 /**
  * One instance of a database group without sockets: storage, locks,
  * replication and connections. Time comes from its clock.
@@ -84,7 +72,7 @@
   readonly slots: SlotGate;
   readonly replication: ReplicationCore<Commit>;
   private readonly connections = new Map<number, DatabaseConnection>();
-  private readonly confirmations = new Map<number, PendingConfirmation>();
+  private readonly confirmations: ConfirmationCalls;
   private limits: InstanceLimits;
   private nextProcessId = 1;
   private executedStatements = 0;
@@ -98,6 +86,10 @@
     this.limits = options.limits;
     this.slots = SlotGate.create(options.limits.slots);
     this.replication = ReplicationCore.create(options);
+    this.confirmations = ConfirmationCalls.create(
+      this.replication,
+      options.clock,
+    );
   }
 
   static create(options: InstanceOptions): InstanceCore {
@@ -284,7 +276,7 @@
       connection.listener.handleTerminated(error);
       connection.close();
     }
-    this.rejectConfirmations(error);
+    this.confirmations.rejectAll(error);
   }
 
   /** Starts again with its log, term and role. */
@@ -311,25 +303,10 @@
 
   private confirmTerm(): Promise<Row> {
     this.checkPrimary();
-    const end = this.replication.getEnd();
-    return new Promise((resolve, reject) => {
-      const ticket = this.replication.startConfirmation();
-      const timer = this.options.clock.startTimer(
-        CONFIRMATION_TIMEOUT_MS,
-        () => {
-          this.confirmations.delete(ticket);
-          reject(
-            SqlError.create(
-              SQL_STATE.queryCanceled,
-              'no replica confirmed the term in time',
-            ),
-          );
-        },
-      );
-      this.confirmations.set(ticket, {end, timer, resolve, reject});
-      this.runEffects();
-      this.scheduleTick();
-    });
+    const confirmed = this.confirmations.start();
+    this.runEffects();
+    this.scheduleTick();
+    return confirmed;
   }
 
   private scheduleTick(): void {
@@ -388,7 +365,7 @@
           this.notifyMajority(effect.majority);
           break;
         case 'termConfirmed':
-          this.settleConfirmation(effect.ticket);
+          this.confirmations.settle(effect.ticket);
           break;
       }
     }
@@ -401,7 +378,7 @@
     }
     this.wasPrimary = isPrimary;
     if (!isPrimary) {
-      this.rejectConfirmations(
+      this.confirmations.rejectAll(
         SqlError.create(
           SQL_STATE.readOnlyTransaction,
           'the primary was replaced',
@@ -421,45 +398,4 @@
       connection.listener.handleMajority(majority);
     }
   }
-
-  private settleConfirmation(ticket: number): void {
-    const pending = this.confirmations.get(ticket);
-    if (pending === undefined) {
-      return;
-    }
-    this.confirmations.delete(ticket);
-    pending.timer.cancel();
-    pending.resolve([
-      this.replication.getTerm(),
-      formatPosition(pending.end),
-      formatPosition(this.replication.getMajority()),
-    ]);
-  }
-
-  private rejectConfirmations(error: SqlError): void {
-    for (const pending of this.confirmations.values()) {
-      pending.timer.cancel();
-      pending.reject(error);
-    }
-    this.confirmations.clear();
-  }
-}
-
-function createStatusRow(status: InstanceStatus): Row {
-  const silentMs = status.primarySilentForMs;
-  const replicas = status.replicas.map(replica => ({
-    backendServer: replica.backendServer,
-    confirmed: formatPosition(replica.confirmed),
-    silentForMs: Math.round(replica.silentForMs),
-  }));
-  return [
-    status.backendServer,
-    status.role,
-    status.term,
-    status.claimId,
-    formatPosition(status.position),
-    status.primary,
-    silentMs === null ? null : Math.round(silentMs),
-    JSON.stringify(replicas),
-  ];
 }
--- /dev/null
+++ b/packages/standin/src/utility_executor.ts
@@ -0,0 +1,107 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import {createCommandAnswer, type Answer} from './answer.js';
+import type {ConnectionTransactions} from './connection_transactions.js';
+import type {InstanceCore} from './instance_core.js';
+import type {SessionParameters} from './session_parameters.js';
+import type {UtilityStatement} from './utility_statement.js';
+
+/** Runs the statements that control a session or its transaction. @internal */
+export class UtilityExecutor {
+  private readonly channels = new Set<string>();
+
+  private constructor(
+    private readonly core: InstanceCore,
+    private readonly parameters: SessionParameters,
+    private readonly transactions: ConnectionTransactions,
+  ) {}
+
+  static create(
+    core: InstanceCore,
+    parameters: SessionParameters,
+    transactions: ConnectionTransactions,
+  ): UtilityExecutor {
+    return new UtilityExecutor(core, parameters, transactions);
+  }
+
+  isListening(channel: string): boolean {
+    return this.channels.has(channel);
+  }
+
+  /** Runs a statement that controls the session or its transaction. */
+  run(statement: UtilityStatement): Answer {
+    switch (statement.kind) {
+      case 'begin':
+        return this.begin();
+      case 'commit':
+        return this.endExplicit(this.transactions.getStatus() !== 'E');
+      case 'rollback':
+        return this.endExplicit(false);
+      case 'set':
+        this.parameters.set(
+          statement.parameter,
+          statement.value,
+          statement.isLocal,
+        );
+        return this.createCommandAnswer('SET');
+      case 'setTransaction':
+        return this.createCommandAnswer('SET');
+      case 'show':
+        return {
+          ...this.createCommandAnswer('SHOW'),
+          rows: [[this.parameters.get(statement.parameter)]],
+        };
+      case 'reset':
+        return this.reset(statement.parameter);
+      case 'discard':
+        this.parameters.resetAll();
+        this.channels.clear();
+        return this.createCommandAnswer('DISCARD ALL');
+      case 'listen':
+        this.channels.add(statement.channel);
+        return this.createCommandAnswer('LISTEN');
+      case 'unlisten':
+        this.unlisten(statement.channel);
+        return this.createCommandAnswer('UNLISTEN');
+      case 'deallocate':
+        return this.createCommandAnswer('DEALLOCATE');
+    }
+  }
+
+  private begin(): Answer {
+    if (this.transactions.begin()) {
+      this.parameters.handleBegin();
+    }
+    return this.createCommandAnswer('BEGIN');
+  }
+
+  private endExplicit(isCommitted: boolean): Answer {
+    this.parameters.handleEnd(isCommitted);
+    const position = this.transactions.end(isCommitted);
+    const tag = isCommitted ? 'COMMIT' : 'ROLLBACK';
+    return this.createCommandAnswer(tag, position);
+  }
+
+  private reset(parameter: string | null): Answer {
+    if (parameter === null) {
+      this.parameters.resetAll();
+    } else {
+      this.parameters.set(parameter, null, false);
+    }
+    return this.createCommandAnswer('RESET');
+  }
+
+  private unlisten(channel: string | null): void {
+    if (channel === null) {
+      this.channels.clear();
+    } else {
+      this.channels.delete(channel);
+    }
+  }
+
+  private createCommandAnswer(
+    tag: string,
+    commitPosition: LogPosition | null = null,
+  ): Answer {
+    return createCommandAnswer(tag, this.core.getPosition(), commitPosition);
+  }
+}
--- a/packages/standin/src/wire_session.ts
+++ b/packages/standin/src/wire_session.ts
@@ -120,7 +120,7 @@
 
   handleMajority(majority: LogPosition): void {
     const {connection} = this;
-    if (connection?.channels.has(MAJORITY_CHANNEL) !== true) {
+    if (connection?.isListening(MAJORITY_CHANNEL) !== true) {
       return;
     }
     this.writer.writeNotification(
