Keep control within its bytes when all proxies start together

On virtual time 60 proxies that started together spent 23.2 kB/s on the busiest node: each one gossiped every other's new life. Only changes of state are gossiped now, nothing learned from the list or from whole tables is, a heartbeat names the configuration by its version alone, and a neighbour that sends its own heartbeat needs none.

--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -53,6 +53,9 @@
 
 type ConfigurationListener = (configuration: Configuration) => void;
 
+/** Longest delay before the first poll, so that proxies that start together spread. */
+const START_JITTER_MS = 300;
+
 /** Longest wait for answers at the start while the platform is silent. */
 const START_TIMEOUT_MS = 3000;
 
@@ -143,8 +146,8 @@
   }
 
   /** Takes note of the version that a peer holds and fetches a newer one. */
-  handleAnnouncement(entryVm: EntryVmId, name: VersionName): void {
-    if (this.isDisposed || !isNewer(name.version, this.getHeld())) {
+  handleAnnouncement(entryVm: EntryVmId, version: number): void {
+    if (this.isDisposed || version === 0 || !isNewer(version, this.getHeld())) {
       return;
     }
     const source = this.options.peers.getSource(entryVm);
@@ -189,7 +192,10 @@
       this.notifyIfReady(() => this.actor.send({type: 'allAnswered'}));
     });
     void this.askPeersAtStart();
-    void this.poll();
+    const delayMs = START_JITTER_MS * this.options.random.nextFloat();
+    this.pollTimer = this.options.clock.startTimer(delayMs, () => {
+      void this.poll();
+    });
   }
 
   private async askPeersAtStart(): Promise<void> {
--- a/packages/membership/src/gossip_queue.ts
+++ b/packages/membership/src/gossip_queue.ts
@@ -11,7 +11,7 @@
 export type GossipQueue = ReadonlyMap<EntryVmId, number>;
 
 /** Messages for a change, times the logarithm of the number of members. */
-const SENDS_PER_DOUBLING = 3;
+const SENDS_PER_DOUBLING = 2;
 
 /** Adds a change; it replaces an older one of the same member. @public */
 export function addGossip(
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -15,6 +15,8 @@
   readonly changedAtMs: number;
   /** When the member was last heard from directly; null when never. */
   readonly heardAtMs: number | null;
+  /** When a heartbeat of the member last arrived; null when none did. */
+  readonly requestedAtMs: number | null;
   /** When this proxy began to send it heartbeats; null while it does not. */
   readonly watchedSinceMs: number | null;
 }
@@ -48,10 +50,11 @@
     return table;
   }
   const isNewLife = record.incarnation !== held.record.incarnation;
+  const isSameState = record.state === held.record.state;
   return setEntry(table, {
     ...held,
     record,
-    changedAtMs: nowMs,
+    changedAtMs: isSameState ? held.changedAtMs : nowMs,
     watchedSinceMs: isNewLife ? null : held.watchedSinceMs,
   });
 }
@@ -69,6 +72,18 @@
   return setEntry(table, {...entry, heardAtMs});
 }
 
+/** Notes that a heartbeat of a member arrived. @public */
+export function noteRequested(
+  table: MemberTable,
+  entryVm: EntryVmId,
+  requestedAtMs: number,
+): MemberTable {
+  const entry = table.get(entryVm);
+  return entry === undefined
+    ? table
+    : setEntry(table, {...entry, requestedAtMs});
+}
+
 /** Notes which members this proxy sends heartbeats to. @public */
 export function noteWatched(
   table: MemberTable,
@@ -107,7 +122,12 @@
   return records;
 }
 
-/** Hash of the present members, the same on proxies that agree on them. @public */
+/**
+ * Hash of the present members, the same on proxies that agree on them.
+ * Incarnations are left out: only neighbours need to know them.
+ *
+ * @public
+ */
 export function computeDigest(self: MemberRecord, table: MemberTable): number {
   let digest = hashRecord(self);
   for (const {record} of table.values()) {
@@ -126,14 +146,19 @@
   if (known !== undefined) {
     return known;
   }
-  const {entryVm, incarnation, state} = record;
-  const hash = computeHash(`${entryVm} ${incarnation} ${state}`);
+  const hash = computeHash(`${record.entryVm} ${record.state}`);
   recordHashes.set(record, hash);
   return hash;
 }
 
 function createEntry(record: MemberRecord, nowMs: number): MemberEntry {
-  return {record, changedAtMs: nowMs, heardAtMs: null, watchedSinceMs: null};
+  return {
+    record,
+    changedAtMs: nowMs,
+    heardAtMs: null,
+    requestedAtMs: null,
+    watchedSinceMs: null,
+  };
 }
 
 function setEntry(table: MemberTable, entry: MemberEntry): MemberTable {
--- a/packages/membership/src/membership_core.ts
+++ b/packages/membership/src/membership_core.ts
@@ -16,6 +16,7 @@
   isPresent,
   mergeRecord,
   noteHeard,
+  noteRequested,
   noteWatched,
   type MemberEntry,
   type MemberTable,
@@ -42,6 +43,9 @@
 /** Heartbeats that a neighbour may leave unanswered before it is inquired about. */
 const MISSED_HEARTBEATS = 3;
 
+/** Intervals for which a neighbour's own heartbeat stands for one to it. */
+const COVERED_INTERVALS = 1.2;
+
 /** Time after which an unconfirmed suspicion stands. */
 const UNCONFIRMED_DEAD_AFTER_MS = 10_000;
 
@@ -173,7 +177,8 @@
     case 'messageReceived':
       return handleMessage(state, event);
     case 'recordsReceived':
-      return mergeRecords(state, event.records, event.nowMs);
+      // The others read the list and each other's tables themselves.
+      return mergeRecords(state, event.records, event.nowMs, false);
     case 'voteReceived':
       return handleVote(state, event);
     case 'leaveStarted':
@@ -230,7 +235,7 @@
   const heartbeats: MembershipCommand[] = [];
   for (const entryVm of revived.state.neighbours) {
     const entry = revived.state.table.get(entryVm);
-    if (entry !== undefined) {
+    if (entry !== undefined && mustSend(revived.state, entry, nowMs)) {
       heartbeats.push(createHeartbeatCommand(entry.record));
     }
   }
@@ -245,6 +250,22 @@
   };
 }
 
+/**
+ * Whether a neighbour is due a heartbeat. One exchange in an interval tells
+ * both sides enough, so a neighbour that sends its own needs none.
+ */
+function mustSend(
+  state: MembershipState,
+  entry: MemberEntry,
+  nowMs: number,
+): boolean {
+  if (state.joinedAtMs === null || entry.requestedAtMs === null) {
+    return true;
+  }
+  const coveredMs = getHeartbeatIntervalMs(state) * COVERED_INTERVALS;
+  return nowMs - entry.requestedAtMs >= coveredMs;
+}
+
 function handleMessage(
   state: MembershipState,
   event: Extract<MembershipEvent, {kind: 'messageReceived'}>,
@@ -257,11 +278,15 @@
     state,
     [message.sender, ...message.updates],
     nowMs,
+    true,
   );
+  const {entryVm} = message.sender;
+  const table = noteHeard(merged.state.table, entryVm, nowMs);
+  const isRequest = event.askedAtMs === null;
   const heard: MembershipState = {
     ...merged.state,
-    table: noteHeard(merged.state.table, message.sender.entryVm, nowMs),
-    inquiries: removeKey(merged.state.inquiries, message.sender.entryVm),
+    table: isRequest ? noteRequested(table, entryVm, nowMs) : table,
+    inquiries: removeKey(merged.state.inquiries, entryVm),
   };
   // An answer to a question from before a pause proves no contact since.
   const isFreshAnswer =
@@ -281,6 +306,7 @@
   state: MembershipState,
   records: readonly MemberRecord[],
   nowMs: number,
+  mustPassOn: boolean,
 ): MembershipStep {
   let next = state;
   const commands: MembershipCommand[] = [];
@@ -289,9 +315,15 @@
       next = refuteIfNeeded(next, record, nowMs);
       continue;
     }
+    const held = next.table.get(record.entryVm)?.record;
     const table = mergeRecord(next.table, record, nowMs);
-    if (table !== next.table) {
-      next = noteChange({...next, table}, record.entryVm, nowMs);
+    if (table === next.table) {
+      continue;
+    }
+    next = {...next, table};
+    // Another life in the same state is of interest to neighbours alone.
+    if (held?.state !== record.state) {
+      next = mustPassOn ? noteChange(next, record.entryVm, nowMs) : next;
       commands.push({kind: 'memberChanged', record});
     }
   }
@@ -448,7 +480,7 @@
   }
   const record: MemberRecord = {...entry.record, state: 'dead'};
   const inquiries = removeKey(state.inquiries, subject);
-  return mergeRecords({...state, inquiries}, [record], nowMs);
+  return mergeRecords({...state, inquiries}, [record], nowMs, true);
 }
 
 function isSilent(
--- /dev/null
+++ b/packages/peer/src/control_fuzz_test.ts
@@ -0,0 +1,320 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {
+  createConfiguration,
+  createRequest,
+} from '@filbertrun/configuration/configuration_fixtures.js';
+import type {ConfigurationChange} from '@filbertrun/configuration/configuration_change.js';
+import {
+  readCurrent,
+  submitChange,
+} from '@filbertrun/configuration/submit_change.js';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {FakeControlCluster} from './fake_control_cluster.js';
+
+/**
+ * Stateful fuzzing of configuration and membership on virtual time. The
+ * oracle knows which object each version must be, the version that each
+ * process held last, and the answer to each change id.
+ */
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const NODES = [1, 2, 3, 4, 5];
+const SERVERS = ['group-a', 'group-b', 'group-c'];
+const INSTANCE = {databaseGroup: 'group', maxConnections: 20};
+
+/** Longest time after the last fault until all proxies agree. */
+const SETTLE_MS = 30_000;
+
+type Step =
+  | {readonly kind: 'pass'; readonly durationMs: number}
+  | {readonly kind: 'submit'; readonly server: string; readonly weight: number}
+  | {readonly kind: 'drain'; readonly server: string}
+  | {
+      readonly kind: 'submitThrough';
+      readonly node: number;
+      readonly server: string;
+    }
+  | {readonly kind: 'repeat'}
+  | {readonly kind: 'setOutage'; readonly isDown: boolean}
+  | {readonly kind: 'loseAnswer'}
+  | {readonly kind: 'setLatency'; readonly latencyMs: number}
+  | {readonly kind: 'restart'; readonly node: number; readonly downMs: number}
+  | {readonly kind: 'pause'; readonly node: number; readonly durationMs: number}
+  | {readonly kind: 'cutOneWay'; readonly from: number; readonly to: number}
+  | {readonly kind: 'partition'; readonly left: readonly number[]}
+  | {readonly kind: 'heal'};
+
+const nodeArbitrary = fc.constantFrom(...NODES);
+const serverArbitrary = fc.constantFrom(...SERVERS);
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('pass' as const),
+      durationMs: fc.integer({min: 1, max: 4000}),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('submit' as const),
+      server: serverArbitrary,
+      weight: fc.integer({min: 0, max: 100}),
+    }),
+  },
+  fc.record({kind: fc.constant('drain' as const), server: serverArbitrary}),
+  fc.record({
+    kind: fc.constant('submitThrough' as const),
+    node: nodeArbitrary,
+    server: serverArbitrary,
+  }),
+  fc.record({kind: fc.constant('repeat' as const)}),
+  fc.record({kind: fc.constant('setOutage' as const), isDown: fc.boolean()}),
+  fc.record({kind: fc.constant('loseAnswer' as const)}),
+  fc.record({
+    kind: fc.constant('setLatency' as const),
+    latencyMs: fc.constantFrom(0, 20, 1000),
+  }),
+  fc.record({
+    kind: fc.constant('restart' as const),
+    node: nodeArbitrary,
+    downMs: fc.integer({min: 0, max: 8000}),
+  }),
+  fc.record({
+    kind: fc.constant('pause' as const),
+    node: nodeArbitrary,
+    durationMs: fc.integer({min: 100, max: 12_000}),
+  }),
+  fc.record({
+    kind: fc.constant('cutOneWay' as const),
+    from: nodeArbitrary,
+    to: nodeArbitrary,
+  }),
+  fc.record({
+    kind: fc.constant('partition' as const),
+    left: fc.subarray(NODES, {minLength: 1, maxLength: 2}),
+  }),
+  fc.record({kind: fc.constant('heal' as const)}),
+);
+
+type ChangeOutcome = 'accepted' | 'unchanged' | 'refused' | 'unknown' | 'open';
+
+/** Runs a history and checks the promises at each step. */
+class ControlHistory {
+  private readonly cluster = FakeControlCluster.create(ZONES);
+  private readonly objectByVersion = new Map<number, string>();
+  private readonly heldVersions = new Map<object, number>();
+  private readonly outcomes = new Map<string, ChangeOutcome>();
+  private readonly versionByChange = new Map<string, number>();
+  private readonly pending: Promise<void>[] = [];
+  private lastChange: ConfigurationChange | null = null;
+  private changes = 0;
+
+  private constructor() {}
+
+  static async run(steps: readonly Step[]): Promise<void> {
+    const history = new ControlHistory();
+    await history.start();
+    for (const step of steps) {
+      await history.apply(step);
+      history.checkVersions();
+    }
+    await history.finish();
+  }
+
+  private async start(): Promise<void> {
+    const {databaseGroups} = createConfiguration('group');
+    this.submit(null, {kind: 'replaceDatabaseGroups', databaseGroups});
+    for (const node of NODES) {
+      this.cluster.start(node);
+    }
+    await this.pass(5000);
+    this.checkShares();
+  }
+
+  private async apply(step: Step): Promise<void> {
+    const {cluster} = this;
+    switch (step.kind) {
+      case 'pass':
+        return this.pass(step.durationMs);
+      case 'submit': {
+        const weights = [{backendServer: step.server, weight: step.weight}];
+        return this.submit(null, {kind: 'shiftLoad', weights});
+      }
+      case 'drain':
+        return this.submit(null, {
+          kind: 'drainBackendServer',
+          backendServer: step.server,
+        });
+      case 'submitThrough':
+        return this.submit(step.node, {
+          kind: 'undrainBackendServer',
+          backendServer: step.server,
+        });
+      case 'repeat':
+        return this.lastChange === null
+          ? undefined
+          : this.submit(null, this.lastChange, `change-${this.changes}`);
+      case 'setOutage':
+        return cluster.platform.setOutage(step.isDown);
+      case 'loseAnswer':
+        return cluster.platform.loseNextAnswer();
+      case 'setLatency':
+        return cluster.platform.setLatencyMs(step.latencyMs);
+      case 'restart':
+        cluster.kill(step.node);
+        await this.pass(step.downMs);
+        cluster.start(step.node);
+        return;
+      case 'pause': {
+        const {clock} = cluster.getNode(step.node);
+        clock.pause();
+        await this.pass(step.durationMs);
+        clock.resume();
+        return;
+      }
+      case 'cutOneWay':
+        return cluster.network.cut(getUrl(step.from), getUrl(step.to));
+      case 'partition':
+        return cluster.partition(
+          step.left,
+          NODES.filter(node => !step.left.includes(node)),
+        );
+      case 'heal':
+        return cluster.network.heal();
+    }
+  }
+
+  private submit(
+    node: number | null,
+    change: ConfigurationChange,
+    repeatedId: string | null = null,
+  ): void {
+    const changeId = repeatedId ?? `change-${++this.changes}`;
+    this.lastChange = change;
+    const request = createRequest(changeId, change);
+    const {platform, clock} = this.cluster;
+    const random = SeededRandom.create(this.changes);
+    const answered =
+      node === null
+        ? submitChange(request, {platform, clock, random})
+        : this.cluster
+            .getNode(node)
+            .control.createHandler()
+            .submitChange(request);
+    this.outcomes.set(changeId, this.outcomes.get(changeId) ?? 'open');
+    this.pending.push(
+      answered.then(answer => {
+        if (answer.ok) {
+          const {effect, version} = answer.value;
+          this.noteAccepted(changeId, effect, version);
+          return;
+        }
+        const isUnknown = answer.error.kind === 'outcomeUnknown';
+        const isOpen = this.outcomes.get(changeId) === 'open';
+        if (isOpen) {
+          this.outcomes.set(changeId, isUnknown ? 'unknown' : 'refused');
+        }
+      }),
+    );
+  }
+
+  private noteAccepted(
+    changeId: string,
+    effect: 'accepted' | 'repeated' | 'unchanged',
+    version: number,
+  ): void {
+    if (effect === 'unchanged') {
+      this.outcomes.set(changeId, 'unchanged');
+      return;
+    }
+    const before = this.versionByChange.get(changeId);
+    expect(before ?? version).toBe(version);
+    this.versionByChange.set(changeId, version);
+    this.outcomes.set(changeId, 'accepted');
+  }
+
+  private async pass(durationMs: number): Promise<void> {
+    await this.cluster.pass(durationMs);
+    this.checkVersions();
+  }
+
+  /** Versions never fall in a process, and each is one object everywhere. */
+  private checkVersions(): void {
+    for (const {control} of this.cluster.nodes.values()) {
+      const version = control.configuration.getVersion();
+      const before = this.heldVersions.get(control) ?? 0;
+      expect(version).toBeGreaterThanOrEqual(before);
+      this.heldVersions.set(control, version);
+      const name = control.configuration.getVersionName();
+      if (name !== null) {
+        const known = this.objectByVersion.get(name.version);
+        expect(known ?? name.objectName).toBe(name.objectName);
+        this.objectByVersion.set(name.version, name.objectName);
+      }
+    }
+  }
+
+  private checkShares(): void {
+    let sum = 0;
+    for (const {control} of this.cluster.nodes.values()) {
+      sum += control.membership.getShare(INSTANCE);
+    }
+    expect(sum).toBe(INSTANCE.maxConnections);
+  }
+
+  /** Ends every fault; then all agree, and each answer was the truth. */
+  private async finish(): Promise<void> {
+    this.cluster.platform.setOutage(false);
+    this.cluster.platform.setLatencyMs(0);
+    this.cluster.network.heal();
+    await this.pass(SETTLE_MS);
+    await Promise.all(this.pending);
+    const current = await readCurrent(this.cluster.platform);
+    const held = current.ok ? current.value.held : null;
+    for (const {control} of this.cluster.nodes.values()) {
+      expect(control.configuration.getCurrent()).toEqual(held?.configuration);
+      expect(control.mayTakeWork()).toBe(true);
+    }
+    this.checkOutcomes(held?.pointer?.changes ?? []);
+    this.checkShares();
+    this.cluster.dispose();
+  }
+
+  private checkOutcomes(
+    recorded: readonly {readonly changeId: string; readonly version: number}[],
+  ): void {
+    for (const [changeId, outcome] of this.outcomes) {
+      const entries = recorded.filter(entry => entry.changeId === changeId);
+      expect(entries.length).toBeLessThanOrEqual(1);
+      if (outcome === 'accepted') {
+        expect(entries[0]?.version).toBe(this.versionByChange.get(changeId));
+      }
+      if (outcome === 'refused') {
+        expect(entries).toEqual([]);
+      }
+    }
+  }
+}
+
+function getUrl(node: number): string {
+  return `http://entry-${node}:7000`;
+}
+
+/** Histories that a run of the tests tries; the environment can ask for more. */
+const HISTORIES = Number(process.env['CONTROL_FUZZ_RUNS'] ?? 40);
+const SEED = Number(process.env['CONTROL_FUZZ_SEED'] ?? 20261);
+
+describe('the control plane under faults', () => {
+  it('keeps its promises in random histories', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, {minLength: 1, maxLength: 25}),
+        steps => ControlHistory.run(steps),
+      ),
+      {seed: SEED, numRuns: HISTORIES, endOnFailure: true},
+    );
+  });
+});
--- a/packages/peer/src/control_plane.ts
+++ b/packages/peer/src/control_plane.ts
@@ -187,7 +187,7 @@
   ): Heartbeat {
     return {
       ...message,
-      configuration: this.configuration.getVersionName(),
+      configurationVersion: this.configuration.getVersion(),
       groupViewsDigest: this.groupViews.getDigest(),
     };
   }
@@ -200,10 +200,8 @@
 
   /** Takes what a peer says of its configuration and its group views. */
   private handlePeerState(heartbeat: Heartbeat): void {
-    const {sender, configuration, groupViewsDigest} = heartbeat;
-    if (configuration !== null) {
-      this.configuration.handleAnnouncement(sender.entryVm, configuration);
-    }
+    const {sender, configurationVersion, groupViewsDigest} = heartbeat;
+    this.configuration.handleAnnouncement(sender.entryVm, configurationVersion);
     const nowMs = this.options.clock.nowMs();
     const isDue =
       nowMs - this.lastViewsRequestAtMs >= VIEWS_REQUEST_INTERVAL_MS &&
--- a/packages/peer/src/fake_peer_handler.ts
+++ b/packages/peer/src/fake_peer_handler.ts
@@ -15,7 +15,7 @@
     incarnation: 1,
     state: 'live',
   },
-  configuration: null,
+  configurationVersion: 0,
   membersDigest: 0,
   groupViewsDigest: 0,
   updates: [],
--- a/packages/peer/src/peer_protocol.ts
+++ b/packages/peer/src/peer_protocol.ts
@@ -51,8 +51,11 @@
 export const heartbeatSchema = z
   .object({
     sender: memberRecordSchema,
-    /** Version that the sender holds; null while it holds none. */
-    configuration: versionNameSchema.nullable(),
+    /**
+     * Version that the sender holds, 0 while it holds none. The platform's
+     * table gives each version to one object, so the number names it.
+     */
+    configurationVersion: z.number().int().nonnegative(),
     /** Hash of the sender's member table. */
     membersDigest: z.number().int().nonnegative(),
     /** Hash of the sender's group views. */
