--- a/packages/completion/src/completion_plan.ts
+++ b/packages/completion/src/completion_plan.ts
@@ -53,9 +53,14 @@
 /** How a keyed request ended. @public */
 export type CompletionOutcome =
   /** Run now; the caller gets the answer to the request. */
-  | {readonly kind: 'executed'}
+  | {readonly kind: 'executed'; readonly position: LogPosition}
   /** Run before; the caller gets the recorded answer. */
-  | {readonly kind: 'replayed'; readonly answer: string}
+  | {
+      readonly kind: 'replayed';
+      readonly answer: string;
+      /** Place that covers the record, or null when the instance gave none. */
+      readonly position: LogPosition | null;
+    }
   /** The request failed with its own error and left nothing behind. */
   | {readonly kind: 'failed'}
   | {readonly kind: 'requestKeyReused'}
@@ -189,7 +194,10 @@
       // Whether a commit that answers with an error took effect is not known.
       return finish({kind: 'unknown'});
     }
-    return this.prove(commit.position, {kind: 'executed'});
+    return this.prove(commit.position, {
+      kind: 'executed',
+      position: commit.position,
+    });
   }
 
   /** The commit of a failed transaction rolls it back. */
@@ -240,7 +248,11 @@
     if (!this.rules.isSameStatement(recordedHash ?? '', statementHash)) {
       return finish({kind: 'requestKeyReused'});
     }
-    const outcome = {kind: 'replayed', answer: recordedAnswer ?? ''} as const;
+    const outcome = {
+      kind: 'replayed',
+      answer: recordedAnswer ?? '',
+      position: answer.position,
+    } as const;
     if (answer.position === null || !this.rules.mustProveReplay()) {
       return finish(outcome);
     }
--- a/packages/completion/src/completion_plan_test.ts
+++ b/packages/completion/src/completion_plan_test.ts
@@ -61,7 +61,7 @@
     expect(step).toEqual({kind: 'waitForMajority', position: PLACE});
     expect(plan.handleMajority(true)).toEqual({
       kind: 'finish',
-      outcome: {kind: 'executed'},
+      outcome: {kind: 'executed', position: PLACE},
     });
   });
 
--- a/packages/completion/src/completion_rules.ts
+++ b/packages/completion/src/completion_rules.ts
@@ -9,7 +9,8 @@
   protected constructor() {}
 
   static create(): CompletionRules {
-    return new CompletionRules();
+    // A subclass of the mutation run creates itself.
+    return new this();
   }
 
   /** Whether the request writes its record in its own transaction. */
--- /dev/null
+++ b/packages/fuzz/src/booking_oracle.ts
@@ -0,0 +1,145 @@
+import {
+  formatPosition,
+  isCovered,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+
+/**
+ * What must hold of bookings, kept apart from the code under test: a map of
+ * acknowledged bookings with their time and session, and the bookings that
+ * were reported as not run.
+ */
+
+/** A broken promise. @public */
+export interface Violation {
+  readonly rule: string;
+  readonly detail: string;
+}
+
+interface Acknowledgement {
+  readonly timeMs: number;
+  readonly position: LogPosition;
+  readonly session: number;
+}
+
+/** The oracle of one history. @public */
+export class BookingOracle {
+  private readonly acknowledged = new Map<string, Acknowledgement>();
+  private readonly notRun = new Set<string>();
+  private readonly found: Violation[] = [];
+
+  private constructor() {}
+
+  static create(): BookingOracle {
+    return new BookingOracle();
+  }
+
+  get violations(): readonly Violation[] {
+    return this.found;
+  }
+
+  get acknowledgedCount(): number {
+    return this.acknowledged.size;
+  }
+
+  report(rule: string, detail: string): void {
+    this.found.push({rule, detail});
+  }
+
+  /** Takes an acknowledgement; `holders` is how many instances hold the booking now. */
+  acknowledge(
+    bookingId: string,
+    session: number,
+    timeMs: number,
+    position: LogPosition,
+    holders: number,
+    majority: number,
+  ): void {
+    if (!this.acknowledged.has(bookingId)) {
+      this.acknowledged.set(bookingId, {timeMs, position, session});
+    }
+    if (holders < majority) {
+      this.report(
+        'acknowledged without majority',
+        `${bookingId} is held by ${holders}`,
+      );
+    }
+  }
+
+  isAcknowledged(bookingId: string): boolean {
+    return this.acknowledged.has(bookingId);
+  }
+
+  /** Takes the final answer "not run" for a booking that is never sent again. */
+  noteNotRun(bookingId: string): void {
+    this.notRun.add(bookingId);
+  }
+
+  /** Bookings acknowledged to a session so far. */
+  getOfSession(session: number): readonly string[] {
+    const bookings: string[] = [];
+    for (const [bookingId, entry] of this.acknowledged) {
+      if (entry.session === session) {
+        bookings.push(bookingId);
+      }
+    }
+    return bookings;
+  }
+
+  /** Bookings acknowledged no later than `timeMs`. */
+  getUntil(timeMs: number): readonly string[] {
+    const bookings: string[] = [];
+    for (const [bookingId, entry] of this.acknowledged) {
+      if (entry.timeMs <= timeMs) {
+        bookings.push(bookingId);
+      }
+    }
+    return bookings;
+  }
+
+  /** Checks that a read saw what it had to see. */
+  checkRead(
+    rule: string,
+    expected: readonly string[],
+    seen: ReadonlySet<string>,
+  ): void {
+    for (const bookingId of expected) {
+      if (!seen.has(bookingId)) {
+        this.report(rule, `${bookingId} is missing`);
+        return;
+      }
+    }
+  }
+
+  /** Checks that a place covers all that was acknowledged until `timeMs`. */
+  checkFreshPosition(timeMs: number, fresh: LogPosition): void {
+    for (const [bookingId, entry] of this.acknowledged) {
+      if (entry.timeMs <= timeMs && !isCovered(entry.position, fresh)) {
+        this.report(
+          'freshness',
+          `${bookingId} is not covered by ${formatPosition(fresh)}`,
+        );
+        return;
+      }
+    }
+  }
+
+  /** Checks the data of the group after the history. */
+  checkFinal(
+    bookingIds: readonly string[],
+    getCount: (bookingId: string) => number,
+  ): void {
+    for (const bookingId of bookingIds) {
+      const count = getCount(bookingId);
+      if (count > 1) {
+        this.report('run more than once', `${bookingId}: ${count} times`);
+      }
+      if (count === 0 && this.acknowledged.has(bookingId)) {
+        this.report('acknowledged booking lost', bookingId);
+      }
+      if (count > 0 && this.notRun.has(bookingId)) {
+        this.report('run after "not run"', bookingId);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/fuzz/src/group_history.ts
@@ -0,0 +1,355 @@
+import {SessionFloors} from '@filbertrun/session/session_floors.js';
+import type {ReadRequirement} from '@filbertrun/routing/read_route.js';
+import {BookingOracle, type Violation} from './booking_oracle.js';
+import {beginFault} from './group_faults.js';
+import {
+  ACTIVE_MS,
+  INSTANCE_NAMES,
+  PROXY_COUNT,
+  SESSION_COUNT,
+  type GroupScenario,
+  type OperationStep,
+} from './group_scenario.js';
+import {GroupWorld} from './group_world.js';
+import type {HistoryRules} from './path_rules.js';
+import type {ReadAnswer} from './simulated_connection.js';
+import {
+  DATABASE_GROUP,
+  type KeyedWrite,
+  type WriteOutcome,
+} from './simulated_proxy.js';
+
+/** How a history ended. @public */
+export interface HistoryResult {
+  readonly violations: readonly Violation[];
+  readonly story: readonly string[];
+  readonly acknowledgedCount: number;
+  readonly highestTerm: number;
+}
+
+/** Time for the group to elect a primary before callers begin. */
+const WARM_UP_MS = 400;
+
+/** Time for running faults to end and requests to be given up. */
+const COOL_DOWN_MS = 2200;
+
+/** Time in which a healed group must take writes again. */
+const RECOVERY_MS = 3500;
+
+/** Time that a caller gives a write. */
+const WRITE_LIMIT_MS = 1500;
+
+/** Ages that age reads ask for. */
+const READ_AGES_MS = [300, 600, 1200] as const;
+
+/** Tolerance of the oracle for times on clocks that run apart. */
+const CLOCK_TOLERANCE_MS = 1;
+
+const MAJORITY = 2;
+
+/**
+ * Runs one history of a database group and judges it by the oracle.
+ *
+ * @public
+ */
+export class GroupHistory {
+  private readonly world: GroupWorld;
+  private readonly oracle = BookingOracle.create();
+  private readonly sessions: SessionFloors[] = [];
+  private readonly firstTokens: SessionFloors[] = [];
+  private readonly keyedWrites: KeyedWrite[] = [];
+  private readonly bookingIds: string[] = [];
+  private readonly terms = new WeakMap<object, number>();
+
+  private constructor(
+    private readonly scenario: GroupScenario,
+    private readonly rules: HistoryRules,
+  ) {
+    this.world = GroupWorld.create(scenario, rules);
+    for (let session = 0; session < SESSION_COUNT; session++) {
+      this.sessions.push(SessionFloors.createEmpty());
+      this.firstTokens.push(SessionFloors.createEmpty());
+    }
+  }
+
+  static run(
+    scenario: GroupScenario,
+    rules: HistoryRules,
+  ): Promise<HistoryResult> {
+    return new GroupHistory(scenario, rules).run();
+  }
+
+  private async run(): Promise<HistoryResult> {
+    await this.world.run(WARM_UP_MS);
+    for (const step of this.scenario.steps) {
+      this.world.clock.startTimer(step.atMs, () => {
+        if (step.kind === 'operation') {
+          void this.operate(step);
+          return;
+        }
+        const endFault = beginFault(this.world, step);
+        this.world.clock.startTimer(step.durationMs, endFault);
+      });
+    }
+    await this.world.run(ACTIVE_MS + COOL_DOWN_MS);
+    this.world.heal();
+    this.world.tell('all faults end');
+    await this.world.run(RECOVERY_MS);
+    await this.checkRecovery();
+    this.checkFinal();
+    this.world.dispose();
+    return {
+      violations: this.oracle.violations,
+      story: this.world.story,
+      acknowledgedCount: this.oracle.acknowledgedCount,
+      highestTerm: this.getHighestTerm(),
+    };
+  }
+
+  private operate(step: OperationStep): Promise<void> | void {
+    this.checkTerm(step.proxy);
+    switch (step.operation) {
+      case 'write':
+        return this.write(step);
+      case 'keyedWrite':
+        return this.writeKeyed(step, this.createKeyedWrite());
+      case 'repeatKey':
+        return this.repeatKey(step);
+      case 'reuseKey':
+        return this.reuseKey(step);
+      case 'sessionRead':
+        return this.readSession(step);
+      case 'ageRead':
+        return this.readAge(step);
+      case 'strictRead':
+        return this.readStrict(step);
+      case 'oldToken':
+        return this.giveOldToken(step);
+      case 'changePrimary':
+        return this.changePrimary(step);
+    }
+  }
+
+  /** The term that a running proxy believes in never goes back. */
+  private checkTerm(proxy: number): void {
+    const {manager} = this.world.getProxy(proxy);
+    const term = manager.getTerm();
+    if (term < (this.terms.get(manager) ?? 0)) {
+      this.oracle.report('term went back', `proxy ${proxy + 1}: ${term}`);
+    }
+    this.terms.set(manager, term);
+  }
+
+  private async write(step: OperationStep): Promise<void> {
+    const bookingId = this.createBookingId();
+    const proxy = this.world.getProxy(step.proxy);
+    const outcome = await proxy.write(bookingId, WRITE_LIMIT_MS);
+    this.noteOutcome(step, bookingId, outcome);
+    if (outcome.kind === 'notRun') {
+      this.oracle.noteNotRun(bookingId);
+    }
+  }
+
+  private async writeKeyed(
+    step: OperationStep,
+    write: KeyedWrite,
+  ): Promise<void> {
+    const proxy = this.world.getProxy(step.proxy);
+    const outcome = await proxy.writeKeyed(write, WRITE_LIMIT_MS);
+    this.noteOutcome(step, write.bookingId, outcome);
+    if (outcome.kind === 'requestKeyReused') {
+      this.oracle.report('key taken for another statement', write.bookingId);
+    }
+  }
+
+  private async repeatKey(step: OperationStep): Promise<void> {
+    const write = this.keyedWrites[step.choice % this.keyedWrites.length];
+    if (write !== undefined) {
+      await this.writeKeyed(step, write);
+    }
+  }
+
+  /** Uses a key again with another statement; only one of both may ever run. */
+  private async reuseKey(step: OperationStep): Promise<void> {
+    const write = this.keyedWrites[step.choice % this.keyedWrites.length];
+    if (write === undefined) {
+      return;
+    }
+    const wasAcknowledged = this.oracle.isAcknowledged(write.bookingId);
+    const other = {
+      ...write,
+      statementHash: 'other',
+      bookingId: `${write.bookingId}-other`,
+    };
+    if (!wasAcknowledged) {
+      return;
+    }
+    const proxy = this.world.getProxy(step.proxy);
+    const outcome = await proxy.writeKeyed(other, WRITE_LIMIT_MS);
+    if (outcome.kind === 'acknowledged') {
+      this.oracle.report('reused key acknowledged', other.bookingId);
+    }
+  }
+
+  private async readSession(step: OperationStep): Promise<void> {
+    const expected = this.oracle.getOfSession(step.session);
+    const floor = this.getFloor(step.session);
+    const answer = await this.read(step, {kind: 'session', floor});
+    if (answer !== null) {
+      this.oracle.checkRead('read-your-writes', expected, answer.bookings);
+    }
+  }
+
+  private async readAge(step: OperationStep): Promise<void> {
+    const maxAgeMs = READ_AGES_MS[step.choice % READ_AGES_MS.length] ?? 300;
+    const floor = this.getFloor(step.session);
+    this.checkFreshness(step.proxy, maxAgeMs);
+    const answer = await this.read(step, {kind: 'age', floor, maxAgeMs});
+    if (answer === null) {
+      return;
+    }
+    this.oracle.checkRead(
+      'age',
+      this.oracle.getUntil(this.getTimeBefore(step.proxy, maxAgeMs)),
+      answer.bookings,
+    );
+  }
+
+  /** The place that a proxy holds to be fresh must cover what is older. */
+  private checkFreshness(proxy: number, maxAgeMs: number): void {
+    const {manager} = this.world.getProxy(proxy);
+    const fresh = manager.getFreshPosition(maxAgeMs);
+    if (fresh !== null) {
+      const timeMs = this.getTimeBefore(proxy, maxAgeMs);
+      this.oracle.checkFreshPosition(timeMs, fresh);
+    }
+  }
+
+  /** The time that lies `durationMs` of a proxy's clock back. */
+  private getTimeBefore(proxy: number, durationMs: number): number {
+    const clock = this.world.getProxyClock(proxy);
+    const baseMs = clock.toBaseMs(durationMs);
+    return this.world.clock.nowMs() - baseMs - CLOCK_TOLERANCE_MS;
+  }
+
+  private async readStrict(step: OperationStep): Promise<void> {
+    const expected = this.oracle.getUntil(this.world.clock.nowMs());
+    const answer = await this.read(step, {kind: 'strict'});
+    if (answer !== null) {
+      this.oracle.checkRead('strict read', expected, answer.bookings);
+    }
+  }
+
+  private read(
+    step: OperationStep,
+    requirement: ReadRequirement,
+  ): Promise<ReadAnswer | null> {
+    return this.world.getProxy(step.proxy).read(requirement);
+  }
+
+  /** A caller comes back with the token of its first write. */
+  private giveOldToken(step: OperationStep): void {
+    const known = this.sessions[step.session] ?? SessionFloors.createEmpty();
+    const received =
+      this.firstTokens[step.session] ?? SessionFloors.createEmpty();
+    this.sessions[step.session] = this.rules.path.mergeFloors(known, received);
+  }
+
+  private async changePrimary(step: OperationStep): Promise<void> {
+    const target = INSTANCE_NAMES[step.choice % INSTANCE_NAMES.length] ?? 'a';
+    this.world.tell(`an operator asks for ${target} as primary`);
+    await this.world.getProxy(step.proxy).manager.changePrimary(target);
+  }
+
+  private noteOutcome(
+    step: OperationStep,
+    bookingId: string,
+    outcome: WriteOutcome,
+  ): void {
+    this.world.tell(
+      `${this.world.getProxyName(step.proxy)}: ${bookingId} ${outcome.kind}`,
+    );
+    if (outcome.kind !== 'acknowledged') {
+      return;
+    }
+    this.oracle.acknowledge(
+      bookingId,
+      step.session,
+      this.world.clock.nowMs(),
+      outcome.position,
+      this.world.countHolders(bookingId),
+      MAJORITY,
+    );
+    const floors = (
+      this.sessions[step.session] ?? SessionFloors.createEmpty()
+    ).raise(DATABASE_GROUP, outcome.position);
+    this.sessions[step.session] = floors;
+    if (this.firstTokens[step.session]?.size === 0) {
+      this.firstTokens[step.session] = floors;
+    }
+  }
+
+  private getFloor(session: number) {
+    const floors = this.sessions[session] ?? SessionFloors.createEmpty();
+    return floors.get(DATABASE_GROUP);
+  }
+
+  private createBookingId(): string {
+    const bookingId = `booking-${this.bookingIds.length + 1}`;
+    this.bookingIds.push(bookingId);
+    return bookingId;
+  }
+
+  private createKeyedWrite(): KeyedWrite {
+    const bookingId = this.createBookingId();
+    const write = {
+      requestKey: `key-${bookingId}`,
+      statementHash: `hash-${bookingId}`,
+      bookingId,
+    };
+    this.keyedWrites.push(write);
+    return write;
+  }
+
+  /** Each proxy must take a write again once all faults have ended. */
+  private async checkRecovery(): Promise<void> {
+    for (let proxy = 0; proxy < PROXY_COUNT; proxy++) {
+      const bookingId = this.createBookingId();
+      let outcome: WriteOutcome | null = null;
+      void this.world
+        .getProxy(proxy)
+        .write(bookingId, WRITE_LIMIT_MS)
+        .then(result => {
+          outcome = result;
+        });
+      for (let round = 0; round < 60 && outcome === null; round++) {
+        await this.world.run(50);
+      }
+      const kind = (outcome as WriteOutcome | null)?.kind ?? 'unanswered';
+      if (kind !== 'acknowledged') {
+        this.oracle.report('no recovery', `proxy ${proxy + 1}: ${kind}`);
+        return;
+      }
+    }
+  }
+
+  private checkFinal(): void {
+    const primary = this.world.getPrimaryName();
+    if (primary === null) {
+      this.oracle.report('no recovery', 'no primary');
+      return;
+    }
+    const store = this.world.getInstance(primary).getStore();
+    this.oracle.checkFinal(this.bookingIds, bookingId =>
+      store.getCount(bookingId),
+    );
+  }
+
+  private getHighestTerm(): number {
+    let highest = 0;
+    for (const instance of this.world.getInstances()) {
+      highest = Math.max(highest, instance.getStatus().term);
+    }
+    return highest;
+  }
+}
--- /dev/null
+++ b/packages/fuzz/src/run_fuzz.ts
@@ -0,0 +1,79 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import fc from 'fast-check';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {groupScenarioArbitrary, type GroupScenario} from './group_scenario.js';
+import {runHistory} from './history.js';
+import {createHistoryRules} from './path_rules.js';
+
+/**
+ * Fuzzes histories on virtual time against the oracle. A violation is shrunk,
+ * told as a story, and written to a file that `--replay` runs again.
+ */
+
+const DEFAULT_RUNS = 1000;
+const DEFAULT_SEED = 1;
+const FAILED_SCENARIO_PATH = 'fuzz-failure.json';
+
+const rules = createHistoryRules();
+
+async function replay(path: string): Promise<boolean> {
+  const scenario = JSON.parse(readFileSync(path, 'utf8')) as GroupScenario;
+  return tell(scenario);
+}
+
+/** Prints a history; false when it broke a promise. */
+async function tell(scenario: GroupScenario): Promise<boolean> {
+  const result = await runHistory(scenario, rules);
+  console.log(result.story.join('\n'));
+  for (const violation of result.violations) {
+    console.log(`VIOLATION ${violation.rule}: ${violation.detail}`);
+  }
+  return result.violations.length === 0;
+}
+
+async function fuzz(runs: number, seed: number): Promise<boolean> {
+  const startMs = performance.now();
+  let histories = 0;
+  let acknowledged = 0;
+  const details = await fc.check(
+    fc.asyncProperty(groupScenarioArbitrary, async scenario => {
+      const result = await runHistory(scenario, rules);
+      histories++;
+      acknowledged += result.acknowledgedCount;
+      return result.violations.length === 0;
+    }),
+    {numRuns: runs, seed, endOnFailure: false},
+  );
+  const seconds = (performance.now() - startMs) / 1000;
+  console.log(
+    `${histories} histories, ${acknowledged} acknowledged bookings, ` +
+      `seed ${seed}, ${seconds.toFixed(1)} s, ` +
+      (details.failed ? 'VIOLATION' : 'no violation'),
+  );
+  const [scenario] = details.counterexample ?? [];
+  if (scenario === undefined) {
+    return !details.failed;
+  }
+  writeFileSync(FAILED_SCENARIO_PATH, JSON.stringify(scenario, null, 2));
+  console.log(`Shrunk history (in ${FAILED_SCENARIO_PATH}):`);
+  await tell(scenario);
+  return false;
+}
+
+const settings = yargs(hideBin(process.argv))
+  .option('runs', {
+    type: 'number',
+    default: DEFAULT_RUNS,
+    describe: 'histories to run',
+  })
+  .option('seed', {type: 'number', default: DEFAULT_SEED})
+  .option('replay', {type: 'string', describe: 'file of one history'})
+  .strict()
+  .parseSync();
+
+const isClean =
+  settings.replay === undefined
+    ? await fuzz(settings.runs, settings.seed)
+    : await replay(settings.replay);
+process.exitCode = isClean ? 0 : 1;
--- /dev/null
+++ b/packages/fuzz/src/run_mutants.ts
@@ -0,0 +1,70 @@
+import fc from 'fast-check';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {groupScenarioArbitrary} from './group_scenario.js';
+import {runHistory} from './history.js';
+import {GROUP_MUTANTS, type Mutant} from './mutants.js';
+
+/**
+ * Switches off each safety rule in turn and fuzzes until the oracle notices.
+ * Ends with status 1 when a mutant goes unnoticed.
+ */
+
+const DEFAULT_RUNS = 2000;
+const DEFAULT_SEED = 7;
+
+interface Catch {
+  readonly histories: number;
+  readonly rule: string;
+}
+
+async function findViolation(
+  mutant: Mutant,
+  runs: number,
+  seed: number,
+): Promise<Catch | null> {
+  let histories = 0;
+  for (const scenario of fc.sample(groupScenarioArbitrary, {
+    numRuns: runs,
+    seed,
+  })) {
+    histories++;
+    const result = await runHistory(scenario, mutant.rules);
+    const [violation] = result.violations;
+    if (violation !== undefined) {
+      return {histories, rule: violation.rule};
+    }
+  }
+  return null;
+}
+
+const settings = yargs(hideBin(process.argv))
+  .option('runs', {
+    type: 'number',
+    default: DEFAULT_RUNS,
+    describe: 'histories for each mutant',
+  })
+  .option('seed', {type: 'number', default: DEFAULT_SEED})
+  .option('only', {type: 'string', describe: 'part of the name of a mutant'})
+  .strict()
+  .parseSync();
+
+let missed = 0;
+let total = 0;
+for (const mutant of GROUP_MUTANTS) {
+  if (settings.only !== undefined && !mutant.name.includes(settings.only)) {
+    continue;
+  }
+  total++;
+  const found = await findViolation(mutant, settings.runs, settings.seed);
+  if (found === null) {
+    missed++;
+    console.log(`MISSED  ${mutant.name} (${settings.runs} histories)`);
+    continue;
+  }
+  console.log(
+    `caught  ${mutant.name}: ${found.rule} after ${found.histories} histories`,
+  );
+}
+console.log(`${total - missed} of ${total} mutants caught`);
+process.exitCode = missed === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/fuzz/src/simulated_transaction.ts
@@ -0,0 +1,149 @@
+import type {
+  PlannedStatement,
+  StatementAnswer,
+} from '@filbertrun/completion/completion_plan.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {SimulatedStore, StoreOperation} from './simulated_store.js';
+
+/** What a transaction needs of its instance. @public */
+export interface TransactionHost {
+  isPrimary(): boolean;
+  getStore(): SimulatedStore;
+  getEnd(): LogPosition;
+  /** Whether another open transaction has inserted the key. */
+  isKeyInUse(requestKey: string, by: SimulatedTransaction): boolean;
+  commit(operations: readonly StoreOperation[]): LogPosition;
+}
+
+const INSERT_PATTERN = /VALUES \('(.*?)', '(.*?)', '(.*?)', \d+\)$/;
+const LOOKUP_PATTERN = /request_key = '(.*)'$/;
+
+/**
+ * The statements of one connection to a simulated instance: the few that the
+ * completion plan sends, and bookings.
+ *
+ * @public
+ */
+export class SimulatedTransaction {
+  private operations: StoreOperation[] = [];
+  private isOpen = false;
+  private isFailed = false;
+
+  private constructor(private readonly host: TransactionHost) {}
+
+  static create(host: TransactionHost): SimulatedTransaction {
+    return new SimulatedTransaction(host);
+  }
+
+  /** Runs one statement; `bookingId` is what the caller's own statement books. */
+  execute(statement: PlannedStatement, bookingId: string): StatementAnswer {
+    const sql = statement.kind === 'own' ? statement.sql : 'BOOK';
+    if (sql === 'ROLLBACK') {
+      this.abort();
+      return this.complete([]);
+    }
+    if (sql === 'COMMIT') {
+      return this.commit();
+    }
+    if (this.isFailed) {
+      return fail('25P02');
+    }
+    const answer = this.run(sql, bookingId);
+    this.isFailed = this.isOpen && answer.kind === 'failed';
+    return answer;
+  }
+
+  /** Whether this open transaction has inserted the key. */
+  holdsKey(requestKey: string): boolean {
+    return this.operations.some(
+      operation =>
+        operation.kind === 'record' && operation.requestKey === requestKey,
+    );
+  }
+
+  abort(): void {
+    this.operations = [];
+    this.isOpen = false;
+    this.isFailed = false;
+  }
+
+  private run(sql: string, bookingId: string): StatementAnswer {
+    if (sql === 'BEGIN') {
+      this.isOpen = true;
+      return this.complete([]);
+    }
+    if (sql.startsWith('SELECT')) {
+      return this.lookUp(LOOKUP_PATTERN.exec(sql)?.[1] ?? '');
+    }
+    if (!this.host.isPrimary()) {
+      return fail('25006');
+    }
+    if (sql.startsWith('INSERT')) {
+      return this.insertRecord(sql);
+    }
+    return this.book(bookingId);
+  }
+
+  private book(bookingId: string): StatementAnswer {
+    this.operations.push({kind: 'book', bookingId});
+    const storedAnswer = `booked ${bookingId}`;
+    if (this.isOpen) {
+      return this.complete([], storedAnswer);
+    }
+    return {...this.commitOperations(), storedAnswer};
+  }
+
+  private insertRecord(sql: string): StatementAnswer {
+    const match = INSERT_PATTERN.exec(sql);
+    const [, requestKey = '', statementHash = '', answer = ''] = match ?? [];
+    const isTaken =
+      this.host.getStore().getCompletion(requestKey) !== null ||
+      this.host.isKeyInUse(requestKey, this);
+    if (isTaken) {
+      return fail('23505');
+    }
+    this.operations.push({kind: 'record', requestKey, statementHash, answer});
+    return this.complete([]);
+  }
+
+  private lookUp(requestKey: string): StatementAnswer {
+    const record = this.host.getStore().getCompletion(requestKey);
+    return this.complete(
+      record === null ? [] : [[record.statementHash, record.answer]],
+    );
+  }
+
+  private commit(): StatementAnswer {
+    if (this.isFailed || !this.isOpen) {
+      this.abort();
+      return this.complete([]);
+    }
+    if (!this.host.isPrimary()) {
+      this.abort();
+      return fail('57P01');
+    }
+    return this.commitOperations();
+  }
+
+  private commitOperations(): Extract<StatementAnswer, {kind: 'completed'}> {
+    const position = this.host.commit(this.operations);
+    this.abort();
+    return {kind: 'completed', rows: [], position, storedAnswer: null};
+  }
+
+  private complete(
+    rows: readonly (readonly string[])[],
+    storedAnswer: string | null = null,
+  ): StatementAnswer {
+    return {
+      kind: 'completed',
+      rows,
+      position: this.host.getEnd(),
+      storedAnswer,
+    };
+  }
+}
+
+function fail(sqlState: string): StatementAnswer {
+  return {kind: 'failed', sqlState};
+}
--- a/packages/group/src/group_rules.ts
+++ b/packages/group/src/group_rules.ts
@@ -21,7 +21,8 @@
   protected constructor() {}
 
   static create(): GroupRules {
-    return new GroupRules();
+    // A subclass of the mutation run creates itself.
+    return new this();
   }
 
   /** Instances that must obey a term before it is in force. */
@@ -90,9 +91,4 @@
   getFreshnessTimeMs(round: RoundTimes): number {
     return round.startMs;
   }
-
-  /** Whether an unconfirmed status of a primary proves freshness. */
-  mayTrustUnconfirmedFreshness(): boolean {
-    return false;
-  }
 }
--- a/packages/group/src/instance_link.ts
+++ b/packages/group/src/instance_link.ts
@@ -114,8 +114,14 @@
     command: (control: InstanceControl) => Promise<Result<T, InstanceError>>,
   ): Promise<Result<T, InstanceError>> {
     const opened = await this.open();
-    const result = opened.ok ? await command(opened.value) : opened;
+    if (!opened.ok) {
+      return opened;
+    }
+    const result = await command(opened.value);
     this.report(result);
+    if (!result.ok && result.error.kind === 'unreachable') {
+      this.replace(opened.value);
+    }
     return result;
   }
 
@@ -204,11 +210,19 @@
   private countSilence(): void {
     this.silentPolls++;
     if (this.silentPolls >= SILENT_POLL_LIMIT && this.connection !== null) {
-      this.drop();
-      this.scheduleReconnect();
+      this.replace(this.connection);
     }
   }
 
+  /** Gives up a connection that does not serve and makes another. */
+  private replace(connection: InstanceConnection): void {
+    if (this.connection !== connection) {
+      return;
+    }
+    this.drop();
+    this.scheduleReconnect();
+  }
+
   private drop(): void {
     this.cancelReconnect();
     this.connection?.close();
--- /dev/null
+++ b/packages/group/src/instance_link_test.ts
@@ -0,0 +1,121 @@
+import {describe, expect, it} from 'vitest';
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {
+  InstanceConnection,
+  InstanceConnector,
+  InstanceEvent,
+} from './instance_connector.js';
+import type {InstanceError, InstanceStatus} from './instance_control.js';
+import {InstanceLink} from './instance_link.js';
+
+const STATUS: InstanceStatus = {
+  backendServer: 'a',
+  role: 'primary',
+  term: 1,
+  claimId: 'x',
+  position: {term: 1, position: 1},
+  primary: null,
+  primarySilentForMs: null,
+  replicas: [],
+};
+
+/** Connects at once; each connection answers as `answers` says. */
+class FakeConnector implements InstanceConnector {
+  connectCount = 0;
+  closesDuringConnect = false;
+  answers: Result<InstanceStatus, InstanceError> = success(STATUS);
+
+  async connect(
+    _server: unknown,
+    listener: (event: InstanceEvent) => void,
+  ): Promise<Result<InstanceConnection, InstanceError>> {
+    this.connectCount++;
+    const answers = this.answers;
+    if (this.closesDuringConnect) {
+      listener({kind: 'closed', reason: 'reset'});
+    }
+    const getStatus = async () => answers;
+    return success({
+      getStatus,
+      raiseTerm: getStatus,
+      promote: getStatus,
+      follow: getStatus,
+      confirmTerm: async () => failure({kind: 'timedOut'}),
+      close: () => {},
+    });
+  }
+}
+
+function createLink(connector: FakeConnector, clock: VirtualClock) {
+  const reports: string[] = [];
+  const link = InstanceLink.create({
+    server: {
+      backendServer: 'a',
+      availabilityZone: 'zone-1',
+      host: '127.0.0.1',
+      port: 1,
+      state: 'active',
+      weight: 100,
+      slots: 1,
+      maxConnections: 1,
+    },
+    connector,
+    clock,
+    random: SeededRandom.create(1),
+    listener: {
+      handleStatus: () => reports.push('status'),
+      handleFailure: (_server, health) => reports.push(health),
+      handleEvent: (_server, event) => reports.push(event.kind),
+    },
+  });
+  return {link, reports};
+}
+
+async function settle(): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve));
+}
+
+describe('InstanceLink', () => {
+  it('replaces a connection that broke while it was being made', async () => {
+    const clock = VirtualClock.create();
+    const connector = new FakeConnector();
+    connector.closesDuringConnect = true;
+    connector.answers = failure({kind: 'unreachable', reason: 'reset'});
+    const {link} = createLink(connector, clock);
+    link.setWanted(true);
+    await settle();
+    connector.closesDuringConnect = false;
+    connector.answers = success(STATUS);
+    await link.poll();
+    clock.advance(1000);
+    await settle();
+    expect((await link.poll()).ok).toBe(true);
+  });
+
+  it('replaces a connection that stays silent', async () => {
+    const clock = VirtualClock.create();
+    const connector = new FakeConnector();
+    connector.answers = failure({kind: 'timedOut'});
+    const {link, reports} = createLink(connector, clock);
+    link.setWanted(true);
+    await settle();
+    for (let poll = 0; poll < 3; poll++) {
+      await link.poll();
+    }
+    clock.advance(1000);
+    await settle();
+    expect(reports).toEqual(['silent', 'silent', 'silent']);
+    expect(connector.connectCount).toBe(2);
+  });
+
+  it('holds no connection that is not wanted', async () => {
+    const connector = new FakeConnector();
+    const {link} = createLink(connector, VirtualClock.create());
+    link.setWanted(true);
+    await settle();
+    link.setWanted(false);
+    expect(link.isConnected()).toBe(false);
+  });
+});
