Carry traffic between proxies through one relay for each VM

Proxies tell each other their own URLs, so the per-reader URLs in the list of VMs were used once only: in a trial with one zone cut off, its proxy still learned of a new primary.

--- a/packages/standin/src/standin_system.ts
+++ b/packages/standin/src/standin_system.ts
@@ -62,7 +62,7 @@
     this.platformServer = PlatformServer.create({
       platform: this.platform,
       network: this.network,
-      getPeerUrl: (vm, zone) => this.relay.getPeerUrl(vm, zone),
+      getRelayUrl: vm => this.relay.getRelayUrl(vm),
     });
     this.adminServer = AdminServer.create({
       runCommand: command => this.runCommand(command),
