Add the data path of the proxy and assemble its program

Callers speak the PostgreSQL protocol to a session that classifies each request and runs it: reads on a replica whose answer proves to cover the session, else on the primary; writes on the primary, acknowledged with a session token only when a majority holds the commit; strict reads only with a proof begun after the read was sent; keyed writes with their completion record. Answers are relayed frame by frame with back-pressure; connections go back to a pool only when proven clean.

The program joins the control plane: configuration, membership, connection shares and the group managers. The peer protocol gains probeInstance and holdWrites, which failover and planned changes need from other proxies.

--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -15,6 +15,11 @@
   | {readonly kind: 'unavailable'; readonly retryAfterMs: number}
   | {readonly kind: 'shuttingDown'; readonly retryAfterMs: number}
   | {readonly kind: 'outcomeUnknown'}
+  /** The connection of an open transaction ended, so nothing of it is kept. */
+  | {readonly kind: 'transactionLost'; readonly retryAfterMs: number}
+  /** A statement in a transaction that an earlier error ended. */
+  | {readonly kind: 'transactionFailed'}
+  | {readonly kind: 'unknownStatement'; readonly name: string}
   | {readonly kind: 'notSupported'; readonly feature: string}
   | {readonly kind: 'invalidToken'; readonly reason: string}
   | {readonly kind: 'invalidParameter'; readonly reason: string}
@@ -66,6 +71,27 @@
         hint: 'outcome=unknown',
         outcome: 'unknown',
       };
+    case 'transactionLost':
+      return createReport(
+        'ERROR',
+        '40001',
+        'The transaction was rolled back because its backend server was lost.',
+        error.retryAfterMs,
+      );
+    case 'transactionFailed':
+      return createReport(
+        'ERROR',
+        '25P02',
+        'The transaction has failed; statements are ignored until it ends.',
+        null,
+      );
+    case 'unknownStatement':
+      return createReport(
+        'ERROR',
+        '26000',
+        `Prepared statement "${error.name}" does not exist.`,
+        null,
+      );
     case 'notSupported':
       return createReport(
         'ERROR',
--- a/packages/peer/src/control_plane.ts
+++ b/packages/peer/src/control_plane.ts
@@ -6,7 +6,10 @@
   MembershipManager,
   type MembershipIdentity,
 } from '@filbertrun/membership/membership_manager.js';
-import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
+import type {
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {PlatformService} from '@filbertrun/platform/platform_service.js';
 import {GroupViewBoard} from './group_view_board.js';
@@ -17,6 +20,7 @@
   ChangePrimaryRequest,
   GroupView,
   Heartbeat,
+  InstanceHealth,
   PeerHandler,
   ProxyStatus,
   SuspicionAnswer,
@@ -34,6 +38,13 @@
 export interface GroupDelegate {
   /** What this proxy saw of the primary of a database group. */
   getSuspicion(databaseGroup: DatabaseGroupName, term: number): SuspicionAnswer;
+  /** How an instance looks from this proxy, probed anew. */
+  probeInstance(
+    databaseGroup: DatabaseGroupName,
+    backendServer: BackendServerId,
+  ): Promise<InstanceHealth>;
+  /** Holds new writes of a database group for a time; 0 releases them. */
+  holdWrites(databaseGroup: DatabaseGroupName, holdMs: number): void;
   /** Makes a planned change of primary. */
   changePrimary(request: ChangePrimaryRequest): Promise<ChangePrimaryAnswer>;
 }
@@ -150,6 +161,17 @@
       }),
       askSuspicion: async ({databaseGroup, term}) =>
         this.getOwnSuspicion(databaseGroup, term),
+      probeInstance: async ({databaseGroup, backendServer}) => ({
+        health:
+          (await this.groupDelegate?.probeInstance(
+            databaseGroup,
+            backendServer,
+          )) ?? 'unknown',
+      }),
+      holdWrites: async ({databaseGroup, holdMs}) => {
+        this.groupDelegate?.holdWrites(databaseGroup, holdMs);
+        return {};
+      },
       announceGroupViews: async ({views}) => {
         this.takeGroupViews(views, null);
         return {};
--- a/packages/peer/src/fake_peer_handler.ts
+++ b/packages/peer/src/fake_peer_handler.ts
@@ -40,6 +40,8 @@
       silentForMs: null,
       isSuspected: false,
     }),
+    probeInstance: async () => ({health: 'unknown'}),
+    holdWrites: async () => ({}),
     announceGroupViews: async () => ({}),
     getGroupViews: async () => [],
     announceConfiguration: async () => ({}),
--- a/packages/peer/src/peer_protocol.ts
+++ b/packages/peer/src/peer_protocol.ts
@@ -23,6 +23,9 @@
 /** Database groups that one message lists at most. */
 const MAX_GROUP_VIEWS = 2000;
 
+/** Longest time for which one message holds writes. */
+const MAX_HOLD_MS = 10_000;
+
 /** Longest body of a configuration, in characters. */
 const MAX_BODY_LENGTH = 8_000_000;
 
@@ -180,6 +183,9 @@
 
 const emptySchema = z.object({}).readonly();
 
+/** How an instance looks from a proxy. @public */
+export type InstanceHealth = 'healthy' | 'refused' | 'silent' | 'unknown';
+
 /** Who may call a procedure. @public */
 export type PeerRole = 'peer' | 'operator';
 
@@ -222,6 +228,27 @@
     output: suspicionAnswerSchema,
     role: 'peer',
   },
+  /** Asks how an instance looks from the receiver, probed anew. */
+  probeInstance: {
+    input: z
+      .object({databaseGroup: nameSchema, backendServer: nameSchema})
+      .readonly(),
+    output: z
+      .object({health: z.enum(['healthy', 'refused', 'silent', 'unknown'])})
+      .readonly(),
+    role: 'peer',
+  },
+  /** Asks the receiver to hold new writes for a time; 0 releases them. */
+  holdWrites: {
+    input: z
+      .object({
+        databaseGroup: nameSchema,
+        holdMs: z.number().nonnegative().max(MAX_HOLD_MS),
+      })
+      .readonly(),
+    output: emptySchema,
+    role: 'peer',
+  },
   announceGroupViews: {
     input: z
       .object({views: z.array(groupViewSchema).max(MAX_GROUP_VIEWS).readonly()})
--- /dev/null
+++ b/packages/proxy/src/caller/caller_lifecycle.ts
@@ -0,0 +1,64 @@
+import {createMachine, initialTransition, transition} from 'xstate';
+
+/**
+ * The lifecycle of a caller's connection. Statements cause no transition, so
+ * that they stay cheap.
+ */
+
+/** What happens to a connection. @public */
+export type CallerEvent =
+  | {readonly type: 'encryptionRequested'}
+  | {readonly type: 'startupReceived'}
+  | {readonly type: 'authenticated'}
+  | {readonly type: 'stopRequested'}
+  | {readonly type: 'closed'};
+
+/** Where a connection is in its life. @public */
+export type CallerPhase =
+  'awaitingStartup' | 'authenticating' | 'serving' | 'stopping' | 'closed';
+
+const machine = createMachine({
+  types: {} as {events: CallerEvent},
+  id: 'caller',
+  initial: 'awaitingStartup',
+  on: {closed: {target: '.closed'}},
+  states: {
+    awaitingStartup: {
+      on: {
+        encryptionRequested: {target: 'awaitingStartup'},
+        startupReceived: {target: 'authenticating'},
+        stopRequested: {target: 'stopping'},
+      },
+    },
+    authenticating: {
+      on: {
+        authenticated: {target: 'serving'},
+        stopRequested: {target: 'stopping'},
+      },
+    },
+    serving: {on: {stopRequested: {target: 'stopping'}}},
+    stopping: {},
+    closed: {type: 'final'},
+  },
+});
+
+const [INITIAL_SNAPSHOT] = initialTransition(machine);
+
+/** The lifecycle of one connection. @public */
+export class CallerLifecycle {
+  private snapshot = INITIAL_SNAPSHOT;
+
+  private constructor() {}
+
+  static create(): CallerLifecycle {
+    return new CallerLifecycle();
+  }
+
+  get phase(): CallerPhase {
+    return this.snapshot.value as CallerPhase;
+  }
+
+  send(event: CallerEvent): void {
+    [this.snapshot] = transition(machine, this.snapshot, event);
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/execution/captured_answer.ts
@@ -0,0 +1,128 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import {
+  readErrorResponse,
+  type BackendErrorFields,
+} from '@filbertrun/wire/backend_message_reader.js';
+import {ByteReader} from '@filbertrun/wire/byte_reader.js';
+import {
+  BackendMessage,
+  FRAME_HEADER_BYTES,
+} from '@filbertrun/wire/protocol_constants.js';
+import type {ExchangeHandler} from '../backend/exchange_handler.js';
+import type {AnswerPlan} from './answer_plan.js';
+
+/** A whole answer that is kept, not relayed. @public */
+export interface CapturedAnswer {
+  /** Frames that are the caller's, the error included. */
+  readonly frames: readonly Buffer[];
+  readonly position: LogPosition | null;
+  readonly error: BackendErrorFields | null;
+  /** Whether the connection ended first. */
+  readonly isLost: boolean;
+  /** Whether frames were left out because there were too many. */
+  readonly isCutOff: boolean;
+}
+
+/**
+ * Keeps one small answer whole.
+ *
+ * @public
+ */
+export class AnswerCapture implements ExchangeHandler {
+  private readonly frames: Buffer[] = [];
+  private bytes = 0;
+  private isCutOff = false;
+  private position: LogPosition | null = null;
+  private error: BackendErrorFields | null = null;
+  private resolve!: (answer: CapturedAnswer) => void;
+
+  /** Resolves when the answer has ended. */
+  readonly ended: Promise<CapturedAnswer>;
+
+  private constructor(
+    private readonly plan: AnswerPlan | null,
+    private readonly maxBytes: number,
+  ) {
+    this.ended = new Promise(resolve => {
+      this.resolve = resolve;
+    });
+  }
+
+  static create(plan: AnswerPlan | null, maxBytes: number): AnswerCapture {
+    return new AnswerCapture(plan, maxBytes);
+  }
+
+  handleFrame(type: number, buffer: Buffer, start: number, end: number): void {
+    if (type === BackendMessage.errorResponse) {
+      this.error ??= readErrorResponse(buffer, start, end);
+    }
+    this.keepInjected();
+    if (this.plan === null || this.plan.acceptFrame(type)) {
+      this.keep(buffer.subarray(start, end));
+    }
+    this.keepInjected();
+  }
+
+  handlePosition(position: LogPosition): void {
+    this.position = position;
+  }
+
+  handleChunkEnd(): void {}
+
+  handleReady(): void {
+    this.keepInjected();
+    this.finish(false);
+  }
+
+  handleLost(): void {
+    this.finish(true);
+  }
+
+  private keepInjected(): void {
+    for (;;) {
+      const frame = this.plan?.takeInjected() ?? null;
+      if (frame === null) {
+        return;
+      }
+      this.keep(frame);
+    }
+  }
+
+  private keep(frame: Buffer): void {
+    if (this.bytes + frame.length > this.maxBytes) {
+      this.isCutOff = true;
+      return;
+    }
+    this.bytes += frame.length;
+    this.frames.push(frame);
+  }
+
+  private finish(isLost: boolean): void {
+    const {frames, position, error, isCutOff} = this;
+    this.resolve({frames, position, error, isLost, isCutOff});
+  }
+}
+
+/** The rows of an answer in text form. @public */
+export function readTextRows(
+  answer: CapturedAnswer,
+): readonly (readonly (string | null)[])[] {
+  const rows: (readonly (string | null)[])[] = [];
+  for (const frame of answer.frames) {
+    if (frame[0] === BackendMessage.dataRow) {
+      rows.push(readTextRow(frame));
+    }
+  }
+  return rows;
+}
+
+function readTextRow(frame: Buffer): readonly (string | null)[] {
+  const reader = ByteReader.create(frame, FRAME_HEADER_BYTES, frame.length);
+  const count = reader.readInt16();
+  const values: (string | null)[] = [];
+  for (let index = 0; index < count && !reader.hasFailed(); index++) {
+    const length = reader.readInt32();
+    values.push(length < 0 ? null : reader.readBytes(length).toString());
+  }
+  return values;
+}
--- /dev/null
+++ b/packages/proxy/src/execution/connection_preparation.ts
@@ -0,0 +1,63 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {
+  readErrorResponse,
+  type BackendErrorFields,
+} from '@filbertrun/wire/backend_message_reader.js';
+import {BackendMessage} from '@filbertrun/wire/protocol_constants.js';
+import {serialize} from 'pg-protocol';
+import type {BackendConnection} from '../backend/backend_connection.js';
+import type {ExchangeHandler} from '../backend/exchange_handler.js';
+import {
+  createParameterChange,
+  type ParameterValues,
+} from '../session/session_parameters.js';
+
+/**
+ * Gives a connection the run-time parameters of a session. The statement
+ * itself is sent only after that succeeded.
+ *
+ * @public
+ */
+export async function applyParameters(
+  connection: BackendConnection,
+  parameters: ParameterValues,
+): Promise<Result<void, BackendErrorFields | null>> {
+  const change = createParameterChange(
+    connection.appliedParameters,
+    parameters,
+  );
+  if (change === null) {
+    connection.appliedParameters = parameters;
+    return success(undefined);
+  }
+  const result = await runHidden(connection, change);
+  if (!result.ok) {
+    connection.markDoubtful();
+    return result;
+  }
+  connection.appliedParameters = parameters;
+  return result;
+}
+
+/** Runs a simple query whose answer no caller sees; the error is null when the connection was lost. @public */
+export function runHidden(
+  connection: BackendConnection,
+  sql: string,
+): Promise<Result<void, BackendErrorFields | null>> {
+  return new Promise(resolve => {
+    let error: BackendErrorFields | null = null;
+    const handler: ExchangeHandler = {
+      handleFrame: (type, buffer, start, end) => {
+        if (type === BackendMessage.errorResponse) {
+          error ??= readErrorResponse(buffer, start, end);
+        }
+      },
+      handlePosition: () => {},
+      handleChunkEnd: () => {},
+      handleReady: () =>
+        resolve(error === null ? success(undefined) : failure(error)),
+      handleLost: () => resolve(failure(null)),
+    };
+    connection.start([serialize.query(sql)], handler);
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/execution/read_executor.ts
@@ -0,0 +1,217 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {
+  AvailabilityZone,
+  BackendServerId,
+} from '@filbertrun/model/identifiers.js';
+import {
+  ORIGIN_POSITION,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import {
+  chooseReadRoute,
+  getRequiredPosition,
+} from '@filbertrun/routing/choose_read_route.js';
+import type {
+  ReadRequirement,
+  ReadRoute,
+} from '@filbertrun/routing/read_route.js';
+import type {ProxyMetrics} from '../proxy_metrics.js';
+import type {ConnectionLease} from './database_group_access.js';
+import {runExchange} from './exchange.js';
+import {
+  releaseAbandoned,
+  type PrimaryExecutor,
+  type PrimaryPurpose,
+} from './primary_executor.js';
+import {
+  createFailure,
+  type ExecutionResult,
+  type StatementContext,
+} from './statement_context.js';
+
+/** Hint for a caller whose answer broke off. */
+const BROKEN_ANSWER_RETRY_AFTER_MS = 100;
+
+/** Collaborators of the executor. @public */
+export interface ReadExecutorOptions {
+  readonly availabilityZone: AvailabilityZone;
+  readonly random: RandomSource;
+  readonly clock: Clock;
+  readonly primaryExecutor: PrimaryExecutor;
+  readonly metrics: ProxyMetrics;
+}
+
+/**
+ * Runs plain reads outside a transaction: on a replica whose answer proves to
+ * cover what the read needs, otherwise on the primary.
+ *
+ * @public
+ */
+export class ReadExecutor {
+  private constructor(private readonly options: ReadExecutorOptions) {}
+
+  static create(options: ReadExecutorOptions): ReadExecutor {
+    return new ReadExecutor(options);
+  }
+
+  async execute(
+    context: StatementContext,
+    requirement: ReadRequirement,
+  ): Promise<ExecutionResult> {
+    const {metrics, primaryExecutor} = this.options;
+    const {view} = context.group;
+    const freshPosition =
+      requirement.kind === 'age'
+        ? view.getFreshPosition(requirement.maxAgeMs)
+        : null;
+    const route = this.chooseRoute(context, requirement, freshPosition);
+    if (route.kind === 'replica') {
+      const {backendServer, requiredPosition} = route;
+      const result = await this.tryReplica(
+        context,
+        backendServer,
+        requiredPosition,
+      );
+      if (result !== null) {
+        metrics.countRead('replica');
+        return result;
+      }
+    }
+    metrics.countRead('primary');
+    const purpose = getPrimaryPurpose(context, requirement, freshPosition);
+    return primaryExecutor.execute(context, purpose);
+  }
+
+  /** Runs a statement that needs no data, such as SHOW, wherever there is room. */
+  async executeAnywhere(context: StatementContext): Promise<ExecutionResult> {
+    const requirement = {kind: 'session', floor: ORIGIN_POSITION} as const;
+    const route = this.chooseRoute(context, requirement, null);
+    if (route.kind === 'replica') {
+      const result = await this.tryReplica(context, route.backendServer, null);
+      if (result !== null) {
+        return result;
+      }
+    }
+    const {primaryExecutor} = this.options;
+    return primaryExecutor.execute(context, {kind: 'write', mayCommit: false});
+  }
+
+  private chooseRoute(
+    context: StatementContext,
+    requirement: ReadRequirement,
+    freshPosition: LogPosition | null,
+  ): ReadRoute {
+    const {availabilityZone, random} = this.options;
+    return chooseReadRoute(requirement, context.group.getReadCandidates(), {
+      availabilityZone,
+      freshPosition,
+      random,
+    });
+  }
+
+  /** Runs the read on a replica; null when the primary must answer instead. */
+  private async tryReplica(
+    context: StatementContext,
+    backendServer: BackendServerId,
+    requiredPosition: LogPosition | null,
+  ): Promise<ExecutionResult | null> {
+    const {clock, metrics} = this.options;
+    const startMs = clock.nowMs();
+    const lease = await context.running.waitUnlessCancelled(
+      context.group.acquire(backendServer, context),
+      releaseAbandoned,
+    );
+    metrics.recordQueueTime(clock.nowMs() - startMs);
+    if (lease === null) {
+      return createFailure({kind: 'cancelled'});
+    }
+    if (!lease.ok) {
+      // Overload of the replicas must not spill over to the primary.
+      return lease.error.kind === 'overloaded'
+        ? createFailure(lease.error)
+        : null;
+    }
+    return this.runOnReplica(context, requiredPosition, lease.value);
+  }
+
+  private async runOnReplica(
+    context: StatementContext,
+    requiredPosition: LogPosition | null,
+    lease: ConnectionLease,
+  ): Promise<ExecutionResult | null> {
+    const {backendServer} = lease.connection;
+    const {outcome, relay} = await runExchange(context, lease, {
+      requiredPosition,
+      hold: 'none',
+      isRejection: isReplicaRejection,
+      prove: () => Promise.resolve(true),
+    });
+    notePosition(context, backendServer, relay?.position ?? null);
+    lease.release();
+    switch (outcome.kind) {
+      case 'complete':
+        return {
+          kind: 'answered',
+          status: outcome.status,
+          lease: null,
+          hasError: outcome.error !== null,
+        };
+      case 'withdrawn':
+        return createFailure({kind: 'cancelled'});
+      case 'parametersRefused': {
+        const reason = outcome.error.message;
+        return createFailure({kind: 'invalidParameter', reason});
+      }
+      case 'lost':
+        context.group.view.reportConnectionLoss(backendServer);
+        return outcome.wasRelayed ? createBrokenAnswer() : null;
+      case 'notCovered':
+      case 'rejected':
+        this.options.metrics.countDiscardedRead();
+        return null;
+      case 'notDispatched':
+        return null;
+    }
+  }
+}
+
+/**
+ * What the primary has to prove. Without a place that is known to be fresh,
+ * only a proof that the primary is current bounds the age of its data.
+ */
+function getPrimaryPurpose(
+  context: StatementContext,
+  requirement: ReadRequirement,
+  freshPosition: LogPosition | null,
+): PrimaryPurpose {
+  if (requirement.kind === 'strict') {
+    return {kind: 'strictRead', requiredPosition: context.session.getFloor()};
+  }
+  const requiredPosition = getRequiredPosition(requirement, {freshPosition});
+  return requiredPosition === null
+    ? {kind: 'strictRead', requiredPosition: requirement.floor}
+    : {kind: 'read', requiredPosition};
+}
+
+/** A replica that shuts down or cannot serve is no reason to fail the read. */
+function isReplicaRejection(error: {readonly sqlState: string}): boolean {
+  return error.sqlState.startsWith('57P') || error.sqlState === '25006';
+}
+
+function notePosition(
+  context: StatementContext,
+  backendServer: BackendServerId,
+  position: LogPosition | null,
+): void {
+  if (position !== null) {
+    context.group.view.notePosition(backendServer, position);
+  }
+}
+
+function createBrokenAnswer(): ExecutionResult {
+  return createFailure({
+    kind: 'unavailable',
+    retryAfterMs: BROKEN_ANSWER_RETRY_AFTER_MS,
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/group/group_registry.ts
@@ -0,0 +1,176 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {GroupManager} from '@filbertrun/group/group_manager.js';
+import type {GroupPeers} from '@filbertrun/group/group_peers.js';
+import {PgInstanceConnector} from '@filbertrun/group/pg_instance_control.js';
+import type {
+  BackendServer,
+  Configuration,
+  DatabaseGroup,
+} from '@filbertrun/model/configuration.js';
+import type {
+  AvailabilityZone,
+  DatabaseGroupName,
+  EntryVmId,
+} from '@filbertrun/model/identifiers.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
+import {BackendConnector} from '../backend/backend_connector.js';
+import {GroupRuntime} from './group_runtime.js';
+
+/** Limit of a call on a control connection. */
+const CONTROL_CALL_TIMEOUT_MS = 1000;
+
+/** Limit of a term confirmation, which waits for a replica. */
+const CONFIRM_TIMEOUT_MS = 1500;
+
+/** Interval at which silent connections are looked for. */
+const SILENCE_CHECK_INTERVAL_MS = 250;
+
+/** How the database groups of a proxy are reached. @public */
+export interface GroupRegistryOptions {
+  readonly entryVm: EntryVmId;
+  readonly availabilityZone: AvailabilityZone;
+  readonly backendUser: string;
+  readonly backendPassword: string;
+  readonly sourceAddress: string | null;
+  readonly connectTimeoutMs: number;
+  /** Time without a byte of an answer after which its connection is closed. */
+  readonly answerSilenceMs: number;
+  readonly platform: PlatformTable;
+  readonly peers: GroupPeers;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Connections that this proxy may hold to an instance now. */
+  readonly getConnectionShare: (
+    databaseGroup: DatabaseGroupName,
+    server: BackendServer,
+  ) => number;
+}
+
+/**
+ * The database groups of the configuration in force.
+ *
+ * @public
+ */
+export class GroupRegistry {
+  private readonly groups = new Map<DatabaseGroupName, GroupRuntime>();
+
+  private silenceTimer: Timer | null = null;
+
+  private constructor(private readonly options: GroupRegistryOptions) {}
+
+  static create(options: GroupRegistryOptions): GroupRegistry {
+    const registry = new GroupRegistry(options);
+    registry.scheduleSilenceCheck();
+    return registry;
+  }
+
+  get(databaseGroup: DatabaseGroupName): GroupRuntime | null {
+    return this.groups.get(databaseGroup) ?? null;
+  }
+
+  getAll(): readonly GroupRuntime[] {
+    return [...this.groups.values()];
+  }
+
+  /** Takes a configuration: adds, changes and removes groups. */
+  handleConfiguration(configuration: Configuration): void {
+    const kept = new Set<DatabaseGroupName>();
+    for (const group of configuration.databaseGroups) {
+      kept.add(group.databaseGroup);
+      const known = this.groups.get(group.databaseGroup);
+      if (known === undefined) {
+        this.groups.set(group.databaseGroup, this.createRuntime(group));
+        continue;
+      }
+      known.manager.setBackendServers(group.backendServers);
+      known.setGroup(group);
+    }
+    for (const [databaseGroup, runtime] of this.groups) {
+      if (!kept.has(databaseGroup)) {
+        runtime.dispose();
+        this.groups.delete(databaseGroup);
+      }
+    }
+  }
+
+  /** Takes new connection shares after a change of membership. */
+  updateShares(): void {
+    for (const runtime of this.groups.values()) {
+      runtime.updateShares();
+    }
+  }
+
+  dispose(): void {
+    this.silenceTimer?.cancel();
+    for (const runtime of this.groups.values()) {
+      runtime.dispose();
+    }
+    this.groups.clear();
+  }
+
+  private scheduleSilenceCheck(): void {
+    const {clock, answerSilenceMs} = this.options;
+    this.silenceTimer = clock.startTimer(SILENCE_CHECK_INTERVAL_MS, () => {
+      for (const runtime of this.groups.values()) {
+        runtime.closeSilentLeases(answerSilenceMs);
+      }
+      this.scheduleSilenceCheck();
+    });
+  }
+
+  private createRuntime(group: DatabaseGroup): GroupRuntime {
+    const {options} = this;
+    const {databaseGroup, backendServers} = group;
+    const {entryVm, availabilityZone, platform, peers, logger} = options;
+    const {clock, random, getConnectionShare} = options;
+    const manager = GroupManager.create({
+      databaseGroup,
+      backendServers,
+      entryVm,
+      availabilityZone,
+      connector: this.createControlConnector(databaseGroup),
+      platform,
+      peers,
+      clock,
+      random,
+      logger,
+    });
+    const connector = BackendConnector.create({
+      user: options.backendUser,
+      password: options.backendPassword,
+      databaseGroup,
+      sourceAddress: options.sourceAddress,
+      connectTimeoutMs: options.connectTimeoutMs,
+      clock,
+    });
+    return GroupRuntime.create({
+      group,
+      manager,
+      connector,
+      clock,
+      random,
+      getConnectionShare: server => getConnectionShare(databaseGroup, server),
+    });
+  }
+
+  private createControlConnector(
+    databaseGroup: DatabaseGroupName,
+  ): PgInstanceConnector {
+    const {options} = this;
+    return PgInstanceConnector.create(
+      {
+        databaseGroup,
+        user: options.backendUser,
+        password: options.backendPassword,
+        localAddress: options.sourceAddress,
+        connectTimeoutMs: options.connectTimeoutMs,
+        callTimeoutMs: CONTROL_CALL_TIMEOUT_MS,
+        confirmTimeoutMs: CONFIRM_TIMEOUT_MS,
+      },
+      options.clock,
+    );
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/group/managed_group_view.ts
@@ -0,0 +1,59 @@
+import type {Result} from '@filbertrun/base/result.js';
+import type {GroupManager} from '@filbertrun/group/group_manager.js';
+import type {TermConfirmation} from '@filbertrun/group/instance_control.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {GroupView} from '../execution/group_view.js';
+
+/**
+ * A database group as its manager knows it.
+ *
+ * @public
+ */
+export class ManagedGroupView implements GroupView {
+  private constructor(private readonly manager: GroupManager) {}
+
+  static create(manager: GroupManager): ManagedGroupView {
+    return new ManagedGroupView(manager);
+  }
+
+  getPrimary(): BackendServerId | null {
+    return this.manager.getPrimary()?.backendServer ?? null;
+  }
+
+  async waitForPrimary(deadlineMs: number): Promise<BackendServerId | null> {
+    const primary = await this.manager.waitForPrimary(deadlineMs);
+    return primary.ok ? primary.value.backendServer : null;
+  }
+
+  waitForMajority(
+    position: LogPosition,
+    deadlineMs: number,
+  ): Promise<Result<void, unknown>> {
+    return this.manager.waitForMajority(position, deadlineMs);
+  }
+
+  confirmTerm(): Promise<Result<TermConfirmation, unknown>> {
+    return this.manager.confirmTerm();
+  }
+
+  getKnownPosition(backendServer: BackendServerId): LogPosition {
+    return this.manager.getKnownPosition(backendServer);
+  }
+
+  notePosition(backendServer: BackendServerId, position: LogPosition): void {
+    this.manager.notePosition(backendServer, position);
+  }
+
+  getFreshPosition(maxAgeMs: number): LogPosition | null {
+    return this.manager.getFreshPosition(maxAgeMs);
+  }
+
+  reportConnectionLoss(backendServer: BackendServerId): void {
+    this.manager.reportConnectionLoss(backendServer);
+  }
+
+  onChange(listener: () => void): () => void {
+    return this.manager.onChange(listener);
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/proxy_control.ts
@@ -0,0 +1,135 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {BackendServer} from '@filbertrun/model/configuration.js';
+import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import {ControlPlane} from '@filbertrun/peer/control_plane.js';
+import {PeerServer} from '@filbertrun/peer/peer_server.js';
+import {WebSocketTransport} from '@filbertrun/peer/web_socket_transport.js';
+import type {PlatformService} from '@filbertrun/platform/platform_service.js';
+import {ControlGroupPeers} from './group/control_group_peers.js';
+import {GroupRegistry} from './group/group_registry.js';
+import {RegistryDelegate} from './group/registry_delegate.js';
+import type {ProxySettings} from './proxy_settings.js';
+
+/** Part of an instance's connections that control may take for itself. */
+const MAX_CONTROL_PART = 1 / 3;
+
+/** What the control work of a proxy is made of. @public */
+export interface ProxyControlOptions {
+  readonly settings: ProxySettings;
+  readonly platform: PlatformService;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Wall-clock time of the start in milliseconds since 1970. */
+  readonly startedAtEpochMs: number;
+}
+
+/**
+ * The control work of one proxy and the database groups that it manages.
+ *
+ * @public
+ */
+export class ProxyControl {
+  private constructor(
+    readonly plane: ControlPlane,
+    readonly groups: GroupRegistry,
+    private readonly transport: WebSocketTransport,
+    private readonly peerServer: PeerServer,
+  ) {}
+
+  /** Starts control; resolves when other proxies can reach this one. */
+  static async create(options: ProxyControlOptions): Promise<ProxyControl> {
+    const {settings, platform, clock, random, logger} = options;
+    const {entryVm, availabilityZone, sourceAddress} = settings;
+    const transport = WebSocketTransport.create({
+      clock,
+      secret: settings.peerKey,
+      sourceAddress,
+      tls: null,
+    });
+    const peerUrl = `http://${settings.peerHost}:${settings.peerPort}`;
+    const plane = ControlPlane.create({
+      identity: {entryVm, availabilityZone, peerUrl},
+      startedAtEpochMs: options.startedAtEpochMs,
+      platform,
+      transport,
+      seedPeerUrls: [],
+      clock,
+      random,
+      logger,
+    });
+    const peers = ControlGroupPeers.create(plane, transport);
+    const groups = GroupRegistry.create({
+      entryVm,
+      availabilityZone,
+      backendUser: settings.backendUser,
+      backendPassword: settings.backendPassword,
+      sourceAddress,
+      connectTimeoutMs: settings.backendConnectTimeoutMs,
+      answerSilenceMs: settings.answerSilenceMs,
+      platform,
+      peers,
+      clock,
+      random,
+      logger,
+      getConnectionShare: (databaseGroup, server) =>
+        getConnectionShare(plane, databaseGroup, server),
+    });
+    plane.setGroupDelegate(RegistryDelegate.create(groups, peers, plane));
+    plane.configuration.onChange(value => groups.handleConfiguration(value));
+    plane.membership.onChange(() => groups.updateShares());
+    const peerServer = await PeerServer.create({
+      host: settings.peerHost,
+      port: settings.peerPort,
+      handler: plane.createHandler(),
+      secrets: {
+        peerSecret: settings.peerKey,
+        operatorSecret: settings.operatorKey,
+      },
+      tls: null,
+      logger,
+    });
+    return new ProxyControl(plane, groups, transport, peerServer);
+  }
+
+  /** Whether the proxy may act on its configuration and use its connections. */
+  isReady(): boolean {
+    return (
+      this.plane.configuration.getCurrent() !== null &&
+      !this.plane.membership.isSuspended()
+    );
+  }
+
+  /** Tells the others that this proxy takes no new work. */
+  startLeaving(): void {
+    this.plane.membership.startLeaving();
+  }
+
+  /** Closes all connections and tells the others that their share is free. */
+  async dispose(): Promise<void> {
+    this.groups.dispose();
+    this.plane.membership.endLeaving();
+    this.plane.dispose();
+    await this.peerServer.dispose();
+    this.transport.dispose();
+  }
+}
+
+/**
+ * Connections of callers' statements that this proxy may hold to an instance.
+ * The control connections of the proxies come out of the same limit.
+ */
+function getConnectionShare(
+  plane: ControlPlane,
+  databaseGroup: DatabaseGroupName,
+  server: BackendServer,
+): number {
+  const controlConnections = Math.min(
+    plane.membership.getPresentMembers().length,
+    Math.floor(server.maxConnections * MAX_CONTROL_PART),
+  );
+  const maxConnections = server.maxConnections - controlConnections;
+  return plane.membership.getShare({databaseGroup, maxConnections});
+}
--- /dev/null
+++ b/packages/proxy/src/proxy_metrics.ts
@@ -0,0 +1,81 @@
+import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+
+/** Who answered a read. @public */
+export type ReadTarget = 'replica' | 'primary';
+
+/**
+ * The metrics of the data path, with their names and help texts.
+ *
+ * @public
+ */
+export class ProxyMetrics {
+  private constructor(private readonly registry: MetricsRegistry) {}
+
+  static create(registry: MetricsRegistry): ProxyMetrics {
+    return new ProxyMetrics(registry);
+  }
+
+  countRead(target: ReadTarget): void {
+    this.registry.increment(
+      'filbertrun_reads_total',
+      'Reads by the kind of instance that answered.',
+      {target},
+    );
+  }
+
+  /** Counts an answer that was thrown away because it did not cover the read. */
+  countDiscardedRead(): void {
+    this.registry.increment(
+      'filbertrun_reads_discarded_total',
+      'Answers of replicas thrown away after the position check.',
+    );
+  }
+
+  countWrite(): void {
+    this.registry.increment(
+      'filbertrun_writes_total',
+      'Statements run on the primary as writes.',
+    );
+  }
+
+  /** Counts an error that the proxy itself reported. */
+  countError(sqlState: string): void {
+    this.registry.increment(
+      'filbertrun_errors_total',
+      'Errors reported by the proxy, by SQLSTATE.',
+      {sqlstate: sqlState},
+    );
+  }
+
+  recordQueueTime(durationMs: number): void {
+    this.registry.recordDurationMs(
+      'filbertrun_queue_seconds',
+      'Time that statements waited for a backend connection.',
+      durationMs,
+    );
+  }
+
+  recordStatementTime(durationMs: number): void {
+    this.registry.recordDurationMs(
+      'filbertrun_statement_seconds',
+      'Time from the arrival of a statement to the end of its answer.',
+      durationMs,
+    );
+  }
+
+  setSessions(count: number): void {
+    this.registry.setGauge(
+      'filbertrun_caller_connections',
+      'Connections of callers.',
+      count,
+    );
+  }
+
+  setLoopDelay(delayMs: number): void {
+    this.registry.setGauge(
+      'filbertrun_loop_delay_p99_seconds',
+      'Event loop delay of the last interval, 99th percentile.',
+      delayMs / 1000,
+    );
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/session/caller_session.ts
@@ -0,0 +1,320 @@
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import {
+  describeCallerError,
+  type CallerError,
+} from '@filbertrun/model/outcome.js';
+import {
+  buildErrorResponse,
+  EMPTY_QUERY_RESPONSE,
+  getReadyForQuery,
+} from '@filbertrun/wire/backend_message_builder.js';
+import {readQuery} from '@filbertrun/wire/frontend_message_reader.js';
+import {
+  FrontendMessage,
+  type TransactionStatus,
+} from '@filbertrun/wire/protocol_constants.js';
+import type {
+  ClassifiedStatement,
+  StatementClass,
+} from '@filbertrun/sql/statement_class.js';
+import type {CallerOutput} from '../caller/caller_output.js';
+import type {CancelTarget} from '../caller/cancel_registry.js';
+import {QueryRequest} from '../execution/statement_request.js';
+import type {StatementRequest} from '../execution/statement_request.js';
+import {BatchReader, type Batch} from './batch_reader.js';
+import {writeBatchAnswer, writeSimpleAnswer} from './local_answer.js';
+import {isOwnParameter, LocalStatements} from './local_statements.js';
+import {BatchRequest} from './message_batch.js';
+import {PreparedStatements} from './prepared_statements.js';
+import type {SessionServices} from './session_services.js';
+import type {SessionState} from './session_state.js';
+import {SessionTransaction} from './session_transaction.js';
+import {listStatements} from './statement_effects.js';
+
+/** Collaborators of one session. @public */
+export interface CallerSessionOptions {
+  readonly services: SessionServices;
+  readonly state: SessionState;
+  readonly output: CallerOutput;
+  /** Ends the caller's connection after what is queued was sent. */
+  readonly endConnection: () => void;
+}
+
+/** What a request of the caller is made of. */
+interface CallerRequest {
+  readonly statements: readonly StatementClass[];
+  readonly requestKey: string | null;
+  readonly request: StatementRequest;
+  /** Null for a Query message. */
+  readonly batch: Batch | null;
+}
+
+/**
+ * One session of a caller: takes its messages one at a time, runs each
+ * request and answers it before the next.
+ *
+ * @public
+ */
+export class CallerSession implements CancelTarget {
+  private readonly prepared = PreparedStatements.create();
+  private readonly batchReader: BatchReader;
+  private readonly local: LocalStatements;
+  private readonly transaction: SessionTransaction;
+
+  private constructor(private readonly options: CallerSessionOptions) {
+    const {services, state, output} = options;
+    this.batchReader = BatchReader.create(services.classifier, this.prepared);
+    this.local = LocalStatements.create(services.codec, state, this.prepared);
+    this.transaction = SessionTransaction.create(services, state, output);
+  }
+
+  static create(options: CallerSessionOptions): CallerSession {
+    return new CallerSession(options);
+  }
+
+  /** Whether no transaction is open and no batch is half received. */
+  isIdle(): boolean {
+    return !this.transaction.isOpen() && this.batchReader.isEmpty();
+  }
+
+  /** Sets a run-time parameter that the caller stated at startup. */
+  setStartupParameter(name: string, value: string): CallerError | null {
+    const result = isOwnParameter(name) ? this.local.set(name, value) : null;
+    if (result === null) {
+      this.transaction.setParameter(name, value);
+      return null;
+    }
+    return result.ok ? null : result.error;
+  }
+
+  /** Takes one message; the promise, if any, resolves when it is answered. */
+  handleMessage(type: number, frame: Buffer): Promise<void> | null {
+    switch (type) {
+      case FrontendMessage.query:
+        return this.handleQuery(frame);
+      case FrontendMessage.sync:
+        return this.handleSync(frame);
+      case FrontendMessage.flush:
+        return this.handleFlush(frame);
+      case FrontendMessage.terminate:
+        this.options.endConnection();
+        return null;
+      case FrontendMessage.functionCall:
+        this.sendError({kind: 'notSupported', feature: 'function calls'});
+        this.sendReady();
+        return null;
+      case FrontendMessage.copyData:
+      case FrontendMessage.copyDone:
+      case FrontendMessage.copyFail:
+        // The rest of a copy that was refused, as the protocol allows.
+        return null;
+      default:
+        return this.handleBatchMessage(type, frame);
+    }
+  }
+
+  /** Sends an error that the proxy itself reports. */
+  sendError(error: CallerError): void {
+    const report = describeCallerError(error);
+    this.options.services.metrics.countError(report.sqlState);
+    this.options.output.write(buildErrorResponse(report));
+  }
+
+  cancelCurrentStatement(): void {
+    this.transaction.cancel();
+  }
+
+  /** Gives up what the session holds; its caller is gone. */
+  dispose(): void {
+    this.transaction.dispose();
+  }
+
+  private async handleQuery(frame: Buffer): Promise<void> {
+    const text = readQuery(frame);
+    if (text === null) {
+      this.endWithError({
+        kind: 'protocolViolation',
+        reason: 'malformed Query message',
+      });
+      return;
+    }
+    const {classifier} = this.options.services;
+    const classified = classifier.classify(text);
+    const statements = listStatements(classified.statementClass);
+    if (classified.statementClass.kind === 'empty') {
+      this.options.output.write(EMPTY_QUERY_RESPONSE);
+      this.sendReady();
+      return;
+    }
+    await this.run({
+      statements,
+      requestKey: classified.requestKey,
+      request: QueryRequest.create(frame),
+      batch: null,
+    });
+  }
+
+  private handleBatchMessage(type: number, frame: Buffer): null {
+    const error = this.batchReader.add(type, frame);
+    if (error?.kind === 'protocolViolation') {
+      this.endWithError(error);
+    }
+    return null;
+  }
+
+  private async handleSync(frame: Buffer): Promise<void> {
+    const batch = this.batchReader.takeBatch({kind: 'sync', frame});
+    if (batch.error !== null) {
+      this.transaction.handleLocalError();
+      this.sendError(batch.error);
+      this.sendReady();
+      return;
+    }
+    if (batch.isEmpty) {
+      this.sendReady();
+      return;
+    }
+    await this.run({
+      statements: collectStatements(batch.executed),
+      requestKey: findRequestKey(batch.executed),
+      request: BatchRequest.create(batch.messages),
+      batch,
+    });
+  }
+
+  private async handleFlush(frame: Buffer): Promise<void> {
+    this.batchReader.addFlush(frame);
+  }
+
+  private async run(request: CallerRequest): Promise<void> {
+    if (this.runLocally(request)) {
+      return;
+    }
+    const {clock, metrics} = this.options.services;
+    const startMs = clock.nowMs();
+    const error = await this.transaction.run(request);
+    if (error !== null) {
+      this.sendError(error);
+    }
+    this.sendReady();
+    metrics.recordStatementTime(clock.nowMs() - startMs);
+  }
+
+  /** Runs a statement of the proxy itself; false when there is none. */
+  private runLocally(request: CallerRequest): boolean {
+    const [statement, second] = request.statements;
+    if (second !== undefined) {
+      return this.refuseMixedStatements(request.statements);
+    }
+    if (statement === undefined) {
+      return this.closeLocally(request.batch);
+    }
+    const lostAnswer = this.transaction.answerAfterLoss(statement);
+    const answer = lostAnswer ?? this.local.run(statement);
+    if (answer === null) {
+      return false;
+    }
+    if (!answer.ok) {
+      this.transaction.handleLocalError();
+      this.sendError(answer.error);
+    } else if (request.batch === null) {
+      writeSimpleAnswer(this.options.output, answer.value);
+    } else {
+      const {messages} = request.batch;
+      writeBatchAnswer(this.options.output, messages, answer.value);
+    }
+    this.sendReady();
+    return true;
+  }
+
+  /** Closes statements and portals where no backend server is concerned. */
+  private closeLocally(batch: Batch | null): boolean {
+    if (batch === null || batch.hasExecute || this.transaction.isOpen()) {
+      return false;
+    }
+    for (const message of batch.messages) {
+      if (!message.kind.startsWith('close') && message.kind !== 'sync') {
+        return false;
+      }
+    }
+    const {output} = this.options;
+    writeBatchAnswer(output, batch.messages, {row: null, tag: ''});
+    this.sendReady();
+    return true;
+  }
+
+  private refuseMixedStatements(
+    statements: readonly StatementClass[],
+  ): boolean {
+    for (const statement of statements) {
+      if (isLocalStatement(statement)) {
+        this.transaction.handleLocalError();
+        this.sendError({
+          kind: 'notSupported',
+          feature: 'session statements together with others in one request',
+        });
+        this.sendReady();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private endWithError(error: CallerError): void {
+    this.sendError(error);
+    this.options.endConnection();
+  }
+
+  private sendReady(): void {
+    const status: TransactionStatus = this.transaction.status;
+    this.options.output.write(getReadyForQuery(status));
+  }
+}
+
+/** Whether only the proxy can run a statement. */
+function isLocalStatement(statement: StatementClass): boolean {
+  switch (statement.kind) {
+    case 'set':
+    case 'show':
+      return isOwnParameter(statement.parameter);
+    case 'reset':
+      return (
+        statement.parameter === null || isOwnParameter(statement.parameter)
+      );
+    case 'discard':
+    case 'deallocate':
+      return true;
+    case 'read':
+    case 'write':
+    case 'transaction':
+    case 'prepare':
+    case 'execute':
+    case 'refused':
+    case 'empty':
+    case 'multiple':
+      return false;
+    default:
+      return exhaustiveSwitchError(statement);
+  }
+}
+
+function collectStatements(
+  executed: readonly ClassifiedStatement[],
+): readonly StatementClass[] {
+  const statements: StatementClass[] = [];
+  for (const classified of executed) {
+    statements.push(...listStatements(classified.statementClass));
+  }
+  return statements;
+}
+
+function findRequestKey(
+  executed: readonly ClassifiedStatement[],
+): string | null {
+  for (const classified of executed) {
+    if (classified.requestKey !== null) {
+      return classified.requestKey;
+    }
+  }
+  return null;
+}
--- /dev/null
+++ b/packages/proxy/src/session/local_statements.ts
@@ -0,0 +1,182 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {SessionTokenCodec} from '@filbertrun/session/session_token_codec.js';
+import {describeTokenError} from '@filbertrun/session/token_error.js';
+import type {StatementClass} from '@filbertrun/sql/statement_class.js';
+import {SESSION_TOKEN_PARAMETER} from '../execution/acknowledgement.js';
+import type {LocalAnswer} from './local_answer.js';
+import type {PreparedStatements} from './prepared_statements.js';
+import {NO_PARAMETERS} from './session_parameters.js';
+import type {SessionState} from './session_state.js';
+
+/** Prefix of the run-time parameters of the proxy itself. */
+const OWN_PREFIX = 'filbertrun.';
+
+/** Idempotency key of the next write. */
+const REQUEST_KEY_PARAMETER = 'filbertrun.request_key';
+const APPLICATION_NAME_PARAMETER = 'application_name';
+
+/** Longest idempotency key, in characters. */
+const MAX_REQUEST_KEY_CHARACTERS = 200;
+
+/**
+ * Runs the statements that concern only the proxy's own session state.
+ *
+ * @public
+ */
+export class LocalStatements {
+  private constructor(
+    private readonly codec: SessionTokenCodec,
+    private readonly session: SessionState,
+    private readonly prepared: PreparedStatements,
+  ) {}
+
+  static create(
+    codec: SessionTokenCodec,
+    session: SessionState,
+    prepared: PreparedStatements,
+  ): LocalStatements {
+    return new LocalStatements(codec, session, prepared);
+  }
+
+  /** Runs a statement; null when it is not one of the proxy's own. */
+  run(statement: StatementClass): Result<LocalAnswer, CallerError> | null {
+    switch (statement.kind) {
+      case 'set':
+        return isOwnParameter(statement.parameter)
+          ? this.set(statement.parameter, statement.value)
+          : null;
+      case 'reset':
+        return this.reset(statement.parameter);
+      case 'show':
+        return isOwnParameter(statement.parameter)
+          ? this.show(statement.parameter)
+          : null;
+      case 'discard':
+        return this.discard();
+      case 'deallocate':
+        return this.deallocate(statement.name);
+      default:
+        return null;
+    }
+  }
+
+  /** Sets one of the proxy's own parameters. */
+  set(
+    parameter: string,
+    value: string | null,
+  ): Result<LocalAnswer, CallerError> {
+    switch (parameter) {
+      case SESSION_TOKEN_PARAMETER:
+        return this.mergeToken(value ?? '');
+      case REQUEST_KEY_PARAMETER:
+        return this.setRequestKey(value);
+      case APPLICATION_NAME_PARAMETER:
+        this.session.application = value ?? '';
+        return success(createAnswer('SET'));
+      default:
+        return failure({
+          kind: 'invalidParameter',
+          reason: `"${parameter}" is unknown`,
+        });
+    }
+  }
+
+  private mergeToken(token: string): Result<LocalAnswer, CallerError> {
+    if (token === '') {
+      return success(createAnswer('SET'));
+    }
+    const floors = this.codec.decode(token);
+    if (!floors.ok) {
+      return failure({
+        kind: 'invalidToken',
+        reason: describeTokenError(floors.error),
+      });
+    }
+    this.session.mergeFloors(floors.value);
+    return success(createAnswer('SET'));
+  }
+
+  private setRequestKey(
+    value: string | null,
+  ): Result<LocalAnswer, CallerError> {
+    if (value !== null && value.length > MAX_REQUEST_KEY_CHARACTERS) {
+      return failure({
+        kind: 'invalidParameter',
+        reason: `a request key has at most ${MAX_REQUEST_KEY_CHARACTERS} characters`,
+      });
+    }
+    this.session.requestKey = value === '' ? null : value;
+    return success(createAnswer('SET'));
+  }
+
+  private reset(
+    parameter: string | null,
+  ): Result<LocalAnswer, CallerError> | null {
+    if (parameter === null) {
+      this.session.parameters = NO_PARAMETERS;
+      this.session.requestKey = null;
+      return success(createAnswer('RESET'));
+    }
+    if (!isOwnParameter(parameter)) {
+      return null;
+    }
+    const reset = this.set(parameter, null);
+    return reset.ok ? success(createAnswer('RESET')) : reset;
+  }
+
+  private show(parameter: string): Result<LocalAnswer, CallerError> {
+    const value = this.getValue(parameter);
+    return value === null
+      ? failure({
+          kind: 'invalidParameter',
+          reason: `"${parameter}" is unknown`,
+        })
+      : success({row: {column: parameter, value}, tag: 'SHOW'});
+  }
+
+  private getValue(parameter: string): string | null {
+    switch (parameter) {
+      case SESSION_TOKEN_PARAMETER: {
+        const token = this.codec.encode(this.session.getFloors());
+        return token.ok ? token.value : '';
+      }
+      case REQUEST_KEY_PARAMETER:
+        return this.session.requestKey ?? '';
+      case APPLICATION_NAME_PARAMETER:
+        return this.session.application;
+      default:
+        return null;
+    }
+  }
+
+  private discard(): Result<LocalAnswer, CallerError> {
+    this.session.parameters = NO_PARAMETERS;
+    this.session.requestKey = null;
+    this.prepared.clear();
+    return success(createAnswer('DISCARD ALL'));
+  }
+
+  private deallocate(name: string | null): Result<LocalAnswer, CallerError> {
+    if (name === null) {
+      this.prepared.clear();
+      return success(createAnswer('DEALLOCATE ALL'));
+    }
+    if (this.prepared.get(name) === null) {
+      return failure({kind: 'unknownStatement', name});
+    }
+    this.prepared.delete(name);
+    return success(createAnswer('DEALLOCATE'));
+  }
+}
+
+/** Whether a parameter belongs to the proxy and never reaches a backend server. @public */
+export function isOwnParameter(parameter: string): boolean {
+  return (
+    parameter.startsWith(OWN_PREFIX) || parameter === APPLICATION_NAME_PARAMETER
+  );
+}
+
+function createAnswer(tag: string): LocalAnswer {
+  return {row: null, tag};
+}
--- a/packages/wire/src/backend_message_builder.ts
+++ b/packages/wire/src/backend_message_builder.ts
@@ -38,6 +38,11 @@
 export const CLOSE_COMPLETE = buildEmptyFrame(BackendMessage.closeComplete);
 /** @public */
 export const NO_DATA = buildEmptyFrame(BackendMessage.noData);
+/** ParameterDescription of a statement without parameters. @public */
+export const NO_PARAMETERS = buildFrame(
+  BackendMessage.parameterDescription,
+  Buffer.alloc(2),
+);
 /** @public */
 export const EMPTY_QUERY_RESPONSE = buildEmptyFrame(
   BackendMessage.emptyQueryResponse,
