--- a/packages/peer/src/control_fuzz_test.ts
+++ b/packages/peer/src/control_fuzz_test.ts
@@ -317,4 +317,69 @@
       {seed: SEED, numRuns: HISTORIES, endOnFailure: true},
     );
   });
+
+  it('never gives out more connections than an instance has while proxies come and go', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(
+          fc.record({
+            node: nodeArbitrary,
+            isGraceful: fc.boolean(),
+            downMs: fc.integer({min: 0, max: 9000}),
+            upMs: fc.integer({min: 0, max: 9000}),
+          }),
+          {minLength: 1, maxLength: 6},
+        ),
+        restarts => runRestarts(restarts),
+      ),
+      {seed: SEED, numRuns: HISTORIES, endOnFailure: true},
+    );
+  });
 });
+
+interface Restart {
+  readonly node: number;
+  readonly isGraceful: boolean;
+  readonly downMs: number;
+  readonly upMs: number;
+}
+
+const SHARE_CHECK_INTERVAL_MS = 100;
+
+/** Restarts proxies in turn and checks the sum of the shares all the while. */
+async function runRestarts(restarts: readonly Restart[]): Promise<void> {
+  const cluster = FakeControlCluster.create(ZONES);
+  const watch = async (durationMs: number) => {
+    for (let ms = 0; ms < durationMs; ms += SHARE_CHECK_INTERVAL_MS) {
+      await cluster.pass(SHARE_CHECK_INTERVAL_MS);
+      expect(sumShares(cluster)).toBeLessThanOrEqual(INSTANCE.maxConnections);
+    }
+  };
+  for (const node of NODES) {
+    cluster.start(node);
+  }
+  await watch(5000);
+  for (const {node, isGraceful, downMs, upMs} of restarts) {
+    if (isGraceful) {
+      cluster.getNode(node).control.membership.startLeaving();
+      await watch(500);
+      cluster.getNode(node).control.membership.endLeaving();
+      await cluster.pass(2);
+    }
+    cluster.kill(node);
+    await watch(downMs);
+    cluster.start(node);
+    await watch(upMs);
+  }
+  await watch(10_000);
+  expect(sumShares(cluster)).toBe(INSTANCE.maxConnections);
+  cluster.dispose();
+}
+
+function sumShares(cluster: FakeControlCluster): number {
+  let sum = 0;
+  for (const {control} of cluster.nodes.values()) {
+    sum += control.membership.getShare(INSTANCE);
+  }
+  return sum;
+}
