--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -56,6 +56,9 @@
 /** Longest delay before the first poll, so that proxies that start together spread. */
 const START_JITTER_MS = 300;
 
+/** Peers that are asked at once for one announced version. */
+const MAX_ANNOUNCED_FETCHES = 2;
+
 /** Longest wait for answers at the start while the platform is silent. */
 const START_TIMEOUT_MS = 3000;
 
@@ -68,6 +71,7 @@
   private pollTimer: Timer | null = null;
   private startTimer: Timer | null = null;
   private failedPolls = 0;
+  private announcedFetches = 0;
   private isDisposed = false;
 
   private constructor(private readonly options: ConfigurationManagerOptions) {
@@ -151,8 +155,8 @@
       return;
     }
     const source = this.options.peers.getSource(entryVm);
-    if (source !== null) {
-      void this.learnFromPeer(source, `peer ${entryVm}`);
+    if (source !== null && this.announcedFetches < MAX_ANNOUNCED_FETCHES) {
+      void this.fetchAnnounced(source, `peer ${entryVm}`);
     }
   }
 
@@ -244,6 +248,15 @@
     return true;
   }
 
+  private async fetchAnnounced(
+    source: ConfigurationSource,
+    sourceName: string,
+  ): Promise<void> {
+    this.announcedFetches++;
+    await this.learnFromPeer(source, sourceName);
+    this.announcedFetches--;
+  }
+
   private async learnFromPeer(
     source: ConfigurationSource,
     sourceName: string,
--- a/packages/configuration/src/configuration_manager_test.ts
+++ b/packages/configuration/src/configuration_manager_test.ts
@@ -106,6 +106,23 @@
     expect(manager.getCurrent()?.version).toBe(2);
   });
 
+  it('is not ready with an older version than a peer names', async () => {
+    const peer = createManager();
+    await pass(350);
+    addPeer('entry-1', peer);
+    const pointer = peer.getPointer();
+    sources.set('entry-2', {
+      getPointer: async () =>
+        success(pointer && {...pointer, version: 2, changes: []}),
+      getBody: async () => failure({kind: 'sourceFailed', reason: 'slow'}),
+    });
+    platform.setOutage(true);
+    const manager = createManager();
+    await pass(10_000);
+    expect(manager.getVersion()).toBe(1);
+    expect(manager.getCurrent()).toBeNull();
+  });
+
   it('does not take the emptiness of a peer that is starting for an answer', async () => {
     platform.setOutage(true);
     addPeer('entry-1', createManager());
--- a/packages/configuration/src/poll_delay.ts
+++ b/packages/configuration/src/poll_delay.ts
@@ -12,8 +12,8 @@
 /** Longest mean delay after failed polls. */
 const LONGEST_DELAY_MS = 8000;
 
-/** Polls a second by all proxies together, a tenth of the platform's reads. */
-const POLL_BUDGET_PER_SECOND = 200;
+/** Polls a second by all proxies together, a twentieth of the platform's reads. */
+const POLL_BUDGET_PER_SECOND = 100;
 
 /**
  * Delay before the next poll, drawn from half to one and a half times its
--- /dev/null
+++ b/packages/membership/src/membership_core_test.ts
@@ -0,0 +1,131 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {describe, expect, it} from 'vitest';
+import type {MemberRecord} from './member.js';
+import {
+  createMembershipState,
+  createMessage,
+  transitionMembership,
+  type MembershipEvent,
+  type MembershipState,
+} from './membership_core.js';
+
+const random = SeededRandom.create(1);
+
+function createRecord(
+  index: number,
+  changes: Partial<MemberRecord> = {},
+): MemberRecord {
+  return {
+    entryVm: `entry-${index}`,
+    availabilityZone: `zone-${index % 3}`,
+    peerUrl: `http://10.0.0.${index}:7000`,
+    incarnation: 100,
+    state: 'live',
+    ...changes,
+  };
+}
+
+function handle(
+  state: MembershipState,
+  ...events: readonly MembershipEvent[]
+): MembershipState {
+  let next = state;
+  for (const event of events) {
+    next = transitionMembership(next, event, random).state;
+  }
+  return next;
+}
+
+function receive(
+  nowMs: number,
+  sender: MemberRecord,
+  askedAtMs: number | null = null,
+  updates: readonly MemberRecord[] = [],
+): MembershipEvent {
+  const message = {sender, membersDigest: 0, updates};
+  return {kind: 'messageReceived', nowMs, message, askedAtMs};
+}
+
+const START = createMembershipState(createRecord(1), 0);
+
+describe('membership', () => {
+  it('joins on the first answer of a neighbour', () => {
+    const state = handle(START, receive(10, createRecord(2), 5));
+    expect(state.joinedAtMs).toBe(10);
+  });
+
+  it('takes no answer from before a pause for contact since', () => {
+    const joined = handle(START, receive(10, createRecord(2), 5));
+    const stalled = handle(joined, {
+      kind: 'stallDetected',
+      nowMs: 10_000,
+      stalledForMs: 8000,
+    });
+    expect(stalled.joinedAtMs).toBeNull();
+    const stale = handle(stalled, receive(10_001, createRecord(2), 1900));
+    expect(stale.joinedAtMs).toBeNull();
+    const fresh = handle(stale, receive(10_020, createRecord(2), 10_010));
+    expect(fresh.joinedAtMs).toBe(10_020);
+  });
+
+  it('refutes its own death with a higher incarnation', () => {
+    const dead = createRecord(1, {state: 'dead', incarnation: 105});
+    const state = handle(START, receive(10, createRecord(2), null, [dead]));
+    expect(state.self).toMatchObject({state: 'live', incarnation: 106});
+  });
+
+  it('ignores what is said of its earlier lives', () => {
+    const dead = createRecord(1, {state: 'dead', incarnation: 99});
+    const state = handle(START, receive(10, createRecord(2), null, [dead]));
+    expect(state.self.incarnation).toBe(100);
+  });
+
+  it('tells a member that is held for dead, so that it can refute', () => {
+    const dead = createRecord(2, {state: 'dead'});
+    const state = handle(
+      START,
+      receive(10, createRecord(2)),
+      receive(20, createRecord(3), null, [dead]),
+    );
+    const {message} = createMessage(state, 'entry-2');
+    expect(message.updates).toContainEqual(dead);
+  });
+
+  it('does not let an old life of a replaced VM end its new one', () => {
+    const newLife = createRecord(2, {incarnation: 200});
+    const oldDeath = createRecord(2, {incarnation: 150, state: 'dead'});
+    const state = handle(
+      START,
+      receive(10, newLife),
+      receive(20, createRecord(3), null, [oldDeath]),
+    );
+    expect(state.table.get('entry-2')?.record).toEqual(newLife);
+  });
+
+  it('passes on nothing that it learned from the list', () => {
+    const records = [2, 3, 4].map(index =>
+      createRecord(index, {incarnation: 0}),
+    );
+    const state = handle(START, {kind: 'recordsReceived', nowMs: 10, records});
+    expect(createMessage(state, 'entry-2').message.updates).toEqual([]);
+  });
+
+  it('sends no heartbeat to a neighbour that has just sent its own', () => {
+    const joined = handle(START, receive(10, createRecord(2), 5));
+    const asked = handle(joined, receive(600, createRecord(2)));
+    const step = transitionMembership(
+      asked,
+      {kind: 'tick', nowMs: 700},
+      random,
+    );
+    expect(step.commands).toEqual([]);
+  });
+
+  it('holds no more members than its bound', () => {
+    const records = Array.from({length: 2100}, (_, index) =>
+      createRecord(index + 2),
+    );
+    const state = handle(START, {kind: 'recordsReceived', nowMs: 10, records});
+    expect(state.table.size).toBe(2000);
+  });
+});
--- a/packages/membership/src/membership_manager.ts
+++ b/packages/membership/src/membership_manager.ts
@@ -71,7 +71,7 @@
 const SHORTEST_LIST_INTERVAL_MS = 5000;
 
 /** Reads of the list a second by all proxies together. */
-const LIST_BUDGET_PER_SECOND = 50;
+const LIST_BUDGET_PER_SECOND = 8;
 
 /** Time within which changes of members are told to the listeners together. */
 const NOTIFY_DELAY_MS = 50;
