--- a/apps/bench/src/bench_deployment.ts
+++ b/apps/bench/src/bench_deployment.ts
@@ -22,6 +22,8 @@
   databaseGroup: z.string(),
   port: z.number(),
   executedStatements: z.number(),
+  connections: z.number(),
+  limits: z.object({slots: z.number(), maxConnections: z.number()}),
   status: z.object({
     backendServer: z.string(),
     role: z.enum(['primary', 'replica']),
--- a/apps/bench/src/failover_gap_scenario.ts
+++ b/apps/bench/src/failover_gap_scenario.ts
@@ -25,8 +25,15 @@
 
 type FaultKind = 'crash' | 'partition';
 
+interface Trial {
+  readonly kind: FaultKind;
+  readonly gapMs: number;
+  /** Time until another instance was the primary. */
+  readonly promotionMs: number;
+}
+
 interface GroupOutcome {
-  readonly gapsMs: Readonly<Record<FaultKind, readonly number[]>>;
+  readonly trials: readonly Trial[];
   readonly unrepaired: number;
   readonly bookings: BookingCounts;
   readonly blindBookings: BookingCounts;
@@ -49,10 +56,11 @@
       runGroup(context, bench, databaseGroup, index),
     ),
   );
-  const crashGapMs = summarize(outcomes.flatMap(each => each.gapsMs.crash));
-  const partitionGapMs = summarize(
-    outcomes.flatMap(each => each.gapsMs.partition),
-  );
+  const trials = outcomes.flatMap(each => each.trials);
+  const crashes = trials.filter(trial => trial.kind === 'crash');
+  const partitions = trials.filter(trial => trial.kind === 'partition');
+  const crashGapMs = summarize(crashes.map(trial => trial.gapMs));
+  const partitionGapMs = summarize(partitions.map(trial => trial.gapMs));
   const bookings = sumCounts(outcomes.map(each => each.bookings));
   const blind = sumCounts(outcomes.map(each => each.blindBookings));
   const {lostBookings, doubledBookings} = bookings;
@@ -64,6 +72,12 @@
     figures: {
       crashGapMs: {...crashGapMs},
       partitionGapMs: {...partitionGapMs},
+      crashPromotionMs: {
+        ...summarize(crashes.map(trial => trial.promotionMs)),
+      },
+      partitionPromotionMs: {
+        ...summarize(partitions.map(trial => trial.promotionMs)),
+      },
       lostBookings,
       doubledBookings,
       unrepaired,
@@ -114,14 +128,14 @@
     writerCount: BLIND_WRITERS_PER_GROUP,
     repeatPolicy: 'blind',
   });
-  const gapsMs: Record<FaultKind, number[]> = {crash: [], partition: []};
+  const trials: Trial[] = [];
   let unrepaired = 0;
-  for (let trial = 0; trial < 2 * TRIALS_PER_GROUP; trial++) {
-    const kind = trial % 2 === 0 ? 'crash' : 'partition';
+  for (let number = 0; number < 2 * TRIALS_PER_GROUP; number++) {
+    const kind = number % 2 === 0 ? 'crash' : 'partition';
     await sleep(REST_MS);
-    const gapMs = await runTrial(bench, databaseGroup, load, kind);
-    gapsMs[kind].push(gapMs);
-    context.logger.info('trial', {databaseGroup, trial, kind, gapMs});
+    const trial = await runTrial(bench, databaseGroup, load, kind);
+    trials.push(trial);
+    context.logger.info('trial', {databaseGroup, number, ...trial});
     const isSettled = await waitUntil(
       () => bench.isSettled(databaseGroup),
       MAX_REPAIR_MS,
@@ -130,7 +144,7 @@
   }
   const bookings = await load.stop();
   const blindBookings = await blindLoad.stop();
-  return {gapsMs, unrepaired, bookings, blindBookings};
+  return {trials, unrepaired, bookings, blindBookings};
 }
 
 /** Breaks the primary, waits for writes to land again, and repairs it. */
@@ -139,25 +153,29 @@
   databaseGroup: string,
   load: BookingLoad,
   kind: FaultKind,
-): Promise<number> {
+): Promise<Trial> {
   const primary = await bench.getPrimary(databaseGroup);
   const instance = primary.status.backendServer;
   const faultAtMs = performance.now();
   await bench.deployment.runAdminCommand(createFault(kind, instance));
-  await waitUntil(async () => {
-    const hasNewPrimary = await bench.getPrimary(databaseGroup).then(
-      current => current.status.backendServer !== instance,
-      () => false,
-    );
-    return (
-      hasNewPrimary &&
+  await waitUntil(
+    () =>
+      bench.getPrimary(databaseGroup).then(
+        current => current.status.backendServer !== instance,
+        () => false,
+      ),
+    MAX_OUTAGE_MS,
+  );
+  const promotionMs = performance.now() - faultAtMs;
+  await waitUntil(
+    () =>
       load.getAcknowledgedSince(performance.now() - REST_MS / 2) >=
-        BOOKINGS_OF_RECOVERY
-    );
-  }, MAX_OUTAGE_MS);
+      BOOKINGS_OF_RECOVERY,
+    MAX_OUTAGE_MS,
+  );
   const gapMs = load.getLongestGapMs(faultAtMs, performance.now());
   await bench.deployment.runAdminCommand(createRepair(kind, instance));
-  return gapMs;
+  return {kind, gapMs, promotionMs};
 }
 
 function createFault(kind: FaultKind, instance: string): AdminCommand {
--- /dev/null
+++ b/apps/bench/src/replica_share_scenario.ts
@@ -0,0 +1,296 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  SeededRandom,
+  type RandomSource,
+} from '@filbertrun/base/random_source.js';
+import {ANY_NAME, type ReadRule} from '@filbertrun/model/configuration.js';
+import {getPreset} from '@filbertrun/standin/presets.js';
+import {BenchDeployment} from './bench_deployment.js';
+import {readFailure} from './caller_outcome.js';
+import {LatencyRecorder, type LatencySummary} from './latency_summary.js';
+import {runOpenLoop} from './open_loop.js';
+import type {Scenario, ScenarioContext, ScenarioResult} from './scenario.js';
+import {SessionPool, type PooledCaller} from './session_pool.js';
+import {UpdatedValue} from './updated_value.js';
+
+/** Share of reads that replicas answer under the mix of a public timetable. */
+
+const READ_SHARE = 0.9;
+const AGE_READ_SHARE = 0.9;
+const MAX_AGE_MS = 5_000;
+const RATE_PER_SECOND = 600;
+const DURATION_MS = 30_000;
+const BASELINE_DURATION_MS = 10_000;
+const CALLERS_PER_PROXY_AND_GROUP = 4;
+const LAGGING_REPLICA_MS = 2_000;
+const TARGET_SHARE = 0.95;
+const BASELINE_APPLICATION = 'bench-primary-only';
+const RULES_SETTLE_MS = 1_500;
+
+interface Reader {
+  readonly id: number;
+  readonly databaseGroup: string;
+  acknowledged: number;
+}
+
+interface Observations {
+  readonly share: number;
+  readonly reads: number;
+  readonly failures: number;
+  readonly staleReads: number;
+  readonly discardedReads: number;
+  readonly readMs: LatencySummary;
+  readonly writeMs: LatencySummary;
+}
+
+/** @public */
+export const replicaShareScenario: Scenario = {
+  name: 'replica-share',
+  description: 'share of reads on replicas, with none beyond age or floor',
+  defaultPreset: 'malabar',
+  run: context => BenchDeployment.run(context, bench => run(context, bench)),
+};
+
+async function run(
+  context: ScenarioContext,
+  bench: BenchDeployment,
+): Promise<ScenarioResult> {
+  const {databaseGroups} = bench.description;
+  const lagging = await slowOneReplica(bench, databaseGroups[0] ?? '');
+  const values = await Promise.all(
+    databaseGroups.map(databaseGroup =>
+      UpdatedValue.start(bench, databaseGroup),
+    ),
+  );
+  const common = {bench, values, databaseGroups, seed: context.seed};
+  const product = await observe({
+    ...common,
+    applicationName: 'public-site',
+    durationMs: DURATION_MS,
+    firstId: 1_000,
+  });
+  context.logger.info('product_measured', {...product});
+  await sendBaselineToPrimary(context, bench);
+  const baseline = await observe({
+    ...common,
+    applicationName: BASELINE_APPLICATION,
+    durationMs: BASELINE_DURATION_MS,
+    firstId: 2_000,
+  });
+  for (const value of values) {
+    await value.stop();
+  }
+  const violations = product.staleReads + baseline.staleReads;
+  return {
+    figures: {
+      replicaReadShare: product.share,
+      violations,
+      product: {
+        ...product,
+        readMs: {...product.readMs},
+        writeMs: {...product.writeMs},
+      },
+      baselineAllReadsToPrimary: {
+        ...baseline,
+        readMs: {...baseline.readMs},
+        writeMs: {...baseline.writeMs},
+      },
+    },
+    violations,
+    targets: [
+      {
+        target: `replicaReadShare >= ${TARGET_SHARE}`,
+        isMet: product.share >= TARGET_SHARE,
+      },
+      {target: 'violations = 0', isMet: violations === 0},
+    ],
+    settings: {
+      ratePerSecond: RATE_PER_SECOND,
+      readShare: READ_SHARE,
+      ageReadShare: AGE_READ_SHARE,
+      maxAgeMs: MAX_AGE_MS,
+      laggingReplica: lagging,
+      laggingReplicaMs: LAGGING_REPLICA_MS,
+    },
+  };
+}
+
+async function slowOneReplica(
+  bench: BenchDeployment,
+  databaseGroup: string,
+): Promise<string> {
+  const instances = await bench.getInstances();
+  const replica = instances.find(
+    instance =>
+      instance.databaseGroup === databaseGroup &&
+      instance.status.role === 'replica',
+  );
+  const instance = replica?.status.backendServer ?? '';
+  await bench.deployment.runAdminCommand({
+    kind: 'lag',
+    instance,
+    lagMs: LAGGING_REPLICA_MS,
+  });
+  return instance;
+}
+
+/** Makes all reads of the baseline's application strict. */
+async function sendBaselineToPrimary(
+  context: ScenarioContext,
+  bench: BenchDeployment,
+): Promise<void> {
+  const preset = getPreset(context.preset);
+  const strictRules = preset.databaseGroups.map<ReadRule>(databaseGroup => ({
+    application: BASELINE_APPLICATION,
+    databaseGroup,
+    table: ANY_NAME,
+    consistency: 'strict',
+    maxAgeMs: null,
+    priority: 'normal',
+  }));
+  await bench.submitChange('bench-baseline', {
+    kind: 'replaceReadRules',
+    readRules: [...preset.readRules, ...strictRules],
+  });
+  await sleep(RULES_SETTLE_MS);
+}
+
+interface ObserveOptions {
+  readonly bench: BenchDeployment;
+  readonly values: readonly UpdatedValue[];
+  readonly databaseGroups: readonly string[];
+  readonly seed: number;
+  readonly applicationName: string;
+  readonly durationMs: number;
+  readonly firstId: number;
+}
+
+async function observe(options: ObserveOptions): Promise<Observations> {
+  const {bench, databaseGroups, applicationName} = options;
+  const random = SeededRandom.create(options.seed);
+  const pool = await SessionPool.create<Reader>({
+    bench,
+    databaseGroups,
+    applicationName,
+    callersPerProxyAndGroup: CALLERS_PER_PROXY_AND_GROUP,
+    createState: (index, databaseGroup) => ({
+      id: options.firstId + index,
+      databaseGroup,
+      acknowledged: 0,
+    }),
+  });
+  for (const {session, state} of pool.callers) {
+    await session.query(
+      `INSERT INTO boarding_manifest (id, run, headcount) VALUES (${state.id}, 'bench', 0)`,
+    );
+  }
+  const before = await countReads(bench);
+  const load = ReplicaShareLoad.create(options.values, random);
+  await runOpenLoop({
+    ratePerSecond: RATE_PER_SECOND,
+    durationMs: options.durationMs,
+    random,
+    handleArrival: arrivedAtMs =>
+      pool.run(caller => load.handleRequest(caller, arrivedAtMs)),
+  });
+  const after = await countReads(bench);
+  await pool.end();
+  const replica = after.replica - before.replica;
+  const primary = after.primary - before.primary;
+  return {
+    share: replica / Math.max(1, replica + primary),
+    reads: replica + primary,
+    failures: load.failures,
+    staleReads: load.staleReads,
+    discardedReads: after.discarded - before.discarded,
+    readMs: load.readLatency.getSummary(),
+    writeMs: load.writeLatency.getSummary(),
+  };
+}
+
+interface ReadCounts {
+  readonly replica: number;
+  readonly primary: number;
+  readonly discarded: number;
+}
+
+async function countReads(bench: BenchDeployment): Promise<ReadCounts> {
+  const name = 'filbertrun_reads_total';
+  return {
+    replica: await bench.sumMetric(name, {target: 'replica'}),
+    primary: await bench.sumMetric(name, {target: 'primary'}),
+    discarded: await bench.sumMetric('filbertrun_reads_discarded_total'),
+  };
+}
+
+/** Draws requests of the mix and checks what they see. */
+class ReplicaShareLoad {
+  readonly readLatency = LatencyRecorder.create();
+  readonly writeLatency = LatencyRecorder.create();
+  staleReads = 0;
+  failures = 0;
+
+  private constructor(
+    private readonly values: ReadonlyMap<string, UpdatedValue>,
+    private readonly random: RandomSource,
+  ) {}
+
+  static create(
+    values: readonly UpdatedValue[],
+    random: RandomSource,
+  ): ReplicaShareLoad {
+    const byGroup = new Map(values.map(value => [value.databaseGroup, value]));
+    return new ReplicaShareLoad(byGroup, random);
+  }
+
+  async handleRequest(
+    caller: PooledCaller<Reader>,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    const isRead = this.random.nextFloat() < READ_SHARE;
+    try {
+      if (!isRead) {
+        await this.write(caller);
+      } else if (this.random.nextFloat() < AGE_READ_SHARE) {
+        await this.readTimetable(caller);
+      } else {
+        await this.readOwnRow(caller);
+      }
+    } catch (error) {
+      readFailure(error);
+      this.failures++;
+      return;
+    }
+    const latency = isRead ? this.readLatency : this.writeLatency;
+    latency.record(performance.now() - arrivedAtMs);
+  }
+
+  private async write({session, state}: PooledCaller<Reader>): Promise<void> {
+    const headcount = state.acknowledged + 1;
+    await session.query(
+      `UPDATE boarding_manifest SET headcount = ${headcount} WHERE id = ${state.id}`,
+    );
+    state.acknowledged = headcount;
+  }
+
+  private async readOwnRow({
+    session,
+    state,
+  }: PooledCaller<Reader>): Promise<void> {
+    const least = state.acknowledged;
+    const {rows} = await session.query(
+      `SELECT headcount FROM boarding_manifest WHERE id = ${state.id}`,
+    );
+    this.staleReads += Number(rows[0]?.['headcount'] ?? -1) < least ? 1 : 0;
+  }
+
+  private async readTimetable({
+    session,
+    state,
+  }: PooledCaller<Reader>): Promise<void> {
+    const value = this.values.get(state.databaseGroup);
+    const least = value?.getValueAt(performance.now() - MAX_AGE_MS) ?? 0;
+    const {rows} = await session.query(UpdatedValue.QUERY);
+    this.staleReads += UpdatedValue.read(rows[0]) < least ? 1 : 0;
+  }
+}
--- a/apps/bench/src/scenario_registry.ts
+++ b/apps/bench/src/scenario_registry.ts
@@ -1,11 +1,19 @@
 import {failoverGapScenario} from './failover_gap_scenario.js';
+import {overloadScenario} from './overload_scenario.js';
+import {readYourWritesScenario} from './read_your_writes_scenario.js';
+import {replicaShareScenario} from './replica_share_scenario.js';
 import type {Scenario} from './scenario.js';
 
 /**
  * The scenarios by name.
  */
 
-const SCENARIOS: readonly Scenario[] = [failoverGapScenario];
+const SCENARIOS: readonly Scenario[] = [
+  failoverGapScenario,
+  replicaShareScenario,
+  overloadScenario,
+  readYourWritesScenario,
+];
 
 /** All scenarios. @public */
 export function getScenarios(): readonly Scenario[] {
