--- a/packages/group/src/failover_core_test.ts
+++ b/packages/group/src/failover_core_test.ts
@@ -353,6 +353,15 @@
     ]);
   });
 
+  it('trusts a promotion over a status from before it', () => {
+    const core = new CoreHarness();
+    core.observeHealthy();
+    core.observe({backendServer: 'b', term: 2, claimId: 'x', primary: null});
+    const view = {databaseGroup: 'db', term: 2, claimId: 'x', primary: 'b'};
+    core.send({kind: 'viewHeard', view});
+    expect(core.primary).toBe('b');
+  });
+
   it('never goes back to a primary of an older term', () => {
     const core = new CoreHarness();
     core.observe({backendServer: 'b', role: 'primary', term: 2, primary: null});
--- a/packages/group/src/failover_state.ts
+++ b/packages/group/src/failover_state.ts
@@ -147,8 +147,9 @@
     return null;
   }
   const status = getObserved(state, view.primary).status;
-  if (status !== null && status.role === 'replica') {
-    return status.term >= view.term ? null : view.primary;
-  }
-  return view.primary;
+  // Within its term a promoted instance stays primary, so a status of that term
+  // which says otherwise is older than the promotion.
+  const isReplaced =
+    status !== null && status.role === 'replica' && status.term > view.term;
+  return isReplaced ? null : view.primary;
 }
--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -100,6 +100,7 @@
   private freshnessDemandMs = -Infinity;
   private lastConfirmationMs = -Infinity;
   private holdUntilMs = -Infinity;
+  private seenTerm = 0;
   /** Term in which the hold began. */
   private holdTerm = 0;
   private isDisposed = false;
@@ -341,17 +342,23 @@
 
   private handleState(state: FailoverState): void {
     const view = state.view;
-    if (view !== null) {
-      this.tracker.handleTerm(view.term);
-      if (view.term > this.holdTerm) {
-        this.holdUntilMs = -Infinity;
-      }
+    if (view !== null && view.term > this.seenTerm) {
+      this.seenTerm = view.term;
+      this.handleNewView(view);
     }
     this.updateWanted();
     this.resolveWaiters();
     this.notify();
   }
 
+  private handleNewView(view: GroupView): void {
+    this.tracker.handleTerm(view.term);
+    this.links.get(view.primary)?.pollIfDue(0);
+    if (view.term > this.holdTerm) {
+      this.holdUntilMs = -Infinity;
+    }
+  }
+
   /** Keeps new writes waiting while a planned change is under way. */
   private handleHold(holdMs: number): void {
     this.holdTerm = this.getTerm();
