Measure what control costs a proxy against members and groups

Change: scenario control-cost runs one real proxy with a probe among up to 200 members and 40 groups of small stand-ins, fits lines and computes the design size.

--- a/apps/bench/src/scenario_registry.ts
+++ b/apps/bench/src/scenario_registry.ts
@@ -1,3 +1,4 @@
+import {ControlCostScenario} from './control_cost/control_cost_scenario.js';
 import {failoverGapScenario} from './failover_gap_scenario.js';
 import {overloadScenario} from './overload_scenario.js';
 import {readYourWritesScenario} from './read_your_writes_scenario.js';
@@ -13,6 +14,7 @@
   replicaShareScenario,
   overloadScenario,
   readYourWritesScenario,
+  ControlCostScenario.create(),
 ];
 
 /** All scenarios. @public */
