--- a/packages/standin/src/query_processor.ts
+++ b/packages/standin/src/query_processor.ts
@@ -1,4 +1,6 @@
 import {formatPosition} from '@filbertrun/model/log_position.js';
+import type {Answer} from './answer.js';
+import {CompletionWriter} from './completion_writer.js';
 import {
   MAJORITY_CHANNEL,
   type DatabaseConnection,
@@ -42,22 +44,22 @@
 /** Runs the simple and the extended query protocol on a connection. @internal */
 export class QueryProcessor {
   private readonly prepared: PreparedStatements;
+  private readonly completion: CompletionWriter;
   private execution: Execution | null = null;
   private isSkippingToSync = false;
   private isCancelled = false;
   private isDisposed = false;
   private isWaitingForDrain = false;
-  /** Command tag whose commit waits for the next message. */
-  private heldTag: string | null = null;
-  private hasCommit = false;
-  private reported: ReadonlyMap<string, string>;
 
   private constructor(private readonly options: QueryProcessorOptions) {
     this.prepared = PreparedStatements.create(
       options.core.statements,
       options.writer,
     );
-    this.reported = options.connection.parameters.getReported();
+    this.completion = CompletionWriter.create(
+      options.connection,
+      options.writer,
+    );
   }
 
   static create(options: QueryProcessorOptions): QueryProcessor {
@@ -71,9 +73,7 @@
 
   /** Whether a commit was acknowledged since the last call. */
   takeHasCommit(): boolean {
-    const hasCommit = this.hasCommit;
-    this.hasCommit = false;
-    return hasCommit;
+    return this.completion.takeHasCommit();
   }
 
   handleMessage(message: FrontendMessage): void {
@@ -81,7 +81,7 @@
       return;
     }
     try {
-      this.settleHeldTag(message.kind === 'sync');
+      this.completion.settleHeldTag(message.kind === 'sync');
       this.dispatch(message);
     } catch (error) {
       this.handleFailure(error, message.kind === 'query');
@@ -210,7 +210,7 @@
     const hasRows = portal.fields.length > 0;
     // The commit that follows reports its own place before CommandComplete.
     if (answer !== null && (hasRows || !connection.hasImplicitTransaction())) {
-      this.writePosition(formatPosition(answer.position));
+      this.completion.writePosition(answer.position);
     }
     if (following !== null && hasRows) {
       writer.writeRowDescription(portal.fields);
@@ -270,7 +270,7 @@
   }
 
   private complete({portal, sentRows, following}: Execution): void {
-    const {connection, writer} = this.options;
+    const {writer} = this.options;
     const answer = portal.getAnswer();
     if (answer === null) {
       return;
@@ -279,17 +279,7 @@
       writer.writeEmptyQueryResponse();
     } else {
       const tag = answer.countsRows ? `${answer.tag} ${sentRows}` : answer.tag;
-      if (answer.commitPosition !== null) {
-        this.writeCommitPosition(formatPosition(answer.commitPosition));
-      }
-      this.writeChangedParameters(portal.plan);
-      const isHeld = connection.hasImplicitTransaction();
-      if (isHeld && following?.length !== 0) {
-        this.heldTag = tag;
-        this.settleHeldTagBefore(following);
-      } else {
-        this.commitAndComplete(tag);
-      }
+      this.writeEnd(answer, portal.plan, tag, following);
     }
     this.handleSessionStatement(portal.plan);
     if (following === null) {
@@ -302,61 +292,27 @@
     this.runSimpleQuery(following);
   }
 
-  /** Inside one simple query the transaction goes on to its last statement. */
-  private settleHeldTagBefore(following: readonly string[] | null): void {
-    if (following !== null) {
-      this.settleHeldTag(false);
+  private writeEnd(
+    answer: Answer,
+    plan: StatementPlan,
+    tag: string,
+    following: readonly string[] | null,
+  ): void {
+    const {connection, writer} = this.options;
+    if (answer.commitPosition !== null) {
+      this.completion.writeCommitPosition(answer.commitPosition);
     }
-  }
-
-  private settleHeldTag(isSync: boolean): void {
-    const tag = this.heldTag;
-    this.heldTag = null;
-    if (tag === null) {
-      if (isSync) {
-        this.commitImplicit();
-      }
-      return;
+    if (plan.body.kind === 'utility') {
+      this.completion.writeChangedParameters();
     }
-    if (isSync) {
-      this.commitAndComplete(tag);
+    if (!connection.hasImplicitTransaction() || following?.length === 0) {
+      this.completion.commitAndComplete(tag);
+    } else if (following === null) {
+      this.completion.holdTag(tag);
     } else {
-      this.options.writer.writeCommandComplete(tag);
-    }
-  }
-
-  private commitAndComplete(tag: string): void {
-    this.commitImplicit();
-    this.options.writer.writeCommandComplete(tag);
-  }
-
-  private commitImplicit(): void {
-    const position = this.options.connection.commitImplicit();
-    if (position !== null) {
-      this.writeCommitPosition(formatPosition(position));
-    }
-  }
-
-  private writeCommitPosition(position: string): void {
-    this.hasCommit = true;
-    this.writePosition(position);
-  }
-
-  private writePosition(position: string): void {
-    this.options.writer.writeParameterStatus('group_position', position);
-  }
-
-  private writeChangedParameters(plan: StatementPlan): void {
-    if (plan.body.kind !== 'utility') {
-      return;
-    }
-    const reported = this.options.connection.parameters.getReported();
-    for (const [name, value] of reported) {
-      if (this.reported.get(name) !== value) {
-        this.options.writer.writeParameterStatus(name, value);
-      }
+      // The transaction goes on to the last statement of the simple query.
+      writer.writeCommandComplete(tag);
     }
-    this.reported = reported;
   }
 
   private handleSessionStatement({body}: StatementPlan): void {
@@ -394,7 +350,7 @@
   private handleFailure(error: unknown, isSimpleQuery: boolean): void {
     const {connection, writer, fail} = this.options;
     this.execution = null;
-    this.heldTag = null;
+    this.completion.dropHeldTag();
     if (!(error instanceof SqlError) || error.severity === 'FATAL') {
       fail(error);
       return;
