Let a proxy tell others another URL than it listens on

The deployment reaches proxies through relays that can be cut with their availability zone, and a real one may sit behind an address translation. The new setting peerUrl names that URL; empty keeps peer host and port.

--- a/packages/proxy/src/proxy_control.ts
+++ b/packages/proxy/src/proxy_control.ts
@@ -49,7 +49,8 @@
       sourceAddress,
       tls: null,
     });
-    const peerUrl = `http://${settings.peerHost}:${settings.peerPort}`;
+    const peerUrl =
+      settings.peerUrl ?? `http://${settings.peerHost}:${settings.peerPort}`;
     const plane = ControlPlane.create({
       identity: {entryVm, availabilityZone, peerUrl},
       startedAtEpochMs: options.startedAtEpochMs,
--- a/packages/proxy/src/proxy_settings.ts
+++ b/packages/proxy/src/proxy_settings.ts
@@ -51,6 +51,15 @@
     defaultText: '127.0.0.1',
     schema: z.string().min(1).max(255),
   },
+  peerUrl: {
+    description:
+      'URL that other proxies are told to reach this one by, if it differs from peer host and port.',
+    allowed: 'an http or https URL, or empty',
+    defaultText: '',
+    schema: z
+      .union([z.literal(''), z.url({protocol: /^https?$/})])
+      .transform(text => (text === '' ? null : text)),
+  },
   platformUrl: {
     description: 'Base URL of the platform.',
     allowed: 'an http or https URL',
