Keep the data path from acting on old knowledge after a pause

The pools of a proxy that wakes give no connection until the control plane has asked for the newest configuration; the refusal is 57P03, not run. A proxy is ready only once it may use its share, and a graceful end waits until the neighbours know that the share is free. Log events name another member as `member`, as `entryVm` is the logger's own field.

--- a/packages/membership/src/membership_core.ts
+++ b/packages/membership/src/membership_core.ts
@@ -393,11 +393,7 @@
 ): MembershipStep {
   const self = {...state.self, state: ownState};
   const next = noteChange({...state, self}, self.entryVm, nowMs);
-  const commands = next.neighbours.flatMap(entryVm => {
-    const entry = next.table.get(entryVm);
-    return entry === undefined ? [] : [createHeartbeatCommand(entry.record)];
-  });
-  return {state: next, commands};
+  return {state: next, commands: []};
 }
 
 function advanceInquiries(
--- a/packages/membership/src/membership_manager.ts
+++ b/packages/membership/src/membership_manager.ts
@@ -170,6 +170,12 @@
     return this.getLatenessMs() >= STALL_THRESHOLD_MS;
   }
 
+  /** Whether this proxy may use its shares of connections now. */
+  holdsShares(): boolean {
+    const nowMs = this.options.clock.nowMs();
+    return !this.isSuspended() && hasJoined(this.getPopulation(), nowMs);
+  }
+
   /** Duties among the members that take new ones. */
   getAssignment(): DutyAssignment {
     return DutyAssignment.create(this.getLiveMembers());
@@ -184,8 +190,7 @@
   getShares(instances: readonly SharedInstance[]): readonly number[] {
     const population = this.getPopulation();
     const nowMs = this.options.clock.nowMs();
-    const mayUse = !this.isSuspended() && hasJoined(population, nowMs);
-    if (!mayUse) {
+    if (!this.holdsShares()) {
       return instances.map(() => 0);
     }
     const assignment = this.getShareAssignment(population, nowMs);
@@ -240,11 +245,19 @@
   /** Tells the others that this proxy takes no new work. */
   startLeaving(): void {
     this.handle({kind: 'leaveStarted', nowMs: this.options.clock.nowMs()});
+    this.sendHeartbeatsNow();
   }
 
-  /** Tells the others that this proxy holds no connections any more. */
-  endLeaving(): void {
+  /**
+   * Tells the others that this proxy holds no connections any more. Resolves
+   * when all neighbours have answered or the time for that is over.
+   */
+  async endLeaving(): Promise<void> {
     this.handle({kind: 'leaveEnded', nowMs: this.options.clock.nowMs()});
+    const farewells = this.getNeighbours().map(({entryVm, peerUrl}) =>
+      this.sendHeartbeat(entryVm, peerUrl),
+    );
+    await Promise.all(farewells);
   }
 
   dispose(): void {
@@ -408,8 +421,7 @@
   private notifyIfSharesChanged(nowMs: number): void {
     const population = this.getPopulation();
     const holders = describeHolders(getShareHolders(population, nowMs));
-    const mayUse = hasJoined(population, nowMs) && !this.isSuspended();
-    const shareKey = `${mayUse} ${holders}`;
+    const shareKey = `${this.holdsShares()} ${holders}`;
     if (shareKey !== this.shareKey) {
       this.shareKey = shareKey;
       this.notify();
@@ -436,9 +448,15 @@
   }
 
   private logMember(record: MemberRecord): void {
-    const {entryVm, availabilityZone, state, incarnation} = record;
+    const {state, incarnation} = record;
     const event = state === 'dead' ? 'member_dead' : 'member_changed';
-    const fields = {entryVm, availabilityZone, state, incarnation};
+    // The fields of the logger itself name this proxy.
+    const fields = {
+      member: record.entryVm,
+      memberZone: record.availabilityZone,
+      state,
+      incarnation,
+    };
     if (state === 'dead') {
       this.options.logger.warn(event, fields);
       return;
--- a/packages/peer/src/control_fuzz_test.ts
+++ b/packages/peer/src/control_fuzz_test.ts
@@ -363,7 +363,7 @@
     if (isGraceful) {
       cluster.getNode(node).control.membership.startLeaving();
       await watch(500);
-      cluster.getNode(node).control.membership.endLeaving();
+      void cluster.getNode(node).control.membership.endLeaving();
       await cluster.pass(2);
     }
     cluster.kill(node);
--- a/packages/peer/src/control_plane_test.ts
+++ b/packages/peer/src/control_plane_test.ts
@@ -70,7 +70,7 @@
     control.membership.startLeaving();
     await cluster.pass(1000);
     expect(getShares().slice(0, 4)).toEqual([4, 4, 4, 4]);
-    control.membership.endLeaving();
+    void control.membership.endLeaving();
     await cluster.pass(10);
     cluster.kill(5);
     await cluster.pass(1000);
@@ -105,6 +105,40 @@
   });
 });
 
+describe('a proxy that joins many others', () => {
+  it('takes its share only when all others count it', async () => {
+    const instance = {databaseGroup: 'sched-db-1', maxConnections: 60};
+    for (let index = 1; index <= 16; index++) {
+      cluster.start(index);
+    }
+    await cluster.pass(5000);
+    cluster.platform.setVmListLagMs(600_000);
+    cluster.start(17);
+    for (let passedMs = 0; passedMs < 6000; passedMs += 5) {
+      await cluster.pass(5);
+      let sum = 0;
+      for (const {control} of cluster.nodes.values()) {
+        sum += control.membership.getShare(instance);
+      }
+      expect(sum).toBeLessThanOrEqual(60);
+    }
+    const joined = cluster.getNode(17).control.membership;
+    expect(joined.getShare(instance)).toBeGreaterThan(0);
+  });
+
+  it('has no duty left to it once it is dead', async () => {
+    await startFive();
+    cluster.kill(5);
+    await cluster.pass(5000);
+    for (const {control} of cluster.nodes.values()) {
+      const members = control.membership.getPresentMembers();
+      expect(members.map(member => member.entryVm)).not.toContain('entry-5');
+      const neighbours = control.membership.getNeighbours();
+      expect(neighbours.map(member => member.entryVm)).not.toContain('entry-5');
+    }
+  });
+});
+
 describe('a proxy that was paused', () => {
   it('acts on nothing that it knew when it wakes, and joins again', async () => {
     await startFive();
--- a/packages/proxy/src/group/group_registry.ts
+++ b/packages/proxy/src/group/group_registry.ts
@@ -47,6 +47,8 @@
     databaseGroup: DatabaseGroupName,
     server: BackendServer,
   ) => number;
+  /** Whether the proxy may send work now; not right after a pause. */
+  readonly mayTakeWork: () => boolean;
 }
 
 /**
@@ -153,6 +155,7 @@
       clock,
       random,
       getConnectionShare: server => getConnectionShare(databaseGroup, server),
+      mayTakeWork: options.mayTakeWork,
     });
   }
 
--- a/packages/proxy/src/group/group_runtime.ts
+++ b/packages/proxy/src/group/group_runtime.ts
@@ -36,6 +36,8 @@
   readonly random: RandomSource;
   /** Connections that this proxy may hold to an instance. */
   readonly getConnectionShare: (server: BackendServer) => number;
+  /** Whether the proxy may send work now; not right after a pause. */
+  readonly mayTakeWork: () => boolean;
 }
 
 /**
@@ -72,7 +74,7 @@
     request: LeaseRequest,
   ): Promise<Result<ConnectionLease, CallerError>> {
     const pool = this.pools.get(backendServer);
-    return pool === undefined
+    return pool === undefined || !this.options.mayTakeWork()
       ? failure({kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS})
       : pool.acquire(request);
   }
--- a/packages/proxy/src/proxy_control.ts
+++ b/packages/proxy/src/proxy_control.ts
@@ -77,6 +77,7 @@
       logger,
       getConnectionShare: (databaseGroup, server) =>
         getConnectionShare(plane, databaseGroup, server),
+      mayTakeWork: () => plane.mayTakeWork(),
     });
     plane.setGroupDelegate(RegistryDelegate.create(groups, peers, plane));
     plane.configuration.onChange(value => groups.handleConfiguration(value));
@@ -97,10 +98,7 @@
 
   /** Whether the proxy may act on its configuration and use its connections. */
   isReady(): boolean {
-    return (
-      this.plane.configuration.getCurrent() !== null &&
-      !this.plane.membership.isSuspended()
-    );
+    return this.plane.mayTakeWork() && this.plane.membership.holdsShares();
   }
 
   /** Tells the others that this proxy takes no new work. */
@@ -111,7 +109,7 @@
   /** Closes all connections and tells the others that their share is free. */
   async dispose(): Promise<void> {
     this.groups.dispose();
-    this.plane.membership.endLeaving();
+    await this.plane.membership.endLeaving();
     this.plane.dispose();
     await this.peerServer.dispose();
     this.transport.dispose();
