Add the scenarios planned-change, configuration, drain, proxy-loss, rolling-stop and overhead

Overload now keeps the callers of bookings and lookups apart: with one set of callers, a booking waited in the tool for callers that waited for lookups. Overhead uses a lean client, since the driver costs more than the proxy.

--- a/apps/bench/src/caller_session.ts
+++ b/apps/bench/src/caller_session.ts
@@ -1,3 +1,4 @@
+import type net from 'node:net';
 import type {DeployedProxy} from '@filbertrun/standin/deployment.js';
 import pg from 'pg';
 import {z} from 'zod';
@@ -31,6 +32,7 @@
 export class CallerSession {
   private token: string | null = null;
   private ended = false;
+  private taken: net.Socket | null = null;
 
   private constructor(private readonly client: pg.Client) {}
 
@@ -85,18 +87,34 @@
     await this.query(`SET ${TOKEN_PARAMETER} = '${token}'`);
   }
 
+  /**
+   * Takes the logged-in socket away from the driver. Afterwards the session
+   * can only be ended.
+   */
+  takeSocket(): net.Socket {
+    const {stream} = getConnection(this.client);
+    stream.removeAllListeners('data');
+    this.taken = stream;
+    return stream;
+  }
+
   async end(): Promise<void> {
     this.ended = true;
+    if (this.taken !== null) {
+      this.taken.destroy();
+      return;
+    }
     await this.client.end().catch(() => undefined);
   }
 }
 
-interface MessageEmitter {
+interface DriverConnection {
+  readonly stream: net.Socket;
   on(event: string, listener: (message: unknown) => void): unknown;
 }
 
 /** The driver's connection, whose events its types leave out. */
-function getConnection(client: pg.Client): MessageEmitter {
-  return (client as unknown as {readonly connection: MessageEmitter})
+function getConnection(client: pg.Client): DriverConnection {
+  return (client as unknown as {readonly connection: DriverConnection})
     .connection;
 }
--- a/apps/bench/src/overload_scenario.ts
+++ b/apps/bench/src/overload_scenario.ts
@@ -9,8 +9,9 @@
 /** Three times the load that the database groups can serve. */
 
 const SERVICE_TIME_MS = 10;
-const BOOKING_SHARE = 0.1;
-const CALLERS_PER_PROXY_AND_GROUP = 24;
+const BOOKING_SHARE = 0.05;
+const LOOKUP_CALLERS_PER_PROXY_AND_GROUP = 60;
+const BOOKING_CALLERS_PER_PROXY_AND_GROUP = 12;
 const STEP_DURATION_MS = 6_000;
 const OVERLOAD_DURATION_MS = 15_000;
 const OVERLOAD_FACTOR = 3;
@@ -19,6 +20,7 @@
 const BOOKING_TARGET = 0.95;
 const REFUSAL_TARGET_MS = 50;
 const MS_PER_SECOND = 1_000;
+const REFUSED_SQL_STATE = '53300';
 
 /** Shares of the nominal capacity at which the peak is looked for. */
 const PEAK_STEPS = [0.6, 0.8, 1, 1.2] as const;
@@ -27,12 +29,18 @@
   nextId: number;
 }
 
+type RequestKind = 'booking' | 'lookup';
+
+type CallerPools = Readonly<Record<RequestKind, SessionPool<Caller>>>;
+
 interface Outcome {
   readonly goodputPerSecond: number;
   readonly offeredPerSecond: number;
   readonly bookingShare: number;
   readonly lookupShare: number;
-  readonly otherFailures: number;
+  /** By kind of request and SQLSTATE. */
+  readonly failures: Readonly<Record<string, number>>;
+  readonly refusalP50Ms: number;
   readonly refusals: number;
   readonly refusalP99Ms: number;
   readonly servedP99Ms: number;
@@ -55,19 +63,30 @@
 ): Promise<ScenarioResult> {
   const {databaseGroups} = bench.description;
   const capacityPerSecond = await limitInstances(bench);
-  const pool = await SessionPool.create<Caller>({
+  const common = {
     bench,
     databaseGroups,
     applicationName: 'bench-overload',
-    callersPerProxyAndGroup: CALLERS_PER_PROXY_AND_GROUP,
-    createState: index => ({nextId: 10_000_000 + index * 100_000}),
-  });
+    createState: (index: number) => ({nextId: 10_000_000 + index * 100_000}),
+  };
+  // Bookings and lookups come from different callers, so that a caller who
+  // waits for a lookup holds up no booking before it is sent.
+  const pools: CallerPools = {
+    booking: await SessionPool.create<Caller>({
+      ...common,
+      callersPerProxyAndGroup: BOOKING_CALLERS_PER_PROXY_AND_GROUP,
+    }),
+    lookup: await SessionPool.create<Caller>({
+      ...common,
+      callersPerProxyAndGroup: LOOKUP_CALLERS_PER_PROXY_AND_GROUP,
+    }),
+  };
   let peakPerSecond = 0;
   const steps: {offeredPerSecond: number; goodputPerSecond: number}[] = [];
   for (const step of PEAK_STEPS) {
     const {offeredPerSecond, goodputPerSecond} = await observe(
       context,
-      pool,
+      pools,
       capacityPerSecond * step,
       STEP_DURATION_MS,
     );
@@ -77,11 +96,12 @@
   }
   const overload = await observe(
     context,
-    pool,
+    pools,
     capacityPerSecond * OVERLOAD_FACTOR,
     OVERLOAD_DURATION_MS,
   );
-  await pool.end();
+  await pools.booking.end();
+  await pools.lookup.end();
   const goodputRatio = overload.goodputPerSecond / peakPerSecond;
   const {bookingShare, refusalP99Ms} = overload;
   return {
@@ -127,7 +147,7 @@
 
 async function observe(
   context: ScenarioContext,
-  pool: SessionPool<Caller>,
+  pools: CallerPools,
   ratePerSecond: number,
   durationMs: number,
 ): Promise<Outcome> {
@@ -136,10 +156,10 @@
   const refused = LatencyRecorder.create();
   const offered = {booking: 0, lookup: 0};
   const answered = {booking: 0, lookup: 0};
-  let otherFailures = 0;
+  const failures: Record<string, number> = {};
   const handle = async (
     {session, state}: PooledCaller<Caller>,
-    kind: 'booking' | 'lookup',
+    kind: RequestKind,
     arrivedAtMs: number,
   ) => {
     const sentAtMs = performance.now();
@@ -152,10 +172,11 @@
       served.record(performance.now() - arrivedAtMs);
       answered[kind]++;
     } catch (error) {
-      if (readFailure(error).sqlState === '53300') {
+      const sqlState = readFailure(error).sqlState ?? 'none';
+      const name = `${kind}_${sqlState}`;
+      failures[name] = (failures[name] ?? 0) + 1;
+      if (sqlState === REFUSED_SQL_STATE) {
         refused.record(performance.now() - sentAtMs);
-      } else {
-        otherFailures++;
       }
     }
   };
@@ -167,7 +188,7 @@
       const isBooking = random.nextFloat() < BOOKING_SHARE;
       const kind = isBooking ? 'booking' : 'lookup';
       offered[kind]++;
-      return pool.run(caller => handle(caller, kind, arrivedAtMs));
+      return pools[kind].run(caller => handle(caller, kind, arrivedAtMs));
     },
   });
   const seconds = durationMs / MS_PER_SECOND;
@@ -176,7 +197,8 @@
     goodputPerSecond: (answered.booking + answered.lookup) / seconds,
     bookingShare: answered.booking / Math.max(1, offered.booking),
     lookupShare: answered.lookup / Math.max(1, offered.lookup),
-    otherFailures,
+    failures,
+    refusalP50Ms: refused.getSummary().p50,
     refusals: refused.getSummary().count,
     refusalP99Ms: refused.getSummary().p99,
     servedP99Ms: served.getSummary().p99,
--- a/apps/bench/src/scenario_registry.ts
+++ b/apps/bench/src/scenario_registry.ts
@@ -1,8 +1,14 @@
+import {configurationScenario} from './configuration_scenario.js';
 import {ControlCostScenario} from './control_cost/control_cost_scenario.js';
+import {drainScenario} from './drain_scenario.js';
 import {failoverGapScenario} from './failover_gap_scenario.js';
 import {overloadScenario} from './overload_scenario.js';
+import {overheadScenario} from './overhead_scenario.js';
+import {plannedChangeScenario} from './planned_change_scenario.js';
+import {proxyLossScenario} from './proxy_loss_scenario.js';
 import {readYourWritesScenario} from './read_your_writes_scenario.js';
 import {replicaShareScenario} from './replica_share_scenario.js';
+import {rollingStopScenario} from './rolling_stop_scenario.js';
 import type {Scenario} from './scenario.js';
 
 /**
@@ -12,9 +18,15 @@
 const SCENARIOS: readonly Scenario[] = [
   failoverGapScenario,
   replicaShareScenario,
+  overheadScenario,
+  ControlCostScenario.create(),
+  plannedChangeScenario,
+  configurationScenario,
+  drainScenario,
+  proxyLossScenario,
+  rollingStopScenario,
   overloadScenario,
   readYourWritesScenario,
-  ControlCostScenario.create(),
 ];
 
 /** All scenarios. @public */
