Poll instances by one short text and idle groups rarely

Cause: control-cost measured 4.0 kB/s for each watched group, because a poll's answer repeated nine column descriptions, every zone's proxy watched each group, and a proxy polled the primary of a group that nobody used as often as a busy one's. Each tick also built the assignment of all members anew. Change: polls call group_brief (one text column); at most three proxies watch a group; a group that is neither watched nor used is polled once a second; watchers are computed once per change of members; the loop-delay timer runs every 50 ms.

--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -74,6 +74,9 @@
 /** Time for which one request keeps the proofs going. */
 const FRESHNESS_DEMAND_MS = 5000;
 
+/** Time for which a group counts as used after a choice among its instances. */
+const USE_MEMORY_MS = 5000;
+
 /** Upper bound of the random part of a claim prefix. */
 const PREFIX_RANGE = 2 ** 31 - 1;
 
@@ -98,6 +101,7 @@
   private timer: Timer | null = null;
   private servers: readonly BackendServer[];
   private freshnessDemandMs = -Infinity;
+  private lastUseMs = -Infinity;
   private lastConfirmationMs = -Infinity;
   private holdUntilMs = -Infinity;
   private seenTerm = 0;
@@ -242,6 +246,7 @@
 
   /** What routing needs to know of each instance that is not removed. */
   getCandidates(): readonly GroupCandidate[] {
+    this.lastUseMs = this.options.clock.nowMs();
     const state = this.driver.getState();
     const primary = getServingPrimary(state);
     const candidates: GroupCandidate[] = [];
@@ -389,13 +394,20 @@
       return;
     }
     this.updateWanted();
-    this.links.pollDue();
+    this.links.pollDue(this.isIdle());
     this.renewFreshness();
     this.timer = this.options.clock.startTimer(MAINTENANCE_INTERVAL_MS, () =>
       this.maintain(),
     );
   }
 
+  /** Whether this proxy neither watches the group nor routes reads to it. */
+  private isIdle(): boolean {
+    const rank = this.options.peers.getWatchRank(this.options.databaseGroup);
+    const nowMs = this.options.clock.nowMs();
+    return rank === null && nowMs - this.lastUseMs >= USE_MEMORY_MS;
+  }
+
   /** Watchers hold a connection to each instance, others to the primary only. */
   private updateWanted(): void {
     const rank = this.options.peers.getWatchRank(this.options.databaseGroup);
--- a/packages/group/src/instance_links.ts
+++ b/packages/group/src/instance_links.ts
@@ -17,6 +17,9 @@
 const PRIMARY_POLL_INTERVAL_MS = 200;
 const REPLICA_POLL_INTERVAL_MS = 500;
 
+/** The same for the primary of a group that nobody uses or watches here. */
+const IDLE_POLL_INTERVAL_MS = 1000;
+
 /** The control connections to the instances of one group. @internal */
 export class InstanceLinks {
   private readonly links = new Map<BackendServerId, InstanceLink>();
@@ -59,14 +62,13 @@
     }
   }
 
-  /** Polls the instances whose last answer is due for renewal. */
-  pollDue(): void {
+  /**
+   * Polls the instances whose last answer is due for renewal; rarely while the
+   * group is idle.
+   */
+  pollDue(isIdle: boolean): void {
     for (const [name, link] of this.links) {
-      link.pollIfDue(
-        name === this.primary
-          ? PRIMARY_POLL_INTERVAL_MS
-          : REPLICA_POLL_INTERVAL_MS,
-      );
+      link.pollIfDue(getPollIntervalMs(name === this.primary, isIdle));
     }
   }
 
@@ -90,3 +92,10 @@
     );
   }
 }
+
+function getPollIntervalMs(isPrimary: boolean, isIdle: boolean): number {
+  if (isIdle) {
+    return IDLE_POLL_INTERVAL_MS;
+  }
+  return isPrimary ? PRIMARY_POLL_INTERVAL_MS : REPLICA_POLL_INTERVAL_MS;
+}
--- a/packages/group/src/instance_rows.ts
+++ b/packages/group/src/instance_rows.ts
@@ -3,6 +3,7 @@
   parsePosition,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
+import {parseBriefStatus} from './brief_status.js';
 import type {InstanceStatus, TermConfirmation} from './instance_control.js';
 
 /**
@@ -52,6 +53,8 @@
   replicas: replicasTextSchema,
 });
 
+const briefRowSchema = z.object({s: z.string().max(16_384)});
+
 const confirmationRowSchema = z.object({
   term: int8Schema,
   log_position: positionTextSchema,
@@ -84,6 +87,12 @@
   };
 }
 
+/** Reads the row of a poll; null when it is malformed. @internal */
+export function parseBriefRow(row: unknown): InstanceStatus | null {
+  const parsed = briefRowSchema.safeParse(row);
+  return parsed.success ? parseBriefStatus(parsed.data.s) : null;
+}
+
 /** Reads whether a command was accepted; null when the row is malformed. @internal */
 export function parseAccepted(row: unknown): boolean | null {
   const parsed = commandRowSchema.safeParse(row);
--- a/packages/group/src/pg_instance_control.ts
+++ b/packages/group/src/pg_instance_control.ts
@@ -18,6 +18,7 @@
 } from './instance_control.js';
 import {
   parseAccepted,
+  parseBriefRow,
   parseConfirmationRow,
   parseStatusRow,
 } from './instance_rows.js';
@@ -112,10 +113,10 @@
 
   async getStatus(): Promise<Result<InstanceStatus, InstanceError>> {
     const row = await this.queryRow(
-      'SELECT * FROM group_status()',
+      'SELECT * FROM group_brief()',
       this.options.callTimeoutMs,
     );
-    return row.ok ? readRow(parseStatusRow(row.value)) : row;
+    return row.ok ? readRow(parseBriefRow(row.value)) : row;
   }
 
   raiseTerm(
--- a/packages/proxy/src/group/control_group_peers.ts
+++ b/packages/proxy/src/group/control_group_peers.ts
@@ -13,6 +13,9 @@
 import type {ControlPlane} from '@filbertrun/peer/control_plane.js';
 import type {PeerTransport} from '@filbertrun/peer/peer_transport.js';
 
+/** Proxies that follow a group, each in another availability zone. */
+const MAX_WATCHERS = 3;
+
 /** Bound of a message that holds or releases writes. */
 const HOLD_TIMEOUT_MS = 500;
 
@@ -29,10 +32,21 @@
     Set<HoldListener>
   >();
 
+  /** Watchers by group while membership stays as it is. */
+  private readonly watchers = new Map<DatabaseGroupName, readonly string[]>();
+  private knownZones: readonly AvailabilityZone[] | null = null;
+
   private constructor(
     private readonly control: ControlPlane,
     private readonly transport: PeerTransport,
-  ) {}
+  ) {
+    const forgetMembers = () => {
+      this.watchers.clear();
+      this.knownZones = null;
+    };
+    control.membership.onChange(forgetMembers);
+    control.membership.onSuspended(forgetMembers);
+  }
 
   static create(
     control: ControlPlane,
@@ -106,10 +120,15 @@
   getWatchRank(databaseGroup: DatabaseGroupName): number | null {
     const {entryVm} = this.control.membership.getSelf();
     const rank = this.getWatchers(databaseGroup).indexOf(entryVm);
-    return rank < 0 ? null : rank;
+    return rank < 0 || rank >= MAX_WATCHERS ? null : rank;
   }
 
   getKnownZones(): readonly AvailabilityZone[] {
+    this.knownZones ??= this.collectZones();
+    return this.knownZones;
+  }
+
+  private collectZones(): readonly AvailabilityZone[] {
     const zones = new Set<AvailabilityZone>();
     for (const {availabilityZone} of this.control.membership.getRecords()) {
       zones.add(availabilityZone);
@@ -117,8 +136,18 @@
     return [...zones];
   }
 
-  /** The watchers in an order on which all proxies agree. */
+  /** One proxy of each zone, in an order on which all proxies agree. */
   private getWatchers(databaseGroup: DatabaseGroupName): readonly string[] {
+    const known = this.watchers.get(databaseGroup);
+    if (known !== undefined) {
+      return known;
+    }
+    const watchers = this.orderWatchers(databaseGroup);
+    this.watchers.set(databaseGroup, watchers);
+    return watchers;
+  }
+
+  private orderWatchers(databaseGroup: DatabaseGroupName): readonly string[] {
     const assignment = this.control.membership.getAssignment();
     const watchers = [...assignment.getWatchers(databaseGroup)];
     const getOrder = (entryVm: string): number =>
--- a/packages/proxy/src/proxy_server.ts
+++ b/packages/proxy/src/proxy_server.ts
@@ -15,6 +15,9 @@
 /** Bound of one call to the platform. */
 const PLATFORM_TIMEOUT_MS = 5_000;
 
+/** Period of the timer whose lateness is the loop delay. */
+const LOOP_DELAY_RESOLUTION_MS = 50;
+
 const NANOSECONDS_PER_MS = 1e6;
 
 /** Ports that a running proxy listens on. @public */
@@ -102,7 +105,9 @@
     registry: MetricsRegistry,
     metrics: ProxyMetrics,
   ): Promise<void> {
-    const loopDelay = monitorEventLoopDelay();
+    const loopDelay = monitorEventLoopDelay({
+      resolution: LOOP_DELAY_RESOLUTION_MS,
+    });
     loopDelay.enable();
     this.operator = await OperatorServer.create({
       host: this.settings.listenHost,
--- a/packages/standin/src/group_functions.ts
+++ b/packages/standin/src/group_functions.ts
@@ -1,3 +1,4 @@
+import {formatBriefStatus} from '@filbertrun/group/brief_status.js';
 import type {InstanceStatus} from '@filbertrun/group/instance_control.js';
 import {formatPosition} from '@filbertrun/model/log_position.js';
 import type {FromCall} from 'pgsql-ast-parser';
@@ -34,6 +35,7 @@
 
 const GROUP_FUNCTIONS: ReadonlyMap<string, GroupFunction> = new Map([
   ['group_status', {argumentTypes: [], columns: STATUS_COLUMNS}],
+  ['group_brief', {argumentTypes: [], columns: [['s', 'text']]}],
   [
     'group_raise_term',
     {argumentTypes: ['int8', 'text'], columns: CALL_COLUMNS},
@@ -94,6 +96,11 @@
   }));
 }
 
+/** The status of an instance as `group_brief` answers it. @internal */
+export function createBriefRow(status: InstanceStatus): Row {
+  return [formatBriefStatus(status)];
+}
+
 /** The status of an instance as `group_status` answers it. @internal */
 export function createStatusRow(status: InstanceStatus): Row {
   const silentMs = status.primarySilentForMs;
--- a/packages/standin/src/instance_core.ts
+++ b/packages/standin/src/instance_core.ts
@@ -8,7 +8,7 @@
   DatabaseConnection,
   type ConnectionListener,
 } from './database_connection.js';
-import {createStatusRow} from './group_functions.js';
+import {createBriefRow, createStatusRow} from './group_functions.js';
 import {ReplicationCore} from './replication_core.js';
 import type {ReplicationMessage} from './replication_message.js';
 import {SlotGate} from './slot_gate.js';
@@ -224,6 +224,8 @@
     switch (name) {
       case 'group_status':
         return createStatusRow(this.replication.getStatus());
+      case 'group_brief':
+        return createBriefRow(this.replication.getStatus());
       case 'group_raise_term':
         return this.changeTerm(this.replication.raiseTerm(term, claimId));
       case 'group_promote':
