Test the proxy over the stand-in; show errors of the primary

A read whose statement the primary refused (an unknown column) was taken for an answer without the required position: it was tried again until the deadline and ended as 57P03. Only a replica's error needs that proof now. Flush before Sync, which left its caller waiting, is refused with 0A000.

--- a/packages/proxy/src/data_path_test.ts
+++ b/packages/proxy/src/data_path_test.ts
@@ -180,6 +180,12 @@
     expect(result.rows).toEqual([{value: 'primary'}]);
   });
 
+  it('show an error of the primary, which reports no position with it', async () => {
+    await start({a: () => ({kind: 'error', sqlState: '42703'})});
+    const client = await harness!.connect();
+    expect(await client.query(SELECT).catch(getCode)).toBe('42703');
+  });
+
   it('go to the primary when the replica is lost before it answers', async () => {
     const {view} = await start({
       a: answerAsPrimary,
--- a/packages/proxy/src/execution/answer_relay.ts
+++ b/packages/proxy/src/execution/answer_relay.ts
@@ -51,10 +51,14 @@
   readonly hold: HoldMode;
   readonly holdLimitBytes: number;
   /**
-   * Whether an error that comes first is kept from the caller. An error that
-   * comes before the required position is proven always is.
+   * Whether an error that comes first is kept from the caller.
    */
   readonly isRejection: (error: BackendErrorFields) => boolean;
+  /**
+   * Whether an error is kept from the caller while the required position is
+   * not proven: a replica that lags can miss the very table of a statement.
+   */
+  readonly hidesUnprovenErrors: boolean;
   /**
    * Called when the held part reached its limit. Reading is stopped until
    * `releaseHeld` or until the connection is closed.
@@ -225,8 +229,7 @@
     const isFatal = error.severity === 'FATAL' || error.severity === 'PANIC';
     const isFirst = !this.wasRelayed && !this.hasCompletedCommand;
     this.options.plan?.acceptFrame(BackendMessage.errorResponse);
-    // An instance that lags can miss the very table that a statement names.
-    const isUnproven = this.isCheckPending;
+    const isUnproven = this.isCheckPending && this.options.hidesUnprovenErrors;
     if (isUnproven || (isFirst && this.options.isRejection(error))) {
       this.rejection = error;
       return;
--- a/packages/proxy/src/execution/exchange.ts
+++ b/packages/proxy/src/execution/exchange.ts
@@ -17,6 +17,8 @@
   readonly requiredPosition: LogPosition | null;
   readonly hold: HoldMode;
   readonly isRejection: (error: BackendErrorFields) => boolean;
+  /** Whether an error without the required position is kept from the caller. */
+  readonly hidesUnprovenErrors?: boolean;
   /** Proves what the held part waits for, so that reading can go on. */
   readonly prove: (position: LogPosition | null) => Promise<boolean>;
   /** Called when the request has been sent. */
@@ -70,6 +72,7 @@
     hold: options.hold,
     holdLimitBytes: HOLD_LIMIT_BYTES,
     isRejection: options.isRejection,
+    hidesUnprovenErrors: options.hidesUnprovenErrors ?? false,
     handleHoldLimit: limited => void proveAndRelease(limited, lease, options),
   });
   connection.start(chunks, relay);
--- a/packages/proxy/src/execution/read_executor.ts
+++ b/packages/proxy/src/execution/read_executor.ts
@@ -145,6 +145,7 @@
       requiredPosition,
       hold: 'none',
       isRejection: isReplicaRejection,
+      hidesUnprovenErrors: requiredPosition !== null,
       prove: () => Promise.resolve(true),
     });
     notePosition(context, backendServer, relay?.position ?? null);
--- a/packages/proxy/src/session/batch_reader.ts
+++ b/packages/proxy/src/session/batch_reader.ts
@@ -34,6 +34,8 @@
   readonly isEmpty: boolean;
   /** First error of the batch; then none of it may be run. */
   readonly error: CallerError | null;
+  /** Whether the caller has been told of the error. */
+  readonly isErrorReported: boolean;
 }
 
 /**
@@ -48,6 +50,7 @@
   private executed: ClassifiedStatement[] = [];
   private mentioned: ClassifiedStatement[] = [];
   private error: CallerError | null = null;
+  private isErrorReported = false;
   /** Statement of each portal that the session opened. */
   private readonly portals = new Map<string, PreparedStatement>();
 
@@ -82,30 +85,31 @@
     return this.error;
   }
 
-  /** Adds a Flush, which asks for the answers so far. */
-  addFlush(frame: Buffer): void {
-    if (this.error === null) {
-      this.messages.push({kind: 'flush', frame});
-    }
+  /** Ignores the rest of the batch, whose error the caller has been told. */
+  abandon(error: CallerError): void {
+    this.error = error;
+    this.isErrorReported = true;
   }
 
   /** Ends the batch. */
   takeBatch(end: BatchMessage): Batch {
     const hasExecute = this.executed.length > 0;
     const isEmpty = this.messages.length === 0;
-    const {error} = this;
+    const {error, isErrorReported} = this;
     const batch: Batch = {
       messages: [...this.messages, end],
       executed: hasExecute ? this.executed : this.mentioned,
       hasExecute,
       isEmpty,
       error,
+      isErrorReported,
     };
     this.messages = [];
     this.bytes = 0;
     this.executed = [];
     this.mentioned = [];
     this.error = null;
+    this.isErrorReported = false;
     return batch;
   }
 
--- a/packages/proxy/src/session/caller_session.ts
+++ b/packages/proxy/src/session/caller_session.ts
@@ -95,7 +95,8 @@
       case FrontendMessage.sync:
         return this.handleSync(frame);
       case FrontendMessage.flush:
-        return this.handleFlush(frame);
+        this.handleFlush();
+        return null;
       case FrontendMessage.terminate:
         this.options.endConnection();
         return null;
@@ -166,7 +167,9 @@
     const batch = this.batchReader.takeBatch({kind: 'sync', frame});
     if (batch.error !== null) {
       this.transaction.handleLocalError();
-      this.sendError(batch.error);
+      if (!batch.isErrorReported) {
+        this.sendError(batch.error);
+      }
       this.sendReady();
       return;
     }
@@ -182,8 +185,18 @@
     });
   }
 
-  private async handleFlush(frame: Buffer): Promise<void> {
-    this.batchReader.addFlush(frame);
+  /**
+   * Answers before Sync would need a connection that waits for the caller in
+   * the middle of a statement, so only a Flush with nothing before it passes.
+   */
+  private handleFlush(): void {
+    if (this.batchReader.isEmpty()) {
+      return;
+    }
+    const error = {kind: 'notSupported', feature: 'Flush before Sync'} as const;
+    this.transaction.handleLocalError();
+    this.sendError(error);
+    this.batchReader.abandon(error);
   }
 
   private async run(request: CallerRequest): Promise<void> {
--- a/packages/proxy/src/session/local_answer.ts
+++ b/packages/proxy/src/session/local_answer.ts
@@ -58,7 +58,6 @@
         output.write(CLOSE_COMPLETE);
         break;
       case 'sync':
-      case 'flush':
         break;
     }
   }
--- a/packages/proxy/src/session/message_batch.ts
+++ b/packages/proxy/src/session/message_batch.ts
@@ -42,8 +42,7 @@
   | {readonly kind: 'execute'; readonly frame: Buffer}
   | {readonly kind: 'closeStatement'; readonly frame: Buffer}
   | {readonly kind: 'closePortal'; readonly frame: Buffer}
-  | {readonly kind: 'sync'; readonly frame: Buffer}
-  | {readonly kind: 'flush'; readonly frame: Buffer};
+  | {readonly kind: 'sync'; readonly frame: Buffer};
 
 /**
  * A batch of extended-protocol messages up to Sync. Building it for a
@@ -104,7 +103,6 @@
           frames.push(CLOSE_COMPLETE);
           break;
         case 'sync':
-        case 'flush':
           break;
       }
     }
@@ -150,7 +148,6 @@
         this.addVisible('close', message.frame);
         return;
       case 'sync':
-      case 'flush':
         this.append(message.frame);
         return;
     }
--- /dev/null
+++ b/packages/proxy/src/testing/session_story.ts
@@ -0,0 +1,36 @@
+import type pg from 'pg';
+
+/** Writes whole sessions as a readable story of requests and answers. @internal */
+export class SessionStory {
+  private readonly lines: string[] = [];
+
+  private constructor() {}
+
+  static create(): SessionStory {
+    return new SessionStory();
+  }
+
+  note(text: string): void {
+    this.lines.push(`-- ${text}`);
+  }
+
+  /** Runs a statement and writes it with its answer. */
+  async run(name: string, client: pg.Client, sql: string): Promise<void> {
+    this.lines.push(`${name} > ${sql}`);
+    try {
+      const result = await client.query(sql);
+      for (const row of result.rows as readonly object[]) {
+        this.lines.push(`${name} <   ${JSON.stringify(row)}`);
+      }
+      this.lines.push(`${name} < ${result.command}`);
+    } catch (error) {
+      const {code, message, hint} = error as pg.DatabaseError;
+      const suffix = hint === undefined ? '' : ` [${hint}]`;
+      this.lines.push(`${name} < ERROR ${code}: ${message}${suffix}`);
+    }
+  }
+
+  getText(): string {
+    return `${this.lines.join('\n')}\n`;
+  }
+}
