--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -8,11 +8,7 @@
   PlatformTable,
 } from '@filbertrun/platform/platform_service.js';
 import {createActor, type Actor} from 'xstate';
-import {
-  computeObjectName,
-  encodeBody,
-  parseBody,
-} from './configuration_body.js';
+import {encodeBody, parseBody} from './configuration_body.js';
 import {
   configurationMachine,
   isNewer,
@@ -335,7 +331,7 @@
     this.options.logger.info('configuration_in_force', {
       version: held.configuration.version,
       previousVersion: before,
-      objectName: computeObjectName(encodeBody(held.configuration)),
+      objectName: held.pointer?.objectName,
       source: sourceName,
     });
     this.notify();
--- a/packages/configuration/src/configuration_pointer.ts
+++ b/packages/configuration/src/configuration_pointer.ts
@@ -14,7 +14,7 @@
  */
 
 /** Recent changes that a pointer lists; older change ids are forgotten. */
-export const MAX_RECORDED_CHANGES = 48;
+export const MAX_RECORDED_CHANGES = 32;
 
 /** Recent changes that a pointer holds whole. */
 const MAX_INLINE_CHANGES = 8;
