--- a/packages/fuzz/src/mutants.ts
+++ b/packages/fuzz/src/mutants.ts
@@ -5,6 +5,7 @@
   comparePositions,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
+import type {ConnectionCondition} from '@filbertrun/pool/pool_types.js';
 import type {SessionFloors} from '@filbertrun/session/session_floors.js';
 import {
   createHistoryRules,
@@ -204,6 +205,30 @@
       }
     },
   ),
+  createPathMutant(
+    'monotone configuration: takes the version that arrives last',
+    class extends PathRules {
+      override takesOnlyNewerConfiguration(): boolean {
+        return false;
+      }
+    },
+  ),
+  createPathMutant(
+    'clean or closed: gives back a connection that is not proven clean',
+    class extends PathRules {
+      override getCondition(): ConnectionCondition {
+        return 'clean';
+      }
+    },
+  ),
+  createPathMutant(
+    'drain check: leases on after a drain',
+    class extends PathRules {
+      override mustDrainPool(): boolean {
+        return false;
+      }
+    },
+  ),
   createPathMutant(
     'no blind repeat: sends a write again after a lost answer',
     class extends PathRules {
--- a/packages/fuzz/src/path_rules.ts
+++ b/packages/fuzz/src/path_rules.ts
@@ -1,6 +1,7 @@
 import {CompletionRules} from '@filbertrun/completion/completion_rules.js';
 import {GroupRules} from '@filbertrun/group/group_rules.js';
 import {isCovered, type LogPosition} from '@filbertrun/model/log_position.js';
+import type {ConnectionCondition} from '@filbertrun/pool/pool_types.js';
 import type {SessionFloors} from '@filbertrun/session/session_floors.js';
 
 /**
@@ -52,6 +53,21 @@
     return known.merge(received);
   }
 
+  /** Whether a configuration replaces an older one only. */
+  takesOnlyNewerConfiguration(): boolean {
+    return true;
+  }
+
+  /** How a connection goes back that is or is not proven clean. */
+  getCondition(isProvenClean: boolean): ConnectionCondition {
+    return isProvenClean ? 'clean' : 'doubtful';
+  }
+
+  /** Whether a drain stops the pool. */
+  mustDrainPool(): boolean {
+    return true;
+  }
+
   /** Whether a request without a key may be sent again after a lost answer. */
   mayRepeatUnknown(): boolean {
     return false;
--- a/packages/group/src/instance_link.ts
+++ b/packages/group/src/instance_link.ts
@@ -33,6 +33,9 @@
 const RECONNECT_MINIMUM_MS = 80;
 const RECONNECT_MAXIMUM_MS = 160;
 
+/** Time without an answer to a poll after which the instance counts as silent. */
+const SILENT_POLL_MS = 250;
+
 /** Unanswered polls in a row after which the connection is replaced. */
 const SILENT_POLL_LIMIT = 3;
 
@@ -101,7 +104,12 @@
     this.isPolling = true;
     const startMs = this.options.clock.nowMs();
     this.lastPollMs = startMs;
+    // The instance counts as silent long before the call itself is given up.
+    const timer = this.options.clock.startTimer(SILENT_POLL_MS, () =>
+      this.options.listener.handleFailure(this.options.server, 'silent'),
+    );
     const result = await this.run(control => control.getStatus());
+    timer.cancel();
     this.isPolling = false;
     if (result.ok) {
       this.recordLatency(this.options.clock.nowMs() - startMs);
