Pass over a cut-off primary that still answers; keep passing errors open

Change: the failed primary is passed over when the other fenced instances are a majority by themselves; after 150 ms with a bare majority it counts again. A keyed request that fails by a lock, a rollback or want of resources and has no record is tried again, because an unfinished earlier run can be the cause. The fuzzer draws the fault, and a test expects one term for it.

--- a/packages/completion/src/completion_plan.ts
+++ b/packages/completion/src/completion_plan.ts
@@ -82,14 +82,26 @@
   | {readonly kind: 'running'}
   | {readonly kind: 'committing'}
   | {readonly kind: 'creatingTable'}
-  /** `isRequestFailed`: whether the request itself failed before. */
-  | {readonly kind: 'lookingUp'; readonly isRequestFailed: boolean}
+  | {
+      readonly kind: 'lookingUp';
+      /** What holds when there is no record. */
+      readonly absentOutcome: CompletionOutcome;
+      /** What holds when the lookup is lost. */
+      readonly lostOutcome: CompletionOutcome;
+    }
   | {readonly kind: 'proving'; readonly outcome: CompletionOutcome}
   | {readonly kind: 'closing'; readonly outcome: CompletionOutcome};
 
 const UNIQUE_VIOLATION = '23505';
 const UNDEFINED_TABLE = '42P01';
 
+/**
+ * Classes of errors that pass: rollback, resources, locks, intervention. An
+ * earlier run that still holds its locks can be their cause, so they do not
+ * tell how the request ends.
+ */
+const PASSING_CLASSES = new Set(['40', '53', '55', '57']);
+
 const BEGIN: PlannedStatement = {kind: 'own', sql: 'BEGIN'};
 const COMMIT: PlannedStatement = {kind: 'own', sql: 'COMMIT'};
 const ROLLBACK: PlannedStatement = {kind: 'own', sql: 'ROLLBACK'};
@@ -124,10 +136,7 @@
       case 'creatingTable':
         return this.handleTable(answers[1] ?? LOST);
       case 'lookingUp':
-        return this.handleLookup(
-          answers[1] ?? LOST,
-          this.stage.isRequestFailed,
-        );
+        return this.handleLookup(answers[1] ?? LOST, this.stage);
       case 'closing':
         return finish(this.stage.outcome);
       case 'proving':
@@ -154,7 +163,10 @@
     }
     if (answer.kind === 'failed') {
       // An earlier run of the same request may be the cause of the failure.
-      return this.lookUp(true);
+      const absentOutcome: CompletionOutcome = isPassing(answer.sqlState)
+        ? {kind: 'notRun'}
+        : {kind: 'failed'};
+      return this.lookUp(absentOutcome, {kind: 'notRun'});
     }
     const storedAnswer = answer.storedAnswer ?? '';
     if (storedAnswer.length > MAX_STORED_ANSWER_LENGTH) {
@@ -209,7 +221,8 @@
       return finish({kind: 'notRun'});
     }
     if (sqlState === UNIQUE_VIOLATION) {
-      return this.lookUp(false);
+      // The record that was met shows that an earlier run took effect.
+      return this.lookUp({kind: 'notRun'}, {kind: 'unknown'});
     }
     if (sqlState === UNDEFINED_TABLE) {
       this.stage = {kind: 'creatingTable'};
@@ -226,22 +239,24 @@
     return this.start();
   }
 
-  private lookUp(isRequestFailed: boolean): CompletionStep {
-    this.stage = {kind: 'lookingUp', isRequestFailed};
+  private lookUp(
+    absentOutcome: CompletionOutcome,
+    lostOutcome: CompletionOutcome,
+  ): CompletionStep {
+    this.stage = {kind: 'lookingUp', absentOutcome, lostOutcome};
     const sql = createLookupSql(this.request.requestKey);
     return send([ROLLBACK, {kind: 'own', sql}]);
   }
 
   private handleLookup(
     answer: StatementAnswer,
-    isRequestFailed: boolean,
+    {absentOutcome, lostOutcome}: Extract<Stage, {kind: 'lookingUp'}>,
   ): CompletionStep {
     if (answer.kind === 'lost') {
-      return finish(isRequestFailed ? {kind: 'notRun'} : {kind: 'unknown'});
+      return finish(lostOutcome);
     }
-    const isAbsent = answer.kind === 'failed' || answer.rows.length === 0;
-    if (isAbsent) {
-      return finish(isRequestFailed ? {kind: 'failed'} : {kind: 'notRun'});
+    if (answer.kind === 'failed' || answer.rows.length === 0) {
+      return finish(absentOutcome);
     }
     const [recordedHash, recordedAnswer] = answer.rows[0] ?? [];
     const {statementHash} = this.request;
@@ -280,3 +295,7 @@
 function finish(outcome: CompletionOutcome): CompletionStep {
   return {kind: 'finish', outcome};
 }
+
+function isPassing(sqlState: string): boolean {
+  return PASSING_CLASSES.has(sqlState.slice(0, 2));
+}
--- a/packages/completion/src/completion_plan_test.ts
+++ b/packages/completion/src/completion_plan_test.ts
@@ -118,6 +118,15 @@
     });
   });
 
+  it('does not relay an error that an unfinished first run can cause', () => {
+    const plan = createPlan();
+    plan.start();
+    plan.handleAnswers([complete(), fail('55P03')]);
+    expect(plan.handleAnswers([complete(), complete()])).toMatchObject({
+      outcome: {kind: 'notRun'},
+    });
+  });
+
   it('refuses a key that was used with another statement', () => {
     const plan = createCommittingPlan();
     plan.handleAnswers([fail('23505'), complete()]);
--- a/packages/fuzz/src/group_faults.ts
+++ b/packages/fuzz/src/group_faults.ts
@@ -21,6 +21,8 @@
       return isolate(world, [proxy, instance]);
     case 'isolatePrimary':
       return isolate(world, [proxy, primary]);
+    case 'isolateReplication':
+      return isolateReplication(world, primary);
     case 'splitAtPromotion':
       return splitAtPromotion(world, proxy, step.durationMs);
     case 'oneWayPrimaryToProxy':
@@ -80,6 +82,16 @@
   return () => world.network.heal();
 }
 
+/** Cuts the primary off from its replicas; the proxies still reach it. */
+function isolateReplication(world: GroupWorld, primary: string): () => void {
+  world.tell(`${primary} cut off from its replicas`);
+  for (const other of INSTANCE_NAMES) {
+    world.network.block(primary, other);
+    world.network.block(other, primary);
+  }
+  return () => world.network.heal();
+}
+
 /** The next instance to be promoted is cut off with one proxy before it can answer. */
 function splitAtPromotion(
   world: GroupWorld,
--- a/packages/fuzz/src/group_scenario.ts
+++ b/packages/fuzz/src/group_scenario.ts
@@ -45,6 +45,7 @@
   | 'isolateInstance'
   | 'isolateZone'
   | 'isolatePrimary'
+  | 'isolateReplication'
   | 'splitAtPromotion'
   | 'oneWayPrimaryToProxy'
   | 'oneWayFromInstance'
@@ -99,6 +100,7 @@
   'isolateInstance',
   'isolateZone',
   'isolatePrimary',
+  'isolateReplication',
   'splitAtPromotion',
   'oneWayPrimaryToProxy',
   'oneWayFromInstance',
--- a/packages/fuzz/src/history_test.ts
+++ b/packages/fuzz/src/history_test.ts
@@ -104,6 +104,16 @@
     },
   );
 
+  it('replace a primary that serves proxies but no replica, in one term', async () => {
+    const scenario = createScenario([
+      fault('isolateReplication', 300, 1800, 0),
+      ...WRITES,
+    ]);
+    const result = await GroupHistory.run(scenario, createHistoryRules());
+    expect(result.violations).toEqual([]);
+    expect(result.highestTerm).toBe(2);
+  });
+
   it.each(Object.entries(SESSIONS))(
     'read as a story of messages: %s',
     async (name, steps) => {
--- a/packages/group/src/failover_claim.ts
+++ b/packages/group/src/failover_claim.ts
@@ -147,6 +147,7 @@
         claimId: phase.claimId,
         raised: [],
         answeredCount: 0,
+        replaced: state.view?.primary ?? null,
       },
     },
     commands,
--- a/packages/group/src/failover_core.ts
+++ b/packages/group/src/failover_core.ts
@@ -19,7 +19,11 @@
   type FailoverStep,
 } from './failover_step.js';
 import {handleClaimRead, handleClaimWritten} from './failover_claim.js';
-import {handlePromoted, handleTermRaised} from './failover_promotion.js';
+import {
+  handleFencingTick,
+  handlePromoted,
+  handleTermRaised,
+} from './failover_promotion.js';
 import {
   getCutOffInstances,
   isPrimaryFailing,
@@ -196,6 +200,9 @@
         ? handleClaimRead(state, {kind: 'unavailable'}, context)
         : createStep(state);
     case 'fencing':
+      return context.nowMs - state.phase.sinceMs >= FENCE_LIMIT_MS
+        ? createStep(backOff(state, context))
+        : handleFencingTick(state, state.phase, context);
     case 'promoting':
       return context.nowMs - state.phase.sinceMs >= FENCE_LIMIT_MS
         ? createStep(backOff(state, context))
--- a/packages/group/src/failover_core_test.ts
+++ b/packages/group/src/failover_core_test.ts
@@ -291,6 +291,29 @@
     ]);
   });
 
+  it('passes over a cut-off primary that still answers, although its log is longer', () => {
+    const core = new CoreHarness();
+    core.reachFence();
+    core.raise({backendServer: 'a', position: {term: 1, position: 99}});
+    core.raise({backendServer: 'b'});
+    expect(core.commands).toEqual([]);
+    core.raise({backendServer: 'c'});
+    expect(core.commands).toMatchObject([
+      {kind: 'promote', backendServer: 'b', term: 2},
+    ]);
+  });
+
+  it('takes the old primary back when no majority is left without it', () => {
+    const core = new CoreHarness();
+    core.reachFence();
+    core.raise({backendServer: 'a', position: {term: 1, position: 99}});
+    core.raise({backendServer: 'b'});
+    core.tick(200);
+    expect(core.commands).toMatchObject([
+      {kind: 'promote', backendServer: 'a', term: 2},
+    ]);
+  });
+
   it('announces the new primary and redirects the others', () => {
     const core = new CoreHarness();
     core.reachFence();
--- a/packages/group/src/failover_promotion.ts
+++ b/packages/group/src/failover_promotion.ts
@@ -15,6 +15,9 @@
  * The fence and promotion steps of a change of primary.
  */
 
+/** Time that further instances have to answer once a majority has. */
+const OTHERS_LIMIT_MS = 150;
+
 type FencingPhase = Extract<FailoverPhase, {kind: 'fencing'}>;
 type PromotingPhase = Extract<FailoverPhase, {kind: 'promoting'}>;
 
@@ -60,23 +63,43 @@
   return finishChange(state, phase, context);
 }
 
+/** Goes ahead with the instances at hand once the others had their time. @internal */
+export function handleFencingTick(
+  state: FailoverState,
+  phase: FencingPhase,
+  context: FailoverContext,
+): FailoverStep {
+  return isReadyToPromote(phase, state, context)
+    ? beginPromotion(state, phase, context)
+    : createStep(state);
+}
+
 function isReadyToPromote(
   phase: FencingPhase,
   state: FailoverState,
   context: FailoverContext,
 ): boolean {
-  if (!context.rules.isFenced(phase.raised.length, state.servers.length)) {
+  const size = state.servers.length;
+  if (!context.rules.isFenced(phase.raised.length, size)) {
     return false;
   }
-  if (phase.reason.kind === 'failover') {
+  const isWaitOver =
+    phase.answeredCount === size ||
+    context.nowMs - phase.sinceMs >= OTHERS_LIMIT_MS;
+  if (isWaitOver) {
     return true;
   }
+  if (phase.reason.kind === 'failover') {
+    return context.rules.isFenced(getSuccessors(phase).length, size);
+  }
   // A planned change has its target among the raised instances if it can.
   const target = phase.reason.target;
-  return (
-    phase.answeredCount === state.servers.length ||
-    phase.raised.some(status => status.backendServer === target)
-  );
+  return phase.raised.some(status => status.backendServer === target);
+}
+
+/** The raised instances without the primary that is to be replaced. */
+function getSuccessors(phase: FencingPhase): readonly InstanceStatus[] {
+  return phase.raised.filter(status => status.backendServer !== phase.replaced);
 }
 
 function beginPromotion(
@@ -84,7 +107,7 @@
   phase: FencingPhase,
   context: FailoverContext,
 ): FailoverStep {
-  const best = chooseTarget(phase, context);
+  const best = chooseTarget(state, phase, context);
   if (best === null) {
     return createStep(backOff(state, context));
   }
@@ -98,26 +121,48 @@
   });
 }
 
-/** The last log wins; a planned change prefers its target among equals. */
+/** The last log of a fenced majority wins; among equals the wanted instance. */
 function chooseTarget(
+  state: FailoverState,
   phase: FencingPhase,
   context: FailoverContext,
 ): InstanceStatus | null {
-  const best = context.rules.chooseTarget(phase.raised);
-  if (best === null || phase.reason.kind === 'failover') {
-    return best;
+  if (phase.reason.kind === 'failover') {
+    return chooseSuccessor(state, phase, context);
   }
+  const best = context.rules.chooseTarget(phase.raised);
+  const {target} = phase.reason;
   for (const status of phase.raised) {
-    if (
-      status.backendServer === phase.reason.target &&
-      comparePositions(status.position, best.position) === 0
-    ) {
+    const isEqual =
+      best !== null && comparePositions(status.position, best.position) === 0;
+    if (isEqual && status.backendServer === target) {
       return status;
     }
   }
   return best;
 }
 
+/**
+ * A failed primary can still answer this proxy, and its log ends last. It is
+ * passed over when the other raised instances are a majority by themselves.
+ */
+function chooseSuccessor(
+  state: FailoverState,
+  phase: FencingPhase,
+  context: FailoverContext,
+): InstanceStatus | null {
+  const successors = getSuccessors(phase);
+  const isMajority = context.rules.isFenced(
+    successors.length,
+    state.servers.length,
+  );
+  if (isMajority) {
+    return context.rules.chooseTarget(successors);
+  }
+  const replaced = phase.raised.filter(status => !successors.includes(status));
+  return context.rules.chooseTarget([...successors, ...replaced]);
+}
+
 function promote(state: FailoverState, phase: PromotingPhase): FailoverStep {
   return createStep({...state, phase}, [
     {
--- a/packages/group/src/failover_state.ts
+++ b/packages/group/src/failover_state.ts
@@ -52,6 +52,8 @@
       readonly claimId: string;
       readonly raised: readonly InstanceStatus[];
       readonly answeredCount: number;
+      /** The primary that is to be replaced, or null. */
+      readonly replaced: BackendServerId | null;
     }
   | {
       readonly kind: 'promoting';
