Feed the service-level report from the data path

Cause: the report had no source: no proxy counted statements by application or the times without a primary. Change: each statement is recorded with its application, duration, read target and whether the proxy was at fault; a monitor measures from the first write that waited for a primary to the first that went on; the operator interface gives /service-levels.

--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -276,6 +276,11 @@
     return result.error.kind === 'timedOut' ? 'silent' : 'refused';
   }
 
+  /** Whether writes are held back for a planned change of primary. */
+  isHeld(): boolean {
+    return this.options.clock.nowMs() < this.holdUntilMs;
+  }
+
   /** Moves the primary to `target` as planned. */
   changePrimary(
     target: BackendServerId,
@@ -317,10 +322,6 @@
     return this.servers.filter(server => server.state !== 'removed');
   }
 
-  private isHeld(): boolean {
-    return this.options.clock.nowMs() < this.holdUntilMs;
-  }
-
   private handleStatus(server: BackendServer, status: InstanceStatus): void {
     this.notePosition(server.backendServer, status.position);
     for (const replica of status.replicas) {
--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -160,3 +160,21 @@
       : `outcome=not_run retry_after_ms=${Math.ceil(retryAfterMs)}`;
   return {severity, sqlState, message, hint, outcome: 'notRun'};
 }
+
+/**
+ * Whether the proxy or what stands behind it is at fault, and not the caller.
+ * Counts against the availability objective.
+ *
+ * @public
+ */
+export function isFaultOfProxy(error: CallerError): boolean {
+  switch (error.kind) {
+    case 'overloaded':
+    case 'unavailable':
+    case 'shuttingDown':
+    case 'outcomeUnknown':
+      return true;
+    default:
+      return false;
+  }
+}
--- a/packages/proxy/src/execution/read_executor.ts
+++ b/packages/proxy/src/execution/read_executor.ts
@@ -75,10 +75,12 @@
       );
       if (result !== null) {
         metrics.countRead('replica');
+        context.session.readTarget = 'replica';
         return result;
       }
     }
     metrics.countRead('primary');
+    context.session.readTarget = 'primary';
     const purpose = getPrimaryPurpose(context, requirement, freshPosition);
     return primaryExecutor.execute(context, purpose);
   }
--- a/packages/proxy/src/group/group_registry.ts
+++ b/packages/proxy/src/group/group_registry.ts
@@ -14,9 +14,11 @@
   EntryVmId,
 } from '@filbertrun/model/identifiers.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
+import type {WriteGap} from '@filbertrun/observability/service_level_snapshot.js';
 import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
 import {BackendConnector} from '../backend/backend_connector.js';
 import {GroupRuntime} from './group_runtime.js';
+import {WriteGapMonitor} from './write_gap_monitor.js';
 
 /** Limit of a call on a control connection. */
 const CONTROL_CALL_TIMEOUT_MS = 1000;
@@ -42,6 +44,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Takes each time during which the writes of a group found no primary. */
+  readonly recordWriteGap: (gap: WriteGap) => void;
   /** Connections that this proxy may hold to an instance now. */
   readonly getConnectionShare: (
     databaseGroup: DatabaseGroupName,
@@ -152,6 +156,12 @@
       group,
       manager,
       connector,
+      writeGaps: WriteGapMonitor.create({
+        databaseGroup,
+        clock,
+        getWallTimeMs: Date.now,
+        recordWriteGap: options.recordWriteGap,
+      }),
       clock,
       random,
       getConnectionShare: server => getConnectionShare(databaseGroup, server),
--- a/packages/proxy/src/group/group_runtime.ts
+++ b/packages/proxy/src/group/group_runtime.ts
@@ -23,6 +23,7 @@
 import type {GroupView} from '../execution/group_view.js';
 import {ManagedGroupView} from './managed_group_view.js';
 import {ServerPool} from './server_pool.js';
+import type {WriteGapMonitor} from './write_gap_monitor.js';
 
 /** Hint for a caller when an instance cannot be used. */
 const RETRY_AFTER_MS = 100;
@@ -32,6 +33,7 @@
   readonly group: DatabaseGroup;
   readonly manager: GroupManager;
   readonly connector: BackendConnector;
+  readonly writeGaps: WriteGapMonitor;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Connections that this proxy may hold to an instance. */
@@ -52,7 +54,7 @@
   private currentPrimary: BackendServerId | null = null;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
-    this.view = ManagedGroupView.create(options.manager);
+    this.view = ManagedGroupView.create(options.manager, options.writeGaps);
     this.setGroup(options.group);
     this.stopListening = this.view.onChange(() => this.handleChange());
   }
--- a/packages/proxy/src/group/managed_group_view.ts
+++ b/packages/proxy/src/group/managed_group_view.ts
@@ -4,6 +4,7 @@
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {GroupView} from '../execution/group_view.js';
+import type {WriteGapMonitor} from './write_gap_monitor.js';
 
 /**
  * A database group as its manager knows it.
@@ -11,10 +12,16 @@
  * @public
  */
 export class ManagedGroupView implements GroupView {
-  private constructor(private readonly manager: GroupManager) {}
+  private constructor(
+    private readonly manager: GroupManager,
+    private readonly writeGaps: WriteGapMonitor,
+  ) {}
 
-  static create(manager: GroupManager): ManagedGroupView {
-    return new ManagedGroupView(manager);
+  static create(
+    manager: GroupManager,
+    writeGaps: WriteGapMonitor,
+  ): ManagedGroupView {
+    return new ManagedGroupView(manager, writeGaps);
   }
 
   getPrimary(): BackendServerId | null {
@@ -22,8 +29,15 @@
   }
 
   async waitForPrimary(deadlineMs: number): Promise<BackendServerId | null> {
+    if (this.manager.getPrimary() === null) {
+      this.writeGaps.handleWait(this.manager.isHeld());
+    }
     const primary = await this.manager.waitForPrimary(deadlineMs);
-    return primary.ok ? primary.value.backendServer : null;
+    if (!primary.ok) {
+      return null;
+    }
+    this.writeGaps.handlePrimary();
+    return primary.value.backendServer;
   }
 
   waitForMajority(
--- /dev/null
+++ b/packages/proxy/src/group/write_gap_monitor_test.ts
@@ -0,0 +1,51 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {WriteGap} from '@filbertrun/observability/service_level_snapshot.js';
+import {describe, expect, it} from 'vitest';
+import {WriteGapMonitor} from './write_gap_monitor.js';
+
+function createMonitor() {
+  const clock = VirtualClock.create();
+  const gaps: WriteGap[] = [];
+  const monitor = WriteGapMonitor.create({
+    databaseGroup: 'sched-db-1',
+    clock,
+    getWallTimeMs: () => 5000 + clock.nowMs(),
+    recordWriteGap: gap => gaps.push(gap),
+  });
+  return {clock, gaps, monitor};
+}
+
+describe('WriteGapMonitor', () => {
+  it('measures from the first write that waits to the first that goes on', () => {
+    const {clock, gaps, monitor} = createMonitor();
+    monitor.handleWait(false);
+    clock.advance(300);
+    monitor.handleWait(false);
+    clock.advance(100);
+    monitor.handlePrimary();
+    monitor.handlePrimary();
+    expect(gaps).toEqual([
+      {
+        databaseGroup: 'sched-db-1',
+        startMs: 5000,
+        durationMs: 400,
+        isPlanned: false,
+      },
+    ]);
+  });
+
+  it('records nothing while writes find a primary at once', () => {
+    const {gaps, monitor} = createMonitor();
+    monitor.handlePrimary();
+    expect(gaps).toEqual([]);
+  });
+
+  it('tells a planned gap from one after a failure', () => {
+    const {gaps, monitor} = createMonitor();
+    monitor.handleWait(true);
+    monitor.handlePrimary();
+    monitor.handleWait(false);
+    monitor.handlePrimary();
+    expect(gaps.map(gap => gap.isPlanned)).toEqual([true, false]);
+  });
+});
--- a/packages/proxy/src/operator_server.ts
+++ b/packages/proxy/src/operator_server.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import type {ServiceLevelSnapshot} from '@filbertrun/observability/service_level_snapshot.js';
 
 /** What the operator interface shows. @public */
 export interface OperatorServerOptions {
@@ -13,6 +14,7 @@
   /** 0 takes any free port. */
   readonly port: number;
   readonly metrics: MetricsRegistry;
+  readonly getServiceLevels: () => ServiceLevelSnapshot;
   /** Whether the proxy should receive callers. */
   readonly isReady: () => boolean;
   /** Brings metrics up to date that are read, not counted. */
@@ -22,7 +24,8 @@
 const PROMETHEUS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
 /**
- * The HTTP interface for monitoring: `/metrics`, `/healthz` and `/readyz`.
+ * The HTTP interface for monitoring: `/metrics`, `/service-levels`, `/healthz`
+ * and `/readyz`.
  *
  * @public
  */
@@ -65,6 +68,10 @@
         response.setHeader('content-type', PROMETHEUS_CONTENT_TYPE);
         response.end(this.options.metrics.formatPrometheusText());
         return;
+      case '/service-levels':
+        response.setHeader('content-type', 'application/json');
+        response.end(JSON.stringify(this.options.getServiceLevels()));
+        return;
       case '/healthz':
         response.end('ok\n');
         return;
--- a/packages/proxy/src/proxy_control.ts
+++ b/packages/proxy/src/proxy_control.ts
@@ -3,6 +3,7 @@
 import type {BackendServer} from '@filbertrun/model/configuration.js';
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
+import type {WriteGap} from '@filbertrun/observability/service_level_snapshot.js';
 import {ControlPlane} from '@filbertrun/peer/control_plane.js';
 import {PeerServer} from '@filbertrun/peer/peer_server.js';
 import {WebSocketTransport} from '@filbertrun/peer/web_socket_transport.js';
@@ -22,6 +23,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Takes each time during which the writes of a group found no primary. */
+  readonly recordWriteGap: (gap: WriteGap) => void;
   /** Wall-clock time of the start in milliseconds since 1970. */
   readonly startedAtEpochMs: number;
 }
@@ -75,6 +78,7 @@
       clock,
       random,
       logger,
+      recordWriteGap: options.recordWriteGap,
       getConnectionShare: (databaseGroup, server) =>
         getConnectionShare(plane, databaseGroup, server),
       mayTakeWork: () => plane.mayTakeWork(),
--- a/packages/proxy/src/proxy_metrics.ts
+++ b/packages/proxy/src/proxy_metrics.ts
@@ -1,4 +1,8 @@
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import type {
+  ServiceLevelRecorder,
+  StatementSample,
+} from '@filbertrun/observability/service_level_recorder.js';
 
 /** Who answered a read. @public */
 export type ReadTarget = 'replica' | 'primary';
@@ -9,10 +13,16 @@
  * @public
  */
 export class ProxyMetrics {
-  private constructor(private readonly registry: MetricsRegistry) {}
+  private constructor(
+    private readonly registry: MetricsRegistry,
+    private readonly serviceLevels: ServiceLevelRecorder,
+  ) {}
 
-  static create(registry: MetricsRegistry): ProxyMetrics {
-    return new ProxyMetrics(registry);
+  static create(
+    registry: MetricsRegistry,
+    serviceLevels: ServiceLevelRecorder,
+  ): ProxyMetrics {
+    return new ProxyMetrics(registry, serviceLevels);
   }
 
   countRead(target: ReadTarget): void {
@@ -55,12 +65,14 @@
     );
   }
 
-  recordStatementTime(durationMs: number): void {
+  /** Records a statement that has ended. */
+  recordStatement(sample: StatementSample): void {
     this.registry.recordDurationMs(
       'filbertrun_statement_seconds',
       'Time from the arrival of a statement to the end of its answer.',
-      durationMs,
+      sample.durationMs,
     );
+    this.serviceLevels.recordStatement(sample);
   }
 
   setSessions(count: number): void {
--- a/packages/proxy/src/proxy_server.ts
+++ b/packages/proxy/src/proxy_server.ts
@@ -4,6 +4,7 @@
 import {createSystemRandom} from '@filbertrun/base/random_source.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import {ServiceLevelRecorder} from '@filbertrun/observability/service_level_recorder.js';
 import {HttpPlatformService} from '@filbertrun/platform/http_platform_service.js';
 import type {CallerListener} from './caller/caller_listener.js';
 import {startDataPath} from './data_path.js';
@@ -50,7 +51,8 @@
     const clock = SystemClock.create();
     const random = createSystemRandom();
     const registry = MetricsRegistry.create();
-    const metrics = ProxyMetrics.create(registry);
+    const serviceLevels = ServiceLevelRecorder.create(settings.entryVm);
+    const metrics = ProxyMetrics.create(registry, serviceLevels);
     const control = await ProxyControl.create({
       settings,
       platform: createPlatform(settings),
@@ -58,6 +60,7 @@
       random,
       logger,
       startedAtEpochMs: Date.now(),
+      recordWriteGap: gap => serviceLevels.recordWriteGap(gap),
     });
     const listener = await startDataPath({
       ...settings,
@@ -70,7 +73,7 @@
       metrics,
     });
     const server = new ProxyServer(settings, logger, control, listener, null);
-    await server.startOperator(registry, metrics);
+    await server.startOperator(registry, metrics, serviceLevels);
     logger.info('proxy_started', {...server.ports});
     return server;
   }
@@ -104,6 +107,7 @@
   private async startOperator(
     registry: MetricsRegistry,
     metrics: ProxyMetrics,
+    serviceLevels: ServiceLevelRecorder,
   ): Promise<void> {
     const loopDelay = monitorEventLoopDelay({
       resolution: LOOP_DELAY_RESOLUTION_MS,
@@ -113,6 +117,7 @@
       host: this.settings.listenHost,
       port: this.settings.operatorPort,
       metrics: registry,
+      getServiceLevels: () => serviceLevels.getSnapshot(),
       isReady: () => this.isReady(),
       refreshMetrics: () => {
         metrics.setLoopDelay(loopDelay.percentile(99) / NANOSECONDS_PER_MS);
--- a/packages/proxy/src/session/caller_session.ts
+++ b/packages/proxy/src/session/caller_session.ts
@@ -2,6 +2,7 @@
 import {
   describeCallerError,
   type CallerError,
+  isFaultOfProxy,
 } from '@filbertrun/model/outcome.js';
 import {
   buildErrorResponse,
@@ -204,13 +205,20 @@
       return;
     }
     const {clock, metrics} = this.options.services;
+    const {state} = this.options;
     const startMs = clock.nowMs();
+    state.readTarget = null;
     const error = await this.transaction.run(request);
     if (error !== null) {
       this.sendError(error);
     }
     this.sendReady();
-    metrics.recordStatementTime(clock.nowMs() - startMs);
+    metrics.recordStatement({
+      application: state.application,
+      durationMs: clock.nowMs() - startMs,
+      isAnswered: error === null || !isFaultOfProxy(error),
+      readTarget: state.readTarget,
+    });
   }
 
   /** Runs a statement of the proxy itself; false when there is none. */
--- a/packages/proxy/src/session/session_state.ts
+++ b/packages/proxy/src/session/session_state.ts
@@ -1,6 +1,7 @@
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import {SessionFloors} from '@filbertrun/session/session_floors.js';
+import type {ReadTarget} from '../proxy_metrics.js';
 import {NO_PARAMETERS, type ParameterValues} from './session_parameters.js';
 
 /**
@@ -15,6 +16,8 @@
   application = '';
   /** Idempotency key for the next write, or null. */
   requestKey: string | null = null;
+  /** Who answered the running statement, when it is a plain read. */
+  readTarget: ReadTarget | null = null;
   private floors = SessionFloors.createEmpty();
 
   private constructor(readonly databaseGroup: DatabaseGroupName) {}
--- a/packages/proxy/src/testing/data_path_harness.ts
+++ b/packages/proxy/src/testing/data_path_harness.ts
@@ -4,6 +4,7 @@
 import {EMPTY_CONFIGURATION} from '@filbertrun/model/configuration.js';
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
 import {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import {ServiceLevelRecorder} from '@filbertrun/observability/service_level_recorder.js';
 import pg from 'pg';
 import type {CallerListener} from '../caller/caller_listener.js';
 import {startDataPath} from '../data_path.js';
@@ -66,7 +67,10 @@
       configuration: {getCurrent: () => configuration},
       clock,
       random: SeededRandom.create(7),
-      metrics: ProxyMetrics.create(registry),
+      metrics: ProxyMetrics.create(
+        registry,
+        ServiceLevelRecorder.create('entry-test'),
+      ),
     });
     return new DataPathHarness(listener, servers, view, registry, group);
   }
