--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -252,12 +252,16 @@
     const candidates: GroupCandidate[] = [];
     for (const server of this.getVoters()) {
       const observed = getObserved(state, server.backendServer);
+      const link = this.links.get(server.backendServer);
+      // A failure that was seen when the connection was given up says nothing
+      // of the present, and nobody looks again.
+      const hasFailed = observed.failure !== null && link?.isWanted() === true;
       candidates.push({
         server,
         isPrimary: server.backendServer === primary,
-        isAvailable: server.state === 'active' && observed.failure === null,
+        isAvailable: server.state === 'active' && !hasFailed,
         knownPosition: this.getKnownPosition(server.backendServer),
-        latencyMs: this.links.get(server.backendServer)?.getLatencyMs() ?? 0,
+        latencyMs: link?.getLatencyMs() ?? 0,
       });
     }
     return candidates;
--- /dev/null
+++ b/packages/group/src/group_manager_test.ts
@@ -0,0 +1,114 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {BackendServer} from '@filbertrun/model/configuration.js';
+import {SilentLogger} from '@filbertrun/observability/logger.js';
+import {InMemoryPlatformService} from '@filbertrun/platform/in_memory_platform_service.js';
+import {describe, expect, it} from 'vitest';
+import {GroupManager} from './group_manager.js';
+import type {GroupPeers} from './group_peers.js';
+import type {
+  InstanceConnection,
+  InstanceConnector,
+} from './instance_connector.js';
+import type {InstanceError, InstanceStatus} from './instance_control.js';
+
+const SERVERS = ['a', 'b', 'c'].map((name, index): BackendServer => ({
+  backendServer: name,
+  availabilityZone: `zone-${index}`,
+  host: '127.0.0.1',
+  port: index + 1,
+  state: 'active',
+  weight: 100,
+  slots: 1,
+  maxConnections: 10,
+}));
+
+function createStatus(server: BackendServer): InstanceStatus {
+  const isPrimary = server.backendServer === 'a';
+  return {
+    backendServer: server.backendServer,
+    role: isPrimary ? 'primary' : 'replica',
+    term: 1,
+    claimId: 'x',
+    position: {term: 1, position: 9},
+    primary: isPrimary ? null : 'a',
+    primarySilentForMs: isPrimary ? null : 0,
+    replicas: [],
+  };
+}
+
+type Answer = Result<InstanceStatus, InstanceError>;
+
+/** Instances of which `b` answers no poll until its connection is closed. */
+class FakeConnector implements InstanceConnector {
+  async connect(
+    server: BackendServer,
+  ): Promise<Result<InstanceConnection, InstanceError>> {
+    let endPoll: (answer: Answer) => void = () => {};
+    const getStatus = (): Promise<Answer> =>
+      server.backendServer === 'b'
+        ? new Promise(resolve => {
+            endPoll = resolve;
+          })
+        : Promise.resolve(success(createStatus(server)));
+    return success({
+      getStatus,
+      raiseTerm: getStatus,
+      promote: getStatus,
+      follow: getStatus,
+      confirmTerm: async () => failure({kind: 'timedOut'}),
+      close: () => endPoll(failure({kind: 'unreachable', reason: 'closed'})),
+    });
+  }
+}
+
+function createPeers(watchRank: number | null): GroupPeers {
+  return {
+    collectVotes: async () => [],
+    announceView: () => {},
+    announceHold: () => {},
+    onView: () => () => {},
+    onHold: () => () => {},
+    getWatchRank: () => watchRank,
+    getKnownZones: () => ['zone-0', 'zone-1', 'zone-2'],
+  };
+}
+
+async function runFor(clock: VirtualClock, durationMs: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+    clock.advance(10);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+async function createManager(watchRank: number | null) {
+  const clock = VirtualClock.create();
+  const manager = GroupManager.create({
+    databaseGroup: 'sched-db-1',
+    backendServers: SERVERS,
+    entryVm: 'entry-1',
+    availabilityZone: 'zone-0',
+    connector: new FakeConnector(),
+    platform: InMemoryPlatformService.create({clock}),
+    peers: createPeers(watchRank),
+    clock,
+    random: SeededRandom.create(1),
+    logger: SilentLogger.create(),
+  });
+  await runFor(clock, 1000);
+  return manager;
+}
+
+describe('GroupManager.getCandidates', () => {
+  it('offers a replica whose unanswered poll ended with the unwanted connection', async () => {
+    const manager = await createManager(null);
+    const available = manager
+      .getCandidates()
+      .filter(candidate => candidate.isAvailable)
+      .map(candidate => candidate.server.backendServer);
+    expect(manager.getPrimary()?.backendServer).toBe('a');
+    expect(available).toEqual(['a', 'b', 'c']);
+    manager.dispose();
+  });
+});
--- a/packages/group/src/instance_link.ts
+++ b/packages/group/src/instance_link.ts
@@ -53,7 +53,7 @@
   private connection: InstanceConnection | null = null;
   private opening: Opening | null = null;
   private reconnectTimer: Timer | null = null;
-  private isWanted = false;
+  private isKept = false;
   private isDisposed = false;
   private isPolling = false;
   private silentPolls = 0;
@@ -74,16 +74,21 @@
     return this.latencyMs;
   }
 
+  /** Whether the link keeps a connection, so that its failures mean something. */
+  isWanted(): boolean {
+    return this.isKept;
+  }
+
   isConnected(): boolean {
     return this.connection !== null;
   }
 
   /** Opens or closes the connection as `isWanted` says. */
   setWanted(isWanted: boolean): void {
-    if (this.isWanted === isWanted) {
+    if (this.isKept === isWanted) {
       return;
     }
-    this.isWanted = isWanted;
+    this.isKept = isWanted;
     if (isWanted) {
       void this.open();
     } else {
@@ -135,7 +140,7 @@
 
   dispose(): void {
     this.isDisposed = true;
-    this.isWanted = false;
+    this.isKept = false;
     this.drop();
   }
 
@@ -238,7 +243,7 @@
   }
 
   private scheduleReconnect(): void {
-    if (!this.isWanted || this.reconnectTimer !== null) {
+    if (!this.isKept || this.reconnectTimer !== null) {
       return;
     }
     const delayMs = this.options.random.nextInteger(
