Send a read to a replica that is expected to hold its place

Change: each replica has an estimate of its lag, which falls with answers that covered an expected place and doubles with one thrown away; the router, which already took an expected lag, now gets it together with the age of the session's floor. The check of the answer is unchanged.

--- a/packages/proxy/src/caller/session_startup.ts
+++ b/packages/proxy/src/caller/session_startup.ts
@@ -62,7 +62,8 @@
   if (parameters.has('replication')) {
     return failure({kind: 'notSupported', feature: 'replication connections'});
   }
-  const state = SessionState.create(databaseGroup);
+  const {clock} = options.services;
+  const state = SessionState.create(databaseGroup, clock);
   const session = CallerSession.create({...options, state});
   const error = applyParameters(session, parameters);
   if (error !== null) {
--- a/packages/proxy/src/execution/database_group_access.ts
+++ b/packages/proxy/src/execution/database_group_access.ts
@@ -38,6 +38,11 @@
   ): Promise<Result<ConnectionLease, CallerError>>;
   /** Instances that may answer a read. */
   getReadCandidates(): readonly ReadCandidate[];
+  /**
+   * Takes whether the answer of a replica covered a place that the replica was
+   * expected, but not known, to hold.
+   */
+  recordCoverage(backendServer: BackendServerId, isCovered: boolean): void;
   /** Asks the backend server of a connection to cancel what it runs. */
   cancel(connection: BackendConnection): void;
 }
--- a/packages/proxy/src/execution/read_executor.ts
+++ b/packages/proxy/src/execution/read_executor.ts
@@ -5,6 +5,8 @@
   BackendServerId,
 } from '@filbertrun/model/identifiers.js';
 import {
+  comparePositions,
+  isCovered,
   ORIGIN_POSITION,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
@@ -108,6 +110,11 @@
     return chooseReadRoute(requirement, context.group.getReadCandidates(), {
       availabilityZone,
       freshPosition,
+      requiredPositionAgeMs: getRequiredAgeMs(
+        context,
+        requirement,
+        freshPosition,
+      ),
       random,
     });
   }
@@ -143,6 +150,12 @@
     lease: ConnectionLease,
   ): Promise<ExecutionResult | null> {
     const {backendServer} = lease.connection;
+    const isExpectation =
+      requiredPosition !== null &&
+      !isCovered(
+        requiredPosition,
+        context.group.view.getKnownPosition(backendServer),
+      );
     const {outcome, relay} = await runExchange(context, lease, {
       requiredPosition,
       hold: 'none',
@@ -154,6 +167,9 @@
     lease.release();
     switch (outcome.kind) {
       case 'complete':
+        if (isExpectation) {
+          context.group.recordCoverage(backendServer, true);
+        }
         return {
           kind: 'answered',
           status: outcome.status,
@@ -170,6 +186,9 @@
         context.group.view.reportConnectionLoss(backendServer);
         return outcome.wasRelayed ? createBrokenAnswer() : null;
       case 'notCovered':
+        context.group.recordCoverage(backendServer, false);
+        this.options.metrics.countDiscardedRead();
+        return null;
       case 'rejected':
         this.options.metrics.countDiscardedRead();
         return null;
@@ -197,6 +216,24 @@
     : {kind: 'read', requiredPosition};
 }
 
+/**
+ * Time for which the place that a read requires is known to have been in the
+ * primary's log, or null when only a poll tells.
+ */
+function getRequiredAgeMs(
+  context: StatementContext,
+  requirement: ReadRequirement,
+  freshPosition: LogPosition | null,
+): number | null {
+  if (requirement.kind === 'strict') {
+    return null;
+  }
+  const required = getRequiredPosition(requirement, {freshPosition});
+  const isFloor =
+    required !== null && comparePositions(required, requirement.floor) === 0;
+  return isFloor ? context.session.getFloorAgeMs() : null;
+}
+
 /** A replica that shuts down or cannot serve is no reason to fail the read. */
 function isReplicaRejection(error: {readonly sqlState: string}): boolean {
   return error.sqlState.startsWith('57P') || error.sqlState === '25006';
--- a/packages/proxy/src/group/group_runtime.ts
+++ b/packages/proxy/src/group/group_runtime.ts
@@ -12,6 +12,7 @@
 } from '@filbertrun/model/identifiers.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {ReadCandidate} from '@filbertrun/routing/read_route.js';
+import {ReplicaLagEstimate} from '@filbertrun/routing/replica_lag_estimate.js';
 import {serialize} from 'pg-protocol';
 import type {BackendConnection} from '../backend/backend_connection.js';
 import type {BackendConnector} from '../backend/backend_connector.js';
@@ -50,6 +51,10 @@
 export class GroupRuntime implements DatabaseGroupAccess {
   readonly view: GroupView;
   private readonly pools = new Map<BackendServerId, ServerPool>();
+  private readonly lagEstimates = new Map<
+    BackendServerId,
+    ReplicaLagEstimate
+  >();
   private readonly stopListening: () => void;
   private currentPrimary: BackendServerId | null = null;
 
@@ -96,11 +101,16 @@
         knownPosition,
         freeSlots: this.pools.get(backendServer)?.getFreeSlots() ?? 0,
         latencyMs,
+        expectedLagMs: this.getLagEstimate(backendServer).getLagMs(),
       });
     }
     return candidates;
   }
 
+  recordCoverage(backendServer: BackendServerId, isCovered: boolean): void {
+    this.getLagEstimate(backendServer).recordAnswer(isCovered);
+  }
+
   cancel(connection: BackendConnection): void {
     const pool = this.pools.get(connection.backendServer);
     const {key} = connection;
@@ -172,6 +182,15 @@
    * Ends what runs as a write on a replaced primary: it can never be
    * acknowledged, however long the instance goes on accepting connections.
    */
+  private getLagEstimate(backendServer: BackendServerId): ReplicaLagEstimate {
+    let estimate = this.lagEstimates.get(backendServer);
+    if (estimate === undefined) {
+      estimate = ReplicaLagEstimate.create();
+      this.lagEstimates.set(backendServer, estimate);
+    }
+    return estimate;
+  }
+
   private handleChange(): void {
     const primary = this.view.getPrimary();
     const previous = this.currentPrimary;
--- a/packages/proxy/src/session/session_state.ts
+++ b/packages/proxy/src/session/session_state.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@filbertrun/base/clock.js';
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import {SessionFloors} from '@filbertrun/session/session_floors.js';
@@ -20,10 +21,20 @@
   readTarget: ReadTarget | null = null;
   private floors = SessionFloors.createEmpty();
 
-  private constructor(readonly databaseGroup: DatabaseGroupName) {}
+  private floorRaisedAtMs = -Infinity;
 
-  static create(databaseGroup: DatabaseGroupName): SessionState {
-    return new SessionState(databaseGroup);
+  private constructor(
+    readonly databaseGroup: DatabaseGroupName,
+    private readonly clock: Clock,
+  ) {}
+
+  static create(databaseGroup: DatabaseGroupName, clock: Clock): SessionState {
+    return new SessionState(databaseGroup, clock);
+  }
+
+  /** Time for which this proxy has known the floor; the log held it before. */
+  getFloorAgeMs(): number {
+    return this.clock.nowMs() - this.floorRaisedAtMs;
   }
 
   /** Place that a read of this session must cover. */
@@ -40,11 +51,13 @@
     const raised = this.floors.raise(this.databaseGroup, position);
     const isRaised = raised !== this.floors;
     this.floors = raised;
+    this.floorRaisedAtMs = this.clock.nowMs();
     return isRaised;
   }
 
   /** Takes the floors of a token as well. */
   mergeFloors(floors: SessionFloors): void {
     this.floors = this.floors.merge(floors);
+    this.floorRaisedAtMs = this.clock.nowMs();
   }
 }
--- a/packages/proxy/src/testing/fake_group.ts
+++ b/packages/proxy/src/testing/fake_group.ts
@@ -155,6 +155,8 @@
     return candidates;
   }
 
+  recordCoverage(): void {}
+
   cancel(connection: BackendConnection): void {
     const pool = this.pools.get(connection.backendServer);
     if (pool !== undefined && connection.key !== null) {
--- /dev/null
+++ b/packages/routing/src/replica_lag_estimate_test.ts
@@ -0,0 +1,42 @@
+import {describe, expect, it} from 'vitest';
+import {ReplicaLagEstimate} from './replica_lag_estimate.js';
+
+function recordMany(estimate: ReplicaLagEstimate, isCovered: boolean): void {
+  for (let index = 0; index < 1000; index += 1) {
+    estimate.recordAnswer(isCovered);
+  }
+}
+
+describe('ReplicaLagEstimate', () => {
+  it('falls with answers that covered and stays above zero', () => {
+    const estimate = ReplicaLagEstimate.create();
+    const before = estimate.getLagMs();
+    estimate.recordAnswer(true);
+    expect(estimate.getLagMs()).toBeLessThan(before);
+    recordMany(estimate, true);
+    expect(estimate.getLagMs()).toBeGreaterThan(0);
+  });
+
+  it('rises with answers that were thrown away, up to a bound', () => {
+    const estimate = ReplicaLagEstimate.create();
+    recordMany(estimate, false);
+    expect(estimate.getLagMs()).toBe(10_000);
+  });
+
+  it('takes many good answers to forget a bad one', () => {
+    const estimate = ReplicaLagEstimate.create();
+    const before = estimate.getLagMs();
+    estimate.recordAnswer(false);
+    for (let index = 0; index < 10; index += 1) {
+      estimate.recordAnswer(true);
+    }
+    expect(estimate.getLagMs()).toBeGreaterThan(before);
+  });
+
+  it('recovers after a lag has gone', () => {
+    const estimate = ReplicaLagEstimate.create();
+    recordMany(estimate, false);
+    recordMany(estimate, true);
+    expect(estimate.getLagMs()).toBeLessThan(5);
+  });
+});
