Move the primary off a draining instance

Cause: a draining primary takes no new work, and nothing moved the primary, so the group took no writes until an operator asked for a change (found by reading). Change: the first watcher of the group makes a planned change to the active replica that holds most, at most every 2 s. Figures: new tests, the first of which fails without the change: the first watcher begins, another watcher and an active primary do not. Conclusion: a drain needs no second command.

--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -8,6 +8,7 @@
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
 import {
+  comparePositions,
   getLaterPosition,
   ORIGIN_POSITION,
   type LogPosition,
@@ -74,6 +75,9 @@
 /** Time for which one request keeps the proofs going. */
 const FRESHNESS_DEMAND_MS = 5000;
 
+/** Pause between two attempts to move the primary off a draining instance. */
+const REPLACEMENT_INTERVAL_MS = 2000;
+
 /** Time for which a group counts as used after a choice among its instances. */
 const USE_MEMORY_MS = 5000;
 
@@ -102,6 +106,7 @@
   private servers: readonly BackendServer[];
   private freshnessDemandMs = -Infinity;
   private lastUseMs = -Infinity;
+  private nextReplacementMs = -Infinity;
   private lastConfirmationMs = -Infinity;
   private holdUntilMs = -Infinity;
   private seenTerm = 0;
@@ -401,6 +406,7 @@
     this.updateWanted();
     this.links.pollDue(this.isIdle());
     this.renewFreshness();
+    this.replaceDrainingPrimary();
     this.timer = this.options.clock.startTimer(MAINTENANCE_INTERVAL_MS, () =>
       this.maintain(),
     );
@@ -420,6 +426,45 @@
     this.links.setWanted(primary, rank !== null || primary === null);
   }
 
+  /**
+   * A draining primary takes no new work, so its group would take no writes.
+   * The first watcher moves the primary to an active replica.
+   */
+  private replaceDrainingPrimary(): void {
+    const nowMs = this.options.clock.nowMs();
+    const rank = this.options.peers.getWatchRank(this.options.databaseGroup);
+    if (rank !== 0 || nowMs < this.nextReplacementMs) {
+      return;
+    }
+    const target = this.findReplacement();
+    if (target === null) {
+      return;
+    }
+    this.nextReplacementMs = nowMs + REPLACEMENT_INTERVAL_MS;
+    const {databaseGroup, logger} = this.options;
+    logger.info('draining_primary_replaced', {databaseGroup, target});
+    void this.change.run(target);
+  }
+
+  /** The active replica that holds most, if the primary is draining. */
+  private findReplacement(): BackendServerId | null {
+    const primary = this.getPrimary();
+    if (primary?.state !== 'draining') {
+      return null;
+    }
+    let best: GroupCandidate | null = null;
+    for (const candidate of this.getCandidates()) {
+      const isEligible = candidate.isAvailable && !candidate.isPrimary;
+      const isBetter =
+        best === null ||
+        comparePositions(candidate.knownPosition, best.knownPosition) > 0;
+      if (isEligible && isBetter) {
+        best = candidate;
+      }
+    }
+    return best?.server.backendServer ?? null;
+  }
+
   private renewFreshness(): void {
     const nowMs = this.options.clock.nowMs();
     const isDemanded = nowMs - this.freshnessDemandMs < FRESHNESS_DEMAND_MS;
--- a/packages/group/src/group_manager_test.ts
+++ b/packages/group/src/group_manager_test.ts
@@ -34,7 +34,15 @@
     position: {term: 1, position: 9},
     primary: isPrimary ? null : 'a',
     primarySilentForMs: isPrimary ? null : 0,
-    replicas: [],
+    replicas: isPrimary
+      ? [
+          {
+            backendServer: 'c',
+            confirmed: {term: 1, position: 9},
+            silentForMs: 0,
+          },
+        ]
+      : [],
   };
 }
 
@@ -42,6 +50,9 @@
 
 /** Instances of which `b` answers no poll until its connection is closed. */
 class FakeConnector implements InstanceConnector {
+  /** Instances whose term was to be raised. */
+  readonly raised = new Set<string>();
+
   async connect(
     server: BackendServer,
   ): Promise<Result<InstanceConnection, InstanceError>> {
@@ -54,7 +65,10 @@
         : Promise.resolve(success(createStatus(server)));
     return success({
       getStatus,
-      raiseTerm: getStatus,
+      raiseTerm: () => {
+        this.raised.add(server.backendServer);
+        return getStatus();
+      },
       promote: getStatus,
       follow: getStatus,
       confirmTerm: async () => failure({kind: 'timedOut'}),
@@ -82,14 +96,21 @@
   }
 }
 
-async function createManager(watchRank: number | null) {
+async function createManager(
+  watchRank: number | null,
+  primaryState: BackendServer['state'] = 'active',
+) {
+  const connector = new FakeConnector();
+  const backendServers = SERVERS.map(server =>
+    server.backendServer === 'a' ? {...server, state: primaryState} : server,
+  );
   const clock = VirtualClock.create();
   const manager = GroupManager.create({
     databaseGroup: 'sched-db-1',
-    backendServers: SERVERS,
+    backendServers,
     entryVm: 'entry-1',
     availabilityZone: 'zone-0',
-    connector: new FakeConnector(),
+    connector,
     platform: InMemoryPlatformService.create({clock}),
     peers: createPeers(watchRank),
     clock,
@@ -97,12 +118,12 @@
     logger: SilentLogger.create(),
   });
   await runFor(clock, 1000);
-  return manager;
+  return {manager, connector};
 }
 
 describe('GroupManager.getCandidates', () => {
   it('offers a replica whose unanswered poll ended with the unwanted connection', async () => {
-    const manager = await createManager(null);
+    const {manager} = await createManager(null);
     const available = manager
       .getCandidates()
       .filter(candidate => candidate.isAvailable)
@@ -112,3 +133,23 @@
     manager.dispose();
   });
 });
+
+describe('GroupManager with a draining primary', () => {
+  it('begins to change the primary as the first watcher', async () => {
+    const {manager, connector} = await createManager(0, 'draining');
+    expect([...connector.raised]).toContain('c');
+    manager.dispose();
+  });
+
+  it('leaves the change to the first watcher', async () => {
+    const {manager, connector} = await createManager(1, 'draining');
+    expect([...connector.raised]).toEqual([]);
+    manager.dispose();
+  });
+
+  it('leaves an active primary alone', async () => {
+    const {manager, connector} = await createManager(0);
+    expect([...connector.raised]).toEqual([]);
+    manager.dispose();
+  });
+});
