--- a/apps/standin/src/main.ts
+++ b/apps/standin/src/main.ts
@@ -23,7 +23,7 @@
     password: settings.backendPassword,
   });
   const addresses = await system.start();
-  logger.info('standinStarted', {preset: settings.preset, ...addresses});
+  logger.info('standin_started', {preset: settings.preset, ...addresses});
   process.stdout.write(`${JSON.stringify({ready: true, ...addresses})}\n`);
   const stop = () => {
     system.dispose();
