Take a FATAL error in the bench as the end of its connection

Cause: rolling-stop counted 11 statements of 23,381 as cut off; each had been queued by the driver on a connection that its proxy had just ended with 57P01, and was never sent (seen by tracing the driver: the statement begins in the millisecond of the end). Change: the bench's session counts as ended by a FATAL error, as a connection pool does. Ruled out: proxies closing without the error (180 sessions over six stops, each got 57P01).

--- a/apps/bench/src/caller_session.ts
+++ b/apps/bench/src/caller_session.ts
@@ -76,11 +76,20 @@
     text: string,
     values: readonly unknown[] = [],
   ): Promise<CallerAnswer> {
-    const result =
-      values.length === 0
-        ? await this.client.query<Record<string, unknown>>(text)
-        : await this.client.query<Record<string, unknown>>(text, [...values]);
-    return {rows: result.rows, rowCount: result.rowCount ?? 0};
+    try {
+      const result =
+        values.length === 0
+          ? await this.client.query<Record<string, unknown>>(text)
+          : await this.client.query<Record<string, unknown>>(text, [...values]);
+      return {rows: result.rows, rowCount: result.rowCount ?? 0};
+    } catch (error) {
+      // The driver would queue the next statement on a connection that its
+      // server has ended, and report the statement, never sent, as cut off.
+      if (error instanceof pg.DatabaseError && error.severity === 'FATAL') {
+        this.ended = true;
+      }
+      throw error;
+    }
   }
 
   async useToken(token: string): Promise<void> {
