--- a/apps/bench/src/scenario_registry.ts
+++ b/apps/bench/src/scenario_registry.ts
@@ -10,6 +10,7 @@
 import {replicaShareScenario} from './replica_share_scenario.js';
 import {rollingStopScenario} from './rolling_stop_scenario.js';
 import type {Scenario} from './scenario.js';
+import {stateSizeScenario} from './state_size_scenario.js';
 
 /**
  * The scenarios by name.
@@ -20,6 +21,7 @@
   replicaShareScenario,
   overheadScenario,
   ControlCostScenario.create(),
+  stateSizeScenario,
   plannedChangeScenario,
   configurationScenario,
   drainScenario,
