--- a/packages/proxy/src/testing/data_path_harness.ts
+++ b/packages/proxy/src/testing/data_path_harness.ts
@@ -7,6 +7,7 @@
 import {ServiceLevelRecorder} from '@filbertrun/observability/service_level_recorder.js';
 import pg from 'pg';
 import type {CallerListener} from '../caller/caller_listener.js';
+import type {AuthenticationMethod} from '../caller/caller_authentication.js';
 import {startDataPath} from '../data_path.js';
 import {ProxyMetrics} from '../proxy_metrics.js';
 import {
@@ -24,6 +25,8 @@
 export interface HarnessOptions {
   readonly configuration?: Configuration;
   readonly statementDeadlineMs?: number;
+  readonly tls?: {readonly cert: string; readonly key: string};
+  readonly callerAuthentication?: AuthenticationMethod;
 }
 
 /** The data path over fake backend servers. @internal */
@@ -59,9 +62,9 @@
       maxCallerConnections: 1_000,
       callerUser: 'ana',
       callerPassword: 'armature',
-      callerAuthentication: 'scram-sha-256',
+      callerAuthentication: options.callerAuthentication ?? 'scram-sha-256',
       tokenKeys: ['test-key-1'],
-      tls: null,
+      tls: options.tls ?? null,
       statementDeadlineMs: options.statementDeadlineMs ?? 5_000,
       groups: {get: name => (name === group.databaseGroup ? group : null)},
       configuration: {getCurrent: () => configuration},
@@ -77,6 +80,13 @@
 
   /** Connects an unmodified client. */
   async connect(config: pg.ClientConfig = {}): Promise<pg.Client> {
+    const client = this.createClient(config);
+    await client.connect();
+    return client;
+  }
+
+  /** Creates a client that is yet to connect. */
+  createClient(config: pg.ClientConfig = {}): pg.Client {
     const client = new pg.Client({
       host: '127.0.0.1',
       port: this.listener.port,
@@ -87,7 +97,6 @@
     });
     client.on('error', () => {});
     this.clients.push(client);
-    await client.connect();
     return client;
   }
 
