Let one function make the stand-in's HTTP servers listen

Cause: the admin server and the platform server held the same ten lines. Change: both call listenForHttp; behaviour and messages are unchanged. Conclusion: no test was changed.

--- a/packages/standin/src/admin_server.ts
+++ b/packages/standin/src/admin_server.ts
@@ -1,6 +1,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {adminCommandSchema, type AdminCommand} from './admin_command.js';
 import {readBody, sendJson} from './http_body.js';
+import {listenForHttp} from './http_listener.js';
 
 /** What the admin interface acts on. @internal */
 export interface AdminTarget {
@@ -28,15 +29,8 @@
   }
 
   /** Listens and returns the base URL. */
-  async listen(host: string, port: number): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const address = this.server.address();
-    const boundPort =
-      address !== null && typeof address === 'object' ? address.port : port;
-    return `http://${host}:${boundPort}`;
+  listen(host: string, port: number): Promise<string> {
+    return listenForHttp(this.server, host, port);
   }
 
   dispose(): void {
--- a/packages/standin/src/platform_server.ts
+++ b/packages/standin/src/platform_server.ts
@@ -8,6 +8,7 @@
 import type {Result} from '@filbertrun/base/result.js';
 import {z} from 'zod';
 import {readBody, sendJson} from './http_body.js';
+import {listenForHttp} from './http_listener.js';
 import {PLATFORM_ZONE, type ZoneNetwork} from './zone_network.js';
 
 /** What a platform server is made of. @internal */
@@ -53,15 +54,8 @@
   }
 
   /** Listens and returns the base URL. */
-  async listen(host: string, port: number): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const address = this.server.address();
-    const boundPort =
-      address !== null && typeof address === 'object' ? address.port : port;
-    return `http://${host}:${boundPort}`;
+  listen(host: string, port: number): Promise<string> {
+    return listenForHttp(this.server, host, port);
   }
 
   dispose(): void {
