--- /dev/null
+++ b/packages/gateway/src/configuration/configuration_holder.ts
@@ -0,0 +1,72 @@
+import type {TableListener} from '../directory/table_watcher.js';
+import type {TableChange, TableChanges} from '../directory/watchable_table.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {ServiceConfiguration} from './service_configuration.js';
+
+/** Takes each newer configuration. @public */
+export type ConfigurationListener = (
+  configuration: ServiceConfiguration,
+) => void;
+
+/** What a holder is made of. @public */
+export interface ConfigurationHolderOptions {
+  /** Key of the configuration in its table. */
+  readonly key: string;
+  readonly events: GatewayEvents;
+  readonly listener: ConfigurationListener;
+}
+
+/** Keeps the newest configuration of this process; versions only rise. @public */
+export class ConfigurationHolder implements TableListener<ServiceConfiguration> {
+  private newest: ServiceConfiguration | null = null;
+
+  private constructor(private readonly options: ConfigurationHolderOptions) {}
+
+  static create(options: ConfigurationHolderOptions): ConfigurationHolder {
+    return new ConfigurationHolder(options);
+  }
+
+  get current(): ServiceConfiguration | null {
+    return this.newest;
+  }
+
+  handleListing(listing: TableChanges<ServiceConfiguration>): void {
+    this.handleChanges(listing);
+  }
+
+  handleChanges(changes: TableChanges<ServiceConfiguration>): void {
+    for (const change of changes.changes) {
+      this.apply(change);
+    }
+  }
+
+  /** Takes a configuration if it is newer than the present one. */
+  take(configuration: ServiceConfiguration, source: string): void {
+    const previousVersion = this.newest?.version ?? 0;
+    if (configuration.version <= previousVersion) {
+      return;
+    }
+    this.newest = configuration;
+    this.options.events.record({
+      kind: 'configurationTaken',
+      version: configuration.version,
+      previousVersion,
+      routeCount: configuration.routes.size,
+      source,
+    });
+    this.options.listener(configuration);
+  }
+
+  private apply(change: TableChange<ServiceConfiguration>): void {
+    if (change.key !== this.options.key) {
+      return;
+    }
+    if (change.kind === 'put') {
+      this.take(change.value, 'store');
+      return;
+    }
+    const reason =
+      change.kind === 'unreadable' ? change.reason : 'it was removed';
+    this.options.events.record({kind: 'configurationRejected', reason});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/control_poller.ts
@@ -0,0 +1,120 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {
+  ListableTable,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
+import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+
+/** What a poller is made of. @public */
+export interface ControlPollerOptions {
+  readonly table: ListableTable;
+  readonly clock: Clock;
+  readonly clockWatch: ClockWatch;
+  readonly events: GatewayEvents;
+  /** Takes a listing with the time at which its read began. */
+  handleListing(listing: TableListing, readAt: ClockReading): void;
+  /** Whether something is under way for which the table is read more often. */
+  isUrgent(): boolean;
+}
+
+/** Interval of reads while nothing happens; renews the leases of primaries. */
+const POLL_INTERVAL_MS = 2_000;
+
+/** Interval after a failure or while a change of primary is under way. */
+const URGENT_INTERVAL_MS = 300;
+
+/**
+ * Reads the control table again and again. Each read renews what the process
+ * may rely on for a while.
+ *
+ * @public
+ */
+export class ControlPoller {
+  private timer: Timer | null = null;
+  private reading: Promise<boolean> | null = null;
+  private lostSinceMs: number | null = null;
+  private contactMs = Number.NEGATIVE_INFINITY;
+  private newestRevision = 0;
+  private isDisposed = false;
+
+  private constructor(private readonly options: ControlPollerOptions) {}
+
+  static create(options: ControlPollerOptions): ControlPoller {
+    return new ControlPoller(options);
+  }
+
+  /** Monotonic time of the last answer of the store. */
+  get lastContactMs(): number {
+    return this.contactMs;
+  }
+
+  /** Whether the table has been read since the start. */
+  get hasRead(): boolean {
+    return this.newestRevision > 0;
+  }
+
+  start(): void {
+    void this.poll();
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.timer?.cancel();
+  }
+
+  /** Reads now; true when the store answered. */
+  readNow(): Promise<boolean> {
+    this.reading ??= this.read().finally(() => {
+      this.reading = null;
+    });
+    return this.reading;
+  }
+
+  private async poll(): Promise<void> {
+    const hasAnswered = await this.readNow();
+    if (this.isDisposed) {
+      return;
+    }
+    const isUrgent = !hasAnswered || this.options.isUrgent();
+    const delayMs = isUrgent ? URGENT_INTERVAL_MS : POLL_INTERVAL_MS;
+    this.timer = this.options.clock.startTimer(delayMs, () => {
+      void this.poll();
+    });
+  }
+
+  private async read(): Promise<boolean> {
+    const {table, clock, clockWatch, events} = this.options;
+    const readAt = clockWatch.read();
+    const result = await table.listEntries();
+    if (this.isDisposed) {
+      return false;
+    }
+    if (!result.ok || result.value.revision < this.newestRevision) {
+      if (this.lostSinceMs === null) {
+        this.lostSinceMs = clock.nowMs();
+        const reason = result.ok
+          ? 'the answer is out of date'
+          : result.error.kind;
+        events.record({
+          kind: 'dependencyLost',
+          dependency: 'control table',
+          reason,
+        });
+      }
+      return false;
+    }
+    this.contactMs = clock.nowMs();
+    this.newestRevision = result.value.revision;
+    if (this.lostSinceMs !== null) {
+      events.record({
+        kind: 'dependencyRegained',
+        dependency: 'control table',
+        lostForMs: this.contactMs - this.lostSinceMs,
+      });
+      this.lostSinceMs = null;
+    }
+    this.options.handleListing(result.value, readAt);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/control_record.ts
@@ -0,0 +1,53 @@
+import {z} from 'zod';
+
+/** Records of the proxies themselves in the platform's table. */
+
+/** Prefix of the keys of entry VMs. @public */
+export const ENTRY_VM_PREFIX = 'entryVm/';
+
+/** Key of the failover duty. @public */
+export const FAILOVER_DUTY_KEY = 'duty/failover';
+
+/** Validates the registration of an entry VM. @public */
+export const entryVmRecordSchema = z
+  .object({
+    entryVm: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    peerHost: z.string().min(1),
+    peerPort: z.number().int().min(1).max(65535),
+    /** Tells a restarted process from its predecessor. */
+    incarnation: z.string().min(1),
+    /** Counts the renewals, so that a record that stands still shows. */
+    renewalCount: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+/** The registration of an entry VM. @public */
+export type EntryVmRecord = z.infer<typeof entryVmRecordSchema>;
+
+/** Validates the record of the failover duty. @public */
+export const failoverDutySchema = z
+  .object({
+    /** Entry VM that holds the duty, or null after it was given up. */
+    holder: z.string().min(1).nullable(),
+    incarnation: z.string(),
+    /** Rises with each change of holder. */
+    fencingToken: z.number().int().positive(),
+    renewalCount: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+/** Who may change primaries. @public */
+export type FailoverDuty = z.infer<typeof failoverDutySchema>;
+
+/** Reads a record; null when the text is not one. @public */
+export function parseRecord<T>(schema: z.ZodType<T>, text: string): T | null {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return null;
+  }
+  const parsed = schema.safeParse(value);
+  return parsed.success ? parsed.data : null;
+}
--- /dev/null
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -0,0 +1,223 @@
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {
+  PlatformError,
+  PlatformTable,
+  TableEntry,
+} from '@filbertrun/platform/platform_service.js';
+import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import {
+  FAILOVER_DUTY_KEY,
+  failoverDutySchema,
+  parseRecord,
+  type FailoverDuty,
+} from './control_record.js';
+
+/** Time after the start of a renewal for which the holder may act on it. @public */
+export const DUTY_HOLD_MS = 4_000;
+
+/** Time without a renewal after which another proxy takes the duty over. @public */
+export const DUTY_TAKEOVER_MS = 6_000;
+
+/** Interval of the holder's renewals. */
+const RENEWAL_INTERVAL_MS = 1_300;
+
+/** Spread of the moments at which proxies try to take the duty over. */
+const TAKEOVER_JITTER_MS = 400;
+
+/** What a duty lease is made of. @public */
+export interface FailoverDutyLeaseOptions {
+  readonly entryVm: string;
+  readonly incarnation: string;
+  readonly table: PlatformTable;
+  readonly clockWatch: ClockWatch;
+  readonly random: RandomSource;
+  readonly events: GatewayEvents;
+}
+
+interface ObservedDuty {
+  readonly duty: FailoverDuty;
+  readonly revision: number;
+}
+
+/**
+ * The duty to change primaries: one proxy at a time holds it by a record in
+ * the platform's table, with a fencing token that rises with each holder.
+ *
+ * @public
+ */
+export class FailoverDutyLease {
+  private observed: ObservedDuty | null = null;
+  /** When the observed revision was first seen. */
+  private unchangedSince: ClockReading | null = null;
+  private renewedAt: ClockReading | null = null;
+  private heldToken: number | null = null;
+  private isWriting = false;
+  private readonly jitterMs: number;
+
+  private constructor(private readonly options: FailoverDutyLeaseOptions) {
+    this.jitterMs = options.random.nextFloat() * TAKEOVER_JITTER_MS;
+  }
+
+  static create(options: FailoverDutyLeaseOptions): FailoverDutyLease {
+    return new FailoverDutyLease(options);
+  }
+
+  /** Entry VM that holds the duty as far as is known, or null. */
+  get holder(): string | null {
+    return this.observed?.duty.holder ?? null;
+  }
+
+  /** Token under which this proxy may act now, or null. */
+  getFencingToken(): number | null {
+    if (this.heldToken === null || this.renewedAt === null) {
+      return null;
+    }
+    const elapsedMs = this.options.clockWatch.getElapsedMs(this.renewedAt);
+    if (elapsedMs === null || elapsedMs >= DUTY_HOLD_MS) {
+      return null;
+    }
+    return this.heldToken;
+  }
+
+  /** Takes the record from a listing; `null` when there is none. */
+  observe(entry: TableEntry | null): void {
+    if (entry === null) {
+      this.observed = null;
+      return;
+    }
+    if (this.observed !== null && entry.revision <= this.observed.revision) {
+      return;
+    }
+    const duty = parseRecord(failoverDutySchema, entry.value);
+    if (duty === null) {
+      this.options.events.record({
+        kind: 'storeConflict',
+        key: FAILOVER_DUTY_KEY,
+      });
+      return;
+    }
+    this.adopt({duty, revision: entry.revision});
+  }
+
+  /** Renews the duty, or takes it over when its holder has stopped renewing. */
+  async maintain(): Promise<void> {
+    if (this.isWriting || !this.shouldWrite()) {
+      return;
+    }
+    this.isWriting = true;
+    await this.write(this.createClaim());
+    this.isWriting = false;
+  }
+
+  /** Gives the duty up, so that another proxy can take it at once. */
+  async resign(): Promise<void> {
+    const {observed} = this;
+    if (this.heldToken === null || observed === null) {
+      return;
+    }
+    this.recordLost('it was given up');
+    this.renewedAt = null;
+    await this.options.table.putEntry({
+      key: FAILOVER_DUTY_KEY,
+      value: JSON.stringify({...observed.duty, holder: null}),
+      expectedRevision: observed.revision,
+    });
+  }
+
+  private shouldWrite(): boolean {
+    const {observed, unchangedSince, options} = this;
+    if (observed === null || observed.duty.holder === null) {
+      return true;
+    }
+    if (observed.duty.holder === options.entryVm) {
+      return this.isOwnRenewalDue();
+    }
+    if (unchangedSince === null) {
+      return false;
+    }
+    const elapsedMs = options.clockWatch.getElapsedMs(unchangedSince);
+    if (elapsedMs === null) {
+      this.unchangedSince = options.clockWatch.read();
+      return false;
+    }
+    return elapsedMs >= DUTY_TAKEOVER_MS + this.jitterMs;
+  }
+
+  /** An earlier process of this VM is gone for sure, so its duty is taken at once. */
+  private isOwnRenewalDue(): boolean {
+    if (this.heldToken === null || this.renewedAt === null) {
+      return true;
+    }
+    const elapsedMs = this.options.clockWatch.getElapsedMs(this.renewedAt);
+    return elapsedMs === null || elapsedMs >= RENEWAL_INTERVAL_MS;
+  }
+
+  private createClaim(): FailoverDuty {
+    const {entryVm, incarnation} = this.options;
+    const duty = this.observed?.duty ?? null;
+    const isOwn = duty?.holder === entryVm && duty.incarnation === incarnation;
+    return {
+      holder: entryVm,
+      incarnation,
+      fencingToken: (duty?.fencingToken ?? 0) + (isOwn ? 0 : 1),
+      renewalCount: (duty?.renewalCount ?? 0) + 1,
+    };
+  }
+
+  private async write(claim: FailoverDuty): Promise<void> {
+    const startedAt = this.options.clockWatch.read();
+    const result = await this.options.table.putEntry({
+      key: FAILOVER_DUTY_KEY,
+      value: JSON.stringify(claim),
+      expectedRevision: this.observed?.revision ?? 0,
+    });
+    if (result.ok) {
+      this.adopt({duty: claim, revision: result.value.revision});
+      this.hold(claim.fencingToken, startedAt);
+      return;
+    }
+    this.handleWriteError(result.error);
+  }
+
+  private handleWriteError(error: PlatformError): void {
+    if (error.kind === 'conflict') {
+      this.observe(error.current);
+    }
+  }
+
+  private hold(token: number, startedAt: ClockReading): void {
+    if (this.heldToken !== token) {
+      this.options.events.record({
+        kind: 'dutyGained',
+        fencingToken: token,
+        reason: 'the record was written',
+      });
+    }
+    this.heldToken = token;
+    this.renewedAt = startedAt;
+  }
+
+  private adopt(observed: ObservedDuty): void {
+    const {entryVm, incarnation, clockWatch} = this.options;
+    this.observed = observed;
+    this.unchangedSince = clockWatch.read();
+    const {duty} = observed;
+    const isOwn = duty.holder === entryVm && duty.incarnation === incarnation;
+    if (!isOwn && this.heldToken !== null) {
+      this.recordLost(`${duty.holder ?? 'nobody'} holds it`);
+    }
+  }
+
+  private recordLost(reason: string): void {
+    const token = this.heldToken;
+    this.heldToken = null;
+    if (token !== null) {
+      this.options.events.record({
+        kind: 'dutyLost',
+        fencingToken: token,
+        reason,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -0,0 +1,166 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {BackendServerEntry} from './backend_server_entry.js';
+import type {TableListener} from './table_watcher.js';
+import type {TableChange, TableChanges} from './watchable_table.js';
+
+/** Takes the backend servers that are to be used. @public */
+export interface DirectoryListener {
+  handleServerUpdated(entry: BackendServerEntry): void;
+  handleServerGone(entry: BackendServerEntry, reason: string): void;
+}
+
+/** What a directory is made of. @public */
+export interface BackendDirectoryOptions {
+  readonly clock: Clock;
+  readonly events: GatewayEvents;
+  readonly listener: DirectoryListener;
+}
+
+/**
+ * Time for which a server whose entry lapsed is still used. An outage of the
+ * store makes entries lapse that come back soon after it.
+ */
+const LAPSE_GRACE_MS = 2_500;
+
+/** The backend servers that exist, from the table in which they report themselves. @public */
+export class BackendDirectory implements TableListener<BackendServerEntry> {
+  private readonly entries = new Map<BackendServerId, BackendServerEntry>();
+  private readonly lapses = new Map<BackendServerId, Timer>();
+  private listed = false;
+
+  private constructor(private readonly options: BackendDirectoryOptions) {}
+
+  static create(options: BackendDirectoryOptions): BackendDirectory {
+    return new BackendDirectory(options);
+  }
+
+  /** Whether the table has been read since the start. */
+  get isListed(): boolean {
+    return this.listed;
+  }
+
+  getEntry(backendServer: BackendServerId): BackendServerEntry | null {
+    return this.entries.get(backendServer) ?? null;
+  }
+
+  getEntries(): readonly BackendServerEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Whether the entry is missing from the table at present. */
+  isLapsed(backendServer: BackendServerId): boolean {
+    return this.lapses.has(backendServer);
+  }
+
+  handleListing(listing: TableChanges<BackendServerEntry>): void {
+    this.listed = true;
+    const present = new Set<BackendServerId>();
+    for (const change of listing.changes) {
+      this.apply(change);
+      if (change.kind === 'put') {
+        present.add(change.key);
+      }
+    }
+    for (const backendServer of [...this.entries.keys()]) {
+      if (!present.has(backendServer)) {
+        this.lapse(backendServer);
+      }
+    }
+  }
+
+  handleChanges(changes: TableChanges<BackendServerEntry>): void {
+    for (const change of changes.changes) {
+      this.apply(change);
+    }
+  }
+
+  dispose(): void {
+    for (const timer of this.lapses.values()) {
+      timer.cancel();
+    }
+    this.lapses.clear();
+  }
+
+  private apply(change: TableChange<BackendServerEntry>): void {
+    switch (change.kind) {
+      case 'put':
+        this.update(change.value);
+        return;
+      case 'removed':
+        this.lapse(change.key);
+        return;
+      case 'unreadable':
+        this.options.events.record({
+          kind: 'directoryEntryRejected',
+          backendServer: change.key,
+          reason: change.reason,
+        });
+        this.lapse(change.key);
+        return;
+    }
+  }
+
+  private update(entry: BackendServerEntry): void {
+    const {backendServer} = entry;
+    this.lapses.get(backendServer)?.cancel();
+    this.lapses.delete(backendServer);
+    const known = this.entries.get(backendServer);
+    if (known !== undefined && known.databaseGroup !== entry.databaseGroup) {
+      this.remove(backendServer, 'it moved to another database group');
+    }
+    this.entries.set(backendServer, entry);
+    if (
+      known?.state !== entry.state ||
+      known.reportedRole !== entry.reportedRole
+    ) {
+      this.options.events.record({
+        kind: 'backendServerSeen',
+        backendServer,
+        databaseGroup: entry.databaseGroup,
+        availabilityZone: entry.availabilityZone,
+        role: entry.reportedRole,
+        state: entry.state,
+      });
+    }
+    this.options.listener.handleServerUpdated(entry);
+  }
+
+  /** Starts the grace of an entry that is missing; a drained server is gone at once. */
+  private lapse(backendServer: BackendServerId): void {
+    const entry = this.entries.get(backendServer);
+    if (entry === undefined || this.lapses.has(backendServer)) {
+      return;
+    }
+    if (entry.state === 'draining') {
+      this.remove(backendServer, 'it was drained');
+      return;
+    }
+    this.options.events.record({
+      kind: 'backendServerLapsed',
+      backendServer,
+      databaseGroup: entry.databaseGroup,
+    });
+    const timer = this.options.clock.startTimer(LAPSE_GRACE_MS, () => {
+      this.lapses.delete(backendServer);
+      this.remove(backendServer, 'its entry stayed away');
+    });
+    this.lapses.set(backendServer, timer);
+  }
+
+  private remove(backendServer: BackendServerId, reason: string): void {
+    const entry = this.entries.get(backendServer);
+    if (entry === undefined) {
+      return;
+    }
+    this.entries.delete(backendServer);
+    this.options.events.record({
+      kind: 'backendServerGone',
+      backendServer,
+      databaseGroup: entry.databaseGroup,
+      reason,
+    });
+    this.options.listener.handleServerGone(entry, reason);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -0,0 +1,153 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {TableChanges, WatchableTable} from './watchable_table.js';
+
+/** Takes what a watcher learns. @public */
+export interface TableListener<T> {
+  /** The whole table; keys that are missing do not exist. */
+  handleListing(listing: TableChanges<T>): void;
+  handleChanges(changes: TableChanges<T>): void;
+}
+
+/** What a watcher is made of. @public */
+export interface TableWatcherOptions<T> {
+  /** Name of the table in log events. */
+  readonly name: string;
+  readonly table: WatchableTable<T>;
+  readonly listener: TableListener<T>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: GatewayEvents;
+}
+
+/** Time for which the store may hold a watch open without a change. */
+const WATCH_WAIT_MS = 1_500;
+
+const MIN_RETRY_DELAY_MS = 80;
+const MAX_RETRY_DELAY_MS = 500;
+
+/**
+ * Follows a table: lists it once, then asks for the changes after the newest
+ * known revision. It never goes back to an older revision, even when the store
+ * answers with one.
+ *
+ * @public
+ */
+export class TableWatcher<T> {
+  private revision: number | null = null;
+  private mustList = true;
+  private failureCount = 0;
+  private lostSinceMs: number | null = null;
+  private lastContact = Number.NEGATIVE_INFINITY;
+  private timer: Timer | null = null;
+  private isDisposed = false;
+
+  private constructor(private readonly options: TableWatcherOptions<T>) {}
+
+  static create<T>(options: TableWatcherOptions<T>): TableWatcher<T> {
+    return new TableWatcher(options);
+  }
+
+  /** Monotonic time of the last answer of the store. */
+  get lastContactMs(): number {
+    return this.lastContact;
+  }
+
+  start(): void {
+    void this.runOnce();
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.timer?.cancel();
+  }
+
+  private async runOnce(): Promise<void> {
+    const failureReason = await (this.mustList ? this.list() : this.watch());
+    if (this.isDisposed) {
+      return;
+    }
+    if (failureReason === null) {
+      this.recordContact();
+      void this.runOnce();
+      return;
+    }
+    this.recordFailure(failureReason);
+    this.timer = this.options.clock.startTimer(this.getRetryDelayMs(), () => {
+      void this.runOnce();
+    });
+  }
+
+  /** Lists the table; gives the reason of a failure, or null. */
+  private async list(): Promise<string | null> {
+    const result = await this.options.table.list();
+    if (this.isDisposed) {
+      return null;
+    }
+    if (!result.ok) {
+      return result.error.kind;
+    }
+    const listing = result.value;
+    if (this.revision !== null && listing.revision < this.revision) {
+      return 'the listing is older than what is known';
+    }
+    this.revision = listing.revision;
+    this.mustList = false;
+    this.options.listener.handleListing(listing);
+    return null;
+  }
+
+  private async watch(): Promise<string | null> {
+    const afterRevision = this.revision ?? 0;
+    const result = await this.options.table.watch(afterRevision, WATCH_WAIT_MS);
+    if (this.isDisposed) {
+      return null;
+    }
+    if (!result.ok) {
+      if (result.error.kind === 'historyLost') {
+        this.mustList = true;
+        return null;
+      }
+      return result.error.kind;
+    }
+    if (result.value.changes.length > 0) {
+      this.options.listener.handleChanges(result.value);
+    }
+    this.revision = Math.max(afterRevision, result.value.revision);
+    return null;
+  }
+
+  private recordContact(): void {
+    const {clock, events, name} = this.options;
+    this.lastContact = clock.nowMs();
+    this.failureCount = 0;
+    if (this.lostSinceMs !== null) {
+      events.record({
+        kind: 'dependencyRegained',
+        dependency: `table ${name}`,
+        lostForMs: clock.nowMs() - this.lostSinceMs,
+      });
+      this.lostSinceMs = null;
+    }
+  }
+
+  private recordFailure(reason: string): void {
+    const {clock, events, name} = this.options;
+    this.failureCount++;
+    if (this.lostSinceMs === null) {
+      this.lostSinceMs = clock.nowMs();
+      events.record({
+        kind: 'dependencyLost',
+        dependency: `table ${name}`,
+        reason,
+      });
+    }
+  }
+
+  private getRetryDelayMs(): number {
+    const growing = MIN_RETRY_DELAY_MS * 2 ** Math.min(this.failureCount, 6);
+    const boundedMs = Math.min(MAX_RETRY_DELAY_MS, growing);
+    return boundedMs * (0.5 + this.options.random.nextFloat() / 2);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -0,0 +1,345 @@
+import type {Timer} from '@filbertrun/base/clock.js';
+import type {
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
+import type {BackendLinkConnector} from '../backend/backend_link.js';
+import type {InstanceStatus} from '../backend/instance_control.js';
+import type {EntryVmRecord} from '../control/control_record.js';
+import type {BackendDirectory} from '../directory/backend_directory.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import {
+  getPrimaryRecordKey,
+  type PrimaryRecord,
+  type RevisedPrimaryRecord,
+} from '../group/primary_record.js';
+import type {SuspicionReport} from '../peer/peer_caller.js';
+import {
+  PrimaryChange,
+  type PrimaryChangeDependencies,
+} from './primary_change.js';
+
+/** What the coordinator needs of the process. @public */
+export interface FailoverCoordinatorOptions extends PrimaryChangeDependencies {
+  readonly directory: BackendDirectory;
+  readonly connector: BackendLinkConnector;
+  getGroups(): readonly GroupRuntime[];
+  getOtherEntryVms(): readonly EntryVmRecord[];
+  /** Whether the platform's table has been read, so that a missing record is missing. */
+  isTableRead(): boolean;
+}
+
+/** Interval at which the holder of the duty looks at all groups. */
+const TICK_INTERVAL_MS = 100;
+
+/** Time allowed for a connection that checks a suspected primary. */
+const CHECK_TIMEOUT_MS = 250;
+
+/** Time for which a report of another proxy counts. */
+const REPORT_VALID_MS = 1_000;
+
+/** Time for which a group is left alone after a change or a check. */
+const SETTLE_MS = 500;
+
+/** Time after which a primary that calls itself a replica is looked into. */
+const ROLE_MISMATCH_MS = 1_500;
+
+/** Why a primary has to be replaced, or null. */
+type ChangeReason = 'draining' | 'gone' | 'unreachable' | 'writesStalled';
+
+interface GroupWatch {
+  isBusy: boolean;
+  quietUntilMs: number;
+  report: (SuspicionReport & {readonly atMs: number}) | null;
+  mismatchSinceMs: number | null;
+}
+
+/**
+ * Keeps a primary in every database group. Only the holder of the failover
+ * duty acts; the others report what they see to it.
+ *
+ * @public
+ */
+export class FailoverCoordinator {
+  private readonly watches = new Map<DatabaseGroupName, GroupWatch>();
+  private timer: Timer | null = null;
+
+  private constructor(private readonly options: FailoverCoordinatorOptions) {}
+
+  static create(options: FailoverCoordinatorOptions): FailoverCoordinator {
+    return new FailoverCoordinator(options);
+  }
+
+  start(): void {
+    this.timer = this.options.clock.startTimer(TICK_INTERVAL_MS, () => {
+      this.tick();
+      this.start();
+    });
+  }
+
+  dispose(): void {
+    this.timer?.cancel();
+  }
+
+  /** Takes the report of a proxy, this one included. */
+  takeReport(report: SuspicionReport): void {
+    const watch = this.getWatch(report.databaseGroup);
+    watch.report = {...report, atMs: this.options.clock.nowMs()};
+  }
+
+  private tick(): void {
+    if (this.options.duty.getFencingToken() === null) {
+      return;
+    }
+    for (const group of this.options.getGroups()) {
+      const watch = this.getWatch(group.databaseGroup);
+      if (!watch.isBusy && this.options.clock.nowMs() >= watch.quietUntilMs) {
+        void this.look(group, watch);
+      }
+    }
+  }
+
+  private getWatch(databaseGroup: DatabaseGroupName): GroupWatch {
+    let watch = this.watches.get(databaseGroup);
+    if (watch === undefined) {
+      watch = {
+        isBusy: false,
+        quietUntilMs: 0,
+        report: null,
+        mismatchSinceMs: null,
+      };
+      this.watches.set(databaseGroup, watch);
+    }
+    return watch;
+  }
+
+  private async look(group: GroupRuntime, watch: GroupWatch): Promise<void> {
+    watch.isBusy = true;
+    await this.attend(group, watch);
+    watch.isBusy = false;
+  }
+
+  private async attend(group: GroupRuntime, watch: GroupWatch): Promise<void> {
+    const {record, revision} = group.lease;
+    if (record === null) {
+      if (this.options.isTableRead() && this.options.directory.isListed) {
+        await this.adoptLeader(group, 0, null);
+        this.settle(watch);
+      }
+      return;
+    }
+    if (record.phase === 'changing') {
+      await this.change({record, revision}, 'a change was left unfinished');
+      this.settle(watch);
+      return;
+    }
+    if (await this.resolveRoleMismatch(group, watch, record.primary)) {
+      return;
+    }
+    const reason = await this.findReason(group, watch, record.primary);
+    if (reason !== null) {
+      await this.change({record, revision}, reason);
+      this.settle(watch);
+    }
+  }
+
+  private settle(watch: GroupWatch): void {
+    watch.report = null;
+    watch.quietUntilMs = this.options.clock.nowMs() + SETTLE_MS;
+  }
+
+  private async change(
+    current: RevisedPrimaryRecord,
+    reason: string,
+  ): Promise<void> {
+    await PrimaryChange.create(this.options, current, reason).run();
+  }
+
+  private async findReason(
+    group: GroupRuntime,
+    watch: GroupWatch,
+    primary: BackendServerId,
+  ): Promise<ChangeReason | null> {
+    const {directory} = this.options;
+    if (!directory.isListed) {
+      return null;
+    }
+    const entry = directory.getEntry(primary);
+    if (entry === null) {
+      return this.hasOtherInstance(group, primary) ? 'gone' : null;
+    }
+    if (entry.state === 'draining') {
+      return this.hasActiveReplica(group, primary) ? 'draining' : null;
+    }
+    const report = this.getValidReport(watch, primary);
+    const isSuspect = group.getServer(primary)?.isUnreachable === true;
+    if (report === null && !isSuspect) {
+      return null;
+    }
+    if (report?.evidence === 'writesStalled') {
+      return 'writesStalled';
+    }
+    return (await this.confirmUnreachable(group, entry)) ? 'unreachable' : null;
+  }
+
+  private hasOtherInstance(
+    group: GroupRuntime,
+    primary: BackendServerId,
+  ): boolean {
+    for (const server of group.getServers()) {
+      if (server.entry.backendServer !== primary) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private hasActiveReplica(
+    group: GroupRuntime,
+    primary: BackendServerId,
+  ): boolean {
+    for (const {entry} of group.getServers()) {
+      if (entry.backendServer !== primary && entry.state === 'active') {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private getValidReport(
+    watch: GroupWatch,
+    primary: BackendServerId,
+  ): SuspicionReport | null {
+    const {report} = watch;
+    if (report === null || report.primary !== primary) {
+      return null;
+    }
+    return this.options.clock.nowMs() - report.atMs < REPORT_VALID_MS
+      ? report
+      : null;
+  }
+
+  /** Whether neither this proxy nor any other that answers reaches the primary. */
+  private async confirmUnreachable(
+    group: GroupRuntime,
+    entry: BackendServerEntry,
+  ): Promise<boolean> {
+    const {connector, peers, events} = this.options;
+    const others = this.options.getOtherEntryVms();
+    const [own, ...answers] = await Promise.all([
+      connector.checkReachable(entry, CHECK_TIMEOUT_MS),
+      ...others.map(peer =>
+        peers.askReach(peer, {backendServer: entry.backendServer}),
+      ),
+    ]);
+    if (own === 'accepted') {
+      return false;
+    }
+    for (const answer of answers) {
+      if (answer.ok && answer.value.isReachable) {
+        return false;
+      }
+    }
+    events.record({
+      kind: 'primarySuspected',
+      databaseGroup: group.databaseGroup,
+      primary: entry.backendServer,
+      evidence: `${own} for this proxy, reached by no other`,
+    });
+    return true;
+  }
+
+  /** Looks into a primary that has long called itself a replica. */
+  private async resolveRoleMismatch(
+    group: GroupRuntime,
+    watch: GroupWatch,
+    primary: BackendServerId,
+  ): Promise<boolean> {
+    const nowMs = this.options.clock.nowMs();
+    const entry = this.options.directory.getEntry(primary);
+    if (entry === null || entry.reportedRole === 'primary') {
+      watch.mismatchSinceMs = null;
+      return false;
+    }
+    watch.mismatchSinceMs ??= nowMs;
+    if (nowMs - watch.mismatchSinceMs < ROLE_MISMATCH_MS) {
+      return false;
+    }
+    watch.mismatchSinceMs = null;
+    const {record, revision} = group.lease;
+    await this.adoptLeader(group, revision, record);
+    this.settle(watch);
+    return true;
+  }
+
+  /** Records the instance that leads the latest term, as the instances say. */
+  private async adoptLeader(
+    group: GroupRuntime,
+    revision: number,
+    previous: PrimaryRecord | null,
+  ): Promise<void> {
+    const leader = await this.findLeader(group);
+    if (leader === null) {
+      return;
+    }
+    const previousTerm = previous?.phase === 'stable' ? previous.term : -1;
+    if (leader.term <= previousTerm) {
+      if (previous !== null) {
+        await this.change(
+          {record: previous, revision},
+          'the primary leads no longer',
+        );
+      }
+      return;
+    }
+    const record: PrimaryRecord = {
+      phase: 'stable',
+      databaseGroup: group.databaseGroup,
+      primary: leader.backendServer,
+      term: leader.term,
+    };
+    const result = await this.options.table.putEntry({
+      key: getPrimaryRecordKey(group.databaseGroup),
+      value: JSON.stringify(record),
+      expectedRevision: revision,
+    });
+    if (result.ok) {
+      this.options.handleRecord({record, revision: result.value.revision});
+    }
+  }
+
+  /** The primary of the highest term, once every listed instance has answered. */
+  private async findLeader(group: GroupRuntime): Promise<{
+    readonly backendServer: BackendServerId;
+    readonly term: number;
+  } | null> {
+    const servers = group.getServers();
+    const statuses = await Promise.all(
+      servers.map(server => this.options.instances.getStatus(server.entry)),
+    );
+    let leader: {
+      backendServer: BackendServerId;
+      status: InstanceStatus;
+    } | null = null;
+    for (const [index, result] of statuses.entries()) {
+      const server = servers[index];
+      if (
+        server === undefined ||
+        !result.ok ||
+        result.value.role !== 'primary'
+      ) {
+        continue;
+      }
+      if (leader === null || result.value.term > leader.status.term) {
+        leader = {
+          backendServer: server.entry.backendServer,
+          status: result.value,
+        };
+      }
+    }
+    return leader === null
+      ? null
+      : {backendServer: leader.backendServer, term: leader.status.term};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -0,0 +1,462 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {ListableTable} from '@filbertrun/platform/platform_service.js';
+import type {
+  InstanceControl,
+  PromotionService,
+} from '../backend/instance_control.js';
+import {
+  ENTRY_VM_PREFIX,
+  entryVmRecordSchema,
+  parseRecord,
+  type EntryVmRecord,
+} from '../control/control_record.js';
+import type {FailoverDutyLease} from '../control/failover_duty_lease.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {
+  getPrimaryRecordKey,
+  type PrimaryRecord,
+  type RevisedPrimaryRecord,
+} from '../group/primary_record.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {PeerCaller} from '../peer/peer_caller.js';
+import {
+  choosePromotionTarget,
+  type PromotionChoice,
+} from './choose_promotion_target.js';
+import {InstanceFences} from './instance_fences.js';
+import {ReleaseCollector} from './release_collector.js';
+
+/** What a change of primary needs of the process. @public */
+export interface PrimaryChangeDependencies {
+  readonly clock: Clock;
+  readonly availabilityZone: AvailabilityZone;
+  readonly entryVm: string;
+  readonly table: ListableTable;
+  readonly peers: PeerCaller;
+  readonly instances: InstanceControl;
+  readonly promotions: PromotionService;
+  readonly duty: FailoverDutyLease;
+  readonly events: GatewayEvents;
+  /** The group's instances as the platform lists them now; null when it can't be asked. */
+  listInstances(
+    databaseGroup: string,
+  ): Promise<readonly BackendServerEntry[] | null>;
+  /** Takes each record that the change writes. */
+  handleRecord(record: RevisedPrimaryRecord): void;
+}
+
+/** A record that intends a change. */
+type ChangingRecord = Extract<PrimaryRecord, {readonly phase: 'changing'}>;
+
+/** Interval at which the change looks again at what it waits for. */
+const STEP_INTERVAL_MS = 25;
+
+/** Interval at which the group's instances are listed anew. */
+const RELIST_INTERVAL_MS = 500;
+
+/** Time for proxies to let their pending writes end before instances are fenced. */
+const RELEASE_WAIT_MS = 200;
+
+/** Interval of the questions whether a promotion has taken effect. */
+const PROMOTION_POLL_MS = 100;
+
+/** Time after which an ordered promotion is judged not to have worked. */
+const PROMOTION_TIMEOUT_MS = 4_000;
+
+/** Times that a write to the table is repeated after an unknown outcome. */
+const MAX_TABLE_ATTEMPTS = 8;
+
+/** Pause before such a repetition. */
+const TABLE_RETRY_MS = 150;
+
+/** Wait between two log lines about the same hindrance. */
+const WAITING_LOG_INTERVAL_MS = 1_000;
+
+/** How a change ended. @public */
+export type ChangeOutcome = 'completed' | 'abandoned';
+
+/**
+ * Replaces the primary of one database group: records the intent, has every
+ * proxy give up the old primary, fences the instances, promotes one that holds
+ * every acknowledged commit, and records the result.
+ *
+ * @public
+ */
+export class PrimaryChange {
+  private readonly startedAtMs: number;
+  private listed: readonly BackendServerEntry[] | null = null;
+  private listedAtMs = Number.NEGATIVE_INFINITY;
+  private lastWaitLogMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(
+    private readonly dependencies: PrimaryChangeDependencies,
+    private current: RevisedPrimaryRecord,
+    private readonly reason: string,
+  ) {
+    this.startedAtMs = dependencies.clock.nowMs();
+  }
+
+  /** Prepares a change that starts from, or goes on with, a record. */
+  static create(
+    dependencies: PrimaryChangeDependencies,
+    current: RevisedPrimaryRecord,
+    reason: string,
+  ): PrimaryChange {
+    return new PrimaryChange(dependencies, current, reason);
+  }
+
+  async run(): Promise<ChangeOutcome> {
+    const intent = await this.recordIntent();
+    if (intent === null) {
+      return this.abandon('the intent could not be recorded');
+    }
+    const intendedAtMs = this.dependencies.clock.nowMs();
+    const entryVms = await this.listEntryVms();
+    if (entryVms === null) {
+      return this.abandon('the proxies could not be listed');
+    }
+    const releases = ReleaseCollector.create({
+      clock: this.dependencies.clock,
+      peers: this.dependencies.peers,
+      intendedAtMs,
+      request: {
+        databaseGroup: intent.databaseGroup,
+        changeId: intent.changeId,
+        oldTerm: intent.oldTerm,
+        revision: this.current.revision,
+      },
+    });
+    releases.start(entryVms);
+    const outcome = await this.fenceAndPromote(intent, releases);
+    releases.stop();
+    return outcome;
+  }
+
+  private get token(): number | null {
+    return this.dependencies.duty.getFencingToken();
+  }
+
+  /** Writes the intent, or goes on with the one that stands. */
+  private async recordIntent(): Promise<ChangingRecord | null> {
+    const {record} = this.current;
+    const {token} = this;
+    if (token === null) {
+      return null;
+    }
+    if (record.phase === 'changing') {
+      return record;
+    }
+    const intent: ChangingRecord = {
+      phase: 'changing',
+      databaseGroup: record.databaseGroup,
+      changeId: `${this.dependencies.entryVm}-${token}-${this.current.revision}`,
+      oldPrimary: record.primary,
+      oldTerm: record.term,
+      target: null,
+      lastOldPosition: null,
+    };
+    this.dependencies.events.record({
+      kind: 'changeIntended',
+      databaseGroup: record.databaseGroup,
+      changeId: intent.changeId,
+      primary: record.primary,
+      term: record.term,
+      reason: this.reason,
+      fencingToken: token,
+    });
+    return (await this.write(intent)) ? intent : null;
+  }
+
+  /** Proxies registered after the intent; an earlier lease can't be unregistered. */
+  private async listEntryVms(): Promise<readonly EntryVmRecord[] | null> {
+    for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
+      const listing = await this.dependencies.table.listEntries();
+      if (listing.ok) {
+        const records: EntryVmRecord[] = [];
+        for (const [key, entry] of listing.value.entries) {
+          const record = key.startsWith(ENTRY_VM_PREFIX)
+            ? parseRecord(entryVmRecordSchema, entry.value)
+            : null;
+          if (record !== null) {
+            records.push(record);
+          }
+        }
+        return records;
+      }
+      await this.pause(TABLE_RETRY_MS);
+    }
+    return null;
+  }
+
+  private async fenceAndPromote(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+  ): Promise<ChangeOutcome> {
+    await this.waitForReleases(releases, RELEASE_WAIT_MS);
+    const {clock, instances, availabilityZone} = this.dependencies;
+    const fences = InstanceFences.create({
+      clock,
+      instances,
+      availabilityZone,
+      oldPrimary: intent.oldPrimary,
+      oldTerm: intent.oldTerm,
+    });
+    while (this.token !== null) {
+      const entries = (await this.findInstances(intent.databaseGroup)) ?? [];
+      fences.request(entries);
+      await this.pause(STEP_INTERVAL_MS);
+      const leader = fences.findNewLeader();
+      if (leader !== null) {
+        return this.complete(intent, leader.backendServer, leader.term);
+      }
+      const outstanding = releases.getOutstanding();
+      const choice = choosePromotionTarget(
+        fences.describe(entries),
+        releases.highestAcknowledged,
+      );
+      if (outstanding.length > 0 || choice.kind === 'wait') {
+        this.recordWaiting(intent, outstanding, choice);
+        continue;
+      }
+      const outcome = await this.promote(intent, choice);
+      if (outcome !== null) {
+        return outcome;
+      }
+    }
+    return this.abandon('the duty was lost');
+  }
+
+  private async waitForReleases(
+    releases: ReleaseCollector,
+    timeoutMs: number,
+  ): Promise<void> {
+    const untilMs = this.dependencies.clock.nowMs() + timeoutMs;
+    while (
+      releases.getOutstanding().length > 0 &&
+      this.dependencies.clock.nowMs() < untilMs
+    ) {
+      await this.pause(STEP_INTERVAL_MS);
+    }
+  }
+
+  /**
+   * The group's instances: those that are listed, and those whose entry lapsed
+   * a short while ago. Null when the platform can't be asked.
+   */
+  private async findInstances(
+    databaseGroup: string,
+  ): Promise<readonly BackendServerEntry[] | null> {
+    const nowMs = this.dependencies.clock.nowMs();
+    if (this.listed === null || nowMs - this.listedAtMs >= RELIST_INTERVAL_MS) {
+      const listed = await this.dependencies.listInstances(databaseGroup);
+      if (listed === null) {
+        return null;
+      }
+      this.listed = listed;
+      this.listedAtMs = nowMs;
+    }
+    return this.listed;
+  }
+
+  /** Orders the promotion; null when another instance has to be chosen. */
+  private async promote(
+    intent: ChangingRecord,
+    choice: Extract<PromotionChoice, {readonly kind: 'promote'}>,
+  ): Promise<ChangeOutcome | null> {
+    const {target, position} = choice;
+    if (!(await this.recordTarget(intent, target, position))) {
+      return this.abandon('the target could not be recorded');
+    }
+    const {token} = this;
+    if (token === null) {
+      return this.abandon('the duty was lost');
+    }
+    const {events, promotions, entryVm, clock} = this.dependencies;
+    const {databaseGroup, changeId} = intent;
+    events.record({
+      kind: 'promotionOrdered',
+      databaseGroup,
+      changeId,
+      target,
+      position,
+      fencingToken: token,
+    });
+    const result = await promotions.promote({
+      databaseGroup,
+      target,
+      dutyHolder: entryVm,
+      fencingToken: token,
+    });
+    const outcome = result.ok ? 'accepted' : result.error.kind;
+    events.record({
+      kind: 'promotionAnswered',
+      databaseGroup,
+      changeId,
+      target,
+      outcome,
+    });
+    if (!result.ok && result.error.kind !== 'outcomeUnknown') {
+      await this.pause(STEP_INTERVAL_MS);
+      return null;
+    }
+    const untilMs = clock.nowMs() + PROMOTION_TIMEOUT_MS;
+    while (clock.nowMs() < untilMs) {
+      await this.pause(PROMOTION_POLL_MS);
+      const term = await this.findTermOf(intent, target);
+      if (term !== null) {
+        return this.complete(intent, target, term);
+      }
+    }
+    return null;
+  }
+
+  /** The term that the target leads, or null while it does not. */
+  private async findTermOf(
+    intent: ChangingRecord,
+    target: string,
+  ): Promise<number | null> {
+    const entry = this.listed?.find(
+      ({backendServer}) => backendServer === target,
+    );
+    if (entry === undefined) {
+      return null;
+    }
+    const status = await this.dependencies.instances.getStatus(entry);
+    if (!status.ok || status.value.role !== 'primary') {
+      return null;
+    }
+    return status.value.term > intent.oldTerm ? status.value.term : null;
+  }
+
+  private async recordTarget(
+    intent: ChangingRecord,
+    target: string,
+    position: LogPosition,
+  ): Promise<boolean> {
+    return this.write({...intent, target, lastOldPosition: position});
+  }
+
+  private async complete(
+    intent: ChangingRecord,
+    primary: string,
+    term: number,
+  ): Promise<ChangeOutcome> {
+    const {databaseGroup, changeId} = intent;
+    const isWritten = await this.write({
+      phase: 'stable',
+      databaseGroup,
+      primary,
+      term,
+    });
+    if (!isWritten) {
+      return this.abandon('the result could not be recorded');
+    }
+    this.dependencies.events.record({
+      kind: 'changeCompleted',
+      databaseGroup,
+      changeId,
+      primary,
+      term,
+      durationMs: this.dependencies.clock.nowMs() - this.startedAtMs,
+    });
+    void this.announce();
+    void this.retireOldPrimary(intent, term);
+    return 'completed';
+  }
+
+  private async announce(): Promise<void> {
+    const entryVms = await this.listEntryVms();
+    for (const record of entryVms ?? []) {
+      void this.dependencies.peers.announce(record, this.current);
+    }
+  }
+
+  /** Tells the old primary, if it can be reached, that it no longer leads. */
+  private async retireOldPrimary(
+    intent: ChangingRecord,
+    term: number,
+  ): Promise<void> {
+    for (const entry of this.listed ?? []) {
+      if (entry.backendServer === intent.oldPrimary) {
+        await this.dependencies.instances.stepDown(entry, term);
+      }
+    }
+  }
+
+  /** Writes the record; an unknown outcome is settled by reading it back. */
+  private async write(record: PrimaryRecord): Promise<boolean> {
+    const key = getPrimaryRecordKey(record.databaseGroup);
+    const value = JSON.stringify(record);
+    for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
+      if (this.token === null) {
+        return false;
+      }
+      const result = await this.dependencies.table.putEntry({
+        key,
+        value,
+        expectedRevision: this.current.revision,
+      });
+      if (result.ok) {
+        this.take({record, revision: result.value.revision});
+        return true;
+      }
+      if (result.error.kind === 'conflict') {
+        const {current} = result.error;
+        if (current?.value !== value) {
+          this.dependencies.events.record({kind: 'storeConflict', key});
+          return false;
+        }
+        this.take({record, revision: current.revision});
+        return true;
+      }
+      await this.pause(TABLE_RETRY_MS);
+    }
+    return false;
+  }
+
+  private take(revised: RevisedPrimaryRecord): void {
+    this.current = revised;
+    this.dependencies.handleRecord(revised);
+  }
+
+  private recordWaiting(
+    intent: ChangingRecord,
+    outstanding: readonly string[],
+    choice: PromotionChoice,
+  ): void {
+    const nowMs = this.dependencies.clock.nowMs();
+    if (nowMs - this.lastWaitLogMs < WAITING_LOG_INTERVAL_MS) {
+      return;
+    }
+    this.lastWaitLogMs = nowMs;
+    const waitingFor =
+      choice.kind === 'wait'
+        ? choice.waitingFor
+        : `release by ${outstanding.join(', ')}`;
+    this.dependencies.events.record({
+      kind: 'changeWaiting',
+      databaseGroup: intent.databaseGroup,
+      changeId: intent.changeId,
+      waitingFor,
+    });
+  }
+
+  private abandon(reason: string): ChangeOutcome {
+    const {record} = this.current;
+    this.dependencies.events.record({
+      kind: 'changeAbandoned',
+      databaseGroup: record.databaseGroup,
+      changeId: record.phase === 'changing' ? record.changeId : '',
+      reason,
+    });
+    return 'abandoned';
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.dependencies.clock.startTimer(delayMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -0,0 +1,93 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {
+  getLaterPosition,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import type {EntryVmRecord} from '../control/control_record.js';
+import {PRIMARY_LEASE_DURATION_MS} from '../group/primary_lease.js';
+import type {PeerCaller, ReleaseRequest} from '../peer/peer_caller.js';
+
+/** What a collector is made of. @public */
+export interface ReleaseCollectorOptions {
+  readonly clock: Clock;
+  readonly peers: PeerCaller;
+  readonly request: ReleaseRequest;
+  /** Time at which the intent was known to be recorded. */
+  readonly intendedAtMs: number;
+}
+
+/** Pause between two requests to a proxy that did not answer. */
+const REPEAT_INTERVAL_MS = 200;
+
+/** Margin on the duration of a lease for clocks that run at different rates. */
+const LEASE_MARGIN_MS = 300;
+
+/**
+ * Collects from every proxy the promise to use the old primary no longer. A
+ * proxy that does not answer is waited out: its lease ends by itself.
+ *
+ * @public
+ */
+export class ReleaseCollector {
+  private readonly waiting = new Map<string, EntryVmRecord>();
+  private highest: LogPosition | null = null;
+  private isStopped = false;
+
+  private constructor(private readonly options: ReleaseCollectorOptions) {}
+
+  static create(options: ReleaseCollectorOptions): ReleaseCollector {
+    return new ReleaseCollector(options);
+  }
+
+  /** Highest position that the answering proxies have acknowledged. */
+  get highestAcknowledged(): LogPosition | null {
+    return this.highest;
+  }
+
+  /** Asks all proxies; each is asked again until it answers. */
+  start(entryVms: readonly EntryVmRecord[]): void {
+    for (const record of entryVms) {
+      this.waiting.set(record.entryVm, record);
+      void this.collect(record);
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Proxies that may still rely on the old primary. */
+  getOutstanding(): readonly string[] {
+    const expiryMs =
+      this.options.intendedAtMs + PRIMARY_LEASE_DURATION_MS + LEASE_MARGIN_MS;
+    if (this.options.clock.nowMs() >= expiryMs) {
+      return [];
+    }
+    return [...this.waiting.keys()];
+  }
+
+  private async collect(record: EntryVmRecord): Promise<void> {
+    const {peers, request, clock} = this.options;
+    while (!this.isStopped && this.waiting.has(record.entryVm)) {
+      const answer = await peers.release(record, request);
+      if (answer.ok) {
+        this.waiting.delete(record.entryVm);
+        this.raise(answer.value.highestAcknowledged);
+        return;
+      }
+      await new Promise<void>(resolve => {
+        clock.startTimer(REPEAT_INTERVAL_MS, resolve);
+      });
+    }
+  }
+
+  private raise(position: LogPosition | null): void {
+    if (position === null || position.term > this.options.request.oldTerm) {
+      return;
+    }
+    this.highest =
+      this.highest === null
+        ? position
+        : getLaterPosition(this.highest, position);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,522 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {
+  ListableTable,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
+import type {BackendLinkConnector} from './backend/backend_link.js';
+import type {
+  InstanceControl,
+  PromotionService,
+} from './backend/instance_control.js';
+import {ConfigurationHolder} from './configuration/configuration_holder.js';
+import type {ServiceConfiguration} from './configuration/service_configuration.js';
+import {computeConnectionShare} from './control/connection_share.js';
+import {ControlPoller} from './control/control_poller.js';
+import {
+  FAILOVER_DUTY_KEY,
+  parseRecord,
+  type EntryVmRecord,
+} from './control/control_record.js';
+import {EntryVmRegistration} from './control/entry_vm_registration.js';
+import {FailoverDutyLease} from './control/failover_duty_lease.js';
+import {BackendDirectory} from './directory/backend_directory.js';
+import type {BackendServerEntry} from './directory/backend_server_entry.js';
+import {TableWatcher} from './directory/table_watcher.js';
+import type {WatchableTable} from './directory/watchable_table.js';
+import {FailoverCoordinator} from './failover/failover_coordinator.js';
+import {
+  ClockWatch,
+  type ClockReading,
+  type WallClock,
+} from './group/clock_watch.js';
+import {GroupRuntime} from './group/group_runtime.js';
+import {
+  PRIMARY_RECORD_PREFIX,
+  primaryRecordSchema,
+  type RevisedPrimaryRecord,
+} from './group/primary_record.js';
+import {decideReadiness, type Readiness} from './lifecycle/readiness.js';
+import type {GatewayEvents} from './observability/gateway_events.js';
+import type {
+  PeerCaller,
+  PeerHandler,
+  ReachAnswer,
+  ReachQuestion,
+  ReleaseAnswer,
+  ReleaseRequest,
+  SuspicionReport,
+} from './peer/peer_caller.js';
+import type {GatewayContext} from './session/gateway_context.js';
+
+/** What a gateway is made of. @public */
+export interface GatewayOptions {
+  readonly self: Omit<EntryVmRecord, 'renewalCount'>;
+  readonly clock: Clock;
+  readonly wallClock: WallClock;
+  readonly random: RandomSource;
+  readonly events: GatewayEvents;
+  readonly connector: BackendLinkConnector;
+  readonly instances: InstanceControl;
+  readonly promotions: PromotionService;
+  readonly controlTable: ListableTable;
+  readonly directoryTable: WatchableTable<BackendServerEntry>;
+  readonly configurationTable: WatchableTable<ServiceConfiguration>;
+  /** Key of the configuration in its table. */
+  readonly configurationKey: string;
+  readonly peers: PeerCaller;
+}
+
+/** Interval of the upkeep of duty, registration, shares and readiness. */
+const UPKEEP_INTERVAL_MS = 100;
+
+/** Interval at which the holder of the duty looks for entry VMs that are gone. */
+const REMOVE_GONE_INTERVAL_MS = 10_000;
+
+/** Time that pending writes get to end before a release is answered. */
+const RELEASE_DRAIN_MS = 150;
+
+/** Interval at which a release looks at the pending writes. */
+const RELEASE_STEP_MS = 10;
+
+/** Least time between two reports about one group. */
+const REPORT_INTERVAL_MS = 300;
+
+/** Time allowed for a connection by which a proxy answers whether it reaches a server. */
+const REACH_CHECK_TIMEOUT_MS = 200;
+
+/** The parts of one proxy, wired together. @public */
+export class Gateway implements GatewayContext, PeerHandler {
+  readonly clock: Clock;
+  readonly events: GatewayEvents;
+  readonly availabilityZone: string;
+  private readonly clockWatch: ClockWatch;
+  private readonly groups = new Map<string, GroupRuntime>();
+  private readonly directory: BackendDirectory;
+  private readonly configuration: ConfigurationHolder;
+  private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
+  private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
+  private readonly poller: ControlPoller;
+  private readonly registration: EntryVmRegistration;
+  private readonly duty: FailoverDutyLease;
+  private readonly coordinator: FailoverCoordinator;
+  private readonly startedAtMs: number;
+  private readonly lastReportMs = new Map<string, number>();
+  private upkeepTimer: Timer | null = null;
+  private isStopping = false;
+  private readiness: Readiness = {isReady: false, reason: 'starting'};
+  private withPrimaryAtMs: number;
+  private removedGoneAtMs: number;
+  private clockEpoch = 0;
+
+  private constructor(private readonly options: GatewayOptions) {
+    const {clock, wallClock, random, events, controlTable, self} = options;
+    this.clock = clock;
+    this.events = events;
+    this.availabilityZone = self.availabilityZone;
+    this.startedAtMs = clock.nowMs();
+    this.withPrimaryAtMs = this.startedAtMs;
+    this.removedGoneAtMs = this.startedAtMs;
+    this.clockWatch = ClockWatch.create(clock, wallClock);
+    const {clockWatch} = this;
+    this.directory = BackendDirectory.create({
+      clock,
+      events,
+      listener: {
+        handleServerUpdated: entry => this.handleServerUpdated(entry),
+        handleServerGone: (entry, reason) =>
+          this.groups
+            .get(entry.databaseGroup)
+            ?.removeServer(entry.backendServer, reason),
+      },
+    });
+    this.configuration = ConfigurationHolder.create({
+      key: options.configurationKey,
+      events,
+      listener: configuration => this.handleConfiguration(configuration),
+    });
+    this.directoryWatcher = TableWatcher.create({
+      name: 'backend servers',
+      table: options.directoryTable,
+      listener: this.directory,
+      clock,
+      random,
+      events,
+    });
+    this.configurationWatcher = TableWatcher.create({
+      name: 'configuration',
+      table: options.configurationTable,
+      listener: this.configuration,
+      clock,
+      random,
+      events,
+    });
+    this.registration = EntryVmRegistration.create({
+      self,
+      table: controlTable,
+      clockWatch,
+    });
+    this.duty = FailoverDutyLease.create({
+      entryVm: self.entryVm,
+      incarnation: self.incarnation,
+      table: controlTable,
+      clockWatch,
+      random,
+      events,
+    });
+    this.poller = ControlPoller.create({
+      table: controlTable,
+      clock,
+      clockWatch,
+      events,
+      handleListing: (listing, readAt) => this.handleListing(listing, readAt),
+      isUrgent: () => this.isControlUrgent(),
+    });
+    this.coordinator = FailoverCoordinator.create({
+      clock,
+      events,
+      availabilityZone: self.availabilityZone,
+      entryVm: self.entryVm,
+      table: controlTable,
+      peers: options.peers,
+      instances: options.instances,
+      promotions: options.promotions,
+      connector: options.connector,
+      duty: this.duty,
+      directory: this.directory,
+      getGroups: () => this.getConfiguredGroups(),
+      getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+      isTableRead: () => this.poller.hasRead,
+      listInstances: databaseGroup => this.listInstances(databaseGroup),
+      handleRecord: record => this.handleOwnRecord(record),
+    });
+  }
+
+  static create(options: GatewayOptions): Gateway {
+    return new Gateway(options);
+  }
+
+  start(): void {
+    this.configurationWatcher.start();
+    this.directoryWatcher.start();
+    this.poller.start();
+    this.coordinator.start();
+    this.scheduleUpkeep();
+  }
+
+  /** Takes no new callers from here on and gives up the duty. */
+  beginStop(): void {
+    this.isStopping = true;
+    this.coordinator.dispose();
+    void this.duty.resign();
+  }
+
+  /** Ends everything; the proxy must not be used any more. */
+  async dispose(): Promise<void> {
+    this.upkeepTimer?.cancel();
+    this.poller.dispose();
+    this.configurationWatcher.dispose();
+    this.directoryWatcher.dispose();
+    this.directory.dispose();
+    for (const group of this.groups.values()) {
+      group.dispose('the proxy stops');
+    }
+    await this.registration.leave();
+  }
+
+  getReadiness(): Readiness {
+    return this.readiness;
+  }
+
+  getConfiguration(): ServiceConfiguration | null {
+    return this.configuration.current;
+  }
+
+  getGroup(databaseGroup: string): GroupRuntime | null {
+    return this.groups.get(databaseGroup) ?? null;
+  }
+
+  async release(request: ReleaseRequest): Promise<ReleaseAnswer> {
+    const group = this.groups.get(request.databaseGroup);
+    if (group === undefined) {
+      return {
+        incarnation: this.options.self.incarnation,
+        highestAcknowledged: null,
+      };
+    }
+    group.release(request.revision, request.oldTerm);
+    await this.waitForPendingWrites(group);
+    const {highestAcknowledged} = group.createReleaseReport();
+    this.events.record({
+      kind: 'leaseReleased',
+      databaseGroup: request.databaseGroup,
+      changeId: request.changeId,
+      revision: request.revision,
+      highestAcknowledged,
+    });
+    return {incarnation: this.options.self.incarnation, highestAcknowledged};
+  }
+
+  announce(record: RevisedPrimaryRecord): void {
+    const group = this.groups.get(record.record.databaseGroup);
+    if (group === undefined || record.revision <= group.lease.revision) {
+      return;
+    }
+    group.learnAnnouncedRecord(record);
+    void this.poller.readNow();
+  }
+
+  reportSuspicion(report: SuspicionReport): void {
+    this.coordinator.takeReport(report);
+  }
+
+  async askReach(question: ReachQuestion): Promise<ReachAnswer> {
+    const entry = this.directory.getEntry(question.backendServer);
+    if (entry === null) {
+      return {isReachable: false};
+    }
+    const result = await this.options.connector.checkReachable(
+      entry,
+      REACH_CHECK_TIMEOUT_MS,
+    );
+    return {isReachable: result === 'accepted'};
+  }
+
+  private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
+    const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
+    while (group.pendingWriteCount > 0 && this.clock.nowMs() < untilMs) {
+      await new Promise<void>(resolve => {
+        this.clock.startTimer(RELEASE_STEP_MS, resolve);
+      });
+    }
+  }
+
+  private getConfiguredGroups(): readonly GroupRuntime[] {
+    return [...this.groups.values()];
+  }
+
+  private handleServerUpdated(entry: BackendServerEntry): void {
+    const group = this.groups.get(entry.databaseGroup);
+    if (group === undefined) {
+      return;
+    }
+    group.updateServer(entry);
+  }
+
+  private handleConfiguration(configuration: ServiceConfiguration): void {
+    for (const databaseGroup of configuration.databaseGroups.keys()) {
+      if (!this.groups.has(databaseGroup)) {
+        this.addGroup(databaseGroup);
+      }
+    }
+    for (const [databaseGroup, group] of [...this.groups]) {
+      if (!configuration.databaseGroups.has(databaseGroup)) {
+        this.groups.delete(databaseGroup);
+        group.dispose('the database group was removed');
+      }
+    }
+    this.applyShares();
+  }
+
+  private addGroup(databaseGroup: string): void {
+    const {random, connector} = this.options;
+    const group = GroupRuntime.create({
+      databaseGroup,
+      availabilityZone: this.availabilityZone,
+      clock: this.clock,
+      clockWatch: this.clockWatch,
+      random,
+      connector,
+      events: this.events,
+    });
+    this.groups.set(databaseGroup, group);
+    for (const entry of this.directory.getEntries()) {
+      if (entry.databaseGroup === databaseGroup) {
+        group.updateServer(entry);
+      }
+    }
+    void this.poller.readNow();
+  }
+
+  private applyShares(): void {
+    const count = this.registration.getEntryVms().length;
+    const configuration = this.configuration.current;
+    for (const [databaseGroup, group] of this.groups) {
+      const settings = configuration?.databaseGroups.get(databaseGroup);
+      if (settings !== undefined) {
+        group.setMaxConnections(
+          computeConnectionShare(settings.maxConnections, count),
+        );
+      }
+    }
+  }
+
+  private handleListing(listing: TableListing, readAt: ClockReading): void {
+    this.registration.observe(listing);
+    this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
+    this.applyShares();
+    for (const [key, entry] of listing.entries) {
+      if (!key.startsWith(PRIMARY_RECORD_PREFIX)) {
+        continue;
+      }
+      const record = parseRecord(primaryRecordSchema, entry.value);
+      const group =
+        record === null ? undefined : this.groups.get(record.databaseGroup);
+      if (record === null || group === undefined) {
+        continue;
+      }
+      const revised = {record, revision: entry.revision};
+      // Without the own record nobody would ask this proxy to release.
+      if (this.registration.isRegistered) {
+        group.learnRecord(revised, readAt, 'control table');
+      } else {
+        group.learnAnnouncedRecord(revised);
+      }
+    }
+  }
+
+  private isControlUrgent(): boolean {
+    if (!this.registration.isRegistered) {
+      return true;
+    }
+    for (const group of this.groups.values()) {
+      if (group.lease.getPrimary() === null) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Takes a record that this proxy itself wrote. */
+  private handleOwnRecord(record: RevisedPrimaryRecord): void {
+    this.announce(record);
+  }
+
+  private async listInstances(
+    databaseGroup: string,
+  ): Promise<readonly BackendServerEntry[] | null> {
+    const listing = await this.options.directoryTable.list();
+    if (!listing.ok) {
+      return null;
+    }
+    const instances = new Map<string, BackendServerEntry>();
+    for (const entry of this.directory.getEntries()) {
+      if (entry.databaseGroup === databaseGroup) {
+        instances.set(entry.backendServer, entry);
+      }
+    }
+    for (const change of listing.value.changes) {
+      if (
+        change.kind === 'put' &&
+        change.value.databaseGroup === databaseGroup
+      ) {
+        instances.set(change.value.backendServer, change.value);
+      }
+    }
+    return [...instances.values()];
+  }
+
+  private scheduleUpkeep(): void {
+    this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
+      this.maintain();
+      this.scheduleUpkeep();
+    });
+  }
+
+  private maintain(): void {
+    this.checkClocks();
+    this.reportSuspects();
+    this.updateReadiness();
+    if (!this.poller.hasRead || this.isStopping) {
+      return;
+    }
+    void this.maintainRecords();
+  }
+
+  private async maintainRecords(): Promise<void> {
+    if (await this.registration.maintain()) {
+      void this.poller.readNow();
+    }
+    await this.duty.maintain();
+    const nowMs = this.clock.nowMs();
+    const isDue = nowMs - this.removedGoneAtMs >= REMOVE_GONE_INTERVAL_MS;
+    if (isDue && this.duty.getFencingToken() !== null) {
+      this.removedGoneAtMs = nowMs;
+      await this.registration.removeGone();
+    }
+  }
+
+  private checkClocks(): void {
+    const {epoch} = this.clockWatch.read();
+    if (epoch !== this.clockEpoch) {
+      this.clockEpoch = epoch;
+      this.events.record({kind: 'clockDisagreement', epoch});
+      void this.poller.readNow();
+    }
+  }
+
+  /** Tells the holder of the duty of primaries that can't be reached. */
+  private reportSuspects(): void {
+    for (const group of this.groups.values()) {
+      const known = group.lease.getLastKnownPrimary();
+      const server = known === null ? null : group.getServer(known.primary);
+      if (known !== null && server?.isUnreachable === true) {
+        this.report({
+          databaseGroup: group.databaseGroup,
+          primary: known.primary,
+          evidence: 'unreachable',
+        });
+      }
+    }
+  }
+
+  private report(report: SuspicionReport): void {
+    const nowMs = this.clock.nowMs();
+    const lastMs =
+      this.lastReportMs.get(report.databaseGroup) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - lastMs < REPORT_INTERVAL_MS) {
+      return;
+    }
+    this.lastReportMs.set(report.databaseGroup, nowMs);
+    const {holder} = this.duty;
+    if (holder === null || holder === this.options.self.entryVm) {
+      this.coordinator.takeReport(report);
+      return;
+    }
+    const peer = this.registration.getEntryVm(holder);
+    if (peer !== null) {
+      void this.options.peers.reportSuspicion(peer, report);
+    }
+  }
+
+  private updateReadiness(): void {
+    const nowMs = this.clock.nowMs();
+    let groupsWithPrimary = 0;
+    let groupsWithServer = 0;
+    for (const group of this.groups.values()) {
+      const primary = group.getLeasedPrimary();
+      if (primary !== null && !primary.isUnreachable) {
+        groupsWithPrimary++;
+      }
+      if (group.getServers().some(server => !server.isUnreachable)) {
+        groupsWithServer++;
+      }
+    }
+    if (groupsWithPrimary > 0) {
+      this.withPrimaryAtMs = nowMs;
+    }
+    const readiness = decideReadiness({
+      isStopping: this.isStopping,
+      hasConfiguration: this.configuration.current !== null,
+      groupCount: this.groups.size,
+      groupsWithPrimary,
+      groupsWithServer,
+      upMs: nowMs - this.startedAtMs,
+      withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
+    });
+    if (readiness.isReady !== this.readiness.isReady) {
+      this.events.record({kind: 'readinessChanged', ...readiness});
+    }
+    this.readiness = readiness;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -0,0 +1,347 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {FreshnessRing} from '@filbertrun/group/freshness_ring.js';
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
+import {
+  getLaterPosition,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import type {BackendLinkConnector} from '../backend/backend_link.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {BackendCandidate} from '../routing/choose_backend_server.js';
+import {BackendServerRuntime} from './backend_server_runtime.js';
+import type {ClockReading, ClockWatch} from './clock_watch.js';
+import {PrimaryLease, type TermPrimary} from './primary_lease.js';
+import type {RevisedPrimaryRecord} from './primary_record.js';
+
+/** What a group's runtime is made of. @public */
+export interface GroupRuntimeOptions {
+  readonly databaseGroup: DatabaseGroupName;
+  readonly availabilityZone: AvailabilityZone;
+  readonly clock: Clock;
+  readonly clockWatch: ClockWatch;
+  readonly random: RandomSource;
+  readonly connector: BackendLinkConnector;
+  readonly events: GatewayEvents;
+}
+
+/** Margin that makes up for rounding in ages of data. */
+const AGE_MARGIN_MS = 10;
+
+/** A position with the time since which the primary is known to hold it. @public */
+export interface FreshPosition {
+  readonly position: LogPosition;
+  readonly ageMs: number;
+}
+
+/** What this proxy reports when it gives up a primary. @public */
+export interface ReleaseReport {
+  /** Highest position of a commit that it has acknowledged in the old term. */
+  readonly highestAcknowledged: LogPosition | null;
+}
+
+/** Looks again whether its primary is there. */
+type PrimaryWaiter = () => void;
+
+/** Usual time of a change of primary, from the intent to the new lease. */
+const EXPECTED_CHANGE_MS = 1_500;
+
+/** Time to wait for a lease that is missing for no known reason. */
+const UNEXPLAINED_WAIT_MS = 250;
+
+/** One database group as this proxy sees it: servers, primary, freshness. @public */
+export class GroupRuntime {
+  readonly lease: PrimaryLease;
+  private readonly servers = new Map<BackendServerId, BackendServerRuntime>();
+  private readonly ring = FreshnessRing.create();
+  private readonly waiters = new Set<PrimaryWaiter>();
+  private highestAcknowledged: LogPosition | null = null;
+  private releasedTerm = -1;
+  private pendingWrites = 0;
+  private changeStartedAtMs: number | null = null;
+  private maxConnections = 1;
+
+  private constructor(private readonly options: GroupRuntimeOptions) {
+    this.lease = PrimaryLease.create(options.clockWatch);
+  }
+
+  static create(options: GroupRuntimeOptions): GroupRuntime {
+    return new GroupRuntime(options);
+  }
+
+  get databaseGroup(): DatabaseGroupName {
+    return this.options.databaseGroup;
+  }
+
+  /** Writes of this proxy that were sent and not answered. */
+  get pendingWriteCount(): number {
+    return this.pendingWrites;
+  }
+
+  getServers(): readonly BackendServerRuntime[] {
+    return [...this.servers.values()];
+  }
+
+  getServer(backendServer: BackendServerId): BackendServerRuntime | null {
+    return this.servers.get(backendServer) ?? null;
+  }
+
+  /** Takes a new or changed entry of the directory. */
+  updateServer(entry: BackendServerEntry): void {
+    const known = this.servers.get(entry.backendServer);
+    if (known === undefined) {
+      const {clock, random, connector, events} = this.options;
+      const runtime = BackendServerRuntime.create(entry, {
+        clock,
+        random,
+        connector,
+        events,
+        maxConnections: this.maxConnections,
+      });
+      this.servers.set(entry.backendServer, runtime);
+    } else if (!known.updateEntry(entry)) {
+      this.options.events.record({
+        kind: 'backendServerRestarted',
+        backendServer: entry.backendServer,
+      });
+      known.closeAll('the backend server was started anew');
+    }
+    this.settleWaiters();
+  }
+
+  removeServer(backendServer: BackendServerId, reason: string): void {
+    const runtime = this.servers.get(backendServer);
+    if (runtime === undefined) {
+      return;
+    }
+    this.servers.delete(backendServer);
+    runtime.dispose(reason);
+  }
+
+  setMaxConnections(maxConnections: number): void {
+    this.maxConnections = maxConnections;
+    for (const server of this.servers.values()) {
+      server.setMaxConnections(maxConnections);
+    }
+  }
+
+  /** Takes the primary record from a linearizable read begun at `readAt`. */
+  learnRecord(
+    revised: RevisedPrimaryRecord,
+    readAt: ClockReading,
+    source: string,
+  ): void {
+    const previousRevision = this.lease.revision;
+    this.lease.learn(revised, readAt);
+    this.handleLearned(revised, previousRevision, source);
+    const {record} = revised;
+    if (record.phase === 'changing' && record.lastOldPosition !== null) {
+      this.ring.record(readAt.timeMs, record.lastOldPosition);
+    }
+  }
+
+  /** Takes a record that another proxy announced. */
+  learnAnnouncedRecord(revised: RevisedPrimaryRecord): void {
+    const previousRevision = this.lease.revision;
+    this.lease.learnUnproven(revised);
+    this.handleLearned(revised, previousRevision, 'announcement');
+  }
+
+  /** Gives up the primary for a change that was recorded at `revision`. */
+  release(revision: number, oldTerm: number): void {
+    this.lease.release(revision);
+    this.releasedTerm = Math.max(this.releasedTerm, oldTerm);
+    this.changeStartedAtMs ??= this.options.clock.nowMs();
+  }
+
+  createReleaseReport(): ReleaseReport {
+    return {highestAcknowledged: this.highestAcknowledged};
+  }
+
+  /** Whether a commit of `term` may still be acknowledged to its caller. */
+  mayAcknowledge(position: LogPosition | null): boolean {
+    return position === null || position.term > this.releasedTerm;
+  }
+
+  /** Time since which the primary is being changed, or null. */
+  getChangeAgeMs(): number | null {
+    return this.changeStartedAtMs === null
+      ? null
+      : this.options.clock.nowMs() - this.changeStartedAtMs;
+  }
+
+  /** The primary that may be relied on now and is listed, or null. */
+  getLeasedPrimary(): BackendServerRuntime | null {
+    const leased = this.lease.getPrimary();
+    return leased === null ? null : this.getServer(leased.primary);
+  }
+
+  /** The primary that writes may be sent to, or null. */
+  getWritablePrimary(): BackendServerRuntime | null {
+    const known = this.lease.getLastKnownPrimary();
+    return known === null ? null : this.getServer(known.primary);
+  }
+
+  /** Resolves with a primary for writes, or with null after `timeoutMs`. */
+  waitForPrimary(timeoutMs: number): Promise<BackendServerRuntime | null> {
+    return this.waitFor(() => this.getWritablePrimary(), timeoutMs);
+  }
+
+  /** Resolves with a primary under a lease, or with null after `timeoutMs`. */
+  waitForLeasedPrimary(
+    timeoutMs: number,
+  ): Promise<BackendServerRuntime | null> {
+    return this.waitFor(() => this.getLeasedPrimary(), timeoutMs);
+  }
+
+  /**
+   * Time for which it is worth waiting for a primary: none when the change of
+   * primary is expected to end after `availableMs`.
+   */
+  estimatePrimaryWaitMs(availableMs: number): number {
+    const changeAgeMs = this.getChangeAgeMs();
+    if (changeAgeMs === null) {
+      return Math.min(availableMs, UNEXPLAINED_WAIT_MS);
+    }
+    const remainingMs = EXPECTED_CHANGE_MS - changeAgeMs;
+    return remainingMs > availableMs ? 0 : availableMs;
+  }
+
+  private waitFor(
+    find: () => BackendServerRuntime | null,
+    timeoutMs: number,
+  ): Promise<BackendServerRuntime | null> {
+    const current = find();
+    if (current !== null || timeoutMs <= 0) {
+      return Promise.resolve(current);
+    }
+    return new Promise(resolve => {
+      const end = (primary: BackendServerRuntime | null) => {
+        timer.cancel();
+        this.waiters.delete(waiter);
+        resolve(primary);
+      };
+      const timer = this.options.clock.startTimer(timeoutMs, () => end(null));
+      const waiter: PrimaryWaiter = () => {
+        const primary = find();
+        if (primary !== null) {
+          end(primary);
+        }
+      };
+      this.waiters.add(waiter);
+    });
+  }
+
+  beginWrite(): void {
+    this.pendingWrites++;
+  }
+
+  endWrite(): void {
+    this.pendingWrites--;
+  }
+
+  recordAcknowledged(position: LogPosition): void {
+    this.highestAcknowledged =
+      this.highestAcknowledged === null
+        ? position
+        : getLaterPosition(this.highestAcknowledged, position);
+  }
+
+  /**
+   * Records an answer of the primary to a statement that was sent at `sentAt`
+   * while its lease held: all commits acknowledged before then are at or
+   * before `position`.
+   */
+  recordPrimaryPosition(
+    sentAtMs: number,
+    sender: TermPrimary,
+    position: LogPosition,
+  ): void {
+    // A later term says that the server lost the lead before it answered.
+    if (position.term <= sender.term) {
+      this.ring.record(sentAtMs, position);
+    }
+  }
+
+  /**
+   * A position such that data that covers it was no older than `maxAgeMs` at
+   * `atMs`; null when none is known.
+   */
+  getFreshPosition(atMs: number, maxAgeMs: number): FreshPosition | null {
+    const entry = this.ring.getEntry(atMs, maxAgeMs - AGE_MARGIN_MS);
+    if (entry === null) {
+      return null;
+    }
+    const ageMs = this.options.clock.nowMs() - entry.timeMs;
+    return {position: entry.position, ageMs};
+  }
+
+  /** The servers that may take new reads. */
+  listCandidates(): readonly BackendCandidate[] {
+    const primary = this.lease.getLastKnownPrimary()?.primary ?? null;
+    const candidates: BackendCandidate[] = [];
+    for (const server of this.servers.values()) {
+      if (server.entry.state !== 'active') {
+        continue;
+      }
+      candidates.push({
+        backendServer: server.entry.backendServer,
+        availabilityZone: server.entry.availabilityZone,
+        isPrimary: server.entry.backendServer === primary,
+        load: server.load,
+        slots: server.entry.slots,
+        latencyMs: server.latencyMs,
+        isSuspect: server.isSuspect || server.isUnreachable,
+        knownPosition: server.knownPosition,
+        expectedLagMs: server.expectedLagMs,
+      });
+    }
+    return candidates;
+  }
+
+  dispose(reason: string): void {
+    for (const server of this.servers.values()) {
+      server.dispose(reason);
+    }
+    this.servers.clear();
+  }
+
+  private handleLearned(
+    revised: RevisedPrimaryRecord,
+    previousRevision: number,
+    source: string,
+  ): void {
+    const {record, revision} = revised;
+    if (revision > previousRevision) {
+      const isStable = record.phase === 'stable';
+      this.options.events.record({
+        kind: 'primaryBelieved',
+        databaseGroup: this.databaseGroup,
+        primary: isStable ? record.primary : record.target,
+        term: isStable ? record.term : null,
+        phase: record.phase,
+        revision,
+        source,
+      });
+    }
+    if (record.phase === 'changing') {
+      this.release(revision, record.oldTerm);
+    }
+    this.settleWaiters();
+  }
+
+  private settleWaiters(): void {
+    if (this.getWritablePrimary() === null) {
+      return;
+    }
+    this.changeStartedAtMs = null;
+    for (const waiter of [...this.waiters]) {
+      waiter();
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/group/primary_record.ts
@@ -0,0 +1,51 @@
+import {logPositionSchema} from '@filbertrun/model/log_position.js';
+import {z} from 'zod';
+
+/**
+ * The record of a database group's primary in the platform's table. Only the
+ * holder of the failover duty writes it, each time under the condition of the
+ * revision that it read.
+ */
+
+/** Key of the record of a database group. @public */
+export function getPrimaryRecordKey(databaseGroup: string): string {
+  return `${PRIMARY_RECORD_PREFIX}${databaseGroup}`;
+}
+
+/** Prefix of the keys of all primary records. @public */
+export const PRIMARY_RECORD_PREFIX = 'primary/';
+
+/** Validates a primary record. @public */
+export const primaryRecordSchema = z.discriminatedUnion('phase', [
+  z
+    .object({
+      phase: z.literal('stable'),
+      databaseGroup: z.string().min(1),
+      primary: z.string().min(1),
+      term: z.number().int().nonnegative(),
+    })
+    .readonly(),
+  z
+    .object({
+      /** A change is intended: no strict read and no new write at the old primary. */
+      phase: z.literal('changing'),
+      databaseGroup: z.string().min(1),
+      changeId: z.string().min(1),
+      oldPrimary: z.string().min(1),
+      oldTerm: z.number().int().nonnegative(),
+      /** The instance that is being promoted, once chosen. */
+      target: z.string().nullable(),
+      /** All acknowledged commits of the old term are at or before it. */
+      lastOldPosition: logPositionSchema.nullable(),
+    })
+    .readonly(),
+]);
+
+/** The record of a database group's primary. @public */
+export type PrimaryRecord = z.infer<typeof primaryRecordSchema>;
+
+/** A record with the revision of the table that holds it. @public */
+export interface RevisedPrimaryRecord {
+  readonly record: PrimaryRecord;
+  readonly revision: number;
+}
--- /dev/null
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -0,0 +1,245 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+
+/**
+ * The catalogue of log events of the gateway: one kind a decision that touches
+ * a request or changes what the process believes, with the inputs that decided
+ * it, their age or version, and the outcome.
+ */
+
+/** Where a statement went and why. @public */
+export interface RouteInputs {
+  readonly databaseGroup: string;
+  readonly consistency: string;
+  /** Version of the configuration that the route comes from. */
+  readonly configurationVersion: number;
+  /** Term of the primary that was relied on, or null without a lease. */
+  readonly leasedTerm: number | null;
+  readonly requiredPosition: LogPosition | null;
+  /** Age of the required position, or null when unknown. */
+  readonly requiredPositionAgeMs: number | null;
+}
+
+/** A log event. @public */
+export type GatewayEvent =
+  | {
+      readonly kind: 'started';
+      readonly entryVm: string;
+      readonly availabilityZone: string;
+      readonly incarnation: string;
+    }
+  | {
+      readonly kind: 'stopping';
+      readonly signal: string;
+      readonly graceMs: number;
+    }
+  | {readonly kind: 'stopped'; readonly openSessions: number}
+  | {readonly kind: 'settingsReloaded'; readonly changed: readonly string[]}
+  | {
+      readonly kind: 'readinessChanged';
+      readonly isReady: boolean;
+      readonly reason: string;
+    }
+  | {readonly kind: 'clockDisagreement'; readonly epoch: number}
+  | {readonly kind: 'loopDelayed'; readonly delayMs: number}
+  | {
+      readonly kind: 'dependencyLost';
+      readonly dependency: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'dependencyRegained';
+      readonly dependency: string;
+      readonly lostForMs: number;
+    }
+  | {
+      readonly kind: 'configurationTaken';
+      readonly version: number;
+      readonly previousVersion: number;
+      readonly routeCount: number;
+      readonly source: string;
+    }
+  | {readonly kind: 'configurationRejected'; readonly reason: string}
+  | {
+      readonly kind: 'directoryEntryRejected';
+      readonly backendServer: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'backendServerSeen';
+      readonly backendServer: string;
+      readonly databaseGroup: string;
+      readonly availabilityZone: string;
+      readonly role: string;
+      readonly state: string;
+    }
+  | {
+      readonly kind: 'backendServerLapsed';
+      readonly backendServer: string;
+      readonly databaseGroup: string;
+    }
+  | {
+      readonly kind: 'backendServerGone';
+      readonly backendServer: string;
+      readonly databaseGroup: string;
+      readonly reason: string;
+    }
+  | {readonly kind: 'backendServerRestarted'; readonly backendServer: string}
+  | {
+      readonly kind: 'backendConnectFailed';
+      readonly backendServer: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'backendUnreachable';
+      readonly backendServer: string;
+      readonly evidence: string;
+    }
+  | {
+      readonly kind: 'primaryBelieved';
+      readonly databaseGroup: string;
+      readonly primary: string | null;
+      readonly term: number | null;
+      readonly phase: string;
+      readonly revision: number;
+      readonly source: string;
+    }
+  | {
+      readonly kind: 'leaseReleased';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly revision: number;
+      readonly highestAcknowledged: LogPosition | null;
+    }
+  | {
+      readonly kind: 'dutyGained';
+      readonly fencingToken: number;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'dutyLost';
+      readonly fencingToken: number;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'primarySuspected';
+      readonly databaseGroup: string;
+      readonly primary: string;
+      readonly evidence: string;
+    }
+  | {
+      readonly kind: 'changeIntended';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly primary: string;
+      readonly term: number;
+      readonly reason: string;
+      readonly fencingToken: number;
+    }
+  | {
+      readonly kind: 'changeWaiting';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly waitingFor: string;
+    }
+  | {
+      readonly kind: 'promotionOrdered';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly target: string;
+      readonly position: LogPosition;
+      readonly fencingToken: number;
+    }
+  | {
+      readonly kind: 'promotionAnswered';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly target: string;
+      readonly outcome: string;
+    }
+  | {
+      readonly kind: 'changeCompleted';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly primary: string;
+      readonly term: number;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'changeAbandoned';
+      readonly databaseGroup: string;
+      readonly changeId: string;
+      readonly reason: string;
+    }
+  | ({
+      readonly kind: 'statementRouted';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly role: string;
+      readonly attempt: number;
+    } & RouteInputs)
+  | ({
+      readonly kind: 'statementRefused';
+      readonly requestId: string;
+      readonly reason: string;
+      readonly retryAfterMs: number | null;
+      readonly waitedMs: number;
+    } & RouteInputs)
+  | {
+      readonly kind: 'statementRetried';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'statementRejected';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly code: string;
+    }
+  | {
+      readonly kind: 'statementAnswered';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly durationMs: number;
+      readonly position: LogPosition | null;
+    }
+  | {
+      readonly kind: 'outcomeUnknown';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'transactionLost';
+      readonly requestId: string;
+      readonly backendServer: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'sessionClosed';
+      readonly reason: string;
+      readonly databaseName: string;
+    }
+  | {readonly kind: 'storeConflict'; readonly key: string}
+  | {readonly kind: 'logLinesDropped'; readonly count: number};
+
+/** How an event counts against the budget of log lines. @public */
+export type EventClass = 'belief' | 'failure' | 'success';
+
+/** The class of an event; `belief` is kept before `failure`, and that before `success`. @public */
+export function classifyEvent(event: GatewayEvent): EventClass {
+  switch (event.kind) {
+    case 'statementRouted':
+    case 'statementAnswered':
+      return 'success';
+    case 'statementRefused':
+    case 'statementRetried':
+    case 'statementRejected':
+    case 'outcomeUnknown':
+    case 'transactionLost':
+    case 'backendConnectFailed':
+      return 'failure';
+    default:
+      return 'belief';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -0,0 +1,56 @@
+import {logPositionSchema} from '@filbertrun/model/log_position.js';
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import {primaryRecordSchema} from '../group/primary_record.js';
+import type {PeerHandler} from './peer_caller.js';
+
+/** The protocol between proxies, as a trpc router. */
+
+const releaseRequestSchema = z.object({
+  databaseGroup: z.string(),
+  changeId: z.string(),
+  oldTerm: z.number().int(),
+  revision: z.number().int(),
+});
+
+/** Validates the answer to a release. @public */
+export const releaseAnswerSchema = z.object({
+  incarnation: z.string(),
+  highestAcknowledged: logPositionSchema.nullable(),
+});
+
+const revisedRecordSchema = z.object({
+  record: primaryRecordSchema,
+  revision: z.number().int(),
+});
+
+const suspicionReportSchema = z.object({
+  databaseGroup: z.string(),
+  primary: z.string(),
+  evidence: z.enum(['unreachable', 'writesStalled']),
+});
+
+const trpc = initTRPC.create();
+
+/** Creates the router that answers other proxies. @public */
+export function createPeerRouter(handler: PeerHandler) {
+  return trpc.router({
+    release: trpc.procedure
+      .input(releaseRequestSchema)
+      .output(releaseAnswerSchema)
+      .mutation(({input}) => handler.release(input)),
+    announce: trpc.procedure
+      .input(revisedRecordSchema)
+      .mutation(({input}) => handler.announce(input)),
+    reportSuspicion: trpc.procedure
+      .input(suspicionReportSchema)
+      .mutation(({input}) => handler.reportSuspicion(input)),
+    askReach: trpc.procedure
+      .input(z.object({backendServer: z.string()}))
+      .output(z.object({isReachable: z.boolean()}))
+      .query(({input}) => handler.askReach(input)),
+  });
+}
+
+/** The type of the router, for clients. @public */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -0,0 +1,86 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {createTRPCClient, httpLink} from '@trpc/client';
+import type {EntryVmRecord} from '../control/control_record.js';
+import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {
+  PeerCaller,
+  PeerError,
+  ReachAnswer,
+  ReachQuestion,
+  ReleaseAnswer,
+  ReleaseRequest,
+  SuspicionReport,
+} from './peer_caller.js';
+import type {PeerRouter} from './peer_router.js';
+
+/** Time after which another proxy counts as unreachable. */
+const CALL_TIMEOUT_MS = 400;
+
+type PeerClient = ReturnType<typeof createTRPCClient<PeerRouter>>;
+
+/** Calls other proxies over HTTP. @public */
+export class TrpcPeerCaller implements PeerCaller {
+  private readonly clients = new Map<string, PeerClient>();
+
+  private constructor() {}
+
+  static create(): TrpcPeerCaller {
+    return new TrpcPeerCaller();
+  }
+
+  release(
+    peer: EntryVmRecord,
+    request: ReleaseRequest,
+  ): Promise<Result<ReleaseAnswer, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).release.mutate(request, {signal}),
+    );
+  }
+
+  announce(
+    peer: EntryVmRecord,
+    record: RevisedPrimaryRecord,
+  ): Promise<Result<void, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).announce.mutate(record, {signal}),
+    );
+  }
+
+  reportSuspicion(
+    peer: EntryVmRecord,
+    report: SuspicionReport,
+  ): Promise<Result<void, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).reportSuspicion.mutate(report, {signal}),
+    );
+  }
+
+  askReach(
+    peer: EntryVmRecord,
+    question: ReachQuestion,
+  ): Promise<Result<ReachAnswer, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).askReach.query(question, {signal}),
+    );
+  }
+
+  private getClient(peer: EntryVmRecord): PeerClient {
+    const url = `http://${peer.peerHost}:${peer.peerPort}`;
+    let client = this.clients.get(url);
+    if (client === undefined) {
+      client = createTRPCClient<PeerRouter>({links: [httpLink({url})]});
+      this.clients.set(url, client);
+    }
+    return client;
+  }
+
+  private async call<T>(
+    send: (signal: AbortSignal) => Promise<T>,
+  ): Promise<Result<T, PeerError>> {
+    try {
+      return success(await send(AbortSignal.timeout(CALL_TIMEOUT_MS)));
+    } catch (error) {
+      return failure({kind: 'unreachable', reason: String(error)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/session/caller_session.ts
@@ -0,0 +1,300 @@
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {SessionContext} from '../backend/pooled_link.js';
+import type {
+  CallerStatement,
+  StatementRequest,
+} from '../statement/caller_statement.js';
+import type {
+  BackendAnswer,
+  StatementReply,
+  TransactionState,
+} from '../statement/statement_answer.js';
+import type {GatewayContext, StatementContext} from './gateway_context.js';
+import {ReadExecutor, type AnsweredRead} from './read_executor.js';
+import {
+  createErrorReply,
+  createLocalReply,
+  NO_SERVER_RETRY_AFTER_MS,
+} from './refusal.js';
+import {SessionState} from './session_state.js';
+import {SessionTransaction} from './session_transaction.js';
+import {WriteExecutor} from './write_executor.js';
+
+/** A caller's session: one statement at a time, in order. @public */
+export class CallerSession {
+  private readonly state = SessionState.create();
+  private transaction: SessionTransaction | null = null;
+
+  private constructor(
+    private readonly gateway: GatewayContext,
+    readonly databaseName: string,
+  ) {}
+
+  /** Opens a session of a database; null when no route has that name. */
+  static open(
+    gateway: GatewayContext,
+    databaseName: string,
+  ): CallerSession | null {
+    const route = gateway.getConfiguration()?.routes.get(databaseName);
+    return route === undefined
+      ? null
+      : new CallerSession(gateway, databaseName);
+  }
+
+  get transactionState(): TransactionState {
+    return this.transaction?.transactionState ?? 'idle';
+  }
+
+  /** Handles the next statement; the caller waits for each reply. */
+  async handle(request: StatementRequest): Promise<StatementReply> {
+    const local = this.handleLocally(request.statement);
+    if (local !== null) {
+      return local;
+    }
+    if (this.transaction !== null) {
+      return this.handleInTransaction(this.transaction, request);
+    }
+    const context = this.createContext(request);
+    if (context === null) {
+      return this.refuseWithoutRoute();
+    }
+    return this.handleOutside(context, request.statement);
+  }
+
+  /** Ends the session; an open transaction is rolled back. */
+  close(): void {
+    this.transaction?.abandon();
+    this.transaction = null;
+  }
+
+  /** Handles what needs no backend server; null for everything else. */
+  private handleLocally(statement: CallerStatement): StatementReply | null {
+    const state = this.transactionState;
+    switch (statement.kind) {
+      case 'malformed':
+        return createErrorReply(
+          {kind: 'protocolViolation', reason: statement.reason},
+          state,
+        );
+      case 'setValue':
+      case 'prepare':
+      case 'closePrepared':
+        return state === 'failed'
+          ? createErrorReply({kind: 'transactionFailed'}, state)
+          : this.changeState(statement, state);
+      case 'execute':
+        return this.state.getPrepared(statement.name) === null
+          ? createErrorReply(
+              {kind: 'unknownStatement', name: statement.name},
+              state,
+            )
+          : null;
+      case 'begin':
+        return this.transaction === null
+          ? null
+          : createErrorReply(
+              {kind: 'protocolViolation', reason: 'a transaction is open'},
+              state,
+            );
+      case 'commit':
+      case 'rollback':
+        return this.transaction === null ? createLocalReply('idle') : null;
+      case 'read':
+      case 'write':
+        return null;
+      default:
+        return exhaustiveSwitchError(statement);
+    }
+  }
+
+  private changeState(
+    statement: Extract<
+      CallerStatement,
+      {kind: 'setValue' | 'prepare' | 'closePrepared'}
+    >,
+    state: TransactionState,
+  ): StatementReply {
+    switch (statement.kind) {
+      case 'setValue':
+        return this.state.setValue(statement.name, statement.value)
+          ? createLocalReply(state)
+          : createErrorReply(
+              {kind: 'invalidParameter', reason: 'too many values'},
+              state,
+            );
+      case 'prepare':
+        return this.state.prepare(statement.name, statement.prepared)
+          ? createLocalReply(state)
+          : createErrorReply(
+              {
+                kind: 'invalidParameter',
+                reason: 'too many prepared statements',
+              },
+              state,
+            );
+      case 'closePrepared':
+        this.state.closePrepared(statement.name);
+        return createLocalReply(state);
+      default:
+        return exhaustiveSwitchError(statement);
+    }
+  }
+
+  /** What the statement runs with, or null when its database has no route. */
+  private createContext(request: StatementRequest): StatementContext | null {
+    const configuration = this.gateway.getConfiguration();
+    const route = configuration?.routes.get(this.databaseName);
+    if (configuration === null || route === undefined) {
+      return null;
+    }
+    const group = this.gateway.getGroup(route.databaseGroup);
+    if (group === null) {
+      return null;
+    }
+    return {
+      gateway: this.gateway,
+      route,
+      group,
+      configurationVersion: configuration.version,
+      requestId: request.requestId,
+      receivedAtMs: request.receivedAtMs,
+      deadlineMs: request.receivedAtMs + route.statementTimeoutMs,
+    };
+  }
+
+  private refuseWithoutRoute(): StatementReply {
+    const error: CallerError = {
+      kind: 'unknownDatabase',
+      databaseGroup: this.databaseName,
+    };
+    return createErrorReply(error, 'idle');
+  }
+
+  private async handleInTransaction(
+    transaction: SessionTransaction,
+    request: StatementRequest,
+  ): Promise<StatementReply> {
+    const {statement} = request;
+    const context = transaction.createContext(request);
+    const reply = await transaction.handle(
+      context,
+      statement,
+      this.createSessionContext(statement),
+      this.isWrite(statement),
+    );
+    if (transaction.transactionState === 'idle') {
+      this.transaction = null;
+    }
+    if (transaction.committedPosition !== null) {
+      this.state.raiseFloor(
+        context.group.databaseGroup,
+        transaction.committedPosition,
+      );
+    }
+    return reply;
+  }
+
+  private handleOutside(
+    context: StatementContext,
+    statement: CallerStatement,
+  ): Promise<StatementReply> {
+    if (statement.kind === 'begin') {
+      return this.begin(context, statement);
+    }
+    return this.isWrite(statement)
+      ? this.write(context, statement)
+      : this.read(context, statement);
+  }
+
+  private async read(
+    context: StatementContext,
+    statement: CallerStatement,
+  ): Promise<StatementReply> {
+    const result = await this.executeRead(context, statement, false);
+    if ('kind' in result) {
+      return createErrorReply(result, 'idle');
+    }
+    const {answer, lease} = result;
+    lease.release(answer.transactionState === 'idle' ? 'clean' : 'doubtful');
+    return toReply(answer);
+  }
+
+  private async write(
+    context: StatementContext,
+    statement: CallerStatement,
+  ): Promise<StatementReply> {
+    const result = await WriteExecutor.create(context, {
+      statement,
+      session: this.createSessionContext(statement),
+    }).run();
+    if ('kind' in result) {
+      return createErrorReply(result, 'idle');
+    }
+    if (result.result.kind === 'complete' && result.position !== null) {
+      this.state.raiseFloor(context.group.databaseGroup, result.position);
+    }
+    return toReply(result);
+  }
+
+  private async begin(
+    context: StatementContext,
+    statement: Extract<CallerStatement, {kind: 'begin'}>,
+  ): Promise<StatementReply> {
+    const result = await this.executeRead(
+      context,
+      statement,
+      !statement.isReadOnly,
+    );
+    if ('kind' in result) {
+      return createErrorReply(result, 'idle');
+    }
+    const {answer, lease} = result;
+    if (answer.transactionState === 'idle') {
+      lease.release('clean');
+      return toReply(answer);
+    }
+    const idleTimeoutMs =
+      this.gateway.getConfiguration()?.transactionIdleTimeoutMs ??
+      NO_SERVER_RETRY_AFTER_MS;
+    this.transaction = SessionTransaction.create(
+      result,
+      context,
+      idleTimeoutMs,
+    );
+    return toReply(answer);
+  }
+
+  private executeRead(
+    context: StatementContext,
+    statement: CallerStatement,
+    needsPrimary: boolean,
+  ): Promise<AnsweredRead | CallerError> {
+    return ReadExecutor.create(context, {
+      statement,
+      session: this.createSessionContext(statement),
+      sessionFloor: this.state.getFloor(context.group.databaseGroup),
+      needsPrimary,
+    }).run();
+  }
+
+  private createSessionContext(statement: CallerStatement): SessionContext {
+    const prepared =
+      statement.kind === 'execute'
+        ? this.state.getPrepared(statement.name)
+        : null;
+    return {values: this.state.values, prepared};
+  }
+
+  private isWrite(statement: CallerStatement): boolean {
+    if (statement.kind === 'execute') {
+      return this.state.getPrepared(statement.name)?.access === 'write';
+    }
+    return statement.kind === 'write';
+  }
+}
+
+function toReply(answer: BackendAnswer): StatementReply {
+  const {rows, result, transactionState, position} = answer;
+  return {rows, result, transactionState, position};
+}
--- /dev/null
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -0,0 +1,29 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {
+  DatabaseRoute,
+  ServiceConfiguration,
+} from '../configuration/service_configuration.js';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+
+/** What sessions need of the process around them. @public */
+export interface GatewayContext {
+  readonly clock: Clock;
+  readonly events: GatewayEvents;
+  readonly availabilityZone: AvailabilityZone;
+  getConfiguration(): ServiceConfiguration | null;
+  getGroup(databaseGroup: string): GroupRuntime | null;
+}
+
+/** What one statement is executed with. @public */
+export interface StatementContext {
+  readonly gateway: GatewayContext;
+  readonly route: DatabaseRoute;
+  readonly group: GroupRuntime;
+  readonly configurationVersion: number;
+  readonly requestId: string;
+  readonly receivedAtMs: number;
+  /** Monotonic time at which the statement is given up. */
+  readonly deadlineMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/session/read_executor.ts
@@ -0,0 +1,379 @@
+import type {Result} from '@filbertrun/base/result.js';
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {PoolLease} from '@filbertrun/pool/pool_types.js';
+import type {PooledLink, SessionContext} from '../backend/pooled_link.js';
+import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
+import type {TermPrimary} from '../group/primary_lease.js';
+import {chooseBackendServer} from '../routing/choose_backend_server.js';
+import type {CallerStatement} from '../statement/caller_statement.js';
+import type {BackendAnswer} from '../statement/statement_answer.js';
+import type {StatementContext} from './gateway_context.js';
+import {
+  resolveReadRequirement,
+  type ReadRequirement,
+} from './read_requirement.js';
+import {
+  convertPoolError,
+  NO_PRIMARY_RETRY_AFTER_MS,
+  NO_SERVER_RETRY_AFTER_MS,
+} from './refusal.js';
+import {runOnLink, type RunError} from './run_on_link.js';
+
+/** A read, or a statement that begins a transaction. @public */
+export interface ReadStatement {
+  readonly statement: CallerStatement;
+  readonly session: SessionContext;
+  readonly sessionFloor: LogPosition | null;
+  /** Whether only the primary accepts it, whatever data it needs. */
+  readonly needsPrimary: boolean;
+}
+
+/** An answered read with the connection that it ran on, still leased. @public */
+export interface AnsweredRead {
+  readonly answer: BackendAnswer;
+  readonly server: BackendServerRuntime;
+  readonly lease: PoolLease<PooledLink>;
+}
+
+/** Servers that one read is tried at. */
+const MAX_ATTEMPTS = 4;
+
+/** How one attempt ended. */
+type AttemptResult =
+  | {readonly kind: 'answered'; readonly read: AnsweredRead}
+  /** Nothing stands in the way of another server. */
+  | {
+      readonly kind: 'tryNext';
+      readonly error: CallerError;
+      readonly reason: string;
+    }
+  /** The connection failed; the server may be fine. */
+  | {
+      readonly kind: 'tryAgain';
+      readonly error: CallerError;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly error: CallerError;
+      readonly reason: string;
+    };
+
+/** Where one attempt goes. */
+interface ReadPlan {
+  readonly server: BackendServerRuntime;
+  /** Position that the server must hold; null when the lease of the primary suffices. */
+  readonly requiredPosition: LogPosition | null;
+  readonly requiredPositionAgeMs: number | null;
+}
+
+/**
+ * Executes a statement that may be repeated: it goes to one server after the
+ * other until one answers, within the deadline.
+ *
+ * @public
+ */
+export class ReadExecutor {
+  private readonly excluded = new Set<BackendServerId>();
+  private attempts = 0;
+  private lastError: CallerError = {
+    kind: 'unavailable',
+    retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
+  };
+
+  private constructor(
+    private readonly context: StatementContext,
+    private readonly read: ReadStatement,
+  ) {}
+
+  static create(context: StatementContext, read: ReadStatement): ReadExecutor {
+    return new ReadExecutor(context, read);
+  }
+
+  async run(): Promise<AnsweredRead | CallerError> {
+    let reason = 'no server qualifies';
+    while (this.attempts < MAX_ATTEMPTS && this.remainingMs > 0) {
+      const plan = await this.plan();
+      if (plan === null) {
+        break;
+      }
+      this.attempts++;
+      const result = await this.attempt(plan);
+      if (result.kind === 'answered') {
+        return result.read;
+      }
+      reason = result.reason;
+      this.lastError = result.error;
+      if (result.kind === 'failed') {
+        break;
+      }
+      if (result.kind === 'tryNext' || plan.server.isUnreachable) {
+        this.excluded.add(plan.server.entry.backendServer);
+      }
+      this.context.gateway.events.record({
+        kind: 'statementRetried',
+        requestId: this.context.requestId,
+        backendServer: plan.server.entry.backendServer,
+        reason,
+      });
+    }
+    this.recordRefusal(reason);
+    return this.lastError;
+  }
+
+  private get remainingMs(): number {
+    return this.context.deadlineMs - this.context.gateway.clock.nowMs();
+  }
+
+  /** Chooses a server; waits for a primary where only that will do. */
+  private async plan(): Promise<ReadPlan | null> {
+    const {group} = this.context;
+    const requirement = this.resolveRequirement();
+    if (requirement.kind === 'primary' || this.read.needsPrimary) {
+      return this.planPrimary(requirement);
+    }
+    const candidate = chooseBackendServer(group.listCandidates(), {
+      requiredPosition: requirement.position,
+      requiredPositionAgeMs: requirement.ageMs,
+      availabilityZone: this.context.gateway.availabilityZone,
+      excluded: this.excluded,
+    });
+    const server =
+      candidate === null ? null : group.getServer(candidate.backendServer);
+    return server === null
+      ? null
+      : {
+          server,
+          requiredPosition: requirement.position,
+          requiredPositionAgeMs: requirement.ageMs,
+        };
+  }
+
+  private async planPrimary(
+    requirement: ReadRequirement,
+  ): Promise<ReadPlan | null> {
+    const {group} = this.context;
+    const timeoutMs = this.getPrimaryWaitMs();
+    const position =
+      requirement.kind === 'position' ? requirement.position : null;
+    const server =
+      position === null
+        ? await group.waitForLeasedPrimary(timeoutMs)
+        : await group.waitForPrimary(timeoutMs);
+    if (server === null || this.excluded.has(server.entry.backendServer)) {
+      if (server === null) {
+        this.lastError = {
+          kind: 'unavailable',
+          retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
+        };
+      }
+      return null;
+    }
+    return {server, requiredPosition: position, requiredPositionAgeMs: null};
+  }
+
+  private getPrimaryWaitMs(): number {
+    return this.context.group.estimatePrimaryWaitMs(this.remainingMs);
+  }
+
+  private resolveRequirement(): ReadRequirement {
+    const {route, group, receivedAtMs} = this.context;
+    return resolveReadRequirement({
+      route,
+      sessionFloor: this.read.sessionFloor,
+      freshPosition:
+        route.maxAgeMs === null
+          ? null
+          : group.getFreshPosition(receivedAtMs, route.maxAgeMs),
+    });
+  }
+
+  private async attempt(plan: ReadPlan): Promise<AttemptResult> {
+    const {server} = plan;
+    const leased = await server.pool.acquire({
+      priority: this.context.route.priority,
+      deadlineMs: this.context.deadlineMs,
+    });
+    if (!leased.ok) {
+      return {
+        kind: 'tryNext',
+        error: convertPoolError(leased.error),
+        reason: `no connection: ${leased.error.kind}`,
+      };
+    }
+    const lease = leased.value;
+    const sentAtMs = this.context.gateway.clock.nowMs();
+    let sender: TermPrimary | null = null;
+    const result = await runOnLink(
+      lease.connection,
+      {
+        requestId: this.context.requestId,
+        statement: this.read.statement,
+        requiredPosition: plan.requiredPosition,
+        session: this.read.session,
+        deadlineMs: this.context.deadlineMs,
+        confirmSend: () => {
+          sender = this.findSender(server);
+          return plan.requiredPosition !== null || sender !== null;
+        },
+      },
+      this.context.gateway.clock,
+    );
+    this.recordRouted(plan);
+    return this.judge(plan, lease, result, {sentAtMs, sender});
+  }
+
+  /** The leased primary if `server` is it, else null. */
+  private findSender(server: BackendServerRuntime): TermPrimary | null {
+    const leased = this.context.group.lease.getPrimary();
+    const isLeased = leased?.primary === server.entry.backendServer;
+    return isLeased ? leased : null;
+  }
+
+  private judge(
+    plan: ReadPlan,
+    lease: PoolLease<PooledLink>,
+    result: Result<BackendAnswer, RunError>,
+    sent: {readonly sentAtMs: number; readonly sender: TermPrimary | null},
+  ): AttemptResult {
+    const {server} = plan;
+    if (!result.ok) {
+      return this.judgeRunError(server, lease, result.error);
+    }
+    const answer = result.value;
+    this.learn(plan, answer, sent);
+    if (answer.result.kind === 'complete') {
+      return {kind: 'answered', read: {answer, server, lease}};
+    }
+    const {rejection, code} = answer.result;
+    const isClean = answer.transactionState === 'idle';
+    switch (rejection) {
+      case 'overloaded':
+      case 'tooManyConnections':
+      case 'positionNotReached':
+      case 'notPrimary':
+      case 'unknownPreparedName':
+        lease.release(isClean ? 'clean' : 'doubtful');
+        return {
+          kind: 'tryNext',
+          error: {kind: 'overloaded', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+          reason: `rejected: ${code}`,
+        };
+      case 'wrongBackendServer':
+        lease.release('doubtful');
+        server.markSuspect();
+        return {
+          kind: 'tryNext',
+          error: {kind: 'unavailable', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+          reason: `rejected: ${code}`,
+        };
+      default:
+        return {kind: 'answered', read: {answer, server, lease}};
+    }
+  }
+
+  private judgeRunError(
+    server: BackendServerRuntime,
+    lease: PoolLease<PooledLink>,
+    error: RunError,
+  ): AttemptResult {
+    const unavailable: CallerError = {
+      kind: 'unavailable',
+      retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
+    };
+    switch (error.kind) {
+      case 'sendDeclined':
+        lease.release('clean');
+        return {
+          kind: 'tryAgain',
+          error: unavailable,
+          reason: 'the lease of the primary ended',
+        };
+      case 'preparationFailed':
+        lease.release('doubtful');
+        return {
+          kind: 'tryNext',
+          error: unavailable,
+          reason: `preparation: ${error.code}`,
+        };
+      case 'timedOut':
+        lease.release('doubtful');
+        server.markSuspect();
+        return {
+          kind: 'failed',
+          error: {kind: 'outcomeUnknown'},
+          reason: 'timed out',
+        };
+      case 'connectionLost':
+      case 'notSent':
+        lease.release('doubtful');
+        return {kind: 'tryAgain', error: unavailable, reason: error.reason};
+    }
+  }
+
+  /** Takes position, latency and lag from an answer. */
+  private learn(
+    plan: ReadPlan,
+    answer: BackendAnswer,
+    sent: {readonly sentAtMs: number; readonly sender: TermPrimary | null},
+  ): void {
+    const {group, gateway} = this.context;
+    const {server} = plan;
+    server.recordAnswer(gateway.clock.nowMs() - sent.sentAtMs, answer.position);
+    if (sent.sender !== null && answer.position !== null) {
+      group.recordPrimaryPosition(sent.sentAtMs, sent.sender, answer.position);
+    }
+    if (plan.requiredPosition === null || sent.sender !== null) {
+      return;
+    }
+    const isLagging =
+      answer.result.kind === 'rejected' &&
+      answer.result.rejection === 'positionNotReached';
+    server.recordLagOutcome(!isLagging, plan.requiredPositionAgeMs);
+  }
+
+  private recordRouted(plan: ReadPlan): void {
+    const {gateway, requestId, group} = this.context;
+    const leased = group.lease.getLastKnownPrimary();
+    gateway.events.record({
+      kind: 'statementRouted',
+      requestId,
+      backendServer: plan.server.entry.backendServer,
+      role:
+        leased?.primary === plan.server.entry.backendServer
+          ? 'primary'
+          : 'replica',
+      attempt: this.attempts,
+      ...this.describeInputs(),
+      requiredPosition: plan.requiredPosition,
+      requiredPositionAgeMs: plan.requiredPositionAgeMs,
+    });
+  }
+
+  private recordRefusal(reason: string): void {
+    const {gateway, requestId, receivedAtMs} = this.context;
+    const error = this.lastError;
+    gateway.events.record({
+      kind: 'statementRefused',
+      requestId,
+      reason: `${error.kind}: ${reason}`,
+      retryAfterMs: 'retryAfterMs' in error ? error.retryAfterMs : null,
+      waitedMs: gateway.clock.nowMs() - receivedAtMs,
+      ...this.describeInputs(),
+    });
+  }
+
+  private describeInputs() {
+    const {route, group, configurationVersion} = this.context;
+    return {
+      databaseGroup: group.databaseGroup,
+      consistency: route.consistency,
+      configurationVersion,
+      leasedTerm: group.lease.getPrimary()?.term ?? null,
+      requiredPosition: null,
+      requiredPositionAgeMs: null,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/session/run_on_link.ts
@@ -0,0 +1,100 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {failure, type Result} from '@filbertrun/base/result.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {BackendCommand, LinkError} from '../backend/backend_link.js';
+import {
+  getSharedName,
+  type PooledLink,
+  type SessionContext,
+} from '../backend/pooled_link.js';
+import type {CallerStatement} from '../statement/caller_statement.js';
+import type {BackendAnswer} from '../statement/statement_answer.js';
+
+/** A statement that is to run on a connection. @public */
+export interface LinkRequest {
+  readonly requestId: string;
+  readonly statement: CallerStatement;
+  readonly requiredPosition: LogPosition | null;
+  readonly session: SessionContext;
+  readonly deadlineMs: number;
+  /** Called when the connection is ready; false keeps the statement from being sent. */
+  readonly confirmSend: () => boolean;
+}
+
+/** Why a statement was not answered on a connection. @public */
+export type RunError =
+  | LinkError
+  /** A preparation was rejected, so nothing was run. */
+  | {readonly kind: 'preparationFailed'; readonly code: string}
+  /** `confirmSend` said no, so nothing was run. */
+  | {readonly kind: 'sendDeclined'};
+
+/**
+ * Gives a connection the state of the session and runs a statement on it.
+ *
+ * @public
+ */
+export async function runOnLink(
+  pooled: PooledLink,
+  request: LinkRequest,
+  clock: Clock,
+): Promise<Result<BackendAnswer, RunError>> {
+  const preparation = await prepareLink(pooled, request, clock);
+  if (preparation !== null) {
+    return failure(preparation);
+  }
+  if (!request.confirmSend()) {
+    return failure({kind: 'sendDeclined'});
+  }
+  const command: BackendCommand = {
+    kind: 'callerStatement',
+    requestId: request.requestId,
+    statement: renamePrepared(request),
+    requiredPosition: request.requiredPosition,
+  };
+  const result = await pooled.link.execute(
+    command,
+    request.deadlineMs - clock.nowMs(),
+  );
+  const {prepared} = request.session;
+  const isNameUnknown =
+    result.ok &&
+    result.value.result.kind === 'rejected' &&
+    result.value.result.rejection === 'unknownPreparedName';
+  if (isNameUnknown && prepared !== null) {
+    pooled.forgetPrepared(prepared);
+  }
+  return result;
+}
+
+/** Sends the preparation; gives the reason of a failure, or null. */
+async function prepareLink(
+  pooled: PooledLink,
+  request: LinkRequest,
+  clock: Clock,
+): Promise<RunError | null> {
+  for (const command of pooled.planPreparation(request.session)) {
+    const timeoutMs = request.deadlineMs - clock.nowMs();
+    const result = await pooled.link.execute(command, timeoutMs);
+    if (!result.ok) {
+      // The caller's statement was not sent yet, whatever became of the rest.
+      const reason =
+        result.error.kind === 'timedOut' ? 'timed out' : result.error.reason;
+      return {kind: 'notSent', reason: `preparation: ${reason}`};
+    }
+    const {result: ended} = result.value;
+    if (ended.kind === 'rejected') {
+      return {kind: 'preparationFailed', code: ended.code};
+    }
+    pooled.recordPrepared(command);
+  }
+  return null;
+}
+
+function renamePrepared(request: LinkRequest): CallerStatement {
+  const {statement, session} = request;
+  if (statement.kind !== 'execute' || session.prepared === null) {
+    return statement;
+  }
+  return {...statement, name: getSharedName(session.prepared)};
+}
--- /dev/null
+++ b/packages/gateway/src/session/write_executor.ts
@@ -0,0 +1,258 @@
+import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {PoolLease} from '@filbertrun/pool/pool_types.js';
+import type {PooledLink, SessionContext} from '../backend/pooled_link.js';
+import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
+import type {CallerStatement} from '../statement/caller_statement.js';
+import {isNotRun, type BackendAnswer} from '../statement/statement_answer.js';
+import type {StatementContext} from './gateway_context.js';
+import {
+  convertPoolError,
+  NO_PRIMARY_RETRY_AFTER_MS,
+  NO_SERVER_RETRY_AFTER_MS,
+} from './refusal.js';
+import {runOnLink, type RunError} from './run_on_link.js';
+
+/** A write outside a transaction. @public */
+export interface WriteStatement {
+  readonly statement: CallerStatement;
+  readonly session: SessionContext;
+}
+
+/** Times that a write which is known not to have run is sent. */
+const MAX_ATTEMPTS = 3;
+
+/** Pause before a write is sent again to a server that rejected it. */
+const REPEAT_DELAY_MS = 30;
+
+type AttemptResult =
+  | {readonly kind: 'answered'; readonly answer: BackendAnswer}
+  | {
+      readonly kind: 'notRun';
+      readonly error: CallerError;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly error: CallerError;
+      readonly reason: string;
+    };
+
+/**
+ * Executes a write outside a transaction. It is repeated only when it is known
+ * that it was not run.
+ *
+ * @public
+ */
+export class WriteExecutor {
+  private constructor(
+    private readonly context: StatementContext,
+    private readonly write: WriteStatement,
+  ) {}
+
+  static create(
+    context: StatementContext,
+    write: WriteStatement,
+  ): WriteExecutor {
+    return new WriteExecutor(context, write);
+  }
+
+  async run(): Promise<BackendAnswer | CallerError> {
+    let error: CallerError = {
+      kind: 'unavailable',
+      retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
+    };
+    let reason = 'no primary';
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      const server = await this.findPrimary();
+      if (server === null) {
+        break;
+      }
+      const result = await this.attempt(server, attempt);
+      if (result.kind === 'answered') {
+        return result.answer;
+      }
+      ({error, reason} = result);
+      if (result.kind === 'failed' || this.remainingMs <= REPEAT_DELAY_MS) {
+        break;
+      }
+      await this.pause(REPEAT_DELAY_MS);
+    }
+    this.recordFailure(error, reason);
+    return error;
+  }
+
+  private get remainingMs(): number {
+    return this.context.deadlineMs - this.context.gateway.clock.nowMs();
+  }
+
+  private findPrimary(): Promise<BackendServerRuntime | null> {
+    const {group} = this.context;
+    return group.waitForPrimary(group.estimatePrimaryWaitMs(this.remainingMs));
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.context.gateway.clock.startTimer(delayMs, resolve);
+    });
+  }
+
+  private async attempt(
+    server: BackendServerRuntime,
+    attempt: number,
+  ): Promise<AttemptResult> {
+    const {context} = this;
+    const {group, gateway} = context;
+    const leased = await server.pool.acquire({
+      priority: context.route.priority,
+      deadlineMs: context.deadlineMs,
+    });
+    if (!leased.ok) {
+      const error = convertPoolError(leased.error);
+      const kind = leased.error.kind === 'overloaded' ? 'failed' : 'notRun';
+      return {kind, error, reason: `no connection: ${leased.error.kind}`};
+    }
+    const lease = leased.value;
+    const sentAtMs = gateway.clock.nowMs();
+    this.recordRouted(server, attempt);
+    group.beginWrite();
+    const result = await runOnLink(
+      lease.connection,
+      {
+        requestId: context.requestId,
+        statement: this.write.statement,
+        requiredPosition: null,
+        session: this.write.session,
+        deadlineMs: context.deadlineMs,
+        confirmSend: () => group.getWritablePrimary() === server,
+      },
+      gateway.clock,
+    );
+    group.endWrite();
+    if (!result.ok) {
+      return this.judgeRunError(server, lease, result.error);
+    }
+    const answer = result.value;
+    server.recordAnswer(gateway.clock.nowMs() - sentAtMs, answer.position);
+    return this.judgeAnswer(server, lease, answer);
+  }
+
+  private judgeAnswer(
+    server: BackendServerRuntime,
+    lease: PoolLease<PooledLink>,
+    answer: BackendAnswer,
+  ): AttemptResult {
+    lease.release(answer.transactionState === 'idle' ? 'clean' : 'doubtful');
+    const {group} = this.context;
+    if (answer.result.kind === 'complete') {
+      if (!group.mayAcknowledge(answer.position)) {
+        return {
+          kind: 'failed',
+          error: {kind: 'outcomeUnknown'},
+          reason: 'the primary was given up before it acknowledged',
+        };
+      }
+      if (answer.position !== null) {
+        group.recordAcknowledged(answer.position);
+      }
+      return {kind: 'answered', answer};
+    }
+    const {rejection, code} = answer.result;
+    if (!isNotRun(rejection)) {
+      return {kind: 'answered', answer};
+    }
+    if (rejection === 'wrongBackendServer') {
+      server.markSuspect();
+    }
+    const kind = rejection === 'overloaded' ? 'failed' : 'notRun';
+    return {
+      kind,
+      error: {kind: 'overloaded', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+      reason: `rejected: ${code}`,
+    };
+  }
+
+  private judgeRunError(
+    server: BackendServerRuntime,
+    lease: PoolLease<PooledLink>,
+    error: RunError,
+  ): AttemptResult {
+    const unavailable: CallerError = {
+      kind: 'unavailable',
+      retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
+    };
+    switch (error.kind) {
+      case 'sendDeclined':
+        lease.release('clean');
+        return {
+          kind: 'notRun',
+          error: unavailable,
+          reason: 'the primary was given up',
+        };
+      case 'preparationFailed':
+        lease.release('doubtful');
+        return {
+          kind: 'notRun',
+          error: unavailable,
+          reason: `preparation: ${error.code}`,
+        };
+      case 'notSent':
+        lease.release('doubtful');
+        return {kind: 'notRun', error: unavailable, reason: error.reason};
+      case 'connectionLost':
+      case 'timedOut':
+        lease.release('doubtful');
+        server.markSuspect();
+        return {
+          kind: 'failed',
+          error: {kind: 'outcomeUnknown'},
+          reason: error.kind,
+        };
+    }
+  }
+
+  private recordRouted(server: BackendServerRuntime, attempt: number): void {
+    const {gateway, requestId} = this.context;
+    gateway.events.record({
+      kind: 'statementRouted',
+      requestId,
+      backendServer: server.entry.backendServer,
+      role: 'primary',
+      attempt,
+      ...this.describeInputs(),
+    });
+  }
+
+  private recordFailure(error: CallerError, reason: string): void {
+    const {gateway, requestId, receivedAtMs, group} = this.context;
+    if (error.kind === 'outcomeUnknown') {
+      const backendServer = group.lease.getLastKnownPrimary()?.primary ?? '';
+      gateway.events.record({
+        kind: 'outcomeUnknown',
+        requestId,
+        backendServer,
+        reason,
+      });
+      return;
+    }
+    gateway.events.record({
+      kind: 'statementRefused',
+      requestId,
+      reason: `${error.kind}: ${reason}`,
+      retryAfterMs: 'retryAfterMs' in error ? error.retryAfterMs : null,
+      waitedMs: gateway.clock.nowMs() - receivedAtMs,
+      ...this.describeInputs(),
+    });
+  }
+
+  private describeInputs() {
+    const {route, group, configurationVersion} = this.context;
+    return {
+      databaseGroup: group.databaseGroup,
+      consistency: route.consistency,
+      configurationVersion,
+      leasedTerm: group.lease.getPrimary()?.term ?? null,
+      requiredPosition: null,
+      requiredPositionAgeMs: null,
+    };
+  }
+}
--- a/packages/group/src/freshness_ring.ts
+++ b/packages/group/src/freshness_ring.ts
@@ -1,6 +1,7 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 
-interface FreshnessEntry {
+/** A place with the time at which the primary was proved to hold it. @internal */
+export interface FreshnessEntry {
   readonly timeMs: number;
   readonly position: LogPosition;
 }
@@ -37,10 +38,15 @@
    * than `maxAgeMs`. Null when none is known.
    */
   getPosition(nowMs: number, maxAgeMs: number): LogPosition | null {
+    return this.getEntry(nowMs, maxAgeMs)?.position ?? null;
+  }
+
+  /** Like `getPosition`, with the time of the proof. */
+  getEntry(nowMs: number, maxAgeMs: number): FreshnessEntry | null {
     const earliestMs = nowMs - maxAgeMs;
     for (const entry of this.entries) {
       if (entry.timeMs >= earliestMs) {
-        return entry.position;
+        return entry;
       }
     }
     return null;
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -19,7 +19,12 @@
   error(event: string, fields?: LogFields): void;
 }
 
-/** A logger that writes bunyan records to stderr. @public */
+/** Takes whole lines. @public */
+export interface LineSink {
+  write(line: string): void;
+}
+
+/** A logger that writes bunyan records, to stderr unless told otherwise. @public */
 export class BunyanLogger implements Logger {
   private constructor(private readonly target: bunyan) {}
 
@@ -27,12 +32,16 @@
     programName: string,
     level: LogLevel,
     fields: LogFields = {},
+    sink: LineSink | null = null,
   ): BunyanLogger {
     const target = bunyan.createLogger({
       ...fields,
       name: programName,
-      level,
-      stream: process.stderr,
+      streams: [
+        sink === null
+          ? {level, stream: process.stderr}
+          : {level, type: 'raw', stream: createRecordStream(sink)},
+      ],
     });
     return new BunyanLogger(target);
   }
@@ -67,3 +76,10 @@
   warn(): void {}
   error(): void {}
 }
+
+/** A bunyan stream that writes each record as one line of JSON. */
+function createRecordStream(sink: LineSink) {
+  return {
+    write: (record: unknown) => sink.write(`${JSON.stringify(record)}\n`),
+  };
+}
--- a/packages/platform/src/platform_service.ts
+++ b/packages/platform/src/platform_service.ts
@@ -45,6 +45,23 @@
   putEntry(write: ConditionalWrite): Promise<Result<TableEntry, PlatformError>>;
 }
 
+/** All entries of a table as of one moment. @public */
+export interface TableListing {
+  readonly entries: ReadonlyMap<string, TableEntry>;
+  /** Newest revision of the store at that moment. */
+  readonly revision: number;
+}
+
+/** A table that can be read whole. @public */
+export interface ListableTable extends PlatformTable {
+  listEntries(): Promise<Result<TableListing, PlatformError>>;
+  /** Removes a key if it has the revision. */
+  removeEntry(
+    key: string,
+    expectedRevision: number,
+  ): Promise<Result<void, PlatformError>>;
+}
+
 /** The platform's object store. Objects never change once written. @public */
 export interface ObjectStore {
   getObject(name: string): Promise<Result<string | null, PlatformError>>;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -15,7 +15,11 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/*_test.ts', 'apps/*/src/**/*_test.ts'],
+    include: [
+      'packages/*/src/**/*_test.ts',
+      'apps/*/src/**/*_test.ts',
+      'platform/src/**/*_test.ts',
+    ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     sequence: {shuffle: false},
