Step down an old primary that returned under a new id; bound leases by the registration

Cause: a primary that crashed comes back with its log under a new id and leads its old term. A pause can't fence it, so a change of primary waited for ever, and every statement was held to its deadline meanwhile. Change: an instance that says primary is told to step down; a lease counts from the own registration's renewal, so a proxy that is gone is not waited for; statements wait only while the change is expected to end in time.

--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -18,13 +18,14 @@
   readonly clockWatch: ClockWatch;
 }
 
-/** Interval at which an entry VM shows that it still exists. */
-const RENEWAL_INTERVAL_MS = 10_000;
+/** Interval at which an entry VM shows that it still exists; its leases rest on it. */
+const RENEWAL_INTERVAL_MS = 2_000;
 
 /** Time without a renewal after which an entry VM is held for gone. */
 export const ENTRY_VM_GONE_MS = 35_000;
 
-interface ObservedEntryVm {
+/** A registration with the moment at which its revision was first seen. @public */
+export interface ObservedEntryVm {
   readonly record: EntryVmRecord;
   readonly revision: number;
   readonly unchangedSince: ClockReading;
@@ -55,6 +56,16 @@
     return this.observed.get(entryVm)?.record.incarnation === incarnation;
   }
 
+  /** When the renewal of the own record that stands was begun; null without one. */
+  get renewalStartedAt(): ClockReading | null {
+    return this.isRegistered ? this.renewedAt : null;
+  }
+
+  /** Registrations with the moments at which they were first seen. */
+  getObserved(): readonly ObservedEntryVm[] {
+    return [...this.observed.values()];
+  }
+
   /** Registered entry VMs, this one included. */
   getEntryVms(): readonly EntryVmRecord[] {
     const records: EntryVmRecord[] = [];
@@ -98,6 +109,7 @@
     const known = this.observed.get(self.entryVm) ?? null;
     const renewalCount = (known?.record.renewalCount ?? 0) + 1;
     const record: EntryVmRecord = {...self, renewalCount};
+    const startedAt = clockWatch.read();
     const result = await table.putEntry({
       key: getEntryVmKey(self.entryVm),
       value: JSON.stringify(record),
@@ -105,7 +117,7 @@
     });
     this.isWriting = false;
     if (result.ok) {
-      this.renewedAt = clockWatch.read();
+      this.renewedAt = startedAt;
       return true;
     }
     if (result.error.kind === 'conflict' && result.error.current !== null) {
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -17,6 +17,8 @@
 }
 
 interface Fence {
+  /** Whether it led the old term; a restarted primary comes back under a new id. */
+  readonly wasPrimary: boolean;
   readonly status: InstanceStatus;
   readonly confirmedAtMs: number;
   readonly startedAtEpochMs: number | null;
@@ -50,7 +52,9 @@
     for (const entry of entries) {
       const fence = this.fences.get(entry.backendServer);
       const isRecent =
-        fence !== undefined && nowMs - fence.confirmedAtMs < CONFIRM_AFTER_MS;
+        fence !== undefined &&
+        this.isFenced(fence) &&
+        nowMs - fence.confirmedAtMs < CONFIRM_AFTER_MS;
       if (!isRecent && !this.pending.has(entry.backendServer)) {
         void this.fence(entry);
       }
@@ -77,51 +81,63 @@
 
   private describeInstance(entry: BackendServerEntry): FencedInstance {
     const {oldPrimary, availabilityZone} = this.options;
-    const status = this.findValidStatus(entry);
+    const fence = this.findValidFence(entry);
+    const isOldPrimary =
+      fence?.wasPrimary ?? entry.backendServer === oldPrimary;
     return {
       backendServer: entry.backendServer,
-      isOldPrimary: entry.backendServer === oldPrimary,
-      isFenced: status !== null && this.isFenced(entry, status),
+      isOldPrimary,
+      isFenced: fence !== null && this.isFenced(fence),
       isDraining: entry.state === 'draining',
       isNear: entry.availabilityZone === availabilityZone,
-      receivedPosition: status?.receivedPosition ?? null,
+      receivedPosition: fence?.status.receivedPosition ?? null,
     };
   }
 
-  private findValidStatus(entry: BackendServerEntry): InstanceStatus | null {
+  private findValidFence(entry: BackendServerEntry): Fence | null {
     const fence = this.fences.get(entry.backendServer);
     if (fence === undefined) {
       return null;
     }
     const ageMs = this.options.clock.nowMs() - fence.confirmedAtMs;
     const isSameStart = fence.startedAtEpochMs === entry.startedAtEpochMs;
-    return isSameStart && ageMs < FENCE_VALID_MS ? fence.status : null;
+    return isSameStart && ageMs < FENCE_VALID_MS ? fence : null;
   }
 
-  private isFenced(entry: BackendServerEntry, status: InstanceStatus): boolean {
-    const {oldPrimary, oldTerm} = this.options;
+  private isFenced({status, wasPrimary}: Fence): boolean {
     if (status.role !== 'replica') {
       return false;
     }
-    return entry.backendServer === oldPrimary || status.pausedTerm > oldTerm;
+    return wasPrimary || status.pausedTerm > this.options.oldTerm;
   }
 
   private async fence(entry: BackendServerEntry): Promise<void> {
-    const {instances, oldPrimary, oldTerm, clock} = this.options;
+    const {oldPrimary, clock} = this.options;
     const {backendServer, startedAtEpochMs} = entry;
     this.pending.add(backendServer);
-    const newTerm = oldTerm + 1;
-    const result =
-      backendServer === oldPrimary
-        ? await instances.stepDown(entry, newTerm)
-        : await instances.pauseReplication(entry, newTerm);
+    const known = this.fences.get(backendServer);
+    const wasPrimary =
+      backendServer === oldPrimary ||
+      entry.reportedRole === 'primary' ||
+      known?.wasPrimary === true ||
+      known?.status.role === 'primary';
+    const result = await this.send(entry, wasPrimary);
     this.pending.delete(backendServer);
     if (result.ok) {
       this.fences.set(backendServer, {
+        wasPrimary,
         status: result.value,
         confirmedAtMs: clock.nowMs(),
         startedAtEpochMs,
       });
     }
   }
+
+  private send(entry: BackendServerEntry, isPrimary: boolean) {
+    const {instances, oldTerm} = this.options;
+    const newTerm = oldTerm + 1;
+    return isPrimary
+      ? instances.stepDown(entry, newTerm)
+      : instances.pauseReplication(entry, newTerm);
+  }
 }
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -1,17 +1,14 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
-import type {ListableTable} from '@filbertrun/platform/platform_service.js';
+import type {
+  ListableTable,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
 import type {
   InstanceControl,
   PromotionService,
 } from '../backend/instance_control.js';
-import {
-  ENTRY_VM_PREFIX,
-  entryVmRecordSchema,
-  parseRecord,
-  type EntryVmRecord,
-} from '../control/control_record.js';
 import type {FailoverDutyLease} from '../control/failover_duty_lease.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {
@@ -26,7 +23,7 @@
   type PromotionChoice,
 } from './choose_promotion_target.js';
 import {InstanceFences} from './instance_fences.js';
-import {ReleaseCollector} from './release_collector.js';
+import {ReleaseCollector, type LeaseHolder} from './release_collector.js';
 
 /** What a change of primary needs of the process. @public */
 export interface PrimaryChangeDependencies {
@@ -43,6 +40,10 @@
   listInstances(
     databaseGroup: string,
   ): Promise<readonly BackendServerEntry[] | null>;
+  /** The proxies that a listing names, with the latest time of their renewals. */
+  readonly observeLeaseHolders: (
+    listing: TableListing,
+  ) => readonly LeaseHolder[];
   /** Takes each record that the change writes. */
   handleRecord(record: RevisedPrimaryRecord): void;
 }
@@ -112,15 +113,13 @@
     if (intent === null) {
       return this.abandon('the intent could not be recorded');
     }
-    const intendedAtMs = this.dependencies.clock.nowMs();
-    const entryVms = await this.listEntryVms();
-    if (entryVms === null) {
+    const holders = await this.listLeaseHolders();
+    if (holders === null) {
       return this.abandon('the proxies could not be listed');
     }
     const releases = ReleaseCollector.create({
       clock: this.dependencies.clock,
       peers: this.dependencies.peers,
-      intendedAtMs,
       request: {
         databaseGroup: intent.databaseGroup,
         changeId: intent.changeId,
@@ -128,7 +127,7 @@
         revision: this.current.revision,
       },
     });
-    releases.start(entryVms);
+    releases.start(holders);
     const outcome = await this.fenceAndPromote(intent, releases);
     releases.stop();
     return outcome;
@@ -169,21 +168,16 @@
     return (await this.write(intent)) ? intent : null;
   }
 
-  /** Proxies registered after the intent; an earlier lease can't be unregistered. */
-  private async listEntryVms(): Promise<readonly EntryVmRecord[] | null> {
+  /**
+   * The proxies that may hold a lease. They are listed after the intent was
+   * recorded, so whoever registers later finds the intent.
+   */
+  private async listLeaseHolders(): Promise<readonly LeaseHolder[] | null> {
+    const {table, observeLeaseHolders} = this.dependencies;
     for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
-      const listing = await this.dependencies.table.listEntries();
+      const listing = await table.listEntries();
       if (listing.ok) {
-        const records: EntryVmRecord[] = [];
-        for (const [key, entry] of listing.value.entries) {
-          const record = key.startsWith(ENTRY_VM_PREFIX)
-            ? parseRecord(entryVmRecordSchema, entry.value)
-            : null;
-          if (record !== null) {
-            records.push(record);
-          }
-        }
-        return records;
+        return observeLeaseHolders(listing.value);
       }
       await this.pause(TABLE_RETRY_MS);
     }
@@ -367,8 +361,8 @@
   }
 
   private async announce(): Promise<void> {
-    const entryVms = await this.listEntryVms();
-    for (const record of entryVms ?? []) {
+    const holders = await this.listLeaseHolders();
+    for (const {record} of holders ?? []) {
       void this.dependencies.peers.announce(record, this.current);
     }
   }
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -12,8 +12,12 @@
   readonly clock: Clock;
   readonly peers: PeerCaller;
   readonly request: ReleaseRequest;
-  /** Time at which the intent was known to be recorded. */
-  readonly intendedAtMs: number;
+}
+
+/** A proxy that may hold a lease, and when at the latest it was renewed. @public */
+export interface LeaseHolder {
+  readonly record: EntryVmRecord;
+  readonly renewedAtMs: number;
 }
 
 /** Pause between two requests to a proxy that did not answer. */
@@ -29,7 +33,7 @@
  * @public
  */
 export class ReleaseCollector {
-  private readonly waiting = new Map<string, EntryVmRecord>();
+  private readonly waiting = new Map<string, LeaseHolder>();
   private highest: LogPosition | null = null;
   private isStopped = false;
 
@@ -45,10 +49,10 @@
   }
 
   /** Asks all proxies; each is asked again until it answers. */
-  start(entryVms: readonly EntryVmRecord[]): void {
-    for (const record of entryVms) {
-      this.waiting.set(record.entryVm, record);
-      void this.collect(record);
+  start(holders: readonly LeaseHolder[]): void {
+    for (const holder of holders) {
+      this.waiting.set(holder.record.entryVm, holder);
+      void this.collect(holder.record);
     }
   }
 
@@ -58,12 +62,15 @@
 
   /** Proxies that may still rely on the old primary. */
   getOutstanding(): readonly string[] {
-    const expiryMs =
-      this.options.intendedAtMs + PRIMARY_LEASE_DURATION_MS + LEASE_MARGIN_MS;
-    if (this.options.clock.nowMs() >= expiryMs) {
-      return [];
+    const expiredMs =
+      this.options.clock.nowMs() - PRIMARY_LEASE_DURATION_MS - LEASE_MARGIN_MS;
+    const outstanding: string[] = [];
+    for (const [entryVm, {renewedAtMs}] of this.waiting) {
+      if (renewedAtMs > expiredMs) {
+        outstanding.push(entryVm);
+      }
     }
-    return [...this.waiting.keys()];
+    return outstanding;
   }
 
   private async collect(record: EntryVmRecord): Promise<void> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
   type ClockReading,
   type WallClock,
 } from './group/clock_watch.js';
+import type {LeaseHolder} from './failover/release_collector.js';
 import {GroupRuntime} from './group/group_runtime.js';
 import {
   PRIMARY_RECORD_PREFIX,
@@ -188,6 +189,7 @@
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       isTableRead: () => this.poller.hasRead,
       listInstances: databaseGroup => this.listInstances(databaseGroup),
+      observeLeaseHolders: listing => this.observeLeaseHolders(listing),
       handleRecord: record => this.handleOwnRecord(record),
     });
   }
@@ -355,6 +357,7 @@
     this.registration.observe(listing);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
     this.applyShares();
+    const leaseStart = this.getLeaseStart(readAt);
     for (const [key, entry] of listing.entries) {
       if (!key.startsWith(PRIMARY_RECORD_PREFIX)) {
         continue;
@@ -367,14 +370,36 @@
       }
       const revised = {record, revision: entry.revision};
       // Without the own record nobody would ask this proxy to release.
-      if (this.registration.isRegistered) {
-        group.learnRecord(revised, readAt, 'control table');
-      } else {
+      if (leaseStart === null) {
         group.learnAnnouncedRecord(revised);
+      } else {
+        group.learnRecord(revised, leaseStart, 'control table');
       }
     }
   }
 
+  /**
+   * Moment from which a lease counts: the read of the record or the renewal of
+   * the own registration, whichever is older. Null without a registration.
+   */
+  private getLeaseStart(readAt: ClockReading): ClockReading | null {
+    const renewedAt = this.registration.renewalStartedAt;
+    if (renewedAt === null || renewedAt.epoch !== readAt.epoch) {
+      return null;
+    }
+    return renewedAt.timeMs < readAt.timeMs ? renewedAt : readAt;
+  }
+
+  private observeLeaseHolders(listing: TableListing): readonly LeaseHolder[] {
+    this.registration.observe(listing);
+    const now = this.clockWatch.read();
+    return this.registration.getObserved().map(({record, unchangedSince}) => ({
+      record,
+      renewedAtMs:
+        unchangedSince.epoch === now.epoch ? unchangedSince.timeMs : now.timeMs,
+    }));
+  }
+
   private isControlUrgent(): boolean {
     if (!this.registration.isRegistered) {
       return true;
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -16,6 +16,7 @@
 import type {BackendCandidate} from '../routing/choose_backend_server.js';
 import {BackendServerRuntime} from './backend_server_runtime.js';
 import type {ClockReading, ClockWatch} from './clock_watch.js';
+import {choosePrimaryWaitMs} from '../routing/choose_primary_wait.js';
 import {PrimaryLease, type TermPrimary} from './primary_lease.js';
 import type {RevisedPrimaryRecord} from './primary_record.js';
 
@@ -48,11 +49,11 @@
 /** Looks again whether its primary is there. */
 type PrimaryWaiter = () => void;
 
-/** Usual time of a change of primary, from the intent to the new lease. */
-const EXPECTED_CHANGE_MS = 1_500;
+/** Time of a change of primary before any was seen. */
+const INITIAL_EXPECTED_CHANGE_MS = 1_300;
 
-/** Time to wait for a lease that is missing for no known reason. */
-const UNEXPLAINED_WAIT_MS = 250;
+/** Bound on what one long change makes the next ones expect. */
+const MAX_EXPECTED_CHANGE_MS = 2_500;
 
 /** One database group as this proxy sees it: servers, primary, freshness. @public */
 export class GroupRuntime {
@@ -64,6 +65,7 @@
   private releasedTerm = -1;
   private pendingWrites = 0;
   private changeStartedAtMs: number | null = null;
+  private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
@@ -199,17 +201,13 @@
     return this.waitFor(() => this.getLeasedPrimary(), timeoutMs);
   }
 
-  /**
-   * Time for which it is worth waiting for a primary: none when the change of
-   * primary is expected to end after `availableMs`.
-   */
+  /** Time for which it is worth waiting for a primary; 0 to refuse at once. */
   estimatePrimaryWaitMs(availableMs: number): number {
-    const changeAgeMs = this.getChangeAgeMs();
-    if (changeAgeMs === null) {
-      return Math.min(availableMs, UNEXPLAINED_WAIT_MS);
-    }
-    const remainingMs = EXPECTED_CHANGE_MS - changeAgeMs;
-    return remainingMs > availableMs ? 0 : availableMs;
+    return choosePrimaryWaitMs({
+      availableMs,
+      changeAgeMs: this.getChangeAgeMs(),
+      expectedChangeMs: this.expectedChangeMs,
+    });
   }
 
   private waitFor(
@@ -339,7 +337,12 @@
     if (this.getWritablePrimary() === null) {
       return;
     }
-    this.changeStartedAtMs = null;
+    const changeAgeMs = this.getChangeAgeMs();
+    if (changeAgeMs !== null) {
+      const meanMs = (this.expectedChangeMs + changeAgeMs) / 2;
+      this.expectedChangeMs = Math.min(meanMs, MAX_EXPECTED_CHANGE_MS);
+      this.changeStartedAtMs = null;
+    }
     for (const waiter of [...this.waiters]) {
       waiter();
     }
