--- a/packages/gateway/src/control/control_record.ts
+++ b/packages/gateway/src/control/control_record.ts
@@ -17,8 +17,11 @@
     peerPort: z.number().int().min(1).max(65535),
     /** Tells a restarted process from its predecessor. */
     incarnation: z.string().min(1),
-    /** Counts the renewals, so that a record that stands still shows. */
-    renewalCount: z.number().int().nonnegative(),
+    /**
+     * Time on the store's clock up to which the process may rely on what it
+     * read of primaries while this record stood.
+     */
+    leaseEndStoreMs: z.number(),
   })
   .readonly();
 
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -11,36 +11,55 @@
   type EntryVmRecord,
 } from './control_record.js';
 
+/** What identifies an entry VM and its process. @public */
+export type EntryVmIdentity = Omit<EntryVmRecord, 'leaseEndStoreMs'>;
+
 /** What a registration is made of. @public */
 export interface EntryVmRegistrationOptions {
-  readonly self: Omit<EntryVmRecord, 'renewalCount'>;
+  readonly self: EntryVmIdentity;
   readonly table: ListableTable;
   readonly clockWatch: ClockWatch;
 }
 
-/** Interval at which an entry VM shows that it still exists; its leases rest on it. */
+/** Interval at which an entry VM extends its leases. */
 const RENEWAL_INTERVAL_MS = 2_000;
 
-/** Time without a renewal after which an entry VM is held for gone. */
-export const ENTRY_VM_GONE_MS = 35_000;
+/** Least time between a failed write and the next one. */
+const RETRY_INTERVAL_MS = 500;
+
+/**
+ * Time for which an entry VM may rely on what it has read. It outlasts the
+ * usual outage of the store; a change of primary waits for it only where a
+ * proxy can't be asked to release.
+ */
+const LEASE_DURATION_MS = 7_500;
+
+/** Time after the end of its lease for which an entry VM stays listed. */
+const GONE_AFTER_LEASE_MS = 30_000;
 
-/** A registration with the moment at which its revision was first seen. @public */
-export interface ObservedEntryVm {
+interface ObservedEntryVm {
   readonly record: EntryVmRecord;
   readonly revision: number;
-  readonly unchangedSince: ClockReading;
+}
+
+/** The store's clock beside the own one, from one listing. */
+interface StoreClockReading {
+  readonly readAt: ClockReading;
+  readonly storeTimeMs: number;
 }
 
 /**
  * This proxy's record in the control table and the records of the others. A
- * proxy relies on a primary only while its own record stands, so whoever
- * changes a primary knows whom to ask.
+ * proxy relies on a primary only up to the time that its own record states, so
+ * whoever changes a primary knows whom to ask and how long to wait.
  *
  * @public
  */
 export class EntryVmRegistration {
   private readonly observed = new Map<string, ObservedEntryVm>();
+  private storeClock: StoreClockReading | null = null;
   private renewedAt: ClockReading | null = null;
+  private failedAt: ClockReading | null = null;
   private isWriting = false;
   private isLeaving = false;
 
@@ -50,22 +69,6 @@
     return new EntryVmRegistration(options);
   }
 
-  /** Whether this incarnation's own record stands. */
-  get isRegistered(): boolean {
-    const {entryVm, incarnation} = this.options.self;
-    return this.observed.get(entryVm)?.record.incarnation === incarnation;
-  }
-
-  /** When the renewal of the own record that stands was begun; null without one. */
-  get renewalStartedAt(): ClockReading | null {
-    return this.isRegistered ? this.renewedAt : null;
-  }
-
-  /** Registrations with the moments at which they were first seen. */
-  getObserved(): readonly ObservedEntryVm[] {
-    return [...this.observed.values()];
-  }
-
   /** Registered entry VMs, this one included. */
   getEntryVms(): readonly EntryVmRecord[] {
     const records: EntryVmRecord[] = [];
@@ -85,31 +88,47 @@
     return this.observed.get(entryVm)?.record ?? null;
   }
 
-  observe(listing: TableListing): void {
-    const present = new Set<string>();
+  /** Takes a listing whose read began at `readAt`. */
+  observe(listing: TableListing, readAt: ClockReading): void {
+    this.storeClock = {readAt, storeTimeMs: listing.storeTimeMs};
+    this.observed.clear();
     for (const [key, entry] of listing.entries) {
       if (key.startsWith(ENTRY_VM_PREFIX)) {
-        this.observeEntry(entry, present);
+        this.observeEntry(entry);
       }
     }
-    for (const entryVm of [...this.observed.keys()]) {
-      if (!present.has(entryVm)) {
-        this.observed.delete(entryVm);
-      }
+  }
+
+  /**
+   * Time for which what the same listing says of primaries may be relied on,
+   * counted from the start of its read; 0 without the own record.
+   */
+  getLeaseDurationMs(listing: TableListing): number {
+    const {entryVm, incarnation} = this.options.self;
+    const record = this.getEntryVm(entryVm);
+    if (record?.incarnation !== incarnation || this.isLeaving) {
+      return 0;
     }
+    return Math.max(0, record.leaseEndStoreMs - listing.storeTimeMs);
   }
 
   /** Writes the own record when it is missing or due; true when it was written. */
   async maintain(): Promise<boolean> {
+    const {storeClock} = this;
     if (this.isWriting || this.isLeaving || !this.isDue()) {
       return false;
     }
+    if (storeClock === null) {
+      return false;
+    }
     this.isWriting = true;
     const {self, table, clockWatch} = this.options;
-    const known = this.observed.get(self.entryVm) ?? null;
-    const renewalCount = (known?.record.renewalCount ?? 0) + 1;
-    const record: EntryVmRecord = {...self, renewalCount};
     const startedAt = clockWatch.read();
+    const known = this.observed.get(self.entryVm) ?? null;
+    const record: EntryVmRecord = {
+      ...self,
+      leaseEndStoreMs: this.estimateStoreTimeMs(storeClock) + LEASE_DURATION_MS,
+    };
     const result = await table.putEntry({
       key: getEntryVmKey(self.entryVm),
       value: JSON.stringify(record),
@@ -118,10 +137,15 @@
     this.isWriting = false;
     if (result.ok) {
       this.renewedAt = startedAt;
+      this.observed.set(self.entryVm, {
+        record,
+        revision: result.value.revision,
+      });
       return true;
     }
+    this.failedAt = clockWatch.read();
     if (result.error.kind === 'conflict' && result.error.current !== null) {
-      this.observeEntry(result.error.current, new Set());
+      this.observeEntry(result.error.current);
     }
     return false;
   }
@@ -140,14 +164,16 @@
     }
   }
 
-  /** Removes the records of entry VMs that have not renewed for long. */
+  /** Removes the records of entry VMs whose lease ended long ago. */
   async removeGone(): Promise<void> {
-    const {self, clockWatch, table} = this.options;
-    for (const {record, revision, unchangedSince} of [
-      ...this.observed.values(),
-    ]) {
-      const elapsedMs = clockWatch.getElapsedMs(unchangedSince);
-      const isGone = elapsedMs !== null && elapsedMs >= ENTRY_VM_GONE_MS;
+    const {storeClock} = this;
+    if (storeClock === null) {
+      return;
+    }
+    const {self, table} = this.options;
+    const goneBeforeMs = storeClock.storeTimeMs - GONE_AFTER_LEASE_MS;
+    for (const {record, revision} of [...this.observed.values()]) {
+      const isGone = record.leaseEndStoreMs < goneBeforeMs;
       if (isGone && record.entryVm !== self.entryVm) {
         await table.removeEntry(getEntryVmKey(record.entryVm), revision);
       }
@@ -155,26 +181,31 @@
   }
 
   private isDue(): boolean {
-    if (!this.isRegistered || this.renewedAt === null) {
+    const {self, clockWatch} = this.options;
+    if (this.failedAt !== null) {
+      const sinceMs = clockWatch.getElapsedMs(this.failedAt);
+      if (sinceMs !== null && sinceMs < RETRY_INTERVAL_MS) {
+        return false;
+      }
+    }
+    const own = this.getEntryVm(self.entryVm);
+    if (own?.incarnation !== self.incarnation || this.renewedAt === null) {
       return true;
     }
-    const elapsedMs = this.options.clockWatch.getElapsedMs(this.renewedAt);
+    const elapsedMs = clockWatch.getElapsedMs(this.renewedAt);
     return elapsedMs === null || elapsedMs >= RENEWAL_INTERVAL_MS;
   }
 
-  private observeEntry(entry: TableEntry, present: Set<string>): void {
+  /** The store's clock now; an estimate only moves how long a lease is asked for. */
+  private estimateStoreTimeMs(storeClock: StoreClockReading): number {
+    const elapsedMs = this.options.clockWatch.getElapsedMs(storeClock.readAt);
+    return storeClock.storeTimeMs + (elapsedMs ?? 0);
+  }
+
+  private observeEntry(entry: TableEntry): void {
     const record = parseRecord(entryVmRecordSchema, entry.value);
-    if (record === null) {
-      return;
-    }
-    present.add(record.entryVm);
-    const known = this.observed.get(record.entryVm);
-    if (known === undefined || known.revision < entry.revision) {
-      this.observed.set(record.entryVm, {
-        record,
-        revision: entry.revision,
-        unchangedSince: this.options.clockWatch.read(),
-      });
+    if (record !== null) {
+      this.observed.set(record.entryVm, {record, revision: entry.revision});
     }
   }
 }
--- a/packages/gateway/src/control/failover_duty_lease.ts
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -14,14 +14,17 @@
 } from './control_record.js';
 
 /** Time after the start of a renewal for which the holder may act on it. @public */
-export const DUTY_HOLD_MS = 4_000;
+export const DUTY_HOLD_MS = 3_500;
 
 /** Time without a renewal after which another proxy takes the duty over. @public */
-export const DUTY_TAKEOVER_MS = 6_000;
+export const DUTY_TAKEOVER_MS = 5_000;
 
 /** Interval of the holder's renewals. */
 const RENEWAL_INTERVAL_MS = 1_300;
 
+/** Least time between a failed write and the next one. */
+const RETRY_INTERVAL_MS = 400;
+
 /** Spread of the moments at which proxies try to take the duty over. */
 const TAKEOVER_JITTER_MS = 400;
 
@@ -52,6 +55,8 @@
   private unchangedSince: ClockReading | null = null;
   private renewedAt: ClockReading | null = null;
   private heldToken: number | null = null;
+  private yieldedToken = 0;
+  private failedAt: ClockReading | null = null;
   private isWriting = false;
   private readonly jitterMs: number;
 
@@ -102,7 +107,7 @@
 
   /** Renews the duty, or takes it over when its holder has stopped renewing. */
   async maintain(): Promise<void> {
-    if (this.isWriting || !this.shouldWrite()) {
+    if (this.isWriting || this.isBackingOff() || !this.shouldWrite()) {
       return;
     }
     this.isWriting = true;
@@ -125,11 +130,34 @@
     });
   }
 
+  /**
+   * Stops acting on the duty although the record still names this proxy; gives
+   * the token that it held, or null. It does not act on that token again.
+   */
+  stopActing(reason: string): number | null {
+    const token = this.heldToken;
+    if (token === null) {
+      return null;
+    }
+    this.recordLost(reason);
+    this.renewedAt = null;
+    this.yieldedToken = token;
+    return token;
+  }
+
+  /** Takes note that the holder of a token acts on it no more. */
+  noteYielded(fencingToken: number): void {
+    this.yieldedToken = Math.max(this.yieldedToken, fencingToken);
+  }
+
   private shouldWrite(): boolean {
     const {observed, unchangedSince, options} = this;
     if (observed === null || observed.duty.holder === null) {
       return true;
     }
+    if (observed.duty.fencingToken <= this.yieldedToken) {
+      return true;
+    }
     if (observed.duty.holder === options.entryVm) {
       return this.isOwnRenewalDue();
     }
@@ -156,7 +184,10 @@
   private createClaim(): FailoverDuty {
     const {entryVm, incarnation} = this.options;
     const duty = this.observed?.duty ?? null;
-    const isOwn = duty?.holder === entryVm && duty.incarnation === incarnation;
+    const isOwn =
+      duty?.holder === entryVm &&
+      duty.incarnation === incarnation &&
+      duty.fencingToken > this.yieldedToken;
     return {
       holder: entryVm,
       incarnation,
@@ -180,7 +211,16 @@
     this.handleWriteError(result.error);
   }
 
+  private isBackingOff(): boolean {
+    if (this.failedAt === null) {
+      return false;
+    }
+    const elapsedMs = this.options.clockWatch.getElapsedMs(this.failedAt);
+    return elapsedMs !== null && elapsedMs < RETRY_INTERVAL_MS;
+  }
+
   private handleWriteError(error: PlatformError): void {
+    this.failedAt = this.options.clockWatch.read();
     if (error.kind === 'conflict') {
       this.observe(error.current);
     }
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -14,6 +14,11 @@
 export interface TableWatcherOptions<T> {
   /** Name of the table in log events. */
   readonly name: string;
+  /**
+   * Time for which the store may hold a watch open without a change. A watch
+   * that goes silent is noticed a little later than this.
+   */
+  readonly waitMs: number;
   readonly table: WatchableTable<T>;
   readonly listener: TableListener<T>;
   readonly clock: Clock;
@@ -21,11 +26,8 @@
   readonly events: GatewayEvents;
 }
 
-/** Time for which the store may hold a watch open without a change. */
-const WATCH_WAIT_MS = 1_500;
-
 const MIN_RETRY_DELAY_MS = 80;
-const MAX_RETRY_DELAY_MS = 500;
+const MAX_RETRY_DELAY_MS = 600;
 
 /**
  * Follows a table: lists it once, then asks for the changes after the newest
@@ -100,7 +102,10 @@
 
   private async watch(): Promise<string | null> {
     const afterRevision = this.revision ?? 0;
-    const result = await this.options.table.watch(afterRevision, WATCH_WAIT_MS);
+    const result = await this.options.table.watch(
+      afterRevision,
+      this.options.waitMs,
+    );
     if (this.isDisposed) {
       return null;
     }
--- /dev/null
+++ b/packages/gateway/src/failover/choose_promotion_target_test.ts
@@ -0,0 +1,111 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  choosePromotionTarget,
+  type FencedInstance,
+} from './choose_promotion_target.js';
+
+function at(position: number): LogPosition {
+  return {term: 1, position};
+}
+
+function replica(
+  backendServer: string,
+  position: number,
+  changes: Partial<FencedInstance> = {},
+): FencedInstance {
+  return {
+    backendServer,
+    isOldPrimary: false,
+    isFenced: true,
+    isDraining: false,
+    isNear: false,
+    receivedPosition: at(position),
+    ...changes,
+  };
+}
+
+describe('choosePromotionTarget', () => {
+  it('takes the longest log once every replica is paused', () => {
+    const choice = choosePromotionTarget(
+      [replica('a', 5), replica('b', 9)],
+      null,
+    );
+    expect(choice).toMatchObject({kind: 'promote', target: 'b'});
+  });
+
+  it('waits while a replica is not paused and the old primary is away', () => {
+    const instances = [
+      replica('a', 9),
+      replica('b', 9, {isFenced: false, receivedPosition: null}),
+    ];
+    expect(choosePromotionTarget(instances, null).kind).toBe('wait');
+  });
+
+  it('takes a replica that reaches the log of a primary that stepped down', () => {
+    const instances = [
+      replica('old', 9, {isOldPrimary: true}),
+      replica('a', 9),
+      replica('b', 9, {isFenced: false, receivedPosition: null}),
+    ];
+    expect(choosePromotionTarget(instances, null)).toMatchObject({
+      kind: 'promote',
+      target: 'a',
+    });
+  });
+
+  it('passes over a draining instance where another holds as much', () => {
+    const instances = [replica('a', 9, {isDraining: true}), replica('b', 9)];
+    expect(choosePromotionTarget(instances, null)).toMatchObject({target: 'b'});
+  });
+
+  it('waits when no instance reaches what was acknowledged', () => {
+    expect(choosePromotionTarget([replica('a', 5)], at(6)).kind).toBe('wait');
+  });
+
+  it('never chooses an instance that lacks an acknowledged commit', () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            position: fc.nat(20),
+            isFenced: fc.boolean(),
+            isDraining: fc.boolean(),
+          }),
+          {minLength: 1, maxLength: 4},
+        ),
+        fc.record({isFenced: fc.boolean(), extra: fc.nat(5)}),
+        (drawn, primary) => {
+          const replicas = drawn.map((one, index) =>
+            replica(`r${index}`, one.position, {
+              isFenced: one.isFenced,
+              isDraining: one.isDraining,
+              receivedPosition: one.isFenced ? at(one.position) : null,
+            }),
+          );
+          // Any replica may hold the newest acknowledged commit; an unfenced
+          // one may go on to confirm more, up to the end of the primary's log.
+          let acknowledged = 0;
+          let isOpen = false;
+          for (const one of drawn) {
+            acknowledged = Math.max(acknowledged, one.position);
+            isOpen ||= !one.isFenced;
+          }
+          const end = acknowledged + primary.extra;
+          const old = replica('old', end, {
+            isOldPrimary: true,
+            isFenced: primary.isFenced,
+            receivedPosition: primary.isFenced ? at(end) : null,
+          });
+          const choice = choosePromotionTarget([old, ...replicas], null);
+          if (choice.kind === 'wait') {
+            return;
+          }
+          expect(choice.position.position).toBeGreaterThanOrEqual(acknowledged);
+          expect(isOpen && !primary.isFenced).toBe(false);
+        },
+      ),
+    );
+  });
+});
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -48,10 +48,13 @@
 /** Why a primary has to be replaced, or null. */
 type ChangeReason = 'draining' | 'gone' | 'unreachable' | 'writesStalled';
 
+type TimedReport = SuspicionReport & {readonly atMs: number};
+
 interface GroupWatch {
   isBusy: boolean;
   quietUntilMs: number;
-  report: (SuspicionReport & {readonly atMs: number}) | null;
+  /** Latest report of each entry VM. */
+  readonly reports: Map<string, TimedReport>;
   mismatchSinceMs: number | null;
 }
 
@@ -85,7 +88,9 @@
   /** Takes the report of a proxy, this one included. */
   takeReport(report: SuspicionReport): void {
     const watch = this.getWatch(report.databaseGroup);
-    watch.report = {...report, atMs: this.options.clock.nowMs()};
+    const atMs = this.options.clock.nowMs();
+    watch.reports.set(report.reporter, {...report, atMs});
+    this.tick();
   }
 
   private tick(): void {
@@ -106,7 +111,7 @@
       watch = {
         isBusy: false,
         quietUntilMs: 0,
-        report: null,
+        reports: new Map(),
         mismatchSinceMs: null,
       };
       this.watches.set(databaseGroup, watch);
@@ -145,7 +150,7 @@
   }
 
   private settle(watch: GroupWatch): void {
-    watch.report = null;
+    watch.reports.clear();
     watch.quietUntilMs = this.options.clock.nowMs() + SETTLE_MS;
   }
 
@@ -172,15 +177,26 @@
     if (entry.state === 'draining') {
       return this.hasActiveReplica(group, primary) ? 'draining' : null;
     }
-    const report = this.getValidReport(watch, primary);
+    const reports = this.getValidReports(watch, primary);
     const isSuspect = group.getServer(primary)?.isUnreachable === true;
-    if (report === null && !isSuspect) {
+    if (reports.length === 0 && !isSuspect) {
       return null;
     }
-    if (report?.evidence === 'writesStalled') {
+    if (reports.some(({evidence}) => evidence === 'writesStalled')) {
       return 'writesStalled';
     }
-    return (await this.confirmUnreachable(group, entry)) ? 'unreachable' : null;
+    const isConfirmed =
+      this.isReportedByMost(reports) ||
+      (await this.confirmUnreachable(group, entry));
+    return isConfirmed ? 'unreachable' : null;
+  }
+
+  /** Whether most entry VMs, this one included, can't reach the primary. */
+  private isReportedByMost(reports: readonly TimedReport[]): boolean {
+    const {entryVm} = this.options;
+    const isOwn = reports.some(({reporter}) => reporter === entryVm);
+    const count = this.options.getOtherEntryVms().length + 1;
+    return isOwn && reports.length * 2 > count;
   }
 
   private hasOtherInstance(
@@ -207,17 +223,18 @@
     return false;
   }
 
-  private getValidReport(
+  private getValidReports(
     watch: GroupWatch,
     primary: BackendServerId,
-  ): SuspicionReport | null {
-    const {report} = watch;
-    if (report === null || report.primary !== primary) {
-      return null;
+  ): readonly TimedReport[] {
+    const oldestMs = this.options.clock.nowMs() - REPORT_VALID_MS;
+    const valid: TimedReport[] = [];
+    for (const report of watch.reports.values()) {
+      if (report.primary === primary && report.atMs >= oldestMs) {
+        valid.push(report);
+      }
     }
-    return this.options.clock.nowMs() - report.atMs < REPORT_VALID_MS
-      ? report
-      : null;
+    return valid;
   }
 
   /** Whether neither this proxy nor any other that answers reaches the primary. */
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -40,7 +40,7 @@
   listInstances(
     databaseGroup: string,
   ): Promise<readonly BackendServerEntry[] | null>;
-  /** The proxies that a listing names, with the latest time of their renewals. */
+  /** The proxies that a listing, read just now, names. */
   readonly observeLeaseHolders: (
     listing: TableListing,
   ) => readonly LeaseHolder[];
--- /dev/null
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -0,0 +1,197 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {EntryVmRecord} from '../control/control_record.js';
+import {FailoverDutyLease} from '../control/failover_duty_lease.js';
+import {ClockWatch} from '../group/clock_watch.js';
+import {
+  getPrimaryRecordKey,
+  type PrimaryRecord,
+} from '../group/primary_record.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {FakeInstances} from '../testing/fake_instances.js';
+import {FakePeers} from '../testing/fake_peers.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {advanceClock} from '../testing/settle.js';
+import {PrimaryChange, type ChangeOutcome} from './primary_change.js';
+
+const GROUP = 'group';
+const KEY = getPrimaryRecordKey(GROUP);
+const STABLE: PrimaryRecord = {
+  phase: 'stable',
+  databaseGroup: GROUP,
+  primary: 'p',
+  term: 1,
+};
+
+describe('PrimaryChange', () => {
+  let clock: VirtualClock;
+  let table: FakeControlTable;
+  let instances: FakeInstances;
+  let peers: FakePeers;
+  let events: RecordedEvents;
+  let duty: FailoverDutyLease;
+  let outcome: ChangeOutcome | null;
+
+  beforeEach(async () => {
+    clock = VirtualClock.create();
+    table = FakeControlTable.create(clock);
+    instances = FakeInstances.create(clock);
+    peers = FakePeers.create();
+    events = RecordedEvents.create();
+    outcome = null;
+    duty = FailoverDutyLease.create({
+      entryVm: 'entry-1',
+      incarnation: 'one',
+      table,
+      clockWatch: ClockWatch.create(clock, FakeWallClock.create(clock)),
+      random: SeededRandom.create(1),
+      events,
+    });
+    await duty.maintain();
+    instances.add('p', 'primary', 10);
+    instances.add('r1', 'replica', 10);
+    instances.add('r2', 'replica', 10);
+    peers.acknowledged.set('entry-1', {term: 1, position: 10});
+  });
+
+  /** Renews the duty while time passes, as the gateway's upkeep does. */
+  async function advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+      void duty.maintain();
+      await advanceClock(clock, 100);
+    }
+  }
+
+  function start(holders: readonly string[] = ['entry-1']): void {
+    const revision = table.seed(KEY, STABLE);
+    const change = PrimaryChange.create(
+      {
+        clock,
+        availabilityZone: 'zone-a',
+        entryVm: 'entry-1',
+        table,
+        peers,
+        instances,
+        promotions: instances,
+        duty,
+        events,
+        listInstances: () => Promise.resolve(instances.listEntries()),
+        observeLeaseHolders: () =>
+          holders.map(entryVm => ({
+            record: createEntryVm(entryVm),
+            leaseEndMs: clock.nowMs() + 7_000,
+          })),
+        handleRecord: () => {},
+      },
+      {record: STABLE, revision},
+      'unreachable',
+    );
+    void change.run().then(result => {
+      outcome = result;
+    });
+  }
+
+  it('promotes a replica that holds every acknowledged commit', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').position = {term: 1, position: 7};
+    start();
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+    expect(table.getValue(KEY)).toEqual({...STABLE, primary: 'r2', term: 2});
+  });
+
+  it('waits for a replica that does not answer, even if another could lead', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r2').isRunning = false;
+    start();
+    await advance(3_000);
+    expect(instances.orders).toEqual([]);
+    instances.get('r2').isRunning = true;
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+  });
+
+  it('steps down an old primary that came back under a new id', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('p').isListed = false;
+    instances.add('p-again', 'primary', 12);
+    start();
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+    expect(instances.get('p-again').role).toBe('replica');
+  });
+
+  it('waits for the lease of a proxy that does not answer', async () => {
+    instances.get('p').isRunning = false;
+    start(['entry-1', 'entry-2']);
+    await advance(6_900);
+    expect(instances.orders).toEqual([]);
+    await advance(1_500);
+    expect(outcome).toBe('completed');
+  });
+
+  it('does not promote an instance below what a proxy has acknowledged', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('p').isListed = false;
+    instances.get('r2').isRunning = false;
+    instances.get('r2').isListed = false;
+    instances.get('r1').position = {term: 1, position: 7};
+    start();
+    await advance(3_000);
+    expect(instances.orders).toEqual([]);
+  });
+
+  it('reads the outcome back when the answer to a write was lost', async () => {
+    instances.get('p').isRunning = false;
+    start();
+    table.writeMode = 'doneWithoutAnswer';
+    await advance(100);
+    table.writeMode = 'answered';
+    await advance(2_000);
+    expect(outcome).toBe('completed');
+    expect(table.getValue(KEY)).toMatchObject({phase: 'stable', term: 2});
+  });
+
+  it('finishes a change whose promotion had taken effect before', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').role = 'primary';
+    instances.get('r1').term = 2;
+    start();
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+    expect(instances.orders).toEqual([]);
+    expect(table.getValue(KEY)).toMatchObject({primary: 'r1', term: 2});
+  });
+
+  it('stops when the duty is lost', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').isRunning = false;
+    start();
+    await advanceClock(clock, 300);
+    duty.stopActing('test');
+    await advanceClock(clock, 300);
+    expect(outcome).toBe('abandoned');
+  });
+
+  it('sends the token of the duty with the order', async () => {
+    instances.get('p').isRunning = false;
+    start();
+    await advance(1_000);
+    expect(instances.orders).toMatchObject([
+      {dutyHolder: 'entry-1', fencingToken: 1},
+    ]);
+  });
+});
+
+function createEntryVm(entryVm: string): EntryVmRecord {
+  return {
+    entryVm,
+    availabilityZone: 'zone-a',
+    peerHost: '127.0.0.1',
+    peerPort: 1,
+    incarnation: 'one',
+    leaseEndStoreMs: 0,
+  };
+}
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -4,7 +4,6 @@
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
-import {PRIMARY_LEASE_DURATION_MS} from '../group/primary_lease.js';
 import type {PeerCaller, ReleaseRequest} from '../peer/peer_caller.js';
 
 /** What a collector is made of. @public */
@@ -14,10 +13,11 @@
   readonly request: ReleaseRequest;
 }
 
-/** A proxy that may hold a lease, and when at the latest it was renewed. @public */
+/** A proxy that may hold a lease, and when its lease ends at the latest. @public */
 export interface LeaseHolder {
   readonly record: EntryVmRecord;
-  readonly renewedAtMs: number;
+  /** On this process's monotonic clock. */
+  readonly leaseEndMs: number;
 }
 
 /** Pause between two requests to a proxy that did not answer. */
@@ -62,11 +62,10 @@
 
   /** Proxies that may still rely on the old primary. */
   getOutstanding(): readonly string[] {
-    const expiredMs =
-      this.options.clock.nowMs() - PRIMARY_LEASE_DURATION_MS - LEASE_MARGIN_MS;
+    const nowMs = this.options.clock.nowMs();
     const outstanding: string[] = [];
-    for (const [entryVm, {renewedAtMs}] of this.waiting) {
-      if (renewedAtMs > expiredMs) {
+    for (const [entryVm, {leaseEndMs}] of this.waiting) {
+      if (nowMs < leaseEndMs + LEASE_MARGIN_MS) {
         outstanding.push(entryVm);
       }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,11 +14,15 @@
 import {computeConnectionShare} from './control/connection_share.js';
 import {ControlPoller} from './control/control_poller.js';
 import {
+  ENTRY_VM_PREFIX,
+  entryVmRecordSchema,
   FAILOVER_DUTY_KEY,
   parseRecord,
-  type EntryVmRecord,
 } from './control/control_record.js';
-import {EntryVmRegistration} from './control/entry_vm_registration.js';
+import {
+  EntryVmRegistration,
+  type EntryVmIdentity,
+} from './control/entry_vm_registration.js';
 import {FailoverDutyLease} from './control/failover_duty_lease.js';
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
@@ -40,6 +44,7 @@
 import {decideReadiness, type Readiness} from './lifecycle/readiness.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
 import type {
+  DutyHandover,
   PeerCaller,
   PeerHandler,
   ReachAnswer,
@@ -52,7 +57,7 @@
 
 /** What a gateway is made of. @public */
 export interface GatewayOptions {
-  readonly self: Omit<EntryVmRecord, 'renewalCount'>;
+  readonly self: EntryVmIdentity;
   readonly clock: Clock;
   readonly wallClock: WallClock;
   readonly random: RandomSource;
@@ -68,6 +73,12 @@
   readonly peers: PeerCaller;
 }
 
+/** Wait of a watch on the backend servers; a drain allows several seconds. */
+const DIRECTORY_WAIT_MS = 3_500;
+
+/** Wait of a watch on the configuration, which must be in force within 3 s. */
+const CONFIGURATION_WAIT_MS = 1_800;
+
 /** Interval of the upkeep of duty, registration, shares and readiness. */
 const UPKEEP_INTERVAL_MS = 100;
 
@@ -83,6 +94,9 @@
 /** Least time between two reports about one group. */
 const REPORT_INTERVAL_MS = 300;
 
+/** Time without an answer of the store after which the duty is handed over. */
+const YIELD_DUTY_AFTER_MS = 2_600;
+
 /** Time allowed for a connection by which a proxy answers whether it reaches a server. */
 const REACH_CHECK_TIMEOUT_MS = 200;
 
@@ -138,6 +152,7 @@
     });
     this.directoryWatcher = TableWatcher.create({
       name: 'backend servers',
+      waitMs: DIRECTORY_WAIT_MS,
       table: options.directoryTable,
       listener: this.directory,
       clock,
@@ -146,6 +161,7 @@
     });
     this.configurationWatcher = TableWatcher.create({
       name: 'configuration',
+      waitMs: CONFIGURATION_WAIT_MS,
       table: options.configurationTable,
       listener: this.configuration,
       clock,
@@ -284,6 +300,11 @@
     return {isReachable: result === 'accepted'};
   }
 
+  takeOverDuty({fencingToken}: DutyHandover): void {
+    this.duty.noteYielded(fencingToken);
+    void this.maintainRecords();
+  }
+
   private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
     const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
     while (group.pendingWriteCount > 0 && this.clock.nowMs() < untilMs) {
@@ -354,10 +375,10 @@
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
-    this.registration.observe(listing);
+    this.registration.observe(listing, readAt);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
     this.applyShares();
-    const leaseStart = this.getLeaseStart(readAt);
+    const durationMs = this.registration.getLeaseDurationMs(listing);
     for (const [key, entry] of listing.entries) {
       if (!key.startsWith(PRIMARY_RECORD_PREFIX)) {
         continue;
@@ -370,40 +391,29 @@
       }
       const revised = {record, revision: entry.revision};
       // Without the own record nobody would ask this proxy to release.
-      if (leaseStart === null) {
-        group.learnAnnouncedRecord(revised);
-      } else {
-        group.learnRecord(revised, leaseStart, 'control table');
-      }
-    }
-  }
-
-  /**
-   * Moment from which a lease counts: the read of the record or the renewal of
-   * the own registration, whichever is older. Null without a registration.
-   */
-  private getLeaseStart(readAt: ClockReading): ClockReading | null {
-    const renewedAt = this.registration.renewalStartedAt;
-    if (renewedAt === null || renewedAt.epoch !== readAt.epoch) {
-      return null;
+      group.learnRecord(revised, {readAt, durationMs}, 'control table');
     }
-    return renewedAt.timeMs < readAt.timeMs ? renewedAt : readAt;
   }
 
+  /** Converts the ends of leases from the store's clock to the own one. */
   private observeLeaseHolders(listing: TableListing): readonly LeaseHolder[] {
-    this.registration.observe(listing);
-    const now = this.clockWatch.read();
-    return this.registration.getObserved().map(({record, unchangedSince}) => ({
-      record,
-      renewedAtMs:
-        unchangedSince.epoch === now.epoch ? unchangedSince.timeMs : now.timeMs,
-    }));
+    const nowMs = this.clock.nowMs();
+    const holders: LeaseHolder[] = [];
+    for (const [key, entry] of listing.entries) {
+      const record = key.startsWith(ENTRY_VM_PREFIX)
+        ? parseRecord(entryVmRecordSchema, entry.value)
+        : null;
+      if (record !== null) {
+        // The store's clock was read before now, so this end is not too early.
+        const leaseEndMs =
+          nowMs + (record.leaseEndStoreMs - listing.storeTimeMs);
+        holders.push({record, leaseEndMs});
+      }
+    }
+    return holders;
   }
 
   private isControlUrgent(): boolean {
-    if (!this.registration.isRegistered) {
-      return true;
-    }
     for (const group of this.groups.values()) {
       if (group.lease.getPrimary() === null) {
         return true;
@@ -448,8 +458,24 @@
     });
   }
 
+  /** Hands the duty to proxies that still reach the store. */
+  private yieldDutyWithoutStore(): void {
+    const {clock, registration} = this;
+    if (clock.nowMs() - this.poller.lastContactMs < YIELD_DUTY_AFTER_MS) {
+      return;
+    }
+    const fencingToken = this.duty.stopActing('the store is out of reach');
+    if (fencingToken === null) {
+      return;
+    }
+    for (const peer of registration.getOtherEntryVms()) {
+      void this.options.peers.handOverDuty(peer, {fencingToken});
+    }
+  }
+
   private maintain(): void {
     this.checkClocks();
+    this.yieldDutyWithoutStore();
     this.reportSuspects();
     this.updateReadiness();
     if (!this.poller.hasRead || this.isStopping) {
@@ -490,6 +516,7 @@
           databaseGroup: group.databaseGroup,
           primary: known.primary,
           evidence: 'unreachable',
+          reporter: this.options.self.entryVm,
         });
       }
     }
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -55,13 +55,13 @@
  * Time for which a connection may owe an answer without a byte before the
  * machine behind it is checked.
  */
-const SILENCE_CHECK_MS = 300;
+const SILENCE_CHECK_MS = 220;
 
 /** Time allowed for that check. */
-const REACHABILITY_TIMEOUT_MS = 250;
+const REACHABILITY_TIMEOUT_MS = 200;
 
 /** Interval at which connections are looked at for silence. */
-const SILENCE_INTERVAL_MS = 100;
+const SILENCE_INTERVAL_MS = 50;
 
 /** This proxy's connections to one backend server and what it knows of it. @public */
 export class BackendServerRuntime {
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -15,9 +15,13 @@
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {BackendCandidate} from '../routing/choose_backend_server.js';
 import {BackendServerRuntime} from './backend_server_runtime.js';
-import type {ClockReading, ClockWatch} from './clock_watch.js';
+import type {ClockWatch} from './clock_watch.js';
 import {choosePrimaryWaitMs} from '../routing/choose_primary_wait.js';
-import {PrimaryLease, type TermPrimary} from './primary_lease.js';
+import {
+  PrimaryLease,
+  type LeaseProof,
+  type TermPrimary,
+} from './primary_lease.js';
 import type {RevisedPrimaryRecord} from './primary_record.js';
 
 /** What a group's runtime is made of. @public */
@@ -132,18 +136,18 @@
     }
   }
 
-  /** Takes the primary record from a linearizable read begun at `readAt`. */
+  /** Takes the primary record from a linearizable read. */
   learnRecord(
     revised: RevisedPrimaryRecord,
-    readAt: ClockReading,
+    proof: LeaseProof,
     source: string,
   ): void {
     const previousRevision = this.lease.revision;
-    this.lease.learn(revised, readAt);
+    this.lease.learn(revised, proof);
     this.handleLearned(revised, previousRevision, source);
     const {record} = revised;
     if (record.phase === 'changing' && record.lastOldPosition !== null) {
-      this.ring.record(readAt.timeMs, record.lastOldPosition);
+      this.ring.record(proof.readAt.timeMs, record.lastOldPosition);
     }
   }
 
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -1,14 +1,12 @@
 import type {ClockReading, ClockWatch} from './clock_watch.js';
 import type {PrimaryRecord, RevisedPrimaryRecord} from './primary_record.js';
 
-/**
- * Time after the start of a read of the record for which the proxy may rely on
- * it. It outlasts the usual outage of the store; a change of primary waits for
- * it only where a proxy can't be asked to release.
- *
- * @public
- */
-export const PRIMARY_LEASE_DURATION_MS = 7_000;
+/** How long a linearizable read of the record may be relied on. @public */
+export interface LeaseProof {
+  /** Start of the read. */
+  readonly readAt: ClockReading;
+  readonly durationMs: number;
+}
 
 /** A primary with the term that it leads. @public */
 export interface TermPrimary {
@@ -25,7 +23,7 @@
  */
 export class PrimaryLease {
   private current: RevisedPrimaryRecord | null = null;
-  private readAt: ClockReading | null = null;
+  private proof: LeaseProof | null = null;
   private releasedRevision = 0;
 
   private constructor(private readonly clockWatch: ClockWatch) {}
@@ -43,18 +41,14 @@
     return this.current?.revision ?? 0;
   }
 
-  /** Takes a record from a linearizable read that began at `readAt`. */
-  learn(revised: RevisedPrimaryRecord, readAt: ClockReading): void {
+  /** Takes a record from a linearizable read, with what the read proves. */
+  learn(revised: RevisedPrimaryRecord, proof: LeaseProof): void {
     if (revised.revision < this.revision) {
       return;
     }
-    const isOlderRead =
-      revised.revision === this.revision &&
-      this.readAt !== null &&
-      this.readAt.epoch === readAt.epoch &&
-      this.readAt.timeMs > readAt.timeMs;
-    if (!isOlderRead) {
-      this.readAt = readAt;
+    const isSameRevision = revised.revision === this.revision;
+    if (!isSameRevision || !this.isLonger(proof)) {
+      this.proof = proof;
     }
     this.current = revised;
   }
@@ -65,7 +59,7 @@
       return;
     }
     this.current = revised;
-    this.readAt = null;
+    this.proof = null;
   }
 
   /** Gives the lease up for every revision up to `revision`. */
@@ -75,11 +69,11 @@
 
   /** The primary that may be relied on now, or null. */
   getPrimary(): TermPrimary | null {
-    if (this.readAt === null) {
+    if (this.proof === null) {
       return null;
     }
-    const ageMs = this.clockWatch.getElapsedMs(this.readAt);
-    if (ageMs === null || ageMs >= PRIMARY_LEASE_DURATION_MS) {
+    const ageMs = this.clockWatch.getElapsedMs(this.proof.readAt);
+    if (ageMs === null || ageMs >= this.proof.durationMs) {
       return null;
     }
     return this.getLastKnownPrimary();
@@ -87,7 +81,7 @@
 
   /** The primary of the newest record, whether or not a lease holds. */
   getLastKnownPrimary(): TermPrimary | null {
-    const record = this.record;
+    const {record} = this;
     if (record === null || record.phase !== 'stable') {
       return null;
     }
@@ -96,4 +90,14 @@
     }
     return {primary: record.primary, term: record.term};
   }
+
+  /** Whether the present proof lasts longer than another one. */
+  private isLonger(other: LeaseProof): boolean {
+    const {proof} = this;
+    if (proof === null || proof.readAt.epoch !== other.readAt.epoch) {
+      return false;
+    }
+    const endMs = proof.readAt.timeMs + proof.durationMs;
+    return endMs > other.readAt.timeMs + other.durationMs;
+  }
 }
--- a/packages/gateway/src/peer/peer_caller.ts
+++ b/packages/gateway/src/peer/peer_caller.ts
@@ -25,6 +25,8 @@
   readonly databaseGroup: string;
   readonly primary: string;
   readonly evidence: PrimaryEvidence;
+  /** Entry VM that reports. */
+  readonly reporter: string;
 }
 
 /** What speaks against a primary. @public */
@@ -40,6 +42,11 @@
   readonly isReachable: boolean;
 }
 
+/** Tells that the holder of the failover duty acts on it no more. @public */
+export interface DutyHandover {
+  readonly fencingToken: number;
+}
+
 /** Why another proxy did not answer. @public */
 export interface PeerError {
   readonly kind: 'unreachable';
@@ -64,6 +71,10 @@
     peer: EntryVmRecord,
     question: ReachQuestion,
   ): Promise<Result<ReachAnswer, PeerError>>;
+  handOverDuty(
+    peer: EntryVmRecord,
+    handover: DutyHandover,
+  ): Promise<Result<void, PeerError>>;
 }
 
 /** Answers the calls of other proxies. @public */
@@ -72,4 +83,5 @@
   announce(record: RevisedPrimaryRecord): void;
   reportSuspicion(report: SuspicionReport): void;
   askReach(question: ReachQuestion): Promise<ReachAnswer>;
+  takeOverDuty(handover: DutyHandover): void;
 }
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -28,6 +28,7 @@
   databaseGroup: z.string(),
   primary: z.string(),
   evidence: z.enum(['unreachable', 'writesStalled']),
+  reporter: z.string(),
 });
 
 const trpc = initTRPC.create();
@@ -45,6 +46,9 @@
     reportSuspicion: trpc.procedure
       .input(suspicionReportSchema)
       .mutation(({input}) => handler.reportSuspicion(input)),
+    handOverDuty: trpc.procedure
+      .input(z.object({fencingToken: z.number().int()}))
+      .mutation(({input}) => handler.takeOverDuty(input)),
     askReach: trpc.procedure
       .input(z.object({backendServer: z.string()}))
       .output(z.object({isReachable: z.boolean()}))
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -3,6 +3,7 @@
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import type {
+  DutyHandover,
   PeerCaller,
   PeerError,
   ReachAnswer,
@@ -64,6 +65,15 @@
     );
   }
 
+  handOverDuty(
+    peer: EntryVmRecord,
+    handover: DutyHandover,
+  ): Promise<Result<void, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).handOverDuty.mutate(handover, {signal}),
+    );
+  }
+
   private getClient(peer: EntryVmRecord): PeerClient {
     const url = `http://${peer.peerHost}:${peer.peerPort}`;
     let client = this.clients.get(url);
--- /dev/null
+++ b/packages/gateway/src/routing/choose_primary_wait_test.ts
@@ -0,0 +1,45 @@
+import {describe, expect, it} from 'vitest';
+import {choosePrimaryWaitMs} from './choose_primary_wait.js';
+
+describe('choosePrimaryWaitMs', () => {
+  it('waits for a change that ends in time', () => {
+    const inputs = {
+      availableMs: 1_000,
+      changeAgeMs: 600,
+      expectedChangeMs: 1_200,
+    };
+    expect(choosePrimaryWaitMs(inputs)).toBeGreaterThan(600);
+  });
+
+  it('refuses at once when the change ends too late', () => {
+    const inputs = {
+      availableMs: 500,
+      changeAgeMs: 100,
+      expectedChangeMs: 1_200,
+    };
+    expect(choosePrimaryWaitMs(inputs)).toBe(0);
+  });
+
+  it('refuses at once when the change is stuck', () => {
+    const inputs = {
+      availableMs: 1_000,
+      changeAgeMs: 20_000,
+      expectedChangeMs: 1_200,
+    };
+    expect(choosePrimaryWaitMs(inputs)).toBe(0);
+  });
+
+  /** Replays statements that arrive while a change lasts 20 s instead of 1.2 s. */
+  it('holds few statements in vain during a change that does not end', () => {
+    let heldInVainMs = 0;
+    for (let arrivalMs = 0; arrivalMs < 20_000; arrivalMs += 10) {
+      heldInVainMs += choosePrimaryWaitMs({
+        availableMs: 1_000,
+        changeAgeMs: arrivalMs,
+        expectedChangeMs: 1_200,
+      });
+    }
+    const baselineMs = 2_000 * 1_000;
+    expect(heldInVainMs).toBeLessThan(baselineMs / 15);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/testing/fake_control_table.ts
@@ -0,0 +1,104 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {
+  ConditionalWrite,
+  ListableTable,
+  PlatformError,
+  TableEntry,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
+
+/** What the store does with a write. @internal */
+export type WriteMode = 'answered' | 'unavailable' | 'doneWithoutAnswer';
+
+/** A control table in memory, with outages and lost answers. @internal */
+export class FakeControlTable implements ListableTable {
+  readonly entries = new Map<string, TableEntry>();
+  writeMode: WriteMode = 'answered';
+  isReadable = true;
+  writeCount = 0;
+  private revision = 0;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): FakeControlTable {
+    return new FakeControlTable(clock);
+  }
+
+  /** A value as JSON, or undefined when there is none. */
+  getValue(key: string): unknown {
+    const entry = this.entries.get(key);
+    return entry === undefined ? undefined : JSON.parse(entry.value);
+  }
+
+  /** Writes a value regardless of its revision. */
+  seed(key: string, value: unknown): number {
+    this.revision++;
+    const entry = {value: JSON.stringify(value), revision: this.revision};
+    this.entries.set(key, entry);
+    return this.revision;
+  }
+
+  async listEntries(): Promise<Result<TableListing, PlatformError>> {
+    await Promise.resolve();
+    if (!this.isReadable) {
+      return failure({kind: 'unavailable', reason: 'switched off'});
+    }
+    return success({
+      entries: new Map(this.entries),
+      revision: Math.max(1, this.revision),
+      storeTimeMs: this.clock.nowMs(),
+    });
+  }
+
+  async getEntry(
+    key: string,
+  ): Promise<Result<TableEntry | null, PlatformError>> {
+    await Promise.resolve();
+    return success(this.entries.get(key) ?? null);
+  }
+
+  async putEntry(
+    write: ConditionalWrite,
+  ): Promise<Result<TableEntry, PlatformError>> {
+    await Promise.resolve();
+    this.writeCount++;
+    const refusal = this.findRefusal(write.key, write.expectedRevision);
+    if (refusal !== null) {
+      return failure(refusal);
+    }
+    this.revision++;
+    const entry = {value: write.value, revision: this.revision};
+    this.entries.set(write.key, entry);
+    return this.writeMode === 'doneWithoutAnswer'
+      ? failure({kind: 'outcomeUnknown', reason: 'the answer was lost'})
+      : success(entry);
+  }
+
+  async removeEntry(
+    key: string,
+    expectedRevision: number,
+  ): Promise<Result<void, PlatformError>> {
+    await Promise.resolve();
+    const refusal = this.findRefusal(key, expectedRevision);
+    if (refusal !== null) {
+      return failure(refusal);
+    }
+    this.revision++;
+    this.entries.delete(key);
+    return success(undefined);
+  }
+
+  private findRefusal(
+    key: string,
+    expectedRevision: number,
+  ): PlatformError | null {
+    if (this.writeMode === 'unavailable') {
+      return {kind: 'unavailable', reason: 'switched off'};
+    }
+    const current = this.entries.get(key) ?? null;
+    return (current?.revision ?? 0) === expectedRevision
+      ? null
+      : {kind: 'conflict', current};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/fake_instances.ts
@@ -0,0 +1,214 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {
+  comparePositions,
+  type LogPosition,
+} from '@filbertrun/model/log_position.js';
+import type {
+  InstanceControl,
+  InstanceControlError,
+  InstanceStatus,
+  PromotionError,
+  PromotionOrder,
+  PromotionService,
+} from '../backend/instance_control.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+
+/** One instance of a fake database group. @internal */
+export interface FakeInstance {
+  readonly entry: BackendServerEntry;
+  role: 'primary' | 'replica';
+  term: number;
+  position: LogPosition;
+  pausedTerm: number;
+  isRunning: boolean;
+  isListed: boolean;
+}
+
+/** Time that a promotion takes. */
+const PROMOTION_MS = 300;
+
+type ControlResult = Result<InstanceStatus, InstanceControlError>;
+
+/** The instances of one database group, with the platform's promotion call. @internal */
+export class FakeInstances implements InstanceControl, PromotionService {
+  readonly instances = new Map<string, FakeInstance>();
+  readonly orders: PromotionOrder[] = [];
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): FakeInstances {
+    return new FakeInstances(clock);
+  }
+
+  add(
+    backendServer: string,
+    role: 'primary' | 'replica',
+    position: number,
+  ): FakeInstance {
+    const instance: FakeInstance = {
+      entry: createEntry(backendServer, role),
+      role,
+      term: 1,
+      position: {term: 1, position},
+      pausedTerm: 0,
+      isRunning: true,
+      isListed: true,
+    };
+    this.instances.set(backendServer, instance);
+    return instance;
+  }
+
+  get(backendServer: string): FakeInstance {
+    const instance = this.instances.get(backendServer);
+    if (instance === undefined) {
+      throw new Error(`There is no instance ${backendServer}.`);
+    }
+    return instance;
+  }
+
+  listEntries(): readonly BackendServerEntry[] {
+    const entries: BackendServerEntry[] = [];
+    for (const instance of this.instances.values()) {
+      if (instance.isListed) {
+        entries.push(instance.entry);
+      }
+    }
+    return entries;
+  }
+
+  /** Commits at the primary as far as its replicas allow; true when acknowledged. */
+  commit(): boolean {
+    const primary = this.findPrimary();
+    if (primary === null) {
+      return false;
+    }
+    const position = {
+      term: primary.term,
+      position: primary.position.position + 1,
+    };
+    primary.position = position;
+    let isAcknowledged = false;
+    for (const instance of this.instances.values()) {
+      if (canReceive(instance, primary)) {
+        instance.position = position;
+        isAcknowledged = true;
+      }
+    }
+    return isAcknowledged;
+  }
+
+  getStatus(server: BackendServerEntry): Promise<ControlResult> {
+    return this.control(server, () => {});
+  }
+
+  pauseReplication(
+    server: BackendServerEntry,
+    term: number,
+  ): Promise<ControlResult> {
+    return this.control(server, instance => {
+      if (instance.role === 'replica' && term > instance.term) {
+        instance.pausedTerm = term;
+      }
+    });
+  }
+
+  resumeReplication(server: BackendServerEntry): Promise<ControlResult> {
+    return this.control(server, instance => {
+      instance.pausedTerm = 0;
+    });
+  }
+
+  stepDown(server: BackendServerEntry, term: number): Promise<ControlResult> {
+    return this.control(server, instance => {
+      if (instance.role === 'primary' && instance.term < term) {
+        instance.role = 'replica';
+      }
+    });
+  }
+
+  async promote(order: PromotionOrder): Promise<Result<void, PromotionError>> {
+    await Promise.resolve();
+    this.orders.push(order);
+    const target = this.instances.get(order.target);
+    if (target === undefined || !target.isRunning) {
+      return failure({kind: 'rejected', status: 409});
+    }
+    this.clock.startTimer(PROMOTION_MS, () => this.finishPromotion(target));
+    return success(undefined);
+  }
+
+  private finishPromotion(target: FakeInstance): void {
+    let newestTerm = 0;
+    for (const instance of this.instances.values()) {
+      newestTerm = Math.max(newestTerm, instance.term);
+    }
+    target.role = 'primary';
+    target.term = newestTerm + 1;
+    for (const instance of this.instances.values()) {
+      instance.pausedTerm = 0;
+      const isAhead = comparePositions(instance.position, target.position) > 0;
+      if (instance.role === 'replica' && isAhead) {
+        instance.position = target.position;
+      }
+    }
+  }
+
+  private findPrimary(): FakeInstance | null {
+    let newest: FakeInstance | null = null;
+    for (const instance of this.instances.values()) {
+      const isPrimary = instance.role === 'primary' && instance.isRunning;
+      if (isPrimary && (newest === null || instance.term > newest.term)) {
+        newest = instance;
+      }
+    }
+    return newest;
+  }
+
+  private async control(
+    server: BackendServerEntry,
+    change: (instance: FakeInstance) => void,
+  ): Promise<ControlResult> {
+    await Promise.resolve();
+    const instance = this.instances.get(server.backendServer);
+    if (instance === undefined || !instance.isRunning) {
+      return failure({kind: 'unreachable', reason: 'not running'});
+    }
+    change(instance);
+    return success({
+      role: instance.role,
+      term: instance.term,
+      receivedPosition: instance.position,
+      pausedTerm: instance.pausedTerm,
+      lagMs: 0,
+    });
+  }
+}
+
+function canReceive(instance: FakeInstance, primary: FakeInstance): boolean {
+  return (
+    instance !== primary &&
+    instance.isRunning &&
+    instance.role === 'replica' &&
+    instance.pausedTerm <= primary.term
+  );
+}
+
+/** A directory entry for tests. @internal */
+export function createEntry(
+  backendServer: string,
+  reportedRole: 'primary' | 'replica',
+): BackendServerEntry {
+  return {
+    backendServer,
+    databaseGroup: 'group',
+    host: '127.0.0.1',
+    port: 1,
+    availabilityZone: 'zone-a',
+    state: 'active',
+    reportedRole,
+    slots: 3,
+    warmUpRemainingMs: 0,
+    startedAtEpochMs: 1,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -0,0 +1,62 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {EntryVmRecord} from '../control/control_record.js';
+import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {
+  PeerCaller,
+  PeerError,
+  ReachAnswer,
+  ReleaseAnswer,
+  ReleaseRequest,
+} from '../peer/peer_caller.js';
+
+/** Other proxies that answer or stay silent. @internal */
+export class FakePeers implements PeerCaller {
+  /** Highest acknowledged position by entry VM; who is missing does not answer. */
+  readonly acknowledged = new Map<string, LogPosition | null>();
+  readonly released: string[] = [];
+  readonly announcements: RevisedPrimaryRecord[] = [];
+
+  private constructor() {}
+
+  static create(): FakePeers {
+    return new FakePeers();
+  }
+
+  async release(
+    peer: EntryVmRecord,
+    _request: ReleaseRequest,
+  ): Promise<Result<ReleaseAnswer, PeerError>> {
+    await Promise.resolve();
+    const highestAcknowledged = this.acknowledged.get(peer.entryVm);
+    if (highestAcknowledged === undefined) {
+      return failure({kind: 'unreachable', reason: 'silent'});
+    }
+    this.released.push(peer.entryVm);
+    return success({incarnation: peer.incarnation, highestAcknowledged});
+  }
+
+  async announce(
+    _peer: EntryVmRecord,
+    record: RevisedPrimaryRecord,
+  ): Promise<Result<void, PeerError>> {
+    await Promise.resolve();
+    this.announcements.push(record);
+    return success(undefined);
+  }
+
+  async reportSuspicion(): Promise<Result<void, PeerError>> {
+    await Promise.resolve();
+    return success(undefined);
+  }
+
+  async askReach(): Promise<Result<ReachAnswer, PeerError>> {
+    await Promise.resolve();
+    return success({isReachable: false});
+  }
+
+  async handOverDuty(): Promise<Result<void, PeerError>> {
+    await Promise.resolve();
+    return success(undefined);
+  }
+}
--- a/packages/platform/src/platform_service.ts
+++ b/packages/platform/src/platform_service.ts
@@ -50,6 +50,8 @@
   readonly entries: ReadonlyMap<string, TableEntry>;
   /** Newest revision of the store at that moment. */
   readonly revision: number;
+  /** The store's own steady clock at that moment. */
+  readonly storeTimeMs: number;
 }
 
 /** A table that can be read whole. @public */
