Keep fewer idle connections; send callers of a cut-off proxy away; learn a fresh position at the start

Cause: after a loss of power of all proxies the old connections filled the instances' limits for three seconds; callers of a proxy that was cut off stayed with it; all reads went to the primaries until one had answered. The own zone is preferred more.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,15 @@
 
 /** The Google style rules of gts, with build output and scratch folders left out. */
 export default [
-  {ignores: ['**/dist/', '**/node_modules/', 'scratch/', 'target/', 'journal/']},
+  {
+    ignores: [
+      '**/dist/',
+      '**/node_modules/',
+      'scratch/',
+      'target/',
+      'journal/',
+    ],
+  },
   ...require('gts'),
   {
     files: ['**/*.ts'],
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -120,6 +120,7 @@
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
   private readiness: Readiness = {isReady: false, reason: 'starting'};
+  private readinessChangedAtMs: number;
   private withPrimaryAtMs: number;
   private removedGoneAtMs: number;
   private clockEpoch = 0;
@@ -131,6 +132,7 @@
     this.availabilityZone = self.availabilityZone;
     this.startedAtMs = clock.nowMs();
     this.withPrimaryAtMs = this.startedAtMs;
+    this.readinessChangedAtMs = this.startedAtMs;
     this.removedGoneAtMs = this.startedAtMs;
     this.clockWatch = ClockWatch.create(clock, wallClock);
     const {clockWatch} = this;
@@ -246,6 +248,13 @@
     return this.readiness;
   }
 
+  /** Time for which the proxy has not been ready, 0 while it is. */
+  getUnreadyMs(): number {
+    return this.readiness.isReady
+      ? 0
+      : this.clock.nowMs() - this.readinessChangedAtMs;
+  }
+
   getConfiguration(): ServiceConfiguration | null {
     return this.configuration.current;
   }
@@ -392,6 +401,7 @@
       const revised = {record, revision: entry.revision};
       // Without the own record nobody would ask this proxy to release.
       group.learnRecord(revised, {readAt, durationMs}, 'control table');
+      void this.seedFreshness(group);
     }
   }
 
@@ -543,32 +553,69 @@
 
   private updateReadiness(): void {
     const nowMs = this.clock.nowMs();
-    let groupsWithPrimary = 0;
-    let groupsWithServer = 0;
-    for (const group of this.groups.values()) {
-      const primary = group.getLeasedPrimary();
-      if (primary !== null && !primary.isUnreachable) {
-        groupsWithPrimary++;
-      }
-      if (group.getServers().some(server => !server.isUnreachable)) {
-        groupsWithServer++;
-      }
-    }
-    if (groupsWithPrimary > 0) {
+    const counts = this.countUsable();
+    if (counts.groupsWithPrimary > 0) {
       this.withPrimaryAtMs = nowMs;
     }
     const readiness = decideReadiness({
       isStopping: this.isStopping,
       hasConfiguration: this.configuration.current !== null,
       groupCount: this.groups.size,
-      groupsWithPrimary,
-      groupsWithServer,
+      ...counts,
       upMs: nowMs - this.startedAtMs,
       withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
     });
     if (readiness.isReady !== this.readiness.isReady) {
+      this.readinessChangedAtMs = nowMs;
       this.events.record({kind: 'readinessChanged', ...readiness});
     }
     this.readiness = readiness;
   }
+
+  private countUsable() {
+    let groupsWithPrimary = 0;
+    let groupsWithServer = 0;
+    let remoteServers = 0;
+    let unreachableRemoteServers = 0;
+    for (const group of this.groups.values()) {
+      const primary = group.getLeasedPrimary();
+      if (primary !== null && !primary.isUnreachable) {
+        groupsWithPrimary++;
+      }
+      const servers = group.getServers();
+      if (servers.some(server => !server.isUnreachable)) {
+        groupsWithServer++;
+      }
+      for (const {entry, isUnreachable} of servers) {
+        if (entry.availabilityZone !== this.availabilityZone) {
+          remoteServers++;
+          unreachableRemoteServers += isUnreachable ? 1 : 0;
+        }
+      }
+    }
+    return {
+      groupsWithPrimary,
+      groupsWithServer,
+      remoteServers,
+      unreachableRemoteServers,
+    };
+  }
+
+  /**
+   * Learns a position of the primary before any caller's statement has shown
+   * one, so that replicas can answer at once after a start.
+   */
+  private async seedFreshness(group: GroupRuntime): Promise<void> {
+    const leased = group.lease.getPrimary();
+    const server = group.getLeasedPrimary();
+    if (leased === null || server === null || group.hasFreshness) {
+      return;
+    }
+    const sentAtMs = this.clock.nowMs();
+    const status = await this.options.instances.getStatus(server.entry);
+    if (status.ok && status.value.role === 'primary') {
+      const {receivedPosition} = status.value;
+      group.recordPrimaryPosition(sentAtMs, leased, receivedPosition);
+    }
+  }
 }
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -45,6 +45,9 @@
 /** Connections that are kept open to an instance that is in use. */
 const MIN_IDLE_CONNECTIONS = 1;
 
+/** Time after which a connection beyond those is closed; idle ones crowd out others. */
+const IDLE_TIMEOUT_MS = 3_000;
+
 /** Time between two attempts to connect to one instance. */
 const CONNECT_INTERVAL_MS = 2;
 
@@ -94,6 +97,7 @@
         connectIntervalMs: CONNECT_INTERVAL_MS,
         maxBackOffMs: MAX_CONNECT_BACK_OFF_MS,
         minIdleConnections: MIN_IDLE_CONNECTIONS,
+        idleTimeoutMs: IDLE_TIMEOUT_MS,
       },
     });
   }
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -67,6 +67,7 @@
   private readonly waiters = new Set<PrimaryWaiter>();
   private highestAcknowledged: LogPosition | null = null;
   private releasedTerm = -1;
+  private hasPosition = false;
   private pendingWrites = 0;
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
@@ -89,6 +90,11 @@
     return this.pendingWrites;
   }
 
+  /** Whether any position of the primary is known with its time. */
+  get hasFreshness(): boolean {
+    return this.hasPosition;
+  }
+
   getServers(): readonly BackendServerRuntime[] {
     return [...this.servers.values()];
   }
@@ -266,6 +272,7 @@
   ): void {
     // A later term says that the server lost the lead before it answered.
     if (position.term <= sender.term) {
+      this.hasPosition = true;
       this.ring.record(sentAtMs, position);
     }
   }
--- a/packages/gateway/src/routing/choose_backend_server.ts
+++ b/packages/gateway/src/routing/choose_backend_server.ts
@@ -38,7 +38,7 @@
 const UNKNOWN_LATENCY_MS = 20;
 
 /** Cost of leaving the availability zone: network time, and bytes that are paid for. */
-const OTHER_ZONE_COST_MS = 6;
+const OTHER_ZONE_COST_MS = 30;
 
 /** Cost of reading at the primary, whose slots the writes need. */
 const PRIMARY_COST_MS = 10;
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -25,14 +25,14 @@
 
   async release(
     peer: EntryVmRecord,
-    _request: ReleaseRequest,
+    request: ReleaseRequest,
   ): Promise<Result<ReleaseAnswer, PeerError>> {
     await Promise.resolve();
     const highestAcknowledged = this.acknowledged.get(peer.entryVm);
     if (highestAcknowledged === undefined) {
       return failure({kind: 'unreachable', reason: 'silent'});
     }
-    this.released.push(peer.entryVm);
+    this.released.push(`${peer.entryVm} ${request.changeId}`);
     return success({incarnation: peer.incarnation, highestAcknowledged});
   }
 
