Let statements wait at the proxy, by priority and no longer than their objective allows

Cause: with both replicas of a group far behind, its primary gets more than it can run; statements queued in the instance regardless of priority, waited up to half of their timeout, and were answered late.

--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -46,7 +46,13 @@
 const MIN_IDLE_CONNECTIONS = 1;
 
 /** Time after which a connection beyond those is closed; idle ones crowd out others. */
-const IDLE_TIMEOUT_MS = 3_000;
+const IDLE_TIMEOUT_MS = 10_000;
+
+/**
+ * Statements that a proxy always keeps at an instance. Under load the others
+ * wait here, by priority, and not in the instance's queue.
+ */
+const MIN_CONCURRENCY = 1;
 
 /** Time between two attempts to connect to one instance. */
 const CONNECT_INTERVAL_MS = 2;
@@ -94,6 +100,7 @@
       limits: {
         maxConnections: options.maxConnections,
         slots: currentEntry.slots,
+        minConcurrency: MIN_CONCURRENCY,
         connectIntervalMs: CONNECT_INTERVAL_MS,
         maxBackOffMs: MAX_CONNECT_BACK_OFF_MS,
         minIdleConnections: MIN_IDLE_CONNECTIONS,
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -5,6 +5,7 @@
   ServiceConfiguration,
 } from '../configuration/service_configuration.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import {chooseQueueWaitMs} from '../routing/choose_queue_wait.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 
 /** What sessions need of the process around them. @public */
@@ -27,3 +28,11 @@
   /** Monotonic time at which the statement is given up. */
   readonly deadlineMs: number;
 }
+
+/** Monotonic time up to which a statement may wait for a connection. @public */
+export function getQueueDeadlineMs(context: StatementContext): number {
+  const nowMs = context.gateway.clock.nowMs();
+  const {targetLatencyMs} = context.route;
+  const availableMs = context.deadlineMs - nowMs;
+  return nowMs + chooseQueueWaitMs({targetLatencyMs, availableMs});
+}
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -9,7 +9,7 @@
 import {chooseBackendServer} from '../routing/choose_backend_server.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
-import type {StatementContext} from './gateway_context.js';
+import {getQueueDeadlineMs, type StatementContext} from './gateway_context.js';
 import {
   resolveReadRequirement,
   type ReadRequirement,
@@ -194,7 +194,7 @@
     const {server} = plan;
     const leased = await server.pool.acquire({
       priority: this.context.route.priority,
-      deadlineMs: this.context.deadlineMs,
+      deadlineMs: getQueueDeadlineMs(this.context),
     });
     if (!leased.ok) {
       return {
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -4,7 +4,7 @@
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import {isNotRun, type BackendAnswer} from '../statement/statement_answer.js';
-import type {StatementContext} from './gateway_context.js';
+import {getQueueDeadlineMs, type StatementContext} from './gateway_context.js';
 import {
   convertPoolError,
   NO_PRIMARY_RETRY_AFTER_MS,
@@ -104,7 +104,7 @@
     const {group, gateway} = context;
     const leased = await server.pool.acquire({
       priority: context.route.priority,
-      deadlineMs: context.deadlineMs,
+      deadlineMs: getQueueDeadlineMs(context),
     });
     if (!leased.ok) {
       const error = convertPoolError(leased.error);
--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -83,8 +83,9 @@
     private limits: PoolLimits,
   ) {
     this.concurrency = ConcurrencyLimit.create(
-      limits.slots,
+      Math.min(limits.minConcurrency, limits.slots),
       limits.maxConnections,
+      limits.slots,
     );
     this.idle = IdleConnections.create(connector, clock, limits);
     this.opener = ConnectionOpener.create({
@@ -150,7 +151,10 @@
   /** Changes limits at run time, for example when a share changes. */
   setLimits(limits: Partial<PoolLimits>): void {
     this.limits = {...this.limits, ...limits};
-    this.concurrency.setBounds(this.limits.slots, this.limits.maxConnections);
+    this.concurrency.setBounds(
+      Math.min(this.limits.minConcurrency, this.limits.slots),
+      this.limits.maxConnections,
+    );
     this.idle.setLimits(this.limits);
     this.idle.close(this.openConnections - this.limits.maxConnections);
     this.dispatch();
--- a/packages/pool/src/concurrency_limit.ts
+++ b/packages/pool/src/concurrency_limit.ts
@@ -33,9 +33,15 @@
     this.limit = minimum;
   }
 
-  static create(minimum: number, maximum: number): ConcurrencyLimit {
+  /** Starts at `initial`, or at the minimum. */
+  static create(
+    minimum: number,
+    maximum: number,
+    initial = minimum,
+  ): ConcurrencyLimit {
     const limit = new ConcurrencyLimit(1, 1);
     limit.setBounds(minimum, maximum);
+    limit.limit = limit.clamp(initial);
     return limit;
   }
 
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -63,8 +63,13 @@
 export interface PoolLimits {
   /** Connections of this proxy's share. */
   readonly maxConnections: number;
-  /** Concurrency below which latency never takes the pool. */
+  /** Concurrency with which the pool starts. */
   readonly slots: number;
+  /**
+   * Concurrency below which latency never takes the pool. It may be less than
+   * the slots where several proxies share them.
+   */
+  readonly minConcurrency: number;
   readonly maxQueueLength: number;
   /** Time between two connection attempts. */
   readonly connectIntervalMs: number;
@@ -80,6 +85,7 @@
 export const DEFAULT_POOL_LIMITS: PoolLimits = {
   maxConnections: 4,
   slots: 3,
+  minConcurrency: 3,
   maxQueueLength: 256,
   connectIntervalMs: 10,
   minBackOffMs: 20,
