Promote once the old primary is fenced; only writes wait for leases that can't be released

Change: once every replica is paused nothing more can be acknowledged, so the last position is published, replicas serve reads from it, and the promotion is ordered at once. The new primary is read at once; the record states when on the store's clock writes may begin. A write there is acknowledged only after the last old lease has ended, so a strict read at the old primary lacks nothing.

--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -315,6 +315,7 @@
       databaseGroup: group.databaseGroup,
       primary: leader.backendServer,
       term: leader.term,
+      writesFromStoreMs: null,
     };
     const result = await this.options.table.putEntry({
       key: getPrimaryRecordKey(group.databaseGroup),
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -58,7 +58,7 @@
 const RELIST_INTERVAL_MS = 500;
 
 /** Time for proxies to let their pending writes end before instances are fenced. */
-const RELEASE_WAIT_MS = 200;
+const RELEASE_WAIT_MS = 180;
 
 /** Interval of the questions whether a promotion has taken effect. */
 const PROMOTION_POLL_MS = 100;
@@ -129,10 +129,30 @@
     });
     releases.start(holders);
     const outcome = await this.fenceAndPromote(intent, releases);
-    releases.stop();
+    if (outcome === 'completed') {
+      void this.openWrites(releases);
+    } else {
+      releases.stop();
+    }
     return outcome;
   }
 
+  /** Lets writes begin as soon as the last old lease has ended. */
+  private async openWrites(releases: ReleaseCollector): Promise<void> {
+    const completed = this.current;
+    while (releases.getLastLeaseEndStoreMs() !== null) {
+      await this.pause(STEP_INTERVAL_MS);
+    }
+    releases.stop();
+    const {record} = completed;
+    const isGated =
+      record.phase === 'stable' && record.writesFromStoreMs !== null;
+    if (isGated && this.current === completed) {
+      await this.write({...record, writesFromStoreMs: null});
+      await this.announce();
+    }
+  }
+
   private get token(): number | null {
     return this.dependencies.duty.getFencingToken();
   }
@@ -203,18 +223,18 @@
       await this.pause(STEP_INTERVAL_MS);
       const leader = fences.findNewLeader();
       if (leader !== null) {
-        return this.complete(intent, leader.backendServer, leader.term);
+        const {backendServer, term} = leader;
+        return this.complete(intent, releases, backendServer, term);
       }
-      const outstanding = releases.getOutstanding();
       const choice = choosePromotionTarget(
         fences.describe(entries),
         releases.highestAcknowledged,
       );
-      if (outstanding.length > 0 || choice.kind === 'wait') {
-        this.recordWaiting(intent, outstanding, choice);
+      if (choice.kind === 'wait') {
+        this.recordWaiting(intent, choice.waitingFor);
         continue;
       }
-      const outcome = await this.promote(intent, choice);
+      const outcome = await this.promote(intent, releases, choice);
       if (outcome !== null) {
         return outcome;
       }
@@ -257,12 +277,15 @@
   /** Orders the promotion; null when another instance has to be chosen. */
   private async promote(
     intent: ChangingRecord,
+    releases: ReleaseCollector,
     choice: Extract<PromotionChoice, {readonly kind: 'promote'}>,
   ): Promise<ChangeOutcome | null> {
     const {target, position} = choice;
     if (!(await this.recordTarget(intent, target, position))) {
       return this.abandon('the target could not be recorded');
     }
+    // Reads go on at the fenced replicas, which hold every acknowledged commit.
+    void this.announce();
     const {token} = this;
     if (token === null) {
       return this.abandon('the duty was lost');
@@ -300,7 +323,7 @@
       await this.pause(PROMOTION_POLL_MS);
       const term = await this.findTermOf(intent, target);
       if (term !== null) {
-        return this.complete(intent, target, term);
+        return this.complete(intent, releases, target, term);
       }
     }
     return null;
@@ -332,17 +355,24 @@
     return this.write({...intent, target, lastOldPosition: position});
   }
 
+  /**
+   * Records the new primary. It may be read at once; writes wait for the
+   * leases of proxies that did not answer.
+   */
   private async complete(
     intent: ChangingRecord,
+    releases: ReleaseCollector,
     primary: string,
     term: number,
   ): Promise<ChangeOutcome> {
     const {databaseGroup, changeId} = intent;
+    const writesFromStoreMs = releases.getLastLeaseEndStoreMs();
     const isWritten = await this.write({
       phase: 'stable',
       databaseGroup,
       primary,
       term,
+      writesFromStoreMs,
     });
     if (!isWritten) {
       return this.abandon('the result could not be recorded');
@@ -353,6 +383,7 @@
       changeId,
       primary,
       term,
+      waitingFor: releases.getOutstanding(),
       durationMs: this.dependencies.clock.nowMs() - this.startedAtMs,
     });
     void this.announce();
@@ -415,20 +446,12 @@
     this.dependencies.handleRecord(revised);
   }
 
-  private recordWaiting(
-    intent: ChangingRecord,
-    outstanding: readonly string[],
-    choice: PromotionChoice,
-  ): void {
+  private recordWaiting(intent: ChangingRecord, waitingFor: string): void {
     const nowMs = this.dependencies.clock.nowMs();
     if (nowMs - this.lastWaitLogMs < WAITING_LOG_INTERVAL_MS) {
       return;
     }
     this.lastWaitLogMs = nowMs;
-    const waitingFor =
-      choice.kind === 'wait'
-        ? choice.waitingFor
-        : `release by ${outstanding.join(', ')}`;
     this.dependencies.events.record({
       kind: 'changeWaiting',
       databaseGroup: intent.databaseGroup,
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -72,6 +72,19 @@
     return outstanding;
   }
 
+  /**
+   * End of the last lease of a proxy that has not answered, on the store's
+   * clock; null when all have answered or their leases have ended.
+   */
+  getLastLeaseEndStoreMs(): number | null {
+    let lastMs: number | null = null;
+    for (const entryVm of this.getOutstanding()) {
+      const endMs = this.waiting.get(entryVm)?.record.leaseEndStoreMs ?? 0;
+      lastMs = Math.max(lastMs ?? 0, endMs + LEASE_MARGIN_MS);
+    }
+    return lastMs;
+  }
+
   private async collect(record: EntryVmRecord): Promise<void> {
     const {peers, request, clock} = this.options;
     while (!this.isStopped && this.waiting.has(record.entryVm)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -400,7 +400,9 @@
       }
       const revised = {record, revision: entry.revision};
       // Without the own record nobody would ask this proxy to release.
-      group.learnRecord(revised, {readAt, durationMs}, 'control table');
+      const {storeTimeMs} = listing;
+      const proof = {readAt, durationMs, storeTimeMs};
+      group.learnRecord(revised, proof, 'control table');
       void this.seedFreshness(group);
     }
   }
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@filbertrun/base/clock.js';
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {FreshnessRing} from '@filbertrun/group/freshness_ring.js';
 import type {
@@ -22,7 +22,7 @@
   type LeaseProof,
   type TermPrimary,
 } from './primary_lease.js';
-import type {RevisedPrimaryRecord} from './primary_record.js';
+import type {PrimaryRecord, RevisedPrimaryRecord} from './primary_record.js';
 
 /** What a group's runtime is made of. @public */
 export interface GroupRuntimeOptions {
@@ -68,6 +68,8 @@
   private highestAcknowledged: LogPosition | null = null;
   private releasedTerm = -1;
   private hasPosition = false;
+  private writableFromMs = Number.NEGATIVE_INFINITY;
+  private writeTimer: Timer | null = null;
   private pendingWrites = 0;
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
@@ -150,6 +152,7 @@
   ): void {
     const previousRevision = this.lease.revision;
     this.lease.learn(revised, proof);
+    this.writableFromMs = this.computeWritableFromMs(revised.record, proof);
     this.handleLearned(revised, previousRevision, source);
     const {record} = revised;
     if (record.phase === 'changing' && record.lastOldPosition !== null) {
@@ -161,9 +164,42 @@
   learnAnnouncedRecord(revised: RevisedPrimaryRecord): void {
     const previousRevision = this.lease.revision;
     this.lease.learnUnproven(revised);
+    if (revised.revision > previousRevision) {
+      this.writableFromMs = this.computeWritableFromMs(revised.record, null);
+    }
     this.handleLearned(revised, previousRevision, 'announcement');
   }
 
+  /**
+   * Monotonic time from which writes may be sent. The store's clock has passed
+   * what it showed at the read by at least the time since the answer came.
+   */
+  private computeWritableFromMs(
+    record: PrimaryRecord,
+    proof: LeaseProof | null,
+  ): number {
+    if (record.phase !== 'stable' || record.writesFromStoreMs === null) {
+      return Number.NEGATIVE_INFINITY;
+    }
+    if (proof === null) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const remainingMs = record.writesFromStoreMs - proof.storeTimeMs;
+    const fromMs = this.options.clock.nowMs() + remainingMs;
+    this.startWriteTimer(remainingMs);
+    return fromMs;
+  }
+
+  private startWriteTimer(delayMs: number): void {
+    this.writeTimer?.cancel();
+    this.writeTimer = this.options.clock.startTimer(
+      Math.max(0, delayMs),
+      () => {
+        this.settleWaiters();
+      },
+    );
+  }
+
   /** Gives up the primary for a change that was recorded at `revision`. */
   release(revision: number, oldTerm: number): void {
     this.lease.release(revision);
@@ -195,6 +231,9 @@
 
   /** The primary that writes may be sent to, or null. */
   getWritablePrimary(): BackendServerRuntime | null {
+    if (this.options.clock.nowMs() < this.writableFromMs) {
+      return null;
+    }
     const known = this.lease.getLastKnownPrimary();
     return known === null ? null : this.getServer(known.primary);
   }
@@ -220,6 +259,15 @@
     });
   }
 
+  /** Time for which it is worth waiting to write; 0 to refuse at once. */
+  estimateWriteWaitMs(availableMs: number): number {
+    const gatedMs = this.writableFromMs - this.options.clock.nowMs();
+    if (gatedMs <= 0) {
+      return this.estimatePrimaryWaitMs(availableMs);
+    }
+    return gatedMs < availableMs ? availableMs : 0;
+  }
+
   private waitFor(
     find: () => BackendServerRuntime | null,
     timeoutMs: number,
@@ -314,6 +362,7 @@
   }
 
   dispose(reason: string): void {
+    this.writeTimer?.cancel();
     for (const server of this.servers.values()) {
       server.dispose(reason);
     }
@@ -345,7 +394,7 @@
   }
 
   private settleWaiters(): void {
-    if (this.getWritablePrimary() === null) {
+    if (this.lease.getLastKnownPrimary() === null) {
       return;
     }
     const changeAgeMs = this.getChangeAgeMs();
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -6,6 +6,8 @@
   /** Start of the read. */
   readonly readAt: ClockReading;
   readonly durationMs: number;
+  /** The store's clock at the read. */
+  readonly storeTimeMs: number;
 }
 
 /** A primary with the term that it leads. @public */
--- a/packages/gateway/src/group/primary_record.ts
+++ b/packages/gateway/src/group/primary_record.ts
@@ -23,6 +23,11 @@
       databaseGroup: z.string().min(1),
       primary: z.string().min(1),
       term: z.number().int().nonnegative(),
+      /**
+       * Time on the store's clock before which nothing may be written: until
+       * then a proxy that could not be asked may still read at the old primary.
+       */
+      writesFromStoreMs: z.number().nullable(),
     })
     .readonly(),
   z
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -162,6 +162,7 @@
       readonly changeId: string;
       readonly primary: string;
       readonly term: number;
+      readonly waitingFor: readonly string[];
       readonly durationMs: number;
     }
   | {
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -37,6 +37,9 @@
   readonly lease: PoolLease<PooledLink>;
 }
 
+/** Interval at which a read that waits looks for a fresh position. */
+const REQUIREMENT_STEP_MS = 25;
+
 /** Servers that one read is tried at. */
 const MAX_ATTEMPTS = 4;
 
@@ -130,7 +133,7 @@
   /** Chooses a server; waits for a primary where only that will do. */
   private async plan(): Promise<ReadPlan | null> {
     const {group} = this.context;
-    const requirement = this.resolveRequirement();
+    const requirement = await this.waitForRequirement();
     if (requirement.kind === 'primary' || this.read.needsPrimary) {
       return this.planPrimary(requirement);
     }
@@ -154,24 +157,55 @@
   private async planPrimary(
     requirement: ReadRequirement,
   ): Promise<ReadPlan | null> {
-    const {group} = this.context;
-    const timeoutMs = this.getPrimaryWaitMs();
-    const position =
+    const requiredPosition =
       requirement.kind === 'position' ? requirement.position : null;
-    const server =
-      position === null
-        ? await group.waitForLeasedPrimary(timeoutMs)
-        : await group.waitForPrimary(timeoutMs);
-    if (server === null || this.excluded.has(server.entry.backendServer)) {
-      if (server === null) {
-        this.lastError = {
-          kind: 'unavailable',
-          retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
-        };
-      }
+    const server = await this.findPrimary(requiredPosition !== null);
+    if (server === null) {
+      this.lastError = {
+        kind: 'unavailable',
+        retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
+      };
+      return null;
+    }
+    if (this.excluded.has(server.entry.backendServer)) {
       return null;
     }
-    return {server, requiredPosition: position, requiredPositionAgeMs: null};
+    return {server, requiredPosition, requiredPositionAgeMs: null};
+  }
+
+  /** A plain transaction may write, so it waits until writes may begin. */
+  private async findPrimary(
+    hasPosition: boolean,
+  ): Promise<BackendServerRuntime | null> {
+    const {group} = this.context;
+    if (!this.read.needsPrimary) {
+      return group.waitForLeasedPrimary(this.getPrimaryWaitMs());
+    }
+    const writable = await group.waitForPrimary(
+      group.estimateWriteWaitMs(this.remainingMs),
+    );
+    return writable === null || hasPosition
+      ? writable
+      : group.waitForLeasedPrimary(this.getPrimaryWaitMs());
+  }
+
+  /** Waits until a position is known that lets any server answer. */
+  private async waitForRequirement(): Promise<ReadRequirement> {
+    const {group, gateway, route} = this.context;
+    const untilMs = gateway.clock.nowMs() + this.getPrimaryWaitMs();
+    let requirement = this.resolveRequirement();
+    while (
+      requirement.kind === 'primary' &&
+      route.consistency !== 'strict' &&
+      group.getLeasedPrimary() === null &&
+      gateway.clock.nowMs() < untilMs
+    ) {
+      await new Promise<void>(resolve => {
+        gateway.clock.startTimer(REQUIREMENT_STEP_MS, resolve);
+      });
+      requirement = this.resolveRequirement();
+    }
+    return requirement;
   }
 
   private getPrimaryWaitMs(): number {
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -87,7 +87,7 @@
 
   private findPrimary(): Promise<BackendServerRuntime | null> {
     const {group} = this.context;
-    return group.waitForPrimary(group.estimatePrimaryWaitMs(this.remainingMs));
+    return group.waitForPrimary(group.estimateWriteWaitMs(this.remainingMs));
   }
 
   private pause(delayMs: number): Promise<void> {
