Take commits as proof of freshness; notice a cut by zones; pass the duty on sooner

Cause: proxies without the store lost every read 2.5 s after their lease; a cut proxy stayed ready for two seconds; a duty whose holder was cut off stood 5 s. Change: an acknowledged commit proves that no promotion had taken effect, so it feeds the freshness ring without a lease; a proxy for which every other zone is out of reach is not ready after 0.3 s; takeover after 3.4 s. Fewer watch calls.

--- a/packages/gateway/src/control/failover_duty_lease.ts
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -14,16 +14,16 @@
 } from './control_record.js';
 
 /** Time after the start of a renewal for which the holder may act on it. @public */
-export const DUTY_HOLD_MS = 3_500;
+export const DUTY_HOLD_MS = 2_600;
 
 /** Time without a renewal after which another proxy takes the duty over. @public */
-export const DUTY_TAKEOVER_MS = 5_000;
+export const DUTY_TAKEOVER_MS = 3_400;
 
 /** Interval of the holder's renewals. */
-const RENEWAL_INTERVAL_MS = 1_300;
+const RENEWAL_INTERVAL_MS = 1_000;
 
 /** Least time between a failed write and the next one. */
-const RETRY_INTERVAL_MS = 400;
+const RETRY_INTERVAL_MS = 300;
 
 /** Spread of the moments at which proxies try to take the duty over. */
 const TAKEOVER_JITTER_MS = 400;
@@ -85,6 +85,13 @@
     return this.heldToken;
   }
 
+  /** Time since the last renewal of a duty that is held; null without one. */
+  getRenewalAgeMs(): number | null {
+    return this.heldToken === null || this.renewedAt === null
+      ? null
+      : this.options.clockWatch.getElapsedMs(this.renewedAt);
+  }
+
   /** Takes the record from a listing; `null` when there is none. */
   observe(entry: TableEntry | null): void {
     if (entry === null) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,10 @@
   primaryRecordSchema,
   type RevisedPrimaryRecord,
 } from './group/primary_record.js';
+import {
+  isCutOff,
+  type ServerReachability,
+} from './lifecycle/find_zones_out_of_reach.js';
 import {decideReadiness, type Readiness} from './lifecycle/readiness.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
 import type {
@@ -74,10 +78,10 @@
 }
 
 /** Wait of a watch on the backend servers; a drain allows several seconds. */
-const DIRECTORY_WAIT_MS = 3_500;
+const DIRECTORY_WAIT_MS = 5_000;
 
 /** Wait of a watch on the configuration, which must be in force within 3 s. */
-const CONFIGURATION_WAIT_MS = 1_800;
+const CONFIGURATION_WAIT_MS = 2_200;
 
 /** Interval of the upkeep of duty, registration, shares and readiness. */
 const UPKEEP_INTERVAL_MS = 100;
@@ -94,8 +98,8 @@
 /** Least time between two reports about one group. */
 const REPORT_INTERVAL_MS = 300;
 
-/** Time without an answer of the store after which the duty is handed over. */
-const YIELD_DUTY_AFTER_MS = 2_600;
+/** Time without a renewal after which the duty is handed over. */
+const YIELD_DUTY_AFTER_MS = 1_900;
 
 /** Time allowed for a connection by which a proxy answers whether it reaches a server. */
 const REACH_CHECK_TIMEOUT_MS = 200;
@@ -120,6 +124,7 @@
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
   private readiness: Readiness = {isReady: false, reason: 'starting'};
+  private cutOffAtMs: number | null = null;
   private readinessChangedAtMs: number;
   private withPrimaryAtMs: number;
   private removedGoneAtMs: number;
@@ -476,8 +481,9 @@
 
   /** Hands the duty to proxies that still reach the store. */
   private yieldDutyWithoutStore(): void {
-    const {clock, registration} = this;
-    if (clock.nowMs() - this.poller.lastContactMs < YIELD_DUTY_AFTER_MS) {
+    const {registration} = this;
+    const ageMs = this.duty.getRenewalAgeMs();
+    if (ageMs === null || ageMs < YIELD_DUTY_AFTER_MS) {
       return;
     }
     const fencingToken = this.duty.stopActing('the store is out of reach');
@@ -570,6 +576,7 @@
       ...counts,
       upMs: nowMs - this.startedAtMs,
       withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
+      cutOffMs: this.measureCutOffMs(),
     });
     if (readiness.isReady !== this.readiness.isReady) {
       this.readinessChangedAtMs = nowMs;
@@ -581,30 +588,37 @@
   private countUsable() {
     let groupsWithPrimary = 0;
     let groupsWithServer = 0;
-    let remoteServers = 0;
-    let unreachableRemoteServers = 0;
     for (const group of this.groups.values()) {
-      const primary = group.getLeasedPrimary();
+      const primary = group.getWritablePrimary();
       if (primary !== null && !primary.isUnreachable) {
         groupsWithPrimary++;
       }
-      const servers = group.getServers();
-      if (servers.some(server => !server.isUnreachable)) {
+      if (group.getServers().some(server => !server.isUnreachable)) {
         groupsWithServer++;
       }
-      for (const {entry, isUnreachable} of servers) {
-        if (entry.availabilityZone !== this.availabilityZone) {
-          remoteServers++;
-          unreachableRemoteServers += isUnreachable ? 1 : 0;
-        }
+    }
+    return {groupsWithPrimary, groupsWithServer};
+  }
+
+  /** Time for which every other availability zone has been out of reach. */
+  private measureCutOffMs(): number {
+    const servers: ServerReachability[] = [];
+    for (const group of this.groups.values()) {
+      for (const server of group.getServers()) {
+        servers.push({
+          availabilityZone: server.entry.availabilityZone,
+          unreachableSinceMs: server.unreachableSinceMs,
+          lastAnsweredAtMs: server.lastAnsweredAtMs,
+        });
       }
     }
-    return {
-      groupsWithPrimary,
-      groupsWithServer,
-      remoteServers,
-      unreachableRemoteServers,
-    };
+    const nowMs = this.clock.nowMs();
+    if (!isCutOff(servers, this.availabilityZone)) {
+      this.cutOffAtMs = null;
+      return 0;
+    }
+    this.cutOffAtMs ??= nowMs;
+    return nowMs - this.cutOffAtMs;
   }
 
   /**
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -82,6 +82,7 @@
   private suspectUntilMs = Number.NEGATIVE_INFINITY;
   private silenceTimer: Timer | null = null;
   private isChecking = false;
+  private answeredAtMs: number | null = null;
   /** Time at which the server was last shown to be unreachable; null when it answers. */
   private unreachableAtMs: number | null = null;
 
@@ -141,6 +142,16 @@
     return this.unreachableAtMs !== null;
   }
 
+  /** Time of the last answer; null before the first. */
+  get lastAnsweredAtMs(): number | null {
+    return this.answeredAtMs;
+  }
+
+  /** Time since which the server can't be reached; null when it can. */
+  get unreachableSinceMs(): number | null {
+    return this.unreachableAtMs;
+  }
+
   /** Statements of this proxy that run or wait at the server. */
   get load(): number {
     const {activeLeases, queueLength} = this.pool.getStatus();
@@ -167,7 +178,13 @@
         ? latencyMs
         : this.meanLatencyMs +
           (latencyMs - this.meanLatencyMs) * LATENCY_WEIGHT;
+    this.recordPosition(position);
+  }
+
+  /** Takes the log position of an answer, which also shows that the server is there. */
+  recordPosition(position: LogPosition | null): void {
     this.unreachableAtMs = null;
+    this.answeredAtMs = this.options.clock.nowMs();
     if (position !== null) {
       this.newestPosition =
         this.newestPosition === null
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -301,7 +301,15 @@
     this.pendingWrites--;
   }
 
-  recordAcknowledged(position: LogPosition): void {
+  /**
+   * Records a commit that was sent at `sentAtMs` and acknowledged. A replica
+   * confirmed it, so no promotion had taken effect, and all commits that were
+   * acknowledged before `sentAtMs` are at or before `position`: proof enough
+   * for reads of a bounded age, even without a lease.
+   */
+  recordAcknowledged(sentAtMs: number, position: LogPosition): void {
+    this.hasPosition = true;
+    this.ring.record(sentAtMs, position);
     this.highestAcknowledged =
       this.highestAcknowledged === null
         ? position
--- a/packages/gateway/src/lifecycle/readiness.ts
+++ b/packages/gateway/src/lifecycle/readiness.ts
@@ -13,10 +13,8 @@
   readonly upMs: number;
   /** Time for which no group has had a primary; 0 when one has. */
   readonly withoutPrimaryMs: number;
-  /** Backend servers of other availability zones. */
-  readonly remoteServers: number;
-  /** Those of them that the last attempt did not reach. */
-  readonly unreachableRemoteServers: number;
+  /** Time for which every other availability zone has been out of reach. */
+  readonly cutOffMs: number;
 }
 
 /** Whether the proxy is ready, and why. @public */
@@ -28,8 +26,8 @@
 /** Time after which a proxy without any primary asks for no new callers. */
 const MAX_WITHOUT_PRIMARY_MS = 1_500;
 
-/** The same where most other availability zones are out of reach as well. */
-const MAX_CUT_OFF_MS = 500;
+/** Time for which every other availability zone may be out of reach. */
+const MAX_CUT_OFF_MS = 300;
 
 /** Time after the start from which a proxy that can serve anything takes callers. */
 const MAX_START_WAIT_MS = 3_000;
@@ -53,10 +51,7 @@
   if (!hasStarted) {
     return {isReady: false, reason: 'no primary is known yet'};
   }
-  const isCutOff =
-    inputs.unreachableRemoteServers * 2 >= inputs.remoteServers &&
-    inputs.remoteServers > 0;
-  if (isCutOff && inputs.withoutPrimaryMs >= MAX_CUT_OFF_MS) {
+  if (inputs.cutOffMs >= MAX_CUT_OFF_MS) {
     return {
       isReady: false,
       reason: 'other availability zones are out of reach',
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -87,6 +87,7 @@
     const {lease} = this.held;
     lease.resume();
     this.isBusy = true;
+    const sentAtMs = context.gateway.clock.nowMs();
     this.hasWritten ||= isWrite;
     const result = await runOnLink(
       lease.connection,
@@ -105,7 +106,7 @@
       return this.handleRunError(context, statement, result.error);
     }
     const {rows, result: ended, transactionState, position} = result.value;
-    this.held.server.recordAnswer(0, position);
+    this.held.server.recordPosition(position);
     this.state = transactionState;
     const reply: StatementReply = {
       rows,
@@ -120,7 +121,7 @@
     this.end('clean');
     const isCommitted =
       statement.kind === 'commit' && ended.kind === 'complete';
-    return isCommitted ? this.acknowledge(context, reply) : reply;
+    return isCommitted ? this.acknowledge(context, reply, sentAtMs) : reply;
   }
 
   /** Ends the transaction because its caller has gone; nothing of it is kept. */
@@ -139,6 +140,7 @@
   private acknowledge(
     context: StatementContext,
     reply: StatementReply,
+    sentAtMs: number,
   ): StatementReply {
     if (!this.hasWritten) {
       return reply;
@@ -152,7 +154,7 @@
       return createErrorReply({kind: 'outcomeUnknown'}, 'idle');
     }
     if (reply.position !== null) {
-      group.recordAcknowledged(reply.position);
+      group.recordAcknowledged(sentAtMs, reply.position);
       this.committedPosition = reply.position;
     }
     return reply;
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -133,13 +133,14 @@
     }
     const answer = result.value;
     server.recordAnswer(gateway.clock.nowMs() - sentAtMs, answer.position);
-    return this.judgeAnswer(server, lease, answer);
+    return this.judgeAnswer(server, lease, answer, sentAtMs);
   }
 
   private judgeAnswer(
     server: BackendServerRuntime,
     lease: PoolLease<PooledLink>,
     answer: BackendAnswer,
+    sentAtMs: number,
   ): AttemptResult {
     lease.release(answer.transactionState === 'idle' ? 'clean' : 'doubtful');
     const {group} = this.context;
@@ -152,7 +153,7 @@
         };
       }
       if (answer.position !== null) {
-        group.recordAcknowledged(answer.position);
+        group.recordAcknowledged(sentAtMs, answer.position);
       }
       return {kind: 'answered', answer};
     }
