Carry control calls of a proxy without the store through other proxies

Cause: the store turned two of five machines away for nine seconds; their leases ended and they could not learn of a change of primary. Change: the control table's reads and conditional writes of such a proxy go through another one, which asks the store itself; a proxy without any primary sends callers away only when no other proxy answers it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
   FAILOVER_DUTY_KEY,
   parseRecord,
 } from './control/control_record.js';
+import {RelayingControlTable} from './control/relaying_control_table.js';
 import {
   EntryVmRegistration,
   type EntryVmIdentity,
@@ -57,6 +58,7 @@
   ReleaseRequest,
   SuspicionReport,
 } from './peer/peer_caller.js';
+import type {ControlRelay, ControlRelayHandler} from './peer/control_relay.js';
 import type {GatewayContext} from './session/gateway_context.js';
 
 /** What a gateway is made of. @public */
@@ -75,6 +77,7 @@
   /** Key of the configuration in its table. */
   readonly configurationKey: string;
   readonly peers: PeerCaller;
+  readonly relay: ControlRelay;
 }
 
 /** Wait of a watch on the backend servers; a drain allows several seconds. */
@@ -101,6 +104,9 @@
 /** Time without a renewal after which the duty is handed over. */
 const YIELD_DUTY_AFTER_MS = 1_900;
 
+/** Time without an answer of another proxy after which this one counts as alone. */
+const PEER_SILENCE_MS = 2_000;
+
 /** Time allowed for a connection by which a proxy answers whether it reaches a server. */
 const REACH_CHECK_TIMEOUT_MS = 200;
 
@@ -116,6 +122,7 @@
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
   private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
   private readonly poller: ControlPoller;
+  private readonly relayedTable: RelayingControlTable;
   private readonly registration: EntryVmRegistration;
   private readonly duty: FailoverDutyLease;
   private readonly coordinator: FailoverCoordinator;
@@ -175,9 +182,16 @@
       random,
       events,
     });
+    this.relayedTable = RelayingControlTable.create({
+      direct: controlTable,
+      relay: options.relay,
+      clock,
+      random,
+      getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+    });
     this.registration = EntryVmRegistration.create({
       self,
-      table: controlTable,
+      table: this.relayedTable,
       clockWatch,
     });
     this.duty = FailoverDutyLease.create({
@@ -189,7 +203,7 @@
       events,
     });
     this.poller = ControlPoller.create({
-      table: controlTable,
+      table: this.relayedTable,
       clock,
       clockWatch,
       events,
@@ -249,6 +263,11 @@
     await this.registration.leave();
   }
 
+  /** What other proxies may ask this one to carry to the store. */
+  get controlRelayHandler(): ControlRelayHandler {
+    return this.relayedTable;
+  }
+
   getReadiness(): Readiness {
     this.updateReadiness();
     return this.readiness;
@@ -577,6 +596,7 @@
       upMs: nowMs - this.startedAtMs,
       withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
       cutOffMs: this.measureCutOffMs(),
+      isAlone: this.relayedTable.getPeerSilenceMs() >= PEER_SILENCE_MS,
     });
     if (readiness.isReady !== this.readiness.isReady) {
       this.readinessChangedAtMs = nowMs;
@@ -589,7 +609,7 @@
     let groupsWithPrimary = 0;
     let groupsWithServer = 0;
     for (const group of this.groups.values()) {
-      const primary = group.getWritablePrimary();
+      const primary = group.getLeasedPrimary();
       if (primary !== null && !primary.isUnreachable) {
         groupsWithPrimary++;
       }
--- a/packages/gateway/src/lifecycle/readiness.ts
+++ b/packages/gateway/src/lifecycle/readiness.ts
@@ -13,6 +13,8 @@
   readonly upMs: number;
   /** Time for which no group has had a primary; 0 when one has. */
   readonly withoutPrimaryMs: number;
+  /** Whether no other proxy has answered while the store was out of reach. */
+  readonly isAlone: boolean;
   /** Time for which every other availability zone has been out of reach. */
   readonly cutOffMs: number;
 }
@@ -24,7 +26,7 @@
 }
 
 /** Time after which a proxy without any primary asks for no new callers. */
-const MAX_WITHOUT_PRIMARY_MS = 1_500;
+const MAX_WITHOUT_PRIMARY_MS = 1_000;
 
 /** Time for which every other availability zone may be out of reach. */
 const MAX_CUT_OFF_MS = 300;
@@ -57,7 +59,8 @@
       reason: 'other availability zones are out of reach',
     };
   }
-  if (inputs.withoutPrimaryMs >= MAX_WITHOUT_PRIMARY_MS) {
+  // Where the others have no primary either, sending callers away helps nobody.
+  if (inputs.isAlone && inputs.withoutPrimaryMs >= MAX_WITHOUT_PRIMARY_MS) {
     return {isReady: false, reason: 'no primary can be used'};
   }
   return {isReady: true, reason: 'serving'};
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -2,6 +2,7 @@
 import {initTRPC} from '@trpc/server';
 import * as z from 'zod';
 import {primaryRecordSchema} from '../group/primary_record.js';
+import type {ControlRelayHandler} from './control_relay.js';
 import type {PeerHandler} from './peer_caller.js';
 
 /** The protocol between proxies, as a trpc router. */
@@ -31,10 +32,19 @@
   reporter: z.string(),
 });
 
+const conditionalWriteSchema = z.object({
+  key: z.string().min(1),
+  value: z.string(),
+  expectedRevision: z.number().int().nonnegative(),
+});
+
 const trpc = initTRPC.create();
 
 /** Creates the router that answers other proxies. @public */
-export function createPeerRouter(handler: PeerHandler) {
+export function createPeerRouter(
+  handler: PeerHandler,
+  control: ControlRelayHandler,
+) {
   return trpc.router({
     release: trpc.procedure
       .input(releaseRequestSchema)
@@ -46,6 +56,20 @@
     reportSuspicion: trpc.procedure
       .input(suspicionReportSchema)
       .mutation(({input}) => handler.reportSuspicion(input)),
+    listControl: trpc.procedure.query(async () => {
+      const result = await control.listForPeer();
+      return result.ok
+        ? {
+            ok: true as const,
+            entries: [...result.value.entries],
+            revision: result.value.revision,
+            storeTimeMs: result.value.storeTimeMs,
+          }
+        : {ok: false as const};
+    }),
+    putControl: trpc.procedure
+      .input(conditionalWriteSchema)
+      .mutation(({input}) => control.putForPeer(input)),
     handOverDuty: trpc.procedure
       .input(z.object({fencingToken: z.number().int()}))
       .mutation(({input}) => handler.takeOverDuty(input)),
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -2,6 +2,13 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {
+  ConditionalWrite,
+  PlatformError,
+  TableEntry,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
+import type {ControlRelay} from './control_relay.js';
 import type {
   DutyHandover,
   PeerCaller,
@@ -17,10 +24,15 @@
 /** Time after which another proxy counts as unreachable. */
 const CALL_TIMEOUT_MS = 400;
 
+const REFUSED_BY_PEER: PlatformError = {
+  kind: 'unavailable',
+  reason: 'the other proxy does not reach the store either',
+};
+
 type PeerClient = ReturnType<typeof createTRPCClient<PeerRouter>>;
 
 /** Calls other proxies over HTTP. @public */
-export class TrpcPeerCaller implements PeerCaller {
+export class TrpcPeerCaller implements PeerCaller, ControlRelay {
   private readonly clients = new Map<string, PeerClient>();
 
   private constructor() {}
@@ -74,6 +86,34 @@
     );
   }
 
+  async listControl(
+    peer: EntryVmRecord,
+  ): Promise<Result<Result<TableListing, PlatformError>, PeerError>> {
+    const answer = await this.call(signal =>
+      this.getClient(peer).listControl.query(undefined, {signal}),
+    );
+    if (!answer.ok) {
+      return answer;
+    }
+    if (!answer.value.ok) {
+      return success(failure(REFUSED_BY_PEER));
+    }
+    const {entries, revision, storeTimeMs} = answer.value;
+    return success(success({entries: new Map(entries), revision, storeTimeMs}));
+  }
+
+  async putControl(
+    peer: EntryVmRecord,
+    write: ConditionalWrite,
+  ): Promise<Result<Result<TableEntry, PlatformError>, PeerError>> {
+    const answer = await this.call(signal =>
+      this.getClient(peer).putControl.mutate(write, {signal}),
+    );
+    return answer.ok
+      ? success(answer.value)
+      : success(failure({kind: 'outcomeUnknown', reason: answer.error.reason}));
+  }
+
   private getClient(peer: EntryVmRecord): PeerClient {
     const url = `http://${peer.peerHost}:${peer.peerPort}`;
     let client = this.clients.get(url);
