--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -18,8 +18,8 @@
   isUrgent(): boolean;
 }
 
-/** Interval of reads while nothing happens; renews the leases of primaries. */
-const POLL_INTERVAL_MS = 2_000;
+/** Longest interval between reads; each renewal of the registration reads as well. */
+const POLL_INTERVAL_MS = 3_300;
 
 /** Interval after a failure or while a change of primary is under way. */
 const URGENT_INTERVAL_MS = 300;
@@ -36,6 +36,7 @@
   private lostSinceMs: number | null = null;
   private contactMs = Number.NEGATIVE_INFINITY;
   private newestRevision = 0;
+  private scheduledDelayMs = 0;
   private isDisposed = false;
 
   private constructor(private readonly options: ControlPollerOptions) {}
@@ -78,6 +79,12 @@
     }
     const isUrgent = !hasAnswered || this.options.isUrgent();
     const delayMs = isUrgent ? URGENT_INTERVAL_MS : POLL_INTERVAL_MS;
+    this.scheduledDelayMs = delayMs;
+    this.schedule(delayMs);
+  }
+
+  private schedule(delayMs: number): void {
+    this.timer?.cancel();
     this.timer = this.options.clock.startTimer(delayMs, () => {
       void this.poll();
     });
@@ -115,6 +122,9 @@
       this.lostSinceMs = null;
     }
     this.options.handleListing(result.value, readAt);
+    if (this.scheduledDelayMs === POLL_INTERVAL_MS) {
+      this.schedule(POLL_INTERVAL_MS);
+    }
     return true;
   }
 }
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -22,7 +22,7 @@
 }
 
 /** Interval at which an entry VM extends its leases. */
-const RENEWAL_INTERVAL_MS = 2_000;
+const RENEWAL_INTERVAL_MS = 3_000;
 
 /** Least time between a failed write and the next one. */
 const RETRY_INTERVAL_MS = 500;
@@ -32,7 +32,7 @@
  * usual outage of the store; a change of primary waits for it only where a
  * proxy can't be asked to release.
  */
-const LEASE_DURATION_MS = 7_500;
+const LEASE_DURATION_MS = 8_500;
 
 /** Time after the end of its lease for which an entry VM stays listed. */
 const GONE_AFTER_LEASE_MS = 30_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,16 +36,14 @@
   type WallClock,
 } from './group/clock_watch.js';
 import type {LeaseHolder} from './failover/release_collector.js';
+import type {BackendServerRuntime} from './group/backend_server_runtime.js';
 import {GroupRuntime} from './group/group_runtime.js';
 import {
   PRIMARY_RECORD_PREFIX,
   primaryRecordSchema,
   type RevisedPrimaryRecord,
 } from './group/primary_record.js';
-import {
-  isCutOff,
-  type ServerReachability,
-} from './lifecycle/find_zones_out_of_reach.js';
+import {findZonesOutOfReach} from './lifecycle/find_zones_out_of_reach.js';
 import {decideReadiness, type Readiness} from './lifecycle/readiness.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
 import type {
@@ -104,6 +102,9 @@
 /** Time without a renewal after which the duty is handed over. */
 const YIELD_DUTY_AFTER_MS = 1_900;
 
+/** Interval at which zones are checked while another one is out of reach. */
+const ZONE_PROBE_INTERVAL_MS = 500;
+
 /** Time without an answer of another proxy after which this one counts as alone. */
 const PEER_SILENCE_MS = 2_000;
 
@@ -132,6 +133,7 @@
   private isStopping = false;
   private readiness: Readiness = {isReady: false, reason: 'starting'};
   private cutOffAtMs: number | null = null;
+  private probedZonesAtMs = Number.NEGATIVE_INFINITY;
   private readinessChangedAtMs: number;
   private withPrimaryAtMs: number;
   private removedGoneAtMs: number;
@@ -622,25 +624,53 @@
 
   /** Time for which every other availability zone has been out of reach. */
   private measureCutOffMs(): number {
-    const servers: ServerReachability[] = [];
-    for (const group of this.groups.values()) {
-      for (const server of group.getServers()) {
-        servers.push({
-          availabilityZone: server.entry.availabilityZone,
-          unreachableSinceMs: server.unreachableSinceMs,
-          lastAnsweredAtMs: server.lastAnsweredAtMs,
-        });
-      }
+    const servers = this.listServers();
+    const reach = findZonesOutOfReach(
+      servers.map(server => ({
+        availabilityZone: server.entry.availabilityZone,
+        unreachableSinceMs: server.unreachableSinceMs,
+        lastAnsweredAtMs: server.lastAnsweredAtMs,
+      })),
+      this.availabilityZone,
+    );
+    if (reach.outOfReach.length === 0) {
+      this.cutOffAtMs = null;
+      return 0;
     }
-    const nowMs = this.clock.nowMs();
-    if (!isCutOff(servers, this.availabilityZone)) {
+    if (reach.presumedReachable.length > 0) {
       this.cutOffAtMs = null;
+      this.probeZones(servers, reach.presumedReachable);
       return 0;
     }
+    const nowMs = this.clock.nowMs();
     this.cutOffAtMs ??= nowMs;
     return nowMs - this.cutOffAtMs;
   }
 
+  private listServers(): readonly BackendServerRuntime[] {
+    const servers: BackendServerRuntime[] = [];
+    for (const group of this.groups.values()) {
+      servers.push(...group.getServers());
+    }
+    return servers;
+  }
+
+  /** Checks a server in each zone, since one other zone is out of reach. */
+  private probeZones(
+    servers: readonly BackendServerRuntime[],
+    zones: readonly string[],
+  ): void {
+    const nowMs = this.clock.nowMs();
+    if (nowMs - this.probedZonesAtMs < ZONE_PROBE_INTERVAL_MS) {
+      return;
+    }
+    this.probedZonesAtMs = nowMs;
+    for (const zone of zones) {
+      const server = servers.find(({entry}) => entry.availabilityZone === zone);
+      void server?.probe();
+    }
+  }
+
   /**
    * Learns a position of the primary before any caller's statement has shown
    * one, so that replicas can answer at once after a start.
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -7,7 +7,10 @@
 } from '@filbertrun/model/log_position.js';
 import {BackendPool} from '@filbertrun/pool/backend_pool.js';
 import type {ConnectError} from '@filbertrun/pool/pool_types.js';
-import type {BackendLinkConnector} from '../backend/backend_link.js';
+import type {
+  BackendLinkConnector,
+  ReachabilityResult,
+} from '../backend/backend_link.js';
 import {PooledLink} from '../backend/pooled_link.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
@@ -213,6 +216,19 @@
     this.suspectUntilMs = this.options.clock.nowMs() + SUSPECT_DURATION_MS;
   }
 
+  /** Asks for a bare TCP connection, although no statement is waiting. */
+  async probe(): Promise<void> {
+    const result = await this.options.connector.checkReachable(
+      this.currentEntry,
+      REACHABILITY_TIMEOUT_MS,
+    );
+    if (result === 'accepted') {
+      this.recordPosition(null);
+    } else {
+      this.markUnreachable(result);
+    }
+  }
+
   /** Closes every connection, for example to a server that has left. */
   closeAll(reason: string): void {
     for (const pooled of [...this.links]) {
@@ -315,13 +331,17 @@
     if (result === 'accepted') {
       return;
     }
+    this.markUnreachable(result);
+  }
+
+  private markUnreachable(evidence: ReachabilityResult): void {
     this.options.events.record({
       kind: 'backendUnreachable',
-      backendServer: entry.backendServer,
-      evidence: result,
+      backendServer: this.currentEntry.backendServer,
+      evidence,
     });
     this.unreachableAtMs ??= this.options.clock.nowMs();
     this.markSuspect();
-    this.closeAll(`reachability check: ${result}`);
+    this.closeAll(`reachability check: ${evidence}`);
   }
 }
--- a/packages/gateway/src/lifecycle/find_zones_out_of_reach.ts
+++ b/packages/gateway/src/lifecycle/find_zones_out_of_reach.ts
@@ -9,11 +9,18 @@
   readonly lastAnsweredAtMs: number | null;
 }
 
-/** Whether every other availability zone is out of reach. @public */
-export function isCutOff(
+/** How the other availability zones look from this proxy. @public */
+export interface ZoneReach {
+  readonly outOfReach: readonly AvailabilityZone[];
+  /** Zones that nothing speaks against, although it may be that nobody asked. */
+  readonly presumedReachable: readonly AvailabilityZone[];
+}
+
+/** Sorts the other availability zones by what their servers showed. @public */
+export function findZonesOutOfReach(
   servers: readonly ServerReachability[],
   ownZone: AvailabilityZone,
-): boolean {
+): ZoneReach {
   const zones = new Map<AvailabilityZone, ServerReachability[]>();
   for (const server of servers) {
     if (server.availabilityZone === ownZone) {
@@ -23,15 +30,12 @@
     others.push(server);
     zones.set(server.availabilityZone, others);
   }
-  if (zones.size === 0) {
-    return false;
-  }
-  for (const others of zones.values()) {
-    if (!isOutOfReach(others)) {
-      return false;
-    }
+  const outOfReach: AvailabilityZone[] = [];
+  const presumedReachable: AvailabilityZone[] = [];
+  for (const [zone, others] of zones) {
+    (isOutOfReach(others) ? outOfReach : presumedReachable).push(zone);
   }
-  return true;
+  return {outOfReach, presumedReachable};
 }
 
 /** One server of the zone can't be reached, and none has answered since. */
