Refuse writes behind a stall and report it

Cause: a primary cut off from its replicas holds each write for its whole timeout; hanging writes filled the pool, and reads at it were refused as well.

--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -45,6 +45,9 @@
 /** Time after which a primary that calls itself a replica is looked into. */
 const ROLE_MISMATCH_MS = 1_500;
 
+/** Time without an acknowledgement after which a reported stall is believed. */
+const NO_WRITES_MS = 500;
+
 /** Why a primary has to be replaced, or null. */
 type ChangeReason = 'draining' | 'gone' | 'unreachable' | 'writesStalled';
 
@@ -182,7 +185,7 @@
     if (reports.length === 0 && !isSuspect) {
       return null;
     }
-    if (reports.some(({evidence}) => evidence === 'writesStalled')) {
+    if (this.hasStalledWrites(group, reports)) {
       return 'writesStalled';
     }
     const isConfirmed =
@@ -191,12 +194,26 @@
     return isConfirmed ? 'unreachable' : null;
   }
 
+  /** Whether writes stall for others, and none of this proxy's was acknowledged. */
+  private hasStalledWrites(
+    group: GroupRuntime,
+    reports: readonly TimedReport[],
+  ): boolean {
+    const isReported = reports.some(
+      ({evidence}) => evidence === 'writesStalled',
+    );
+    return isReported && group.writes.getAcknowledgementAgeMs() >= NO_WRITES_MS;
+  }
+
   /** Whether most entry VMs, this one included, can't reach the primary. */
   private isReportedByMost(reports: readonly TimedReport[]): boolean {
     const {entryVm} = this.options;
-    const isOwn = reports.some(({reporter}) => reporter === entryVm);
+    const unreachable = reports.filter(
+      ({evidence}) => evidence === 'unreachable',
+    );
+    const isOwn = unreachable.some(({reporter}) => reporter === entryVm);
     const count = this.options.getOtherEntryVms().length + 1;
-    return isOwn && reports.length * 2 > count;
+    return isOwn && unreachable.length * 2 > count;
   }
 
   private hasOtherInstance(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -343,7 +343,7 @@
 
   private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
     const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
-    while (group.pendingWriteCount > 0 && this.clock.nowMs() < untilMs) {
+    while (group.writes.pendingCount > 0 && this.clock.nowMs() < untilMs) {
       await new Promise<void>(resolve => {
         this.clock.startTimer(RELEASE_STEP_MS, resolve);
       });
@@ -554,6 +554,14 @@
     for (const group of this.groups.values()) {
       const known = group.lease.getLastKnownPrimary();
       const server = known === null ? null : group.getServer(known.primary);
+      if (known !== null && server !== null && group.writes.isStalled) {
+        this.report({
+          databaseGroup: group.databaseGroup,
+          primary: known.primary,
+          evidence: 'writesStalled',
+          reporter: this.options.self.entryVm,
+        });
+      }
       if (known !== null && server?.isUnreachable === true) {
         this.report({
           databaseGroup: group.databaseGroup,
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -22,6 +22,7 @@
   type LeaseProof,
   type TermPrimary,
 } from './primary_lease.js';
+import {WriteProgress} from './write_progress.js';
 import type {PrimaryRecord, RevisedPrimaryRecord} from './primary_record.js';
 
 /** What a group's runtime is made of. @public */
@@ -62,21 +63,24 @@
 /** One database group as this proxy sees it: servers, primary, freshness. @public */
 export class GroupRuntime {
   readonly lease: PrimaryLease;
+  /** Progress of this proxy's writes at the primary. */
+  readonly writes: WriteProgress;
   private readonly servers = new Map<BackendServerId, BackendServerRuntime>();
   private readonly ring = FreshnessRing.create();
   private readonly waiters = new Set<PrimaryWaiter>();
   private highestAcknowledged: LogPosition | null = null;
   private releasedTerm = -1;
   private hasPosition = false;
+  private writtenPrimary: string | null = null;
   private writableFromMs = Number.NEGATIVE_INFINITY;
   private writeTimer: Timer | null = null;
-  private pendingWrites = 0;
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
     this.lease = PrimaryLease.create(options.clockWatch);
+    this.writes = WriteProgress.create(options.clock);
   }
 
   static create(options: GroupRuntimeOptions): GroupRuntime {
@@ -87,11 +91,6 @@
     return this.options.databaseGroup;
   }
 
-  /** Writes of this proxy that were sent and not answered. */
-  get pendingWriteCount(): number {
-    return this.pendingWrites;
-  }
-
   /** Whether any position of the primary is known with its time. */
   get hasFreshness(): boolean {
     return this.hasPosition;
@@ -293,14 +292,6 @@
     });
   }
 
-  beginWrite(): void {
-    this.pendingWrites++;
-  }
-
-  endWrite(): void {
-    this.pendingWrites--;
-  }
-
   /**
    * Records a commit that was sent at `sentAtMs` and acknowledged. A replica
    * confirmed it, so no promotion had taken effect, and all commits that were
@@ -398,6 +389,10 @@
     if (record.phase === 'changing') {
       this.release(revision, record.oldTerm);
     }
+    if (record.phase === 'stable' && record.primary !== this.writtenPrimary) {
+      this.writtenPrimary = record.primary;
+      this.writes.reset();
+    }
     this.settleWaiters();
   }
 
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -89,6 +89,8 @@
     this.isBusy = true;
     const sentAtMs = context.gateway.clock.nowMs();
     this.hasWritten ||= isWrite;
+    const isCommitOfWrites = statement.kind === 'commit' && this.hasWritten;
+    const writeId = isCommitOfWrites ? context.group.writes.begin() : null;
     const result = await runOnLink(
       lease.connection,
       {
@@ -102,6 +104,10 @@
       context.gateway.clock,
     );
     this.isBusy = false;
+    if (writeId !== null) {
+      const isComplete = result.ok && result.value.result.kind === 'complete';
+      context.group.writes.end(writeId, isComplete);
+    }
     if (!result.ok) {
       return this.handleRunError(context, statement, result.error);
     }
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -102,6 +102,13 @@
   ): Promise<AttemptResult> {
     const {context} = this;
     const {group, gateway} = context;
+    if (group.writes.shouldRefuse()) {
+      return {
+        kind: 'failed',
+        error: {kind: 'unavailable', retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS},
+        reason: 'earlier writes are not acknowledged',
+      };
+    }
     const leased = await server.pool.acquire({
       priority: context.route.priority,
       deadlineMs: getQueueDeadlineMs(context),
@@ -114,7 +121,7 @@
     const lease = leased.value;
     const sentAtMs = gateway.clock.nowMs();
     this.recordRouted(server, attempt);
-    group.beginWrite();
+    const writeId = group.writes.begin();
     const result = await runOnLink(
       lease.connection,
       {
@@ -127,7 +134,8 @@
       },
       gateway.clock,
     );
-    group.endWrite();
+    const isComplete = result.ok && result.value.result.kind === 'complete';
+    group.writes.end(writeId, isComplete);
     if (!result.ok) {
       return this.judgeRunError(server, lease, result.error);
     }
