--- /dev/null
+++ b/packages/gateway/src/backend/pooled_link_test.ts
@@ -0,0 +1,96 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {PreparedShape} from '../statement/caller_statement.js';
+import {createEntry} from '../testing/fake_instances.js';
+import type {BackendCommand, BackendLink} from './backend_link.js';
+import {getSharedName, PooledLink} from './pooled_link.js';
+
+const UNUSED_LINK: BackendLink = {
+  backendServer: createEntry('a', 'replica'),
+  isOpen: true,
+  pendingCount: 0,
+  getSilentSinceMs: () => null,
+  execute: () => Promise.reject(new Error('not used')),
+  close: () => {},
+};
+
+/** What a backend server would hold after the commands, in the simplest form. */
+class ServerModel {
+  values = new Map<string, string>();
+  prepared = new Map<string, PreparedShape>();
+
+  run(command: BackendCommand): void {
+    switch (command.kind) {
+      case 'reset':
+        this.values.clear();
+        this.prepared.clear();
+        return;
+      case 'setValue':
+        this.values.set(command.name, command.value);
+        return;
+      case 'prepare':
+        this.prepared.set(command.name, command.prepared);
+        return;
+      default:
+        throw new Error(`Unexpected command ${command.kind}.`);
+    }
+  }
+}
+
+describe('PooledLink', () => {
+  it('shows each statement exactly the values and the shape of its session', () => {
+    const name = fc.constantFrom('a', 'b', 'c');
+    const session = fc.record({
+      values: fc.uniqueArray(fc.tuple(name, fc.constantFrom('1', '2')), {
+        selector: ([key]) => key,
+      }),
+      prepared: fc.option(
+        fc.record({
+          access: fc.constantFrom('read' as const, 'write' as const),
+          shape: fc.constantFrom('q1', 'q2'),
+        }),
+      ),
+    });
+    fc.assert(
+      fc.property(fc.array(session, {maxLength: 30}), sessions => {
+        const pooled = PooledLink.create(UNUSED_LINK);
+        const server = new ServerModel();
+        for (const {values, prepared} of sessions) {
+          const context = {values: new Map(values), prepared};
+          for (const command of pooled.planPreparation(context)) {
+            server.run(command);
+            pooled.recordPrepared(command);
+          }
+          expect(server.values).toEqual(context.values);
+          if (prepared !== null) {
+            const held = server.prepared.get(getSharedName(prepared));
+            expect(held).toEqual(prepared);
+          }
+        }
+      }),
+    );
+  });
+
+  it('needs nothing for a session like the one before', () => {
+    const pooled = PooledLink.create(UNUSED_LINK);
+    const context = {
+      values: new Map([['a', '1']]),
+      prepared: {access: 'read' as const, shape: 'q1'},
+    };
+    for (const command of pooled.planPreparation(context)) {
+      pooled.recordPrepared(command);
+    }
+    expect(pooled.isPreparedFor(context)).toBe(true);
+  });
+
+  it('prepares again a name that the server turned out not to know', () => {
+    const pooled = PooledLink.create(UNUSED_LINK);
+    const prepared = {access: 'read' as const, shape: 'q1'};
+    const context = {values: new Map<string, string>(), prepared};
+    for (const command of pooled.planPreparation(context)) {
+      pooled.recordPrepared(command);
+    }
+    pooled.forgetPrepared(prepared);
+    expect(pooled.planPreparation(context)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -0,0 +1,102 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockWatch} from '../group/clock_watch.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {
+  EntryVmRegistration,
+  type EntryVmIdentity,
+} from './entry_vm_registration.js';
+
+function identify(entryVm: string, incarnation = 'one'): EntryVmIdentity {
+  return {
+    entryVm,
+    incarnation,
+    availabilityZone: 'zone-a',
+    peerHost: '127.0.0.1',
+    peerPort: 1,
+  };
+}
+
+describe('EntryVmRegistration', () => {
+  let clock: VirtualClock;
+  let watch: ClockWatch;
+  let table: FakeControlTable;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    watch = ClockWatch.create(clock, FakeWallClock.create(clock));
+    table = FakeControlTable.create(clock);
+  });
+
+  function create(self = identify('entry-1')): EntryVmRegistration {
+    return EntryVmRegistration.create({self, table, clockWatch: watch});
+  }
+
+  async function readLease(registration: EntryVmRegistration): Promise<number> {
+    const readAt = watch.read();
+    const listing = await table.listEntries();
+    if (!listing.ok) {
+      throw new Error('The fake table does not answer.');
+    }
+    registration.observe(listing.value, readAt);
+    return registration.getLeaseDurationMs(listing.value);
+  }
+
+  it('gives no lease before its record stands', async () => {
+    const registration = create();
+    expect(await readLease(registration)).toBe(0);
+  });
+
+  it('gives a lease up to the end that its record states', async () => {
+    const registration = create();
+    await readLease(registration);
+    expect(await registration.maintain()).toBe(true);
+    const leaseMs = await readLease(registration);
+    expect(leaseMs).toBeGreaterThan(5_000);
+    clock.advance(1_000);
+    expect(await readLease(registration)).toBe(leaseMs - 1_000);
+  });
+
+  it('gives no lease on the record of an earlier process', async () => {
+    const before = create();
+    await readLease(before);
+    await before.maintain();
+    const after = create(identify('entry-1', 'two'));
+    expect(await readLease(after)).toBe(0);
+    await after.maintain();
+    expect(await readLease(after)).toBeGreaterThan(0);
+    expect(await readLease(before)).toBe(0);
+  });
+
+  it('gives no lease when its record was removed', async () => {
+    const registration = create();
+    await readLease(registration);
+    await registration.maintain();
+    table.entries.clear();
+    expect(await readLease(registration)).toBe(0);
+  });
+
+  it('asks the store seldom while it fails', async () => {
+    const registration = create();
+    await readLease(registration);
+    table.writeMode = 'unavailable';
+    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += 100) {
+      await registration.maintain();
+      clock.advance(100);
+    }
+    expect(table.writeCount).toBeLessThanOrEqual(5);
+  });
+
+  it('removes the record of an entry VM that is long gone', async () => {
+    const gone = create(identify('entry-2'));
+    await readLease(gone);
+    await gone.maintain();
+    const registration = create();
+    clock.advance(60_000);
+    await readLease(registration);
+    await registration.removeGone();
+    await readLease(registration);
+    expect(registration.getEntryVm('entry-2')).toBeNull();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/control/failover_duty_lease_test.ts
@@ -0,0 +1,127 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockWatch} from '../group/clock_watch.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {FAILOVER_DUTY_KEY} from './control_record.js';
+import {
+  DUTY_HOLD_MS,
+  DUTY_TAKEOVER_MS,
+  FailoverDutyLease,
+} from './failover_duty_lease.js';
+
+/** Longest jitter before a takeover, with room for a step. */
+const TAKEOVER_ROOM_MS = 600;
+
+describe('FailoverDutyLease', () => {
+  let clock: VirtualClock;
+  let wallClock: FakeWallClock;
+  let table: FakeControlTable;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    wallClock = FakeWallClock.create(clock);
+    table = FakeControlTable.create(clock);
+  });
+
+  function create(entryVm: string, incarnation = 'one'): FailoverDutyLease {
+    return FailoverDutyLease.create({
+      entryVm,
+      incarnation,
+      table,
+      clockWatch: ClockWatch.create(clock, wallClock),
+      random: SeededRandom.create(1),
+      events: RecordedEvents.create(),
+    });
+  }
+
+  function observe(duty: FailoverDutyLease): void {
+    duty.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null);
+  }
+
+  it('is held by one proxy', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    await first.maintain();
+    await second.maintain();
+    expect(first.getFencingToken()).toBe(1);
+    expect(second.getFencingToken()).toBeNull();
+    expect(second.holder).toBe('entry-1');
+  });
+
+  it('ends for a holder that can not renew before another may take over', async () => {
+    const first = create('entry-1');
+    await first.maintain();
+    table.writeMode = 'unavailable';
+    clock.advance(DUTY_HOLD_MS);
+    expect(first.getFencingToken()).toBeNull();
+    expect(DUTY_HOLD_MS).toBeLessThan(DUTY_TAKEOVER_MS);
+  });
+
+  it('is taken over with a higher token once its record stands still', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    await first.maintain();
+    observe(second);
+    clock.advance(DUTY_TAKEOVER_MS - 1);
+    await second.maintain();
+    expect(second.getFencingToken()).toBeNull();
+    clock.advance(TAKEOVER_ROOM_MS);
+    await second.maintain();
+    expect(second.getFencingToken()).toBe(2);
+    observe(first);
+    expect(first.getFencingToken()).toBeNull();
+  });
+
+  it('is not taken over while its holder renews', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 100) {
+      await first.maintain();
+      observe(second);
+      await second.maintain();
+      clock.advance(100);
+    }
+    expect(first.getFencingToken()).toBe(1);
+  });
+
+  it('is taken back at once by a restarted process of its holder, with a new token', async () => {
+    await create('entry-1').maintain();
+    const restarted = create('entry-1', 'two');
+    observe(restarted);
+    await restarted.maintain();
+    expect(restarted.getFencingToken()).toBe(2);
+  });
+
+  it('is taken at once after its holder resigned or handed it over', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    const third = create('entry-3');
+    await first.maintain();
+    observe(second);
+    const token = first.stopActing('test');
+    second.noteYielded(token ?? 0);
+    await second.maintain();
+    expect(second.getFencingToken()).toBe(2);
+    await second.resign();
+    observe(third);
+    await third.maintain();
+    expect(third.getFencingToken()).toBe(3);
+  });
+
+  it('is not acted on by a holder that was suspended', async () => {
+    const first = create('entry-1');
+    await first.maintain();
+    wallClock.step(10_000);
+    expect(first.getFencingToken()).toBeNull();
+  });
+
+  it('does not act on a write whose answer was lost', async () => {
+    table.writeMode = 'doneWithoutAnswer';
+    const first = create('entry-1');
+    await first.maintain();
+    expect(first.getFencingToken()).toBeNull();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/control/relaying_control_table_test.ts
@@ -0,0 +1,99 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {ControlRelay} from '../peer/control_relay.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import type {EntryVmRecord} from './control_record.js';
+import {RelayingControlTable} from './relaying_control_table.js';
+
+const PEER: EntryVmRecord = {
+  entryVm: 'entry-2',
+  availabilityZone: 'zone-b',
+  peerHost: '127.0.0.1',
+  peerPort: 1,
+  incarnation: 'one',
+  leaseEndStoreMs: 0,
+};
+
+describe('RelayingControlTable', () => {
+  let clock: VirtualClock;
+  let direct: FakeControlTable;
+  let store: FakeControlTable;
+  let isPeerReachable: boolean;
+  let table: RelayingControlTable;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    direct = FakeControlTable.create(clock);
+    store = FakeControlTable.create(clock);
+    isPeerReachable = true;
+    const relay: ControlRelay = {
+      listControl: async () =>
+        isPeerReachable
+          ? success(await store.listEntries())
+          : failure({kind: 'unreachable', reason: 'silent'}),
+      putControl: async (_peer, write) =>
+        isPeerReachable
+          ? success(await store.putEntry(write))
+          : success(
+              failure({kind: 'outcomeUnknown' as const, reason: 'silent'}),
+            ),
+    };
+    table = RelayingControlTable.create({
+      direct,
+      relay,
+      clock,
+      random: SeededRandom.create(1),
+      getOtherEntryVms: () => [PEER],
+    });
+  });
+
+  it('reads by way of another proxy when the store does not answer', async () => {
+    direct.isReadable = false;
+    store.seed('key', 'value');
+    const listing = await table.listEntries();
+    expect(listing.ok && listing.value.entries.has('key')).toBe(true);
+  });
+
+  it('writes by way of another proxy what was surely not written', async () => {
+    direct.writeMode = 'unavailable';
+    const write = {key: 'key', value: '1', expectedRevision: 0};
+    const result = await table.putEntry(write);
+    expect(result.ok).toBe(true);
+    expect(store.entries.has('key')).toBe(true);
+  });
+
+  it('does not repeat a write whose outcome is unknown', async () => {
+    direct.writeMode = 'doneWithoutAnswer';
+    const write = {key: 'key', value: '1', expectedRevision: 0};
+    const result = await table.putEntry(write);
+    expect(!result.ok && result.error.kind).toBe('outcomeUnknown');
+    expect(store.writeCount).toBe(0);
+  });
+
+  it('answers no relayed call while it has lost the store itself', async () => {
+    direct.isReadable = false;
+    await table.listEntries();
+    const listing = await table.listForPeer();
+    expect(listing.ok).toBe(false);
+  });
+
+  it('fails as unavailable when nobody answers', async () => {
+    direct.isReadable = false;
+    isPeerReachable = false;
+    const listing = await table.listEntries();
+    expect(!listing.ok && listing.error.kind).toBe('unavailable');
+  });
+
+  it('returns to the store when that answers again', async () => {
+    direct.isReadable = false;
+    await table.listEntries();
+    direct.isReadable = true;
+    await table.listEntries();
+    await Promise.resolve();
+    await Promise.resolve();
+    await Promise.resolve();
+    expect(table.isSuspect).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -0,0 +1,108 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {PlatformError} from '@filbertrun/platform/platform_service.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import {advanceClock} from '../testing/settle.js';
+import {TableWatcher} from './table_watcher.js';
+import type {
+  TableChanges,
+  WatchableTable,
+  WatchError,
+} from './watchable_table.js';
+
+/** A table whose answers the test scripts. */
+class ScriptedTable implements WatchableTable<string> {
+  listings: Result<TableChanges<string>, PlatformError>[] = [];
+  watches: Result<TableChanges<string>, WatchError>[] = [];
+  readonly watchedAfter: number[] = [];
+  listCount = 0;
+
+  list(): Promise<Result<TableChanges<string>, PlatformError>> {
+    this.listCount++;
+    const next = this.listings.shift();
+    return next === undefined ? new Promise(() => {}) : Promise.resolve(next);
+  }
+
+  watch(
+    afterRevision: number,
+  ): Promise<Result<TableChanges<string>, WatchError>> {
+    this.watchedAfter.push(afterRevision);
+    const next = this.watches.shift();
+    return next === undefined ? new Promise(() => {}) : Promise.resolve(next);
+  }
+}
+
+function changes(revision: number, ...keys: string[]): TableChanges<string> {
+  return {
+    revision,
+    changes: keys.map(key => ({kind: 'put', key, revision, value: key})),
+  };
+}
+
+describe('TableWatcher', () => {
+  let clock: VirtualClock;
+  let table: ScriptedTable;
+  let seen: string[];
+  let watcher: TableWatcher<string>;
+  let events: RecordedEvents;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    table = new ScriptedTable();
+    seen = [];
+    events = RecordedEvents.create();
+    watcher = TableWatcher.create({
+      name: 'test',
+      waitMs: 1_000,
+      table,
+      clock,
+      random: SeededRandom.create(1),
+      events,
+      listener: {
+        handleListing: listing => seen.push(`list ${listing.revision}`),
+        handleChanges: ({revision}) => seen.push(`changes ${revision}`),
+      },
+    });
+  });
+
+  it('lists once and then follows from the newest revision', async () => {
+    table.listings = [success(changes(5, 'a'))];
+    table.watches = [success(changes(7, 'b')), success(changes(9))];
+    watcher.start();
+    await advanceClock(clock, 10);
+    expect(seen).toEqual(['list 5', 'changes 7']);
+    expect(table.watchedAfter).toEqual([5, 7, 9]);
+  });
+
+  it('lists anew when the history was dropped', async () => {
+    table.listings = [success(changes(5)), success(changes(8, 'c'))];
+    table.watches = [failure({kind: 'historyLost'})];
+    watcher.start();
+    await advanceClock(clock, 10);
+    expect(seen).toEqual(['list 5', 'list 8']);
+  });
+
+  it('passes over a listing that is older than what it knows', async () => {
+    table.listings = [
+      success(changes(5)),
+      success(changes(4, 'old')),
+      success(changes(6, 'new')),
+    ];
+    table.watches = [failure({kind: 'historyLost'})];
+    watcher.start();
+    await advanceClock(clock, 1_000);
+    expect(seen).toEqual(['list 5', 'list 6']);
+  });
+
+  it('tries again after a growing pause and tells of the loss once', async () => {
+    const error: PlatformError = {kind: 'unavailable', reason: 'test'};
+    table.listings = [failure(error), failure(error), failure(error)];
+    watcher.start();
+    await advanceClock(clock, 3_000);
+    const losses = events.events.filter(({kind}) => kind === 'dependencyLost');
+    expect(losses).toHaveLength(1);
+    expect(table.listCount).toBe(4);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/group/write_progress_test.ts
@@ -0,0 +1,50 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {WriteProgress} from './write_progress.js';
+
+describe('WriteProgress', () => {
+  let clock: VirtualClock;
+  let writes: WriteProgress;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    writes = WriteProgress.create(clock);
+    clock.advance(10_000);
+  });
+
+  it('lets writes through while earlier ones are acknowledged', () => {
+    const slow = writes.begin();
+    clock.advance(400);
+    writes.end(writes.begin(), true);
+    clock.advance(400);
+    expect(writes.shouldRefuse()).toBe(false);
+    writes.end(slow, true);
+  });
+
+  it('refuses behind a stall, but lets one through now and then', () => {
+    writes.begin();
+    clock.advance(500);
+    const refused: boolean[] = [];
+    for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 100) {
+      refused.push(writes.shouldRefuse());
+      clock.advance(100);
+    }
+    expect(refused.filter(isRefused => !isRefused)).toHaveLength(2);
+  });
+
+  it('tells of a stall only after a longer time', () => {
+    writes.begin();
+    clock.advance(500);
+    expect(writes.isStalled).toBe(false);
+    clock.advance(300);
+    expect(writes.isStalled).toBe(true);
+  });
+
+  it('forgets the stall when another instance leads', () => {
+    writes.begin();
+    clock.advance(2_000);
+    writes.reset();
+    expect(writes.shouldRefuse()).toBe(false);
+    expect(writes.isStalled).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/observability/event_log_test.ts
@@ -0,0 +1,113 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {Logger} from '@filbertrun/observability/logger.js';
+import {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {EventLog} from './event_log.js';
+import type {GatewayEvent} from './gateway_event.js';
+import {LineWriter, type ChunkSink} from './line_writer.js';
+
+const FAILURE: GatewayEvent = {
+  kind: 'statementRetried',
+  requestId: 'r1',
+  backendServer: 'a',
+  reason: 'test',
+};
+
+const SUCCESS: GatewayEvent = {
+  kind: 'statementAnswered',
+  requestId: 'r1',
+  backendServer: 'a',
+  durationMs: 1,
+  position: null,
+};
+
+const BELIEF: GatewayEvent = {
+  kind: 'backendServerRestarted',
+  backendServer: 'a',
+};
+
+describe('EventLog', () => {
+  let clock: VirtualClock;
+  let lines: string[];
+  let metrics: MetricsRegistry;
+  let log: EventLog;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    lines = [];
+    metrics = MetricsRegistry.create();
+    const write = (event: string): void => {
+      lines.push(event);
+    };
+    const logger: Logger = {
+      debug: write,
+      info: write,
+      warn: write,
+      error: write,
+    };
+    log = EventLog.create({
+      clock,
+      logger,
+      metrics,
+      writer: LineWriter.create(() => {}),
+    });
+  });
+
+  it('counts every event and writes a bounded number of lines', () => {
+    for (let count = 0; count < 10_000; count++) {
+      log.record(FAILURE);
+    }
+    expect(lines.length).toBeLessThan(200);
+    expect(
+      metrics.getValue('filbertrun_events_total', {kind: 'statementRetried'}),
+    ).toBe(10_000);
+  });
+
+  it('writes beliefs and failures although successes flood it', () => {
+    for (let count = 0; count < 10_000; count++) {
+      log.record(SUCCESS);
+    }
+    log.record(FAILURE);
+    log.record(BELIEF);
+    expect(lines).toContain('statementRetried');
+    expect(lines).toContain('backendServerRestarted');
+  });
+
+  it('tells how many lines were dropped', () => {
+    for (let count = 0; count < 1_000; count++) {
+      log.record(SUCCESS);
+    }
+    clock.advance(2_000);
+    log.record(BELIEF);
+    expect(lines).toContain('logLinesDropped');
+    expect(
+      metrics.getValue('filbertrun_log_lines_dropped_total'),
+    ).toBeGreaterThan(900);
+  });
+});
+
+describe('LineWriter', () => {
+  it('drops lines rather than wait for a reader that has stopped', () => {
+    const stuck: ChunkSink = () => {};
+    const writer = LineWriter.create(stuck);
+    const line = `${'x'.repeat(1_000)}\n`;
+    for (let count = 0; count < 2_000; count++) {
+      writer.write(line);
+    }
+    expect(writer.takeDroppedCount()).toBeGreaterThan(1_700);
+    expect(writer.takeDroppedCount()).toBe(0);
+  });
+
+  it('writes the rest after a short write', async () => {
+    const written: string[] = [];
+    const sink: ChunkSink = (chunk, done) => {
+      const part = chunk.subarray(0, 3);
+      written.push(part.toString());
+      done(null, part.length);
+    };
+    const writer = LineWriter.create(sink);
+    writer.write('abcdefgh\n');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(written.join('')).toBe('abcdefgh\n');
+  });
+});
