--- a/packages/gateway/src/group/write_progress.ts
+++ b/packages/gateway/src/group/write_progress.ts
@@ -80,7 +80,7 @@
   private getStallMs(): number {
     let oldestMs = Number.POSITIVE_INFINITY;
     for (const sentAtMs of this.sentAtMs.values()) {
-      if (sentAtMs > this.acknowledgedAtMs) {
+      if (sentAtMs >= this.acknowledgedAtMs) {
         oldestMs = Math.min(oldestMs, sentAtMs);
       }
     }
--- a/packages/gateway/src/routing/choose_backend_server.ts
+++ b/packages/gateway/src/routing/choose_backend_server.ts
@@ -34,8 +34,8 @@
   readonly excluded: ReadonlySet<BackendServerId>;
 }
 
-/** Latency assumed of a server that has answered nothing yet. */
-const UNKNOWN_LATENCY_MS = 20;
+/** Latency assumed of a server that has answered nothing yet, low so that it is tried. */
+const UNKNOWN_LATENCY_MS = 5;
 
 /** Cost of leaving the availability zone: network time, and bytes that are paid for. */
 const OTHER_ZONE_COST_MS = 30;
--- /dev/null
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -0,0 +1,257 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  BackendCommand,
+  BackendLink,
+  BackendLinkConnector,
+  LinkError,
+  ReachabilityResult,
+} from '../backend/backend_link.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {PreparedShape} from '../statement/caller_statement.js';
+import type {
+  BackendAnswer,
+  BackendRejection,
+  TransactionState,
+} from '../statement/statement_answer.js';
+
+/** What a fake server does with the next caller statement. @internal */
+export type StatementFate =
+  | {readonly kind: 'answer'}
+  | {readonly kind: 'reject'; readonly rejection: BackendRejection}
+  /** The statement is run and its connection ends without an answer. */
+  | {readonly kind: 'runAndLose'}
+  /** The connection ends before the statement is run. */
+  | {readonly kind: 'loseBeforeRun'}
+  /** No answer comes and the connection stays. */
+  | {readonly kind: 'silence'};
+
+/** One statement that a fake server has run. @internal */
+export interface RunStatement {
+  readonly backendServer: string;
+  readonly requestId: string;
+  readonly text: string;
+  readonly values: ReadonlyMap<string, string>;
+  readonly shape: PreparedShape | null;
+  readonly isInTransaction: boolean;
+  readonly requiredPosition: LogPosition | null;
+}
+
+/** Time that a fake server takes for an answer. */
+const ANSWER_MS = 2;
+
+/** Backend servers that run statements in memory. @internal */
+export class FakeBackend implements BackendLinkConnector {
+  readonly runs: RunStatement[] = [];
+  readonly fates = new Map<string, StatementFate[]>();
+  readonly positions = new Map<string, LogPosition>();
+  readonly unreachable = new Set<string>();
+  readonly openLinks = new Set<FakeLink>();
+  committedWrites: string[] = [];
+
+  private constructor(readonly clock: Clock) {}
+
+  static create(clock: Clock): FakeBackend {
+    return new FakeBackend(clock);
+  }
+
+  /** Sets what happens to the next statements of callers at a server. */
+  plan(backendServer: string, ...fates: StatementFate[]): void {
+    this.fates.set(backendServer, fates);
+  }
+
+  getPosition(backendServer: string): LogPosition {
+    return this.positions.get(backendServer) ?? {term: 1, position: 0};
+  }
+
+  async connect(
+    backendServer: BackendServerEntry,
+  ): Promise<Result<BackendLink, ConnectError>> {
+    await Promise.resolve();
+    if (this.unreachable.has(backendServer.backendServer)) {
+      return failure({kind: 'unreachable', reason: 'test'});
+    }
+    const link = new FakeLink(backendServer, this);
+    this.openLinks.add(link);
+    return success(link);
+  }
+
+  async checkReachable(
+    backendServer: BackendServerEntry,
+  ): Promise<ReachabilityResult> {
+    await Promise.resolve();
+    return this.unreachable.has(backendServer.backendServer)
+      ? 'silent'
+      : 'accepted';
+  }
+}
+
+/** One connection to a fake server. @internal */
+export class FakeLink implements BackendLink {
+  isOpen = true;
+  pendingCount = 0;
+  private readonly values = new Map<string, string>();
+  private readonly prepared = new Map<string, PreparedShape>();
+  private transactionState: TransactionState = 'idle';
+  private uncommitted: string[] = [];
+
+  constructor(
+    readonly backendServer: BackendServerEntry,
+    private readonly backend: FakeBackend,
+  ) {}
+
+  getSilentSinceMs(): number | null {
+    return null;
+  }
+
+  close(): void {
+    this.isOpen = false;
+    this.uncommitted = [];
+    this.backend.openLinks.delete(this);
+  }
+
+  async execute(
+    command: BackendCommand,
+    timeoutMs: number,
+  ): Promise<Result<BackendAnswer, LinkError>> {
+    if (!this.isOpen) {
+      return failure({kind: 'notSent', reason: 'closed'});
+    }
+    await this.pause(ANSWER_MS);
+    switch (command.kind) {
+      case 'reset':
+        this.values.clear();
+        this.prepared.clear();
+        return this.complete('-');
+      case 'setValue':
+        this.values.set(command.name, command.value);
+        return this.complete('-');
+      case 'prepare':
+        this.prepared.set(command.name, command.prepared);
+        return this.complete('-');
+      case 'rollback':
+        this.endTransaction();
+        return this.complete('-');
+      case 'callerStatement':
+        return this.runCallerStatement(command, timeoutMs);
+    }
+  }
+
+  private async runCallerStatement(
+    command: Extract<BackendCommand, {readonly kind: 'callerStatement'}>,
+    timeoutMs: number,
+  ): Promise<Result<BackendAnswer, LinkError>> {
+    const {backendServer} = this.backendServer;
+    const fate = this.backend.fates.get(backendServer)?.shift() ?? {
+      kind: 'answer',
+    };
+    switch (fate.kind) {
+      case 'reject':
+        return success({
+          rows: [],
+          result: {
+            kind: 'rejected',
+            rejection: fate.rejection,
+            code: fate.rejection,
+            text: '',
+          },
+          transactionState: this.transactionState,
+          position: this.backend.getPosition(backendServer),
+        });
+      case 'loseBeforeRun':
+        this.close();
+        return failure({kind: 'connectionLost', reason: 'test'});
+      case 'silence':
+        await this.pause(timeoutMs);
+        return failure({kind: 'timedOut'});
+      case 'runAndLose':
+        this.run(command);
+        this.close();
+        return failure({kind: 'connectionLost', reason: 'test'});
+      case 'answer':
+        this.run(command);
+        return this.complete(`sig-${command.requestId}`);
+    }
+  }
+
+  private run(
+    command: Extract<BackendCommand, {readonly kind: 'callerStatement'}>,
+  ): void {
+    const {statement, requestId, requiredPosition} = command;
+    const {backendServer} = this.backendServer;
+    const shape =
+      statement.kind === 'execute'
+        ? (this.prepared.get(statement.name) ?? null)
+        : null;
+    const text = 'text' in statement ? statement.text : statement.kind;
+    this.backend.runs.push({
+      backendServer,
+      requestId,
+      text,
+      values: new Map(this.values),
+      shape,
+      isInTransaction: this.transactionState !== 'idle',
+      requiredPosition,
+    });
+    switch (statement.kind) {
+      case 'begin':
+        this.transactionState = 'open';
+        return;
+      case 'commit':
+        this.commit();
+        return;
+      case 'rollback':
+        this.endTransaction();
+        return;
+      case 'write':
+        this.write(requestId);
+        return;
+      case 'execute':
+        if (shape?.access === 'write') {
+          this.write(requestId);
+        }
+        return;
+      default:
+        return;
+    }
+  }
+
+  private write(requestId: string): void {
+    this.uncommitted.push(requestId);
+    if (this.transactionState === 'idle') {
+      this.commit();
+    }
+  }
+
+  private commit(): void {
+    const {backendServer} = this.backendServer;
+    if (this.uncommitted.length > 0) {
+      const {term, position} = this.backend.getPosition(backendServer);
+      this.backend.positions.set(backendServer, {term, position: position + 1});
+      this.backend.committedWrites.push(...this.uncommitted);
+    }
+    this.endTransaction();
+  }
+
+  private endTransaction(): void {
+    this.uncommitted = [];
+    this.transactionState = 'idle';
+  }
+
+  private complete(signature: string): Result<BackendAnswer, LinkError> {
+    return success({
+      rows: [`row of ${signature}`],
+      result: {kind: 'complete', signature},
+      transactionState: this.transactionState,
+      position: this.backend.getPosition(this.backendServer.backendServer),
+    });
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.backend.clock.startTimer(delayMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/session_world.ts
@@ -0,0 +1,140 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {
+  DatabaseRoute,
+  ServiceConfiguration,
+} from '../configuration/service_configuration.js';
+import {ClockWatch} from '../group/clock_watch.js';
+import {GroupRuntime} from '../group/group_runtime.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import {CallerSession} from '../session/caller_session.js';
+import type {GatewayContext} from '../session/gateway_context.js';
+import type {CallerStatement} from '../statement/caller_statement.js';
+import type {StatementReply} from '../statement/statement_answer.js';
+import {FakeBackend} from './fake_backend.js';
+import {createEntry} from './fake_instances.js';
+import {FakeWallClock} from './fake_wall_clock.js';
+import {advanceClock} from './settle.js';
+
+/** Names of the routes of a session world. @internal */
+export type WorldRoute = 'strict' | 'session' | 'age';
+
+/** Longest time that a statement of a test may take. */
+const MAX_STATEMENT_MS = 3_000;
+
+/** Length of the lease that `grantLease` gives. */
+const LEASE_MS = 60_000;
+
+/** One proxy's sessions before a fake database group of three servers. @internal */
+export class SessionWorld implements GatewayContext {
+  readonly clock = VirtualClock.create();
+  readonly events = RecordedEvents.create();
+  readonly availabilityZone = 'zone-a';
+  readonly backend = FakeBackend.create(this.clock);
+  readonly wallClock = FakeWallClock.create(this.clock);
+  readonly group: GroupRuntime;
+  readonly watch = ClockWatch.create(this.clock, this.wallClock);
+  private readonly routes = new Map<string, DatabaseRoute>();
+  private nextRequest = 0;
+
+  private constructor() {
+    this.group = GroupRuntime.create({
+      databaseGroup: 'group',
+      availabilityZone: this.availabilityZone,
+      clock: this.clock,
+      clockWatch: this.watch,
+      random: SeededRandom.create(1),
+      connector: this.backend,
+      events: this.events,
+    });
+    this.group.setMaxConnections(4);
+    for (const consistency of ['strict', 'session', 'age'] as const) {
+      this.routes.set(consistency, createRoute(consistency));
+    }
+    this.group.updateServer(createEntry('p', 'primary'));
+    this.group.updateServer(createEntry('r1', 'replica'));
+    this.group.updateServer(createEntry('r2', 'replica'));
+    this.clock.advance(10_000);
+  }
+
+  static create(): SessionWorld {
+    return new SessionWorld();
+  }
+
+  /** Lets the proxy rely on a primary. */
+  grantLease(primary = 'p', term = 1, revision = term): void {
+    this.group.learnRecord(
+      {
+        revision,
+        record: {
+          phase: 'stable',
+          databaseGroup: 'group',
+          primary,
+          term,
+          writesFromStoreMs: null,
+        },
+      },
+      {readAt: this.watch.read(), durationMs: LEASE_MS, storeTimeMs: 0},
+      'test',
+    );
+  }
+
+  /** Drops a route, as a newer configuration does. */
+  dropRoute(name: WorldRoute): void {
+    this.routes.delete(name);
+  }
+
+  open(name: WorldRoute): CallerSession {
+    const session = CallerSession.open(this, name);
+    if (session === null) {
+      throw new Error(`There is no route ${name}.`);
+    }
+    return session;
+  }
+
+  /** Runs a statement to its reply on virtual time. */
+  async run(
+    session: CallerSession,
+    statement: CallerStatement,
+    requestId = `r${this.nextRequest++}`,
+  ): Promise<StatementReply> {
+    let reply: StatementReply | null = null;
+    void session
+      .handle({requestId, statement, receivedAtMs: this.clock.nowMs()})
+      .then(result => {
+        reply = result;
+      });
+    for (let elapsedMs = 0; elapsedMs < MAX_STATEMENT_MS; elapsedMs += 5) {
+      await advanceClock(this.clock, 5);
+      if (reply !== null) {
+        return reply;
+      }
+    }
+    throw new Error('The statement got no reply.');
+  }
+
+  getConfiguration(): ServiceConfiguration {
+    return {
+      version: 1,
+      routes: this.routes,
+      databaseGroups: new Map(),
+      transactionIdleTimeoutMs: 3_000,
+    };
+  }
+
+  getGroup(): GroupRuntime {
+    return this.group;
+  }
+}
+
+function createRoute(consistency: WorldRoute): DatabaseRoute {
+  return {
+    databaseName: consistency,
+    databaseGroup: 'group',
+    consistency,
+    maxAgeMs: consistency === 'strict' ? null : 1_500,
+    statementTimeoutMs: 1_000,
+    targetLatencyMs: 200,
+    priority: 'normal',
+  };
+}
