--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import type {
   ListableTable,
   TableListing,
@@ -87,6 +88,11 @@
 /** Interval of the upkeep of duty, registration, shares and readiness. */
 const UPKEEP_INTERVAL_MS = 100;
 
+/** Delay of the event loop from which it is logged. */
+const LOGGED_LOOP_DELAY_MS = 250;
+
+const MS_PER_SECOND = 1_000;
+
 /** Interval at which the holder of the duty looks for entry VMs that are gone. */
 const REMOVE_GONE_INTERVAL_MS = 10_000;
 
@@ -138,6 +144,7 @@
   private withPrimaryAtMs: number;
   private removedGoneAtMs: number;
   private clockEpoch = 0;
+  private loopDelayMs = 0;
 
   private constructor(private readonly options: GatewayOptions) {
     const {clock, wallClock, random, events, controlTable, self} = options;
@@ -282,6 +289,39 @@
       : this.clock.nowMs() - this.readinessChangedAtMs;
   }
 
+  /** Sets the gauges that describe the present state. */
+  collectGauges(metrics: MetricsRegistry): void {
+    const nowMs = this.clock.nowMs();
+    metrics.setGauge(
+      'filbertrun_configuration_version',
+      'Version of the configuration in force.',
+      this.configuration.current?.version ?? 0,
+    );
+    metrics.setGauge(
+      'filbertrun_control_table_age_seconds',
+      'Time since the control table was last read.',
+      (nowMs - this.poller.lastContactMs) / MS_PER_SECOND,
+    );
+    metrics.setGauge(
+      'filbertrun_loop_delay_seconds',
+      'Delay of the latest periodic upkeep.',
+      this.loopDelayMs / MS_PER_SECOND,
+    );
+    metrics.setGauge(
+      'filbertrun_ready',
+      'Whether the proxy asks for new callers.',
+      this.readiness.isReady ? 1 : 0,
+    );
+    metrics.setGauge(
+      'filbertrun_failover_duty_held',
+      'Whether this proxy holds the failover duty.',
+      this.duty.getFencingToken() === null ? 0 : 1,
+    );
+    for (const group of this.groups.values()) {
+      collectGroupGauges(group, metrics);
+    }
+  }
+
   getConfiguration(): ServiceConfiguration | null {
     return this.configuration.current;
   }
@@ -494,7 +534,12 @@
   }
 
   private scheduleUpkeep(): void {
+    const dueMs = this.clock.nowMs() + UPKEEP_INTERVAL_MS;
     this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
+      this.loopDelayMs = this.clock.nowMs() - dueMs;
+      if (this.loopDelayMs >= LOGGED_LOOP_DELAY_MS) {
+        this.events.record({kind: 'loopDelayed', delayMs: this.loopDelayMs});
+      }
       this.maintain();
       this.scheduleUpkeep();
     });
@@ -697,3 +742,51 @@
     }
   }
 }
+
+function collectGroupGauges(
+  group: GroupRuntime,
+  metrics: MetricsRegistry,
+): void {
+  const databaseGroup = {databaseGroup: group.databaseGroup};
+  const leased = group.lease.getPrimary();
+  metrics.setGauge(
+    'filbertrun_primary_leased',
+    'Whether strict reads may rely on a primary.',
+    leased === null ? 0 : 1,
+    databaseGroup,
+  );
+  metrics.setGauge(
+    'filbertrun_primary_term',
+    'Term of the newest known primary.',
+    group.lease.getLastKnownPrimary()?.term ?? 0,
+    databaseGroup,
+  );
+  for (const {entry, pool, expectedLagMs} of group.getServers()) {
+    const {openConnections, activeLeases, queueLength} = pool.getStatus();
+    const labels = {...databaseGroup, backendServer: entry.backendServer};
+    metrics.setGauge(
+      'filbertrun_pool_connections',
+      'Open connections to a backend server.',
+      openConnections,
+      labels,
+    );
+    metrics.setGauge(
+      'filbertrun_pool_active',
+      'Statements that run at a backend server.',
+      activeLeases,
+      labels,
+    );
+    metrics.setGauge(
+      'filbertrun_pool_queue_length',
+      'Statements that wait for a connection.',
+      queueLength,
+      labels,
+    );
+    metrics.setGauge(
+      'filbertrun_replica_expected_lag_seconds',
+      'Time by which a replica is expected to be behind.',
+      expectedLagMs / MS_PER_SECOND,
+      labels,
+    );
+  }
+}
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -41,6 +41,7 @@
     metrics.increment('filbertrun_events_total', 'Events by kind.', {
       kind: event.kind,
     });
+    this.measure(event);
     const eventClass = classifyEvent(event);
     if (!this.budget.tryTake(eventClass)) {
       this.droppedCount++;
@@ -55,6 +56,48 @@
     }
   }
 
+  /** Counters and histograms that follow from events. */
+  private measure(event: GatewayEvent): void {
+    const {metrics} = this.options;
+    switch (event.kind) {
+      case 'statementAnswered':
+        metrics.recordDurationMs(
+          'filbertrun_statement_duration_seconds',
+          'Time from the receipt of a statement to its reply.',
+          event.durationMs,
+          {consistency: event.consistency, outcome: event.outcome},
+        );
+        return;
+      case 'statementRefused':
+        metrics.increment(
+          'filbertrun_statements_refused_total',
+          'Statements refused as not run, by reason.',
+          {consistency: event.consistency, reason: shortenReason(event.reason)},
+        );
+        metrics.recordDurationMs(
+          'filbertrun_refusal_wait_seconds',
+          'Time that refused statements had waited.',
+          event.waitedMs,
+        );
+        return;
+      case 'statementRetried':
+        metrics.increment(
+          'filbertrun_statement_retries_total',
+          'Attempts that were followed by another one.',
+        );
+        return;
+      case 'changeCompleted':
+        metrics.recordDurationMs(
+          'filbertrun_primary_change_duration_seconds',
+          'Time from the intent of a change to the record of the new primary.',
+          event.durationMs,
+        );
+        return;
+      default:
+        return;
+    }
+  }
+
   private reportDropped(): void {
     const {clock, logger, writer, metrics} = this.options;
     const nowMs = clock.nowMs();
@@ -76,3 +119,9 @@
     logger.warn('logLinesDropped', {count});
   }
 }
+
+/** The part of a reason before its details, so that labels stay few. */
+function shortenReason(reason: string): string {
+  const [kind = '', detail = ''] = reason.split(': ');
+  return detail === '' ? kind : `${kind}: ${detail}`;
+}
--- a/packages/gateway/src/observability/event_log_test.ts
+++ b/packages/gateway/src/observability/event_log_test.ts
@@ -16,7 +16,9 @@
 const SUCCESS: GatewayEvent = {
   kind: 'statementAnswered',
   requestId: 'r1',
-  backendServer: 'a',
+  databaseGroup: 'group',
+  consistency: 'age',
+  outcome: 'complete',
   durationMs: 1,
   position: null,
 };
@@ -73,6 +75,14 @@
     expect(lines).toContain('backendServerRestarted');
   });
 
+  it('measures the duration of statements by consistency and outcome', () => {
+    log.record(SUCCESS);
+    const text = metrics.formatPrometheusText();
+    expect(text).toContain(
+      'filbertrun_statement_duration_seconds_count{consistency="age",outcome="complete"} 1',
+    );
+  });
+
   it('tells how many lines were dropped', () => {
     for (let count = 0; count < 1_000; count++) {
       log.record(SUCCESS);
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -200,7 +200,10 @@
   | {
       readonly kind: 'statementAnswered';
       readonly requestId: string;
-      readonly backendServer: string;
+      readonly databaseGroup: string;
+      readonly consistency: string;
+      /** `complete`, `rejected`, `local`, or the kind of the proxy's error. */
+      readonly outcome: string;
       readonly durationMs: number;
       readonly position: LogPosition | null;
     }
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -52,14 +52,24 @@
     if (local !== null) {
       return local;
     }
-    if (this.transaction !== null) {
-      return this.handleInTransaction(this.transaction, request);
-    }
-    const context = this.createContext(request);
+    const {transaction} = this;
+    const context =
+      transaction === null
+        ? this.createContext(request)
+        : transaction.createContext(request);
     if (context === null) {
       return this.refuseWithoutRoute();
     }
-    return this.handleOutside(context, request.statement);
+    const reply =
+      transaction === null
+        ? await this.handleOutside(context, request.statement)
+        : await this.handleInTransaction(
+            transaction,
+            context,
+            request.statement,
+          );
+    this.recordAnswered(context, reply);
+    return reply;
   }
 
   /** Ends the session; an open transaction is rolled back. */
@@ -173,10 +183,9 @@
 
   private async handleInTransaction(
     transaction: SessionTransaction,
-    request: StatementRequest,
+    context: StatementContext,
+    statement: CallerStatement,
   ): Promise<StatementReply> {
-    const {statement} = request;
-    const context = transaction.createContext(request);
     const reply = await transaction.handle(
       context,
       statement,
@@ -278,6 +287,23 @@
     }).run();
   }
 
+  private recordAnswered(
+    context: StatementContext,
+    reply: StatementReply,
+  ): void {
+    const {gateway, group, route, requestId, receivedAtMs} = context;
+    const {result, position} = reply;
+    gateway.events.record({
+      kind: 'statementAnswered',
+      requestId,
+      databaseGroup: group.databaseGroup,
+      consistency: route.consistency,
+      outcome: result.kind === 'error' ? result.error.kind : result.kind,
+      durationMs: gateway.clock.nowMs() - receivedAtMs,
+      position,
+    });
+  }
+
   private createSessionContext(statement: CallerStatement): SessionContext {
     const prepared =
       statement.kind === 'execute'
