Fuzz the whole gateway on virtual time before a simulated group, with mutants

Real gateways, sessions, leases, duty and changes of primary run against a simulated database group, store and network; an oracle of acknowledged writes checks stale reads, lost commits, holders and tokens, refused and doubled writes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -259,17 +259,28 @@
     void this.duty.resign();
   }
 
+  /** Stops at once and without a farewell, as a killed process does. */
+  beginKill(): void {
+    this.isStopping = true;
+    this.disposeParts('the proxy was killed');
+  }
+
   /** Ends everything; the proxy must not be used any more. */
   async dispose(): Promise<void> {
+    this.disposeParts('the proxy stops');
+    await this.registration.leave();
+  }
+
+  private disposeParts(reason: string): void {
     this.upkeepTimer?.cancel();
+    this.coordinator.dispose();
     this.poller.dispose();
     this.configurationWatcher.dispose();
     this.directoryWatcher.dispose();
     this.directory.dispose();
     for (const group of this.groups.values()) {
-      group.dispose('the proxy stops');
+      group.dispose(reason);
     }
-    await this.registration.leave();
   }
 
   /** What other proxies may ask this one to carry to the store. */
--- /dev/null
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -0,0 +1,97 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  playHistory,
+  type HistoryFault,
+  type HistoryPlan,
+} from './failover_history.js';
+import {MUTANTS} from './mutants.js';
+
+const atMs = fc.integer({min: 0, max: 9_000});
+const forMs = fc.integer({min: 300, max: 7_000});
+const proxy = fc.nat(2);
+
+/** Faults that may strike at any moment, together and more than once. */
+const fault: fc.Arbitrary<HistoryFault> = fc.oneof(
+  fc.record({kind: fc.constant('crashPrimary' as const), atMs, forMs}),
+  fc.record({kind: fc.constant('crashReplica' as const), atMs, forMs}),
+  fc.record({
+    kind: fc.constant('cutPrimary' as const),
+    atMs,
+    forMs,
+    proxies: fc.subarray([0, 1, 2]),
+    isFromReplicas: fc.boolean(),
+  }),
+  fc.record({kind: fc.constant('cutProxy' as const), atMs, forMs, proxy}),
+  fc.record({kind: fc.constant('cutStore' as const), atMs, forMs, proxy}),
+  fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
+  fc.record({kind: fc.constant('answersLost' as const), atMs, forMs}),
+  fc.record({kind: fc.constant('killProxy' as const), atMs, proxy}),
+  fc.record({
+    kind: fc.constant('deafReplica' as const),
+    atMs,
+    forMs,
+    replica: fc.nat(1),
+  }),
+  fc.record({
+    kind: fc.constant('stepClock' as const),
+    atMs,
+    proxy,
+    byMs: fc.integer({min: -3_000, max: 3_000}),
+  }),
+  fc.record({kind: fc.constant('drainPrimary' as const), atMs}),
+);
+
+const plan: fc.Arbitrary<HistoryPlan> = fc.record({
+  seed: fc.nat(1_000_000),
+  faults: fc.array(fault, {minLength: 1, maxLength: 4}),
+});
+
+/** Histories in CI; FAILOVER_HISTORIES asks for more by hand. */
+const HISTORY_COUNT = Number(process.env['FAILOVER_HISTORIES'] ?? 40);
+
+/** Seed in CI; FAILOVER_SEED asks for another by hand. */
+const SEED = Number(process.env['FAILOVER_SEED'] ?? 1);
+
+describe('a deployment under faults', () => {
+  it('serves without faults', async () => {
+    const outcome = await playHistory({seed: 1, faults: []});
+    expect(outcome.violations).toEqual([]);
+    expect(outcome.acknowledgedCount).toBeGreaterThan(500);
+    expect(outcome.readCount).toBeGreaterThan(500);
+  });
+
+  it('replaces a primary that crashes, and goes on', async () => {
+    const outcome = await playHistory({
+      seed: 1,
+      faults: [{kind: 'crashPrimary', atMs: 1_000, forMs: 20_000}],
+    });
+    expect(outcome.violations).toEqual([]);
+    expect(outcome.promotionCount).toBe(1);
+    expect(outcome.acknowledgedCount).toBeGreaterThan(500);
+  });
+
+  it('keeps its promises whatever fails', async () => {
+    await fc.assert(
+      fc.asyncProperty(plan, async drawn => {
+        const outcome = await playHistory(drawn);
+        expect(outcome.violations).toEqual([]);
+      }),
+      {numRuns: HISTORY_COUNT, seed: SEED, endOnFailure: true},
+    );
+  }, 3_600_000);
+
+  it.each(MUTANTS)(
+    'notices the mutant $name',
+    async ({mutate, plans, rules}) => {
+      const found = new Set<string>();
+      for (const mutantPlan of plans) {
+        const outcome = await playHistory(mutantPlan, mutate);
+        for (const {rule} of outcome.violations) {
+          found.add(rule);
+        }
+      }
+      expect(rules.some(rule => found.has(rule))).toBe(true);
+    },
+  );
+});
--- /dev/null
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -0,0 +1,385 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {
+  SeededRandom,
+  type RandomSource,
+} from '@filbertrun/base/random_source.js';
+import {CallerSession} from '../session/caller_session.js';
+import type {StatementReply} from '../statement/statement_answer.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {settlePromises} from '../testing/settle.js';
+import {SafetyOracle, type Violation} from './safety_oracle.js';
+import {SimulatedGroup} from './simulated_group.js';
+import {SimulatedConnector} from './simulated_link.js';
+import {SimulatedNetwork} from './simulated_network.js';
+import {
+  ROUTE_MAX_AGE_MS,
+  SimulatedProxy,
+  STORE,
+  type GatewayMutation,
+  type SimulatedDeployment,
+} from './simulated_proxy.js';
+
+/** A fault and when it strikes. @internal */
+export type HistoryFault =
+  | {
+      readonly kind: 'crashPrimary';
+      readonly atMs: number;
+      readonly forMs: number;
+    }
+  | {
+      readonly kind: 'crashReplica';
+      readonly atMs: number;
+      readonly forMs: number;
+    }
+  /** The primary is cut off from some proxies, and perhaps from its replicas. */
+  | {
+      readonly kind: 'cutPrimary';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxies: readonly number[];
+      readonly isFromReplicas: boolean;
+    }
+  /** A proxy is cut off from the store and the other proxies, not from instances. */
+  | {
+      readonly kind: 'cutProxy';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxy: number;
+    }
+  | {
+      readonly kind: 'cutStore';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxy: number;
+    }
+  | {readonly kind: 'storeDown'; readonly atMs: number; readonly forMs: number}
+  | {
+      readonly kind: 'answersLost';
+      readonly atMs: number;
+      readonly forMs: number;
+    }
+  | {readonly kind: 'killProxy'; readonly atMs: number; readonly proxy: number}
+  | {
+      readonly kind: 'deafReplica';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly replica: number;
+    }
+  | {
+      readonly kind: 'stepClock';
+      readonly atMs: number;
+      readonly proxy: number;
+      readonly byMs: number;
+    }
+  | {readonly kind: 'drainPrimary'; readonly atMs: number};
+
+/** One history to play. @internal */
+export interface HistoryPlan {
+  readonly seed: number;
+  readonly faults: readonly HistoryFault[];
+}
+
+/** What a history showed. @internal */
+export interface HistoryOutcome {
+  readonly violations: readonly Violation[];
+  readonly acknowledgedCount: number;
+  readonly readCount: number;
+  readonly promotionCount: number;
+}
+
+const PROXIES = ['e1', 'e2', 'e3'] as const;
+
+/** Time before the first fault, in which everything comes up. */
+export const WARM_UP_MS = 2_000;
+
+/** Length of a history after the warm-up. */
+export const HISTORY_MS = 16_000;
+
+const STEP_MS = 5;
+
+/** Interval of the operations of each proxy. */
+const OPERATION_INTERVAL_MS = 60;
+
+/** Interval at which replicas follow. */
+const REPLICATION_INTERVAL_MS = 20;
+
+/** Plays one history and tells which promises it broke. @internal */
+export async function playHistory(
+  plan: HistoryPlan,
+  mutate: GatewayMutation = options => options,
+): Promise<HistoryOutcome> {
+  const player = new HistoryPlayer(plan, mutate);
+  return player.play();
+}
+
+class HistoryPlayer {
+  private readonly clock = VirtualClock.create();
+  private readonly network = SimulatedNetwork.create();
+  private readonly oracle = SafetyOracle.create();
+  private readonly random: RandomSource;
+  private readonly deployment: SimulatedDeployment;
+  /** What each read must see, fixed when it starts. */
+  private readonly required = new Map<string, readonly string[]>();
+  private readonly sessions = new Map<string, CallerSession>();
+  private readonly ownWrites = new Map<string, string[]>();
+  private nextId = 0;
+  private nextIncarnation = 1;
+  private readCount = 0;
+
+  constructor(
+    private readonly plan: HistoryPlan,
+    private readonly mutate: GatewayMutation,
+  ) {
+    this.random = SeededRandom.create(plan.seed);
+    this.deployment = {
+      clock: this.clock,
+      network: this.network,
+      group: SimulatedGroup.create(this.clock, this.network, this.oracle),
+      store: FakeControlTable.create(this.clock),
+      proxies: new Map(),
+    };
+    this.clock.advance(100_000);
+  }
+
+  async play(): Promise<HistoryOutcome> {
+    for (const name of PROXIES) {
+      this.startProxy(name);
+    }
+    this.scheduleFaults();
+    const endMs = this.clock.nowMs() + WARM_UP_MS + HISTORY_MS;
+    let elapsedMs = 0;
+    while (this.clock.nowMs() < endMs) {
+      this.clock.advance(STEP_MS);
+      await settlePromises();
+      elapsedMs += STEP_MS;
+      if (elapsedMs % REPLICATION_INTERVAL_MS === 0) {
+        this.deployment.group.tick();
+      }
+      if (elapsedMs % OPERATION_INTERVAL_MS === 0) {
+        this.operate();
+      }
+    }
+    this.oracle.checkFinalLog(this.deployment.group.findLeader());
+    return {
+      violations: this.oracle.violations,
+      acknowledgedCount: this.oracle.acknowledged.length,
+      readCount: this.readCount,
+      promotionCount: this.deployment.group.orders.length,
+    };
+  }
+
+  private startProxy(name: string): void {
+    const {clock, network, oracle} = this;
+    const connector = SimulatedConnector.create({
+      proxy: name,
+      clock,
+      network,
+      oracle,
+      group: this.deployment.group,
+      getRequiredWrites: id => this.required.get(id) ?? null,
+    });
+    SimulatedProxy.start(
+      name,
+      this.nextIncarnation++,
+      this.deployment,
+      connector,
+      this.mutate,
+    );
+  }
+
+  /** Starts a write and a read of some kind at each proxy. */
+  private operate(): void {
+    for (const name of PROXIES) {
+      const route = (['strict', 'session', 'age'] as const)[
+        this.random.nextInteger(0, 2)
+      ];
+      if (route !== undefined) {
+        void this.write(name, route);
+        void this.read(name, route);
+      }
+    }
+  }
+
+  private getSession(name: string, route: string): CallerSession | null {
+    const key = `${name}/${route}`;
+    const known = this.sessions.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const gateway = this.deployment.proxies.get(name)?.gateway;
+    const session =
+      gateway === undefined ? null : CallerSession.open(gateway, route);
+    if (session !== null) {
+      this.sessions.set(key, session);
+    }
+    return session;
+  }
+
+  private async write(name: string, route: string): Promise<void> {
+    const session = this.getSession(name, route);
+    if (session === null) {
+      return;
+    }
+    const requestId = `w${this.nextId++}`;
+    const reply = await session.handle({
+      requestId,
+      statement: {kind: 'write', text: 'WRITE'},
+      receivedAtMs: this.clock.nowMs(),
+    });
+    if (reply.result.kind === 'complete') {
+      this.oracle.noteAcknowledged(requestId, this.clock.nowMs());
+      const key = `${name}/${route}`;
+      const own = this.ownWrites.get(key) ?? [];
+      this.ownWrites.set(key, [...own, requestId]);
+    } else if (saysNotRun(reply)) {
+      this.oracle.noteRefused(requestId);
+    }
+  }
+
+  private async read(name: string, route: string): Promise<void> {
+    const session = this.getSession(name, route);
+    if (session === null) {
+      return;
+    }
+    const nowMs = this.clock.nowMs();
+    const requestId = `q${this.nextId++}`;
+    const horizonMs = route === 'strict' ? nowMs : nowMs - ROUTE_MAX_AGE_MS;
+    const required = [...this.oracle.getAcknowledgedBefore(horizonMs)];
+    if (route === 'session') {
+      required.push(...(this.ownWrites.get(`${name}/${route}`) ?? []));
+    }
+    this.required.set(requestId, required);
+    const reply = await session.handle({
+      requestId,
+      statement: {kind: 'read', text: 'READ'},
+      receivedAtMs: nowMs,
+    });
+    this.readCount += reply.result.kind === 'complete' ? 1 : 0;
+  }
+
+  private scheduleFaults(): void {
+    for (const fault of this.plan.faults) {
+      this.clock.startTimer(WARM_UP_MS + fault.atMs, () => this.strike(fault));
+    }
+  }
+
+  private strike(fault: HistoryFault): void {
+    const {group, store} = this.deployment;
+    switch (fault.kind) {
+      case 'crashPrimary': {
+        const primary = group.findLeader();
+        group.crash(primary);
+        this.after(fault.forMs, () => group.restart(primary));
+        return;
+      }
+      case 'crashReplica':
+      case 'deafReplica': {
+        const replica = this.pickReplica(
+          fault.kind === 'deafReplica' ? fault.replica : 0,
+        );
+        if (replica === null) {
+          return;
+        }
+        if (fault.kind === 'deafReplica') {
+          replica.isDeaf = true;
+          this.after(fault.forMs, () => {
+            replica.isDeaf = false;
+          });
+          return;
+        }
+        group.crash(replica);
+        this.after(fault.forMs, () => group.restart(replica));
+        return;
+      }
+      case 'cutPrimary': {
+        const primary = group.findLeader().entry.backendServer;
+        const others = [...group.instances.keys()].filter(id => id !== primary);
+        const proxies = fault.proxies.map(index => PROXIES[index] ?? 'e1');
+        const replicas = fault.isFromReplicas ? others : [];
+        this.cutFor(primary, [...replicas, ...proxies], fault.forMs);
+        return;
+      }
+      case 'cutProxy': {
+        const proxy = PROXIES[fault.proxy] ?? 'e1';
+        const others = PROXIES.filter(name => name !== proxy);
+        this.cutFor(proxy, [...others, STORE, 'promotions'], fault.forMs);
+        return;
+      }
+      case 'cutStore':
+        this.cutFor(PROXIES[fault.proxy] ?? 'e1', [STORE], fault.forMs);
+        return;
+      case 'storeDown':
+        this.cutFor(STORE, [...PROXIES], fault.forMs);
+        return;
+      case 'answersLost':
+        store.writeMode = 'doneWithoutAnswer';
+        this.after(fault.forMs, () => {
+          store.writeMode = 'answered';
+        });
+        return;
+      case 'killProxy':
+        this.killProxy(PROXIES[fault.proxy] ?? 'e1');
+        return;
+      case 'stepClock':
+        this.deployment.proxies
+          .get(PROXIES[fault.proxy] ?? 'e1')
+          ?.wallClock.step(fault.byMs);
+        return;
+      case 'drainPrimary': {
+        const primary = group.findLeader();
+        primary.entry = {...primary.entry, state: 'draining'};
+        return;
+      }
+    }
+  }
+
+  private pickReplica(index: number) {
+    const replicas = [...this.deployment.group.instances.values()].filter(
+      ({role, isRunning}) => role === 'replica' && isRunning,
+    );
+    return replicas[index] ?? replicas[0] ?? null;
+  }
+
+  /** Ends a process without a word; a new one follows a second later. */
+  private killProxy(name: string): void {
+    const proxy = this.deployment.proxies.get(name);
+    if (proxy === undefined) {
+      return;
+    }
+    this.deployment.proxies.delete(name);
+    proxy.gateway.beginKill();
+    for (const key of [...this.sessions.keys()]) {
+      if (key.startsWith(`${name}/`)) {
+        this.sessions.delete(key);
+        this.ownWrites.delete(key);
+      }
+    }
+    this.after(1_000, () => this.startProxy(name));
+  }
+
+  private cutFor(
+    party: string,
+    others: readonly string[],
+    forMs: number,
+  ): void {
+    for (const other of others) {
+      this.network.cut(party, other);
+    }
+    this.after(forMs, () => {
+      for (const other of others) {
+        this.network.heal(party, other);
+      }
+    });
+  }
+
+  private after(delayMs: number, run: () => void): void {
+    this.clock.startTimer(delayMs, run);
+  }
+}
+
+function saysNotRun(reply: StatementReply): boolean {
+  if (reply.result.kind !== 'error') {
+    return false;
+  }
+  return reply.result.error.kind !== 'outcomeUnknown';
+}
--- /dev/null
+++ b/packages/gateway/src/simulation/safety_oracle.ts
@@ -0,0 +1,131 @@
+import type {PromotionOrder} from '../backend/instance_control.js';
+import type {SimulatedInstance} from './simulated_group.js';
+
+/** A promise that a history broke. @internal */
+export interface Violation {
+  readonly rule:
+    | 'staleRead'
+    | 'lostCommit'
+    | 'twoHolders'
+    | 'lowerToken'
+    | 'acknowledgedByReplaced'
+    | 'refusedButKept'
+    | 'ranTwice';
+  readonly detail: string;
+}
+
+/** An acknowledged commit. */
+interface Acknowledged {
+  readonly writeId: string;
+  readonly atMs: number;
+}
+
+/**
+ * What must hold whatever fails, from what callers and the platform see: a
+ * list of acknowledged writes, and the holder of each fencing token.
+ *
+ * @internal
+ */
+export class SafetyOracle {
+  readonly violations: Violation[] = [];
+  readonly acknowledged: Acknowledged[] = [];
+  private readonly refused = new Set<string>();
+  private readonly holders = new Map<number, string>();
+  private highestToken = 0;
+  private leadingTerm = 1;
+
+  private constructor() {}
+
+  static create(): SafetyOracle {
+    return new SafetyOracle();
+  }
+
+  /** Takes an acknowledgement that reached a caller. */
+  noteAcknowledged(writeId: string, atMs: number): void {
+    this.acknowledged.push({writeId, atMs});
+  }
+
+  /** Takes a refusal that says the write was not run. */
+  noteRefused(writeId: string): void {
+    this.refused.add(writeId);
+  }
+
+  /** Writes that were acknowledged before a time. */
+  getAcknowledgedBefore(timeMs: number): readonly string[] {
+    return this.acknowledged
+      .filter(({atMs}) => atMs < timeMs)
+      .map(({writeId}) => writeId);
+  }
+
+  /** A read ran on `instance` and had to see `required`. */
+  checkRead(instance: SimulatedInstance, required: readonly string[]): void {
+    const held = new Set(instance.log.map(({writeId}) => writeId));
+    for (const writeId of required) {
+      if (!held.has(writeId)) {
+        this.report(
+          'staleRead',
+          `${instance.entry.backendServer} lacks ${writeId}`,
+        );
+        return;
+      }
+    }
+  }
+
+  /** A commit was acknowledged by an instance that leads `term`. */
+  checkCommit(instance: SimulatedInstance): void {
+    if (instance.term < this.leadingTerm) {
+      this.report(
+        'acknowledgedByReplaced',
+        `${instance.entry.backendServer} in term ${instance.term}`,
+      );
+    }
+  }
+
+  checkOrder({dutyHolder, fencingToken}: PromotionOrder): void {
+    const holder = this.holders.get(fencingToken);
+    if (holder !== undefined && holder !== dutyHolder) {
+      this.report('twoHolders', `${holder} and ${dutyHolder}`);
+    }
+    if (fencingToken < this.highestToken) {
+      this.report('lowerToken', `${fencingToken} after ${this.highestToken}`);
+    }
+    this.holders.set(fencingToken, dutyHolder);
+    this.highestToken = Math.max(this.highestToken, fencingToken);
+  }
+
+  /** The instance that takes the lead must hold every acknowledged commit. */
+  checkPromotion(target: SimulatedInstance): void {
+    const held = new Set(target.log.map(({writeId}) => writeId));
+    for (const {writeId} of this.acknowledged) {
+      if (!held.has(writeId)) {
+        this.report(
+          'lostCommit',
+          `${target.entry.backendServer} lacks ${writeId}`,
+        );
+        return;
+      }
+    }
+  }
+
+  notePromotion(target: SimulatedInstance): void {
+    this.leadingTerm = target.term;
+  }
+
+  /** The log that remains at the end. */
+  checkFinalLog(leader: SimulatedInstance): void {
+    const seen = new Set<string>();
+    for (const {writeId} of leader.log) {
+      if (seen.has(writeId)) {
+        this.report('ranTwice', writeId);
+      }
+      if (this.refused.has(writeId)) {
+        this.report('refusedButKept', writeId);
+      }
+      seen.add(writeId);
+    }
+  }
+
+  private report(rule: Violation['rule'], detail: string): void {
+    this.violations.push({rule, detail});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -0,0 +1,248 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {
+  InstanceStatus,
+  PromotionOrder,
+} from '../backend/instance_control.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {createEntry} from '../testing/fake_instances.js';
+import type {SafetyOracle} from './safety_oracle.js';
+import type {SimulatedNetwork} from './simulated_network.js';
+
+/** One commit in the log of an instance. @internal */
+export interface LogRecord {
+  readonly term: number;
+  /** Id of the request that wrote it. */
+  readonly writeId: string;
+}
+
+/** One instance of the simulated group. @internal */
+export interface SimulatedInstance {
+  entry: BackendServerEntry;
+  role: 'primary' | 'replica';
+  term: number;
+  pausedTerm: number;
+  log: readonly LogRecord[];
+  isRunning: boolean;
+  /** Whether it receives nothing of its primary, although it is reachable. */
+  isDeaf: boolean;
+}
+
+/** Time from an order to its effect. */
+const PROMOTION_MS = 300;
+
+/**
+ * A database group as the platform describes it: a commit is acknowledged once
+ * a replica holds it, a promotion takes the log of the named instance, and an
+ * old primary goes on until it hears of the new one.
+ *
+ * @internal
+ */
+export class SimulatedGroup {
+  readonly instances = new Map<string, SimulatedInstance>();
+  readonly orders: PromotionOrder[] = [];
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly network: SimulatedNetwork,
+    private readonly oracle: SafetyOracle,
+  ) {
+    this.add('p', 'primary');
+    this.add('r1', 'replica');
+    this.add('r2', 'replica');
+  }
+
+  static create(
+    clock: Clock,
+    network: SimulatedNetwork,
+    oracle: SafetyOracle,
+  ): SimulatedGroup {
+    return new SimulatedGroup(clock, network, oracle);
+  }
+
+  get(backendServer: string): SimulatedInstance {
+    const instance = this.instances.get(backendServer);
+    if (instance === undefined) {
+      throw new Error(`There is no instance ${backendServer}.`);
+    }
+    return instance;
+  }
+
+  /** The instance that leads the latest term. */
+  findLeader(): SimulatedInstance {
+    let leader: SimulatedInstance | null = null;
+    for (const instance of this.instances.values()) {
+      const isLater = leader === null || instance.term > leader.term;
+      if (instance.role === 'primary' && isLater) {
+        leader = instance;
+      }
+    }
+    return leader ?? this.get('p');
+  }
+
+  getPosition(instance: SimulatedInstance): LogPosition {
+    const last = instance.log.at(-1);
+    return {term: last?.term ?? 1, position: instance.log.length};
+  }
+
+  /** Commits at an instance; tells whether it is acknowledged. */
+  commit(instance: SimulatedInstance, writeIds: readonly string[]): boolean {
+    if (writeIds.length === 0) {
+      return true;
+    }
+    const records = writeIds.map(writeId => ({term: instance.term, writeId}));
+    instance.log = [...instance.log, ...records];
+    return this.replicate(instance);
+  }
+
+  /** Lets replicas follow the primaries that they hear. */
+  tick(): void {
+    for (const instance of this.instances.values()) {
+      if (instance.role === 'primary' && instance.isRunning) {
+        this.replicate(instance);
+      }
+    }
+    this.retireOldPrimaries();
+  }
+
+  describe(instance: SimulatedInstance): InstanceStatus {
+    return {
+      role: instance.role,
+      term: instance.term,
+      receivedPosition: this.getPosition(instance),
+      pausedTerm: instance.pausedTerm,
+      lagMs: 0,
+    };
+  }
+
+  pause(instance: SimulatedInstance, term: number): void {
+    if (instance.role === 'replica' && term > instance.term) {
+      instance.pausedTerm = Math.max(instance.pausedTerm, term);
+    }
+  }
+
+  stepDown(instance: SimulatedInstance, term: number): void {
+    if (instance.role === 'primary' && instance.term < term) {
+      this.setRole(instance, 'replica');
+    }
+  }
+
+  /** Takes an order of the platform; false when the instance does not run. */
+  order(order: PromotionOrder): boolean {
+    this.oracle.checkOrder(order);
+    this.orders.push(order);
+    const target = this.instances.get(order.target);
+    if (target === undefined || !target.isRunning) {
+      return false;
+    }
+    this.clock.startTimer(PROMOTION_MS, () => {
+      if (target.isRunning) {
+        this.promote(target);
+      }
+    });
+    return true;
+  }
+
+  crash(instance: SimulatedInstance): void {
+    instance.isRunning = false;
+  }
+
+  /** Starts an instance again; a restart ends a pause, the log stays. */
+  restart(instance: SimulatedInstance): void {
+    instance.isRunning = true;
+    instance.pausedTerm = 0;
+    const hasSuccessor = this.findLeader().term > instance.term;
+    if (hasSuccessor) {
+      this.setRole(instance, 'replica');
+    }
+    instance.entry = {
+      ...instance.entry,
+      startedAtEpochMs: this.clock.nowMs() + 1,
+    };
+  }
+
+  private add(backendServer: string, role: 'primary' | 'replica'): void {
+    this.instances.set(backendServer, {
+      entry: {
+        ...createEntry(backendServer, role),
+        availabilityZone: `zone-${backendServer}`,
+      },
+      role,
+      term: 1,
+      pausedTerm: 0,
+      log: [],
+      isRunning: true,
+      isDeaf: false,
+    });
+  }
+
+  private setRole(
+    instance: SimulatedInstance,
+    role: 'primary' | 'replica',
+  ): void {
+    instance.role = role;
+    instance.entry = {...instance.entry, reportedRole: role};
+  }
+
+  /** Gives the log to every replica that follows; true when one holds it all. */
+  private replicate(primary: SimulatedInstance): boolean {
+    let isHeld = false;
+    for (const replica of this.instances.values()) {
+      if (this.follows(replica, primary)) {
+        replica.log = primary.log;
+        replica.term = primary.term;
+        isHeld = true;
+      }
+    }
+    return isHeld;
+  }
+
+  private follows(
+    replica: SimulatedInstance,
+    primary: SimulatedInstance,
+  ): boolean {
+    return (
+      replica !== primary &&
+      replica.role === 'replica' &&
+      replica.isRunning &&
+      !replica.isDeaf &&
+      replica.pausedTerm <= primary.term &&
+      replica.term <= primary.term &&
+      this.network.isConnected(
+        replica.entry.backendServer,
+        primary.entry.backendServer,
+      )
+    );
+  }
+
+  private promote(target: SimulatedInstance): void {
+    this.oracle.checkPromotion(target);
+    let newestTerm = 0;
+    for (const {term} of this.instances.values()) {
+      newestTerm = Math.max(newestTerm, term);
+    }
+    target.term = newestTerm + 1;
+    this.setRole(target, 'primary');
+    for (const instance of this.instances.values()) {
+      instance.pausedTerm = 0;
+    }
+    this.oracle.notePromotion(target);
+    this.tick();
+  }
+
+  private retireOldPrimaries(): void {
+    const leader = this.findLeader();
+    for (const instance of this.instances.values()) {
+      const hears =
+        leader.isRunning &&
+        instance.isRunning &&
+        this.network.isConnected(
+          instance.entry.backendServer,
+          leader.entry.backendServer,
+        );
+      if (instance.role === 'primary' && instance.term < leader.term && hears) {
+        this.setRole(instance, 'replica');
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/simulation/simulated_link.ts
@@ -0,0 +1,255 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {isCovered} from '@filbertrun/model/log_position.js';
+import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  BackendCommand,
+  BackendLink,
+  BackendLinkConnector,
+  LinkError,
+  ReachabilityResult,
+} from '../backend/backend_link.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {
+  BackendAnswer,
+  BackendRejection,
+  TransactionState,
+} from '../statement/statement_answer.js';
+import type {SafetyOracle} from './safety_oracle.js';
+import type {SimulatedGroup, SimulatedInstance} from './simulated_group.js';
+import type {SimulatedNetwork} from './simulated_network.js';
+
+/** What a proxy's links share. @internal */
+export interface SimulatedLinkOptions {
+  readonly proxy: string;
+  readonly clock: Clock;
+  readonly group: SimulatedGroup;
+  readonly network: SimulatedNetwork;
+  readonly oracle: SafetyOracle;
+  /** What a read with this id must see; null for statements that are no checked reads. */
+  getRequiredWrites(requestId: string): readonly string[] | null;
+}
+
+/** Time that a message takes one way. */
+const MESSAGE_MS = 1;
+
+/** Interval at which an unconfirmed commit is looked at again. */
+const CONFIRM_INTERVAL_MS = 20;
+
+/** Connections of one proxy to the simulated group. @internal */
+export class SimulatedConnector implements BackendLinkConnector {
+  private constructor(private readonly options: SimulatedLinkOptions) {}
+
+  static create(options: SimulatedLinkOptions): SimulatedConnector {
+    return new SimulatedConnector(options);
+  }
+
+  async connect(
+    backendServer: BackendServerEntry,
+    timeoutMs: number,
+  ): Promise<Result<BackendLink, ConnectError>> {
+    const instance = this.options.group.get(backendServer.backendServer);
+    if (!this.isReachable(instance)) {
+      await pause(this.options.clock, timeoutMs);
+      return failure({kind: 'unreachable', reason: 'silent'});
+    }
+    await pause(this.options.clock, MESSAGE_MS);
+    return success(new SimulatedLink(backendServer, instance, this.options));
+  }
+
+  async checkReachable(
+    backendServer: BackendServerEntry,
+    timeoutMs: number,
+  ): Promise<ReachabilityResult> {
+    const instance = this.options.group.get(backendServer.backendServer);
+    if (this.isReachable(instance)) {
+      await pause(this.options.clock, MESSAGE_MS);
+      return 'accepted';
+    }
+    await pause(this.options.clock, timeoutMs);
+    return 'silent';
+  }
+
+  private isReachable(instance: SimulatedInstance): boolean {
+    const {network, proxy} = this.options;
+    return (
+      instance.isRunning &&
+      network.isConnected(proxy, instance.entry.backendServer)
+    );
+  }
+}
+
+/** One connection to a simulated instance. */
+class SimulatedLink implements BackendLink {
+  isOpen = true;
+  pendingCount = 0;
+  private sentAtMs: number | null = null;
+  private transactionState: TransactionState = 'idle';
+  private uncommitted: string[] = [];
+
+  constructor(
+    readonly backendServer: BackendServerEntry,
+    private readonly instance: SimulatedInstance,
+    private readonly options: SimulatedLinkOptions,
+  ) {}
+
+  getSilentSinceMs(): number | null {
+    return this.sentAtMs;
+  }
+
+  close(): void {
+    this.isOpen = false;
+    this.uncommitted = [];
+  }
+
+  async execute(
+    command: BackendCommand,
+    timeoutMs: number,
+  ): Promise<Result<BackendAnswer, LinkError>> {
+    if (!this.isOpen) {
+      return failure({kind: 'notSent', reason: 'closed'});
+    }
+    const {clock} = this.options;
+    const deadlineMs = clock.nowMs() + timeoutMs;
+    this.sentAtMs = clock.nowMs();
+    this.pendingCount++;
+    await pause(clock, MESSAGE_MS);
+    const answer = this.passes() ? await this.serve(command, deadlineMs) : null;
+    await pause(clock, MESSAGE_MS);
+    const isDelivered = answer !== null && this.passes();
+    this.pendingCount--;
+    if (isDelivered) {
+      this.sentAtMs = null;
+      return success(answer);
+    }
+    await pause(clock, Math.max(0, deadlineMs - clock.nowMs()));
+    if (!this.isOpen) {
+      return failure({kind: 'connectionLost', reason: 'closed'});
+    }
+    return failure({kind: 'timedOut'});
+  }
+
+  private passes(): boolean {
+    const {network, proxy} = this.options;
+    return (
+      this.isOpen &&
+      this.instance.isRunning &&
+      network.isConnected(proxy, this.backendServer.backendServer)
+    );
+  }
+
+  /** Runs a command at the instance; null when no answer is sent. */
+  private async serve(
+    command: BackendCommand,
+    deadlineMs: number,
+  ): Promise<BackendAnswer | null> {
+    if (command.kind !== 'callerStatement') {
+      if (command.kind === 'rollback') {
+        this.endTransaction();
+      }
+      return this.complete();
+    }
+    const {statement, requestId, requiredPosition} = command;
+    const {group, oracle, getRequiredWrites} = this.options;
+    const position = group.getPosition(this.instance);
+    if (requiredPosition !== null && !isCovered(requiredPosition, position)) {
+      return this.reject('positionNotReached');
+    }
+    switch (statement.kind) {
+      case 'read': {
+        const required = getRequiredWrites(requestId);
+        if (required !== null && this.transactionState === 'idle') {
+          oracle.checkRead(this.instance, required);
+        }
+        return this.complete();
+      }
+      case 'begin':
+        if (!statement.isReadOnly && this.instance.role === 'replica') {
+          return this.reject('notPrimary');
+        }
+        this.transactionState = 'open';
+        return this.complete();
+      case 'write':
+        if (this.instance.role === 'replica') {
+          return this.reject('notPrimary');
+        }
+        this.uncommitted.push(requestId);
+        return this.transactionState === 'open'
+          ? this.complete()
+          : this.commit(deadlineMs);
+      case 'commit':
+        return this.commit(deadlineMs);
+      default:
+        this.endTransaction();
+        return this.complete();
+    }
+  }
+
+  private async commit(deadlineMs: number): Promise<BackendAnswer | null> {
+    const {clock, group, oracle} = this.options;
+    const {uncommitted, instance} = this;
+    this.endTransaction();
+    if (uncommitted.length > 0 && instance.role === 'replica') {
+      return this.reject('notPrimary');
+    }
+    const {term} = instance;
+    let isConfirmed = group.commit(instance, uncommitted);
+    while (!isConfirmed && clock.nowMs() < deadlineMs) {
+      await pause(clock, CONFIRM_INTERVAL_MS);
+      const stillLeads = instance.role === 'primary' && instance.term === term;
+      if (!stillLeads || !instance.isRunning) {
+        return null;
+      }
+      isConfirmed =
+        group.commit(instance, []) && this.isHeldElsewhere(uncommitted);
+    }
+    if (!isConfirmed) {
+      return null;
+    }
+    if (uncommitted.length > 0) {
+      oracle.checkCommit(instance);
+    }
+    return this.complete();
+  }
+
+  /** Whether a replica holds the last of the writes. */
+  private isHeldElsewhere(writeIds: readonly string[]): boolean {
+    const last = writeIds.at(-1);
+    for (const other of this.options.group.instances.values()) {
+      const holds = other.log.some(({writeId}) => writeId === last);
+      if (other !== this.instance && holds) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private endTransaction(): void {
+    this.uncommitted = [];
+    this.transactionState = 'idle';
+  }
+
+  private complete(): BackendAnswer {
+    return {
+      rows: [],
+      result: {kind: 'complete', signature: 'signed'},
+      transactionState: this.transactionState,
+      position: this.options.group.getPosition(this.instance),
+    };
+  }
+
+  private reject(rejection: BackendRejection): BackendAnswer {
+    return {
+      rows: [],
+      result: {kind: 'rejected', rejection, code: rejection, text: ''},
+      transactionState: this.transactionState,
+      position: this.options.group.getPosition(this.instance),
+    };
+  }
+}
+
+function pause(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise(resolve => {
+    clock.startTimer(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/simulation/simulated_network.ts
@@ -0,0 +1,35 @@
+/** Which parties of a simulated deployment can't reach each other. @internal */
+export class SimulatedNetwork {
+  private readonly cuts = new Map<string, number>();
+
+  private constructor() {}
+
+  static create(): SimulatedNetwork {
+    return new SimulatedNetwork();
+  }
+
+  /** Whether messages pass between two parties. */
+  isConnected(left: string, right: string): boolean {
+    return left === right || !this.cuts.has(toKey(left, right));
+  }
+
+  cut(left: string, right: string): void {
+    const key = toKey(left, right);
+    this.cuts.set(key, (this.cuts.get(key) ?? 0) + 1);
+  }
+
+  /** Ends one cut; overlapping cuts of a pair end one by one. */
+  heal(left: string, right: string): void {
+    const key = toKey(left, right);
+    const count = (this.cuts.get(key) ?? 0) - 1;
+    if (count > 0) {
+      this.cuts.set(key, count);
+    } else {
+      this.cuts.delete(key);
+    }
+  }
+}
+
+function toKey(left: string, right: string): string {
+  return [left, right].sort().join('|');
+}
