--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -112,6 +112,7 @@
     const leased = await server.pool.acquire({
       priority: context.route.priority,
       deadlineMs: getQueueDeadlineMs(context),
+      isPreferred: pooled => pooled.isPreparedFor(this.write.session),
     });
     if (!leased.ok) {
       const error = convertPoolError(leased.error);
--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -51,6 +51,7 @@
 
 interface WaitingEntry<C> {
   readonly priority: RequestPriority;
+  readonly isPreferred: ((connection: C) => boolean) | null;
   readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
 }
@@ -117,7 +118,7 @@
    * Leases a connection. A request that cannot be served before its deadline
    * is refused on arrival; one that is given up later is refused at that moment.
    */
-  acquire(request: AcquireRequest): Promise<LeaseResult<C>> {
+  acquire(request: AcquireRequest<C>): Promise<LeaseResult<C>> {
     const refusal = this.findRefusal(request);
     if (refusal !== null) {
       return Promise.resolve(failure(refusal));
@@ -203,7 +204,7 @@
   }
 
   /** Why a request is refused on arrival, or null. */
-  private findRefusal(request: AcquireRequest): PoolError | null {
+  private findRefusal(request: AcquireRequest<C>): PoolError | null {
     if (this.state === 'disposed') {
       return {kind: 'disposed'};
     }
@@ -222,7 +223,7 @@
   }
 
   /** Refuses while no connection stands and none can be made in time. */
-  private findConnectRefusal(request: AcquireRequest): PoolError | null {
+  private findConnectRefusal(request: AcquireRequest<C>): PoolError | null {
     const error = this.opener.lastError;
     if (error === null || this.openConnections + this.opener.attemptCount > 0) {
       return null;
@@ -239,7 +240,10 @@
   }
 
   /** Displaces a less urgent entry from a full queue, or refuses. */
-  private makeRoom(request: AcquireRequest, waitMs: number): PoolError | null {
+  private makeRoom(
+    request: AcquireRequest<C>,
+    waitMs: number,
+  ): PoolError | null {
     if (this.queue.length < this.limits.maxQueueLength) {
       return null;
     }
@@ -262,7 +266,7 @@
   }
 
   private enqueue(
-    request: AcquireRequest,
+    request: AcquireRequest<C>,
     resolve: (result: LeaseResult<C>) => void,
   ): void {
     const {priority, deadlineMs, signal} = request;
@@ -274,6 +278,7 @@
     const entry: WaitingEntry<C> = {
       priority,
       deadlineMs,
+      isPreferred: request.isPreferred ?? null,
       settle: result => {
         timer.cancel();
         signal?.removeEventListener('abort', handleAbort);
@@ -320,7 +325,7 @@
         entry.settle(failure(createOverloadedError(waitMs)));
         continue;
       }
-      const connection = this.idle.take();
+      const connection = this.idle.take(entry.isPreferred);
       if (connection === null) {
         this.connectIfNeeded();
         return;
--- a/packages/pool/src/backend_pool_test.ts
+++ b/packages/pool/src/backend_pool_test.ts
@@ -73,6 +73,19 @@
     expect(closed).toEqual([first.connection]);
   });
 
+  it('leases the unused connection that suits best', async () => {
+    const first = await lease();
+    const second = await lease();
+    first.release('clean');
+    second.release('clean');
+    const suited = await pool.acquire({
+      priority: 'normal',
+      deadlineMs: clock.nowMs() + 1000,
+      isPreferred: connection => connection === first.connection,
+    });
+    expect(suited.ok && suited.value.connection).toBe(first.connection);
+  });
+
   it('paces connection attempts', async () => {
     void acquire();
     void acquire();
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -43,8 +43,14 @@
     this.schedulePrune();
   }
 
-  /** Takes a connection that still stands, or null when there is none. */
-  take(): C | null {
+  /**
+   * Takes a connection that still stands, or null when there is none: the
+   * latest that `isPreferred`, else the latest.
+   */
+  take(isPreferred: ((connection: C) => boolean) | null = null): C | null {
+    if (isPreferred !== null) {
+      this.moveLast(isPreferred);
+    }
     for (;;) {
       const last = this.entries.pop();
       if (last === undefined) {
@@ -57,6 +63,18 @@
     }
   }
 
+  /** Makes the latest preferred connection the first to be taken. */
+  private moveLast(isPreferred: (connection: C) => boolean): void {
+    for (let index = this.entries.length - 1; index >= 0; index--) {
+      const entry = this.entries[index];
+      if (entry !== undefined && isPreferred(entry.connection)) {
+        this.entries.splice(index, 1);
+        this.entries.push(entry);
+        return;
+      }
+    }
+  }
+
   /** Forgets a connection that has ended; false when it is not idle. */
   remove(connection: C): boolean {
     const index = this.entries.findIndex(
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -31,11 +31,13 @@
   | {readonly kind: 'disposed'};
 
 /** A request for a connection. @public */
-export interface AcquireRequest {
+export interface AcquireRequest<C> {
   readonly priority: RequestPriority;
   /** Moment on the pool's clock from which the request is given up. */
   readonly deadlineMs: number;
   readonly signal?: AbortSignal;
+  /** Which of several unused connections suits best. */
+  readonly isPreferred?: (connection: C) => boolean;
 }
 
 /** State in which a connection comes back. @public */
