--- a/apps/explain/src/explain_request.ts
+++ b/apps/explain/src/explain_request.ts
@@ -18,7 +18,6 @@
   'dependencyRegained',
   'dutyGained',
   'dutyLost',
-  'logLinesDropped',
 ]);
 
 /** The story of a request. @public */
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -46,7 +46,10 @@
 const ROLE_MISMATCH_MS = 1_500;
 
 /** Time without an acknowledgement after which a reported stall is believed. */
-const NO_WRITES_MS = 500;
+const NO_WRITES_MS = 700;
+
+/** Proxies that must report a stall. */
+const MIN_STALL_REPORTS = 2;
 
 /** Why a primary has to be replaced, or null. */
 type ChangeReason = 'draining' | 'gone' | 'unreachable' | 'writesStalled';
--- a/packages/gateway/src/observability/event_budget.ts
+++ b/packages/gateway/src/observability/event_budget.ts
@@ -9,8 +9,8 @@
 
 const BUDGETS: Readonly<Record<EventClass, ClassBudget>> = {
   belief: {linesPerSecond: 50, burstLines: 400},
-  failure: {linesPerSecond: 25, burstLines: 80},
-  success: {linesPerSecond: 5, burstLines: 20},
+  failure: {linesPerSecond: 40, burstLines: 150},
+  success: {linesPerSecond: 2, burstLines: 10},
 };
 
 const MS_PER_SECOND = 1_000;
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -2,9 +2,14 @@
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import {EventBudget} from './event_budget.js';
-import {classifyEvent, type GatewayEvent} from './gateway_event.js';
+import {
+  classifyEvent,
+  type EventClass,
+  type GatewayEvent,
+} from './gateway_event.js';
 import type {GatewayEvents} from './gateway_events.js';
 import type {LineWriter} from './line_writer.js';
+import {RecentEvents} from './recent_events.js';
 
 /** What an event log is made of. @public */
 export interface EventLogOptions {
@@ -24,6 +29,7 @@
  */
 export class EventLog implements GatewayEvents {
   private readonly budget: EventBudget;
+  private readonly recent = RecentEvents.create();
   private droppedCount = 0;
   private reportedAtMs: number;
 
@@ -37,22 +43,49 @@
   }
 
   record(event: GatewayEvent): void {
-    const {metrics, logger} = this.options;
-    metrics.increment('filbertrun_events_total', 'Events by kind.', {
-      kind: event.kind,
-    });
+    this.options.metrics.increment(
+      'filbertrun_events_total',
+      'Events by kind.',
+      {kind: event.kind},
+    );
     this.measure(event);
     const eventClass = classifyEvent(event);
     if (!this.budget.tryTake(eventClass)) {
-      this.droppedCount++;
+      this.keepOrDrop(event, eventClass);
       return;
     }
     this.reportDropped();
+    if (eventClass === 'failure') {
+      this.writeStory(event);
+    }
+    this.write(event, eventClass);
+  }
+
+  /** Keeps an unwritten success for the case that its request still fails. */
+  private keepOrDrop(event: GatewayEvent, eventClass: EventClass): void {
+    if (eventClass === 'success' && 'requestId' in event) {
+      this.recent.keep(event.requestId, event);
+      return;
+    }
+    this.droppedCount++;
+  }
+
+  /** Writes what was kept of a request that has failed now. */
+  private writeStory(event: GatewayEvent): void {
+    if (!('requestId' in event)) {
+      return;
+    }
+    for (const earlier of this.recent.take(event.requestId)) {
+      this.write(earlier, 'success');
+    }
+  }
+
+  private write(event: GatewayEvent, eventClass: EventClass): void {
     const {kind, ...fields} = event;
     if (eventClass === 'failure') {
-      logger.warn(kind, fields);
+      this.options.logger.warn(kind, fields);
     } else {
-      logger.info(kind, fields);
+      this.options.logger.info(kind, fields);
     }
   }
 
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -194,8 +194,10 @@
   | {
       readonly kind: 'statementRejected';
       readonly requestId: string;
-      readonly backendServer: string;
+      readonly databaseGroup: string;
+      /** Code of the backend server, relayed unchanged. */
       readonly code: string;
+      readonly isInTransaction: boolean;
     }
   | {
       readonly kind: 'statementAnswered';
@@ -234,10 +236,10 @@
 export function classifyEvent(event: GatewayEvent): EventClass {
   switch (event.kind) {
     case 'statementRouted':
+    case 'statementRetried':
     case 'statementAnswered':
       return 'success';
     case 'statementRefused':
-    case 'statementRetried':
     case 'statementRejected':
     case 'outcomeUnknown':
     case 'transactionLost':
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -293,6 +293,15 @@
   ): void {
     const {gateway, group, route, requestId, receivedAtMs} = context;
     const {result, position} = reply;
+    if (result.kind === 'rejected') {
+      gateway.events.record({
+        kind: 'statementRejected',
+        requestId,
+        databaseGroup: group.databaseGroup,
+        code: result.code,
+        isInTransaction: this.transaction !== null,
+      });
+    }
     gateway.events.record({
       kind: 'statementAnswered',
       requestId,
