--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -197,15 +197,21 @@
     return isConfirmed ? 'unreachable' : null;
   }
 
-  /** Whether writes stall for others, and none of this proxy's was acknowledged. */
+  /**
+   * Whether writes stall for several proxies, and none of this one's was
+   * acknowledged. One proxy alone may have lost nothing but an answer.
+   */
   private hasStalledWrites(
     group: GroupRuntime,
     reports: readonly TimedReport[],
   ): boolean {
-    const isReported = reports.some(
+    const stalled = reports.filter(
       ({evidence}) => evidence === 'writesStalled',
     );
-    return isReported && group.writes.getAcknowledgementAgeMs() >= NO_WRITES_MS;
+    const others = this.options.getOtherEntryVms().length;
+    const needed = Math.min(MIN_STALL_REPORTS, others + 1);
+    const ageMs = group.writes.getAcknowledgementAgeMs();
+    return stalled.length >= needed && ageMs >= NO_WRITES_MS;
   }
 
   /** Whether most entry VMs, this one included, can't reach the primary. */
