--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,21 +31,22 @@
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
+import {SuspicionReporter} from './failover/suspicion_reporter.js';
+import {collectGroupGauges} from './observability/group_gauges.js';
 import {
   ClockWatch,
   type ClockReading,
   type WallClock,
 } from './group/clock_watch.js';
 import type {LeaseHolder} from './failover/release_collector.js';
-import type {BackendServerRuntime} from './group/backend_server_runtime.js';
 import {GroupRuntime} from './group/group_runtime.js';
 import {
   PRIMARY_RECORD_PREFIX,
   primaryRecordSchema,
   type RevisedPrimaryRecord,
 } from './group/primary_record.js';
-import {findZonesOutOfReach} from './lifecycle/find_zones_out_of_reach.js';
-import {decideReadiness, type Readiness} from './lifecycle/readiness.js';
+import type {Readiness} from './lifecycle/readiness.js';
+import {ReadinessMonitor} from './lifecycle/readiness_monitor.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
 import type {
   DutyHandover,
@@ -102,18 +103,9 @@
 /** Interval at which a release looks at the pending writes. */
 const RELEASE_STEP_MS = 10;
 
-/** Least time between two reports about one group. */
-const REPORT_INTERVAL_MS = 300;
-
 /** Time without a renewal after which the duty is handed over. */
 const YIELD_DUTY_AFTER_MS = 1_400;
 
-/** Interval at which zones are checked while another one is out of reach. */
-const ZONE_PROBE_INTERVAL_MS = 500;
-
-/** Time without an answer of another proxy after which this one counts as alone. */
-const PEER_SILENCE_MS = 2_000;
-
 /** Time allowed for a connection by which a proxy answers whether it reaches a server. */
 const REACH_CHECK_TIMEOUT_MS = 200;
 
@@ -133,15 +125,10 @@
   private readonly registration: EntryVmRegistration;
   private readonly duty: FailoverDutyLease;
   private readonly coordinator: FailoverCoordinator;
-  private readonly startedAtMs: number;
-  private readonly lastReportMs = new Map<string, number>();
+  private readonly readiness: ReadinessMonitor;
+  private readonly reporter: SuspicionReporter;
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
-  private readiness: Readiness = {isReady: false, reason: 'starting'};
-  private cutOffAtMs: number | null = null;
-  private probedZonesAtMs = Number.NEGATIVE_INFINITY;
-  private readinessChangedAtMs: number;
-  private withPrimaryAtMs: number;
   private removedGoneAtMs: number;
   private clockEpoch = 0;
   private loopDelayMs = 0;
@@ -151,10 +138,7 @@
     this.clock = clock;
     this.events = events;
     this.availabilityZone = self.availabilityZone;
-    this.startedAtMs = clock.nowMs();
-    this.withPrimaryAtMs = this.startedAtMs;
-    this.readinessChangedAtMs = this.startedAtMs;
-    this.removedGoneAtMs = this.startedAtMs;
+    this.removedGoneAtMs = clock.nowMs();
     this.clockWatch = ClockWatch.create(clock, wallClock);
     const {clockWatch} = this;
     this.directory = BackendDirectory.create({
@@ -236,7 +220,23 @@
       isTableRead: () => this.poller.hasRead,
       listInstances: databaseGroup => this.listInstances(databaseGroup),
       observeLeaseHolders: listing => this.observeLeaseHolders(listing),
-      handleRecord: record => this.handleOwnRecord(record),
+      handleRecord: record => this.announce(record),
+    });
+    this.reporter = SuspicionReporter.create({
+      clock,
+      entryVm: self.entryVm,
+      peers: options.peers,
+      getDutyHolder: () => this.duty.holder,
+      getEntryVm: entryVm => this.registration.getEntryVm(entryVm),
+      takeReport: report => this.coordinator.takeReport(report),
+    });
+    this.readiness = ReadinessMonitor.create({
+      clock,
+      events,
+      availabilityZone: self.availabilityZone,
+      getGroups: () => this.getConfiguredGroups(),
+      hasConfiguration: () => this.configuration.current !== null,
+      getPeerSilenceMs: () => this.relayedTable.getPeerSilenceMs(),
     });
   }
 
@@ -255,6 +255,7 @@
   /** Takes no new callers from here on and gives up the duty. */
   beginStop(): void {
     this.isStopping = true;
+    this.readiness.beginStop();
     this.coordinator.dispose();
     void this.duty.resign();
   }
@@ -289,15 +290,12 @@
   }
 
   getReadiness(): Readiness {
-    this.updateReadiness();
-    return this.readiness;
+    return this.readiness.update();
   }
 
   /** Time for which the proxy has not been ready, 0 while it is. */
   getUnreadyMs(): number {
-    return this.readiness.isReady
-      ? 0
-      : this.clock.nowMs() - this.readinessChangedAtMs;
+    return this.readiness.getUnreadyMs();
   }
 
   /** Sets the gauges that describe the present state. */
@@ -516,11 +514,6 @@
     return false;
   }
 
-  /** Takes a record that this proxy itself wrote. */
-  private handleOwnRecord(record: RevisedPrimaryRecord): void {
-    this.announce(record);
-  }
-
   private async listInstances(
     databaseGroup: string,
   ): Promise<readonly BackendServerEntry[] | null> {
@@ -576,9 +569,9 @@
   private maintain(): void {
     this.checkClocks();
     this.yieldDutyWithoutStore();
-    this.reportSuspects();
+    this.reporter.look(this.getConfiguredGroups());
     this.probeUnreachable();
-    this.updateReadiness();
+    this.readiness.update();
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
@@ -609,143 +602,15 @@
 
   /** Looks whether servers that could not be reached are there again. */
   private probeUnreachable(): void {
-    for (const server of this.listServers()) {
-      if (server.isProbeDue) {
-        void server.probe();
-      }
-    }
-  }
-
-  /** Tells the holder of the duty of primaries that can't be reached. */
-  private reportSuspects(): void {
     for (const group of this.groups.values()) {
-      const known = group.lease.getLastKnownPrimary();
-      const server = known === null ? null : group.getServer(known.primary);
-      if (known !== null && server !== null && group.writes.isStalled) {
-        this.report({
-          databaseGroup: group.databaseGroup,
-          primary: known.primary,
-          evidence: 'writesStalled',
-          reporter: this.options.self.entryVm,
-        });
-      }
-      if (known !== null && server?.isUnreachable === true) {
-        this.report({
-          databaseGroup: group.databaseGroup,
-          primary: known.primary,
-          evidence: 'unreachable',
-          reporter: this.options.self.entryVm,
-        });
+      for (const server of group.getServers()) {
+        if (server.isProbeDue) {
+          void server.probe();
+        }
       }
     }
   }
 
-  private report(report: SuspicionReport): void {
-    const nowMs = this.clock.nowMs();
-    const lastMs =
-      this.lastReportMs.get(report.databaseGroup) ?? Number.NEGATIVE_INFINITY;
-    if (nowMs - lastMs < REPORT_INTERVAL_MS) {
-      return;
-    }
-    this.lastReportMs.set(report.databaseGroup, nowMs);
-    const {holder} = this.duty;
-    if (holder === null || holder === this.options.self.entryVm) {
-      this.coordinator.takeReport(report);
-      return;
-    }
-    const peer = this.registration.getEntryVm(holder);
-    if (peer !== null) {
-      void this.options.peers.reportSuspicion(peer, report);
-    }
-  }
-
-  private updateReadiness(): void {
-    const nowMs = this.clock.nowMs();
-    const counts = this.countUsable();
-    if (counts.groupsWithPrimary > 0) {
-      this.withPrimaryAtMs = nowMs;
-    }
-    const readiness = decideReadiness({
-      isStopping: this.isStopping,
-      hasConfiguration: this.configuration.current !== null,
-      groupCount: this.groups.size,
-      ...counts,
-      upMs: nowMs - this.startedAtMs,
-      withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
-      cutOffMs: this.measureCutOffMs(),
-      isAlone: this.relayedTable.getPeerSilenceMs() >= PEER_SILENCE_MS,
-    });
-    if (readiness.isReady !== this.readiness.isReady) {
-      this.readinessChangedAtMs = nowMs;
-      this.events.record({kind: 'readinessChanged', ...readiness});
-    }
-    this.readiness = readiness;
-  }
-
-  private countUsable() {
-    let groupsWithPrimary = 0;
-    let groupsWithServer = 0;
-    for (const group of this.groups.values()) {
-      const primary = group.getLeasedPrimary();
-      if (primary !== null && !primary.isUnreachable) {
-        groupsWithPrimary++;
-      }
-      if (group.getServers().some(server => !server.isUnreachable)) {
-        groupsWithServer++;
-      }
-    }
-    return {groupsWithPrimary, groupsWithServer};
-  }
-
-  /** Time for which every other availability zone has been out of reach. */
-  private measureCutOffMs(): number {
-    const servers = this.listServers();
-    const reach = findZonesOutOfReach(
-      servers.map(server => ({
-        availabilityZone: server.entry.availabilityZone,
-        unreachableSinceMs: server.unreachableSinceMs,
-        lastAnsweredAtMs: server.lastAnsweredAtMs,
-      })),
-      this.availabilityZone,
-    );
-    if (reach.outOfReach.length === 0) {
-      this.cutOffAtMs = null;
-      return 0;
-    }
-    if (reach.presumedReachable.length > 0) {
-      this.cutOffAtMs = null;
-      this.probeZones(servers, reach.presumedReachable);
-      return 0;
-    }
-    const nowMs = this.clock.nowMs();
-    this.cutOffAtMs ??= nowMs;
-    return nowMs - this.cutOffAtMs;
-  }
-
-  private listServers(): readonly BackendServerRuntime[] {
-    const servers: BackendServerRuntime[] = [];
-    for (const group of this.groups.values()) {
-      servers.push(...group.getServers());
-    }
-    return servers;
-  }
-
-  /** Checks a server in each zone, since one other zone is out of reach. */
-  private probeZones(
-    servers: readonly BackendServerRuntime[],
-    zones: readonly string[],
-  ): void {
-    const nowMs = this.clock.nowMs();
-    if (nowMs - this.probedZonesAtMs < ZONE_PROBE_INTERVAL_MS) {
-      return;
-    }
-    this.probedZonesAtMs = nowMs;
-    for (const zone of zones) {
-      const server = servers.find(({entry}) => entry.availabilityZone === zone);
-      void server?.probe();
-    }
-  }
-
   /**
    * Learns a position of the primary before any caller's statement has shown
    * one, so that replicas can answer at once after a start.
@@ -764,51 +629,3 @@
     }
   }
 }
-
-function collectGroupGauges(
-  group: GroupRuntime,
-  metrics: MetricsRegistry,
-): void {
-  const databaseGroup = {databaseGroup: group.databaseGroup};
-  const leased = group.lease.getPrimary();
-  metrics.setGauge(
-    'filbertrun_primary_leased',
-    'Whether strict reads may rely on a primary.',
-    leased === null ? 0 : 1,
-    databaseGroup,
-  );
-  metrics.setGauge(
-    'filbertrun_primary_term',
-    'Term of the newest known primary.',
-    group.lease.getLastKnownPrimary()?.term ?? 0,
-    databaseGroup,
-  );
-  for (const {entry, pool, expectedLagMs} of group.getServers()) {
-    const {openConnections, activeLeases, queueLength} = pool.getStatus();
-    const labels = {...databaseGroup, backendServer: entry.backendServer};
-    metrics.setGauge(
-      'filbertrun_pool_connections',
-      'Open connections to a backend server.',
-      openConnections,
-      labels,
-    );
-    metrics.setGauge(
-      'filbertrun_pool_active',
-      'Statements that run at a backend server.',
-      activeLeases,
-      labels,
-    );
-    metrics.setGauge(
-      'filbertrun_pool_queue_length',
-      'Statements that wait for a connection.',
-      queueLength,
-      labels,
-    );
-    metrics.setGauge(
-      'filbertrun_replica_expected_lag_seconds',
-      'Time by which a replica is expected to be behind.',
-      expectedLagMs / MS_PER_SECOND,
-      labels,
-    );
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/readiness_monitor.ts
@@ -0,0 +1,144 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
+import {findZonesOutOfReach} from './find_zones_out_of_reach.js';
+import {decideReadiness, type Readiness} from './readiness.js';
+
+/** What a monitor looks at. @public */
+export interface ReadinessMonitorOptions {
+  readonly clock: Clock;
+  readonly availabilityZone: AvailabilityZone;
+  readonly events: GatewayEvents;
+  getGroups(): readonly GroupRuntime[];
+  hasConfiguration(): boolean;
+  /** Time since another proxy answered a relayed call. */
+  getPeerSilenceMs(): number;
+}
+
+/** Interval at which zones are checked while another one is out of reach. */
+const ZONE_PROBE_INTERVAL_MS = 500;
+
+/** Time without an answer of another proxy after which this one counts as alone. */
+const PEER_SILENCE_MS = 2_000;
+
+/** Follows whether this proxy should get new callers. @public */
+export class ReadinessMonitor {
+  private readiness: Readiness = {isReady: false, reason: 'starting'};
+  private isStopping = false;
+  private cutOffAtMs: number | null = null;
+  private probedZonesAtMs = Number.NEGATIVE_INFINITY;
+  private readonly startedAtMs: number;
+  private changedAtMs: number;
+  private withPrimaryAtMs: number;
+
+  private constructor(private readonly options: ReadinessMonitorOptions) {
+    this.startedAtMs = options.clock.nowMs();
+    this.changedAtMs = this.startedAtMs;
+    this.withPrimaryAtMs = this.startedAtMs;
+  }
+
+  static create(options: ReadinessMonitorOptions): ReadinessMonitor {
+    return new ReadinessMonitor(options);
+  }
+
+  get isReady(): boolean {
+    return this.readiness.isReady;
+  }
+
+  /** Time for which the proxy has not been ready, 0 while it is. */
+  getUnreadyMs(): number {
+    return this.readiness.isReady
+      ? 0
+      : this.options.clock.nowMs() - this.changedAtMs;
+  }
+
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Decides anew. */
+  update(): Readiness {
+    const {clock, events} = this.options;
+    const nowMs = clock.nowMs();
+    const counts = this.countUsable();
+    if (counts.groupsWithPrimary > 0) {
+      this.withPrimaryAtMs = nowMs;
+    }
+    const readiness = decideReadiness({
+      ...counts,
+      isStopping: this.isStopping,
+      hasConfiguration: this.options.hasConfiguration(),
+      groupCount: this.options.getGroups().length,
+      upMs: nowMs - this.startedAtMs,
+      withoutPrimaryMs: nowMs - this.withPrimaryAtMs,
+      cutOffMs: this.measureCutOffMs(),
+      isAlone: this.options.getPeerSilenceMs() >= PEER_SILENCE_MS,
+    });
+    if (readiness.isReady !== this.readiness.isReady) {
+      this.changedAtMs = nowMs;
+      events.record({kind: 'readinessChanged', ...readiness});
+    }
+    this.readiness = readiness;
+    return readiness;
+  }
+
+  private countUsable() {
+    let groupsWithPrimary = 0;
+    let groupsWithServer = 0;
+    for (const group of this.options.getGroups()) {
+      const primary = group.getLeasedPrimary();
+      if (primary !== null && !primary.isUnreachable) {
+        groupsWithPrimary++;
+      }
+      if (group.getServers().some(server => !server.isUnreachable)) {
+        groupsWithServer++;
+      }
+    }
+    return {groupsWithPrimary, groupsWithServer};
+  }
+
+  /** Time for which every other availability zone has been out of reach. */
+  private measureCutOffMs(): number {
+    const servers = this.options
+      .getGroups()
+      .flatMap(group => group.getServers());
+    const reach = findZonesOutOfReach(
+      servers.map(server => ({
+        availabilityZone: server.entry.availabilityZone,
+        unreachableSinceMs: server.unreachableSinceMs,
+        lastAnsweredAtMs: server.lastAnsweredAtMs,
+      })),
+      this.options.availabilityZone,
+    );
+    if (reach.outOfReach.length === 0) {
+      this.cutOffAtMs = null;
+      return 0;
+    }
+    if (reach.presumedReachable.length > 0) {
+      this.cutOffAtMs = null;
+      this.probeZones(servers, reach.presumedReachable);
+      return 0;
+    }
+    const nowMs = this.options.clock.nowMs();
+    this.cutOffAtMs ??= nowMs;
+    return nowMs - this.cutOffAtMs;
+  }
+
+  /** Checks a server in each zone, since one other zone is out of reach. */
+  private probeZones(
+    servers: readonly BackendServerRuntime[],
+    zones: readonly AvailabilityZone[],
+  ): void {
+    const nowMs = this.options.clock.nowMs();
+    if (nowMs - this.probedZonesAtMs < ZONE_PROBE_INTERVAL_MS) {
+      return;
+    }
+    this.probedZonesAtMs = nowMs;
+    for (const zone of zones) {
+      const server = servers.find(({entry}) => entry.availabilityZone === zone);
+      void server?.probe();
+    }
+  }
+}
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -19,6 +19,7 @@
   NO_PRIMARY_RETRY_AFTER_MS,
   NO_SERVER_RETRY_AFTER_MS,
 } from './refusal.js';
+import {describeRouteInputs, recordRefused} from './statement_events.js';
 import {runOnLink, type RunError} from './run_on_link.js';
 
 /** A read, or a statement that begins a transaction. @public */
@@ -122,7 +123,7 @@
         reason,
       });
     }
-    this.recordRefusal(reason);
+    recordRefused(this.context, this.lastError, reason);
     return this.lastError;
   }
 
@@ -388,34 +389,9 @@
           ? 'primary'
           : 'replica',
       attempt: this.attempts,
-      ...this.describeInputs(),
+      ...describeRouteInputs(this.context),
       requiredPosition: plan.requiredPosition,
       requiredPositionAgeMs: plan.requiredPositionAgeMs,
     });
   }
-
-  private recordRefusal(reason: string): void {
-    const {gateway, requestId, receivedAtMs} = this.context;
-    const error = this.lastError;
-    gateway.events.record({
-      kind: 'statementRefused',
-      requestId,
-      reason: `${error.kind}: ${reason}`,
-      retryAfterMs: 'retryAfterMs' in error ? error.retryAfterMs : null,
-      waitedMs: gateway.clock.nowMs() - receivedAtMs,
-      ...this.describeInputs(),
-    });
-  }
-
-  private describeInputs() {
-    const {route, group, configurationVersion} = this.context;
-    return {
-      databaseGroup: group.databaseGroup,
-      consistency: route.consistency,
-      configurationVersion,
-      leasedTerm: group.lease.getPrimary()?.term ?? null,
-      requiredPosition: null,
-      requiredPositionAgeMs: null,
-    };
-  }
 }
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -10,6 +10,7 @@
   NO_PRIMARY_RETRY_AFTER_MS,
   NO_SERVER_RETRY_AFTER_MS,
 } from './refusal.js';
+import {describeRouteInputs, recordRefused} from './statement_events.js';
 import {runOnLink, type RunError} from './run_on_link.js';
 
 /** A write outside a transaction. @public */
@@ -235,12 +236,12 @@
       backendServer: server.entry.backendServer,
       role: 'primary',
       attempt,
-      ...this.describeInputs(),
+      ...describeRouteInputs(this.context),
     });
   }
 
   private recordFailure(error: CallerError, reason: string): void {
-    const {gateway, requestId, receivedAtMs, group} = this.context;
+    const {gateway, requestId, group} = this.context;
     if (error.kind === 'outcomeUnknown') {
       const backendServer = group.lease.getLastKnownPrimary()?.primary ?? '';
       gateway.events.record({
@@ -251,25 +252,6 @@
       });
       return;
     }
-    gateway.events.record({
-      kind: 'statementRefused',
-      requestId,
-      reason: `${error.kind}: ${reason}`,
-      retryAfterMs: 'retryAfterMs' in error ? error.retryAfterMs : null,
-      waitedMs: gateway.clock.nowMs() - receivedAtMs,
-      ...this.describeInputs(),
-    });
-  }
-
-  private describeInputs() {
-    const {route, group, configurationVersion} = this.context;
-    return {
-      databaseGroup: group.databaseGroup,
-      consistency: route.consistency,
-      configurationVersion,
-      leasedTerm: group.lease.getPrimary()?.term ?? null,
-      requiredPosition: null,
-      requiredPositionAgeMs: null,
-    };
+    recordRefused(this.context, error, reason);
   }
 }
