--- a/packages/gateway/src/backend/instance_control.ts
+++ b/packages/gateway/src/backend/instance_control.ts
@@ -33,9 +33,6 @@
     server: BackendServerEntry,
     term: number,
   ): Promise<Result<InstanceStatus, InstanceControlError>>;
-  resumeReplication(
-    server: BackendServerEntry,
-  ): Promise<Result<InstanceStatus, InstanceControlError>>;
   /** Makes a primary below `term` a replica. */
   stepDown(
     server: BackendServerEntry,
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -221,11 +221,6 @@
       readonly backendServer: string;
       readonly reason: string;
     }
-  | {
-      readonly kind: 'sessionClosed';
-      readonly reason: string;
-      readonly databaseName: string;
-    }
   | {readonly kind: 'storeConflict'; readonly key: string}
   | {readonly kind: 'logLinesDropped'; readonly count: number};
 
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -263,7 +263,6 @@
         ? success({...status.value, role: 'replica' as const})
         : status;
     },
-    resumeReplication: server => instances.resumeReplication(server),
     pauseReplication: async (server, term) => {
       const status = await instances.getStatus(server);
       return status.ok ? success({...status.value, pausedTerm: term}) : status;
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -300,12 +300,6 @@
     return this.run(server, instance => this.group.pause(instance, term));
   }
 
-  resumeReplication(server: BackendServerEntry): Promise<ControlResult> {
-    return this.run(server, instance => {
-      instance.pausedTerm = 0;
-    });
-  }
-
   stepDown(server: BackendServerEntry, term: number): Promise<ControlResult> {
     return this.run(server, instance => this.group.stepDown(instance, term));
   }
--- a/packages/gateway/src/testing/fake_instances.ts
+++ b/packages/gateway/src/testing/fake_instances.ts
@@ -113,12 +113,6 @@
     });
   }
 
-  resumeReplication(server: BackendServerEntry): Promise<ControlResult> {
-    return this.control(server, instance => {
-      instance.pausedTerm = 0;
-    });
-  }
-
   stepDown(server: BackendServerEntry, term: number): Promise<ControlResult> {
     return this.control(server, instance => {
       if (instance.role === 'primary' && instance.term < term) {
