Take no older record for a reason to write early

Cause (found by reading): a read of the control table that began before a change of primary was announced could arrive after the announcement; the time from which writes may begin was then taken from the older record, and a strict read at the old primary under a lease that was not released could have lacked such a write. A read that was under way also answered for one that was asked for after the announcement. Change: an older record changes nothing; a read that is under way is followed by another. Test: group_runtime_test.ts, 'does not write early because an older read of the record arrives late', fails before.

--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -33,6 +33,8 @@
 export class ControlPoller {
   private timer: Timer | null = null;
   private reading: Promise<boolean> | null = null;
+  /** Read that follows the one under way. */
+  private next: Promise<boolean> | null = null;
   private lostSinceMs: number | null = null;
   private contactMs = Number.NEGATIVE_INFINITY;
   private newestRevision = 0;
@@ -64,9 +66,24 @@
     this.timer?.cancel();
   }
 
-  /** Reads now; true when the store answered. */
-  readNow(): Promise<boolean> {
-    this.reading ??= this.read().finally(() => {
+  /**
+   * Reads what the table holds from now on; true when the store answered. A
+   * read that is under way may have missed the latest change, so another one
+   * follows it.
+   */
+  async readNow(): Promise<boolean> {
+    if (this.reading !== null) {
+      this.next ??= this.reading.then(() => {
+        this.next = null;
+        return this.startRead();
+      });
+      return this.next;
+    }
+    return this.startRead();
+  }
+
+  private startRead(): Promise<boolean> {
+    this.reading = this.read().finally(() => {
       this.reading = null;
     });
     return this.reading;
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -149,11 +149,14 @@
     proof: LeaseProof,
     source: string,
   ): void {
-    const previousRevision = this.lease.revision;
-    this.lease.learn(revised, proof);
-    this.writableFromMs = this.computeWritableFromMs(revised.record, proof);
-    this.handleLearned(revised, previousRevision, source);
     const {record} = revised;
+    const previousRevision = this.lease.revision;
+    // A read may arrive after the announcement of a newer record.
+    if (revised.revision >= previousRevision) {
+      this.lease.learn(revised, proof);
+      this.writableFromMs = this.computeWritableFromMs(record, proof);
+      this.handleLearned(revised, previousRevision, source);
+    }
     if (record.phase === 'changing' && record.lastOldPosition !== null) {
       this.ring.record(proof.readAt.timeMs, record.lastOldPosition);
     }
@@ -203,7 +206,9 @@
   release(revision: number, oldTerm: number): void {
     this.lease.release(revision);
     this.releasedTerm = Math.max(this.releasedTerm, oldTerm);
-    this.changeStartedAtMs ??= this.options.clock.nowMs();
+    if (revision >= this.lease.revision) {
+      this.changeStartedAtMs ??= this.options.clock.nowMs();
+    }
   }
 
   createReleaseReport(): ReleaseReport {
--- /dev/null
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -0,0 +1,80 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {SessionWorld} from '../testing/session_world.js';
+import type {LeaseProof} from './primary_lease.js';
+import type {RevisedPrimaryRecord} from './primary_record.js';
+
+const CHANGING: RevisedPrimaryRecord = {
+  revision: 2,
+  record: {
+    phase: 'changing',
+    databaseGroup: 'group',
+    changeId: 'change',
+    oldPrimary: 'p',
+    oldTerm: 1,
+    target: 'r1',
+    lastOldPosition: {term: 1, position: 5},
+  },
+};
+
+/** The new primary, whose writes wait for a lease that was not released. */
+const GATED: RevisedPrimaryRecord = {
+  revision: 3,
+  record: {
+    phase: 'stable',
+    databaseGroup: 'group',
+    primary: 'r1',
+    term: 2,
+    writesFromStoreMs: 5_000,
+  },
+};
+
+describe('GroupRuntime', () => {
+  let world: SessionWorld;
+
+  beforeEach(() => {
+    world = SessionWorld.create();
+    world.grantLease();
+  });
+
+  function prove(storeTimeMs = 0): LeaseProof {
+    return {readAt: world.watch.read(), durationMs: 60_000, storeTimeMs};
+  }
+
+  function getWritable(): string | null {
+    return world.group.getWritablePrimary()?.entry.backendServer ?? null;
+  }
+
+  it('writes at a new primary only from the time on the store that the record states', () => {
+    world.group.learnRecord(GATED, prove(1_000), 'test');
+    expect(getWritable()).toBeNull();
+    world.clock.advance(3_999);
+    expect(getWritable()).toBeNull();
+    world.clock.advance(1);
+    expect(getWritable()).toBe('r1');
+  });
+
+  it('reads at the new primary meanwhile', () => {
+    world.group.learnRecord(GATED, prove(1_000), 'test');
+    const leased = world.group.getLeasedPrimary();
+    expect(leased?.entry.backendServer).toBe('r1');
+  });
+
+  it('does not write early because an older read of the record arrives late', () => {
+    const olderProof = prove();
+    world.group.learnAnnouncedRecord(GATED);
+    world.group.learnRecord(CHANGING, olderProof, 'test');
+    expect(getWritable()).toBeNull();
+  });
+
+  it('writes nothing at a primary that was only announced with such a time', () => {
+    world.group.learnAnnouncedRecord(GATED);
+    world.clock.advance(60_000);
+    expect(getWritable()).toBeNull();
+  });
+
+  it('serves aged reads from the last position of the old term', () => {
+    world.group.learnRecord(CHANGING, prove(), 'test');
+    const fresh = world.group.getFreshPosition(world.clock.nowMs(), 1_500);
+    expect(fresh?.position).toEqual({term: 1, position: 5});
+  });
+});
