Fence instances that left the directory a short while ago

Change: an instance counts for 12 s after its entry has gone, unless another one answers in its place, which proves that it has left; the old primary's step-down still suffices. Test: backend_directory_test.ts, 'remembers for a while a server that is gone'.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -24,10 +24,23 @@
  */
 const LAPSE_GRACE_MS = 2_500;
 
+/**
+ * Time for which a server that is gone from the table may still run. One that
+ * is cut off together with its primary goes on confirming commits.
+ */
+const DEPARTED_MS = 12_000;
+
+/** A server that was removed, and when. */
+interface Departure {
+  readonly entry: BackendServerEntry;
+  readonly atMs: number;
+}
+
 /** The backend servers that exist, from the table in which they report themselves. @public */
 export class BackendDirectory implements TableListener<BackendServerEntry> {
   private readonly entries = new Map<BackendServerId, BackendServerEntry>();
   private readonly lapses = new Map<BackendServerId, Timer>();
+  private readonly departures = new Map<BackendServerId, Departure>();
   private listed = false;
 
   private constructor(private readonly options: BackendDirectoryOptions) {}
@@ -49,6 +62,20 @@
     return [...this.entries.values()];
   }
 
+  /** Servers that were removed a short while ago and may still run. */
+  getDeparted(): readonly BackendServerEntry[] {
+    const oldestMs = this.options.clock.nowMs() - DEPARTED_MS;
+    const departed: BackendServerEntry[] = [];
+    for (const [backendServer, {entry, atMs}] of this.departures) {
+      if (atMs >= oldestMs) {
+        departed.push(entry);
+      } else {
+        this.departures.delete(backendServer);
+      }
+    }
+    return departed;
+  }
+
   /** Whether the entry is missing from the table at present. */
   isLapsed(backendServer: BackendServerId): boolean {
     return this.lapses.has(backendServer);
@@ -111,6 +138,7 @@
       this.remove(backendServer, 'it moved to another database group');
     }
     this.entries.set(backendServer, entry);
+    this.departures.delete(backendServer);
     if (
       known?.state !== entry.state ||
       known.reportedRole !== entry.reportedRole
@@ -155,6 +183,10 @@
       return;
     }
     this.entries.delete(backendServer);
+    this.departures.set(backendServer, {
+      entry,
+      atMs: this.options.clock.nowMs(),
+    });
     this.options.events.record({
       kind: 'backendServerGone',
       backendServer,
--- a/packages/gateway/src/directory/backend_directory_test.ts
+++ b/packages/gateway/src/directory/backend_directory_test.ts
@@ -61,6 +61,16 @@
     expect(gone).toEqual(['a']);
   });
 
+  it('remembers for a while a server that is gone, since it may still run', () => {
+    const entry = {...createEntry('a', 'replica'), state: 'draining' as const};
+    directory.handleListing(group(put(entry)));
+    directory.handleChanges(group({kind: 'removed', key: 'a', revision: 2}));
+    clock.advance(11_000);
+    expect(directory.getDeparted()).toEqual([entry]);
+    clock.advance(2_000);
+    expect(directory.getDeparted()).toEqual([]);
+  });
+
   it('takes an entry that can not be read for no server, and keeps the others', () => {
     directory.handleListing(
       group(put(createEntry('a', 'replica')), {
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -39,6 +39,8 @@
 export class InstanceFences {
   private readonly fences = new Map<BackendServerId, Fence>();
   private readonly pending = new Set<BackendServerId>();
+  /** Instances in whose place another one answers. */
+  private readonly replaced = new Set<BackendServerId>();
 
   private constructor(private readonly options: InstanceFencesOptions) {}
 
@@ -63,7 +65,9 @@
 
   /** What is known of each instance now. */
   describe(entries: readonly BackendServerEntry[]): readonly FencedInstance[] {
-    return entries.map(entry => this.describeInstance(entry));
+    return entries
+      .filter(({backendServer}) => !this.replaced.has(backendServer))
+      .map(entry => this.describeInstance(entry));
   }
 
   /** An instance that leads a later term already, from an earlier order. */
@@ -123,6 +127,9 @@
       known?.status.role === 'primary';
     const result = await this.send(entry, wasPrimary);
     this.pending.delete(backendServer);
+    if (!result.ok && result.error.kind === 'wrongServer') {
+      this.replaced.add(backendServer);
+    }
     if (result.ok) {
       this.fences.set(backendServer, {
         wasPrimary,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -522,7 +522,11 @@
       return null;
     }
     const instances = new Map<string, BackendServerEntry>();
-    for (const entry of this.directory.getEntries()) {
+    const known = [
+      ...this.directory.getDeparted(),
+      ...this.directory.getEntries(),
+    ];
+    for (const entry of known) {
       if (entry.databaseGroup === databaseGroup) {
         instances.set(entry.backendServer, entry);
       }
