--- a/packages/configuration/src/submit_change.ts
+++ b/packages/configuration/src/submit_change.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {
@@ -168,9 +169,7 @@
       FIRST_RETRY_DELAY_MS * 2 ** attempt,
     );
     const delayMs = longestMs * (0.5 + 0.5 * random.nextFloat());
-    return new Promise(resolve => {
-      clock.startTimer(delayMs, resolve);
-    });
+    return pause(clock, delayMs);
   }
 }
 
--- a/packages/fuzz/src/pool_history.ts
+++ b/packages/fuzz/src/pool_history.ts
@@ -1,3 +1,4 @@
+import {pause} from '@filbertrun/base/pause.js';
 import {
   SeededRandom,
   type RandomSource,
@@ -47,7 +48,7 @@
     this.pool = BackendPool.create<MarkedConnection>({
       connector: {
         connect: async () => {
-          await this.wait(this.random.nextInteger(1, CONNECT_LIMIT_MS));
+          await pause(this.clock, this.random.nextInteger(1, CONNECT_LIMIT_MS));
           return success({leftover: null});
         },
         close: () => {},
@@ -99,18 +100,12 @@
       const other = connection.leftover;
       this.report('sessions mixed', `session ${session} finds ${other}`);
     }
-    await this.wait(this.random.nextInteger(1, USE_LIMIT_MS));
+    await pause(this.clock, this.random.nextInteger(1, USE_LIMIT_MS));
     const isClean = this.random.nextFloat() >= LEFTOVER_SHARE;
     connection.leftover = isClean ? null : session;
     result.value.release(this.rules.getCondition(isClean));
   }
 
-  private wait(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.clock.startTimer(delayMs, resolve);
-    });
-  }
-
   private report(rule: string, detail: string): void {
     this.violations.push({rule, detail});
   }
--- a/packages/fuzz/src/simulated_proxy.ts
+++ b/packages/fuzz/src/simulated_proxy.ts
@@ -1,3 +1,4 @@
+import {pause} from '@filbertrun/base/pause.js';
 import {CompletionPlan} from '@filbertrun/completion/completion_plan.js';
 import type {
   CompletionOutcome,
@@ -114,7 +115,7 @@
       if (!mayRepeat) {
         return outcome;
       }
-      await this.pause();
+      await pause(this.options.host.clock, RETRY_DELAY_MS);
     }
     return this.isDead ? UNKNOWN : NOT_RUN;
   }
@@ -132,7 +133,7 @@
         return outcome;
       }
       wasUnknown ||= outcome.kind === 'unknown';
-      await this.pause();
+      await pause(this.options.host.clock, RETRY_DELAY_MS);
     }
     return wasUnknown || this.isDead ? UNKNOWN : NOT_RUN;
   }
@@ -346,12 +347,6 @@
   private canTryAgain(deadlineMs: number): boolean {
     return !this.isDead && this.getNowMs() < deadlineMs;
   }
-
-  private pause(): Promise<void> {
-    return new Promise(resolve => {
-      this.options.host.clock.startTimer(RETRY_DELAY_MS, resolve);
-    });
-  }
 }
 
 function describeOutcome(outcome: CompletionOutcome): WriteOutcome {
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {
@@ -141,7 +142,7 @@
   private async openWrites(releases: ReleaseCollector): Promise<void> {
     const completed = this.current;
     while (releases.getLastLeaseEndStoreMs() !== null) {
-      await this.pause(STEP_INTERVAL_MS);
+      await pause(this.dependencies.clock, STEP_INTERVAL_MS);
     }
     releases.stop();
     const {record} = completed;
@@ -199,7 +200,7 @@
       if (listing.ok) {
         return observeLeaseHolders(listing.value);
       }
-      await this.pause(TABLE_RETRY_MS);
+      await pause(this.dependencies.clock, TABLE_RETRY_MS);
     }
     return null;
   }
@@ -220,7 +221,7 @@
     while (this.token !== null) {
       const entries = (await this.findInstances(intent.databaseGroup)) ?? [];
       fences.request(entries);
-      await this.pause(STEP_INTERVAL_MS);
+      await pause(this.dependencies.clock, STEP_INTERVAL_MS);
       const leader = fences.findNewLeader();
       if (leader !== null) {
         const {backendServer, term} = leader;
@@ -251,7 +252,7 @@
       releases.getOutstanding().length > 0 &&
       this.dependencies.clock.nowMs() < untilMs
     ) {
-      await this.pause(STEP_INTERVAL_MS);
+      await pause(this.dependencies.clock, STEP_INTERVAL_MS);
     }
   }
 
@@ -315,12 +316,12 @@
       outcome,
     });
     if (!result.ok && result.error.kind !== 'outcomeUnknown') {
-      await this.pause(STEP_INTERVAL_MS);
+      await pause(this.dependencies.clock, STEP_INTERVAL_MS);
       return null;
     }
     const untilMs = clock.nowMs() + PROMOTION_TIMEOUT_MS;
     while (clock.nowMs() < untilMs) {
-      await this.pause(PROMOTION_POLL_MS);
+      await pause(this.dependencies.clock, PROMOTION_POLL_MS);
       const term = await this.findTermOf(intent, target);
       if (term !== null) {
         return this.complete(intent, releases, target, term);
@@ -436,7 +437,7 @@
         this.take({record, revision: current.revision});
         return true;
       }
-      await this.pause(TABLE_RETRY_MS);
+      await pause(this.dependencies.clock, TABLE_RETRY_MS);
     }
     return false;
   }
@@ -470,10 +471,4 @@
     });
     return 'abandoned';
   }
-
-  private pause(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.dependencies.clock.startTimer(delayMs, resolve);
-    });
-  }
 }
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {
   getLaterPosition,
   type LogPosition,
@@ -94,9 +95,7 @@
         this.raise(answer.value.highestAcknowledged);
         return;
       }
-      await new Promise<void>(resolve => {
-        clock.startTimer(REPEAT_INTERVAL_MS, resolve);
-      });
+      await pause(clock, REPEAT_INTERVAL_MS);
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import type {
@@ -393,9 +394,7 @@
   private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
     const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
     while (group.writes.pendingCount > 0 && this.clock.nowMs() < untilMs) {
-      await new Promise<void>(resolve => {
-        this.clock.startTimer(RELEASE_STEP_MS, resolve);
-      });
+      await pause(this.clock, RELEASE_STEP_MS);
     }
   }
 
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -1,3 +1,4 @@
+import {pause} from '@filbertrun/base/pause.js';
 import type {Result} from '@filbertrun/base/result.js';
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
@@ -201,9 +202,7 @@
       group.getLeasedPrimary() === null &&
       gateway.clock.nowMs() < untilMs
     ) {
-      await new Promise<void>(resolve => {
-        gateway.clock.startTimer(REQUIREMENT_STEP_MS, resolve);
-      });
+      await pause(gateway.clock, REQUIREMENT_STEP_MS);
       requirement = this.resolveRequirement();
     }
     return requirement;
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -1,3 +1,4 @@
+import {pause} from '@filbertrun/base/pause.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {PoolLease} from '@filbertrun/pool/pool_types.js';
 import type {PooledLink, SessionContext} from '../backend/pooled_link.js';
@@ -76,7 +77,7 @@
       if (result.kind === 'failed' || this.remainingMs <= REPEAT_DELAY_MS) {
         break;
       }
-      await this.pause(REPEAT_DELAY_MS);
+      await pause(this.context.gateway.clock, REPEAT_DELAY_MS);
     }
     this.recordFailure(error, reason);
     return error;
@@ -91,12 +92,6 @@
     return group.waitForPrimary(group.estimateWriteWaitMs(this.remainingMs));
   }
 
-  private pause(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.context.gateway.clock.startTimer(delayMs, resolve);
-    });
-  }
-
   private async attempt(
     server: BackendServerRuntime,
     attempt: number,
--- a/packages/gateway/src/simulation/simulated_link.ts
+++ b/packages/gateway/src/simulation/simulated_link.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {isCovered} from '@filbertrun/model/log_position.js';
 import type {ConnectError} from '@filbertrun/pool/pool_types.js';
@@ -33,8 +34,8 @@
 /** Time that a message takes one way. */
 const MESSAGE_MS = 1;
 
-/** Interval at which an unconfirmed commit is looked at again. */
-const CONFIRM_INTERVAL_MS = 20;
+/** Interval at which an unacknowledged commit is looked at again. */
+const ACKNOWLEDGE_INTERVAL_MS = 20;
 
 /** Connections of one proxy to the simulated group. @internal */
 export class SimulatedConnector implements BackendLinkConnector {
@@ -193,17 +194,17 @@
       return this.reject('notPrimary');
     }
     const {term} = instance;
-    let isConfirmed = group.commit(instance, uncommitted);
-    while (!isConfirmed && clock.nowMs() < deadlineMs) {
-      await pause(clock, CONFIRM_INTERVAL_MS);
+    let isAcknowledged = group.commit(instance, uncommitted);
+    while (!isAcknowledged && clock.nowMs() < deadlineMs) {
+      await pause(clock, ACKNOWLEDGE_INTERVAL_MS);
       const stillLeads = instance.role === 'primary' && instance.term === term;
       if (!stillLeads || !instance.isRunning) {
         return null;
       }
-      isConfirmed =
+      isAcknowledged =
         group.commit(instance, []) && this.isHeldElsewhere(uncommitted);
     }
-    if (!isConfirmed) {
+    if (!isAcknowledged) {
       return null;
     }
     if (uncommitted.length > 0) {
@@ -247,9 +248,3 @@
     };
   }
 }
-
-function pause(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    clock.startTimer(delayMs, resolve);
-  });
-}
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {SeededRandom} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {
@@ -137,9 +138,7 @@
   }
 
   pause(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.deployment.clock.startTimer(delayMs, resolve);
-    });
+    return pause(this.deployment.clock, delayMs);
   }
 
   private isConnected(party: string): boolean {
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {ConnectError} from '@filbertrun/pool/pool_types.js';
@@ -119,7 +120,7 @@
     if (!this.isOpen) {
       return failure({kind: 'notSent', reason: 'closed'});
     }
-    await this.pause(ANSWER_MS);
+    await pause(this.backend.clock, ANSWER_MS);
     switch (command.kind) {
       case 'reset':
         this.values.clear();
@@ -164,7 +165,7 @@
         this.close();
         return failure({kind: 'connectionLost', reason: 'test'});
       case 'silence':
-        await this.pause(timeoutMs);
+        await pause(this.backend.clock, timeoutMs);
         return failure({kind: 'timedOut'});
       case 'runAndLose':
         this.run(command);
@@ -248,10 +249,4 @@
       position: this.backend.getPosition(this.backendServer.backendServer),
     });
   }
-
-  private pause(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.backend.clock.startTimer(delayMs, resolve);
-    });
-  }
 }
--- a/packages/group/src/primary_change.ts
+++ b/packages/group/src/primary_change.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {
   BackendServerId,
@@ -119,7 +120,7 @@
           ? success(view)
           : failure({kind: 'targetBehind'});
       }
-      await this.pause();
+      await pause(this.options.clock, LOOK_INTERVAL_MS);
     }
     return failure({kind: 'outcomeUnknown', reason: 'no answer in time'});
   }
@@ -137,16 +138,10 @@
       if (result?.ok === true && isReached(result.value)) {
         return true;
       }
-      await this.pause();
+      await pause(this.options.clock, LOOK_INTERVAL_MS);
     }
     return false;
   }
-
-  private pause(): Promise<void> {
-    return new Promise(resolve => {
-      this.options.clock.startTimer(LOOK_INTERVAL_MS, resolve);
-    });
-  }
 }
 
 function isWithin(
--- a/packages/peer/src/operator_client.ts
+++ b/packages/peer/src/operator_client.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {failure, type Result} from '@filbertrun/base/result.js';
 import type {ChangeRequest} from '@filbertrun/configuration/configuration_change.js';
@@ -94,7 +95,7 @@
       if (isDone || this.options.clock.nowMs() >= deadlineMs) {
         return report;
       }
-      await this.sleep(ROLLOUT_POLL_INTERVAL_MS);
+      await pause(this.options.clock, ROLLOUT_POLL_INTERVAL_MS);
     }
   }
 
@@ -229,10 +230,4 @@
     );
     return {inForce, behind, unreachable};
   }
-
-  private sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.options.clock.startTimer(delayMs, resolve);
-    });
-  }
 }
--- a/packages/platform/src/in_memory_platform_service.ts
+++ b/packages/platform/src/in_memory_platform_service.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {EntryVmId} from '@filbertrun/model/identifiers.js';
 import type {
@@ -151,9 +152,7 @@
     if (this.latencyMs === 0) {
       return Promise.resolve();
     }
-    return new Promise(resolve => {
-      this.clock.startTimer(this.latencyMs / 2, resolve);
-    });
+    return pause(this.clock, this.latencyMs / 2);
   }
 }
 
--- a/packages/proxy/src/caller/caller_listener.ts
+++ b/packages/proxy/src/caller/caller_listener.ts
@@ -5,6 +5,7 @@
   type Socket,
 } from 'node:net';
 import type {Clock} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import {describeCallerError} from '@filbertrun/model/outcome.js';
 import {buildErrorResponse} from '@filbertrun/wire/backend_message_builder.js';
 import {
@@ -75,9 +76,7 @@
       connection.stop();
     }
     while (this.connections.size > 0 && clock.nowMs() < deadlineMs) {
-      await new Promise<void>(resolve => {
-        clock.startTimer(STOP_CHECK_INTERVAL_MS, resolve);
-      });
+      await pause(clock, STOP_CHECK_INTERVAL_MS);
     }
     for (const connection of [...this.connections]) {
       connection.destroy();
--- a/packages/proxy/src/execution/keyed_write_executor.ts
+++ b/packages/proxy/src/execution/keyed_write_executor.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {CompletionRules} from '@filbertrun/completion/completion_rules.js';
 import {
   CompletionPlan,
@@ -98,9 +99,7 @@
       if (clock.nowMs() + SETTLE_PAUSE_MS >= context.deadlineMs) {
         return createFailure(isOpen ? {kind: 'outcomeUnknown'} : UNAVAILABLE);
       }
-      await new Promise<void>(resolve => {
-        clock.startTimer(SETTLE_PAUSE_MS, resolve);
-      });
+      await pause(clock, SETTLE_PAUSE_MS);
     }
   }
 
