Record routes and unknown outcomes, and compute the time left, in one place each

Cause: reads, writes and transactions each built the events statementRouted and outcomeUnknown and the time left of a deadline; a transaction asked twice whether its statement was sent. Change: recordRouted and recordOutcomeUnknown beside recordRefused, getRemainingMs beside getQueueDeadlineMs.

--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -29,6 +29,11 @@
   readonly deadlineMs: number;
 }
 
+/** Time left of a statement's deadline; negative once it has passed. @public */
+export function getRemainingMs(context: StatementContext): number {
+  return context.deadlineMs - context.gateway.clock.nowMs();
+}
+
 /** Monotonic time up to which a statement may wait for a connection. @public */
 export function getQueueDeadlineMs(context: StatementContext): number {
   const nowMs = context.gateway.clock.nowMs();
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -10,7 +10,11 @@
 import {chooseBackendServer} from '../routing/choose_backend_server.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
-import {getQueueDeadlineMs, type StatementContext} from './gateway_context.js';
+import {
+  getQueueDeadlineMs,
+  getRemainingMs,
+  type StatementContext,
+} from './gateway_context.js';
 import {
   resolveReadRequirement,
   type ReadRequirement,
@@ -20,7 +24,7 @@
   NO_PRIMARY_RETRY_AFTER_MS,
   NO_SERVER_RETRY_AFTER_MS,
 } from './refusal.js';
-import {describeRouteInputs, recordRefused} from './statement_events.js';
+import {recordRefused, recordRouted} from './statement_events.js';
 import {runOnLink, type RunError} from './run_on_link.js';
 
 /** A read, or a statement that begins a transaction. @public */
@@ -99,7 +103,7 @@
 
   async run(): Promise<AnsweredRead | CallerError> {
     let reason = 'no server qualifies';
-    while (this.attempts < MAX_ATTEMPTS && this.remainingMs > 0) {
+    while (this.attempts < MAX_ATTEMPTS && getRemainingMs(this.context) > 0) {
       const plan = await this.plan();
       if (plan === null) {
         break;
@@ -128,10 +132,6 @@
     return this.lastError;
   }
 
-  private get remainingMs(): number {
-    return this.context.deadlineMs - this.context.gateway.clock.nowMs();
-  }
-
   /** Chooses a server; waits for a primary where only that will do. */
   private async plan(): Promise<ReadPlan | null> {
     const {group} = this.context;
@@ -184,7 +184,7 @@
       return group.waitForLeasedPrimary(this.getPrimaryWaitMs());
     }
     const writable = await group.waitForPrimary(
-      group.estimateWriteWaitMs(this.remainingMs),
+      group.estimateWriteWaitMs(getRemainingMs(this.context)),
     );
     return writable === null || hasPosition
       ? writable
@@ -209,7 +209,9 @@
   }
 
   private getPrimaryWaitMs(): number {
-    return this.context.group.estimatePrimaryWaitMs(this.remainingMs);
+    return this.context.group.estimatePrimaryWaitMs(
+      getRemainingMs(this.context),
+    );
   }
 
   private resolveRequirement(): ReadRequirement {
@@ -377,18 +379,12 @@
   }
 
   private recordRouted(plan: ReadPlan): void {
-    const {gateway, requestId, group} = this.context;
-    const leased = group.lease.getLastKnownPrimary();
-    gateway.events.record({
-      kind: 'statementRouted',
-      requestId,
-      backendServer: plan.server.entry.backendServer,
-      role:
-        leased?.primary === plan.server.entry.backendServer
-          ? 'primary'
-          : 'replica',
+    const {backendServer} = plan.server.entry;
+    const leased = this.context.group.lease.getLastKnownPrimary();
+    recordRouted(this.context, {
+      backendServer,
+      role: leased?.primary === backendServer ? 'primary' : 'replica',
       attempt: this.attempts,
-      ...describeRouteInputs(this.context),
       requiredPosition: plan.requiredPosition,
       requiredPositionAgeMs: plan.requiredPositionAgeMs,
     });
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -14,6 +14,7 @@
 import type {AnsweredRead} from './read_executor.js';
 import {createErrorReply, createLocalReply} from './refusal.js';
 import {runOnLink, type RunError} from './run_on_link.js';
+import {recordOutcomeUnknown} from './statement_events.js';
 
 /** Return suggested to a caller whose transaction was lost. */
 const LOST_RETRY_AFTER_MS = 50;
@@ -173,11 +174,11 @@
   ): StatementReply {
     const server = this.begun.server;
     this.end('doubtful');
-    if (error.kind === 'timedOut' || error.kind === 'connectionLost') {
-      server.markSuspect();
-    }
     const wasSent =
       error.kind === 'timedOut' || error.kind === 'connectionLost';
+    if (wasSent) {
+      server.markSuspect();
+    }
     const isUnknown = statement.kind === 'commit' && wasSent && this.hasWritten;
     const reason = error.kind;
     if (isUnknown) {
@@ -219,12 +220,8 @@
   }
 
   private recordUnknown(context: StatementContext, reason: string): void {
-    context.gateway.events.record({
-      kind: 'outcomeUnknown',
-      requestId: context.requestId,
-      backendServer: this.begun.server.entry.backendServer,
-      reason,
-    });
+    const {backendServer} = this.begun.server.entry;
+    recordOutcomeUnknown(context, backendServer, reason);
   }
 
   private suspend(): void {
--- a/packages/gateway/src/session/statement_events.ts
+++ b/packages/gateway/src/session/statement_events.ts
@@ -1,3 +1,5 @@
+import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {RouteInputs} from '../observability/gateway_event.js';
 import type {StatementContext} from './gateway_context.js';
@@ -17,6 +19,48 @@
   };
 }
 
+/** Where one attempt of a statement was sent. @public */
+export interface RoutedAttempt {
+  readonly backendServer: BackendServerId;
+  readonly role: 'primary' | 'replica';
+  readonly attempt: number;
+  /** Position that the server had to hold; null when none was asked for. */
+  readonly requiredPosition: LogPosition | null;
+  readonly requiredPositionAgeMs: number | null;
+}
+
+/** Records where a statement was sent and why. @public */
+export function recordRouted(
+  context: StatementContext,
+  routed: RoutedAttempt,
+): void {
+  const {gateway, requestId} = context;
+  const {requiredPosition, requiredPositionAgeMs} = routed;
+  gateway.events.record({
+    kind: 'statementRouted',
+    requestId,
+    ...routed,
+    ...describeRouteInputs(context),
+    requiredPosition,
+    requiredPositionAgeMs,
+  });
+}
+
+/** Records that a statement may have been run without an acknowledgement. @public */
+export function recordOutcomeUnknown(
+  context: StatementContext,
+  backendServer: string,
+  reason: string,
+): void {
+  const {gateway, requestId} = context;
+  gateway.events.record({
+    kind: 'outcomeUnknown',
+    requestId,
+    backendServer,
+    reason,
+  });
+}
+
 /** Records that a statement was refused without having been run. @public */
 export function recordRefused(
   context: StatementContext,
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -5,13 +5,21 @@
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import {isNotRun, type BackendAnswer} from '../statement/statement_answer.js';
-import {getQueueDeadlineMs, type StatementContext} from './gateway_context.js';
+import {
+  getQueueDeadlineMs,
+  getRemainingMs,
+  type StatementContext,
+} from './gateway_context.js';
 import {
   convertPoolError,
   NO_PRIMARY_RETRY_AFTER_MS,
   NO_SERVER_RETRY_AFTER_MS,
 } from './refusal.js';
-import {describeRouteInputs, recordRefused} from './statement_events.js';
+import {
+  recordOutcomeUnknown,
+  recordRefused,
+  recordRouted,
+} from './statement_events.js';
 import {runOnLink, type RunError} from './run_on_link.js';
 
 /** A write outside a transaction. @public */
@@ -74,7 +82,10 @@
         return result.answer;
       }
       ({error, reason} = result);
-      if (result.kind === 'failed' || this.remainingMs <= REPEAT_DELAY_MS) {
+      if (
+        result.kind === 'failed' ||
+        getRemainingMs(this.context) <= REPEAT_DELAY_MS
+      ) {
         break;
       }
       await pause(this.context.gateway.clock, REPEAT_DELAY_MS);
@@ -83,13 +94,11 @@
     return error;
   }
 
-  private get remainingMs(): number {
-    return this.context.deadlineMs - this.context.gateway.clock.nowMs();
-  }
-
   private findPrimary(): Promise<BackendServerRuntime | null> {
     const {group} = this.context;
-    return group.waitForPrimary(group.estimateWriteWaitMs(this.remainingMs));
+    return group.waitForPrimary(
+      group.estimateWriteWaitMs(getRemainingMs(this.context)),
+    );
   }
 
   private async attempt(
@@ -124,7 +133,13 @@
     }
     const lease = leased.value;
     const sentAtMs = gateway.clock.nowMs();
-    this.recordRouted(server, attempt);
+    recordRouted(context, {
+      backendServer: server.entry.backendServer,
+      role: 'primary',
+      attempt,
+      requiredPosition: null,
+      requiredPositionAgeMs: null,
+    });
     const writeId = group.writes.begin();
     const result = await runOnLink(
       lease.connection,
@@ -223,28 +238,11 @@
     }
   }
 
-  private recordRouted(server: BackendServerRuntime, attempt: number): void {
-    const {gateway, requestId} = this.context;
-    gateway.events.record({
-      kind: 'statementRouted',
-      requestId,
-      backendServer: server.entry.backendServer,
-      role: 'primary',
-      attempt,
-      ...describeRouteInputs(this.context),
-    });
-  }
-
   private recordFailure(error: CallerError, reason: string): void {
-    const {gateway, requestId, group} = this.context;
     if (error.kind === 'outcomeUnknown') {
-      const backendServer = group.lease.getLastKnownPrimary()?.primary ?? '';
-      gateway.events.record({
-        kind: 'outcomeUnknown',
-        requestId,
-        backendServer,
-        reason,
-      });
+      const {lease} = this.context.group;
+      const backendServer = lease.getLastKnownPrimary()?.primary ?? '';
+      recordOutcomeUnknown(this.context, backendServer, reason);
       return;
     }
     recordRefused(this.context, error, reason);
