--- a/packages/gateway/src/backend/pooled_link.ts
+++ b/packages/gateway/src/backend/pooled_link.ts
@@ -60,7 +60,7 @@
     return commands;
   }
 
-  /** Records a preparation command that the server has confirmed. */
+  /** Records a preparation command that the server has acknowledged. */
   recordPrepared(command: BackendCommand): void {
     switch (command.kind) {
       case 'reset':
--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Time for which a server whose entry lapsed is still used. An outage of the
- * store makes entries lapse that come back soon after it.
+ * Time for which a server whose entry expired is still used. An outage of the
+ * store makes entries expire that come back soon after it.
  */
 const LAPSE_GRACE_MS = 2_500;
 
@@ -39,7 +39,7 @@
 /** The backend servers that exist, from the table in which they report themselves. @public */
 export class BackendDirectory implements TableListener<BackendServerEntry> {
   private readonly entries = new Map<BackendServerId, BackendServerEntry>();
-  private readonly lapses = new Map<BackendServerId, Timer>();
+  private readonly graceTimers = new Map<BackendServerId, Timer>();
   private readonly departures = new Map<BackendServerId, Departure>();
   private listed = false;
 
@@ -78,7 +78,7 @@
 
   /** Whether the entry is missing from the table at present. */
   isLapsed(backendServer: BackendServerId): boolean {
-    return this.lapses.has(backendServer);
+    return this.graceTimers.has(backendServer);
   }
 
   handleListing(listing: TableChanges<BackendServerEntry>): void {
@@ -92,7 +92,7 @@
     }
     for (const backendServer of [...this.entries.keys()]) {
       if (!present.has(backendServer)) {
-        this.lapse(backendServer);
+        this.startGrace(backendServer);
       }
     }
   }
@@ -104,10 +104,10 @@
   }
 
   dispose(): void {
-    for (const timer of this.lapses.values()) {
+    for (const timer of this.graceTimers.values()) {
       timer.cancel();
     }
-    this.lapses.clear();
+    this.graceTimers.clear();
   }
 
   private apply(change: TableChange<BackendServerEntry>): void {
@@ -116,7 +116,7 @@
         this.update(change.value);
         return;
       case 'removed':
-        this.lapse(change.key);
+        this.startGrace(change.key);
         return;
       case 'unreadable':
         this.options.events.record({
@@ -124,15 +124,15 @@
           backendServer: change.key,
           reason: change.reason,
         });
-        this.lapse(change.key);
+        this.startGrace(change.key);
         return;
     }
   }
 
   private update(entry: BackendServerEntry): void {
     const {backendServer} = entry;
-    this.lapses.get(backendServer)?.cancel();
-    this.lapses.delete(backendServer);
+    this.graceTimers.get(backendServer)?.cancel();
+    this.graceTimers.delete(backendServer);
     const known = this.entries.get(backendServer);
     if (known !== undefined && known.databaseGroup !== entry.databaseGroup) {
       this.remove(backendServer, 'it moved to another database group');
@@ -156,9 +156,9 @@
   }
 
   /** Starts the grace of an entry that is missing; a drained server is gone at once. */
-  private lapse(backendServer: BackendServerId): void {
+  private startGrace(backendServer: BackendServerId): void {
     const entry = this.entries.get(backendServer);
-    if (entry === undefined || this.lapses.has(backendServer)) {
+    if (entry === undefined || this.graceTimers.has(backendServer)) {
       return;
     }
     if (entry.state === 'draining') {
@@ -171,10 +171,10 @@
       databaseGroup: entry.databaseGroup,
     });
     const timer = this.options.clock.startTimer(LAPSE_GRACE_MS, () => {
-      this.lapses.delete(backendServer);
+      this.graceTimers.delete(backendServer);
       this.remove(backendServer, 'its entry stayed away');
     });
-    this.lapses.set(backendServer, timer);
+    this.graceTimers.set(backendServer, timer);
   }
 
   private remove(backendServer: BackendServerId, reason: string): void {
--- a/packages/gateway/src/directory/backend_directory_test.ts
+++ b/packages/gateway/src/directory/backend_directory_test.ts
@@ -34,7 +34,7 @@
     });
   });
 
-  it('keeps a server for a while whose entry lapsed', () => {
+  it('keeps a server for a while whose entry expired', () => {
     directory.handleListing(group(put(createEntry('a', 'replica'))));
     directory.handleChanges(group({kind: 'removed', key: 'a', revision: 2}));
     clock.advance(2_400);
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -257,7 +257,7 @@
   }
 
   /**
-   * The group's instances: those that are listed, and those whose entry lapsed
+   * The group's instances: those that are listed, and those whose entry expired
    * a short while ago. Null when the platform can't be asked.
    */
   private async findInstances(
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -299,7 +299,7 @@
 
   /**
    * Records a commit that was sent at `sentAtMs` and acknowledged. A replica
-   * confirmed it, so no promotion had taken effect, and all commits that were
+   * acknowledged it, so no promotion had taken effect, and all commits that were
    * acknowledged before `sentAtMs` are at or before `position`: proof enough
    * for reads of a bounded age, even without a lease.
    */
--- a/packages/gateway/src/group/write_progress.ts
+++ b/packages/gateway/src/group/write_progress.ts
@@ -12,7 +12,7 @@
 /**
  * Follows whether writes to a primary are acknowledged. A primary that is cut
  * off from its replicas still answers reads, while its writes wait for a
- * replica that never confirms, and each holds a connection.
+ * replica that never acknowledges, and each holds a connection.
  *
  * @public
  */
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -46,7 +46,7 @@
 
 /**
  * A proxy that nobody can ask goes on writing at a primary that others have
- * lost, and another replica than the chosen one confirms its last commits.
+ * lost, and another replica than the chosen one acknowledges its last commits.
  */
 const WRITES_GO_ON: readonly HistoryPlan[] = Array.from(
   {length: 60},
