Write buffers, end discarded answers and pass nulls in one place each

Cause: the corked write stood in two connections, the early end of an answer in two handlers, and the null rule of two operands in three operators of the stand-in.

--- a/packages/proxy/src/backend/backend_connection.ts
+++ b/packages/proxy/src/backend/backend_connection.ts
@@ -15,6 +15,7 @@
   FRAME_HEADER_BYTES,
   type TransactionStatus,
 } from '@filbertrun/wire/protocol_constants.js';
+import {writeChunks} from '@filbertrun/wire/write_chunks.js';
 import type {ExchangeHandler} from './exchange_handler.js';
 import {StatementCache} from './statement_cache.js';
 
@@ -107,15 +108,7 @@
 
   /** Sends more bytes of the latest request. */
   send(chunks: readonly Buffer[]): void {
-    if (chunks.length === 1) {
-      this.socket.write(chunks[0]!);
-      return;
-    }
-    this.socket.cork();
-    for (const chunk of chunks) {
-      this.socket.write(chunk);
-    }
-    this.socket.uncork();
+    writeChunks(this.socket, chunks);
   }
 
   /** Whether nothing is pending, no transaction is open and nothing is in doubt. */
--- a/packages/proxy/src/caller/caller_output.ts
+++ b/packages/proxy/src/caller/caller_output.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {writeChunks} from '@filbertrun/wire/write_chunks.js';
 
 /**
  * Frames on their way to one caller. All frames of a turn of the event loop
@@ -71,15 +72,7 @@
     if (this.isClosed) {
       return;
     }
-    if (chunks.length === 1) {
-      this.socket.write(chunks[0]!);
-      return;
-    }
-    this.socket.cork();
-    for (const chunk of chunks) {
-      this.socket.write(chunk);
-    }
-    this.socket.uncork();
+    writeChunks(this.socket, chunks);
   }
 
   /** Sends what is queued and ends the connection. */
--- a/packages/proxy/src/execution/answer_relay.ts
+++ b/packages/proxy/src/execution/answer_relay.ts
@@ -166,12 +166,7 @@
   }
 
   handleReady(status: TransactionStatus): void {
-    if (this.rejection !== null) {
-      this.resolve({kind: 'rejected', error: this.rejection});
-      return;
-    }
-    if (this.isDiscarding) {
-      this.resolve({kind: 'notCovered'});
+    if (this.resolveDiscarded()) {
       return;
     }
     if (this.options.plan !== null) {
@@ -192,16 +187,24 @@
   }
 
   handleLost(reason: string): void {
+    if (this.resolveDiscarded()) {
+      return;
+    }
+    const {wasRelayed} = this;
+    this.resolve({kind: 'lost', reason, wasRelayed});
+  }
+
+  /** Ends an answer of which the caller is shown nothing; false for another. */
+  private resolveDiscarded(): boolean {
     if (this.rejection !== null) {
       this.resolve({kind: 'rejected', error: this.rejection});
-      return;
+      return true;
     }
     if (this.isDiscarding) {
       this.resolve({kind: 'notCovered'});
-      return;
+      return true;
     }
-    const {wasRelayed} = this;
-    this.resolve({kind: 'lost', reason, wasRelayed});
+    return false;
   }
 
   /** Sends the held part to the caller and goes on reading. */
--- a/packages/standin/src/expression.ts
+++ b/packages/standin/src/expression.ts
@@ -228,6 +228,24 @@
   '>=': order => order >= 0,
 };
 
+/** Evaluates two operands; a null on either side makes the result null. */
+function combineValues(
+  left: CompiledExpression,
+  right: CompiledExpression,
+  combine: (
+    left: NonNullable<SqlValue>,
+    right: NonNullable<SqlValue>,
+  ) => SqlValue,
+): CompiledExpression['evaluate'] {
+  return (row, context) => {
+    const leftValue = left.evaluate(row, context);
+    const rightValue = right.evaluate(row, context);
+    return leftValue === null || rightValue === null
+      ? null
+      : combine(leftValue, rightValue);
+  };
+}
+
 function compileComparison(
   expression: ExprBinary,
   scope: Scope,
@@ -237,14 +255,9 @@
   return {
     type: 'bool',
     name: UNNAMED_COLUMN,
-    evaluate: (row, context) => {
-      const leftValue = left.evaluate(row, context);
-      const rightValue = right.evaluate(row, context);
-      if (leftValue === null || rightValue === null) {
-        return null;
-      }
-      return matches(compareValues(leftValue, rightValue));
-    },
+    evaluate: combineValues(left, right, (leftValue, rightValue) =>
+      matches(compareValues(leftValue, rightValue)),
+    ),
   };
 }
 
@@ -267,12 +280,7 @@
   return {
     type,
     name: UNNAMED_COLUMN,
-    evaluate: (row, context) => {
-      const leftValue = left.evaluate(row, context);
-      const rightValue = right.evaluate(row, context);
-      if (leftValue === null || rightValue === null) {
-        return null;
-      }
+    evaluate: combineValues(left, right, (leftValue, rightValue) => {
       const result = calculate(
         op,
         requireNumber(leftValue),
@@ -281,7 +289,7 @@
       return type === 'float8'
         ? result
         : convertValue(Math.trunc(result), type);
-    },
+    }),
   };
 }
 
@@ -294,14 +302,12 @@
   return {
     type: 'text',
     name: UNNAMED_COLUMN,
-    evaluate: (row, context) => {
-      const leftValue = left.evaluate(row, context);
-      const rightValue = right.evaluate(row, context);
-      if (leftValue === null || rightValue === null) {
-        return null;
-      }
-      return formatValue(leftValue) + formatValue(rightValue);
-    },
+    evaluate: combineValues(
+      left,
+      right,
+      (leftValue, rightValue) =>
+        formatValue(leftValue) + formatValue(rightValue),
+    ),
   };
 }
 
