A restarted proxy opens only the connections that are left beside its old ones

Instances admit 22 connections; the 15 of the earlier processes count for 3 s more, and whoever starts first took its whole share of the 7 that are left. Before the first listing a proxy even counted itself alone.

--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -62,6 +62,7 @@
   private failedAt: ClockReading | null = null;
   private isWriting = false;
   private isLeaving = false;
+  private hasSeenPredecessor = false;
 
   private constructor(private readonly options: EntryVmRegistrationOptions) {}
 
@@ -69,6 +70,11 @@
     return new EntryVmRegistration(options);
   }
 
+  /** Whether an earlier process of this entry VM ended without taking its leave. */
+  get hasPredecessor(): boolean {
+    return this.hasSeenPredecessor;
+  }
+
   /** Registered entry VMs, this one included. */
   getEntryVms(): readonly EntryVmRecord[] {
     const records: EntryVmRecord[] = [];
@@ -97,6 +103,11 @@
         this.observeEntry(entry);
       }
     }
+    const {entryVm, incarnation} = this.options.self;
+    const own = this.getEntryVm(entryVm);
+    if (own !== null && own.incarnation !== incarnation) {
+      this.hasSeenPredecessor = true;
+    }
   }
 
   /**
--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -69,6 +69,22 @@
     expect(await readLease(before)).toBe(0);
   });
 
+  it('tells an earlier process that ended without a word from one that left', async () => {
+    const before = create();
+    await readLease(before);
+    await before.maintain();
+    const after = create(identify('entry-1', 'two'));
+    await readLease(after);
+    expect(after.hasPredecessor).toBe(true);
+    expect(before.hasPredecessor).toBe(false);
+
+    await after.maintain();
+    await after.leave();
+    const third = create(identify('entry-1', 'three'));
+    await readLease(third);
+    expect(third.hasPredecessor).toBe(false);
+  });
+
   it('gives no lease when its record was removed', async () => {
     const registration = create();
     await readLease(registration);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,10 @@
 } from './backend/instance_control.js';
 import {ConfigurationHolder} from './configuration/configuration_holder.js';
 import type {ServiceConfiguration} from './configuration/service_configuration.js';
-import {computeConnectionShare} from './control/connection_share.js';
+import {
+  computeConnectionShare,
+  ORPHANED_CONNECTIONS_MS,
+} from './control/connection_share.js';
 import {ControlPoller} from './control/control_poller.js';
 import {
   ENTRY_VM_PREFIX,
@@ -133,10 +136,13 @@
   private removedGoneAtMs: number;
   private clockEpoch = 0;
   private loopDelayMs = 0;
+  private readonly startedAtMs: number;
+  private orphansTimer: Timer | null = null;
 
   private constructor(private readonly options: GatewayOptions) {
     const {clock, wallClock, random, events, controlTable, self} = options;
     this.clock = clock;
+    this.startedAtMs = clock.nowMs();
     this.events = events;
     this.availabilityZone = self.availabilityZone;
     this.removedGoneAtMs = clock.nowMs();
@@ -251,6 +257,9 @@
     this.poller.start();
     this.coordinator.start();
     this.scheduleUpkeep();
+    this.orphansTimer = this.clock.startTimer(ORPHANED_CONNECTIONS_MS, () =>
+      this.applyShares(),
+    );
   }
 
   /** Takes no new callers from here on and gives up the duty. */
@@ -275,6 +284,7 @@
 
   private disposeParts(reason: string): void {
     this.upkeepTimer?.cancel();
+    this.orphansTimer?.cancel();
     this.coordinator.dispose();
     this.poller.dispose();
     this.configurationWatcher.dispose();
@@ -446,18 +456,33 @@
   }
 
   private applyShares(): void {
-    const count = this.registration.getEntryVms().length;
+    if (!this.poller.hasRead) {
+      return;
+    }
+    const entryVmCount = this.registration.getOtherEntryVms().length + 1;
+    const mayHaveOrphans = this.mayHaveOrphans();
     const configuration = this.configuration.current;
     for (const [databaseGroup, group] of this.groups) {
       const settings = configuration?.databaseGroups.get(databaseGroup);
       if (settings !== undefined) {
+        const {maxConnections} = settings;
         group.setMaxConnections(
-          computeConnectionShare(settings.maxConnections, count),
+          computeConnectionShare({
+            maxConnections,
+            entryVmCount,
+            mayHaveOrphans,
+          }),
         );
       }
     }
   }
 
+  /** Whether connections of an earlier process may still count at instances. */
+  private mayHaveOrphans(): boolean {
+    const upMs = this.clock.nowMs() - this.startedAtMs;
+    return this.registration.hasPredecessor && upMs < ORPHANED_CONNECTIONS_MS;
+  }
+
   private handleListing(listing: TableListing, readAt: ClockReading): void {
     this.registration.observe(listing, readAt);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
