--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -120,6 +120,8 @@
   readonly availabilityZone: string;
   private readonly clockWatch: ClockWatch;
   private readonly groups = new Map<string, GroupRuntime>();
+  /** Groups whose primary is being asked for its first position. */
+  private readonly seeding = new Set<GroupRuntime>();
   private readonly directory: BackendDirectory;
   private readonly configuration: ConfigurationHolder;
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
@@ -649,8 +651,13 @@
     if (leased === null || server === null || group.hasFreshness) {
       return;
     }
+    if (this.seeding.has(group)) {
+      return;
+    }
+    this.seeding.add(group);
     const sentAtMs = this.clock.nowMs();
     const status = await this.options.instances.getStatus(server.entry);
+    this.seeding.delete(group);
     if (status.ok && status.value.role === 'primary') {
       const {receivedPosition} = status.value;
       group.recordPrimaryPosition(sentAtMs, leased, receivedPosition);
