The failover duty is tried for only after a listing shows it standing still

The four proxies that do not hold the duty see its record only every 3 s, take it for dead 2.5 s later and try to write, each time. Change: a takeover needs a second listing that shows the same revision at least 2.5 s after the first. Under trouble listings come every 300 ms, also while a primary drains, so a change of primary waits no longer for a new holder. Tests: two new ones, failing on the code before. One test changed: the takeover it expects now needs that listing (it checked the time only).

--- a/packages/gateway/src/control/failover_duty_lease.ts
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -53,6 +53,8 @@
   private observed: ObservedDuty | null = null;
   /** When the observed revision was first seen. */
   private unchangedSince: ClockReading | null = null;
+  /** When a listing last showed that revision again. */
+  private seenAgainAt: ClockReading | null = null;
   private renewedAt: ClockReading | null = null;
   private heldToken: number | null = null;
   private yieldedToken = 0;
@@ -99,6 +101,9 @@
       return;
     }
     if (this.observed !== null && entry.revision <= this.observed.revision) {
+      if (entry.revision === this.observed.revision) {
+        this.seenAgainAt = this.options.clockWatch.read();
+      }
       return;
     }
     const duty = parseRecord(failoverDutySchema, entry.value);
@@ -158,7 +163,7 @@
   }
 
   private shouldWrite(): boolean {
-    const {observed, unchangedSince, options} = this;
+    const {observed, options} = this;
     if (observed === null || observed.duty.holder === null) {
       return true;
     }
@@ -168,15 +173,28 @@
     if (observed.duty.holder === options.entryVm) {
       return this.isOwnRenewalDue();
     }
+    return this.hasStoodStill();
+  }
+
+  /**
+   * Whether another holder's record stood still for so long that its holder is
+   * gone. A listing has to show it: without one, every proxy would try to write
+   * although the holder renews.
+   */
+  private hasStoodStill(): boolean {
+    const {unchangedSince, seenAgainAt, options} = this;
     if (unchangedSince === null) {
       return false;
     }
-    const elapsedMs = options.clockWatch.getElapsedMs(unchangedSince);
-    if (elapsedMs === null) {
+    if (options.clockWatch.getElapsedMs(unchangedSince) === null) {
       this.unchangedSince = options.clockWatch.read();
       return false;
     }
-    return elapsedMs >= DUTY_TAKEOVER_MS + this.jitterMs;
+    if (seenAgainAt === null || seenAgainAt.epoch !== unchangedSince.epoch) {
+      return false;
+    }
+    const unchangedMs = seenAgainAt.timeMs - unchangedSince.timeMs;
+    return unchangedMs >= DUTY_TAKEOVER_MS + this.jitterMs;
   }
 
   /** An earlier process of this VM is gone for sure, so its duty is taken at once. */
@@ -249,6 +267,7 @@
     const {entryVm, incarnation, clockWatch} = this.options;
     this.observed = observed;
     this.unchangedSince = clockWatch.read();
+    this.seenAgainAt = null;
     const {duty} = observed;
     const isOwn = duty.holder === entryVm && duty.incarnation === incarnation;
     if (!isOwn && this.heldToken !== null) {
--- a/packages/gateway/src/control/failover_duty_lease_test.ts
+++ b/packages/gateway/src/control/failover_duty_lease_test.ts
@@ -69,12 +69,46 @@
     await second.maintain();
     expect(second.getFencingToken()).toBeNull();
     clock.advance(TAKEOVER_ROOM_MS);
+    observe(second);
     await second.maintain();
     expect(second.getFencingToken()).toBe(2);
     observe(first);
     expect(first.getFencingToken()).toBeNull();
   });
 
+  it('is not written by others while listings, however rare, show renewals', async () => {
+    const first = create('entry-1');
+    const others = ['entry-2', 'entry-3', 'entry-4'].map(name => create(name));
+    await first.maintain();
+    const listingIntervalMs = 3_000;
+    for (let elapsedMs = 0; elapsedMs < 30_000; elapsedMs += 100) {
+      const writesBefore = table.writeCount;
+      await first.maintain();
+      const ownWrites = table.writeCount - writesBefore;
+      for (const other of others) {
+        if (elapsedMs % listingIntervalMs === 0) {
+          observe(other);
+        }
+        await other.maintain();
+      }
+      expect(table.writeCount - writesBefore).toBe(ownWrites);
+      clock.advance(100);
+    }
+  });
+
+  it('is taken over by the listing after the one that first showed a dead holder', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    await first.maintain();
+    observe(second);
+    clock.advance(DUTY_TAKEOVER_MS + TAKEOVER_ROOM_MS);
+    await second.maintain();
+    expect(second.getFencingToken()).toBeNull();
+    observe(second);
+    await second.maintain();
+    expect(second.getFencingToken()).toBe(2);
+  });
+
   it('is not taken over while its holder renews', async () => {
     const first = create('entry-1');
     const second = create('entry-2');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -536,6 +536,9 @@
       if (primary === null || primary.isUnreachable) {
         return true;
       }
+      if (primary.entry.state === 'draining') {
+        return true;
+      }
     }
     return false;
   }
