Writes open 2.5 s after the last release, not at the end of a cut-off proxy's lease

Change: a proxy relies on a primary for 2.5 s after its last contact only: a read of the store, or a proxy of another zone that holds the same records under a lease. Whoever changes a primary waits that long after the proxies of the other zones have released, instead of for the lease. The two mutants of the lease run without the contact rule, so that each bound is shown to hold by itself.

--- a/packages/gateway/src/control/control_record.ts
+++ b/packages/gateway/src/control/control_record.ts
@@ -22,6 +22,12 @@
      * read of primaries while this record stood.
      */
     leaseEndStoreMs: z.number(),
+    /**
+     * Time after its last contact with the store or with a proxy of another
+     * availability zone for which the process relies on a primary; null if only
+     * the lease bounds it.
+     */
+    contactWindowMs: z.number().positive().nullable().default(null),
   })
   .readonly();
 
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -12,13 +12,18 @@
 } from './control_record.js';
 
 /** What identifies an entry VM and its process. @public */
-export type EntryVmIdentity = Omit<EntryVmRecord, 'leaseEndStoreMs'>;
+export type EntryVmIdentity = Omit<
+  EntryVmRecord,
+  'leaseEndStoreMs' | 'contactWindowMs'
+>;
 
 /** What a registration is made of. @public */
 export interface EntryVmRegistrationOptions {
   readonly self: EntryVmIdentity;
   readonly table: ListableTable;
   readonly clockWatch: ClockWatch;
+  /** What the record states of contact. */
+  readonly contactWindowMs: number;
 }
 
 /** Interval at which an entry VM extends its leases. */
@@ -139,6 +144,7 @@
     const record: EntryVmRecord = {
       ...self,
       leaseEndStoreMs: this.estimateStoreTimeMs(storeClock) + LEASE_DURATION_MS,
+      contactWindowMs: this.options.contactWindowMs,
     };
     const result = await table.putEntry({
       key: getEntryVmKey(self.entryVm),
--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -30,7 +30,12 @@
   });
 
   function create(self = identify('entry-1')): EntryVmRegistration {
-    return EntryVmRegistration.create({self, table, clockWatch: watch});
+    return EntryVmRegistration.create({
+      self,
+      table,
+      clockWatch: watch,
+      contactWindowMs: 2_500,
+    });
   }
 
   async function readLease(registration: EntryVmRegistration): Promise<number> {
--- a/packages/gateway/src/control/relaying_control_table_test.ts
+++ b/packages/gateway/src/control/relaying_control_table_test.ts
@@ -14,6 +14,7 @@
   peerPort: 1,
   incarnation: 'one',
   leaseEndStoreMs: 0,
+  contactWindowMs: null,
 };
 
 describe('RelayingControlTable', () => {
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -228,5 +228,6 @@
     peerPort: 1,
     incarnation: 'one',
     leaseEndStoreMs: LEASE_END_MS,
+    contactWindowMs: null,
   };
 }
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -27,14 +27,22 @@
 /** Margin on the duration of a lease for clocks that run at different rates. */
 const LEASE_MARGIN_MS = 300;
 
+/** What became of one proxy's release. */
+interface PendingRelease {
+  readonly holder: LeaseHolder;
+  /** When its answer arrived; null while it is outstanding. */
+  answeredAtMs: number | null;
+}
+
 /**
  * Collects from every proxy the promise to use the old primary no longer. A
- * proxy that does not answer is waited out: its lease ends by itself.
+ * proxy that does not answer is waited out: its lease ends by itself, or it
+ * loses contact, as every proxy that it could ask has released.
  *
  * @public
  */
 export class ReleaseCollector {
-  private readonly waiting = new Map<string, LeaseHolder>();
+  private readonly pending: PendingRelease[] = [];
   private highest: LogPosition | null = null;
   private isStopped = false;
 
@@ -52,8 +60,9 @@
   /** Asks all proxies; each is asked again until it answers. */
   start(holders: readonly LeaseHolder[]): void {
     for (const holder of holders) {
-      this.waiting.set(holder.record.entryVm, holder);
-      void this.collect(holder.record);
+      const release: PendingRelease = {holder, answeredAtMs: null};
+      this.pending.push(release);
+      void this.collect(release);
     }
   }
 
@@ -63,14 +72,7 @@
 
   /** Proxies that may still rely on the old primary. */
   getOutstanding(): readonly string[] {
-    const nowMs = this.options.clock.nowMs();
-    const outstanding: string[] = [];
-    for (const [entryVm, {leaseEndMs}] of this.waiting) {
-      if (nowMs < leaseEndMs + LEASE_MARGIN_MS) {
-        outstanding.push(entryVm);
-      }
-    }
-    return outstanding;
+    return this.findOutstanding().map(({holder}) => holder.record.entryVm);
   }
 
   /**
@@ -79,19 +81,58 @@
    */
   getLastLeaseEndStoreMs(): number | null {
     let lastMs: number | null = null;
-    for (const entryVm of this.getOutstanding()) {
-      const endMs = this.waiting.get(entryVm)?.record.leaseEndStoreMs ?? 0;
+    for (const release of this.findOutstanding()) {
+      const {record, leaseEndMs} = release.holder;
+      const earlierMs = leaseEndMs - this.estimateEndMs(release);
+      const endMs = record.leaseEndStoreMs - earlierMs;
       lastMs = Math.max(lastMs ?? 0, endMs + LEASE_MARGIN_MS);
     }
     return lastMs;
   }
 
-  private async collect(record: EntryVmRecord): Promise<void> {
+  private findOutstanding(): readonly PendingRelease[] {
+    const nowMs = this.options.clock.nowMs();
+    return this.pending.filter(
+      release =>
+        release.answeredAtMs === null &&
+        nowMs < this.estimateEndMs(release) + LEASE_MARGIN_MS,
+    );
+  }
+
+  /** Time up to which a proxy that has not answered may rely on the old primary. */
+  private estimateEndMs({holder}: PendingRelease): number {
+    const {contactWindowMs} = holder.record;
+    const lastContactMs = this.findLastContactMs(holder.record);
+    return contactWindowMs === null || lastContactMs === null
+      ? holder.leaseEndMs
+      : Math.min(holder.leaseEndMs, lastContactMs + contactWindowMs);
+  }
+
+  /**
+   * Time after which nobody can have vouched for the old primary to a proxy:
+   * those of the other availability zones have released, and a read of the
+   * store would have shown the intent. Null while that is not so.
+   */
+  private findLastContactMs(record: EntryVmRecord): number | null {
+    let lastMs: number | null = null;
+    for (const {holder, answeredAtMs} of this.pending) {
+      if (holder.record.availabilityZone === record.availabilityZone) {
+        continue;
+      }
+      if (answeredAtMs === null) {
+        return null;
+      }
+      lastMs = Math.max(lastMs ?? answeredAtMs, answeredAtMs);
+    }
+    return lastMs;
+  }
+
+  private async collect(release: PendingRelease): Promise<void> {
     const {peers, request, clock} = this.options;
-    while (!this.isStopped && this.waiting.has(record.entryVm)) {
-      const answer = await peers.release(record, request);
+    while (!this.isStopped && release.answeredAtMs === null) {
+      const answer = await peers.release(release.holder.record, request);
       if (answer.ok) {
-        this.waiting.delete(record.entryVm);
+        release.answeredAtMs = clock.nowMs();
         this.raise(answer.value.highestAcknowledged);
         return;
       }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,8 @@
   computeConnectionShare,
   ORPHANED_CONNECTIONS_MS,
 } from './control/connection_share.js';
+import {ContactKeeper} from './control/contact_keeper.js';
+import {ContactWatch} from './control/contact_watch.js';
 import {ControlPoller} from './control/control_poller.js';
 import {
   ENTRY_VM_PREFIX,
@@ -44,6 +46,7 @@
 } from './group/clock_watch.js';
 import type {LeaseHolder} from './failover/release_collector.js';
 import {GroupRuntime} from './group/group_runtime.js';
+import {computeRecordDigest} from './group/record_digest.js';
 import {
   PRIMARY_RECORD_PREFIX,
   primaryRecordSchema,
@@ -58,6 +61,7 @@
   PeerHandler,
   ReachAnswer,
   ReachQuestion,
+  RecordComparison,
   ReleaseAnswer,
   ReleaseRequest,
   SuspicionReport,
@@ -82,6 +86,8 @@
   readonly configurationKey: string;
   readonly peers: PeerCaller;
   readonly relay: ControlRelay;
+  /** Time after the last contact for which a primary is relied on. */
+  readonly contactWindowMs: number;
 }
 
 /** Wait of a watch on the backend servers; a drain allows several seconds. */
@@ -119,6 +125,8 @@
   readonly events: GatewayEvents;
   readonly availabilityZone: string;
   private readonly clockWatch: ClockWatch;
+  private readonly contact: ContactWatch;
+  private readonly contactKeeper: ContactKeeper;
   private readonly groups = new Map<string, GroupRuntime>();
   /** Groups whose primary is being asked for its first position. */
   private readonly seeding = new Set<GroupRuntime>();
@@ -150,6 +158,7 @@
     this.removedGoneAtMs = clock.nowMs();
     this.clockWatch = ClockWatch.create(clock, wallClock);
     const {clockWatch} = this;
+    this.contact = ContactWatch.create(clockWatch, options.contactWindowMs);
     this.directory = BackendDirectory.create({
       clock,
       events,
@@ -195,6 +204,7 @@
       self,
       table: this.relayedTable,
       clockWatch,
+      contactWindowMs: options.contactWindowMs,
     });
     this.duty = FailoverDutyLease.create({
       entryVm: self.entryVm,
@@ -231,6 +241,16 @@
       observeLeaseHolders: listing => this.observeLeaseHolders(listing),
       handleRecord: record => this.announce(record),
     });
+    this.contactKeeper = ContactKeeper.create({
+      availabilityZone: self.availabilityZone,
+      clockWatch,
+      contact: this.contact,
+      peers: options.peers,
+      random,
+      getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+      computeDigest: () => this.computeDigest(),
+      readStore: () => void this.poller.readNow(),
+    });
     this.reporter = SuspicionReporter.create({
       clock,
       entryVm: self.entryVm,
@@ -403,6 +423,24 @@
     void this.maintainRecords();
   }
 
+  /** Without a lease nobody would ask this proxy to release, so it vouches for nothing. */
+  compareRecords(): RecordComparison {
+    for (const {lease} of this.groups.values()) {
+      if (!lease.isProven()) {
+        return {digest: null};
+      }
+    }
+    return {digest: this.computeDigest()};
+  }
+
+  private computeDigest(): string {
+    const revisions = new Map<string, number>();
+    for (const [databaseGroup, {lease}] of this.groups) {
+      revisions.set(databaseGroup, lease.newestRevision);
+    }
+    return computeRecordDigest(revisions);
+  }
+
   private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
     const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
     while (group.writes.pendingCount > 0 && this.clock.nowMs() < untilMs) {
@@ -444,6 +482,7 @@
       availabilityZone: this.availabilityZone,
       clock: this.clock,
       clockWatch: this.clockWatch,
+      contact: this.contact,
       random,
       connector,
       events: this.events,
@@ -486,6 +525,7 @@
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
+    this.contact.noteContact(readAt);
     this.registration.observe(listing, readAt);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
     this.applyShares();
@@ -608,6 +648,7 @@
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
+    void this.contactKeeper.maintain();
     void this.maintainRecords();
   }
 
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -11,6 +11,7 @@
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
 import type {BackendLinkConnector} from '../backend/backend_link.js';
+import type {ContactProof} from '../control/contact_watch.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {BackendCandidate} from '../routing/choose_backend_server.js';
@@ -31,6 +32,7 @@
   readonly availabilityZone: AvailabilityZone;
   readonly clock: Clock;
   readonly clockWatch: ClockWatch;
+  readonly contact: ContactProof;
   readonly random: RandomSource;
   readonly connector: BackendLinkConnector;
   readonly events: GatewayEvents;
@@ -79,7 +81,7 @@
   private maxConnections = 1;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
-    this.lease = PrimaryLease.create(options.clockWatch);
+    this.lease = PrimaryLease.create(options.clockWatch, options.contact);
     this.writes = WriteProgress.create(options.clock);
   }
 
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -1,3 +1,4 @@
+import type {ContactProof} from '../control/contact_watch.js';
 import type {ClockReading, ClockWatch} from './clock_watch.js';
 import type {PrimaryRecord, RevisedPrimaryRecord} from './primary_record.js';
 
@@ -19,7 +20,8 @@
 /**
  * A proxy's right to treat one instance as the primary of a database group. It
  * follows from a linearizable read of the primary record and ends with its
- * duration, with a release, or when the machine may have been suspended.
+ * duration, with a release, when the machine may have been suspended, or while
+ * the proxy has no contact with the store and the other proxies.
  *
  * @public
  */
@@ -28,10 +30,13 @@
   private proof: LeaseProof | null = null;
   private releasedRevision = 0;
 
-  private constructor(private readonly clockWatch: ClockWatch) {}
+  private constructor(
+    private readonly clockWatch: ClockWatch,
+    private readonly contact: ContactProof,
+  ) {}
 
-  static create(clockWatch: ClockWatch): PrimaryLease {
-    return new PrimaryLease(clockWatch);
+  static create(clockWatch: ClockWatch, contact: ContactProof): PrimaryLease {
+    return new PrimaryLease(clockWatch, contact);
   }
 
   /** The newest record that was read, or null. */
@@ -43,6 +48,11 @@
     return this.current?.revision ?? 0;
   }
 
+  /** Newest revision that was read, announced or named by a release. */
+  get newestRevision(): number {
+    return Math.max(this.revision, this.releasedRevision);
+  }
+
   /** Takes a record from a linearizable read, with what the read proves. */
   learn(revised: RevisedPrimaryRecord, proof: LeaseProof): void {
     if (revised.revision < this.revision) {
@@ -71,14 +81,18 @@
 
   /** The primary that may be relied on now, or null. */
   getPrimary(): TermPrimary | null {
+    return this.isProven() && this.contact.isInContact()
+      ? this.getLastKnownPrimary()
+      : null;
+  }
+
+  /** Whether the registration of this proxy stands, so that it is asked to release. */
+  isProven(): boolean {
     if (this.proof === null) {
-      return null;
+      return false;
     }
     const ageMs = this.clockWatch.getElapsedMs(this.proof.readAt);
-    if (ageMs === null || ageMs >= this.proof.durationMs) {
-      return null;
-    }
-    return this.getLastKnownPrimary();
+    return ageMs !== null && ageMs < this.proof.durationMs;
   }
 
   /** The primary of the newest record, whether or not a lease holds. */
--- a/packages/gateway/src/group/primary_lease_test.ts
+++ b/packages/gateway/src/group/primary_lease_test.ts
@@ -23,12 +23,14 @@
   let wallClock: FakeWallClock;
   let watch: ClockWatch;
   let lease: PrimaryLease;
+  let isInContact: boolean;
 
   beforeEach(() => {
     clock = VirtualClock.create();
     wallClock = FakeWallClock.create(clock);
     watch = ClockWatch.create(clock, wallClock);
-    lease = PrimaryLease.create(watch);
+    isInContact = true;
+    lease = PrimaryLease.create(watch, {isInContact: () => isInContact});
   });
 
   function prove(durationMs = 1_000): LeaseProof {
@@ -40,6 +42,22 @@
     expect(lease.getPrimary()).toEqual({primary: 'a', term: 1});
   });
 
+  it('gives no primary without contact, and gives it again with one', () => {
+    lease.learn(stable('a', 1), prove());
+    isInContact = false;
+    expect(lease.getPrimary()).toBeNull();
+    expect(lease.isProven()).toBe(true);
+    isInContact = true;
+    expect(lease.getPrimary()).not.toBeNull();
+  });
+
+  it('names the newest revision that a release told it', () => {
+    lease.learn(stable('a', 3), prove());
+    expect(lease.newestRevision).toBe(3);
+    lease.release(5);
+    expect(lease.newestRevision).toBe(5);
+  });
+
   it('ends with its duration, counted from the start of the read', () => {
     const proof = prove(1_000);
     clock.advance(600);
--- a/packages/gateway/src/peer/peer_caller.ts
+++ b/packages/gateway/src/peer/peer_caller.ts
@@ -47,6 +47,12 @@
   readonly fencingToken: number;
 }
 
+/** What a proxy knows of the records of primaries. @public */
+export interface RecordComparison {
+  /** Digest of their revisions; null while the proxy holds no lease on them. */
+  readonly digest: string | null;
+}
+
 /** Why another proxy did not answer. @public */
 export interface PeerError {
   readonly kind: 'unreachable';
@@ -75,6 +81,9 @@
     peer: EntryVmRecord,
     handover: DutyHandover,
   ): Promise<Result<void, PeerError>>;
+  compareRecords(
+    peer: EntryVmRecord,
+  ): Promise<Result<RecordComparison, PeerError>>;
 }
 
 /** Answers the calls of other proxies. @public */
@@ -84,4 +93,5 @@
   reportSuspicion(report: SuspicionReport): void;
   askReach(question: ReachQuestion): Promise<ReachAnswer>;
   takeOverDuty(handover: DutyHandover): void;
+  compareRecords(): RecordComparison;
 }
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -73,6 +73,9 @@
     handOverDuty: trpc.procedure
       .input(z.object({fencingToken: z.number().int()}))
       .mutation(({input}) => handler.takeOverDuty(input)),
+    compareRecords: trpc.procedure
+      .output(z.object({digest: z.string().nullable()}))
+      .query(() => handler.compareRecords()),
     askReach: trpc.procedure
       .input(z.object({backendServer: z.string()}))
       .output(z.object({isReachable: z.boolean()}))
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -15,6 +15,7 @@
   PeerError,
   ReachAnswer,
   ReachQuestion,
+  RecordComparison,
   ReleaseAnswer,
   ReleaseRequest,
   SuspicionReport,
@@ -86,6 +87,14 @@
     );
   }
 
+  compareRecords(
+    peer: EntryVmRecord,
+  ): Promise<Result<RecordComparison, PeerError>> {
+    return this.call(signal =>
+      this.getClient(peer).compareRecords.query(undefined, {signal}),
+    );
+  }
+
   async listControl(
     peer: EntryVmRecord,
   ): Promise<Result<Result<TableListing, PlatformError>, PeerError>> {
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -24,6 +24,12 @@
   }),
   fc.record({kind: fc.constant('cutProxy' as const), atMs, forMs, proxy}),
   fc.record({kind: fc.constant('cutStore' as const), atMs, forMs, proxy}),
+  fc.record({
+    kind: fc.constant('cutPeers' as const),
+    atMs,
+    forMs,
+    proxies: fc.constantFrom([0, 1] as const, [0, 2] as const, [1, 2] as const),
+  }),
   fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
   fc.record({kind: fc.constant('answersLost' as const), atMs, forMs}),
   fc.record({kind: fc.constant('killProxy' as const), atMs, proxy}),
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -52,6 +52,13 @@
       readonly forMs: number;
       readonly proxy: number;
     }
+  /** Two proxies are cut off from each other only. */
+  | {
+      readonly kind: 'cutPeers';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxies: readonly [number, number];
+    }
   | {readonly kind: 'storeDown'; readonly atMs: number; readonly forMs: number}
   | {
       readonly kind: 'answersLost';
@@ -308,6 +315,12 @@
       case 'cutStore':
         this.cutFor(PROXIES[fault.proxy] ?? 'e1', [STORE], fault.forMs);
         return;
+      case 'cutPeers': {
+        const [left, right] = fault.proxies;
+        const peer = PROXIES[right] ?? 'e1';
+        this.cutFor(PROXIES[left] ?? 'e1', [peer], fault.forMs);
+        return;
+      }
       case 'storeDown':
         this.cutFor(STORE, [...PROXIES], fault.forMs);
         return;
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -1,12 +1,14 @@
-import {success, type Result} from '@filbertrun/base/result.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {ListableTable} from '@filbertrun/platform/platform_service.js';
 import type {
   BackendLink,
   BackendLinkConnector,
 } from '../backend/backend_link.js';
 import type {InstanceControl} from '../backend/instance_control.js';
+import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import {ENTRY_VM_PREFIX, FAILOVER_DUTY_KEY} from '../control/control_record.js';
 import type {TableChanges} from '../directory/watchable_table.js';
+import type {PeerCaller, PeerError} from '../peer/peer_caller.js';
 import type {HistoryPlan} from './failover_history.js';
 import type {Violation} from './safety_oracle.js';
 import type {GatewayMutation} from './simulated_proxy.js';
@@ -44,6 +46,32 @@
   ],
 }));
 
+/**
+ * The primary and one proxy are cut off together, but for one other proxy,
+ * which is not the holder of the duty.
+ */
+const CUT_BUT_FOR_ONE_PEER: readonly HistoryPlan[] = [1, 2].flatMap(cutOff =>
+  [1, 2, 3].map(seed => ({
+    seed,
+    faults: [
+      {
+        kind: 'cutPrimary' as const,
+        atMs: 1_200,
+        forMs: 13_000,
+        proxies: [0, 3 - cutOff],
+        isFromReplicas: true,
+      },
+      {kind: 'cutStore' as const, atMs: 1_200, forMs: 13_000, proxy: cutOff},
+      {
+        kind: 'cutPeers' as const,
+        atMs: 1_200,
+        forMs: 13_000,
+        proxies: [0, cutOff] as const,
+      },
+    ],
+  })),
+);
+
 /**
  * A proxy that nobody can ask goes on writing at a primary that others have
  * lost, and another replica than the chosen one acknowledges its last commits.
@@ -90,6 +118,9 @@
   ],
 }));
 
+/** Leaves the lease as the one bound, to show that it holds by itself. */
+const WITHOUT_CONTACT_RULE = {contactWindowMs: 1_000_000} as const;
+
 /** All mutants. @internal */
 export const MUTANTS: readonly Mutant[] = [
   {
@@ -98,6 +129,7 @@
     rules: ['staleRead'],
     mutate: options => ({
       ...options,
+      ...WITHOUT_CONTACT_RULE,
       controlTable: changeListing(options.controlTable, (key, value) =>
         key === `${ENTRY_VM_PREFIX}${options.self.entryVm}`
           ? {...value, leaseEndStoreMs: Number.MAX_SAFE_INTEGER / 2}
@@ -111,6 +143,7 @@
     rules: ['staleRead'],
     mutate: options => ({
       ...options,
+      ...WITHOUT_CONTACT_RULE,
       controlTable: changeListing(options.controlTable, (key, value) =>
         key.startsWith('primary/')
           ? {...value, writesFromStoreMs: null}
@@ -118,6 +151,33 @@
       ),
     }),
   },
+  {
+    name: 'a proxy relies on a primary longer after its last contact than it states',
+    plans: CUT_WITH_PROXY,
+    rules: ['staleRead'],
+    mutate: options => ({
+      ...options,
+      ...WITHOUT_CONTACT_RULE,
+      controlTable: changeListing(options.controlTable, (key, value) =>
+        key.startsWith(ENTRY_VM_PREFIX)
+          ? {...value, contactWindowMs: CONTACT_WINDOW_MS}
+          : value,
+      ),
+    }),
+  },
+  {
+    name: 'a proxy vouches for records from memory',
+    plans: CUT_BUT_FOR_ONE_PEER,
+    rules: ['staleRead'],
+    mutate: options => ({
+      ...options,
+      peers: repeatFirstDigest(options.peers),
+      relay: {
+        listControl: () => Promise.resolve(failure(NOT_ASKED)),
+        putControl: () => Promise.resolve(failure(NOT_ASKED)),
+      },
+    }),
+  },
   {
     name: 'replicas are not paused',
     plans: WRITES_GO_ON,
@@ -134,18 +194,13 @@
     mutate: options => ({
       ...options,
       peers: {
+        ...bindPeers(options.peers),
         release: async (peer, request) => {
           const answer = await options.peers.release(peer, request);
           return answer.ok
             ? success({...answer.value, highestAcknowledged: null})
             : answer;
         },
-        announce: (peer, record) => options.peers.announce(peer, record),
-        reportSuspicion: (peer, report) =>
-          options.peers.reportSuspicion(peer, report),
-        askReach: (peer, question) => options.peers.askReach(peer, question),
-        handOverDuty: (peer, handover) =>
-          options.peers.handOverDuty(peer, handover),
       },
       directoryTable: {
         list: async () => leaveOut(await options.directoryTable.list(), 'r2'),
@@ -207,6 +262,35 @@
   },
 ];
 
+const NOT_ASKED: PeerError = {kind: 'unreachable', reason: 'mutant'};
+
+function bindPeers(peers: PeerCaller): PeerCaller {
+  return {
+    release: (peer, request) => peers.release(peer, request),
+    announce: (peer, record) => peers.announce(peer, record),
+    reportSuspicion: (peer, report) => peers.reportSuspicion(peer, report),
+    askReach: (peer, question) => peers.askReach(peer, question),
+    handOverDuty: (peer, handover) => peers.handOverDuty(peer, handover),
+    compareRecords: peer => peers.compareRecords(peer),
+  };
+}
+
+/** Answers each comparison with the first digest that a proxy gave. */
+function repeatFirstDigest(peers: PeerCaller): PeerCaller {
+  let first: string | null = null;
+  return {
+    ...bindPeers(peers),
+    compareRecords: async peer => {
+      const answer = await peers.compareRecords(peer);
+      if (!answer.ok) {
+        return answer;
+      }
+      first ??= answer.value.digest;
+      return success({digest: first});
+    },
+  };
+}
+
 function bind(table: ListableTable): ListableTable {
   return {
     listEntries: () => table.listEntries(),
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -20,6 +20,7 @@
   DatabaseRoute,
   ServiceConfiguration,
 } from '../configuration/service_configuration.js';
+import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {
@@ -99,6 +100,7 @@
         configurationKey: 'config',
         peers: createPeers(link, deployment),
         relay: createRelay(link, deployment),
+        contactWindowMs: CONTACT_WINDOW_MS,
       }),
     );
   }
@@ -360,6 +362,7 @@
       call(peer, handler => handler.askReach(question)),
     handOverDuty: (peer, handover) =>
       call(peer, handler => handler.takeOverDuty(handover)),
+    compareRecords: peer => call(peer, handler => handler.compareRecords()),
   };
 }
 
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -6,6 +6,7 @@
   PeerCaller,
   PeerError,
   ReachAnswer,
+  RecordComparison,
   ReleaseAnswer,
   ReleaseRequest,
 } from '../peer/peer_caller.js';
@@ -55,6 +56,11 @@
     return success({isReachable: false});
   }
 
+  async compareRecords(): Promise<Result<RecordComparison, PeerError>> {
+    await Promise.resolve();
+    return success({digest: null});
+  }
+
   async handOverDuty(): Promise<Result<void, PeerError>> {
     await Promise.resolve();
     return success(undefined);
--- a/packages/gateway/src/testing/session_world.ts
+++ b/packages/gateway/src/testing/session_world.ts
@@ -43,6 +43,7 @@
       availabilityZone: this.availabilityZone,
       clock: this.clock,
       clockWatch: this.watch,
+      contact: {isInContact: () => true},
       random: SeededRandom.create(1),
       connector: this.backend,
       events: this.events,
