Node's own HTTP client for the store and the peers

Cause: after a loss of power all of a process's start is charged. The first fetch alone takes 38 to 55 ms of processor time, http.request 9 to 13 ms (three runs each of one call), and fetch adds some 150 bytes of headers to each call. Change: sendHttpRequest in packages/base, used by the store's client, the trpc link between proxies and the stand-in platform's client, whose own copy is gone.

--- /dev/null
+++ b/packages/base/src/http_request_test.ts
@@ -0,0 +1,114 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {sendHttpRequest, type HttpRequest} from './http_request.js';
+
+describe('sendHttpRequest', () => {
+  let server: http.Server;
+  let agent: http.Agent;
+  let handle: http.RequestListener;
+  let connectionCount: number;
+
+  beforeEach(async () => {
+    connectionCount = 0;
+    handle = (_request, response) => response.end('{}');
+    server = http.createServer((request, response) =>
+      handle(request, response),
+    );
+    server.on('connection', () => connectionCount++);
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    agent = new http.Agent({keepAlive: true});
+  });
+
+  afterEach(async () => {
+    agent.destroy();
+    server.closeAllConnections();
+    await new Promise(resolve => {
+      server.close(resolve);
+    });
+  });
+
+  function send(changes: Partial<HttpRequest> = {}) {
+    const {port} = server.address() as AddressInfo;
+    return sendHttpRequest({
+      method: 'GET',
+      url: `http://127.0.0.1:${port}/path?key=value`,
+      agent,
+      timeoutMs: 2_000,
+      ...changes,
+    });
+  }
+
+  it('gives status and body of an answer', async () => {
+    handle = (request, response) => {
+      response.statusCode = 412;
+      response.end(`${request.method} ${request.url}`);
+    };
+    expect(await send()).toEqual({
+      ok: true,
+      value: {status: 412, body: 'GET /path?key=value'},
+    });
+  });
+
+  it('sends the body, and no headers that nobody asked for', async () => {
+    let seen: readonly string[] = [];
+    let body = '';
+    handle = (request, response) => {
+      seen = Object.keys(request.headers).sort();
+      request.on('data', chunk => (body += String(chunk)));
+      request.on('end', () => response.end());
+    };
+    await send({
+      method: 'POST',
+      body: '{"a":1}',
+      headers: {'content-type': 'application/json'},
+    });
+    expect(body).toBe('{"a":1}');
+    expect(seen).toEqual([
+      'connection',
+      'content-length',
+      'content-type',
+      'host',
+    ]);
+  });
+
+  it('uses a connection again, but not one on which an answer is missing', async () => {
+    await send();
+    await send();
+    expect(connectionCount).toBe(1);
+    handle = () => {};
+    const silent = await send({timeoutMs: 50});
+    expect(silent).toMatchObject({ok: false, error: {wasConnected: true}});
+    handle = (_request, response) => response.end();
+    await send();
+    expect(connectionCount).toBe(2);
+  });
+
+  it('tells a request that reached nobody from one without an answer', async () => {
+    const port = (server.address() as AddressInfo).port;
+    server.closeAllConnections();
+    await new Promise(resolve => {
+      server.close(resolve);
+    });
+    const refused = await sendHttpRequest({
+      method: 'GET',
+      url: `http://127.0.0.1:${port}/`,
+      agent,
+      timeoutMs: 2_000,
+    });
+    expect(refused).toMatchObject({ok: false, error: {wasConnected: false}});
+  });
+
+  it('gives no part of an answer that breaks off or is too large', async () => {
+    handle = (_request, response) => {
+      response.setHeader('content-length', 100);
+      response.write('part');
+      setTimeout(() => response.destroy(), 20);
+    };
+    expect(await send()).toMatchObject({ok: false});
+    handle = (_request, response) => response.end('x'.repeat(1_000));
+    expect(await send({maxAnswerBytes: 100})).toMatchObject({ok: false});
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/peer/http_fetch.ts
@@ -0,0 +1,39 @@
+import http from 'node:http';
+import {sendHttpRequest} from '@filbertrun/base/http_request.js';
+import type {httpLink} from '@trpc/client';
+
+/** The function by which a trpc link sends requests. @public */
+export type HttpFetch = NonNullable<Parameters<typeof httpLink>[0]['fetch']>;
+
+const FIRST_ERROR_STATUS = 400;
+
+/**
+ * Sends the requests of a trpc link by Node's own client, which starts faster
+ * and sends fewer bytes than `fetch`.
+ *
+ * @public
+ */
+export function createHttpFetch(timeoutMs: number): HttpFetch {
+  const agent = new http.Agent({keepAlive: true});
+  return async (url, init) => {
+    const reply = await sendHttpRequest({
+      method: init?.method ?? 'GET',
+      url: String(url),
+      headers: typeof init?.body === 'string' ? JSON_HEADERS : {},
+      body: typeof init?.body === 'string' ? init.body : null,
+      agent,
+      timeoutMs,
+    });
+    if (!reply.ok) {
+      throw new Error(reply.error.reason);
+    }
+    const {status, body} = reply.value;
+    return {
+      ok: status < FIRST_ERROR_STATUS,
+      status,
+      json: () => Promise.resolve(JSON.parse(body) as unknown),
+    };
+  };
+}
+
+const JSON_HEADERS = {'content-type': 'application/json'} as const;
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -1,5 +1,6 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {createTRPCClient, httpLink} from '@trpc/client';
+import {createHttpFetch} from './http_fetch.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import type {
@@ -36,6 +37,9 @@
 export class TrpcPeerCaller implements PeerCaller, ControlRelay {
   private readonly clients = new Map<string, PeerClient>();
 
+  /** Calls are bounded here, so they are not given a signal as well. */
+  private readonly fetch = createHttpFetch(CALL_TIMEOUT_MS);
+
   private constructor() {}
 
   static create(): TrpcPeerCaller {
@@ -46,60 +50,48 @@
     peer: EntryVmRecord,
     request: ReleaseRequest,
   ): Promise<Result<ReleaseAnswer, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).release.mutate(request, {signal}),
-    );
+    return this.call(() => this.getClient(peer).release.mutate(request));
   }
 
   announce(
     peer: EntryVmRecord,
     record: RevisedPrimaryRecord,
   ): Promise<Result<void, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).announce.mutate(record, {signal}),
-    );
+    return this.call(() => this.getClient(peer).announce.mutate(record));
   }
 
   reportSuspicion(
     peer: EntryVmRecord,
     report: SuspicionReport,
   ): Promise<Result<void, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).reportSuspicion.mutate(report, {signal}),
-    );
+    return this.call(() => this.getClient(peer).reportSuspicion.mutate(report));
   }
 
   askReach(
     peer: EntryVmRecord,
     question: ReachQuestion,
   ): Promise<Result<ReachAnswer, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).askReach.query(question, {signal}),
-    );
+    return this.call(() => this.getClient(peer).askReach.query(question));
   }
 
   handOverDuty(
     peer: EntryVmRecord,
     handover: DutyHandover,
   ): Promise<Result<void, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).handOverDuty.mutate(handover, {signal}),
-    );
+    return this.call(() => this.getClient(peer).handOverDuty.mutate(handover));
   }
 
   compareRecords(
     peer: EntryVmRecord,
   ): Promise<Result<RecordComparison, PeerError>> {
-    return this.call(signal =>
-      this.getClient(peer).compareRecords.query(undefined, {signal}),
-    );
+    return this.call(() => this.getClient(peer).compareRecords.query());
   }
 
   async listControl(
     peer: EntryVmRecord,
   ): Promise<Result<Result<TableListing, PlatformError>, PeerError>> {
-    const answer = await this.call(signal =>
-      this.getClient(peer).listControl.query(undefined, {signal}),
+    const answer = await this.call(() =>
+      this.getClient(peer).listControl.query(),
     );
     if (!answer.ok) {
       return answer;
@@ -115,8 +107,8 @@
     peer: EntryVmRecord,
     write: ConditionalWrite,
   ): Promise<Result<Result<TableEntry, PlatformError>, PeerError>> {
-    const answer = await this.call(signal =>
-      this.getClient(peer).putControl.mutate(write, {signal}),
+    const answer = await this.call(() =>
+      this.getClient(peer).putControl.mutate(write),
     );
     return answer.ok
       ? success(answer.value)
@@ -127,17 +119,17 @@
     const url = `http://${peer.peerHost}:${peer.peerPort}`;
     let client = this.clients.get(url);
     if (client === undefined) {
-      client = createTRPCClient<PeerRouter>({links: [httpLink({url})]});
+      client = createTRPCClient<PeerRouter>({
+        links: [httpLink({url, fetch: this.fetch})],
+      });
       this.clients.set(url, client);
     }
     return client;
   }
 
-  private async call<T>(
-    send: (signal: AbortSignal) => Promise<T>,
-  ): Promise<Result<T, PeerError>> {
+  private async call<T>(send: () => Promise<T>): Promise<Result<T, PeerError>> {
     try {
-      return success(await send(AbortSignal.timeout(CALL_TIMEOUT_MS)));
+      return success(await send());
     } catch (error) {
       return failure({kind: 'unreachable', reason: String(error)});
     }
--- a/packages/platform/src/http_platform_service.ts
+++ b/packages/platform/src/http_platform_service.ts
@@ -1,4 +1,8 @@
 import http from 'node:http';
+import {
+  sendHttpRequest,
+  type HttpReply,
+} from '@filbertrun/base/http_request.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {z} from 'zod';
 import type {
@@ -59,11 +63,6 @@
   readonly body: string | null;
 }
 
-interface PlatformAnswer {
-  readonly status: number;
-  readonly body: string;
-}
-
 /** Reaches the platform over HTTP with kept-alive connections. @public */
 export class HttpPlatformService implements PlatformService {
   private readonly agent = new http.Agent({
@@ -143,94 +142,44 @@
     return answer.ok ? parseAnswer(answer.value, vmListSchema) : answer;
   }
 
-  private read(path: string): Promise<Result<PlatformAnswer, PlatformError>> {
+  private read(path: string): Promise<Result<HttpReply, PlatformError>> {
     return this.send({method: 'GET', path, body: null});
   }
 
   private write(
     path: string,
     body: string,
-  ): Promise<Result<PlatformAnswer, PlatformError>> {
+  ): Promise<Result<HttpReply, PlatformError>> {
     return this.send({method: 'PUT', path, body});
   }
 
-  private send(
-    request: PlatformRequest,
-  ): Promise<Result<PlatformAnswer, PlatformError>> {
-    return new Promise(resolve => {
-      let isConnected = false;
-      const handleFailure = (reason: string): void => {
-        const isUnknown = request.method === 'PUT' && isConnected;
-        const kind = isUnknown ? 'outcomeUnknown' : 'unavailable';
-        resolve(failure({kind, reason}));
-      };
-      const outgoing = this.openRequest(request, answer => {
-        if (answer.status >= STATUS_FIRST_SERVER_ERROR) {
-          handleFailure(`status ${answer.status}`);
-          return;
-        }
-        resolve(success(answer));
-      });
-      outgoing.on('socket', socket => {
-        if (!socket.connecting) {
-          isConnected = true;
-          return;
-        }
-        socket.once('connect', () => {
-          isConnected = true;
-        });
-      });
-      outgoing.on('error', error => handleFailure(error.message));
-      outgoing.on('close', () => handleFailure('connection closed'));
-      outgoing.end(request.body ?? undefined);
-    });
-  }
-
-  private openRequest(
+  private async send(
     request: PlatformRequest,
-    onAnswer: (answer: PlatformAnswer) => void,
-  ): http.ClientRequest {
+  ): Promise<Result<HttpReply, PlatformError>> {
     const {baseUrl, timeoutMs, sourceAddress} = this.options;
-    const outgoing = http.request(
-      new URL(request.path, baseUrl),
-      {
-        method: request.method,
-        agent: this.agent,
-        ...(sourceAddress === undefined ? {} : {localAddress: sourceAddress}),
-      },
-      incoming => collectAnswer(incoming, onAnswer),
-    );
-    const timer = setTimeout(() => {
-      outgoing.destroy(new Error(`no answer within ${timeoutMs} ms`));
-    }, timeoutMs);
-    outgoing.on('close', () => clearTimeout(timer));
-    return outgoing;
-  }
-}
-
-function collectAnswer(
-  incoming: http.IncomingMessage,
-  onAnswer: (answer: PlatformAnswer) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  incoming.on('data', (chunk: Buffer) => {
-    chunks.push(chunk);
-    size += chunk.length;
-    if (size > MAX_ANSWER_BYTES) {
-      incoming.destroy(new Error('answer too large'));
+    const reply = await sendHttpRequest({
+      method: request.method,
+      url: new URL(request.path, baseUrl).href,
+      body: request.body,
+      agent: this.agent,
+      timeoutMs,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+      ...(sourceAddress === undefined ? {} : {sourceAddress}),
+    });
+    if (reply.ok && reply.value.status < STATUS_FIRST_SERVER_ERROR) {
+      return reply;
     }
-  });
-  // A broken answer is reported by the request's own `close` event.
-  incoming.on('error', () => {});
-  incoming.on('end', () => {
-    const body = Buffer.concat(chunks).toString('utf8');
-    onAnswer({status: incoming.statusCode ?? 0, body});
-  });
+    const wasConnected = reply.ok || reply.error.wasConnected;
+    const isUnknown = request.method === 'PUT' && wasConnected;
+    return failure({
+      kind: isUnknown ? 'outcomeUnknown' : 'unavailable',
+      reason: reply.ok ? `status ${reply.value.status}` : reply.error.reason,
+    });
+  }
 }
 
 function checkStatus<T>(
-  answer: PlatformAnswer,
+  answer: HttpReply,
   read: (body: string) => Result<T, PlatformError>,
 ): Result<T, PlatformError> {
   if (answer.status !== STATUS_OK) {
@@ -240,14 +189,14 @@
 }
 
 function parseAnswer<T>(
-  answer: PlatformAnswer,
+  answer: HttpReply,
   schema: z.ZodType<T>,
 ): Result<T, PlatformError> {
   return checkStatus(answer, () => parseBody(answer, schema));
 }
 
 function parseBody<T>(
-  answer: PlatformAnswer,
+  answer: HttpReply,
   schema: z.ZodType<T>,
 ): Result<T, PlatformError> {
   try {
