Registrations renewed each 5 s; a read of the control table at once when something urgent comes up

The table is read and each registration written each 3 s although contact between proxies now bounds a cut. Test: control_poller_test.ts, new.

--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -19,7 +19,7 @@
 }
 
 /** Longest interval between reads; each renewal of the registration reads as well. */
-const POLL_INTERVAL_MS = 3_300;
+const POLL_INTERVAL_MS = 5_500;
 
 /** Interval after a failure or while a change of primary is under way. */
 const URGENT_INTERVAL_MS = 300;
@@ -66,6 +66,15 @@
     this.timer?.cancel();
   }
 
+  /** Reads at once if something urgent has come up since the last read. */
+  hasten(): void {
+    const isWaiting = this.scheduledDelayMs === POLL_INTERVAL_MS;
+    if (isWaiting && this.reading === null && this.options.isUrgent()) {
+      this.timer?.cancel();
+      void this.poll();
+    }
+  }
+
   /**
    * Reads what the table holds from now on; true when the store answered. A
    * read that is under way may have missed the latest change, so another one
--- /dev/null
+++ b/packages/gateway/src/control/control_poller_test.ts
@@ -0,0 +1,78 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockWatch} from '../group/clock_watch.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {advanceClock} from '../testing/settle.js';
+import {ControlPoller} from './control_poller.js';
+
+/** Interval of the gateway's upkeep. */
+const UPKEEP_MS = 100;
+
+describe('ControlPoller', () => {
+  let clock: VirtualClock;
+  let poller: ControlPoller;
+  let isUrgent: boolean;
+  let readAtMs: number[];
+
+  beforeEach(async () => {
+    clock = VirtualClock.create();
+    isUrgent = false;
+    readAtMs = [];
+    const table = FakeControlTable.create(clock);
+    table.seed('key', {});
+    poller = ControlPoller.create({
+      table,
+      clock,
+      clockWatch: ClockWatch.create(clock, FakeWallClock.create(clock)),
+      events: RecordedEvents.create(),
+      handleListing: () => readAtMs.push(clock.nowMs()),
+      isUrgent: () => isUrgent,
+    });
+    poller.start();
+    await advance(UPKEEP_MS);
+    readAtMs.length = 0;
+  });
+
+  async function advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += UPKEEP_MS) {
+      await advanceClock(clock, UPKEEP_MS);
+      poller.hasten();
+    }
+  }
+
+  it('reads seldom while nothing is urgent', async () => {
+    await advance(12_000);
+    expect(readAtMs.length).toBeLessThanOrEqual(3);
+    expect(readAtMs.length).toBeGreaterThanOrEqual(2);
+  });
+
+  it('reads within one upkeep of something urgent, however long the pause', async () => {
+    await advance(1_000);
+    isUrgent = true;
+    const urgentAtMs = clock.nowMs();
+    await advance(3 * UPKEEP_MS);
+    expect(readAtMs[0]).toBeLessThanOrEqual(urgentAtMs + 2 * UPKEEP_MS);
+  });
+
+  it('reads a few times a second while something is urgent, not with each upkeep', async () => {
+    isUrgent = true;
+    await advance(3_000);
+    expect(readAtMs.length).toBeGreaterThanOrEqual(8);
+    expect(readAtMs.length).toBeLessThanOrEqual(12);
+  });
+
+  it('reads once more for a change that a read under way may have missed', async () => {
+    const first = poller.readNow();
+    const second = poller.readNow();
+    expect(await Promise.all([first, second])).toEqual([true, true]);
+    expect(readAtMs).toHaveLength(2);
+  });
+
+  it('reads nothing after it was disposed', async () => {
+    poller.dispose();
+    await advance(12_000);
+    expect(readAtMs).toEqual([]);
+  });
+});
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -27,17 +27,17 @@
 }
 
 /** Interval at which an entry VM extends its leases. */
-const RENEWAL_INTERVAL_MS = 3_000;
+const RENEWAL_INTERVAL_MS = 5_000;
 
 /** Least time between a failed write and the next one. */
 const RETRY_INTERVAL_MS = 500;
 
 /**
  * Time for which an entry VM may rely on what it has read. It outlasts the
- * usual outage of the store; a change of primary waits for it only where a
- * proxy can't be asked to release.
+ * usual outage of the store. A change of primary waits for it only where
+ * proxies of several availability zones can't be asked to release.
  */
-const LEASE_DURATION_MS = 8_500;
+const LEASE_DURATION_MS = 12_000;
 
 /** Time after the end of its lease for which an entry VM stays listed. */
 const GONE_AFTER_LEASE_MS = 30_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -645,6 +645,7 @@
     this.reporter.look(this.getConfiguredGroups());
     this.probeUnreachable();
     this.readiness.update();
+    this.poller.hasten();
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
