--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -1,8 +1,10 @@
 import type {Timer} from '@filbertrun/base/clock.js';
+import {pause} from '@filbertrun/base/pause.js';
 import type {
   BackendServerId,
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
+import {isCovered} from '@filbertrun/model/log_position.js';
 import type {BackendLinkConnector} from '../backend/backend_link.js';
 import type {InstanceStatus} from '../backend/instance_control.js';
 import type {EntryVmRecord} from '../control/control_record.js';
@@ -42,6 +44,9 @@
 /** Time for which a group is left alone after a change or a check. */
 const SETTLE_MS = 500;
 
+/** Time that a replica gets to receive what the primary holds. */
+const FOLLOW_PAUSE_MS = 60;
+
 /** Time after which a primary that calls itself a replica is looked into. */
 const ROLE_MISMATCH_MS = 1_500;
 
@@ -181,7 +186,7 @@
       return this.hasOtherInstance(group, primary) ? 'gone' : null;
     }
     if (entry.state === 'draining') {
-      return this.hasActiveReplica(group, primary) ? 'draining' : null;
+      return this.findDrainReason(group, watch, entry);
     }
     const reports = this.getValidReports(watch, primary);
     const isSuspect = group.getServer(primary)?.isUnreachable === true;
@@ -237,16 +242,46 @@
     return false;
   }
 
-  private hasActiveReplica(
+  /**
+   * A primary that drains is replaced once a replica that stays follows it.
+   * Without that check two instances that both leave would take turns.
+   */
+  private async findDrainReason(
     group: GroupRuntime,
-    primary: BackendServerId,
-  ): boolean {
-    for (const {entry} of group.getServers()) {
-      if (entry.backendServer !== primary && entry.state === 'active') {
-        return true;
-      }
+    watch: GroupWatch,
+    primary: BackendServerEntry,
+  ): Promise<ChangeReason | null> {
+    const candidates = group
+      .getServers()
+      .map(({entry}) => entry)
+      .filter(
+        entry =>
+          entry.backendServer !== primary.backendServer &&
+          entry.state === 'active',
+      );
+    const {instances, clock} = this.options;
+    const leading = await instances.getStatus(primary);
+    if (candidates.length > 0 && !leading.ok) {
+      return 'draining';
     }
-    return false;
+    await pause(clock, FOLLOW_PAUSE_MS);
+    const statuses = await Promise.all(
+      candidates.map(entry => instances.getStatus(entry)),
+    );
+    const hasFollower = statuses.some(
+      status =>
+        status.ok &&
+        leading.ok &&
+        status.value.role === 'replica' &&
+        isCovered(
+          leading.value.receivedPosition,
+          status.value.receivedPosition,
+        ),
+    );
+    if (!hasFollower) {
+      watch.quietUntilMs = clock.nowMs() + SETTLE_MS;
+    }
+    return hasFollower ? 'draining' : null;
   }
 
   private getValidReports(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -86,6 +86,8 @@
   readonly configurationKey: string;
   readonly peers: PeerCaller;
   readonly relay: ControlRelay;
+  /** Time for which a draining backend server may be used. */
+  readonly drainMs: number;
   /** Time after the last contact for which a primary is relied on. */
   readonly contactWindowMs: number;
 }
@@ -486,6 +488,7 @@
       random,
       connector,
       events: this.events,
+      drainMs: this.options.drainMs,
     });
     this.groups.set(databaseGroup, group);
     for (const entry of this.directory.getEntries()) {
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -22,8 +22,16 @@
   readonly connector: BackendLinkConnector;
   readonly events: GatewayEvents;
   readonly maxConnections: number;
+  /** Time for which a draining server may be used once its state is known. */
+  readonly drainMs: number;
 }
 
+/**
+ * Part of the drain that makes up for the time until the state is known and for
+ * statements that wait for a connection.
+ */
+const DRAIN_MARGIN_MS = 1_000;
+
 /** Time allowed for a new connection, its handshake included. */
 const CONNECT_TIMEOUT_MS = 700;
 
@@ -90,6 +98,7 @@
   private probedAtMs = Number.NEGATIVE_INFINITY;
   private isChecking = false;
   private answeredAtMs: number | null = null;
+  private drainingSinceMs: number | null = null;
   /** Time at which the server was last shown to be unreachable; null when it answers. */
   private unreachableAtMs: number | null = null;
 
@@ -97,6 +106,7 @@
     private currentEntry: BackendServerEntry,
     private readonly options: BackendServerRuntimeOptions,
   ) {
+    this.noteState();
     this.pool = BackendPool.create<PooledLink>({
       clock: options.clock,
       random: options.random,
@@ -128,6 +138,15 @@
     return this.currentEntry;
   }
 
+  /** Whether the server has been draining for so long that nothing more is sent to it. */
+  get isPastDrain(): boolean {
+    const {clock, drainMs} = this.options;
+    return (
+      this.drainingSinceMs !== null &&
+      clock.nowMs() - this.drainingSinceMs >= drainMs - DRAIN_MARGIN_MS
+    );
+  }
+
   get latencyMs(): number | null {
     return this.meanLatencyMs;
   }
@@ -172,6 +191,7 @@
       entry.host === this.currentEntry.host &&
       entry.port === this.currentEntry.port;
     this.currentEntry = entry;
+    this.noteState();
     return isSameStart;
   }
 
@@ -256,6 +276,14 @@
     this.closeAll(reason);
   }
 
+  private noteState(): void {
+    if (this.currentEntry.state === 'draining') {
+      this.drainingSinceMs ??= this.options.clock.nowMs();
+    } else {
+      this.drainingSinceMs = null;
+    }
+  }
+
   private async connect(): Promise<Result<PooledLink, ConnectError>> {
     const {connector, events} = this.options;
     const entry = this.currentEntry;
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -36,6 +36,8 @@
   readonly random: RandomSource;
   readonly connector: BackendLinkConnector;
   readonly events: GatewayEvents;
+  /** Time for which a draining server may be used. */
+  readonly drainMs: number;
 }
 
 /** Margin that makes up for rounding in ages of data. */
@@ -110,13 +112,14 @@
   updateServer(entry: BackendServerEntry): void {
     const known = this.servers.get(entry.backendServer);
     if (known === undefined) {
-      const {clock, random, connector, events} = this.options;
+      const {clock, random, connector, events, drainMs} = this.options;
       const runtime = BackendServerRuntime.create(entry, {
         clock,
         random,
         connector,
         events,
         maxConnections: this.maxConnections,
+        drainMs,
       });
       this.servers.set(entry.backendServer, runtime);
     } else if (!known.updateEntry(entry)) {
@@ -232,7 +235,7 @@
   /** The primary that may be relied on now and is listed, or null. */
   getLeasedPrimary(): BackendServerRuntime | null {
     const leased = this.lease.getPrimary();
-    return leased === null ? null : this.getServer(leased.primary);
+    return leased === null ? null : this.findUsable(leased.primary);
   }
 
   /** The primary that writes may be sent to, or null. */
@@ -241,7 +244,15 @@
       return null;
     }
     const known = this.lease.getLastKnownPrimary();
-    return known === null ? null : this.getServer(known.primary);
+    return known === null ? null : this.findUsable(known.primary);
+  }
+
+  /** A listed server that has not been draining for too long, or null. */
+  private findUsable(
+    backendServer: BackendServerId,
+  ): BackendServerRuntime | null {
+    const server = this.getServer(backendServer);
+    return server === null || server.isPastDrain ? null : server;
   }
 
   /** Resolves with a primary for writes, or with null after `timeoutMs`. */
--- a/packages/gateway/src/group/group_runtime_test.ts
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, describe, expect, it} from 'vitest';
+import {createEntry} from '../testing/fake_instances.js';
 import {SessionWorld} from '../testing/session_world.js';
 import type {LeaseProof} from './primary_lease.js';
 import type {RevisedPrimaryRecord} from './primary_record.js';
@@ -72,6 +73,22 @@
     expect(getWritable()).toBeNull();
   });
 
+  it('uses a draining primary for a while, and then no more', () => {
+    const draining = {
+      ...createEntry('p', 'primary'),
+      state: 'draining' as const,
+    };
+    world.group.updateServer(draining);
+    world.clock.advance(5_000);
+    expect(getWritable()).toBe('p');
+    world.group.updateServer(draining);
+    world.clock.advance(2_000);
+    expect(getWritable()).toBeNull();
+    expect(world.group.getLeasedPrimary()).toBeNull();
+    world.group.updateServer(createEntry('p', 'primary'));
+    expect(getWritable()).toBe('p');
+  });
+
   it('serves aged reads from the last position of the old term', () => {
     world.group.learnRecord(CHANGING, prove(), 'test');
     const fresh = world.group.getFreshPosition(world.clock.nowMs(), 1_500);
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -101,6 +101,7 @@
         peers: createPeers(link, deployment),
         relay: createRelay(link, deployment),
         contactWindowMs: CONTACT_WINDOW_MS,
+        drainMs: 7_000,
       }),
     );
   }
