Writes that no replica acknowledges no longer hold up the reads of the last instance

A write given up after a second ended the stall that it showed, so half of the next writes hung as well. Their waits counted as the time that the server needs, so reads were refused as overload. And the stall led to a change of primary that could only promote the same instance again, four times. Change: a stall lasts until an acknowledgement; a lease that ends 'unacknowledged' gives the pool no service time; a change needs another instance that stays and can be reached, and none is begun where no other instance is listed.

--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -181,9 +181,13 @@
     if (!directory.isListed) {
       return null;
     }
+    // Without another instance a change would only interrupt the reads.
+    if (!this.hasOtherInstance(group, primary)) {
+      return null;
+    }
     const entry = directory.getEntry(primary);
     if (entry === null) {
-      return this.hasOtherInstance(group, primary) ? 'gone' : null;
+      return 'gone';
     }
     if (entry.state === 'draining') {
       return this.findDrainReason(group, watch, entry);
@@ -193,7 +197,10 @@
     if (reports.length === 0 && !isSuspect) {
       return null;
     }
-    if (this.hasStalledWrites(group, reports)) {
+    if (
+      this.hasStalledWrites(group, reports) &&
+      this.hasSuccessor(group, primary)
+    ) {
       return 'writesStalled';
     }
     const isConfirmed =
@@ -230,6 +237,18 @@
     return isOwn && unreachable.length * 2 > count;
   }
 
+  /** Whether another instance that stays can be reached, so that a change may help. */
+  private hasSuccessor(group: GroupRuntime, primary: BackendServerId): boolean {
+    return group
+      .getServers()
+      .some(
+        ({entry, isUnreachable}) =>
+          entry.backendServer !== primary &&
+          entry.state === 'active' &&
+          !isUnreachable,
+      );
+  }
+
   private hasOtherInstance(
     group: GroupRuntime,
     primary: BackendServerId,
--- a/packages/gateway/src/group/write_progress.ts
+++ b/packages/gateway/src/group/write_progress.ts
@@ -21,6 +21,8 @@
   private nextId = 0;
   private acknowledgedAtMs = Number.NEGATIVE_INFINITY;
   private probedAtMs = Number.NEGATIVE_INFINITY;
+  /** When the first write was sent that was given up since the last acknowledgement. */
+  private givenUpSentAtMs: number | null = null;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -46,9 +48,17 @@
   }
 
   end(id: number, isAcknowledged: boolean): void {
+    const sentAtMs = this.sentAtMs.get(id);
     this.sentAtMs.delete(id);
+    const nowMs = this.clock.nowMs();
     if (isAcknowledged) {
-      this.acknowledgedAtMs = this.clock.nowMs();
+      this.acknowledgedAtMs = nowMs;
+      this.givenUpSentAtMs = null;
+      return;
+    }
+    // A rejection comes sooner and says nothing of acknowledgement.
+    if (sentAtMs !== undefined && nowMs - sentAtMs >= STALLED_AFTER_MS) {
+      this.givenUpSentAtMs ??= sentAtMs;
     }
   }
 
@@ -73,12 +83,13 @@
   /** Forgets all, because another instance leads now. */
   reset(): void {
     this.sentAtMs.clear();
+    this.givenUpSentAtMs = null;
     this.acknowledgedAtMs = this.clock.nowMs();
   }
 
   /** Age of the oldest write that was sent after the last acknowledgement. */
   private getStallMs(): number {
-    let oldestMs = Number.POSITIVE_INFINITY;
+    let oldestMs = this.givenUpSentAtMs ?? Number.POSITIVE_INFINITY;
     for (const sentAtMs of this.sentAtMs.values()) {
       if (sentAtMs >= this.acknowledgedAtMs) {
         oldestMs = Math.min(oldestMs, sentAtMs);
--- a/packages/gateway/src/group/write_progress_test.ts
+++ b/packages/gateway/src/group/write_progress_test.ts
@@ -40,6 +40,27 @@
     expect(writes.isStalled).toBe(true);
   });
 
+  it('keeps to the stall when the writes behind it are given up', () => {
+    const first = writes.begin();
+    clock.advance(1_000);
+    writes.end(first, false);
+    expect(writes.isStalled).toBe(true);
+    const passed: boolean[] = [];
+    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += 100) {
+      passed.push(!writes.shouldRefuse());
+      clock.advance(100);
+    }
+    expect(passed.filter(isPassed => isPassed)).toHaveLength(4);
+    writes.end(writes.begin(), true);
+    expect(writes.shouldRefuse()).toBe(false);
+  });
+
+  it('takes a quick rejection for no stall', () => {
+    writes.end(writes.begin(), false);
+    clock.advance(2_000);
+    expect(writes.isStalled).toBe(false);
+  });
+
   it('forgets the stall when another instance leads', () => {
     writes.begin();
     clock.advance(2_000);
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -228,7 +228,7 @@
         return {kind: 'notRun', error: unavailable, reason: error.reason};
       case 'connectionLost':
       case 'timedOut':
-        lease.release('doubtful');
+        lease.release('unacknowledged');
         server.markSuspect();
         return {
           kind: 'failed',
--- a/packages/pool/src/backend_pool_test.ts
+++ b/packages/pool/src/backend_pool_test.ts
@@ -73,6 +73,19 @@
     expect(closed).toEqual([first.connection]);
   });
 
+  it('does not take the wait for an acknowledgement for the time that it needs', async () => {
+    await serveOne(10);
+    const hung = await lease();
+    clock.advance(5_000);
+    hung.release('unacknowledged');
+    expect(closed).toContain(hung.connection);
+    const leases = [await lease(), await lease()];
+    const waiting = acquire('normal', 100);
+    await settle();
+    leases[0]?.release('clean');
+    expect((await waiting).ok).toBe(true);
+  });
+
   it('leases the unused connection that suits best', async () => {
     const first = await lease();
     const second = await lease();
--- a/packages/pool/src/leased_connection.ts
+++ b/packages/pool/src/leased_connection.ts
@@ -5,7 +5,7 @@
   readonly connection: C;
   readonly condition: ConnectionCondition;
   readonly activeAtStart: number;
-  /** Time of the lease, or null when a caller's pauses are part of it. */
+  /** Time of the lease, or null when more than the server's work is part of it. */
   readonly serviceTimeMs: number | null;
 }
 
@@ -67,7 +67,8 @@
       connection: this.connection,
       condition,
       activeAtStart: this.activeAtStart,
-      serviceTimeMs: this.wasSuspended ? null : durationMs,
+      serviceTimeMs:
+        this.wasSuspended || condition === 'unacknowledged' ? null : durationMs,
     };
     this.events.handleReleased(end, wasActive);
   }
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -45,7 +45,12 @@
   /** Proven to hold nothing of its session. */
   | 'clean'
   /** Anything else; the connection is closed. */
-  | 'doubtful';
+  | 'doubtful'
+  /**
+   * Closed as well. What it waited for is not the server's own work, as with a
+   * commit that no replica acknowledges, so its time says nothing of the load.
+   */
+  | 'unacknowledged';
 
 /** The use of one connection by one session. @public */
 export interface PoolLease<C> {
