--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -27,8 +27,10 @@
 /**
  * Time for which a server that is gone from the table may still run. One that
  * is cut off together with its primary goes on confirming commits.
+ *
+ * @public
  */
-const DEPARTED_MS = 12_000;
+export const DEPARTED_MS = 12_000;
 
 /** A server that was removed, and when. */
 interface Departure {
@@ -41,7 +43,7 @@
   private readonly entries = new Map<BackendServerId, BackendServerEntry>();
   private readonly graceTimers = new Map<BackendServerId, Timer>();
   private readonly departures = new Map<BackendServerId, Departure>();
-  private listed = false;
+  private listedAtMs: number | null = null;
 
   private constructor(private readonly options: BackendDirectoryOptions) {}
 
@@ -51,7 +53,15 @@
 
   /** Whether the table has been read since the start. */
   get isListed(): boolean {
-    return this.listed;
+    return this.listedAtMs !== null;
+  }
+
+  /** Whether the table has been followed for as long as a server that left may run. */
+  get hasLongMemory(): boolean {
+    return (
+      this.listedAtMs !== null &&
+      this.options.clock.nowMs() - this.listedAtMs >= DEPARTED_MS
+    );
   }
 
   getEntry(backendServer: BackendServerId): BackendServerEntry | null {
@@ -82,7 +92,7 @@
   }
 
   handleListing(listing: TableChanges<BackendServerEntry>): void {
-    this.listed = true;
+    this.listedAtMs ??= this.options.clock.nowMs();
     const present = new Set<BackendServerId>();
     for (const change of listing.changes) {
       this.apply(change);
--- /dev/null
+++ b/packages/gateway/src/directory/group_roster_test.ts
@@ -0,0 +1,81 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {createEntry} from '../testing/fake_instances.js';
+import type {BackendServerEntry} from './backend_server_entry.js';
+import {GroupRoster} from './group_roster.js';
+
+describe('GroupRoster', () => {
+  let clock: VirtualClock;
+  let table: FakeControlTable;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    table = FakeControlTable.create(clock);
+  });
+
+  function create(
+    known: readonly BackendServerEntry[],
+    hasLongMemory: boolean,
+  ): GroupRoster {
+    return GroupRoster.create({
+      clock,
+      table,
+      listKnown: () => [...known],
+      hasLongMemory: () => hasLongMemory,
+    });
+  }
+
+  async function maintain(roster: GroupRoster): Promise<void> {
+    clock.advance(1_000);
+    await roster.maintain(['group']);
+  }
+
+  async function readNames(): Promise<readonly string[] | null> {
+    const entries = await create([], false).read('group');
+    return entries?.map(({backendServer}) => backendServer).sort() ?? null;
+  }
+
+  it('tells a process that has just started who was there', async () => {
+    await maintain(
+      create([createEntry('p', 'primary'), createEntry('r', 'replica')], true),
+    );
+    expect(await readNames()).toEqual(['p', 'r']);
+  });
+
+  it('is written only when the instances or their starts change', async () => {
+    const known = [createEntry('p', 'primary')];
+    const roster = create(known, true);
+    await maintain(roster);
+    await maintain(roster);
+    expect(table.writeCount).toBe(1);
+    known[0] = {...createEntry('p', 'primary'), startedAtEpochMs: 2};
+    await maintain(roster);
+    expect(table.writeCount).toBe(2);
+  });
+
+  it('loses nobody to a process that does not know who left', async () => {
+    await maintain(
+      create([createEntry('p', 'primary'), createEntry('r', 'replica')], true),
+    );
+    await maintain(create([createEntry('p', 'primary')], false));
+    expect(await readNames()).toEqual(['p', 'r']);
+    await maintain(create([createEntry('p', 'primary')], true));
+    expect(await readNames()).toEqual(['p']);
+  });
+
+  it('is unknown while the store does not answer, and empty only without a record', async () => {
+    expect(await readNames()).toEqual([]);
+    table.isReadable = false;
+    expect(await readNames()).toBeNull();
+  });
+
+  it('is written anew after another process wrote it', async () => {
+    const first = create([createEntry('p', 'primary')], true);
+    await maintain(first);
+    await maintain(create([createEntry('r', 'replica')], true));
+    const third = create([createEntry('p', 'primary')], true);
+    await maintain(third);
+    expect(await readNames()).toEqual(['p']);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import type {
   ListableTable,
+  PlatformTable,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
 import type {BackendLinkConnector} from './backend/backend_link.js';
@@ -34,6 +35,7 @@
 import {FailoverDutyLease} from './control/failover_duty_lease.js';
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
+import {GroupRoster} from './directory/group_roster.js';
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
@@ -80,6 +82,8 @@
   readonly instances: InstanceControl;
   readonly promotions: PromotionService;
   readonly controlTable: ListableTable;
+  /** Table of the rosters of the database groups. */
+  readonly rosterTable: PlatformTable;
   readonly directoryTable: WatchableTable<BackendServerEntry>;
   readonly configurationTable: WatchableTable<ServiceConfiguration>;
   /** Key of the configuration in its table. */
@@ -134,6 +138,7 @@
   private readonly seeding = new Set<GroupRuntime>();
   private readonly directory: BackendDirectory;
   private readonly configuration: ConfigurationHolder;
+  private readonly roster: GroupRoster;
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
   private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
   private readonly poller: ControlPoller;
@@ -172,6 +177,12 @@
             ?.removeServer(entry.backendServer, reason),
       },
     });
+    this.roster = GroupRoster.create({
+      clock,
+      table: options.rosterTable,
+      listKnown: databaseGroup => this.listKnownInstances(databaseGroup),
+      hasLongMemory: () => this.directory.hasLongMemory,
+    });
     this.configuration = ConfigurationHolder.create({
       key: options.configurationKey,
       events,
@@ -593,15 +604,18 @@
     if (!listing.ok) {
       return null;
     }
+    const remembered = this.directory.hasLongMemory
+      ? []
+      : await this.roster.read(databaseGroup);
+    if (remembered === null) {
+      return null;
+    }
     const instances = new Map<string, BackendServerEntry>();
-    const known = [
-      ...this.directory.getDeparted(),
-      ...this.directory.getEntries(),
-    ];
-    for (const entry of known) {
-      if (entry.databaseGroup === databaseGroup) {
-        instances.set(entry.backendServer, entry);
-      }
+    for (const entry of remembered) {
+      instances.set(entry.backendServer, entry);
+    }
+    for (const entry of this.listKnownInstances(databaseGroup)) {
+      instances.set(entry.backendServer, entry);
     }
     for (const change of listing.value.changes) {
       if (
@@ -614,6 +628,17 @@
     return [...instances.values()];
   }
 
+  /** Instances of a group that are listed, or were a short while ago. */
+  private listKnownInstances(
+    databaseGroup: string,
+  ): readonly BackendServerEntry[] {
+    const known = [
+      ...this.directory.getDeparted(),
+      ...this.directory.getEntries(),
+    ];
+    return known.filter(entry => entry.databaseGroup === databaseGroup);
+  }
+
   private scheduleUpkeep(): void {
     const dueMs = this.clock.nowMs() + UPKEEP_INTERVAL_MS;
     this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
@@ -661,6 +686,9 @@
       void this.poller.readNow();
     }
     await this.duty.maintain();
+    if (this.duty.getFencingToken() !== null && this.directory.isListed) {
+      void this.roster.maintain([...this.groups.keys()]);
+    }
     const nowMs = this.clock.nowMs();
     const isDue = nowMs - this.removedGoneAtMs >= REMOVE_GONE_INTERVAL_MS;
     if (isDue && this.duty.getFencingToken() !== null) {
--- /dev/null
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -0,0 +1,225 @@
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import type {PlatformError} from '@filbertrun/platform/platform_service.js';
+import type {
+  InstanceControl,
+  InstanceControlError,
+  InstanceStatus,
+} from '../backend/instance_control.js';
+import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {
+  TableChanges,
+  WatchableTable,
+} from '../directory/watchable_table.js';
+import type {HistoryFault, HistoryPlan} from './failover_history.js';
+import type {Mutant} from './mutant.js';
+import {bind, NOT_ASKED} from './mutant_parts.js';
+import {UNNAMED} from './simulated_link.js';
+
+/** Mutants of directory, configuration, addresses and recovery. */
+
+/** Three seeds for one list of faults. */
+function planWith(faults: readonly HistoryFault[]): readonly HistoryPlan[] {
+  return [1, 2, 3].map(seed => ({seed, faults}));
+}
+
+const EITHER_REPLICA = [0, 1] as const;
+
+/** All of them. @internal */
+export const DEPLOYMENT_MUTANTS: readonly Mutant[] = [
+  {
+    name: 'a greeting does not name the instance',
+    plans: EITHER_REPLICA.flatMap(replica =>
+      planWith([{kind: 'reuseAddress', atMs: 1_000, replica}]),
+    ),
+    rules: ['wrongService'],
+    mutate: options => ({
+      ...options,
+      connector: {
+        checkReachable: (server, timeoutMs) =>
+          options.connector.checkReachable(server, timeoutMs),
+        connect: (server, timeoutMs) =>
+          options.connector.connect(
+            {...server, backendServer: UNNAMED},
+            timeoutMs,
+          ),
+      },
+    }),
+  },
+  {
+    name: 'a draining instance counts as active',
+    plans: EITHER_REPLICA.flatMap(replica =>
+      planWith([{kind: 'drainReplica', atMs: 500, replica}]),
+    ),
+    rules: ['usedAfterDrain'],
+    mutate: options => ({
+      ...options,
+      directoryTable: changeValues(options.directoryTable, entry => ({
+        ...entry,
+        state: 'active' as const,
+      })),
+    }),
+  },
+  {
+    name: 'an instance that does not answer counts as gone',
+    plans: planWith([
+      {kind: 'drainReplica', atMs: 0, replica: 0},
+      {kind: 'cutZone', atMs: 1_500, forMs: 12_000, replica: 0, proxy: 0},
+    ]),
+    rules: ['lostCommit', 'acknowledgedByReplaced'],
+    mutate: options => ({
+      ...options,
+      instances: takeSilenceForAbsence(options.instances),
+    }),
+  },
+  {
+    name: 'a process that has just started trusts the directory alone',
+    plans: planWith([
+      {kind: 'cutZone', atMs: 1_823, forMs: 6_771, replica: 0, proxy: 2},
+      {kind: 'killProxy', atMs: 4_810, proxy: 0},
+    ]),
+    rules: ['lostCommit', 'staleRead'],
+    mutate: options => ({
+      ...options,
+      rosterTable: {
+        ...bind(options.controlTable),
+        getEntry: () => Promise.resolve(success(null)),
+        putEntry: () => Promise.resolve(failure(TABLE_UNAVAILABLE)),
+      },
+    }),
+  },
+  {
+    name: 'changes of the configuration are not noticed',
+    plans: planWith([{kind: 'changeConfiguration', atMs: 1_000}]),
+    rules: ['lateConfiguration'],
+    mutate: options => ({
+      ...options,
+      configurationTable: {
+        list: () => options.configurationTable.list(),
+        watch: async (afterRevision, waitMs) => {
+          const result = await options.configurationTable.watch(
+            afterRevision,
+            waitMs,
+          );
+          return result.ok
+            ? success({changes: [], revision: afterRevision})
+            : result;
+        },
+      },
+    }),
+  },
+  {
+    name: 'an old configuration is taken for a newer one',
+    plans: planWith([{kind: 'changeConfiguration', atMs: 1_000}]),
+    rules: ['configurationRegressed', 'lateConfiguration'],
+    mutate: options => ({
+      ...options,
+      configurationTable: bringBackFirst(options.configurationTable),
+    }),
+  },
+  {
+    name: 'a process that starts again can not read the control table',
+    plans: planWith([{kind: 'killAllProxies', atMs: 500}]),
+    rules: ['notRecovered'],
+    mutate: options => {
+      const [, incarnation] = options.self.incarnation.split('-');
+      const isFirst = Number(incarnation) <= FIRST_PROCESS_COUNT;
+      return {
+        ...options,
+        controlTable: {
+          ...bind(options.controlTable),
+          listEntries: () =>
+            isFirst
+              ? options.controlTable.listEntries()
+              : Promise.resolve(failure(TABLE_UNAVAILABLE)),
+        },
+        relay: {
+          listControl: () => Promise.resolve(failure(NOT_ASKED)),
+          putControl: () => Promise.resolve(failure(NOT_ASKED)),
+        },
+      };
+    },
+  },
+];
+
+const TABLE_UNAVAILABLE: PlatformError = {
+  kind: 'unavailable',
+  reason: 'mutant',
+};
+
+/** Processes that a history starts before any is killed. */
+const FIRST_PROCESS_COUNT = 3;
+
+/** Changes the values that a table shows. */
+function changeValues(
+  table: WatchableTable<BackendServerEntry>,
+  change: (value: BackendServerEntry) => BackendServerEntry,
+): WatchableTable<BackendServerEntry> {
+  const convert = <E>(
+    result: Result<TableChanges<BackendServerEntry>, E>,
+  ): Result<TableChanges<BackendServerEntry>, E> =>
+    result.ok
+      ? success({
+          ...result.value,
+          changes: result.value.changes.map(entry =>
+            entry.kind === 'put'
+              ? {...entry, value: change(entry.value)}
+              : entry,
+          ),
+        })
+      : result;
+  return {
+    list: async () => convert(await table.list()),
+    watch: async (afterRevision, waitMs) =>
+      convert(await table.watch(afterRevision, waitMs)),
+  };
+}
+
+/** Shows the first configuration again, as a newer one, after a later one. */
+function bringBackFirst(
+  table: WatchableTable<ServiceConfiguration>,
+): WatchableTable<ServiceConfiguration> {
+  let first: ServiceConfiguration | null = null;
+  let isDue = false;
+  return {
+    list: async () => {
+      const result = await table.list();
+      if (result.ok) {
+        const [change] = result.value.changes;
+        first ??= change?.kind === 'put' ? change.value : null;
+      }
+      return result;
+    },
+    watch: async (afterRevision, waitMs) => {
+      if (isDue && first !== null) {
+        isDue = false;
+        const revision = afterRevision + 1;
+        const value = {...first, version: revision};
+        return success({
+          changes: [{kind: 'put' as const, key: 'config', revision, value}],
+          revision,
+        });
+      }
+      const result = await table.watch(afterRevision, waitMs);
+      isDue = result.ok && result.value.changes.length > 0;
+      return result;
+    },
+  };
+}
+
+type ControlResult = Result<InstanceStatus, InstanceControlError>;
+
+/** Says of every instance that is silent that another one has its address. */
+function takeSilenceForAbsence(instances: InstanceControl): InstanceControl {
+  const convert = (result: ControlResult): ControlResult =>
+    !result.ok && result.error.kind === 'unreachable'
+      ? failure({kind: 'wrongServer'})
+      : result;
+  return {
+    getStatus: async server => convert(await instances.getStatus(server)),
+    stepDown: async (server, term) =>
+      convert(await instances.stepDown(server, term)),
+    pauseReplication: async (server, term) =>
+      convert(await instances.pauseReplication(server, term)),
+  };
+}
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -46,6 +46,25 @@
     byMs: fc.integer({min: -3_000, max: 3_000}),
   }),
   fc.record({kind: fc.constant('drainPrimary' as const), atMs}),
+  fc.record({
+    kind: fc.constant('drainReplica' as const),
+    atMs,
+    replica: fc.nat(1),
+  }),
+  fc.record({
+    kind: fc.constant('cutZone' as const),
+    atMs,
+    forMs,
+    replica: fc.nat(1),
+    proxy,
+  }),
+  fc.record({
+    kind: fc.constant('reuseAddress' as const),
+    atMs,
+    replica: fc.nat(1),
+  }),
+  fc.record({kind: fc.constant('changeConfiguration' as const), atMs}),
+  fc.record({kind: fc.constant('killAllProxies' as const), atMs}),
 );
 
 const plan: fc.Arbitrary<HistoryPlan> = fc.record({
@@ -56,6 +75,9 @@
 /** Histories in CI; FAILOVER_HISTORIES asks for more by hand. */
 const HISTORY_COUNT = Number(process.env['FAILOVER_HISTORIES'] ?? 40);
 
+/** Histories of each mutant that are played with the whole code as well. */
+const MAX_PLANS_CHECKED = 6;
+
 /** Seed in CI; FAILOVER_SEED asks for another by hand. */
 const SEED = Number(process.env['FAILOVER_SEED'] ?? 1);
 
@@ -77,6 +99,37 @@
     expect(outcome.acknowledgedCount).toBeGreaterThan(500);
   });
 
+  it('hands the lead not to and fro between instances that both leave', async () => {
+    const outcome = await playHistory({
+      seed: 999_997,
+      faults: [
+        {kind: 'drainReplica', atMs: 3_360, replica: 1},
+        {
+          kind: 'cutPrimary',
+          atMs: 5_986,
+          forMs: 6_992,
+          proxies: [],
+          isFromReplicas: true,
+        },
+        {kind: 'drainPrimary', atMs: 8_330},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+    expect(outcome.promotionCount).toBeLessThanOrEqual(2);
+  });
+
+  it('goes on reading at the last instance when the others have left', async () => {
+    const outcome = await playHistory({
+      seed: 823_559,
+      faults: [
+        {kind: 'drainPrimary', atMs: 276},
+        {kind: 'drainReplica', atMs: 3_250, replica: 1},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+    expect(outcome.promotionCount).toBeLessThanOrEqual(2);
+  });
+
   it('keeps its promises whatever fails', async () => {
     await fc.assert(
       fc.asyncProperty(plan, async drawn => {
@@ -87,6 +140,18 @@
     );
   }, 3_600_000);
 
+  it('keeps its promises in the histories of the mutants', async () => {
+    for (const {name, plans} of MUTANTS) {
+      for (const mutantPlan of plans.slice(0, MAX_PLANS_CHECKED)) {
+        const outcome = await playHistory(mutantPlan);
+        expect({name, violations: outcome.violations}).toEqual({
+          name,
+          violations: [],
+        });
+      }
+    }
+  }, 120_000);
+
   it.each(MUTANTS)(
     'notices the mutant $name',
     async ({mutate, plans, rules}) => {
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -10,11 +10,17 @@
 import {SafetyOracle, type Violation} from './safety_oracle.js';
 import {SimulatedGroup} from './simulated_group.js';
 import {SimulatedConnector} from './simulated_link.js';
-import {SimulatedNetwork} from './simulated_network.js';
+import {ConfigurationOracle} from './configuration_oracle.js';
+import {RecoveryJudge} from './recovery_judge.js';
+import {SimulatedNetwork, STORE} from './simulated_network.js';
 import {
+  OPTIONAL_ROUTE,
   ROUTE_MAX_AGE_MS,
+  SimulatedOperator,
+} from './simulated_operator.js';
+import {TouchRecord} from './touch_record.js';
+import {
   SimulatedProxy,
-  STORE,
   type GatewayMutation,
   type SimulatedDeployment,
 } from './simulated_proxy.js';
@@ -78,7 +84,29 @@
       readonly proxy: number;
       readonly byMs: number;
     }
-  | {readonly kind: 'drainPrimary'; readonly atMs: number};
+  | {readonly kind: 'drainPrimary'; readonly atMs: number}
+  | {
+      readonly kind: 'drainReplica';
+      readonly atMs: number;
+      readonly replica: number;
+    }
+  /** The primary, a replica and a proxy are cut off from everything else. */
+  | {
+      readonly kind: 'cutZone';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly replica: number;
+      readonly proxy: number;
+    }
+  /** A replica ends for good, and another service takes over its address. */
+  | {
+      readonly kind: 'reuseAddress';
+      readonly atMs: number;
+      readonly replica: number;
+    }
+  | {readonly kind: 'changeConfiguration'; readonly atMs: number}
+  /** All processes end at once. */
+  | {readonly kind: 'killAllProxies'; readonly atMs: number};
 
 /** One history to play. @internal */
 export interface HistoryPlan {
@@ -104,6 +132,9 @@
 
 const STEP_MS = 5;
 
+/** Interval at which each proxy is asked by the optional route. */
+const PROBE_INTERVAL_MS = 200;
+
 /** Interval of the operations of each proxy. */
 const OPERATION_INTERVAL_MS = 60;
 
@@ -122,7 +153,10 @@
 class HistoryPlayer {
   private readonly clock = VirtualClock.create();
   private readonly network = SimulatedNetwork.create();
-  private readonly oracle = SafetyOracle.create();
+  private readonly touch = TouchRecord.create();
+  private readonly oracle = SafetyOracle.create(this.touch);
+  private readonly recovery: RecoveryJudge;
+  private readonly configurationOracle: ConfigurationOracle;
   private readonly random: RandomSource;
   private readonly deployment: SimulatedDeployment;
   /** What each read must see, fixed when it starts. */
@@ -131,6 +165,7 @@
   private readonly ownWrites = new Map<string, string[]>();
   private nextId = 0;
   private nextIncarnation = 1;
+  private readonly incarnations = new Map<string, number>();
   private readCount = 0;
 
   constructor(
@@ -143,9 +178,19 @@
       network: this.network,
       group: SimulatedGroup.create(this.clock, this.network, this.oracle),
       store: FakeControlTable.create(this.clock),
+      rosters: FakeControlTable.create(this.clock),
+      operator: SimulatedOperator.create(this.clock),
       proxies: new Map(),
     };
+    this.configurationOracle = ConfigurationOracle.create(
+      this.deployment.operator,
+      this.touch,
+      this.oracle,
+    );
     this.clock.advance(100_000);
+    this.recovery = RecoveryJudge.create(
+      this.clock.nowMs() + WARM_UP_MS + getLastEndMs(plan.faults),
+    );
   }
 
   async play(): Promise<HistoryOutcome> {
@@ -162,11 +207,18 @@
       if (elapsedMs % REPLICATION_INTERVAL_MS === 0) {
         this.deployment.group.tick();
       }
+      this.noteDisturbances();
       if (elapsedMs % OPERATION_INTERVAL_MS === 0) {
         this.operate();
       }
+      if (elapsedMs % PROBE_INTERVAL_MS === 0) {
+        this.probeRoutes();
+      }
     }
     this.oracle.checkFinalLog(this.deployment.group.findLeader());
+    if (!this.recovery.hasRecovered()) {
+      this.oracle.report('notRecovered', this.recovery.describe());
+    }
     return {
       violations: this.oracle.violations,
       acknowledgedCount: this.oracle.acknowledged.length,
@@ -185,9 +237,11 @@
       group: this.deployment.group,
       getRequiredWrites: id => this.required.get(id) ?? null,
     });
+    const incarnation = this.nextIncarnation++;
+    this.incarnations.set(name, incarnation);
     SimulatedProxy.start(
       name,
-      this.nextIncarnation++,
+      incarnation,
       this.deployment,
       connector,
       this.mutate,
@@ -207,6 +261,37 @@
     }
   }
 
+  /** Uses the optional route at each proxy, each time in a new session. */
+  private probeRoutes(): void {
+    for (const name of PROXIES) {
+      const gateway = this.deployment.proxies.get(name)?.gateway;
+      if (gateway === undefined || gateway.getConfiguration() === null) {
+        continue;
+      }
+      const nowMs = this.clock.nowMs();
+      const session = CallerSession.open(gateway, OPTIONAL_ROUTE);
+      this.configurationOracle.judge(
+        {
+          proxy: name,
+          incarnation: this.incarnations.get(name) ?? 0,
+          startedAtMs: nowMs,
+          isAllowed: session !== null,
+        },
+        nowMs,
+      );
+    }
+  }
+
+  private noteDisturbances(): void {
+    const nowMs = this.clock.nowMs();
+    for (const name of PROXIES) {
+      const isCut = !this.network.isConnected(name, STORE);
+      if (isCut || !this.deployment.proxies.has(name)) {
+        this.touch.noteDisturbance(name, nowMs);
+      }
+    }
+  }
+
   private getSession(name: string, route: string): CallerSession | null {
     const key = `${name}/${route}`;
     const known = this.sessions.get(key);
@@ -228,11 +313,13 @@
       return;
     }
     const requestId = `w${this.nextId++}`;
+    const startedAtMs = this.clock.nowMs();
     const reply = await session.handle({
       requestId,
       statement: {kind: 'write', text: 'WRITE'},
-      receivedAtMs: this.clock.nowMs(),
+      receivedAtMs: startedAtMs,
     });
+    this.recovery.note(startedAtMs, reply.result.kind === 'complete');
     if (reply.result.kind === 'complete') {
       this.oracle.noteAcknowledged(requestId, this.clock.nowMs());
       const key = `${name}/${route}`;
@@ -261,6 +348,7 @@
       statement: {kind: 'read', text: 'READ'},
       receivedAtMs: nowMs,
     });
+    this.recovery.note(nowMs, reply.result.kind === 'complete');
     this.readCount += reply.result.kind === 'complete' ? 1 : 0;
   }
 
@@ -322,7 +410,11 @@
         return;
       }
       case 'storeDown':
-        this.cutFor(STORE, [...PROXIES], fault.forMs);
+        this.cutFor(
+          STORE,
+          [...PROXIES, ...group.instances.keys()],
+          fault.forMs,
+        );
         return;
       case 'answersLost':
         store.writeMode = 'doneWithoutAnswer';
@@ -337,12 +429,39 @@
         this.deployment.proxies
           .get(PROXIES[fault.proxy] ?? 'e1')
           ?.wallClock.step(fault.byMs);
+        this.touch.noteDisturbance(
+          PROXIES[fault.proxy] ?? 'e1',
+          this.clock.nowMs(),
+        );
         return;
       case 'drainPrimary': {
-        const primary = group.findLeader();
-        primary.entry = {...primary.entry, state: 'draining'};
+        group.drain(group.findLeader());
         return;
       }
+      case 'drainReplica':
+      case 'reuseAddress': {
+        const replica = this.pickReplica(fault.replica);
+        if (replica === null) {
+          return;
+        }
+        if (fault.kind === 'drainReplica') {
+          group.drain(replica);
+        } else {
+          group.replaceByForeign(replica);
+        }
+        return;
+      }
+      case 'cutZone':
+        this.cutZone(fault);
+        return;
+      case 'changeConfiguration':
+        this.deployment.operator.toggleOptionalRoute();
+        return;
+      case 'killAllProxies':
+        for (const name of PROXIES) {
+          this.killProxy(name);
+        }
+        return;
     }
   }
 
@@ -353,6 +472,27 @@
     return replicas[index] ?? replicas[0] ?? null;
   }
 
+  private cutZone(
+    fault: Extract<HistoryFault, {readonly kind: 'cutZone'}>,
+  ): void {
+    const {group} = this.deployment;
+    const inside = [
+      group.findLeader().entry.backendServer,
+      this.pickReplica(fault.replica)?.entry.backendServer ?? '',
+      PROXIES[fault.proxy] ?? 'e1',
+    ];
+    const everyone = [
+      ...group.instances.keys(),
+      ...PROXIES,
+      STORE,
+      'promotions',
+    ];
+    const outside = everyone.filter(party => !inside.includes(party));
+    for (const party of inside) {
+      this.cutFor(party, outside, fault.forMs);
+    }
+  }
+
   /** Ends a process without a word; a new one follows a second later. */
   private killProxy(name: string): void {
     const proxy = this.deployment.proxies.get(name);
@@ -390,6 +530,16 @@
   }
 }
 
+/** End of the last fault, counted from the end of the warm-up. */
+function getLastEndMs(faults: readonly HistoryFault[]): number {
+  let lastMs = 0;
+  for (const fault of faults) {
+    const forMs = 'forMs' in fault ? fault.forMs : 0;
+    lastMs = Math.max(lastMs, fault.atMs + forMs);
+  }
+  return lastMs;
+}
+
 function saysNotRun(reply: StatementReply): boolean {
   if (reply.result.kind !== 'error') {
     return false;
--- /dev/null
+++ b/packages/gateway/src/simulation/mutant.ts
@@ -0,0 +1,12 @@
+import type {HistoryPlan} from './failover_history.js';
+import type {Violation} from './safety_oracle.js';
+import type {GatewayMutation} from './simulated_proxy.js';
+
+/** A broken part, with histories that must show it. @internal */
+export interface Mutant {
+  readonly name: string;
+  readonly mutate: GatewayMutation;
+  readonly plans: readonly HistoryPlan[];
+  /** One of these rules must be seen broken. */
+  readonly rules: readonly Violation['rule'][];
+}
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -1,26 +1,19 @@
-import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {ListableTable} from '@filbertrun/platform/platform_service.js';
-import type {
-  BackendLink,
-  BackendLinkConnector,
-} from '../backend/backend_link.js';
-import type {InstanceControl} from '../backend/instance_control.js';
+import {failure, success} from '@filbertrun/base/result.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import {ENTRY_VM_PREFIX, FAILOVER_DUTY_KEY} from '../control/control_record.js';
-import type {TableChanges} from '../directory/watchable_table.js';
-import type {PeerCaller, PeerError} from '../peer/peer_caller.js';
+import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
 import type {HistoryPlan} from './failover_history.js';
-import type {Violation} from './safety_oracle.js';
-import type {GatewayMutation} from './simulated_proxy.js';
-
-/** A broken part, with histories that must show it. @internal */
-export interface Mutant {
-  readonly name: string;
-  readonly mutate: GatewayMutation;
-  readonly plans: readonly HistoryPlan[];
-  /** One of these rules must be seen broken. */
-  readonly rules: readonly Violation['rule'][];
-}
+import type {Mutant} from './mutant.js';
+import {
+  bind,
+  bindPeers,
+  changeLinks,
+  changeListing,
+  leaveOut,
+  NOT_ASKED,
+  pretendFenced,
+  repeatFirstDigest,
+} from './mutant_parts.js';
 
 /** The primary and one proxy are cut off together, just after it renewed its lease. */
 const CUT_WITH_PROXY: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
@@ -121,8 +114,8 @@
 /** Leaves the lease as the one bound, to show that it holds by itself. */
 const WITHOUT_CONTACT_RULE = {contactWindowMs: 1_000_000} as const;
 
-/** All mutants. @internal */
-export const MUTANTS: readonly Mutant[] = [
+/** Mutants of the change of a primary. */
+const FAILOVER_MUTANTS: readonly Mutant[] = [
   {
     name: 'a lease outlives what the registration states',
     plans: CUT_WITH_PROXY,
@@ -262,124 +255,8 @@
   },
 ];
 
-const NOT_ASKED: PeerError = {kind: 'unreachable', reason: 'mutant'};
-
-function bindPeers(peers: PeerCaller): PeerCaller {
-  return {
-    release: (peer, request) => peers.release(peer, request),
-    announce: (peer, record) => peers.announce(peer, record),
-    reportSuspicion: (peer, report) => peers.reportSuspicion(peer, report),
-    askReach: (peer, question) => peers.askReach(peer, question),
-    handOverDuty: (peer, handover) => peers.handOverDuty(peer, handover),
-    compareRecords: peer => peers.compareRecords(peer),
-  };
-}
-
-/** Answers each comparison with the first digest that a proxy gave. */
-function repeatFirstDigest(peers: PeerCaller): PeerCaller {
-  let first: string | null = null;
-  return {
-    ...bindPeers(peers),
-    compareRecords: async peer => {
-      const answer = await peers.compareRecords(peer);
-      if (!answer.ok) {
-        return answer;
-      }
-      first ??= answer.value.digest;
-      return success({digest: first});
-    },
-  };
-}
-
-function bind(table: ListableTable): ListableTable {
-  return {
-    listEntries: () => table.listEntries(),
-    getEntry: key => table.getEntry(key),
-    putEntry: write => table.putEntry(write),
-    removeEntry: (key, revision) => table.removeEntry(key, revision),
-  };
-}
-
-/** Changes the values that a proxy reads. */
-function changeListing(
-  table: ListableTable,
-  change: (
-    key: string,
-    value: Record<string, unknown>,
-  ) => Record<string, unknown>,
-): ListableTable {
-  return {
-    ...bind(table),
-    listEntries: async () => {
-      const listing = await table.listEntries();
-      if (!listing.ok) {
-        return listing;
-      }
-      const entries = new Map(listing.value.entries);
-      for (const [key, entry] of entries) {
-        const value = change(key, JSON.parse(entry.value));
-        entries.set(key, {...entry, value: JSON.stringify(value)});
-      }
-      return success({...listing.value, entries});
-    },
-  };
-}
-
-/** Leaves a key out of what a table says. */
-function leaveOut<T, E>(
-  result: Result<TableChanges<T>, E>,
-  leftOut: string,
-): Result<TableChanges<T>, E> {
-  if (!result.ok) {
-    return result;
-  }
-  const changes = result.value.changes.filter(({key}) => key !== leftOut);
-  return success({...result.value, changes});
-}
-
-/** Says that every replica is paused, and pauses none. */
-function pretendFenced(instances: InstanceControl): InstanceControl {
-  return {
-    getStatus: server => instances.getStatus(server),
-    stepDown: async server => {
-      const status = await instances.getStatus(server);
-      return status.ok
-        ? success({...status.value, role: 'replica' as const})
-        : status;
-    },
-    pauseReplication: async (server, term) => {
-      const status = await instances.getStatus(server);
-      return status.ok ? success({...status.value, pausedTerm: term}) : status;
-    },
-  };
-}
-
-function changeLinks(
-  connector: BackendLinkConnector,
-  change: (link: BackendLink) => Pick<BackendLink, 'execute'>,
-): BackendLinkConnector {
-  return {
-    checkReachable: (server, timeoutMs) =>
-      connector.checkReachable(server, timeoutMs),
-    connect: async (server, timeoutMs) => {
-      const result = await connector.connect(server, timeoutMs);
-      if (!result.ok) {
-        return result;
-      }
-      const link = result.value;
-      const changed: BackendLink = {
-        backendServer: link.backendServer,
-        get isOpen() {
-          return link.isOpen;
-        },
-        get pendingCount() {
-          return link.pendingCount;
-        },
-        getSilentSinceMs: () => link.getSilentSinceMs(),
-        close: reason => link.close(reason),
-        ...change(link),
-      };
-      return success(changed);
-    },
-  };
-}
+/** All mutants. @internal */
+export const MUTANTS: readonly Mutant[] = [
+  ...FAILOVER_MUTANTS,
+  ...DEPLOYMENT_MUTANTS,
+];
--- a/packages/gateway/src/simulation/safety_oracle.ts
+++ b/packages/gateway/src/simulation/safety_oracle.ts
@@ -1,5 +1,6 @@
 import type {PromotionOrder} from '../backend/instance_control.js';
-import type {SimulatedInstance} from './simulated_group.js';
+import {DRAIN_MS, type SimulatedInstance} from './simulated_group.js';
+import type {TouchRecord} from './touch_record.js';
 
 /** A promise that a history broke. @internal */
 export interface Violation {
@@ -10,7 +11,12 @@
     | 'lowerToken'
     | 'acknowledgedByReplaced'
     | 'refusedButKept'
-    | 'ranTwice';
+    | 'ranTwice'
+    | 'wrongService'
+    | 'usedAfterDrain'
+    | 'lateConfiguration'
+    | 'configurationRegressed'
+    | 'notRecovered';
   readonly detail: string;
 }
 
@@ -34,10 +40,27 @@
   private highestToken = 0;
   private leadingTerm = 1;
 
-  private constructor() {}
+  private constructor(private readonly touch: TouchRecord) {}
 
-  static create(): SafetyOracle {
-    return new SafetyOracle();
+  static create(touch: TouchRecord): SafetyOracle {
+    return new SafetyOracle(touch);
+  }
+
+  /** A caller's statement of `proxy` reached an instance. */
+  checkArrival(
+    proxy: string,
+    instance: SimulatedInstance,
+    nowMs: number,
+  ): void {
+    const {backendServer} = instance.entry;
+    if (instance.isForeign) {
+      this.report('wrongService', `${proxy} at ${backendServer}`);
+    }
+    const isLate =
+      instance.drainedAtMs !== null && nowMs - instance.drainedAtMs > DRAIN_MS;
+    if (isLate && this.touch.isInTouch(proxy, nowMs)) {
+      this.report('usedAfterDrain', `${proxy} at ${backendServer}`);
+    }
   }
 
   /** Takes an acknowledgement that reached a caller. */
@@ -125,7 +148,8 @@
     }
   }
 
-  private report(rule: Violation['rule'], detail: string): void {
+  /** Takes a broken rule. */
+  report(rule: Violation['rule'], detail: string): void {
     this.violations.push({rule, detail});
   }
 }
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -7,7 +7,7 @@
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {createEntry} from '../testing/fake_instances.js';
 import type {SafetyOracle} from './safety_oracle.js';
-import type {SimulatedNetwork} from './simulated_network.js';
+import {STORE, type SimulatedNetwork} from './simulated_network.js';
 
 /** One commit in the log of an instance. @internal */
 export interface LogRecord {
@@ -26,8 +26,23 @@
   isRunning: boolean;
   /** Whether it receives nothing of its primary, although it is reachable. */
   isDeaf: boolean;
+  /** When its last heartbeat reached the store. */
+  heartbeatAtMs: number;
+  /** When the store accepted that it is draining; null before. */
+  drainedAtMs: number | null;
+  /** Whether it belongs to another service that took over an address. */
+  readonly isForeign: boolean;
 }
 
+/** Time for which a draining instance may be used. @internal */
+export const DRAIN_MS = 7_000;
+
+/** Time without a heartbeat after which the store drops an entry. */
+const ENTRY_EXPIRY_MS = 3_600;
+
+/** Time for which a draining instance goes on serving. */
+const DRAINING_MS = 9_000;
+
 /** Time from an order to its effect. */
 const PROMOTION_MS = 300;
 
@@ -41,6 +56,7 @@
 export class SimulatedGroup {
   readonly instances = new Map<string, SimulatedInstance>();
   readonly orders: PromotionOrder[] = [];
+  private readonly foreignHosts = new Set<string>();
 
   private constructor(
     private readonly clock: Clock,
@@ -97,6 +113,7 @@
 
   /** Lets replicas follow the primaries that they hear. */
   tick(): void {
+    this.sendHeartbeats();
     for (const instance of this.instances.values()) {
       if (instance.role === 'primary' && instance.isRunning) {
         this.replicate(instance);
@@ -105,6 +122,45 @@
     this.retireOldPrimaries();
   }
 
+  /** The entries that the store holds. */
+  listEntries(): readonly BackendServerEntry[] {
+    return [...this.instances.values()]
+      .filter(instance => !this.isExpired(instance))
+      .map(({entry}) => entry);
+  }
+
+  /** Instances whose entries the store has dropped. */
+  listExpired(): readonly string[] {
+    return [...this.instances.values()]
+      .filter(instance => this.isExpired(instance))
+      .map(({entry}) => entry.backendServer);
+  }
+
+  /** The running instance at an address, or null. */
+  findAt(host: string): SimulatedInstance | null {
+    if (this.foreignHosts.has(host)) {
+      return createInstance(`foreign-${host}`, 'replica', true, 0);
+    }
+    for (const instance of this.instances.values()) {
+      if (instance.entry.host === host && instance.isRunning) {
+        return instance;
+      }
+    }
+    return null;
+  }
+
+  /** Lets an instance announce that it leaves, and leave a while later. */
+  drain(instance: SimulatedInstance): void {
+    instance.entry = {...instance.entry, state: 'draining'};
+    this.clock.startTimer(DRAINING_MS, () => this.crash(instance));
+  }
+
+  /** Ends an instance for good; another service takes over its address. */
+  replaceByForeign(instance: SimulatedInstance): void {
+    this.crash(instance);
+    this.foreignHosts.add(instance.entry.host);
+  }
+
   describe(instance: SimulatedInstance): InstanceStatus {
     return {
       role: instance.role,
@@ -149,6 +205,9 @@
 
   /** Starts an instance again; a restart ends a pause, the log stays. */
   restart(instance: SimulatedInstance): void {
+    if (this.foreignHosts.has(instance.entry.host)) {
+      return;
+    }
     instance.isRunning = true;
     instance.pausedTerm = 0;
     const hasSuccessor = this.findLeader().term > instance.term;
@@ -162,18 +221,29 @@
   }
 
   private add(backendServer: string, role: 'primary' | 'replica'): void {
-    this.instances.set(backendServer, {
-      entry: {
-        ...createEntry(backendServer, role),
-        availabilityZone: `zone-${backendServer}`,
-      },
-      role,
-      term: 1,
-      pausedTerm: 0,
-      log: [],
-      isRunning: true,
-      isDeaf: false,
-    });
+    this.instances.set(
+      backendServer,
+      createInstance(backendServer, role, false, this.clock.nowMs()),
+    );
+  }
+
+  private isExpired({heartbeatAtMs}: SimulatedInstance): boolean {
+    return this.clock.nowMs() - heartbeatAtMs > ENTRY_EXPIRY_MS;
+  }
+
+  private sendHeartbeats(): void {
+    for (const instance of this.instances.values()) {
+      const {backendServer, state} = instance.entry;
+      if (
+        instance.isRunning &&
+        this.network.isConnected(backendServer, STORE)
+      ) {
+        instance.heartbeatAtMs = this.clock.nowMs();
+        if (state === 'draining') {
+          instance.drainedAtMs ??= this.clock.nowMs();
+        }
+      }
+    }
   }
 
   private setRole(
@@ -246,3 +316,27 @@
     }
   }
 }
+
+function createInstance(
+  backendServer: string,
+  role: 'primary' | 'replica',
+  isForeign: boolean,
+  nowMs: number,
+): SimulatedInstance {
+  return {
+    entry: {
+      ...createEntry(backendServer, role),
+      availabilityZone: `zone-${backendServer}`,
+      host: `host-${backendServer}`,
+    },
+    role,
+    term: 1,
+    pausedTerm: 0,
+    log: [],
+    isRunning: true,
+    isDeaf: false,
+    heartbeatAtMs: nowMs,
+    drainedAtMs: null,
+    isForeign,
+  };
+}
--- a/packages/gateway/src/simulation/simulated_link.ts
+++ b/packages/gateway/src/simulation/simulated_link.ts
@@ -31,6 +31,9 @@
   getRequiredWrites(requestId: string): readonly string[] | null;
 }
 
+/** Name in a greeting that leaves open which instance is meant. @internal */
+export const UNNAMED = '';
+
 /** Time that a message takes one way. */
 const MESSAGE_MS = 1;
 
@@ -48,13 +51,19 @@
   async connect(
     backendServer: BackendServerEntry,
     timeoutMs: number,
-  ): Promise<Result<BackendLink, ConnectError>> {
-    const instance = this.options.group.get(backendServer.backendServer);
-    if (!this.isReachable(instance)) {
+  ): Promise<
+    Result<BackendLink, ConnectError | {readonly kind: 'wrongServer'}>
+  > {
+    const instance = this.options.group.findAt(backendServer.host);
+    if (instance === null || !this.isReachable(instance)) {
       await pause(this.options.clock, timeoutMs);
       return failure({kind: 'unreachable', reason: 'silent'});
     }
     await pause(this.options.clock, MESSAGE_MS);
+    const expected = backendServer.backendServer;
+    if (expected !== UNNAMED && expected !== instance.entry.backendServer) {
+      return failure({kind: 'wrongServer'});
+    }
     return success(new SimulatedLink(backendServer, instance, this.options));
   }
 
@@ -62,8 +71,8 @@
     backendServer: BackendServerEntry,
     timeoutMs: number,
   ): Promise<ReachabilityResult> {
-    const instance = this.options.group.get(backendServer.backendServer);
-    if (this.isReachable(instance)) {
+    const instance = this.options.group.findAt(backendServer.host);
+    if (instance !== null && this.isReachable(instance)) {
       await pause(this.options.clock, MESSAGE_MS);
       return 'accepted';
     }
@@ -135,7 +144,7 @@
     return (
       this.isOpen &&
       this.instance.isRunning &&
-      network.isConnected(proxy, this.backendServer.backendServer)
+      network.isConnected(proxy, this.instance.entry.backendServer)
     );
   }
 
@@ -151,7 +160,8 @@
       return this.complete();
     }
     const {statement, requestId, requiredPosition} = command;
-    const {group, oracle, getRequiredWrites} = this.options;
+    const {group, oracle, getRequiredWrites, proxy, clock} = this.options;
+    oracle.checkArrival(proxy, this.instance, clock.nowMs());
     const position = group.getPosition(this.instance);
     if (requiredPosition !== null && !isCovered(requiredPosition, position)) {
       return this.reject('positionNotReached');
--- a/packages/gateway/src/simulation/simulated_network.ts
+++ b/packages/gateway/src/simulation/simulated_network.ts
@@ -1,3 +1,6 @@
+/** Name of the store in the network. @internal */
+export const STORE = 'store';
+
 /** Which parties of a simulated deployment can't reach each other. @internal */
 export class SimulatedNetwork {
   private readonly cuts = new Map<string, number>();
--- /dev/null
+++ b/packages/gateway/src/simulation/simulated_operator.ts
@@ -0,0 +1,97 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {
+  DatabaseRoute,
+  ServiceConfiguration,
+} from '../configuration/service_configuration.js';
+
+/** Greatest age of the data of the simulated routes. @internal */
+export const ROUTE_MAX_AGE_MS = 1_500;
+
+/** The route that versions of the configuration drop and bring back. @internal */
+export const OPTIONAL_ROUTE = 'optional';
+
+/** A version of the configuration and when the store accepted it. @internal */
+export interface AcceptedConfiguration {
+  readonly configuration: ServiceConfiguration;
+  readonly acceptedAtMs: number;
+}
+
+/** The operator's side of the configuration. @internal */
+export class SimulatedOperator {
+  /** All versions, oldest first. */
+  readonly accepted: AcceptedConfiguration[] = [];
+
+  private constructor(private readonly clock: Clock) {
+    this.accept(true);
+  }
+
+  static create(clock: Clock): SimulatedOperator {
+    return new SimulatedOperator(clock);
+  }
+
+  get current(): ServiceConfiguration {
+    const newest = this.accepted.at(-1);
+    if (newest === undefined) {
+      throw new Error('The first configuration precedes everything.');
+    }
+    return newest.configuration;
+  }
+
+  /** Drops the optional route, or brings it back. */
+  toggleOptionalRoute(): void {
+    this.accept(!this.current.routes.has(OPTIONAL_ROUTE));
+  }
+
+  private accept(hasOptionalRoute: boolean): void {
+    this.accepted.push({
+      configuration: createConfiguration(
+        this.accepted.length + 1,
+        hasOptionalRoute,
+      ),
+      acceptedAtMs: this.clock.nowMs(),
+    });
+  }
+}
+
+function createConfiguration(
+  version: number,
+  hasOptionalRoute: boolean,
+): ServiceConfiguration {
+  const routes = new Map<string, DatabaseRoute>();
+  for (const consistency of ['strict', 'session', 'age'] as const) {
+    routes.set(consistency, createRoute(consistency, consistency));
+  }
+  if (hasOptionalRoute) {
+    routes.set(OPTIONAL_ROUTE, createRoute(OPTIONAL_ROUTE, 'age'));
+  }
+  return {
+    version,
+    routes,
+    databaseGroups: new Map([
+      [
+        'group',
+        {
+          databaseGroup: 'group',
+          maxConnections: 40,
+          synchronousReplicaCount: 1,
+        },
+      ],
+    ]),
+    transactionIdleTimeoutMs: 3_000,
+  };
+}
+
+function createRoute(
+  databaseName: string,
+  consistency: DatabaseRoute['consistency'],
+): DatabaseRoute {
+  return {
+    databaseName,
+    databaseGroup: 'group',
+    consistency,
+    maxAgeMs: consistency === 'strict' ? null : ROUTE_MAX_AGE_MS,
+    statementTimeoutMs: 1_000,
+    targetLatencyMs: 400,
+    priority: 'normal',
+  };
+}
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -1,14 +1,6 @@
 import type {Clock} from '@filbertrun/base/clock.js';
-import {pause} from '@filbertrun/base/pause.js';
 import {SeededRandom} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {
-  ConditionalWrite,
-  ListableTable,
-  PlatformError,
-  TableEntry,
-  TableListing,
-} from '@filbertrun/platform/platform_service.js';
 import type {BackendLinkConnector} from '../backend/backend_link.js';
 import type {
   InstanceControl,
@@ -16,38 +8,28 @@
   InstanceStatus,
   PromotionService,
 } from '../backend/instance_control.js';
-import type {
-  DatabaseRoute,
-  ServiceConfiguration,
-} from '../configuration/service_configuration.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
-import type {
-  TableChanges,
-  WatchableTable,
-  WatchError,
-} from '../directory/watchable_table.js';
 import {Gateway, type GatewayOptions} from '../gateway.js';
 import {RecordedEvents} from '../observability/gateway_events.js';
 import type {ControlRelay} from '../peer/control_relay.js';
 import type {PeerCaller, PeerError, PeerHandler} from '../peer/peer_caller.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
-import type {SimulatedGroup, SimulatedInstance} from './simulated_group.js';
+import {PartyLink} from './party_link.js';
+import {
+  DRAIN_MS,
+  type SimulatedGroup,
+  type SimulatedInstance,
+} from './simulated_group.js';
 import type {SimulatedNetwork} from './simulated_network.js';
-
-/** Name of the store in the network. @internal */
-export const STORE = 'store';
-
-/** Time that a call to another party takes. */
-const CALL_MS = 2;
-
-/** Time after which a call without an answer is given up. */
-const CALL_TIMEOUT_MS = 400;
-
-/** Greatest age of the data of the simulated routes. */
-export const ROUTE_MAX_AGE_MS = 1_500;
+import type {SimulatedOperator} from './simulated_operator.js';
+import {
+  SimulatedConfiguration,
+  SimulatedControlTable,
+  SimulatedDirectory,
+} from './simulated_tables.js';
 
 /** What the simulated proxies share. @internal */
 export interface SimulatedDeployment {
@@ -55,6 +37,8 @@
   readonly network: SimulatedNetwork;
   readonly group: SimulatedGroup;
   readonly store: FakeControlTable;
+  readonly rosters: FakeControlTable;
+  readonly operator: SimulatedOperator;
   /** Running proxies by name. */
   readonly proxies: Map<string, SimulatedProxy>;
 }
@@ -77,7 +61,7 @@
   ) {
     const {clock} = deployment;
     this.wallClock = FakeWallClock.create(clock);
-    const link = new PartyLink(name, deployment);
+    const link = new PartyLink(name, clock, deployment.network);
     this.gateway = Gateway.create(
       mutate({
         self: {
@@ -95,13 +79,17 @@
         instances: new SimulatedInstanceControl(link, deployment.group),
         promotions: createPromotions(link, deployment.group),
         controlTable: new SimulatedControlTable(link, deployment.store),
+        rosterTable: new SimulatedControlTable(link, deployment.rosters),
         directoryTable: new SimulatedDirectory(link, deployment.group),
-        configurationTable: new SimulatedConfiguration(link),
+        configurationTable: new SimulatedConfiguration(
+          link,
+          deployment.operator,
+        ),
         configurationKey: 'config',
         peers: createPeers(link, deployment),
         relay: createRelay(link, deployment),
         contactWindowMs: CONTACT_WINDOW_MS,
-        drainMs: 7_000,
+        drainMs: DRAIN_MS,
       }),
     );
   }
@@ -126,163 +114,6 @@
   }
 }
 
-/** The path from one proxy to other parties. */
-class PartyLink {
-  constructor(
-    readonly name: string,
-    private readonly deployment: SimulatedDeployment,
-  ) {}
-
-  /** Waits for the time of a call; false after a timeout without a path. */
-  async reach(party: string): Promise<boolean> {
-    const isConnected = this.isConnected(party);
-    await this.pause(isConnected ? CALL_MS : CALL_TIMEOUT_MS);
-    return isConnected && this.isConnected(party);
-  }
-
-  pause(delayMs: number): Promise<void> {
-    return pause(this.deployment.clock, delayMs);
-  }
-
-  private isConnected(party: string): boolean {
-    return this.deployment.network.isConnected(this.name, party);
-  }
-}
-
-const UNAVAILABLE: PlatformError = {kind: 'unavailable', reason: 'simulated'};
-
-class SimulatedControlTable implements ListableTable {
-  constructor(
-    private readonly link: PartyLink,
-    private readonly store: FakeControlTable,
-  ) {}
-
-  async listEntries(): Promise<Result<TableListing, PlatformError>> {
-    if (!(await this.link.reach(STORE))) {
-      return failure(UNAVAILABLE);
-    }
-    const listing = await this.store.listEntries();
-    await this.link.pause(CALL_MS);
-    return listing;
-  }
-
-  async getEntry(
-    key: string,
-  ): Promise<Result<TableEntry | null, PlatformError>> {
-    return (await this.link.reach(STORE))
-      ? this.store.getEntry(key)
-      : failure(UNAVAILABLE);
-  }
-
-  async putEntry(
-    write: ConditionalWrite,
-  ): Promise<Result<TableEntry, PlatformError>> {
-    return (await this.link.reach(STORE))
-      ? this.store.putEntry(write)
-      : failure(UNAVAILABLE);
-  }
-
-  async removeEntry(
-    key: string,
-    expectedRevision: number,
-  ): Promise<Result<void, PlatformError>> {
-    return (await this.link.reach(STORE))
-      ? this.store.removeEntry(key, expectedRevision)
-      : failure(UNAVAILABLE);
-  }
-}
-
-/** Lists the instances whose heartbeats reach the store. */
-class SimulatedDirectory implements WatchableTable<BackendServerEntry> {
-  private revision = 0;
-
-  constructor(
-    private readonly link: PartyLink,
-    private readonly group: SimulatedGroup,
-  ) {}
-
-  async list(): Promise<
-    Result<TableChanges<BackendServerEntry>, PlatformError>
-  > {
-    if (!(await this.link.reach(STORE))) {
-      return failure(UNAVAILABLE);
-    }
-    return success(this.describe());
-  }
-
-  async watch(): Promise<Result<TableChanges<BackendServerEntry>, WatchError>> {
-    await this.link.pause(CALL_TIMEOUT_MS);
-    return this.list();
-  }
-
-  private describe(): TableChanges<BackendServerEntry> {
-    this.revision++;
-    const {revision} = this;
-    const changes = [...this.group.instances.values()].map(({entry}) => ({
-      kind: 'put' as const,
-      key: entry.backendServer,
-      revision,
-      value: entry,
-    }));
-    return {changes, revision};
-  }
-}
-
-class SimulatedConfiguration implements WatchableTable<ServiceConfiguration> {
-  constructor(private readonly link: PartyLink) {}
-
-  async list(): Promise<
-    Result<TableChanges<ServiceConfiguration>, PlatformError>
-  > {
-    if (!(await this.link.reach(STORE))) {
-      return failure(UNAVAILABLE);
-    }
-    const value = createConfiguration();
-    return success({
-      changes: [{kind: 'put', key: 'config', revision: 1, value}],
-      revision: 1,
-    });
-  }
-
-  async watch(
-    afterRevision: number,
-    waitMs: number,
-  ): Promise<Result<TableChanges<ServiceConfiguration>, WatchError>> {
-    await this.link.pause(waitMs);
-    return success({changes: [], revision: afterRevision});
-  }
-}
-
-function createConfiguration(): ServiceConfiguration {
-  const routes = new Map<string, DatabaseRoute>();
-  for (const consistency of ['strict', 'session', 'age'] as const) {
-    routes.set(consistency, {
-      databaseName: consistency,
-      databaseGroup: 'group',
-      consistency,
-      maxAgeMs: consistency === 'strict' ? null : ROUTE_MAX_AGE_MS,
-      statementTimeoutMs: 1_000,
-      targetLatencyMs: 400,
-      priority: 'normal',
-    });
-  }
-  return {
-    version: 1,
-    routes,
-    databaseGroups: new Map([
-      [
-        'group',
-        {
-          databaseGroup: 'group',
-          maxConnections: 40,
-          synchronousReplicaCount: 1,
-        },
-      ],
-    ]),
-    transactionIdleTimeoutMs: 3_000,
-  };
-}
-
 type ControlResult = Result<InstanceStatus, InstanceControlError>;
 
 class SimulatedInstanceControl implements InstanceControl {
--- a/packages/gateway/src/testing/fake_control_table.ts
+++ b/packages/gateway/src/testing/fake_control_table.ts
@@ -55,7 +55,9 @@
     key: string,
   ): Promise<Result<TableEntry | null, PlatformError>> {
     await Promise.resolve();
-    return success(this.entries.get(key) ?? null);
+    return this.isReadable
+      ? success(this.entries.get(key) ?? null)
+      : failure({kind: 'unavailable', reason: 'switched off'});
   }
 
   async putEntry(
