Reads of a bounded age go on at the replicas while the primary is silent and not replaced

Change: while the primary is silent a proxy asks every other instance of the group for its position, every 400 ms at most. A commit is acknowledged once two instances hold it, so the latest position, when all answer, covers what was acknowledged before the question. A process that has not followed the directory for 12 s does not ask. Tests: replica_freshness_test.ts; a new mutant, 'a replica that does not answer counts as holding nothing new', is noticed as a stale read.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
 } from './group/clock_watch.js';
 import type {LeaseHolder} from './failover/release_collector.js';
 import {GroupRuntime} from './group/group_runtime.js';
+import {ReplicaFreshness} from './group/replica_freshness.js';
 import {computeRecordDigest} from './group/record_digest.js';
 import {
   PRIMARY_RECORD_PREFIX,
@@ -139,6 +140,7 @@
   private readonly directory: BackendDirectory;
   private readonly configuration: ConfigurationHolder;
   private readonly roster: GroupRoster;
+  private readonly replicaFreshness: ReplicaFreshness;
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
   private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
   private readonly poller: ControlPoller;
@@ -183,6 +185,14 @@
       listKnown: databaseGroup => this.listKnownInstances(databaseGroup),
       hasLongMemory: () => this.directory.hasLongMemory,
     });
+    this.replicaFreshness = ReplicaFreshness.create({
+      clock,
+      instances: options.instances,
+      listKnown: databaseGroup =>
+        this.directory.hasLongMemory
+          ? this.listKnownInstances(databaseGroup)
+          : null,
+    });
     this.configuration = ConfigurationHolder.create({
       key: options.configurationKey,
       events,
@@ -672,6 +682,9 @@
     this.yieldDutyWithoutStore();
     this.reporter.look(this.getConfiguredGroups());
     this.probeUnreachable();
+    for (const group of this.groups.values()) {
+      void this.replicaFreshness.maintain(group);
+    }
     this.readiness.update();
     this.poller.hasten();
     if (!this.poller.hasRead || this.isStopping) {
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -75,6 +75,7 @@
   private highestAcknowledged: LogPosition | null = null;
   private releasedTerm = -1;
   private hasPosition = false;
+  private provenAtMs = Number.NEGATIVE_INFINITY;
   private writtenPrimary: string | null = null;
   private writableFromMs = Number.NEGATIVE_INFINITY;
   private writeTimer: Timer | null = null;
@@ -317,8 +318,7 @@
    * for reads of a bounded age, even without a lease.
    */
   recordAcknowledged(sentAtMs: number, position: LogPosition): void {
-    this.hasPosition = true;
-    this.ring.record(sentAtMs, position);
+    this.recordProof(sentAtMs, position);
     this.highestAcknowledged =
       this.highestAcknowledged === null
         ? position
@@ -337,9 +337,40 @@
   ): void {
     // A later term says that the server lost the lead before it answered.
     if (position.term <= sender.term) {
-      this.hasPosition = true;
-      this.ring.record(sentAtMs, position);
+      this.recordProof(sentAtMs, position);
+    }
+  }
+
+  /**
+   * Records that all commits acknowledged before `askedAtMs` are at or before
+   * `position`, as every instance but the primary shows.
+   */
+  recordReplicaProof(askedAtMs: number, position: LogPosition): void {
+    this.recordProof(askedAtMs, position);
+  }
+
+  /** Time since the newest proof of a position. */
+  getFreshnessAgeMs(): number {
+    return this.options.clock.nowMs() - this.provenAtMs;
+  }
+
+  /** The recorded primary if it can't be reached, or the one that is being replaced; or null. */
+  getSilentPrimary(): BackendServerId | null {
+    const {record} = this.lease;
+    if (record === null) {
+      return null;
+    }
+    if (record.phase === 'changing') {
+      return record.oldPrimary;
     }
+    const server = this.getServer(record.primary);
+    return server === null || server.isUnreachable ? record.primary : null;
+  }
+
+  private recordProof(atMs: number, position: LogPosition): void {
+    this.hasPosition = true;
+    this.provenAtMs = Math.max(this.provenAtMs, atMs);
+    this.ring.record(atMs, position);
   }
 
   /**
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -88,6 +88,25 @@
   ],
 }));
 
+/**
+ * One proxy alone reaches the primary and goes on writing, acknowledged by one
+ * replica, while the store is down and nothing can be changed.
+ */
+const WRITES_WITHOUT_STORE: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
+  seed,
+  faults: [
+    {
+      kind: 'cutPrimary',
+      atMs: 13_000,
+      forMs: 5_000,
+      proxies: [1, 2],
+      isFromReplicas: false,
+    },
+    {kind: 'storeDown', atMs: 12_900, forMs: 5_100},
+    {kind: 'deafReplica', atMs: 12_900, forMs: 5_100, replica: 0},
+  ],
+}));
+
 const CUTS_OF_REPLICAS: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
   seed,
   faults: [
@@ -171,6 +190,28 @@
       },
     }),
   },
+  {
+    name: 'a replica that does not answer counts as holding nothing new',
+    plans: WRITES_WITHOUT_STORE,
+    rules: ['staleRead'],
+    mutate: options => ({
+      ...options,
+      instances: {
+        getStatus: async server => {
+          const status = await options.instances.getStatus(server);
+          return status.ok && server.backendServer === 'r2'
+            ? success({
+                ...status.value,
+                receivedPosition: {term: 1, position: 0},
+              })
+            : status;
+        },
+        stepDown: (server, term) => options.instances.stepDown(server, term),
+        pauseReplication: (server, term) =>
+          options.instances.pauseReplication(server, term),
+      },
+    }),
+  },
   {
     name: 'replicas are not paused',
     plans: WRITES_GO_ON,
