--- /dev/null
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -0,0 +1,72 @@
+import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import {
+  computeConnectionShare,
+  ORPHANED_CONNECTIONS_MS,
+} from './connection_share.js';
+import type {EntryVmRegistration} from './entry_vm_registration.js';
+
+/** What the shares are worked out from. @public */
+export interface ConnectionSharesOptions {
+  readonly clock: Clock;
+  readonly registration: EntryVmRegistration;
+  readonly groups: ReadonlyMap<string, GroupRuntime>;
+  getConfiguration(): ServiceConfiguration | null;
+  /** Whether the registrations have been read since the start. */
+  hasRegistrations(): boolean;
+}
+
+/** Keeps this proxy's connections to each instance within its share. @public */
+export class ConnectionShares {
+  private readonly startedAtMs: number;
+  private timer: Timer | null = null;
+
+  private constructor(private readonly options: ConnectionSharesOptions) {
+    this.startedAtMs = options.clock.nowMs();
+  }
+
+  static create(options: ConnectionSharesOptions): ConnectionShares {
+    return new ConnectionShares(options);
+  }
+
+  start(): void {
+    const {clock} = this.options;
+    this.timer = clock.startTimer(ORPHANED_CONNECTIONS_MS, () => this.apply());
+  }
+
+  dispose(): void {
+    this.timer?.cancel();
+  }
+
+  /** Sets the shares anew; without the registrations the least share stands. */
+  apply(): void {
+    const {registration, groups, getConfiguration} = this.options;
+    if (!this.options.hasRegistrations()) {
+      return;
+    }
+    const entryVmCount = registration.getOtherEntryVms().length + 1;
+    const mayHaveOrphans = this.mayHaveOrphans();
+    const configuration = getConfiguration();
+    for (const [databaseGroup, group] of groups) {
+      const settings = configuration?.databaseGroups.get(databaseGroup);
+      if (settings !== undefined) {
+        const {maxConnections} = settings;
+        group.setMaxConnections(
+          computeConnectionShare({
+            maxConnections,
+            entryVmCount,
+            mayHaveOrphans,
+          }),
+        );
+      }
+    }
+  }
+
+  /** Whether connections of an earlier process may still count at instances. */
+  private mayHaveOrphans(): boolean {
+    const {clock, registration} = this.options;
+    const upMs = clock.nowMs() - this.startedAtMs;
+    return registration.hasPredecessor && upMs < ORPHANED_CONNECTIONS_MS;
+  }
+}
--- a/packages/gateway/src/control/contact_keeper.ts
+++ b/packages/gateway/src/control/contact_keeper.ts
@@ -1,6 +1,8 @@
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {Clock} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {ClockWatch} from '../group/clock_watch.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {PeerCaller} from '../peer/peer_caller.js';
 import type {ContactWatch} from './contact_watch.js';
 import type {EntryVmRecord} from './control_record.js';
@@ -10,6 +12,8 @@
   readonly availabilityZone: AvailabilityZone;
   readonly clockWatch: ClockWatch;
   readonly contact: ContactWatch;
+  readonly clock: Clock;
+  readonly events: GatewayEvents;
   readonly peers: PeerCaller;
   readonly random: RandomSource;
   getOtherEntryVms(): readonly EntryVmRecord[];
@@ -31,6 +35,7 @@
  */
 export class ContactKeeper {
   private isAsking = false;
+  private lostAtMs: number | null = null;
 
   private constructor(private readonly options: ContactKeeperOptions) {}
 
@@ -40,6 +45,7 @@
 
   /** Seeks a contact when the last one has become old. */
   async maintain(): Promise<void> {
+    this.recordState();
     const {contact} = this.options;
     const ageMs = contact.getAgeMs();
     const isDue = ageMs === null || ageMs >= contact.windowMs * REFRESH_PART;
@@ -54,6 +60,27 @@
     }
   }
 
+  private recordState(): void {
+    const {contact, clock, events} = this.options;
+    const isInContact = contact.isInContact();
+    if (!isInContact && this.lostAtMs === null) {
+      this.lostAtMs = clock.nowMs();
+      events.record({
+        kind: 'dependencyLost',
+        dependency: 'contact',
+        reason: 'neither the store nor a proxy of another zone confirms',
+      });
+    }
+    if (isInContact && this.lostAtMs !== null) {
+      events.record({
+        kind: 'dependencyRegained',
+        dependency: 'contact',
+        lostForMs: clock.nowMs() - this.lostAtMs,
+      });
+      this.lostAtMs = null;
+    }
+  }
+
   private async askPeer(): Promise<boolean> {
     const {clockWatch, contact, peers, computeDigest} = this.options;
     const peer = this.choosePeer();
--- /dev/null
+++ b/packages/gateway/src/control/contact_keeper_test.ts
@@ -0,0 +1,123 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockWatch} from '../group/clock_watch.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import type {PeerError, RecordComparison} from '../peer/peer_caller.js';
+import {FakePeers} from '../testing/fake_peers.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {advanceClock} from '../testing/settle.js';
+import {ContactKeeper} from './contact_keeper.js';
+import {ContactWatch} from './contact_watch.js';
+import type {EntryVmRecord} from './control_record.js';
+
+const WINDOW_MS = 2_000;
+const STEP_MS = 100;
+
+function createPeer(availabilityZone: string): EntryVmRecord {
+  return {
+    entryVm: 'entry-2',
+    availabilityZone,
+    peerHost: '127.0.0.1',
+    peerPort: 1,
+    incarnation: 'one',
+    leaseEndStoreMs: 0,
+    contactWindowMs: WINDOW_MS,
+  };
+}
+
+describe('ContactKeeper', () => {
+  let clock: VirtualClock;
+  let wallClock: FakeWallClock;
+  let contact: ContactWatch;
+  let events: RecordedEvents;
+  let peerZone: string;
+  let comparison: Result<RecordComparison, PeerError>;
+  let askedCount: number;
+  let storeReadCount: number;
+  let keeper: ContactKeeper;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    wallClock = FakeWallClock.create(clock);
+    const clockWatch = ClockWatch.create(clock, wallClock);
+    contact = ContactWatch.create(clockWatch, WINDOW_MS);
+    events = RecordedEvents.create();
+    peerZone = 'zone-b';
+    comparison = success({digest: 'same'});
+    askedCount = 0;
+    storeReadCount = 0;
+    const peers = FakePeers.create();
+    peers.compareRecords = () => {
+      askedCount++;
+      return Promise.resolve(comparison);
+    };
+    keeper = ContactKeeper.create({
+      availabilityZone: 'zone-a',
+      clock,
+      clockWatch,
+      contact,
+      events,
+      peers,
+      random: SeededRandom.create(1),
+      getOtherEntryVms: () => [createPeer(peerZone)],
+      computeDigest: () => 'same',
+      readStore: () => storeReadCount++,
+    });
+    contact.noteContact(clockWatch.read());
+  });
+
+  async function advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      await advanceClock(clock, STEP_MS);
+      await keeper.maintain();
+    }
+  }
+
+  it('stays in contact by a proxy of another zone that knows the same', async () => {
+    await advance(10_000);
+    expect(contact.isInContact()).toBe(true);
+    expect(askedCount).toBeLessThanOrEqual(10);
+    expect(storeReadCount).toBe(0);
+  });
+
+  it('gains no contact from a proxy that knows a newer record, and reads the store', async () => {
+    comparison = success({digest: 'newer'});
+    await advance(WINDOW_MS + STEP_MS);
+    expect(contact.isInContact()).toBe(false);
+    expect(storeReadCount).toBeGreaterThan(0);
+  });
+
+  it('gains no contact from a proxy without a lease, nor from silence', async () => {
+    comparison = success({digest: null});
+    await advance(WINDOW_MS + STEP_MS);
+    expect(contact.isInContact()).toBe(false);
+    comparison = failure({kind: 'unreachable', reason: 'silent'});
+    await advance(WINDOW_MS);
+    expect(contact.isInContact()).toBe(false);
+  });
+
+  it('does not ask proxies of its own zone, which may be cut off with it', async () => {
+    peerZone = 'zone-a';
+    await advance(WINDOW_MS + STEP_MS);
+    expect(askedCount).toBe(0);
+    expect(contact.isInContact()).toBe(false);
+  });
+
+  it('loses contact when the machine was suspended', async () => {
+    wallClock.step(5_000);
+    expect(contact.isInContact()).toBe(false);
+    await advance(STEP_MS);
+    expect(contact.isInContact()).toBe(true);
+  });
+
+  it('tells when contact is lost and regained', async () => {
+    comparison = failure({kind: 'unreachable', reason: 'silent'});
+    await advance(WINDOW_MS + STEP_MS);
+    comparison = success({digest: 'same'});
+    await advance(2 * STEP_MS);
+    const kinds = events.events.map(({kind}) => kind);
+    expect(kinds).toEqual(['dependencyLost', 'dependencyRegained']);
+  });
+});
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -150,6 +150,12 @@
       record.phase === 'stable' && record.writesFromStoreMs !== null;
     if (isGated && this.current === completed) {
       await this.write({...record, writesFromStoreMs: null});
+      this.dependencies.events.record({
+        kind: 'writesOpened',
+        databaseGroup: record.databaseGroup,
+        primary: record.primary,
+        durationMs: this.dependencies.clock.nowMs() - this.startedAtMs,
+      });
       await this.announce();
     }
   }
--- /dev/null
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -0,0 +1,137 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {FakePeers} from '../testing/fake_peers.js';
+import {advanceClock} from '../testing/settle.js';
+import {ReleaseCollector, type LeaseHolder} from './release_collector.js';
+
+const LEASE_END_MS = 12_000;
+const WINDOW_MS = 2_800;
+
+/** Margin of the collector for clocks that run at different rates. */
+const MARGIN_MS = 300;
+
+function createHolder(
+  entryVm: string,
+  availabilityZone: string,
+  contactWindowMs: number | null = WINDOW_MS,
+): LeaseHolder {
+  return {
+    leaseEndMs: LEASE_END_MS,
+    record: {
+      entryVm,
+      availabilityZone,
+      peerHost: '127.0.0.1',
+      peerPort: 1,
+      incarnation: 'one',
+      // The store's clock shows the same time as the virtual one.
+      leaseEndStoreMs: LEASE_END_MS,
+      contactWindowMs,
+    },
+  };
+}
+
+describe('ReleaseCollector', () => {
+  let clock: VirtualClock;
+  let peers: FakePeers;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    peers = FakePeers.create();
+  });
+
+  async function collect(
+    holders: readonly LeaseHolder[],
+    answering: readonly string[],
+  ): Promise<ReleaseCollector> {
+    for (const entryVm of answering) {
+      peers.acknowledged.set(entryVm, null);
+    }
+    const collector = ReleaseCollector.create({
+      clock,
+      peers,
+      request: {databaseGroup: 'group', changeId: 'c', oldTerm: 1, revision: 2},
+    });
+    collector.start(holders);
+    await advanceClock(clock, 10);
+    return collector;
+  }
+
+  it('waits for nobody once all have released', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('e2', 'zone-b'),
+    ];
+    const collector = await collect(holders, ['e1', 'e2']);
+    expect(collector.getOutstanding()).toEqual([]);
+    expect(collector.getLastLeaseEndStoreMs()).toBeNull();
+  });
+
+  it('waits for one that is cut off until its last contact is too old', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('e2', 'zone-b'),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1', 'e2']);
+    const endMs = collector.getLastLeaseEndStoreMs() ?? 0;
+    expect(endMs).toBeGreaterThanOrEqual(WINDOW_MS + MARGIN_MS);
+    expect(endMs).toBeLessThanOrEqual(WINDOW_MS + MARGIN_MS + 10);
+    await advanceClock(clock, WINDOW_MS);
+    expect(collector.getOutstanding()).toEqual(['cut']);
+    await advanceClock(clock, MARGIN_MS + 10);
+    expect(collector.getOutstanding()).toEqual([]);
+  });
+
+  it('waits for the lease while a proxy of another zone may still vouch for it', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('silent', 'zone-b'),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1']);
+    expect(collector.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    await advanceClock(clock, WINDOW_MS + MARGIN_MS + 100);
+    expect(collector.getOutstanding()).toEqual(['silent', 'cut']);
+  });
+
+  it('counts no proxy of the same zone among those that could vouch', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('cut', 'zone-c'),
+      createHolder('cut-too', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1']);
+    await advanceClock(clock, WINDOW_MS + MARGIN_MS + 10);
+    expect(collector.getOutstanding()).toEqual([]);
+  });
+
+  it('waits for the lease of a proxy that states no window, or that is alone', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('old', 'zone-c', null),
+    ];
+    const collector = await collect(holders, ['e1']);
+    expect(collector.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    const alone = await collect([createHolder('x', 'zone-a')], []);
+    expect(alone.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    collector.stop();
+    alone.stop();
+  });
+
+  it('counts the window from the last release that arrived', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('late', 'zone-b'),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1']);
+    await advanceClock(clock, 1_000);
+    peers.acknowledged.set('late', null);
+    await advanceClock(clock, 250);
+    const lateMs = clock.nowMs();
+    const endMs = collector.getLastLeaseEndStoreMs() ?? 0;
+    expect(endMs).toBeGreaterThan(1_000 + WINDOW_MS + MARGIN_MS);
+    expect(endMs).toBeLessThanOrEqual(lateMs + WINDOW_MS + MARGIN_MS);
+    collector.stop();
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
-import {pause} from '@filbertrun/base/pause.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import type {
@@ -14,10 +13,7 @@
 } from './backend/instance_control.js';
 import {ConfigurationHolder} from './configuration/configuration_holder.js';
 import type {ServiceConfiguration} from './configuration/service_configuration.js';
-import {
-  computeConnectionShare,
-  ORPHANED_CONNECTIONS_MS,
-} from './control/connection_share.js';
+import {ConnectionShares} from './control/connection_shares.js';
 import {ContactKeeper} from './control/contact_keeper.js';
 import {ContactWatch} from './control/contact_watch.js';
 import {ControlPoller} from './control/control_poller.js';
@@ -35,7 +31,7 @@
 import {FailoverDutyLease} from './control/failover_duty_lease.js';
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
-import {GroupRoster} from './directory/group_roster.js';
+import {KnownInstances} from './directory/known_instances.js';
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
@@ -49,26 +45,15 @@
 import type {LeaseHolder} from './failover/release_collector.js';
 import {GroupRuntime} from './group/group_runtime.js';
 import {ReplicaFreshness} from './group/replica_freshness.js';
-import {computeRecordDigest} from './group/record_digest.js';
 import {
   PRIMARY_RECORD_PREFIX,
   primaryRecordSchema,
-  type RevisedPrimaryRecord,
 } from './group/primary_record.js';
 import type {Readiness} from './lifecycle/readiness.js';
 import {ReadinessMonitor} from './lifecycle/readiness_monitor.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
-import type {
-  DutyHandover,
-  PeerCaller,
-  PeerHandler,
-  ReachAnswer,
-  ReachQuestion,
-  RecordComparison,
-  ReleaseAnswer,
-  ReleaseRequest,
-  SuspicionReport,
-} from './peer/peer_caller.js';
+import type {PeerCaller, PeerHandler} from './peer/peer_caller.js';
+import {PeerAnswers} from './peer/peer_answers.js';
 import type {ControlRelay, ControlRelayHandler} from './peer/control_relay.js';
 import type {GatewayContext} from './session/gateway_context.js';
 
@@ -114,20 +99,11 @@
 /** Interval at which the holder of the duty looks for entry VMs that are gone. */
 const REMOVE_GONE_INTERVAL_MS = 10_000;
 
-/** Time that pending writes get to end before a release is answered. */
-const RELEASE_DRAIN_MS = 150;
-
-/** Interval at which a release looks at the pending writes. */
-const RELEASE_STEP_MS = 10;
-
 /** Time without a renewal after which the duty is handed over. */
 const YIELD_DUTY_AFTER_MS = 1_400;
 
-/** Time allowed for a connection by which a proxy answers whether it reaches a server. */
-const REACH_CHECK_TIMEOUT_MS = 200;
-
 /** The parts of one proxy, wired together. @public */
-export class Gateway implements GatewayContext, PeerHandler {
+export class Gateway implements GatewayContext {
   readonly clock: Clock;
   readonly events: GatewayEvents;
   readonly availabilityZone: string;
@@ -139,7 +115,9 @@
   private readonly seeding = new Set<GroupRuntime>();
   private readonly directory: BackendDirectory;
   private readonly configuration: ConfigurationHolder;
-  private readonly roster: GroupRoster;
+  private readonly instances: KnownInstances;
+  private readonly shares: ConnectionShares;
+  private readonly answers: PeerAnswers;
   private readonly replicaFreshness: ReplicaFreshness;
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
   private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
@@ -155,13 +133,10 @@
   private removedGoneAtMs: number;
   private clockEpoch = 0;
   private loopDelayMs = 0;
-  private readonly startedAtMs: number;
-  private orphansTimer: Timer | null = null;
 
   private constructor(private readonly options: GatewayOptions) {
     const {clock, wallClock, random, events, controlTable, self} = options;
     this.clock = clock;
-    this.startedAtMs = clock.nowMs();
     this.events = events;
     this.availabilityZone = self.availabilityZone;
     this.removedGoneAtMs = clock.nowMs();
@@ -179,19 +154,17 @@
             ?.removeServer(entry.backendServer, reason),
       },
     });
-    this.roster = GroupRoster.create({
+    this.instances = KnownInstances.create({
       clock,
-      table: options.rosterTable,
-      listKnown: databaseGroup => this.listKnownInstances(databaseGroup),
-      hasLongMemory: () => this.directory.hasLongMemory,
+      directory: this.directory,
+      directoryTable: options.directoryTable,
+      rosterTable: options.rosterTable,
     });
     this.replicaFreshness = ReplicaFreshness.create({
       clock,
+      events,
       instances: options.instances,
-      listKnown: databaseGroup =>
-        this.directory.hasLongMemory
-          ? this.listKnownInstances(databaseGroup)
-          : null,
+      listKnown: databaseGroup => this.instances.listSurely(databaseGroup),
     });
     this.configuration = ConfigurationHolder.create({
       key: options.configurationKey,
@@ -260,18 +233,21 @@
       getGroups: () => this.getConfiguredGroups(),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       isTableRead: () => this.poller.hasRead,
-      listInstances: databaseGroup => this.listInstances(databaseGroup),
+      listInstances: databaseGroup =>
+        this.instances.listFromStore(databaseGroup),
       observeLeaseHolders: listing => this.observeLeaseHolders(listing),
-      handleRecord: record => this.announce(record),
+      handleRecord: record => this.answers.announce(record),
     });
     this.contactKeeper = ContactKeeper.create({
       availabilityZone: self.availabilityZone,
       clockWatch,
       contact: this.contact,
+      clock,
+      events,
       peers: options.peers,
       random,
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
-      computeDigest: () => this.computeDigest(),
+      computeDigest: () => this.answers.computeDigest(),
       readStore: () => void this.poller.readNow(),
     });
     this.reporter = SuspicionReporter.create({
@@ -282,6 +258,26 @@
       getEntryVm: entryVm => this.registration.getEntryVm(entryVm),
       takeReport: report => this.coordinator.takeReport(report),
     });
+    this.shares = ConnectionShares.create({
+      clock,
+      registration: this.registration,
+      groups: this.groups,
+      getConfiguration: () => this.configuration.current,
+      hasRegistrations: () => this.poller.hasRead,
+    });
+    this.answers = PeerAnswers.create({
+      clock,
+      events,
+      incarnation: self.incarnation,
+      groups: this.groups,
+      duty: this.duty,
+      directory: this.directory,
+      connector: options.connector,
+      isStopping: () => this.isStopping,
+      takeReport: report => this.coordinator.takeReport(report),
+      readControlTable: () => void this.poller.readNow(),
+      maintainDuty: () => void this.maintainRecords(),
+    });
     this.readiness = ReadinessMonitor.create({
       clock,
       events,
@@ -302,9 +298,7 @@
     this.poller.start();
     this.coordinator.start();
     this.scheduleUpkeep();
-    this.orphansTimer = this.clock.startTimer(ORPHANED_CONNECTIONS_MS, () =>
-      this.applyShares(),
-    );
+    this.shares.start();
   }
 
   /** Takes no new callers from here on and gives up the duty. */
@@ -329,7 +323,7 @@
 
   private disposeParts(reason: string): void {
     this.upkeepTimer?.cancel();
-    this.orphansTimer?.cancel();
+    this.shares.dispose();
     this.coordinator.dispose();
     this.poller.dispose();
     this.configurationWatcher.dispose();
@@ -340,6 +334,11 @@
     }
   }
 
+  /** What other proxies may ask this one. */
+  get peerHandler(): PeerHandler {
+    return this.answers;
+  }
+
   /** What other proxies may ask this one to carry to the store. */
   get controlRelayHandler(): ControlRelayHandler {
     return this.relayedTable;
@@ -367,6 +366,11 @@
       'Time since the control table was last read.',
       (nowMs - this.poller.lastContactMs) / MS_PER_SECOND,
     );
+    metrics.setGauge(
+      'filbertrun_contact_age_seconds',
+      'Time since the store or a proxy of another zone confirmed the primaries.',
+      (this.contact.getAgeMs() ?? 0) / MS_PER_SECOND,
+    );
     metrics.setGauge(
       'filbertrun_loop_delay_seconds',
       'Delay of the latest periodic upkeep.',
@@ -395,82 +399,6 @@
     return this.groups.get(databaseGroup) ?? null;
   }
 
-  async release(request: ReleaseRequest): Promise<ReleaseAnswer> {
-    const group = this.groups.get(request.databaseGroup);
-    if (group === undefined) {
-      return {
-        incarnation: this.options.self.incarnation,
-        highestAcknowledged: null,
-      };
-    }
-    group.release(request.revision, request.oldTerm);
-    await this.waitForPendingWrites(group);
-    const {highestAcknowledged} = group.createReleaseReport();
-    this.events.record({
-      kind: 'leaseReleased',
-      databaseGroup: request.databaseGroup,
-      changeId: request.changeId,
-      revision: request.revision,
-      highestAcknowledged,
-    });
-    return {incarnation: this.options.self.incarnation, highestAcknowledged};
-  }
-
-  announce(record: RevisedPrimaryRecord): void {
-    const group = this.groups.get(record.record.databaseGroup);
-    if (group === undefined || record.revision <= group.lease.revision) {
-      return;
-    }
-    group.learnAnnouncedRecord(record);
-    void this.poller.readNow();
-  }
-
-  reportSuspicion(report: SuspicionReport): void {
-    this.coordinator.takeReport(report);
-  }
-
-  async askReach(question: ReachQuestion): Promise<ReachAnswer> {
-    const entry = this.directory.getEntry(question.backendServer);
-    if (entry === null) {
-      return {isReachable: false};
-    }
-    const result = await this.options.connector.checkReachable(
-      entry,
-      REACH_CHECK_TIMEOUT_MS,
-    );
-    return {isReachable: result === 'accepted'};
-  }
-
-  takeOverDuty({fencingToken}: DutyHandover): void {
-    this.duty.noteYielded(fencingToken);
-    void this.maintainRecords();
-  }
-
-  /** Without a lease nobody would ask this proxy to release, so it vouches for nothing. */
-  compareRecords(): RecordComparison {
-    for (const {lease} of this.groups.values()) {
-      if (!lease.isProven()) {
-        return {digest: null};
-      }
-    }
-    return {digest: this.computeDigest()};
-  }
-
-  private computeDigest(): string {
-    const revisions = new Map<string, number>();
-    for (const [databaseGroup, {lease}] of this.groups) {
-      revisions.set(databaseGroup, lease.newestRevision);
-    }
-    return computeRecordDigest(revisions);
-  }
-
-  private async waitForPendingWrites(group: GroupRuntime): Promise<void> {
-    const untilMs = this.clock.nowMs() + RELEASE_DRAIN_MS;
-    while (group.writes.pendingCount > 0 && this.clock.nowMs() < untilMs) {
-      await pause(this.clock, RELEASE_STEP_MS);
-    }
-  }
-
   private getConfiguredGroups(): readonly GroupRuntime[] {
     return [...this.groups.values()];
   }
@@ -495,7 +423,7 @@
         group.dispose('the database group was removed');
       }
     }
-    this.applyShares();
+    this.shares.apply();
   }
 
   private addGroup(databaseGroup: string): void {
@@ -520,39 +448,11 @@
     void this.poller.readNow();
   }
 
-  private applyShares(): void {
-    if (!this.poller.hasRead) {
-      return;
-    }
-    const entryVmCount = this.registration.getOtherEntryVms().length + 1;
-    const mayHaveOrphans = this.mayHaveOrphans();
-    const configuration = this.configuration.current;
-    for (const [databaseGroup, group] of this.groups) {
-      const settings = configuration?.databaseGroups.get(databaseGroup);
-      if (settings !== undefined) {
-        const {maxConnections} = settings;
-        group.setMaxConnections(
-          computeConnectionShare({
-            maxConnections,
-            entryVmCount,
-            mayHaveOrphans,
-          }),
-        );
-      }
-    }
-  }
-
-  /** Whether connections of an earlier process may still count at instances. */
-  private mayHaveOrphans(): boolean {
-    const upMs = this.clock.nowMs() - this.startedAtMs;
-    return this.registration.hasPredecessor && upMs < ORPHANED_CONNECTIONS_MS;
-  }
-
   private handleListing(listing: TableListing, readAt: ClockReading): void {
     this.contact.noteContact(readAt);
     this.registration.observe(listing, readAt);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
-    this.applyShares();
+    this.shares.apply();
     if (!this.isStopping) {
       void this.maintainRecords();
     }
@@ -607,48 +507,6 @@
     return false;
   }
 
-  private async listInstances(
-    databaseGroup: string,
-  ): Promise<readonly BackendServerEntry[] | null> {
-    const listing = await this.options.directoryTable.list();
-    if (!listing.ok) {
-      return null;
-    }
-    const remembered = this.directory.hasLongMemory
-      ? []
-      : await this.roster.read(databaseGroup);
-    if (remembered === null) {
-      return null;
-    }
-    const instances = new Map<string, BackendServerEntry>();
-    for (const entry of remembered) {
-      instances.set(entry.backendServer, entry);
-    }
-    for (const entry of this.listKnownInstances(databaseGroup)) {
-      instances.set(entry.backendServer, entry);
-    }
-    for (const change of listing.value.changes) {
-      if (
-        change.kind === 'put' &&
-        change.value.databaseGroup === databaseGroup
-      ) {
-        instances.set(change.value.backendServer, change.value);
-      }
-    }
-    return [...instances.values()];
-  }
-
-  /** Instances of a group that are listed, or were a short while ago. */
-  private listKnownInstances(
-    databaseGroup: string,
-  ): readonly BackendServerEntry[] {
-    const known = [
-      ...this.directory.getDeparted(),
-      ...this.directory.getEntries(),
-    ];
-    return known.filter(entry => entry.databaseGroup === databaseGroup);
-  }
-
   private scheduleUpkeep(): void {
     const dueMs = this.clock.nowMs() + UPKEEP_INTERVAL_MS;
     this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
@@ -700,7 +558,7 @@
     }
     await this.duty.maintain();
     if (this.duty.getFencingToken() !== null && this.directory.isListed) {
-      void this.roster.maintain([...this.groups.keys()]);
+      void this.instances.roster.maintain([...this.groups.keys()]);
     }
     const nowMs = this.clock.nowMs();
     const isDue = nowMs - this.removedGoneAtMs >= REMOVE_GONE_INTERVAL_MS;
--- a/packages/gateway/src/group/replica_freshness.ts
+++ b/packages/gateway/src/group/replica_freshness.ts
@@ -5,11 +5,13 @@
 } from '@filbertrun/model/log_position.js';
 import type {InstanceControl} from '../backend/instance_control.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {GroupRuntime} from './group_runtime.js';
 
 /** What the freshness of replicas is found with. @public */
 export interface ReplicaFreshnessOptions {
   readonly clock: Clock;
+  readonly events: GatewayEvents;
   readonly instances: InstanceControl;
   /** Instances of a group that may still run; null when that is not known. */
   listKnown(databaseGroup: string): readonly BackendServerEntry[] | null;
@@ -41,7 +43,7 @@
 
   /** Asks the replicas of a group whose primary is silent. */
   async maintain(group: GroupRuntime): Promise<void> {
-    const {clock} = this.options;
+    const {clock, events} = this.options;
     const primary = group.getSilentPrimary();
     if (primary === null || group.getFreshnessAgeMs() < REFRESH_AFTER_MS) {
       return;
@@ -58,6 +60,12 @@
     );
     if (position !== null) {
       group.recordReplicaProof(nowMs, position);
+      events.record({
+        kind: 'freshnessProvenByReplicas',
+        databaseGroup: group.databaseGroup,
+        primary,
+        position,
+      });
     }
   }
 
--- a/packages/gateway/src/group/replica_freshness_test.ts
+++ b/packages/gateway/src/group/replica_freshness_test.ts
@@ -24,6 +24,7 @@
     known = instances.listEntries();
     freshness = ReplicaFreshness.create({
       clock: world.clock,
+      events: world.events,
       instances,
       listKnown: () => known,
     });
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -165,6 +165,21 @@
       readonly waitingFor: readonly string[];
       readonly durationMs: number;
     }
+  /** Writes may begin at a new primary, since no proxy relies on the old one any more. */
+  | {
+      readonly kind: 'writesOpened';
+      readonly databaseGroup: string;
+      readonly primary: string;
+      /** Time since the intent of the change. */
+      readonly durationMs: number;
+    }
+  /** Replicas showed a position that is fresh although the primary is silent. */
+  | {
+      readonly kind: 'freshnessProvenByReplicas';
+      readonly databaseGroup: string;
+      readonly primary: string;
+      readonly position: LogPosition;
+    }
   | {
       readonly kind: 'changeAbandoned';
       readonly databaseGroup: string;
--- a/packages/gateway/src/simulation/deployment_mutants.ts
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -11,7 +11,7 @@
   TableChanges,
   WatchableTable,
 } from '../directory/watchable_table.js';
-import type {HistoryFault, HistoryPlan} from './failover_history.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
 import type {Mutant} from './mutant.js';
 import {bind, NOT_ASKED} from './mutant_parts.js';
 import {UNNAMED} from './simulated_link.js';
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -1,10 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {
-  playHistory,
-  type HistoryFault,
-  type HistoryPlan,
-} from './failover_history.js';
+import {playHistory} from './failover_history.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
 import {MUTANTS} from './mutants.js';
 
 const atMs = fc.integer({min: 0, max: 9_000});
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -10,6 +10,8 @@
 import {SafetyOracle, type Violation} from './safety_oracle.js';
 import {SimulatedGroup} from './simulated_group.js';
 import {SimulatedConnector} from './simulated_link.js';
+import {FaultInjector} from './fault_injector.js';
+import {getLastEndMs, type HistoryPlan} from './history_fault.js';
 import {ConfigurationOracle} from './configuration_oracle.js';
 import {RecoveryJudge} from './recovery_judge.js';
 import {SimulatedNetwork, STORE} from './simulated_network.js';
@@ -25,95 +27,6 @@
   type SimulatedDeployment,
 } from './simulated_proxy.js';
 
-/** A fault and when it strikes. @internal */
-export type HistoryFault =
-  | {
-      readonly kind: 'crashPrimary';
-      readonly atMs: number;
-      readonly forMs: number;
-    }
-  | {
-      readonly kind: 'crashReplica';
-      readonly atMs: number;
-      readonly forMs: number;
-    }
-  /** The primary is cut off from some proxies, and perhaps from its replicas. */
-  | {
-      readonly kind: 'cutPrimary';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly proxies: readonly number[];
-      readonly isFromReplicas: boolean;
-    }
-  /** A proxy is cut off from the store and the other proxies, not from instances. */
-  | {
-      readonly kind: 'cutProxy';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly proxy: number;
-    }
-  | {
-      readonly kind: 'cutStore';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly proxy: number;
-    }
-  /** Two proxies are cut off from each other only. */
-  | {
-      readonly kind: 'cutPeers';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly proxies: readonly [number, number];
-    }
-  | {readonly kind: 'storeDown'; readonly atMs: number; readonly forMs: number}
-  | {
-      readonly kind: 'answersLost';
-      readonly atMs: number;
-      readonly forMs: number;
-    }
-  | {readonly kind: 'killProxy'; readonly atMs: number; readonly proxy: number}
-  | {
-      readonly kind: 'deafReplica';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly replica: number;
-    }
-  | {
-      readonly kind: 'stepClock';
-      readonly atMs: number;
-      readonly proxy: number;
-      readonly byMs: number;
-    }
-  | {readonly kind: 'drainPrimary'; readonly atMs: number}
-  | {
-      readonly kind: 'drainReplica';
-      readonly atMs: number;
-      readonly replica: number;
-    }
-  /** The primary, a replica and a proxy are cut off from everything else. */
-  | {
-      readonly kind: 'cutZone';
-      readonly atMs: number;
-      readonly forMs: number;
-      readonly replica: number;
-      readonly proxy: number;
-    }
-  /** A replica ends for good, and another service takes over its address. */
-  | {
-      readonly kind: 'reuseAddress';
-      readonly atMs: number;
-      readonly replica: number;
-    }
-  | {readonly kind: 'changeConfiguration'; readonly atMs: number}
-  /** All processes end at once. */
-  | {readonly kind: 'killAllProxies'; readonly atMs: number};
-
-/** One history to play. @internal */
-export interface HistoryPlan {
-  readonly seed: number;
-  readonly faults: readonly HistoryFault[];
-}
-
 /** What a history showed. @internal */
 export interface HistoryOutcome {
   readonly violations: readonly Violation[];
@@ -132,6 +45,9 @@
 
 const STEP_MS = 5;
 
+/** Time from the end of a process to the start of the next one. */
+const RESTART_MS = 1_000;
+
 /** Interval at which each proxy is asked by the optional route. */
 const PROBE_INTERVAL_MS = 200;
 
@@ -353,143 +269,16 @@
   }
 
   private scheduleFaults(): void {
+    const injector = FaultInjector.create({
+      deployment: this.deployment,
+      touch: this.touch,
+      proxies: PROXIES,
+      killProxy: name => this.killProxy(name),
+    });
     for (const fault of this.plan.faults) {
-      this.clock.startTimer(WARM_UP_MS + fault.atMs, () => this.strike(fault));
-    }
-  }
-
-  private strike(fault: HistoryFault): void {
-    const {group, store} = this.deployment;
-    switch (fault.kind) {
-      case 'crashPrimary': {
-        const primary = group.findLeader();
-        group.crash(primary);
-        this.after(fault.forMs, () => group.restart(primary));
-        return;
-      }
-      case 'crashReplica':
-      case 'deafReplica': {
-        const replica = this.pickReplica(
-          fault.kind === 'deafReplica' ? fault.replica : 0,
-        );
-        if (replica === null) {
-          return;
-        }
-        if (fault.kind === 'deafReplica') {
-          replica.isDeaf = true;
-          this.after(fault.forMs, () => {
-            replica.isDeaf = false;
-          });
-          return;
-        }
-        group.crash(replica);
-        this.after(fault.forMs, () => group.restart(replica));
-        return;
-      }
-      case 'cutPrimary': {
-        const primary = group.findLeader().entry.backendServer;
-        const others = [...group.instances.keys()].filter(id => id !== primary);
-        const proxies = fault.proxies.map(index => PROXIES[index] ?? 'e1');
-        const replicas = fault.isFromReplicas ? others : [];
-        this.cutFor(primary, [...replicas, ...proxies], fault.forMs);
-        return;
-      }
-      case 'cutProxy': {
-        const proxy = PROXIES[fault.proxy] ?? 'e1';
-        const others = PROXIES.filter(name => name !== proxy);
-        this.cutFor(proxy, [...others, STORE, 'promotions'], fault.forMs);
-        return;
-      }
-      case 'cutStore':
-        this.cutFor(PROXIES[fault.proxy] ?? 'e1', [STORE], fault.forMs);
-        return;
-      case 'cutPeers': {
-        const [left, right] = fault.proxies;
-        const peer = PROXIES[right] ?? 'e1';
-        this.cutFor(PROXIES[left] ?? 'e1', [peer], fault.forMs);
-        return;
-      }
-      case 'storeDown':
-        this.cutFor(
-          STORE,
-          [...PROXIES, ...group.instances.keys()],
-          fault.forMs,
-        );
-        return;
-      case 'answersLost':
-        store.writeMode = 'doneWithoutAnswer';
-        this.after(fault.forMs, () => {
-          store.writeMode = 'answered';
-        });
-        return;
-      case 'killProxy':
-        this.killProxy(PROXIES[fault.proxy] ?? 'e1');
-        return;
-      case 'stepClock':
-        this.deployment.proxies
-          .get(PROXIES[fault.proxy] ?? 'e1')
-          ?.wallClock.step(fault.byMs);
-        this.touch.noteDisturbance(
-          PROXIES[fault.proxy] ?? 'e1',
-          this.clock.nowMs(),
-        );
-        return;
-      case 'drainPrimary': {
-        group.drain(group.findLeader());
-        return;
-      }
-      case 'drainReplica':
-      case 'reuseAddress': {
-        const replica = this.pickReplica(fault.replica);
-        if (replica === null) {
-          return;
-        }
-        if (fault.kind === 'drainReplica') {
-          group.drain(replica);
-        } else {
-          group.replaceByForeign(replica);
-        }
-        return;
-      }
-      case 'cutZone':
-        this.cutZone(fault);
-        return;
-      case 'changeConfiguration':
-        this.deployment.operator.toggleOptionalRoute();
-        return;
-      case 'killAllProxies':
-        for (const name of PROXIES) {
-          this.killProxy(name);
-        }
-        return;
-    }
-  }
-
-  private pickReplica(index: number) {
-    const replicas = [...this.deployment.group.instances.values()].filter(
-      ({role, isRunning}) => role === 'replica' && isRunning,
-    );
-    return replicas[index] ?? replicas[0] ?? null;
-  }
-
-  private cutZone(
-    fault: Extract<HistoryFault, {readonly kind: 'cutZone'}>,
-  ): void {
-    const {group} = this.deployment;
-    const inside = [
-      group.findLeader().entry.backendServer,
-      this.pickReplica(fault.replica)?.entry.backendServer ?? '',
-      PROXIES[fault.proxy] ?? 'e1',
-    ];
-    const everyone = [
-      ...group.instances.keys(),
-      ...PROXIES,
-      STORE,
-      'promotions',
-    ];
-    const outside = everyone.filter(party => !inside.includes(party));
-    for (const party of inside) {
-      this.cutFor(party, outside, fault.forMs);
+      this.clock.startTimer(WARM_UP_MS + fault.atMs, () =>
+        injector.strike(fault),
+      );
     }
   }
 
@@ -507,37 +296,8 @@
         this.ownWrites.delete(key);
       }
     }
-    this.after(1_000, () => this.startProxy(name));
-  }
-
-  private cutFor(
-    party: string,
-    others: readonly string[],
-    forMs: number,
-  ): void {
-    for (const other of others) {
-      this.network.cut(party, other);
-    }
-    this.after(forMs, () => {
-      for (const other of others) {
-        this.network.heal(party, other);
-      }
-    });
-  }
-
-  private after(delayMs: number, run: () => void): void {
-    this.clock.startTimer(delayMs, run);
-  }
-}
-
-/** End of the last fault, counted from the end of the warm-up. */
-function getLastEndMs(faults: readonly HistoryFault[]): number {
-  let lastMs = 0;
-  for (const fault of faults) {
-    const forMs = 'forMs' in fault ? fault.forMs : 0;
-    lastMs = Math.max(lastMs, fault.atMs + forMs);
+    this.clock.startTimer(RESTART_MS, () => this.startProxy(name));
   }
-  return lastMs;
 }
 
 function saysNotRun(reply: StatementReply): boolean {
--- /dev/null
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -0,0 +1,181 @@
+import type {HistoryFault} from './history_fault.js';
+import {STORE} from './simulated_network.js';
+import type {SimulatedDeployment} from './simulated_proxy.js';
+import type {TouchRecord} from './touch_record.js';
+
+/** What faults are brought about in. @internal */
+export interface FaultInjectorOptions {
+  readonly deployment: SimulatedDeployment;
+  readonly touch: TouchRecord;
+  /** Names of the proxies, by their index in a fault. */
+  readonly proxies: readonly string[];
+  killProxy(name: string): void;
+}
+
+/** Brings the faults of a history about. @internal */
+export class FaultInjector {
+  private constructor(private readonly options: FaultInjectorOptions) {}
+
+  static create(options: FaultInjectorOptions): FaultInjector {
+    return new FaultInjector(options);
+  }
+
+  /** Brings a fault about; one with a length ends by itself. */
+  strike(fault: HistoryFault): void {
+    const {group, store} = this.options.deployment;
+    switch (fault.kind) {
+      case 'crashPrimary': {
+        const primary = group.findLeader();
+        group.crash(primary);
+        this.after(fault.forMs, () => group.restart(primary));
+        return;
+      }
+      case 'crashReplica':
+      case 'deafReplica': {
+        const replica = this.pickReplica(
+          fault.kind === 'deafReplica' ? fault.replica : 0,
+        );
+        if (replica === null) {
+          return;
+        }
+        if (fault.kind === 'deafReplica') {
+          replica.isDeaf = true;
+          this.after(fault.forMs, () => {
+            replica.isDeaf = false;
+          });
+          return;
+        }
+        group.crash(replica);
+        this.after(fault.forMs, () => group.restart(replica));
+        return;
+      }
+      case 'cutPrimary': {
+        const primary = group.findLeader().entry.backendServer;
+        const others = [...group.instances.keys()].filter(id => id !== primary);
+        const proxies = fault.proxies.map(index => this.getProxy(index));
+        const replicas = fault.isFromReplicas ? others : [];
+        this.cutFor(primary, [...replicas, ...proxies], fault.forMs);
+        return;
+      }
+      case 'cutProxy': {
+        const proxy = this.getProxy(fault.proxy);
+        const others = this.options.proxies.filter(name => name !== proxy);
+        this.cutFor(proxy, [...others, STORE, 'promotions'], fault.forMs);
+        return;
+      }
+      case 'cutStore':
+        this.cutFor(this.getProxy(fault.proxy), [STORE], fault.forMs);
+        return;
+      case 'cutPeers': {
+        const [left, right] = fault.proxies;
+        const peer = this.getProxy(right);
+        this.cutFor(this.getProxy(left), [peer], fault.forMs);
+        return;
+      }
+      case 'storeDown':
+        this.cutFor(
+          STORE,
+          [...this.options.proxies, ...group.instances.keys()],
+          fault.forMs,
+        );
+        return;
+      case 'answersLost':
+        store.writeMode = 'doneWithoutAnswer';
+        this.after(fault.forMs, () => {
+          store.writeMode = 'answered';
+        });
+        return;
+      case 'killProxy':
+        this.options.killProxy(this.getProxy(fault.proxy));
+        return;
+      case 'stepClock':
+        this.options.deployment.proxies
+          .get(this.getProxy(fault.proxy))
+          ?.wallClock.step(fault.byMs);
+        this.options.touch.noteDisturbance(
+          this.getProxy(fault.proxy),
+          this.options.deployment.clock.nowMs(),
+        );
+        return;
+      case 'drainPrimary': {
+        group.drain(group.findLeader());
+        return;
+      }
+      case 'drainReplica':
+      case 'reuseAddress': {
+        const replica = this.pickReplica(fault.replica);
+        if (replica === null) {
+          return;
+        }
+        if (fault.kind === 'drainReplica') {
+          group.drain(replica);
+        } else {
+          group.replaceByForeign(replica);
+        }
+        return;
+      }
+      case 'cutZone':
+        this.cutZone(fault);
+        return;
+      case 'changeConfiguration':
+        this.options.deployment.operator.toggleOptionalRoute();
+        return;
+      case 'killAllProxies':
+        for (const name of this.options.proxies) {
+          this.options.killProxy(name);
+        }
+        return;
+    }
+  }
+
+  private pickReplica(index: number) {
+    const replicas = [
+      ...this.options.deployment.group.instances.values(),
+    ].filter(({role, isRunning}) => role === 'replica' && isRunning);
+    return replicas[index] ?? replicas[0] ?? null;
+  }
+
+  private cutZone(
+    fault: Extract<HistoryFault, {readonly kind: 'cutZone'}>,
+  ): void {
+    const {group} = this.options.deployment;
+    const inside = [
+      group.findLeader().entry.backendServer,
+      this.pickReplica(fault.replica)?.entry.backendServer ?? '',
+      this.getProxy(fault.proxy),
+    ];
+    const everyone = [
+      ...group.instances.keys(),
+      ...this.options.proxies,
+      STORE,
+      'promotions',
+    ];
+    const outside = everyone.filter(party => !inside.includes(party));
+    for (const party of inside) {
+      this.cutFor(party, outside, fault.forMs);
+    }
+  }
+
+  private getProxy(index: number): string {
+    return this.options.proxies[index] ?? 'e1';
+  }
+
+  private cutFor(
+    party: string,
+    others: readonly string[],
+    forMs: number,
+  ): void {
+    for (const other of others) {
+      this.options.deployment.network.cut(party, other);
+    }
+    this.after(forMs, () => {
+      for (const other of others) {
+        this.options.deployment.network.heal(party, other);
+      }
+    });
+  }
+
+  private after(delayMs: number, run: () => void): void {
+    this.options.deployment.clock.startTimer(delayMs, run);
+  }
+}
--- a/packages/gateway/src/simulation/mutant.ts
+++ b/packages/gateway/src/simulation/mutant.ts
@@ -1,4 +1,4 @@
-import type {HistoryPlan} from './failover_history.js';
+import type {HistoryPlan} from './history_fault.js';
 import type {Violation} from './safety_oracle.js';
 import type {GatewayMutation} from './simulated_proxy.js';
 
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -2,7 +2,7 @@
 import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import {ENTRY_VM_PREFIX, FAILOVER_DUTY_KEY} from '../control/control_record.js';
 import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
-import type {HistoryPlan} from './failover_history.js';
+import type {HistoryPlan} from './history_fault.js';
 import type {Mutant} from './mutant.js';
 import {
   bind,
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -180,7 +180,7 @@
     if (proxy === undefined) {
       return failure({kind: 'unreachable', reason: 'simulated'});
     }
-    const answer = await run(proxy.gateway);
+    const answer = await run(proxy.gateway.peerHandler);
     return (await link.reach(peer.entryVm))
       ? success(answer)
       : failure({kind: 'unreachable', reason: 'simulated'});
