--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -109,7 +109,7 @@
   }
 
   /**
-   * Time after which nobody can have vouched for the old primary to a proxy:
+   * Time after which nobody can have confirmed the old primary to a proxy:
    * those of the other availability zones have released, and a read of the
    * store would have shown the intent. Null while that is not so.
    */
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -82,7 +82,7 @@
     expect(collector.getOutstanding()).toEqual([]);
   });
 
-  it('waits for the lease while a proxy of another zone may still vouch for it', async () => {
+  it('waits for the lease while a proxy of another zone may still confirm its records', async () => {
     const holders = [
       createHolder('e1', 'zone-a'),
       createHolder('silent', 'zone-b'),
@@ -94,7 +94,7 @@
     expect(collector.getOutstanding()).toEqual(['silent', 'cut']);
   });
 
-  it('counts no proxy of the same zone among those that could vouch', async () => {
+  it('counts no proxy of the same zone among those that could confirm', async () => {
     const holders = [
       createHolder('e1', 'zone-a'),
       createHolder('cut', 'zone-c'),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -367,9 +367,9 @@
       (nowMs - this.poller.lastContactMs) / MS_PER_SECOND,
     );
     metrics.setGauge(
-      'filbertrun_contact_age_seconds',
-      'Time since the store or a proxy of another zone confirmed the primaries.',
-      (this.contact.getAgeMs() ?? 0) / MS_PER_SECOND,
+      'filbertrun_in_contact',
+      'Whether the store or a proxy of another zone has just confirmed the primaries.',
+      this.contact.isInContact() ? 1 : 0,
     );
     metrics.setGauge(
       'filbertrun_loop_delay_seconds',
--- a/packages/gateway/src/peer/peer_answers.ts
+++ b/packages/gateway/src/peer/peer_answers.ts
@@ -104,7 +104,7 @@
   }
 
   /**
-   * Vouches for nothing without a registration, since nobody would ask this
+   * Confirms nothing without a registration, since nobody would ask this
    * proxy to release.
    */
   compareRecords(): RecordComparison {
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -178,7 +178,7 @@
     }),
   },
   {
-    name: 'a proxy vouches for records from memory',
+    name: 'a proxy confirms records from memory',
     plans: CUT_BUT_FOR_ONE_PEER,
     rules: ['staleRead'],
     mutate: options => ({
