One tracker of lost dependencies in place of three; dead members and a wrapper removed; the platform's name of the drain kept in platform/

The log lines of a lost and a regained dependency stood in the table watcher, the poller and the contact keeper. Behaviour is unchanged.

--- a/packages/gateway/src/control/connection_share_test.ts
+++ b/packages/gateway/src/control/compute_connection_share_test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {computeConnectionShare} from './connection_share.js';
+import {computeConnectionShare} from './compute_connection_share.js';
 
 /** An instance that admits a bounded number of connections. */
 class CappedInstance {
--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -4,7 +4,7 @@
 import {
   computeConnectionShare,
   ORPHANED_CONNECTIONS_MS,
-} from './connection_share.js';
+} from './compute_connection_share.js';
 import type {EntryVmRegistration} from './entry_vm_registration.js';
 
 /** What the shares are worked out from. @public */
--- a/packages/gateway/src/control/contact_keeper.ts
+++ b/packages/gateway/src/control/contact_keeper.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {ClockWatch} from '../group/clock_watch.js';
+import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {PeerCaller} from '../peer/peer_caller.js';
 import type {ContactWatch} from './contact_watch.js';
@@ -35,9 +36,17 @@
  */
 export class ContactKeeper {
   private isAsking = false;
-  private lostAtMs: number | null = null;
 
-  private constructor(private readonly options: ContactKeeperOptions) {}
+  private readonly dependency: DependencyTracker;
+
+  private constructor(private readonly options: ContactKeeperOptions) {
+    const {clock, events} = options;
+    this.dependency = DependencyTracker.create({
+      dependency: 'contact',
+      clock,
+      events,
+    });
+  }
 
   static create(options: ContactKeeperOptions): ContactKeeper {
     return new ContactKeeper(options);
@@ -61,23 +70,12 @@
   }
 
   private recordState(): void {
-    const {contact, clock, events} = this.options;
-    const isInContact = contact.isInContact();
-    if (!isInContact && this.lostAtMs === null) {
-      this.lostAtMs = clock.nowMs();
-      events.record({
-        kind: 'dependencyLost',
-        dependency: 'contact',
-        reason: 'neither the store nor a proxy of another zone confirms',
-      });
-    }
-    if (isInContact && this.lostAtMs !== null) {
-      events.record({
-        kind: 'dependencyRegained',
-        dependency: 'contact',
-        lostForMs: clock.nowMs() - this.lostAtMs,
-      });
-      this.lostAtMs = null;
+    if (this.options.contact.isInContact()) {
+      this.dependency.noteAvailable();
+    } else {
+      this.dependency.noteLost(
+        'neither the store nor a proxy of another zone confirms',
+      );
     }
   }
 
--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -4,6 +4,7 @@
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
 import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
+import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 
 /** What a poller is made of. @public */
@@ -35,13 +36,21 @@
   private reading: Promise<boolean> | null = null;
   /** Read that follows the one under way. */
   private next: Promise<boolean> | null = null;
-  private lostSinceMs: number | null = null;
-  private contactMs = Number.NEGATIVE_INFINITY;
+  private contactAtMs = Number.NEGATIVE_INFINITY;
   private newestRevision = 0;
   private scheduledDelayMs = 0;
   private isDisposed = false;
 
-  private constructor(private readonly options: ControlPollerOptions) {}
+  private readonly dependency: DependencyTracker;
+
+  private constructor(private readonly options: ControlPollerOptions) {
+    const {clock, events} = options;
+    this.dependency = DependencyTracker.create({
+      dependency: 'control table',
+      clock,
+      events,
+    });
+  }
 
   static create(options: ControlPollerOptions): ControlPoller {
     return new ControlPoller(options);
@@ -49,7 +58,7 @@
 
   /** Monotonic time of the last answer of the store. */
   get lastContactMs(): number {
-    return this.contactMs;
+    return this.contactAtMs;
   }
 
   /** Whether the table has been read since the start. */
@@ -117,36 +126,21 @@
   }
 
   private async read(): Promise<boolean> {
-    const {table, clock, clockWatch, events} = this.options;
+    const {table, clock, clockWatch} = this.options;
     const readAt = clockWatch.read();
     const result = await table.listEntries();
     if (this.isDisposed) {
       return false;
     }
     if (!result.ok || result.value.revision < this.newestRevision) {
-      if (this.lostSinceMs === null) {
-        this.lostSinceMs = clock.nowMs();
-        const reason = result.ok
-          ? 'the answer is out of date'
-          : result.error.kind;
-        events.record({
-          kind: 'dependencyLost',
-          dependency: 'control table',
-          reason,
-        });
-      }
+      this.dependency.noteLost(
+        result.ok ? 'the answer is out of date' : result.error.kind,
+      );
       return false;
     }
-    this.contactMs = clock.nowMs();
+    this.contactAtMs = clock.nowMs();
     this.newestRevision = result.value.revision;
-    if (this.lostSinceMs !== null) {
-      events.record({
-        kind: 'dependencyRegained',
-        dependency: 'control table',
-        lostForMs: this.contactMs - this.lostSinceMs,
-      });
-      this.lostSinceMs = null;
-    }
+    this.dependency.noteAvailable();
     this.options.handleListing(result.value, readAt);
     if (this.scheduledDelayMs === POLL_INTERVAL_MS) {
       this.schedule(POLL_INTERVAL_MS);
--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -86,11 +86,6 @@
     return departed;
   }
 
-  /** Whether the entry is missing from the table at present. */
-  isLapsed(backendServer: BackendServerId): boolean {
-    return this.graceTimers.has(backendServer);
-  }
-
   handleListing(listing: TableChanges<BackendServerEntry>): void {
     this.listedAtMs ??= this.options.clock.nowMs();
     const present = new Set<BackendServerId>();
--- a/packages/gateway/src/directory/known_instances.ts
+++ b/packages/gateway/src/directory/known_instances.ts
@@ -41,8 +41,8 @@
     return known.filter(entry => entry.databaseGroup === databaseGroup);
   }
 
-  /** Like `listRemembered`; null while this process may have missed who left. */
-  listSurely(
+  /** Like `listRemembered`; null while this process may not know who left. */
+  listIfComplete(
     databaseGroup: DatabaseGroupName,
   ): readonly BackendServerEntry[] | null {
     return this.options.directory.hasLongMemory
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -1,5 +1,6 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {TableChanges, WatchableTable} from './watchable_table.js';
 
@@ -40,20 +41,22 @@
   private revision: number | null = null;
   private mustList = true;
   private failureCount = 0;
-  private lostSinceMs: number | null = null;
-  private lastContact = Number.NEGATIVE_INFINITY;
   private timer: Timer | null = null;
   private isDisposed = false;
 
-  private constructor(private readonly options: TableWatcherOptions<T>) {}
+  private readonly dependency: DependencyTracker;
 
-  static create<T>(options: TableWatcherOptions<T>): TableWatcher<T> {
-    return new TableWatcher(options);
+  private constructor(private readonly options: TableWatcherOptions<T>) {
+    const {name, clock, events} = options;
+    this.dependency = DependencyTracker.create({
+      dependency: `table ${name}`,
+      clock,
+      events,
+    });
   }
 
-  /** Monotonic time of the last answer of the store. */
-  get lastContactMs(): number {
-    return this.lastContact;
+  static create<T>(options: TableWatcherOptions<T>): TableWatcher<T> {
+    return new TableWatcher(options);
   }
 
   start(): void {
@@ -124,30 +127,13 @@
   }
 
   private recordContact(): void {
-    const {clock, events, name} = this.options;
-    this.lastContact = clock.nowMs();
     this.failureCount = 0;
-    if (this.lostSinceMs !== null) {
-      events.record({
-        kind: 'dependencyRegained',
-        dependency: `table ${name}`,
-        lostForMs: clock.nowMs() - this.lostSinceMs,
-      });
-      this.lostSinceMs = null;
-    }
+    this.dependency.noteAvailable();
   }
 
   private recordFailure(reason: string): void {
-    const {clock, events, name} = this.options;
     this.failureCount++;
-    if (this.lostSinceMs === null) {
-      this.lostSinceMs = clock.nowMs();
-      events.record({
-        kind: 'dependencyLost',
-        dependency: `table ${name}`,
-        reason,
-      });
-    }
+    this.dependency.noteLost(reason);
   }
 
   private getRetryDelayMs(): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -77,7 +77,7 @@
   readonly peers: PeerCaller;
   readonly relay: ControlRelay;
   /** Time for which a draining backend server may be used. */
-  readonly drainMs: number;
+  readonly drainDurationMs: number;
   /** Time after the last contact for which a primary is relied on. */
   readonly contactWindowMs: number;
 }
@@ -164,7 +164,7 @@
       clock,
       events,
       instances: options.instances,
-      listKnown: databaseGroup => this.instances.listSurely(databaseGroup),
+      listKnown: databaseGroup => this.instances.listIfComplete(databaseGroup),
     });
     this.configuration = ConfigurationHolder.create({
       key: options.configurationKey,
@@ -437,7 +437,7 @@
       random,
       connector,
       events: this.events,
-      drainMs: this.options.drainMs,
+      drainDurationMs: this.options.drainDurationMs,
     });
     this.groups.set(databaseGroup, group);
     for (const entry of this.directory.getEntries()) {
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -23,7 +23,7 @@
   readonly events: GatewayEvents;
   readonly maxConnections: number;
   /** Time for which a draining server may be used once its state is known. */
-  readonly drainMs: number;
+  readonly drainDurationMs: number;
 }
 
 /**
@@ -140,10 +140,10 @@
 
   /** Whether the server has been draining for so long that nothing more is sent to it. */
   get isPastDrain(): boolean {
-    const {clock, drainMs} = this.options;
+    const {clock, drainDurationMs} = this.options;
     return (
       this.drainingSinceMs !== null &&
-      clock.nowMs() - this.drainingSinceMs >= drainMs - DRAIN_MARGIN_MS
+      clock.nowMs() - this.drainingSinceMs >= drainDurationMs - DRAIN_MARGIN_MS
     );
   }
 
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -37,7 +37,7 @@
   readonly connector: BackendLinkConnector;
   readonly events: GatewayEvents;
   /** Time for which a draining server may be used. */
-  readonly drainMs: number;
+  readonly drainDurationMs: number;
 }
 
 /** Margin that makes up for rounding in ages of data. */
@@ -113,14 +113,14 @@
   updateServer(entry: BackendServerEntry): void {
     const known = this.servers.get(entry.backendServer);
     if (known === undefined) {
-      const {clock, random, connector, events, drainMs} = this.options;
+      const {clock, random, connector, events, drainDurationMs} = this.options;
       const runtime = BackendServerRuntime.create(entry, {
         clock,
         random,
         connector,
         events,
         maxConnections: this.maxConnections,
-        drainMs,
+        drainDurationMs,
       });
       this.servers.set(entry.backendServer, runtime);
     } else if (!known.updateEntry(entry)) {
@@ -341,14 +341,6 @@
     }
   }
 
-  /**
-   * Records that all commits acknowledged before `askedAtMs` are at or before
-   * `position`, as every instance but the primary shows.
-   */
-  recordReplicaProof(askedAtMs: number, position: LogPosition): void {
-    this.recordProof(askedAtMs, position);
-  }
-
   /** Time since the newest proof of a position. */
   getFreshnessAgeMs(): number {
     return this.options.clock.nowMs() - this.provenAtMs;
@@ -367,7 +359,8 @@
     return server === null || server.isUnreachable ? record.primary : null;
   }
 
-  private recordProof(atMs: number, position: LogPosition): void {
+  /** Records that all commits acknowledged before `atMs` are at or before `position`. */
+  recordProof(atMs: number, position: LogPosition): void {
     this.hasPosition = true;
     this.provenAtMs = Math.max(this.provenAtMs, atMs);
     this.ring.record(atMs, position);
--- a/packages/gateway/src/group/replica_freshness.ts
+++ b/packages/gateway/src/group/replica_freshness.ts
@@ -59,7 +59,7 @@
       primary,
     );
     if (position !== null) {
-      group.recordReplicaProof(nowMs, position);
+      group.recordProof(nowMs, position);
       events.record({
         kind: 'freshnessProvenByReplicas',
         databaseGroup: group.databaseGroup,
--- /dev/null
+++ b/packages/gateway/src/observability/dependency_tracker.ts
@@ -0,0 +1,40 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {GatewayEvents} from './gateway_events.js';
+
+/** What a tracker is made of. @public */
+export interface DependencyTrackerOptions {
+  /** Name of the dependency in log events. */
+  readonly dependency: string;
+  readonly clock: Clock;
+  readonly events: GatewayEvents;
+}
+
+/** Logs once when a dependency is lost and once when it is regained. @public */
+export class DependencyTracker {
+  private lostAtMs: number | null = null;
+
+  private constructor(private readonly options: DependencyTrackerOptions) {}
+
+  static create(options: DependencyTrackerOptions): DependencyTracker {
+    return new DependencyTracker(options);
+  }
+
+  noteLost(reason: string): void {
+    const {dependency, clock, events} = this.options;
+    if (this.lostAtMs !== null) {
+      return;
+    }
+    this.lostAtMs = clock.nowMs();
+    events.record({kind: 'dependencyLost', dependency, reason});
+  }
+
+  noteAvailable(): void {
+    const {dependency, clock, events} = this.options;
+    if (this.lostAtMs === null) {
+      return;
+    }
+    const lostForMs = clock.nowMs() - this.lostAtMs;
+    this.lostAtMs = null;
+    events.record({kind: 'dependencyRegained', dependency, lostForMs});
+  }
+}
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -89,7 +89,7 @@
         peers: createPeers(link, deployment),
         relay: createRelay(link, deployment),
         contactWindowMs: CONTACT_WINDOW_MS,
-        drainMs: DRAIN_MS,
+        drainDurationMs: DRAIN_MS,
       }),
     );
   }
--- a/packages/gateway/src/testing/session_world.ts
+++ b/packages/gateway/src/testing/session_world.ts
@@ -44,7 +44,7 @@
       clock: this.clock,
       clockWatch: this.watch,
       contact: {isInContact: () => true},
-      drainMs: 7_000,
+      drainDurationMs: 7_000,
       random: SeededRandom.create(1),
       connector: this.backend,
       events: this.events,
