Shared failures of reads and writes, answers of in-memory links and plans of mutants

The read and the write executor spelled the same refusals nine times and the same three-field failure five times; refusal.ts has them once. A session took the time of a suggested return for the idle time of a transaction without a configuration; it has its own name now, same value. Behaviour and the tests' assertions are unchanged.

--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -12,15 +12,14 @@
 } from '../statement/statement_answer.js';
 import type {GatewayContext, StatementContext} from './gateway_context.js';
 import {ReadExecutor, type AnsweredRead} from './read_executor.js';
-import {
-  createErrorReply,
-  createLocalReply,
-  NO_SERVER_RETRY_AFTER_MS,
-} from './refusal.js';
+import {createErrorReply, createLocalReply} from './refusal.js';
 import {SessionState} from './session_state.js';
 import {SessionTransaction} from './session_transaction.js';
 import {WriteExecutor} from './write_executor.js';
 
+/** Idle time of a transaction that began just as the configuration went away. */
+const IDLE_WITHOUT_CONFIGURATION_MS = 100;
+
 /** A caller's session: one statement at a time, in order. @public */
 export class CallerSession {
   private readonly state = SessionState.create();
@@ -265,7 +264,7 @@
     }
     const idleTimeoutMs =
       this.gateway.getConfiguration()?.transactionIdleTimeoutMs ??
-      NO_SERVER_RETRY_AFTER_MS;
+      IDLE_WITHOUT_CONFIGURATION_MS;
     this.transaction = SessionTransaction.create(
       result,
       context,
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -21,8 +21,10 @@
 } from './read_requirement.js';
 import {
   convertPoolError,
-  NO_PRIMARY_RETRY_AFTER_MS,
-  NO_SERVER_RETRY_AFTER_MS,
+  PRIMARY_UNAVAILABLE,
+  SERVER_OVERLOADED,
+  SERVER_UNAVAILABLE,
+  type FailedAttempt,
 } from './refusal.js';
 import {recordRefused, recordRouted} from './statement_events.js';
 import {runOnLink, type RunError} from './run_on_link.js';
@@ -53,22 +55,10 @@
 type AttemptResult =
   | {readonly kind: 'answered'; readonly read: AnsweredRead}
   /** Nothing stands in the way of another server. */
-  | {
-      readonly kind: 'tryNext';
-      readonly error: CallerError;
-      readonly reason: string;
-    }
+  | FailedAttempt<'tryNext'>
   /** The connection failed; the server may be fine. */
-  | {
-      readonly kind: 'tryAgain';
-      readonly error: CallerError;
-      readonly reason: string;
-    }
-  | {
-      readonly kind: 'failed';
-      readonly error: CallerError;
-      readonly reason: string;
-    };
+  | FailedAttempt<'tryAgain'>
+  | FailedAttempt<'failed'>;
 
 /** Where one attempt goes. */
 interface ReadPlan {
@@ -87,10 +77,7 @@
 export class ReadExecutor {
   private readonly excluded = new Set<BackendServerId>();
   private attempts = 0;
-  private lastError: CallerError = {
-    kind: 'unavailable',
-    retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
-  };
+  private lastError: CallerError = SERVER_UNAVAILABLE;
 
   private constructor(
     private readonly context: StatementContext,
@@ -163,10 +150,7 @@
       requirement.kind === 'position' ? requirement.position : null;
     const server = await this.findPrimary(requiredPosition !== null);
     if (server === null) {
-      this.lastError = {
-        kind: 'unavailable',
-        retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
-      };
+      this.lastError = PRIMARY_UNAVAILABLE;
       return null;
     }
     if (this.excluded.has(server.entry.backendServer)) {
@@ -231,7 +215,7 @@
     if (server.isUnreachable) {
       return {
         kind: 'tryNext',
-        error: {kind: 'unavailable', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+        error: SERVER_UNAVAILABLE,
         reason: 'the server is out of reach',
       };
     }
@@ -302,7 +286,7 @@
         lease.release(isClean ? 'clean' : 'doubtful');
         return {
           kind: 'tryNext',
-          error: {kind: 'overloaded', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+          error: SERVER_OVERLOADED,
           reason: `rejected: ${code}`,
         };
       case 'wrongBackendServer':
@@ -310,7 +294,7 @@
         server.markSuspect();
         return {
           kind: 'tryNext',
-          error: {kind: 'unavailable', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+          error: SERVER_UNAVAILABLE,
           reason: `rejected: ${code}`,
         };
       default:
@@ -323,23 +307,19 @@
     lease: PoolLease<PooledLink>,
     error: RunError,
   ): AttemptResult {
-    const unavailable: CallerError = {
-      kind: 'unavailable',
-      retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
-    };
     switch (error.kind) {
       case 'sendDeclined':
         lease.release('clean');
         return {
           kind: 'tryAgain',
-          error: unavailable,
+          error: SERVER_UNAVAILABLE,
           reason: 'the lease of the primary ended',
         };
       case 'preparationFailed':
         lease.release('doubtful');
         return {
           kind: 'tryNext',
-          error: unavailable,
+          error: SERVER_UNAVAILABLE,
           reason: `preparation: ${error.code}`,
         };
       case 'timedOut':
@@ -353,7 +333,11 @@
       case 'connectionLost':
       case 'notSent':
         lease.release('doubtful');
-        return {kind: 'tryAgain', error: unavailable, reason: error.reason};
+        return {
+          kind: 'tryAgain',
+          error: SERVER_UNAVAILABLE,
+          reason: error.reason,
+        };
     }
   }
 
--- a/packages/gateway/src/session/refusal.ts
+++ b/packages/gateway/src/session/refusal.ts
@@ -6,10 +6,35 @@
 } from '../statement/statement_answer.js';
 
 /** Return suggested while a database group has no primary. */
-export const NO_PRIMARY_RETRY_AFTER_MS = 300;
+const NO_PRIMARY_RETRY_AFTER_MS = 300;
 
 /** Return suggested when no server could take a read. */
-export const NO_SERVER_RETRY_AFTER_MS = 100;
+const NO_SERVER_RETRY_AFTER_MS = 100;
+
+/** No primary could take a statement; nothing was run. @public */
+export const PRIMARY_UNAVAILABLE: CallerError = {
+  kind: 'unavailable',
+  retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
+};
+
+/** No server could take a statement; nothing was run. @public */
+export const SERVER_UNAVAILABLE: CallerError = {
+  kind: 'unavailable',
+  retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
+};
+
+/** A server had no room for a statement; nothing was run. @public */
+export const SERVER_OVERLOADED: CallerError = {
+  kind: 'overloaded',
+  retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
+};
+
+/** An attempt at a statement that brought no answer. @public */
+export interface FailedAttempt<Kind extends string> {
+  readonly kind: Kind;
+  readonly error: CallerError;
+  readonly reason: string;
+}
 
 /** A reply that carries an error of the proxy. @public */
 export function createErrorReply(
@@ -41,6 +66,6 @@
       return {kind: 'unavailable', retryAfterMs: error.retryAfterMs};
     case 'cancelled':
     case 'disposed':
-      return {kind: 'unavailable', retryAfterMs: NO_SERVER_RETRY_AFTER_MS};
+      return SERVER_UNAVAILABLE;
   }
 }
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -12,8 +12,10 @@
 } from './gateway_context.js';
 import {
   convertPoolError,
-  NO_PRIMARY_RETRY_AFTER_MS,
-  NO_SERVER_RETRY_AFTER_MS,
+  PRIMARY_UNAVAILABLE,
+  SERVER_OVERLOADED,
+  SERVER_UNAVAILABLE,
+  type FailedAttempt,
 } from './refusal.js';
 import {
   recordOutcomeUnknown,
@@ -36,16 +38,8 @@
 
 type AttemptResult =
   | {readonly kind: 'answered'; readonly answer: BackendAnswer}
-  | {
-      readonly kind: 'notRun';
-      readonly error: CallerError;
-      readonly reason: string;
-    }
-  | {
-      readonly kind: 'failed';
-      readonly error: CallerError;
-      readonly reason: string;
-    };
+  | FailedAttempt<'notRun'>
+  | FailedAttempt<'failed'>;
 
 /**
  * Executes a write outside a transaction. It is repeated only when it is known
@@ -67,10 +61,7 @@
   }
 
   async run(): Promise<BackendAnswer | CallerError> {
-    let error: CallerError = {
-      kind: 'unavailable',
-      retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS,
-    };
+    let error: CallerError = PRIMARY_UNAVAILABLE;
     let reason = 'no primary';
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const server = await this.findPrimary();
@@ -110,14 +101,14 @@
     if (server.isUnreachable) {
       return {
         kind: 'failed',
-        error: {kind: 'unavailable', retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS},
+        error: PRIMARY_UNAVAILABLE,
         reason: 'the primary is out of reach',
       };
     }
     if (group.writes.shouldRefuse()) {
       return {
         kind: 'failed',
-        error: {kind: 'unavailable', retryAfterMs: NO_PRIMARY_RETRY_AFTER_MS},
+        error: PRIMARY_UNAVAILABLE,
         reason: 'earlier writes are not acknowledged',
       };
     }
@@ -194,7 +185,7 @@
     const kind = rejection === 'overloaded' ? 'failed' : 'notRun';
     return {
       kind,
-      error: {kind: 'overloaded', retryAfterMs: NO_SERVER_RETRY_AFTER_MS},
+      error: SERVER_OVERLOADED,
       reason: `rejected: ${code}`,
     };
   }
@@ -204,28 +195,28 @@
     lease: PoolLease<PooledLink>,
     error: RunError,
   ): AttemptResult {
-    const unavailable: CallerError = {
-      kind: 'unavailable',
-      retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
-    };
     switch (error.kind) {
       case 'sendDeclined':
         lease.release('clean');
         return {
           kind: 'notRun',
-          error: unavailable,
+          error: SERVER_UNAVAILABLE,
           reason: 'the primary was given up',
         };
       case 'preparationFailed':
         lease.release('doubtful');
         return {
           kind: 'notRun',
-          error: unavailable,
+          error: SERVER_UNAVAILABLE,
           reason: `preparation: ${error.code}`,
         };
       case 'notSent':
         lease.release('doubtful');
-        return {kind: 'notRun', error: unavailable, reason: error.reason};
+        return {
+          kind: 'notRun',
+          error: SERVER_UNAVAILABLE,
+          reason: error.reason,
+        };
       case 'connectionLost':
       case 'timedOut':
         lease.release('unacknowledged');
--- a/packages/gateway/src/simulation/deployment_mutants.ts
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -11,18 +11,12 @@
   TableChanges,
   WatchableTable,
 } from '../directory/watchable_table.js';
-import type {HistoryFault, HistoryPlan} from './history_fault.js';
-import type {Mutant} from './mutant.js';
+import {planWith, type Mutant} from './mutant.js';
 import {bind, NOT_ASKED} from './mutant_parts.js';
 import {UNNAMED} from './simulated_link.js';
 
 /** Mutants of directory, configuration, addresses and recovery. */
 
-/** Three seeds for one list of faults. */
-function planWith(faults: readonly HistoryFault[]): readonly HistoryPlan[] {
-  return [1, 2, 3].map(seed => ({seed, faults}));
-}
-
 const EITHER_REPLICA = [0, 1] as const;
 
 /** All of them. @internal */
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -13,7 +13,7 @@
 import {FaultInjector} from './fault_injector.js';
 import {getLastEndMs, type HistoryPlan} from './history_fault.js';
 import {ConfigurationOracle} from './configuration_oracle.js';
-import {RecoveryJudge} from './recovery_judge.js';
+import {RecoveryJudge, RESTART_MS} from './recovery_judge.js';
 import {SimulatedNetwork, STORE} from './simulated_network.js';
 import {
   OPTIONAL_ROUTE,
@@ -45,9 +45,6 @@
 
 const STEP_MS = 5;
 
-/** Time from the end of a process to the start of the next one. */
-const RESTART_MS = 1_000;
-
 /** Interval at which each proxy is asked by the optional route. */
 const PROBE_INTERVAL_MS = 200;
 
--- a/packages/gateway/src/simulation/mutant.ts
+++ b/packages/gateway/src/simulation/mutant.ts
@@ -1,4 +1,4 @@
-import type {HistoryPlan} from './history_fault.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
 import type {Violation} from './safety_oracle.js';
 import type {GatewayMutation} from './simulated_proxy.js';
 
@@ -10,3 +10,10 @@
   /** One of these rules must be seen broken. */
   readonly rules: readonly Violation['rule'][];
 }
+
+/** Three seeds for one list of faults. @internal */
+export function planWith(
+  faults: readonly HistoryFault[],
+): readonly HistoryPlan[] {
+  return [1, 2, 3].map(seed => ({seed, faults}));
+}
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -3,7 +3,7 @@
 import {ENTRY_VM_PREFIX, FAILOVER_DUTY_KEY} from '../control/control_record.js';
 import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
 import type {HistoryPlan} from './history_fault.js';
-import type {Mutant} from './mutant.js';
+import {planWith, type Mutant} from './mutant.js';
 import {
   bind,
   bindPeers,
@@ -16,53 +16,44 @@
 } from './mutant_parts.js';
 
 /** The primary and one proxy are cut off together, just after it renewed its lease. */
-const CUT_WITH_PROXY: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
-  seed,
-  faults: [
-    {
-      kind: 'cutPrimary',
-      atMs: 3_300,
-      forMs: 14_000,
-      proxies: [1, 2],
-      isFromReplicas: true,
-    },
-    {kind: 'cutProxy', atMs: 3_300, forMs: 14_000, proxy: 0},
-  ],
-}));
+const CUT_WITH_PROXY: readonly HistoryPlan[] = planWith([
+  {
+    kind: 'cutPrimary',
+    atMs: 3_300,
+    forMs: 14_000,
+    proxies: [1, 2],
+    isFromReplicas: true,
+  },
+  {kind: 'cutProxy', atMs: 3_300, forMs: 14_000, proxy: 0},
+]);
 
 /** The primary is cut off from one replica's side only while it is replaced. */
-const CRASHES: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
-  seed,
-  faults: [
-    {kind: 'deafReplica', atMs: 500, forMs: 4_000, replica: 0},
-    {kind: 'crashPrimary', atMs: 2_000, forMs: 3_000},
-  ],
-}));
+const CRASHES: readonly HistoryPlan[] = planWith([
+  {kind: 'deafReplica', atMs: 500, forMs: 4_000, replica: 0},
+  {kind: 'crashPrimary', atMs: 2_000, forMs: 3_000},
+]);
 
 /**
  * The primary and one proxy are cut off together, but for one other proxy,
  * which is not the holder of the duty.
  */
-const CUT_BUT_FOR_ONE_PEER: readonly HistoryPlan[] = [1, 2].flatMap(cutOff =>
-  [1, 2, 3].map(seed => ({
-    seed,
-    faults: [
-      {
-        kind: 'cutPrimary' as const,
-        atMs: 1_200,
-        forMs: 13_000,
-        proxies: [0, 3 - cutOff],
-        isFromReplicas: true,
-      },
-      {kind: 'cutStore' as const, atMs: 1_200, forMs: 13_000, proxy: cutOff},
-      {
-        kind: 'cutPeers' as const,
-        atMs: 1_200,
-        forMs: 13_000,
-        proxies: [0, cutOff] as const,
-      },
-    ],
-  })),
+const CUT_BUT_FOR_ONE_PEER = [1, 2].flatMap(cutOff =>
+  planWith([
+    {
+      kind: 'cutPrimary',
+      atMs: 1_200,
+      forMs: 13_000,
+      proxies: [0, 3 - cutOff],
+      isFromReplicas: true,
+    },
+    {kind: 'cutStore', atMs: 1_200, forMs: 13_000, proxy: cutOff},
+    {
+      kind: 'cutPeers',
+      atMs: 1_200,
+      forMs: 13_000,
+      proxies: [0, cutOff],
+    },
+  ]),
 );
 
 /**
@@ -92,43 +83,34 @@
  * One proxy alone reaches the primary and goes on writing, acknowledged by one
  * replica, while the store is down and nothing can be changed.
  */
-const WRITES_WITHOUT_STORE: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
-  seed,
-  faults: [
-    {
-      kind: 'cutPrimary',
-      atMs: 13_000,
-      forMs: 5_000,
-      proxies: [1, 2],
-      isFromReplicas: false,
-    },
-    {kind: 'storeDown', atMs: 12_900, forMs: 5_100},
-    {kind: 'deafReplica', atMs: 12_900, forMs: 5_100, replica: 0},
-  ],
-}));
+const WRITES_WITHOUT_STORE: readonly HistoryPlan[] = planWith([
+  {
+    kind: 'cutPrimary',
+    atMs: 13_000,
+    forMs: 5_000,
+    proxies: [1, 2],
+    isFromReplicas: false,
+  },
+  {kind: 'storeDown', atMs: 12_900, forMs: 5_100},
+  {kind: 'deafReplica', atMs: 12_900, forMs: 5_100, replica: 0},
+]);
 
-const CUTS_OF_REPLICAS: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
-  seed,
-  faults: [
-    {
-      kind: 'cutPrimary',
-      atMs: 1_000,
-      forMs: 5_000,
-      proxies: [],
-      isFromReplicas: true,
-    },
-  ],
-}));
+const CUTS_OF_REPLICAS: readonly HistoryPlan[] = planWith([
+  {
+    kind: 'cutPrimary',
+    atMs: 1_000,
+    forMs: 5_000,
+    proxies: [],
+    isFromReplicas: true,
+  },
+]);
 
-const LOST_STORE: readonly HistoryPlan[] = [1, 2, 3].map(seed => ({
-  seed,
-  faults: [
-    {kind: 'cutProxy', atMs: 500, forMs: 6_000, proxy: 0},
-    {kind: 'cutProxy', atMs: 500, forMs: 6_000, proxy: 1},
-    {kind: 'crashPrimary', atMs: 4_000, forMs: 9_000},
-    {kind: 'crashPrimary', atMs: 9_000, forMs: 9_000},
-  ],
-}));
+const LOST_STORE: readonly HistoryPlan[] = planWith([
+  {kind: 'cutProxy', atMs: 500, forMs: 6_000, proxy: 0},
+  {kind: 'cutProxy', atMs: 500, forMs: 6_000, proxy: 1},
+  {kind: 'crashPrimary', atMs: 4_000, forMs: 9_000},
+  {kind: 'crashPrimary', atMs: 9_000, forMs: 9_000},
+]);
 
 /** Leaves the lease as the one bound, to show that it holds by itself. */
 const WITHOUT_CONTACT_RULE = {contactWindowMs: 1_000_000} as const;
--- a/packages/gateway/src/simulation/recovery_judge.ts
+++ b/packages/gateway/src/simulation/recovery_judge.ts
@@ -1,8 +1,8 @@
 /** Time after the last fault from which requests must be served again. */
 const RECOVERY_MS = 12_000;
 
-/** Time that killed processes take to start again. */
-const RESTART_MS = 1_000;
+/** Time that killed processes take to start again. @internal */
+export const RESTART_MS = 1_000;
 
 /** Part of the later requests that must be served. */
 const MIN_SERVED_PART = 0.25;
--- a/packages/gateway/src/simulation/simulated_link.ts
+++ b/packages/gateway/src/simulation/simulated_link.ts
@@ -16,6 +16,11 @@
   BackendRejection,
   TransactionState,
 } from '../statement/statement_answer.js';
+import {
+  createCompleteAnswer,
+  createRejectedAnswer,
+  type AnswerEnd,
+} from '../testing/create_answer.js';
 import type {SafetyOracle} from './safety_oracle.js';
 import type {SimulatedGroup, SimulatedInstance} from './simulated_group.js';
 import type {SimulatedNetwork} from './simulated_network.js';
@@ -241,20 +246,18 @@
   }
 
   private complete(): BackendAnswer {
-    return {
-      rows: [],
-      result: {kind: 'complete', signature: 'signed'},
-      transactionState: this.transactionState,
-      position: this.options.group.getPosition(this.instance),
-    };
+    return createCompleteAnswer('signed', [], this.describeEnd());
   }
 
   private reject(rejection: BackendRejection): BackendAnswer {
+    return createRejectedAnswer(rejection, this.describeEnd());
+  }
+
+  private describeEnd(): AnswerEnd {
+    const {transactionState, instance} = this;
     return {
-      rows: [],
-      result: {kind: 'rejected', rejection, code: rejection, text: ''},
-      transactionState: this.transactionState,
-      position: this.options.group.getPosition(this.instance),
+      transactionState,
+      position: this.options.group.getPosition(instance),
     };
   }
 }
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -17,6 +17,11 @@
   BackendRejection,
   TransactionState,
 } from '../statement/statement_answer.js';
+import {
+  createCompleteAnswer,
+  createRejectedAnswer,
+  type AnswerEnd,
+} from './create_answer.js';
 
 /** What a fake server does with the next caller statement. @internal */
 export type StatementFate =
@@ -150,17 +155,9 @@
     };
     switch (fate.kind) {
       case 'reject':
-        return success({
-          rows: [],
-          result: {
-            kind: 'rejected',
-            rejection: fate.rejection,
-            code: fate.rejection,
-            text: '',
-          },
-          transactionState: this.transactionState,
-          position: this.backend.getPosition(backendServer),
-        });
+        return success(
+          createRejectedAnswer(fate.rejection, this.describeEnd()),
+        );
       case 'loseBeforeRun':
         this.close();
         return failure({kind: 'connectionLost', reason: 'test'});
@@ -242,11 +239,16 @@
   }
 
   private complete(signature: string): Result<BackendAnswer, LinkError> {
-    return success({
-      rows: [`row of ${signature}`],
-      result: {kind: 'complete', signature},
-      transactionState: this.transactionState,
-      position: this.backend.getPosition(this.backendServer.backendServer),
-    });
+    const rows = [`row of ${signature}`];
+    return success(createCompleteAnswer(signature, rows, this.describeEnd()));
+  }
+
+  private describeEnd(): AnswerEnd {
+    const {transactionState} = this;
+    const {backendServer} = this.backendServer;
+    return {
+      transactionState,
+      position: this.backend.getPosition(backendServer),
+    };
   }
 }
