Duty held where the fewest primaries are; a cut-off proxy is waited for 1.5 s after its last contact

Change: the holder passes the duty on to a zone with fewer primaries while nothing is in doubt; the contact window is 1.5 s, renewed at half of it.

--- a/packages/gateway/src/control/contact_keeper.ts
+++ b/packages/gateway/src/control/contact_keeper.ts
@@ -25,7 +25,7 @@
 }
 
 /** Part of the window after which another contact is sought. */
-const REFRESH_PART = 0.55;
+const REFRESH_PART = 0.5;
 
 /**
  * Keeps a proxy in contact between its reads of the store: asks a proxy of
--- a/packages/gateway/src/control/contact_watch.ts
+++ b/packages/gateway/src/control/contact_watch.ts
@@ -7,7 +7,7 @@
  *
  * @public
  */
-export const CONTACT_WINDOW_MS = 2_800;
+export const CONTACT_WINDOW_MS = 1_500;
 
 /** Whether a proxy may rely on what it knows of primaries. @public */
 export interface ContactProof {
--- /dev/null
+++ b/packages/gateway/src/control/duty_placement_test.ts
@@ -0,0 +1,111 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {success} from '@filbertrun/base/result.js';
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockWatch} from '../group/clock_watch.js';
+import {RecordedEvents} from '../observability/gateway_events.js';
+import type {DutyHandover, PeerCaller} from '../peer/peer_caller.js';
+import {bindPeers} from '../simulation/mutant_parts.js';
+import {FakeControlTable} from '../testing/fake_control_table.js';
+import {FakePeers} from '../testing/fake_peers.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {advanceClock} from '../testing/settle.js';
+import type {EntryVmRecord} from './control_record.js';
+import {DutyPlacement} from './duty_placement.js';
+import {FailoverDutyLease} from './failover_duty_lease.js';
+
+const ELSEWHERE: EntryVmRecord = {
+  entryVm: 'entry-2',
+  availabilityZone: 'zone-b',
+  peerHost: '127.0.0.1',
+  peerPort: 1,
+  incarnation: 'one',
+  leaseEndStoreMs: 0,
+  contactWindowMs: null,
+};
+
+/** Longer than the interval at which the placement looks. */
+const LOOK_MS = 1_100;
+
+describe('DutyPlacement', () => {
+  let clock: VirtualClock;
+  let duty: FailoverDutyLease;
+  let placement: DutyPlacement;
+  let primaryZones: readonly string[] | null;
+  let digestOfOther: string | null;
+  let handovers: DutyHandover[];
+
+  beforeEach(async () => {
+    clock = VirtualClock.create();
+    primaryZones = ['zone-a'];
+    digestOfOther = 'same';
+    handovers = [];
+    duty = FailoverDutyLease.create({
+      entryVm: 'entry-1',
+      incarnation: 'one',
+      table: FakeControlTable.create(clock),
+      clockWatch: ClockWatch.create(clock, FakeWallClock.create(clock)),
+      random: SeededRandom.create(1),
+      events: RecordedEvents.create(),
+    });
+    const peers: PeerCaller = {
+      ...bindPeers(FakePeers.create()),
+      compareRecords: () => Promise.resolve(success({digest: digestOfOther})),
+      handOverDuty: (_peer, handover) => {
+        handovers.push(handover);
+        return Promise.resolve(success(undefined));
+      },
+    };
+    placement = DutyPlacement.create({
+      clock,
+      availabilityZone: 'zone-a',
+      duty,
+      peers,
+      findPrimaryZones: () => primaryZones,
+      getOtherEntryVms: () => [ELSEWHERE],
+      computeDigest: () => 'same',
+    });
+    await duty.maintain();
+  });
+
+  async function look(): Promise<void> {
+    await advanceClock(clock, LOOK_MS);
+    await placement.maintain();
+  }
+
+  it('passes the duty on to a zone without primaries, and stops acting on it first', async () => {
+    await look();
+    expect(handovers).toEqual([{fencingToken: 1}]);
+    expect(duty.getFencingToken()).toBeNull();
+  });
+
+  it('keeps the duty where no zone is better', async () => {
+    primaryZones = ['zone-b'];
+    await look();
+    expect(handovers).toEqual([]);
+    expect(duty.getFencingToken()).toBe(1);
+  });
+
+  it('keeps the duty while a primary is in doubt', async () => {
+    primaryZones = null;
+    await look();
+    expect(handovers).toEqual([]);
+  });
+
+  it('keeps the duty while the other proxy knows other primaries', async () => {
+    digestOfOther = 'other';
+    await look();
+    expect(handovers).toEqual([]);
+    expect(duty.getFencingToken()).toBe(1);
+  });
+
+  it('keeps the duty for a while after a change of primary', async () => {
+    placement.noteChange();
+    await look();
+    expect(handovers).toEqual([]);
+    await advanceClock(clock, 8_000);
+    await duty.maintain();
+    await placement.maintain();
+    expect(handovers).toHaveLength(1);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import {ConnectionShares} from './control/connection_shares.js';
 import {ContactKeeper} from './control/contact_keeper.js';
 import {ContactWatch} from './control/contact_watch.js';
+import {DutyPlacement, findPrimaryZones} from './control/duty_placement.js';
 import {ControlPoller} from './control/control_poller.js';
 import {
   ENTRY_VM_PREFIX,
@@ -126,6 +127,7 @@
   private readonly registration: EntryVmRegistration;
   private readonly duty: FailoverDutyLease;
   private readonly coordinator: FailoverCoordinator;
+  private readonly dutyPlacement: DutyPlacement;
   private readonly readiness: ReadinessMonitor;
   private readonly reporter: SuspicionReporter;
   private upkeepTimer: Timer | null = null;
@@ -236,7 +238,19 @@
       listInstances: databaseGroup =>
         this.instances.listFromStore(databaseGroup),
       observeLeaseHolders: listing => this.observeLeaseHolders(listing),
-      handleRecord: record => this.answers.announce(record),
+      handleRecord: record => {
+        this.dutyPlacement.noteChange();
+        this.answers.announce(record);
+      },
+    });
+    this.dutyPlacement = DutyPlacement.create({
+      clock,
+      availabilityZone: self.availabilityZone,
+      duty: this.duty,
+      peers: options.peers,
+      findPrimaryZones: () => findPrimaryZones(this.getConfiguredGroups()),
+      getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+      computeDigest: () => this.answers.computeDigest(),
     });
     this.contactKeeper = ContactKeeper.create({
       availabilityZone: self.availabilityZone,
@@ -549,6 +563,7 @@
       return;
     }
     void this.contactKeeper.maintain();
+    void this.dutyPlacement.maintain();
     void this.maintainRecords();
   }
 
