Take the log of a primary that is left over from an earlier term for no proof

The first primary came back, still said primary of term 1, stepped down, and its log counted as that of the primary that was being replaced. A replica without a commit acknowledged in term 2 was promoted (LOST), and the left-over one, not paused, went on confirming for the replaced primary. Change: whether an instance led the old term is found from its id or its status before it steps down; one of an earlier term steps down and is then paused like any replica.

--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -1,7 +1,9 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import type {Result} from '@filbertrun/base/result.js';
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
 import type {
   InstanceControl,
+  InstanceControlError,
   InstanceStatus,
 } from '../backend/instance_control.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
@@ -116,16 +118,13 @@
   }
 
   private async fence(entry: BackendServerEntry): Promise<void> {
-    const {oldPrimary, clock} = this.options;
+    const {clock} = this.options;
     const {backendServer, startedAtEpochMs} = entry;
     this.pending.add(backendServer);
-    const known = this.fences.get(backendServer);
-    const wasPrimary =
-      backendServer === oldPrimary ||
-      entry.reportedRole === 'primary' ||
-      known?.wasPrimary === true ||
-      known?.status.role === 'primary';
-    const result = await this.send(entry, wasPrimary);
+    const wasPrimary = await this.findWhetherItLed(entry);
+    const result = wasPrimary
+      ? await this.stepDown(entry)
+      : await this.pause(entry);
     this.pending.delete(backendServer);
     if (!result.ok && result.error.kind === 'wrongServer') {
       this.replaced.add(backendServer);
@@ -140,11 +139,50 @@
     }
   }
 
-  private send(entry: BackendServerEntry, isPrimary: boolean) {
+  /**
+   * Whether an instance led the old term. One that says primary may be left
+   * over from an earlier term, and its log then proves nothing.
+   */
+  private async findWhetherItLed(entry: BackendServerEntry): Promise<boolean> {
+    const {instances, oldPrimary, oldTerm} = this.options;
+    const known = this.fences.get(entry.backendServer);
+    if (entry.backendServer === oldPrimary || known?.wasPrimary === true) {
+      return true;
+    }
+    const saysPrimary =
+      entry.reportedRole === 'primary' || known?.status.role === 'primary';
+    if (!saysPrimary) {
+      return false;
+    }
+    const status = await instances.getStatus(entry);
+    return (
+      status.ok &&
+      status.value.role === 'primary' &&
+      status.value.term === oldTerm
+    );
+  }
+
+  private stepDown(entry: BackendServerEntry): Promise<ControlResult> {
     const {instances, oldTerm} = this.options;
-    const newTerm = oldTerm + 1;
-    return isPrimary
-      ? instances.stepDown(entry, newTerm)
-      : instances.pauseReplication(entry, newTerm);
+    return instances.stepDown(entry, oldTerm + 1);
+  }
+
+  /** Pauses an instance; a primary of an earlier term has to step down first. */
+  private async pause(entry: BackendServerEntry): Promise<ControlResult> {
+    const {instances, oldTerm} = this.options;
+    const result = await instances.pauseReplication(entry, oldTerm + 1);
+    const leadsEarlierTerm =
+      result.ok &&
+      result.value.role === 'primary' &&
+      result.value.term < oldTerm;
+    if (!leadsEarlierTerm) {
+      return result;
+    }
+    const steppedDown = await instances.stepDown(entry, oldTerm);
+    return steppedDown.ok
+      ? instances.pauseReplication(entry, oldTerm + 1)
+      : steppedDown;
   }
 }
+
+type ControlResult = Result<InstanceStatus, InstanceControlError>;
