Publish the last position of an old term only when every proxy has released it

Cause (drawn history): a proxy that was cut off with the primary came back before it was asked to release; the promoted replica restarted in between, which ended its pause, and confirmed five more writes of the old term. The others went on reading at the position published before (STALE, 21 reads). Change: the position is published only where nobody can write at the old primary any more. The time since the last contact gets a margin of its own (150 ms; a suspension below 100 ms goes unnoticed); the lease keeps 300 ms.

--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -288,10 +288,13 @@
     choice: Extract<PromotionChoice, {readonly kind: 'promote'}>,
   ): Promise<ChangeOutcome | null> {
     const {target, position} = choice;
-    if (!(await this.recordTarget(intent, target, position))) {
+    // While a proxy may write at the old primary, a replica that restarts can
+    // acknowledge more than the instances held when they were fenced.
+    const lastOldPosition = releases.haveAllAnswered ? position : null;
+    if (!(await this.recordTarget(intent, target, lastOldPosition))) {
       return this.abandon('the target could not be recorded');
     }
-    // Reads go on at the fenced replicas, which hold every acknowledged commit.
+    // Reads go on at the fenced replicas if these hold all that will be acknowledged.
     void this.announce();
     const {token} = this;
     if (token === null) {
@@ -357,9 +360,9 @@
   private async recordTarget(
     intent: ChangingRecord,
     target: string,
-    position: LogPosition,
+    lastOldPosition: LogPosition | null,
   ): Promise<boolean> {
-    return this.write({...intent, target, lastOldPosition: position});
+    return this.write({...intent, target, lastOldPosition});
   }
 
   /**
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -27,6 +27,12 @@
 /** Margin on the duration of a lease for clocks that run at different rates. */
 const LEASE_MARGIN_MS = 300;
 
+/**
+ * The same on the much shorter time since the last contact: a suspension that
+ * a proxy does not notice is shorter than 100 ms.
+ */
+const CONTACT_MARGIN_MS = 150;
+
 /** What became of one proxy's release. */
 interface PendingRelease {
   readonly holder: LeaseHolder;
@@ -70,6 +76,14 @@
     this.isStopped = true;
   }
 
+  /**
+   * Whether every proxy has promised to acknowledge nothing more of the old
+   * term. One that was waited out has lost its reads, not its writes.
+   */
+  get haveAllAnswered(): boolean {
+    return this.pending.every(({answeredAtMs}) => answeredAtMs !== null);
+  }
+
   /** Proxies that may still rely on the old primary. */
   getOutstanding(): readonly string[] {
     return this.findOutstanding().map(({holder}) => holder.record.entryVm);
@@ -83,9 +97,8 @@
     let lastMs: number | null = null;
     for (const release of this.findOutstanding()) {
       const {record, leaseEndMs} = release.holder;
-      const earlierMs = leaseEndMs - this.estimateEndMs(release);
-      const endMs = record.leaseEndStoreMs - earlierMs;
-      lastMs = Math.max(lastMs ?? 0, endMs + LEASE_MARGIN_MS);
+      const untilEndMs = this.estimateEndMs(release) - leaseEndMs;
+      lastMs = Math.max(lastMs ?? 0, record.leaseEndStoreMs + untilEndMs);
     }
     return lastMs;
   }
@@ -94,18 +107,24 @@
     const nowMs = this.options.clock.nowMs();
     return this.pending.filter(
       release =>
-        release.answeredAtMs === null &&
-        nowMs < this.estimateEndMs(release) + LEASE_MARGIN_MS,
+        release.answeredAtMs === null && nowMs < this.estimateEndMs(release),
     );
   }
 
-  /** Time up to which a proxy that has not answered may rely on the old primary. */
+  /**
+   * Time up to which a proxy that has not answered may rely on the old primary,
+   * with a margin.
+   */
   private estimateEndMs({holder}: PendingRelease): number {
     const {contactWindowMs} = holder.record;
     const lastContactMs = this.findLastContactMs(holder.record);
+    const leaseEndMs = holder.leaseEndMs + LEASE_MARGIN_MS;
     return contactWindowMs === null || lastContactMs === null
-      ? holder.leaseEndMs
-      : Math.min(holder.leaseEndMs, lastContactMs + contactWindowMs);
+      ? leaseEndMs
+      : Math.min(
+          leaseEndMs,
+          lastContactMs + contactWindowMs + CONTACT_MARGIN_MS,
+        );
   }
 
   /**
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -7,8 +7,11 @@
 const LEASE_END_MS = 12_000;
 const WINDOW_MS = 2_800;
 
-/** Margin of the collector for clocks that run at different rates. */
-const MARGIN_MS = 300;
+/** Margin of the collector on a lease, for clocks that run at different rates. */
+const LEASE_MARGIN_MS = 300;
+
+/** Margin on the time since the last contact; suspensions below 100 ms go unnoticed. */
+const MARGIN_MS = 150;
 
 function createHolder(
   entryVm: string,
@@ -89,7 +92,9 @@
       createHolder('cut', 'zone-c'),
     ];
     const collector = await collect(holders, ['e1']);
-    expect(collector.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    expect(collector.getLastLeaseEndStoreMs()).toBe(
+      LEASE_END_MS + LEASE_MARGIN_MS,
+    );
     await advanceClock(clock, WINDOW_MS + MARGIN_MS + 100);
     expect(collector.getOutstanding()).toEqual(['silent', 'cut']);
   });
@@ -111,9 +116,11 @@
       createHolder('old', 'zone-c', null),
     ];
     const collector = await collect(holders, ['e1']);
-    expect(collector.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    expect(collector.getLastLeaseEndStoreMs()).toBe(
+      LEASE_END_MS + LEASE_MARGIN_MS,
+    );
     const alone = await collect([createHolder('x', 'zone-a')], []);
-    expect(alone.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + MARGIN_MS);
+    expect(alone.getLastLeaseEndStoreMs()).toBe(LEASE_END_MS + LEASE_MARGIN_MS);
     collector.stop();
     alone.stop();
   });
