--- a/packages/gateway/src/control/contact_keeper.ts
+++ b/packages/gateway/src/control/contact_keeper.ts
@@ -20,6 +20,8 @@
   getOtherEntryVms(): readonly EntryVmRecord[];
   /** Digest of the records of primaries that this proxy knows. */
   computeDigest(): string;
+  /** Whether another proxy of the zone passes its contacts on to this one. */
+  isFollowing(): boolean;
   /** Reads the store. */
   readStore(): void;
 }
@@ -27,6 +29,12 @@
 /** Part of the window after which another contact is sought. */
 const REFRESH_PART = 0.5;
 
+/**
+ * The same for a proxy that hears of the contacts of its zone's reader: it
+ * seeks one of its own only where these stay out.
+ */
+const FOLLOWER_REFRESH_PART = 0.75;
+
 /**
  * Keeps a proxy in contact between its reads of the store: asks a proxy of
  * another availability zone whether it holds the same records. The store is
@@ -57,7 +65,10 @@
     this.recordState();
     const {contact} = this.options;
     const ageMs = contact.getAgeMs();
-    const isDue = ageMs === null || ageMs >= contact.windowMs * REFRESH_PART;
+    const refreshPart = this.options.isFollowing()
+      ? FOLLOWER_REFRESH_PART
+      : REFRESH_PART;
+    const isDue = ageMs === null || ageMs >= contact.windowMs * refreshPart;
     if (this.isAsking || !isDue) {
       return;
     }
--- a/packages/gateway/src/control/contact_keeper_test.ts
+++ b/packages/gateway/src/control/contact_keeper_test.ts
@@ -63,6 +63,7 @@
       random: SeededRandom.create(1),
       getOtherEntryVms: () => [createPeer(peerZone)],
       computeDigest: () => 'same',
+      isFollowing: () => false,
       readStore: () => storeReadCount++,
     });
     contact.noteContact(clockWatch.read());
--- a/packages/gateway/src/control/contact_watch.ts
+++ b/packages/gateway/src/control/contact_watch.ts
@@ -7,7 +7,7 @@
  *
  * @public
  */
-export const CONTACT_WINDOW_MS = 1_500;
+export const CONTACT_WINDOW_MS = 1_400;
 
 /** Whether a proxy may rely on what it knows of primaries. @public */
 export interface ContactProof {
@@ -44,6 +44,11 @@
     }
   }
 
+  /** Start of the latest contact while it may be relied on, or null. */
+  getContactStart(): ClockReading | null {
+    return this.isInContact() ? this.contactAt : null;
+  }
+
   /** Time since the last contact; null without one since the clocks agree. */
   getAgeMs(): number | null {
     return this.contactAt === null
--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -19,6 +19,12 @@
   isUrgent(): boolean;
 }
 
+/** A listing with the time at which its read began. */
+interface TimedListing {
+  readonly listing: TableListing;
+  readonly readAt: ClockReading;
+}
+
 /** Longest interval between reads; each renewal of the registration reads as well. */
 const POLL_INTERVAL_MS = 5_500;
 
@@ -26,8 +32,8 @@
 const URGENT_INTERVAL_MS = 300;
 
 /**
- * Reads the control table again and again. Each read renews what the process
- * may rely on for a while.
+ * Reads the control table again and again, or takes what another proxy has
+ * read. Each read renews what the process may rely on for a while.
  *
  * @public
  */
@@ -39,6 +45,8 @@
   private contactAtMs = Number.NEGATIVE_INFINITY;
   private newestRevision = 0;
   private scheduledDelayMs = 0;
+  private latest: TimedListing | null = null;
+  private isPaused = false;
   private isDisposed = false;
 
   private readonly dependency: DependencyTracker;
@@ -75,9 +83,47 @@
     this.timer?.cancel();
   }
 
+  /** The newest listing, whoever read it. */
+  get newestListing(): TableListing | null {
+    return this.latest?.listing ?? null;
+  }
+
+  /** Reads nothing until `resume`; listings come by `takeListing` meanwhile. */
+  pause(): void {
+    this.isPaused = true;
+    this.timer?.cancel();
+  }
+
+  resume(): void {
+    if (this.isPaused && !this.isDisposed) {
+      this.isPaused = false;
+      void this.poll();
+    }
+  }
+
+  /** Takes a listing that another proxy has read, if it is not out of date. */
+  takeListing(listing: TableListing, readAt: ClockReading): void {
+    if (listing.revision < this.newestRevision) {
+      return;
+    }
+    this.contactAtMs = Math.max(this.contactAtMs, readAt.timeMs);
+    this.newestRevision = listing.revision;
+    this.latest = {listing, readAt};
+    this.dependency.noteAvailable();
+    this.options.handleListing(listing, readAt);
+  }
+
+  /** Handles the newest listing once more, for whoever did not know it. */
+  repeat(): void {
+    if (this.latest !== null) {
+      this.options.handleListing(this.latest.listing, this.latest.readAt);
+    }
+  }
+
   /** Reads at once if something urgent has come up since the last read. */
   hasten(): void {
-    const isWaiting = this.scheduledDelayMs === POLL_INTERVAL_MS;
+    const isWaiting =
+      !this.isPaused && this.scheduledDelayMs === POLL_INTERVAL_MS;
     if (isWaiting && this.reading === null && this.options.isUrgent()) {
       this.timer?.cancel();
       void this.poll();
@@ -90,6 +136,9 @@
    * follows it.
    */
   async readNow(): Promise<boolean> {
+    if (this.isPaused) {
+      return false;
+    }
     if (this.reading !== null) {
       this.next ??= this.reading.then(() => {
         this.next = null;
@@ -109,7 +158,7 @@
 
   private async poll(): Promise<void> {
     const hasAnswered = await this.readNow();
-    if (this.isDisposed) {
+    if (this.isDisposed || this.isPaused) {
       return;
     }
     const isUrgent = !hasAnswered || this.options.isUrgent();
@@ -140,8 +189,12 @@
     }
     this.contactAtMs = clock.nowMs();
     this.newestRevision = result.value.revision;
+    this.latest = {listing: result.value, readAt};
     this.dependency.noteAvailable();
     this.options.handleListing(result.value, readAt);
+    if (this.isPaused) {
+      return true;
+    }
     if (this.scheduledDelayMs === POLL_INTERVAL_MS) {
       this.schedule(POLL_INTERVAL_MS);
     }
--- a/packages/gateway/src/control/duty_placement.ts
+++ b/packages/gateway/src/control/duty_placement.ts
@@ -92,7 +92,7 @@
     if (!isReady || findPrimaryZones() === null) {
       return false;
     }
-    const fencingToken = duty.stopActing(
+    const fencingToken = duty.passOn(
       `${successor.entryVm} is in a zone with fewer primaries`,
     );
     if (fencingToken !== null) {
--- a/packages/gateway/src/control/duty_placement_test.ts
+++ b/packages/gateway/src/control/duty_placement_test.ts
@@ -47,6 +47,7 @@
       clockWatch: ClockWatch.create(clock, FakeWallClock.create(clock)),
       random: SeededRandom.create(1),
       events: RecordedEvents.create(),
+      mayTakeOver: () => true,
     });
     const peers: PeerCaller = {
       ...bindPeers(FakePeers.create()),
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -1,4 +1,5 @@
 import type {
+  ConditionalWrite,
   ListableTable,
   TableEntry,
   TableListing,
@@ -24,11 +25,21 @@
   readonly clockWatch: ClockWatch;
   /** What the record states of contact. */
   readonly contactWindowMs: number;
+  /** Incarnations of the proxies whose leases this one extends, by entry VM. */
+  getFollowers(): ReadonlyMap<string, string>;
+  /** Whether another proxy extends the leases of this one. */
+  isFollowing(): boolean;
 }
 
 /** Interval at which an entry VM extends its leases. */
 const RENEWAL_INTERVAL_MS = 5_000;
 
+/** Time after which one whose leases another proxy extends does so itself. */
+const FOLLOWER_RENEWAL_MS = 7_000;
+
+/** Records that are written at once. */
+const MAX_BATCH = 100;
+
 /** Least time between a failed write and the next one. */
 const RETRY_INTERVAL_MS = 500;
 
@@ -63,7 +74,6 @@
 export class EntryVmRegistration {
   private readonly observed = new Map<string, ObservedEntryVm>();
   private storeClock: StoreClockReading | null = null;
-  private renewedAt: ClockReading | null = null;
   private failedAt: ClockReading | null = null;
   private isWriting = false;
   private isLeaving = false;
@@ -102,6 +112,7 @@
   /** Takes a listing whose read began at `readAt`. */
   observe(listing: TableListing, readAt: ClockReading): void {
     this.storeClock = {readAt, storeTimeMs: listing.storeTimeMs};
+    const own = this.observed.get(this.options.self.entryVm);
     this.observed.clear();
     for (const [key, entry] of listing.entries) {
       if (key.startsWith(ENTRY_VM_PREFIX)) {
@@ -109,8 +120,12 @@
       }
     }
     const {entryVm, incarnation} = this.options.self;
-    const own = this.getEntryVm(entryVm);
-    if (own !== null && own.incarnation !== incarnation) {
+    if (own !== undefined && own.revision > listing.revision) {
+      // Written after the listing was read.
+      this.observed.set(entryVm, own);
+    }
+    const present = this.getEntryVm(entryVm);
+    if (present !== null && present.incarnation !== incarnation) {
       this.hasSeenPredecessor = true;
     }
   }
@@ -121,50 +136,41 @@
    */
   getLeaseDurationMs(listing: TableListing): number {
     const {entryVm, incarnation} = this.options.self;
-    const record = this.getEntryVm(entryVm);
+    // As listed: whoever changes a primary may not see a later renewal.
+    const entry = listing.entries.get(getEntryVmKey(entryVm));
+    const record =
+      entry === undefined
+        ? null
+        : parseRecord(entryVmRecordSchema, entry.value);
     if (record?.incarnation !== incarnation || this.isLeaving) {
       return 0;
     }
     return Math.max(0, record.leaseEndStoreMs - listing.storeTimeMs);
   }
 
-  /** Writes the own record when it is missing or due; true when it was written. */
+  /**
+   * Writes the own record when it is missing or due, and those of the proxies
+   * that follow this one with it; true when they were written.
+   */
   async maintain(): Promise<boolean> {
     const {storeClock} = this;
-    if (this.isWriting || this.isLeaving || !this.isDue()) {
+    if (this.isWriting || this.isLeaving || storeClock === null) {
       return false;
     }
-    if (storeClock === null) {
+    if (!this.isDue(storeClock)) {
       return false;
     }
     this.isWriting = true;
-    const {self, table, clockWatch} = this.options;
-    const startedAt = clockWatch.read();
-    const known = this.observed.get(self.entryVm) ?? null;
-    const record: EntryVmRecord = {
-      ...self,
-      leaseEndStoreMs: this.estimateStoreTimeMs(storeClock) + LEASE_DURATION_MS,
-      contactWindowMs: this.options.contactWindowMs,
-    };
-    const result = await table.putEntry({
-      key: getEntryVmKey(self.entryVm),
-      value: JSON.stringify(record),
-      expectedRevision: known?.revision ?? 0,
-    });
-    this.isWriting = false;
-    if (result.ok) {
-      this.renewedAt = startedAt;
-      this.observed.set(self.entryVm, {
-        record,
-        revision: result.value.revision,
-      });
-      return true;
+    const leaseEndStoreMs =
+      this.estimateStoreTimeMs(storeClock) + LEASE_DURATION_MS;
+    const records = this.createRecords(leaseEndStoreMs);
+    let isWritten = true;
+    for (let start = 0; start < records.length; start += MAX_BATCH) {
+      const batch = records.slice(start, start + MAX_BATCH);
+      isWritten = (await this.write(batch)) && isWritten;
     }
-    this.failedAt = clockWatch.read();
-    if (result.error.kind === 'conflict' && result.error.current !== null) {
-      this.observeEntry(result.error.current);
-    }
-    return false;
+    this.isWriting = false;
+    return isWritten;
   }
 
   /** Removes the own record; the proxy relies on no primary from here on. */
@@ -197,8 +203,95 @@
     }
   }
 
-  private isDue(): boolean {
-    const {self, clockWatch} = this.options;
+  /** The own record and those of the followers, with a new end of their leases. */
+  private createRecords(leaseEndStoreMs: number): readonly EntryVmRecord[] {
+    const {self, contactWindowMs, getFollowers} = this.options;
+    const records: EntryVmRecord[] = [
+      {...self, leaseEndStoreMs, contactWindowMs},
+    ];
+    for (const [entryVm, incarnation] of getFollowers()) {
+      const record = this.getEntryVm(entryVm);
+      if (entryVm !== self.entryVm && record?.incarnation === incarnation) {
+        records.push({...record, leaseEndStoreMs});
+      }
+    }
+    return records;
+  }
+
+  private write(records: readonly EntryVmRecord[]): Promise<boolean> {
+    const [first] = records;
+    return records.length === 1 && first !== undefined
+      ? this.writeAlone(first)
+      : this.writeTogether(records);
+  }
+
+  private async writeAlone(record: EntryVmRecord): Promise<boolean> {
+    const {table, clockWatch} = this.options;
+    const result = await table.putEntry(this.createWrite(record));
+    if (result.ok) {
+      const {revision} = result.value;
+      this.observed.set(record.entryVm, {record, revision});
+      return true;
+    }
+    this.failedAt = clockWatch.read();
+    if (result.error.kind === 'conflict' && result.error.current !== null) {
+      this.observeEntry(result.error.current);
+    }
+    return false;
+  }
+
+  private async writeTogether(
+    records: readonly EntryVmRecord[],
+  ): Promise<boolean> {
+    const {table, clockWatch, self} = this.options;
+    const result = await table.putEntries(
+      records.map(record => this.createWrite(record)),
+    );
+    if (result.ok) {
+      for (const record of records) {
+        const entry = result.value.get(getEntryVmKey(record.entryVm));
+        if (entry !== undefined) {
+          const {revision} = entry;
+          this.observed.set(record.entryVm, {record, revision});
+        }
+      }
+      return true;
+    }
+    let mayRepeatAtOnce = false;
+    if (result.error.kind === 'conflicts') {
+      const {current} = result.error;
+      this.observeConflicts(current);
+      // Only records of others have changed; the next try takes them as they are.
+      mayRepeatAtOnce = !current.has(getEntryVmKey(self.entryVm));
+    }
+    if (!mayRepeatAtOnce) {
+      this.failedAt = clockWatch.read();
+    }
+    return false;
+  }
+
+  private createWrite(record: EntryVmRecord): ConditionalWrite {
+    return {
+      key: getEntryVmKey(record.entryVm),
+      value: JSON.stringify(record),
+      expectedRevision: this.observed.get(record.entryVm)?.revision ?? 0,
+    };
+  }
+
+  private observeConflicts(
+    current: ReadonlyMap<string, TableEntry | null>,
+  ): void {
+    for (const [key, entry] of current) {
+      if (entry === null) {
+        this.observed.delete(key.slice(ENTRY_VM_PREFIX.length));
+      } else {
+        this.observeEntry(entry);
+      }
+    }
+  }
+
+  private isDue(storeClock: StoreClockReading): boolean {
+    const {self, clockWatch, isFollowing} = this.options;
     if (this.failedAt !== null) {
       const sinceMs = clockWatch.getElapsedMs(this.failedAt);
       if (sinceMs !== null && sinceMs < RETRY_INTERVAL_MS) {
@@ -206,11 +299,14 @@
       }
     }
     const own = this.getEntryVm(self.entryVm);
-    if (own?.incarnation !== self.incarnation || this.renewedAt === null) {
+    if (own?.incarnation !== self.incarnation) {
       return true;
     }
-    const elapsedMs = clockWatch.getElapsedMs(this.renewedAt);
-    return elapsedMs === null || elapsedMs >= RENEWAL_INTERVAL_MS;
+    const intervalMs = isFollowing()
+      ? FOLLOWER_RENEWAL_MS
+      : RENEWAL_INTERVAL_MS;
+    const leftMs = own.leaseEndStoreMs - this.estimateStoreTimeMs(storeClock);
+    return leftMs <= LEASE_DURATION_MS - intervalMs;
   }
 
   /** The store's clock now; an estimate only moves how long a lease is asked for. */
--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -22,11 +22,15 @@
   let clock: VirtualClock;
   let watch: ClockWatch;
   let table: FakeControlTable;
+  let followers: Map<string, string>;
+  let isFollowing: boolean;
 
   beforeEach(() => {
     clock = VirtualClock.create();
     watch = ClockWatch.create(clock, FakeWallClock.create(clock));
     table = FakeControlTable.create(clock);
+    followers = new Map();
+    isFollowing = false;
   });
 
   function create(self = identify('entry-1')): EntryVmRegistration {
@@ -35,6 +39,8 @@
       table,
       clockWatch: watch,
       contactWindowMs: 2_500,
+      getFollowers: () => followers,
+      isFollowing: () => isFollowing,
     });
   }
 
--- a/packages/gateway/src/control/failover_duty_lease.ts
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -25,6 +25,9 @@
 /** Least time between a failed write and the next one. */
 const RETRY_INTERVAL_MS = 300;
 
+/** Time for which a proxy that has passed the duty on leaves it to others. */
+const PASSED_ON_MS = 2_000;
+
 /** Spread of the moments at which proxies try to take the duty over. */
 const TAKEOVER_JITTER_MS = 400;
 
@@ -36,6 +39,8 @@
   readonly clockWatch: ClockWatch;
   readonly random: RandomSource;
   readonly events: GatewayEvents;
+  /** Whether this proxy may take a duty over that it does not hold. */
+  mayTakeOver(): boolean;
 }
 
 interface ObservedDuty {
@@ -58,6 +63,9 @@
   private renewedAt: ClockReading | null = null;
   private heldToken: number | null = null;
   private yieldedToken = 0;
+  /** Highest token of a holder that has passed the duty to this proxy. */
+  private receivedToken = 0;
+  private passedOnAt: ClockReading | null = null;
   private failedAt: ClockReading | null = null;
   private isWriting = false;
   private readonly jitterMs: number;
@@ -94,15 +102,18 @@
       : this.options.clockWatch.getElapsedMs(this.renewedAt);
   }
 
-  /** Takes the record from a listing; `null` when there is none. */
-  observe(entry: TableEntry | null): void {
+  /**
+   * Takes the record from a listing whose read began at `readAt`; `null` when
+   * there is none.
+   */
+  observe(entry: TableEntry | null, readAt: ClockReading): void {
     if (entry === null) {
       this.observed = null;
       return;
     }
     if (this.observed !== null && entry.revision <= this.observed.revision) {
       if (entry.revision === this.observed.revision) {
-        this.seenAgainAt = this.options.clockWatch.read();
+        this.seenAgainAt = readAt;
       }
       return;
     }
@@ -157,13 +168,31 @@
     return token;
   }
 
-  /** Takes note that the holder of a token acts on it no more. */
-  noteYielded(fencingToken: number): void {
+  /** Like `stopActing`, and leaves the duty to others for a while. */
+  passOn(reason: string): number | null {
+    this.passedOnAt = this.options.clockWatch.read();
+    return this.stopActing(reason);
+  }
+
+  /** Takes the duty from the holder of a token, who acts on it no more. */
+  receive(fencingToken: number): void {
     this.yieldedToken = Math.max(this.yieldedToken, fencingToken);
+    this.receivedToken = this.yieldedToken;
+    this.passedOnAt = null;
+    this.failedAt = null;
   }
 
   private shouldWrite(): boolean {
     const {observed, options} = this;
+    if (this.hasPassedOn()) {
+      return false;
+    }
+    const duty = observed?.duty ?? null;
+    const isReceived = duty !== null && duty.fencingToken <= this.receivedToken;
+    const isNamed = duty?.holder === options.entryVm;
+    if (!isReceived && !isNamed && !options.mayTakeOver()) {
+      return false;
+    }
     if (observed === null || observed.duty.holder === null) {
       return true;
     }
@@ -176,6 +205,14 @@
     return this.hasStoodStill();
   }
 
+  private hasPassedOn(): boolean {
+    if (this.passedOnAt === null) {
+      return false;
+    }
+    const elapsedMs = this.options.clockWatch.getElapsedMs(this.passedOnAt);
+    return elapsedMs !== null && elapsedMs < PASSED_ON_MS;
+  }
+
   /**
    * Whether another holder's record stood still for so long that its holder is
    * gone. A listing has to show it: without one, every proxy would try to write
@@ -247,7 +284,12 @@
   private handleWriteError(error: PlatformError): void {
     this.failedAt = this.options.clockWatch.read();
     if (error.kind === 'conflict') {
-      this.observe(error.current);
+      this.observe(error.current, this.failedAt);
+      const token = this.observed?.duty.fencingToken ?? 0;
+      if (token <= this.receivedToken) {
+        // The record had been renewed before it was passed on.
+        this.failedAt = null;
+      }
     }
   }
 
--- a/packages/gateway/src/control/failover_duty_lease_test.ts
+++ b/packages/gateway/src/control/failover_duty_lease_test.ts
@@ -34,11 +34,13 @@
       clockWatch: ClockWatch.create(clock, wallClock),
       random: SeededRandom.create(1),
       events: RecordedEvents.create(),
+      mayTakeOver: () => true,
     });
   }
 
   function observe(duty: FailoverDutyLease): void {
-    duty.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null);
+    const readAt = ClockWatch.create(clock, wallClock).read();
+    duty.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
   }
 
   it('is held by one proxy', async () => {
@@ -136,7 +138,7 @@
     await first.maintain();
     observe(second);
     const token = first.stopActing('test');
-    second.noteYielded(token ?? 0);
+    second.receive(token ?? 0);
     await second.maintain();
     expect(second.getFencingToken()).toBe(2);
     await second.resign();
--- a/packages/gateway/src/control/relaying_control_table.ts
+++ b/packages/gateway/src/control/relaying_control_table.ts
@@ -2,6 +2,7 @@
 import {failure, type Result} from '@filbertrun/base/result.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {
+  BatchWriteError,
   ConditionalWrite,
   ListableTable,
   PlatformError,
@@ -97,6 +98,15 @@
     return this.relay(peer => this.options.relay.putControl(peer, write));
   }
 
+  /** Not carried by another proxy: each of the proxies concerned can write its own key. */
+  async putEntries(
+    writes: readonly ConditionalWrite[],
+  ): Promise<Result<ReadonlyMap<string, TableEntry>, BatchWriteError>> {
+    const result = await this.options.direct.putEntries(writes);
+    this.noteResult(result);
+    return result;
+  }
+
   /** The write of another proxy, on the store alone. */
   putForPeer(
     write: ConditionalWrite,
@@ -119,8 +129,14 @@
     return result;
   }
 
-  private noteResult(result: Result<unknown, PlatformError>): void {
-    if (result.ok || result.error.kind === 'conflict') {
+  private noteResult(
+    result: Result<unknown, PlatformError | BatchWriteError>,
+  ): void {
+    const hasAnswered =
+      result.ok ||
+      result.error.kind === 'conflict' ||
+      result.error.kind === 'conflicts';
+    if (hasAnswered) {
       this.failedAtMs = Number.NEGATIVE_INFINITY;
     } else {
       this.failedAtMs = this.options.clock.nowMs();
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -19,7 +19,7 @@
    * Time for which the store may hold a watch open without a change. A watch
    * that goes silent is noticed a little later than this.
    */
-  readonly waitMs: number;
+  getWaitMs(): number;
   readonly table: WatchableTable<T>;
   readonly listener: TableListener<T>;
   readonly clock: Clock;
@@ -43,6 +43,9 @@
   private failureCount = 0;
   private timer: Timer | null = null;
   private isDisposed = false;
+  private isPaused = false;
+  /** Tells the calls of one run of the watch from those before a pause. */
+  private run = 0;
 
   private readonly dependency: DependencyTracker;
 
@@ -59,8 +62,42 @@
     return new TableWatcher(options);
   }
 
+  /** Whether the last call was answered. */
+  get isAnswered(): boolean {
+    return this.failureCount === 0;
+  }
+
   start(): void {
-    void this.runOnce();
+    void this.runOnce(this.run);
+  }
+
+  /** Asks nothing until `resume`; what is still answered is discarded. */
+  pause(): void {
+    this.isPaused = true;
+    this.run++;
+    this.timer?.cancel();
+  }
+
+  /** Goes on after the newest known revision. */
+  resume(): void {
+    if (this.isPaused && !this.isDisposed) {
+      this.isPaused = false;
+      this.start();
+    }
+  }
+
+  /** Takes what another proxy has read; `isListing` says that it is all keys. */
+  takeNews(news: TableChanges<T>, isListing: boolean): void {
+    if (news.revision < (this.revision ?? 0)) {
+      return;
+    }
+    this.revision = news.revision;
+    if (isListing) {
+      this.mustList = false;
+      this.options.listener.handleListing(news);
+    } else if (news.changes.length > 0) {
+      this.options.listener.handleChanges(news);
+    }
   }
 
   dispose(): void {
@@ -68,26 +105,32 @@
     this.timer?.cancel();
   }
 
-  private async runOnce(): Promise<void> {
-    const failureReason = await (this.mustList ? this.list() : this.watch());
-    if (this.isDisposed) {
+  private async runOnce(run: number): Promise<void> {
+    const failureReason = await (this.mustList
+      ? this.list(run)
+      : this.watch(run));
+    if (this.isOver(run)) {
       return;
     }
     if (failureReason === null) {
       this.recordContact();
-      void this.runOnce();
+      void this.runOnce(run);
       return;
     }
     this.recordFailure(failureReason);
     this.timer = this.options.clock.startTimer(this.getRetryDelayMs(), () => {
-      void this.runOnce();
+      void this.runOnce(run);
     });
   }
 
+  private isOver(run: number): boolean {
+    return this.isDisposed || run !== this.run;
+  }
+
   /** Lists the table; gives the reason of a failure, or null. */
-  private async list(): Promise<string | null> {
+  private async list(run: number): Promise<string | null> {
     const result = await this.options.table.list();
-    if (this.isDisposed) {
+    if (this.isOver(run)) {
       return null;
     }
     if (!result.ok) {
@@ -103,13 +146,13 @@
     return null;
   }
 
-  private async watch(): Promise<string | null> {
+  private async watch(run: number): Promise<string | null> {
     const afterRevision = this.revision ?? 0;
     const result = await this.options.table.watch(
       afterRevision,
-      this.options.waitMs,
+      this.options.getWaitMs(),
     );
-    if (this.isDisposed) {
+    if (this.isOver(run)) {
       return null;
     }
     if (!result.ok) {
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -55,7 +55,7 @@
     events = RecordedEvents.create();
     watcher = TableWatcher.create({
       name: 'test',
-      waitMs: 1_000,
+      getWaitMs: () => 1_000,
       table,
       clock,
       random: SeededRandom.create(1),
--- a/packages/gateway/src/failover/choose_duty_successor.ts
+++ b/packages/gateway/src/failover/choose_duty_successor.ts
@@ -1,6 +1,30 @@
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 
+/** Proxies of one availability zone that are asked to take the duty at once. */
+const MAX_HEIRS_PER_ZONE = 2;
+
+/**
+ * Proxies that a holder which has lost the store offers the duty: some of each
+ * availability zone, since it does not know who reaches the store.
+ *
+ * @public
+ */
+export function chooseDutyHeirs(
+  otherEntryVms: readonly EntryVmRecord[],
+): readonly EntryVmRecord[] {
+  const counts = new Map<AvailabilityZone, number>();
+  const heirs: EntryVmRecord[] = [];
+  for (const record of otherEntryVms) {
+    const count = counts.get(record.availabilityZone) ?? 0;
+    if (count < MAX_HEIRS_PER_ZONE) {
+      counts.set(record.availabilityZone, count + 1);
+      heirs.push(record);
+    }
+  }
+  return heirs;
+}
+
 /** What decides where the failover duty is best held. @public */
 export interface DutySuccessorInputs {
   readonly ownZone: AvailabilityZone;
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -52,6 +52,7 @@
       clockWatch: ClockWatch.create(clock, FakeWallClock.create(clock)),
       random: SeededRandom.create(1),
       events,
+      mayTakeOver: () => true,
     });
     await duty.maintain();
     instances.add('p', 'primary', 10);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import {KnownInstances} from './directory/known_instances.js';
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
+import {chooseDutyHeirs} from './failover/choose_duty_successor.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
 import {SuspicionReporter} from './failover/suspicion_reporter.js';
 import {collectGroupGauges} from './observability/group_gauges.js';
@@ -56,6 +57,10 @@
 import type {PeerCaller, PeerHandler} from './peer/peer_caller.js';
 import {PeerAnswers} from './peer/peer_answers.js';
 import type {ControlRelay, ControlRelayHandler} from './peer/control_relay.js';
+import {ZoneFollower} from './zone/zone_follower.js';
+import type {ZoneNews} from './zone/zone_news.js';
+import {ZonePublisher} from './zone/zone_publisher.js';
+import {applyZoneNews} from './zone/apply_zone_news.js';
 import type {GatewayContext} from './session/gateway_context.js';
 
 /** What a gateway is made of. @public */
@@ -89,6 +94,9 @@
 /** Wait of a watch on the configuration, which must be in force within 3 s. */
 const CONFIGURATION_WAIT_MS = 2_200;
 
+/** The same for a proxy that reads for others, which hear of a failure after it. */
+const READER_CONFIGURATION_WAIT_MS = 1_200;
+
 /** Interval of the upkeep of duty, registration, shares and readiness. */
 const UPKEEP_INTERVAL_MS = 100;
 
@@ -130,6 +138,8 @@
   private readonly dutyPlacement: DutyPlacement;
   private readonly readiness: ReadinessMonitor;
   private readonly reporter: SuspicionReporter;
+  private readonly publisher: ZonePublisher;
+  private readonly follower: ZoneFollower;
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
   private removedGoneAtMs: number;
@@ -173,20 +183,31 @@
       events,
       listener: configuration => this.handleConfiguration(configuration),
     });
+    this.publisher = ZonePublisher.create({
+      clock,
+      clockWatch,
+      isReading: () => this.isReadingForZone(),
+      getContactStart: () => this.contact.getContactStart(),
+      computeProvenDigest: () => this.answers.computeProvenDigest(),
+      hasten: () => this.poller.hasten(),
+    });
     this.directoryWatcher = TableWatcher.create({
       name: 'backend servers',
-      waitMs: DIRECTORY_WAIT_MS,
+      getWaitMs: () => DIRECTORY_WAIT_MS,
       table: options.directoryTable,
-      listener: this.directory,
+      listener: this.publisher.watchDirectory(this.directory),
       clock,
       random,
       events,
     });
     this.configurationWatcher = TableWatcher.create({
       name: 'configuration',
-      waitMs: CONFIGURATION_WAIT_MS,
+      getWaitMs: () =>
+        this.publisher.getFollowers().size === 0
+          ? CONFIGURATION_WAIT_MS
+          : READER_CONFIGURATION_WAIT_MS,
       table: options.configurationTable,
-      listener: this.configuration,
+      listener: this.publisher.watchConfiguration(this.configuration),
       clock,
       random,
       events,
@@ -203,6 +224,8 @@
       table: this.relayedTable,
       clockWatch,
       contactWindowMs: options.contactWindowMs,
+      getFollowers: () => this.publisher.getFollowers(),
+      isFollowing: () => !this.follower.isReading,
     });
     this.duty = FailoverDutyLease.create({
       entryVm: self.entryVm,
@@ -211,6 +234,7 @@
       clockWatch,
       random,
       events,
+      mayTakeOver: () => this.follower.isReading,
     });
     this.poller = ControlPoller.create({
       table: this.relayedTable,
@@ -239,7 +263,9 @@
         this.instances.listFromStore(databaseGroup),
       observeLeaseHolders: listing => this.observeLeaseHolders(listing),
       handleRecord: record => {
-        this.dutyPlacement.noteChange();
+        if (record.record.phase === 'changing') {
+          this.dutyPlacement.noteChange();
+        }
         this.answers.announce(record);
       },
     });
@@ -262,6 +288,7 @@
       random,
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       computeDigest: () => this.answers.computeDigest(),
+      isFollowing: () => !this.follower.isReading,
       readStore: () => void this.poller.readNow(),
     });
     this.reporter = SuspicionReporter.create({
@@ -291,6 +318,21 @@
       takeReport: report => this.coordinator.takeReport(report),
       readControlTable: () => void this.poller.readNow(),
       maintainDuty: () => void this.maintainRecords(),
+      answerFollower: question => this.publisher.answer(question),
+    });
+    this.follower = ZoneFollower.create({
+      self,
+      clock,
+      clockWatch,
+      events,
+      peers: options.peers,
+      getEntryVms: () => this.registration.getEntryVms(),
+      canFollow: () => this.canFollow(),
+      isStoreAnswering: () => this.isStoreAnswering(),
+      getKnownRevisions: () => this.publisher.getKnownRevisions(),
+      isUrgent: () => this.isControlUrgent(),
+      handleNews: (news, askedAt) => this.handleZoneNews(news, askedAt),
+      setReading: isReading => this.setReading(isReading),
     });
     this.readiness = ReadinessMonitor.create({
       clock,
@@ -326,6 +368,7 @@
   /** Stops at once and without a farewell, as a killed process does. */
   beginKill(): void {
     this.isStopping = true;
+    this.duty.stopActing('the proxy was killed');
     this.disposeParts('the proxy was killed');
   }
 
@@ -337,6 +380,7 @@
 
   private disposeParts(reason: string): void {
     this.upkeepTimer?.cancel();
+    this.follower.dispose();
     this.shares.dispose();
     this.coordinator.dispose();
     this.poller.dispose();
@@ -459,13 +503,16 @@
         group.updateServer(entry);
       }
     }
+    // A follower learns the records of the group from the last listing.
+    this.poller.repeat();
     void this.poller.readNow();
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
     this.contact.noteContact(readAt);
+    this.publisher.takeControl(listing, readAt);
     this.registration.observe(listing, readAt);
-    this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null);
+    this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
     this.shares.apply();
     if (!this.isStopping) {
       void this.maintainRecords();
@@ -509,6 +556,9 @@
   }
 
   private isControlUrgent(): boolean {
+    if (this.publisher.isUrgent) {
+      return true;
+    }
     for (const group of this.groups.values()) {
       const primary = group.getLeasedPrimary();
       if (primary === null || primary.isUnreachable) {
@@ -521,6 +571,60 @@
     return false;
   }
 
+  /** Whether this process may get its news from another one of its zone. */
+  private canFollow(): boolean {
+    const {entryVm, incarnation} = this.options.self;
+    return (
+      !this.isStopping &&
+      this.directory.isListed &&
+      this.configuration.current !== null &&
+      // The holder of the duty acts on the newest records.
+      this.duty.getFencingToken() === null &&
+      this.registration.getEntryVm(entryVm)?.incarnation === incarnation
+    );
+  }
+
+  private isStoreAnswering(): boolean {
+    return (
+      !this.relayedTable.isSuspect &&
+      this.directoryWatcher.isAnswered &&
+      this.configurationWatcher.isAnswered
+    );
+  }
+
+  /** Whether other proxies of the zone may rely on what this one reads. */
+  private isReadingForZone(): boolean {
+    return (
+      !this.isStopping && this.follower.isReading && this.isStoreAnswering()
+    );
+  }
+
+  private setReading(isReading: boolean): void {
+    const sources = [
+      this.configurationWatcher,
+      this.directoryWatcher,
+      this.poller,
+    ];
+    for (const source of sources) {
+      if (isReading) {
+        source.resume();
+      } else {
+        source.pause();
+      }
+    }
+    this.publisher.wake();
+  }
+
+  private handleZoneNews(news: ZoneNews, askedAt: ClockReading): void {
+    applyZoneNews(news, askedAt, {
+      poller: this.poller,
+      contact: this.contact,
+      directoryWatcher: this.directoryWatcher,
+      configurationWatcher: this.configurationWatcher,
+      computeDigest: () => this.answers.computeDigest(),
+    });
+  }
+
   private scheduleUpkeep(): void {
     const dueMs = this.clock.nowMs() + UPKEEP_INTERVAL_MS;
     this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
@@ -544,7 +648,7 @@
     if (fencingToken === null) {
       return;
     }
-    for (const peer of registration.getOtherEntryVms()) {
+    for (const peer of chooseDutyHeirs(registration.getOtherEntryVms())) {
       void this.options.peers.handOverDuty(peer, {fencingToken});
     }
   }
@@ -558,11 +662,14 @@
       void this.replicaFreshness.maintain(group);
     }
     this.readiness.update();
+    this.follower.maintain();
     this.poller.hasten();
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
     void this.contactKeeper.maintain();
+    // A new contact of this process is news for its followers.
+    this.publisher.wake();
     void this.dutyPlacement.maintain();
     void this.maintainRecords();
   }
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -39,6 +39,13 @@
       readonly isReady: boolean;
       readonly reason: string;
     }
+  /** Who reads the store for this proxy, from now on. */
+  | {
+      readonly kind: 'zoneReaderChosen';
+      readonly availabilityZone: string;
+      readonly reader: string;
+      readonly reason: string;
+    }
   | {readonly kind: 'clockDisagreement'; readonly epoch: number}
   | {readonly kind: 'loopDelayed'; readonly delayMs: number}
   | {
--- a/packages/gateway/src/peer/peer_answers.ts
+++ b/packages/gateway/src/peer/peer_answers.ts
@@ -7,6 +7,7 @@
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import {computeRecordDigest} from '../group/record_digest.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
+import type {ZoneNews, ZoneQuestion} from '../zone/zone_news.js';
 import type {
   DutyHandover,
   PeerHandler,
@@ -34,6 +35,8 @@
   readControlTable(): void;
   /** Looks whether the duty is free. */
   maintainDuty(): void;
+  /** News of the store for another proxy of the zone. */
+  answerFollower(question: ZoneQuestion): Promise<ZoneNews | null>;
 }
 
 /** Time that pending writes get to end before a release is answered. */
@@ -99,7 +102,7 @@
   }
 
   takeOverDuty({fencingToken}: DutyHandover): void {
-    this.options.duty.noteYielded(fencingToken);
+    this.options.duty.receive(fencingToken);
     this.options.maintainDuty();
   }
 
@@ -108,15 +111,26 @@
    * proxy to release.
    */
   compareRecords(): RecordComparison {
+    return {digest: this.computeProvenDigest()};
+  }
+
+  /** Digest of the records; null while a lease on one of them is missing. */
+  computeProvenDigest(): string | null {
     if (this.options.isStopping()) {
-      return {digest: null};
+      return null;
     }
     for (const {lease} of this.options.groups.values()) {
       if (!lease.isProven()) {
-        return {digest: null};
+        return null;
       }
     }
-    return {digest: this.computeDigest()};
+    return this.computeDigest();
+  }
+
+  followZone(question: ZoneQuestion): Promise<ZoneNews | null> {
+    return this.options.isStopping()
+      ? Promise.resolve(null)
+      : this.options.answerFollower(question);
   }
 
   /** Digest of the records of primaries that this proxy knows. */
--- a/packages/gateway/src/peer/peer_caller.ts
+++ b/packages/gateway/src/peer/peer_caller.ts
@@ -1,6 +1,7 @@
 import type {Result} from '@filbertrun/base/result.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
+import type {ZoneNews, ZoneQuestion} from '../zone/zone_news.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 
 /** Messages between the proxies of a deployment. */
@@ -84,6 +85,11 @@
   compareRecords(
     peer: EntryVmRecord,
   ): Promise<Result<RecordComparison, PeerError>>;
+  /** News of the store from the reader of the zone; null when it refuses. */
+  followZone(
+    peer: EntryVmRecord,
+    question: ZoneQuestion,
+  ): Promise<Result<ZoneNews | null, PeerError>>;
 }
 
 /** Answers the calls of other proxies. @public */
@@ -94,4 +100,5 @@
   askReach(question: ReachQuestion): Promise<ReachAnswer>;
   takeOverDuty(handover: DutyHandover): void;
   compareRecords(): RecordComparison;
+  followZone(question: ZoneQuestion): Promise<ZoneNews | null>;
 }
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod';
 import {primaryRecordSchema} from '../group/primary_record.js';
 import type {ControlRelayHandler} from './control_relay.js';
+import {encodeZoneNews, zoneQuestionSchema} from '../zone/zone_news_codec.js';
 import type {PeerHandler} from './peer_caller.js';
 
 /** The protocol between proxies, as a trpc router. */
@@ -76,6 +77,12 @@
     compareRecords: trpc.procedure
       .output(z.object({digest: z.string().nullable()}))
       .query(() => handler.compareRecords()),
+    followZone: trpc.procedure
+      .input(zoneQuestionSchema)
+      .query(async ({input}) => {
+        const news = await handler.followZone(input);
+        return news === null ? null : encodeZoneNews(news);
+      }),
     askReach: trpc.procedure
       .input(z.object({backendServer: z.string()}))
       .output(z.object({isReachable: z.boolean()}))
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -1,6 +1,6 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {createHttpFetch} from './http_fetch.js';
+import {createHttpFetch, type HttpFetch} from './http_fetch.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import type {
@@ -22,6 +22,9 @@
   SuspicionReport,
 } from './peer_caller.js';
 import type {PeerRouter} from './peer_router.js';
+import {FOLLOW_WAIT_MS} from '../zone/zone_follower.js';
+import {decodeZoneNews} from '../zone/zone_news_codec.js';
+import type {ZoneNews, ZoneQuestion} from '../zone/zone_news.js';
 
 /** Time after which another proxy counts as unreachable. */
 const CALL_TIMEOUT_MS = 400;
@@ -40,6 +43,12 @@
   /** Calls are bounded here, so they are not given a signal as well. */
   private readonly fetch = createHttpFetch(CALL_TIMEOUT_MS);
 
+  /** Clients of calls that the other proxy may hold back for a while. */
+  private readonly followClients = new Map<string, PeerClient>();
+  private readonly followFetch = createHttpFetch(
+    FOLLOW_WAIT_MS + CALL_TIMEOUT_MS,
+  );
+
   private constructor() {}
 
   static create(): TrpcPeerCaller {
@@ -87,6 +96,24 @@
     return this.call(() => this.getClient(peer).compareRecords.query());
   }
 
+  async followZone(
+    peer: EntryVmRecord,
+    question: ZoneQuestion,
+  ): Promise<Result<ZoneNews | null, PeerError>> {
+    const follow =
+      question.waitMs === 0
+        ? this.getClient(peer).followZone
+        : this.getFollowClient(peer).followZone;
+    const answer = await this.call(() => follow.query(question));
+    if (!answer.ok || answer.value === null) {
+      return answer.ok ? success(null) : answer;
+    }
+    const news = decodeZoneNews(answer.value);
+    return news === null
+      ? failure({kind: 'unreachable', reason: 'the answer can not be read'})
+      : success(news);
+  }
+
   async listControl(
     peer: EntryVmRecord,
   ): Promise<Result<Result<TableListing, PlatformError>, PeerError>> {
@@ -116,15 +143,11 @@
   }
 
   private getClient(peer: EntryVmRecord): PeerClient {
-    const url = `http://${peer.peerHost}:${peer.peerPort}`;
-    let client = this.clients.get(url);
-    if (client === undefined) {
-      client = createTRPCClient<PeerRouter>({
-        links: [httpLink({url, fetch: this.fetch})],
-      });
-      this.clients.set(url, client);
-    }
-    return client;
+    return findClient(this.clients, peer, this.fetch);
+  }
+
+  private getFollowClient(peer: EntryVmRecord): PeerClient {
+    return findClient(this.followClients, peer, this.followFetch);
   }
 
   private async call<T>(send: () => Promise<T>): Promise<Result<T, PeerError>> {
@@ -135,3 +158,17 @@
     }
   }
 }
+
+function findClient(
+  clients: Map<string, PeerClient>,
+  {peerHost, peerPort}: EntryVmRecord,
+  fetch: HttpFetch,
+): PeerClient {
+  const url = `http://${peerHost}:${peerPort}`;
+  let client = clients.get(url);
+  if (client === undefined) {
+    client = createTRPCClient<PeerRouter>({links: [httpLink({url, fetch})]});
+    clients.set(url, client);
+  }
+  return client;
+}
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -3,10 +3,11 @@
 import {playHistory} from './failover_history.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
 import {MUTANTS} from './mutants.js';
+import {PROMOTION_MS} from './simulated_group.js';
 
 const atMs = fc.integer({min: 0, max: 9_000});
 const forMs = fc.integer({min: 300, max: 7_000});
-const proxy = fc.nat(2);
+const proxy = fc.nat(4);
 
 /** Faults that may strike at any moment, together and more than once. */
 const fault: fc.Arbitrary<HistoryFault> = fc.oneof(
@@ -16,7 +17,7 @@
     kind: fc.constant('cutPrimary' as const),
     atMs,
     forMs,
-    proxies: fc.subarray([0, 1, 2]),
+    proxies: fc.subarray([0, 1, 2, 3, 4]),
     isFromReplicas: fc.boolean(),
   }),
   fc.record({kind: fc.constant('cutProxy' as const), atMs, forMs, proxy}),
@@ -25,7 +26,15 @@
     kind: fc.constant('cutPeers' as const),
     atMs,
     forMs,
-    proxies: fc.constantFrom([0, 1] as const, [0, 2] as const, [1, 2] as const),
+    proxies: fc.constantFrom(
+      [0, 1] as const,
+      [0, 2] as const,
+      [1, 2] as const,
+      // Of one availability zone where zones are shared.
+      [1, 3] as const,
+      [1, 4] as const,
+      [3, 4] as const,
+    ),
   }),
   fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
   fc.record({kind: fc.constant('answersLost' as const), atMs, forMs}),
@@ -55,6 +64,12 @@
     replica: fc.nat(1),
     proxy,
   }),
+  fc.record({
+    kind: fc.constant('cutZoneControl' as const),
+    atMs,
+    forMs,
+    proxy,
+  }),
   fc.record({
     kind: fc.constant('reuseAddress' as const),
     atMs,
@@ -66,9 +81,16 @@
 
 const plan: fc.Arbitrary<HistoryPlan> = fc.record({
   seed: fc.nat(1_000_000),
+  layout: fc.constantFrom('apart' as const, 'shared' as const),
   faults: fc.array(fault, {minLength: 1, maxLength: 4}),
 });
 
+/** Longest time from the loss of a primary to the intent of its change. */
+const DETECTION_MS = 1_000;
+
+/** Longest time beyond detection and promotion without writes. */
+const REOPENING_MS = 1_500;
+
 /** Histories in CI; FAILOVER_HISTORIES asks for more by hand. */
 const HISTORY_COUNT = Number(process.env['FAILOVER_HISTORIES'] ?? 40);
 
@@ -96,6 +118,27 @@
     expect(outcome.acknowledgedCount).toBeGreaterThan(500);
   });
 
+  it('writes again soon after a zone with the primary is cut off', async () => {
+    const cutAtMs = 12_000;
+    const outcome = await playHistory({
+      seed: 1,
+      layout: 'shared',
+      faults: [
+        {kind: 'cutZone', atMs: cutAtMs, forMs: 9_000, replica: 0, proxy: 0},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+    expect(outcome.promotionCount).toBe(1);
+    const intendedAtMs = outcome.changesIntendedAtMs[0] ?? Infinity;
+    const firstAtMs = outcome.acknowledgedAtMs.find(
+      atMs => atMs > intendedAtMs,
+    );
+    expect(intendedAtMs - cutAtMs).toBeLessThanOrEqual(DETECTION_MS);
+    expect(firstAtMs).toBeLessThanOrEqual(
+      intendedAtMs + PROMOTION_MS + REOPENING_MS,
+    );
+  });
+
   it('hands the lead not to and fro between instances that both leave', async () => {
     const outcome = await playHistory({
       seed: 999_997,
@@ -127,6 +170,34 @@
     expect(outcome.violations).toEqual([]);
   });
 
+  it('reads nothing old when a replica restarts while a proxy has not released', async () => {
+    const outcome = await playHistory({
+      seed: 585_536,
+      layout: 'shared',
+      faults: [
+        {kind: 'crashPrimary', atMs: 5_331, forMs: 437},
+        {kind: 'cutZone', atMs: 1_952, forMs: 1_471, replica: 1, proxy: 0},
+        {kind: 'cutStore', atMs: 5_889, forMs: 892, proxy: 4},
+        {kind: 'crashReplica', atMs: 3_286, forMs: 509},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+  });
+
+  it('takes the log of a primary of an earlier term for no proof', async () => {
+    const outcome = await playHistory({
+      seed: 798_684,
+      layout: 'shared',
+      faults: [
+        {kind: 'answersLost', atMs: 6_736, forMs: 3_216},
+        {kind: 'crashReplica', atMs: 1_692, forMs: 1_981},
+        {kind: 'cutZone', atMs: 4_839, forMs: 6_243, replica: 0, proxy: 1},
+        {kind: 'cutZone', atMs: 8_414, forMs: 2_932, replica: 1, proxy: 1},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+  });
+
   it('goes on reading at the last instance when the others have left', async () => {
     const outcome = await playHistory({
       seed: 823_559,
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -3,6 +3,8 @@
   SeededRandom,
   type RandomSource,
 } from '@filbertrun/base/random_source.js';
+import type {GatewayOptions} from '../gateway.js';
+import type {GatewayEvents} from '../observability/gateway_events.js';
 import {CallerSession} from '../session/caller_session.js';
 import type {StatementReply} from '../statement/statement_answer.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
@@ -20,6 +22,8 @@
   ROUTE_MAX_AGE_MS,
   SimulatedOperator,
 } from './simulated_operator.js';
+import type {StoreCallCounts} from './simulated_tables.js';
+import {SimulatedZones} from './simulated_zones.js';
 import {TouchRecord} from './touch_record.js';
 import {
   SimulatedProxy,
@@ -31,12 +35,16 @@
 export interface HistoryOutcome {
   readonly violations: readonly Violation[];
   readonly acknowledgedCount: number;
+  /** Times of the acknowledgements, counted from the end of the warm-up. */
+  readonly acknowledgedAtMs: readonly number[];
+  /** Times at which changes of primary were intended, counted alike. */
+  readonly changesIntendedAtMs: readonly number[];
+  /** Calls of all proxies to the store, by kind. */
+  readonly storeCalls: StoreCallCounts;
   readonly readCount: number;
   readonly promotionCount: number;
 }
 
-const PROXIES = ['e1', 'e2', 'e3'] as const;
-
 /** Time before the first fault, in which everything comes up. */
 export const WARM_UP_MS = 2_000;
 
@@ -76,6 +84,7 @@
   private readonly required = new Map<string, readonly string[]>();
   private readonly sessions = new Map<string, CallerSession>();
   private readonly ownWrites = new Map<string, string[]>();
+  private readonly intendedAtMs: number[] = [];
   private nextId = 0;
   private nextIncarnation = 1;
   private readonly incarnations = new Map<string, number>();
@@ -86,13 +95,21 @@
     private readonly mutate: GatewayMutation,
   ) {
     this.random = SeededRandom.create(plan.seed);
+    const zones = SimulatedZones.create(plan.layout ?? 'apart');
     this.deployment = {
       clock: this.clock,
       network: this.network,
-      group: SimulatedGroup.create(this.clock, this.network, this.oracle),
+      group: SimulatedGroup.create(
+        this.clock,
+        this.network,
+        this.oracle,
+        zones,
+      ),
+      zones,
       store: FakeControlTable.create(this.clock),
       rosters: FakeControlTable.create(this.clock),
       operator: SimulatedOperator.create(this.clock),
+      storeCalls: {control: 0, directory: 0, configuration: 0},
       proxies: new Map(),
     };
     this.configurationOracle = ConfigurationOracle.create(
@@ -107,11 +124,12 @@
   }
 
   async play(): Promise<HistoryOutcome> {
-    for (const name of PROXIES) {
+    for (const name of this.deployment.zones.proxies) {
       this.startProxy(name);
     }
     this.scheduleFaults();
-    const endMs = this.clock.nowMs() + WARM_UP_MS + HISTORY_MS;
+    const startMs = this.clock.nowMs() + WARM_UP_MS;
+    const endMs = startMs + HISTORY_MS;
     let elapsedMs = 0;
     while (this.clock.nowMs() < endMs) {
       this.clock.advance(STEP_MS);
@@ -135,6 +153,11 @@
     return {
       violations: this.oracle.violations,
       acknowledgedCount: this.oracle.acknowledged.length,
+      acknowledgedAtMs: this.oracle.acknowledged.map(
+        ({atMs}) => atMs - startMs,
+      ),
+      changesIntendedAtMs: this.intendedAtMs.map(atMs => atMs - startMs),
+      storeCalls: this.deployment.storeCalls,
       readCount: this.readCount,
       promotionCount: this.deployment.group.orders.length,
     };
@@ -157,13 +180,26 @@
       incarnation,
       this.deployment,
       connector,
-      this.mutate,
+      options => this.mutate(this.noteIntents(options)),
     );
   }
 
+  /** Notes the intents of changes among the events of a proxy. */
+  private noteIntents(options: GatewayOptions): GatewayOptions {
+    const events: GatewayEvents = {
+      record: event => {
+        if (event.kind === 'changeIntended') {
+          this.intendedAtMs.push(this.clock.nowMs());
+        }
+        options.events.record(event);
+      },
+    };
+    return {...options, events};
+  }
+
   /** Starts a write and a read of some kind at each proxy. */
   private operate(): void {
-    for (const name of PROXIES) {
+    for (const name of this.deployment.zones.proxies) {
       const route = (['strict', 'session', 'age'] as const)[
         this.random.nextInteger(0, 2)
       ];
@@ -176,7 +212,7 @@
 
   /** Uses the optional route at each proxy, each time in a new session. */
   private probeRoutes(): void {
-    for (const name of PROXIES) {
+    for (const name of this.deployment.zones.proxies) {
       const gateway = this.deployment.proxies.get(name)?.gateway;
       if (gateway === undefined || gateway.getConfiguration() === null) {
         continue;
@@ -197,7 +233,7 @@
 
   private noteDisturbances(): void {
     const nowMs = this.clock.nowMs();
-    for (const name of PROXIES) {
+    for (const name of this.deployment.zones.proxies) {
       const isCut = !this.network.isConnected(name, STORE);
       if (isCut || !this.deployment.proxies.has(name)) {
         this.touch.noteDisturbance(name, nowMs);
@@ -269,7 +305,7 @@
     const injector = FaultInjector.create({
       deployment: this.deployment,
       touch: this.touch,
-      proxies: PROXIES,
+      proxies: this.deployment.zones.proxies,
       killProxy: name => this.killProxy(name),
     });
     for (const fault of this.plan.faults) {
--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -117,6 +117,9 @@
       case 'cutZone':
         this.cutZone(fault);
         return;
+      case 'cutZoneControl':
+        this.cutZoneControl(fault);
+        return;
       case 'changeConfiguration':
         this.options.deployment.operator.toggleOptionalRoute();
         return;
@@ -139,11 +142,16 @@
     fault: Extract<HistoryFault, {readonly kind: 'cutZone'}>,
   ): void {
     const {group} = this.options.deployment;
-    const inside = [
-      group.findLeader().entry.backendServer,
-      this.pickReplica(fault.replica)?.entry.backendServer ?? '',
-      this.getProxy(fault.proxy),
-    ];
+    const leader = group.findLeader().entry.backendServer;
+    const mates = this.options.deployment.zones.getZoneMates(leader);
+    const inside =
+      mates.length > 1
+        ? mates
+        : [
+            leader,
+            this.pickReplica(fault.replica)?.entry.backendServer ?? '',
+            this.getProxy(fault.proxy),
+          ];
     const everyone = [
       ...group.instances.keys(),
       ...this.options.proxies,
@@ -156,6 +164,22 @@
     }
   }
 
+  private cutZoneControl(
+    fault: Extract<HistoryFault, {readonly kind: 'cutZoneControl'}>,
+  ): void {
+    const {zones} = this.options.deployment;
+    const zone = zones.getZone(this.getProxy(fault.proxy));
+    const inside = zones.proxies.filter(name => zones.getZone(name) === zone);
+    const outside = [
+      ...zones.proxies.filter(name => !inside.includes(name)),
+      STORE,
+      'promotions',
+    ];
+    for (const name of inside) {
+      this.cutFor(name, outside, fault.forMs);
+    }
+  }
+
   private getProxy(index: number): string {
     return this.options.proxies[index] ?? 'e1';
   }
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -73,6 +73,16 @@
       readonly replica: number;
       readonly proxy: number;
     }
+  /**
+   * The proxies of an availability zone are cut off from the store and the
+   * proxies of other zones, not from each other and not from instances.
+   */
+  | {
+      readonly kind: 'cutZoneControl';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxy: number;
+    }
   /** A replica ends for good, and another service takes over its address. */
   | {
       readonly kind: 'reuseAddress';
@@ -83,9 +93,20 @@
   /** All processes end at once. */
   | {readonly kind: 'killAllProxies'; readonly atMs: number};
 
+/**
+ * Where the parties are: `apart` gives each proxy and each instance an
+ * availability zone of its own, `shared` has three zones with an instance each
+ * and three proxies in one of them.
+ *
+ * @internal
+ */
+export type HistoryLayout = 'apart' | 'shared';
+
 /** One history to play. @internal */
 export interface HistoryPlan {
   readonly seed: number;
+  /** `apart` unless another one is named. */
+  readonly layout?: HistoryLayout;
   readonly faults: readonly HistoryFault[];
 }
 
--- a/packages/gateway/src/simulation/mutant_parts.ts
+++ b/packages/gateway/src/simulation/mutant_parts.ts
@@ -13,6 +13,9 @@
 /** The error of a peer that was not asked. @internal */
 export const NOT_ASKED: PeerError = {kind: 'unreachable', reason: 'mutant'};
 
+/** Leaves the lease as the one bound, to show that it holds by itself. @internal */
+export const WITHOUT_CONTACT_RULE = {contactWindowMs: 1_000_000} as const;
+
 /** Binds the calls of peers, so that some can be replaced. @internal */
 export function bindPeers(peers: PeerCaller): PeerCaller {
   return {
@@ -22,6 +25,7 @@
     askReach: (peer, question) => peers.askReach(peer, question),
     handOverDuty: (peer, handover) => peers.handOverDuty(peer, handover),
     compareRecords: peer => peers.compareRecords(peer),
+    followZone: (peer, question) => peers.followZone(peer, question),
   };
 }
 
@@ -47,6 +51,7 @@
     listEntries: () => table.listEntries(),
     getEntry: key => table.getEntry(key),
     putEntry: write => table.putEntry(write),
+    putEntries: writes => table.putEntries(writes),
     removeEntry: (key, revision) => table.removeEntry(key, revision),
   };
 }
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -4,6 +4,7 @@
 import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
 import type {HistoryPlan} from './history_fault.js';
 import {planWith, type Mutant} from './mutant.js';
+import {ZONE_MUTANTS} from './zone_mutants.js';
 import {
   bind,
   bindPeers,
@@ -13,6 +14,7 @@
   NOT_ASKED,
   pretendFenced,
   repeatFirstDigest,
+  WITHOUT_CONTACT_RULE,
 } from './mutant_parts.js';
 
 /** The primary and one proxy are cut off together, just after it renewed its lease. */
@@ -112,9 +114,6 @@
   {kind: 'crashPrimary', atMs: 9_000, forMs: 9_000},
 ]);
 
-/** Leaves the lease as the one bound, to show that it holds by itself. */
-const WITHOUT_CONTACT_RULE = {contactWindowMs: 1_000_000} as const;
-
 /** Mutants of the change of a primary. */
 const FAILOVER_MUTANTS: readonly Mutant[] = [
   {
@@ -282,4 +281,5 @@
 export const MUTANTS: readonly Mutant[] = [
   ...FAILOVER_MUTANTS,
   ...DEPLOYMENT_MUTANTS,
+  ...ZONE_MUTANTS,
 ];
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -8,6 +8,7 @@
 import {createEntry} from '../testing/fake_instances.js';
 import type {SafetyOracle} from './safety_oracle.js';
 import {STORE, type SimulatedNetwork} from './simulated_network.js';
+import type {SimulatedZones} from './simulated_zones.js';
 
 /** One commit in the log of an instance. @internal */
 export interface LogRecord {
@@ -43,8 +44,8 @@
 /** Time for which a draining instance goes on serving. */
 const DRAINING_MS = 9_000;
 
-/** Time from an order to its effect. */
-const PROMOTION_MS = 300;
+/** Time from an order to its effect. @internal */
+export const PROMOTION_MS = 300;
 
 /**
  * A database group as the platform describes it: a commit is acknowledged once
@@ -62,6 +63,7 @@
     private readonly clock: Clock,
     private readonly network: SimulatedNetwork,
     private readonly oracle: SafetyOracle,
+    private readonly zones: SimulatedZones,
   ) {
     this.add('p', 'primary');
     this.add('r1', 'replica');
@@ -72,8 +74,9 @@
     clock: Clock,
     network: SimulatedNetwork,
     oracle: SafetyOracle,
+    zones: SimulatedZones,
   ): SimulatedGroup {
-    return new SimulatedGroup(clock, network, oracle);
+    return new SimulatedGroup(clock, network, oracle, zones);
   }
 
   get(backendServer: string): SimulatedInstance {
@@ -122,6 +125,11 @@
     this.retireOldPrimaries();
   }
 
+  /** Revision of the table of entries, which rises with time. */
+  get directoryRevision(): number {
+    return Math.floor(this.clock.nowMs());
+  }
+
   /** The entries that the store holds. */
   listEntries(): readonly BackendServerEntry[] {
     return [...this.instances.values()]
@@ -223,7 +231,13 @@
   private add(backendServer: string, role: 'primary' | 'replica'): void {
     this.instances.set(
       backendServer,
-      createInstance(backendServer, role, false, this.clock.nowMs()),
+      createInstance(
+        backendServer,
+        role,
+        false,
+        this.clock.nowMs(),
+        this.zones.getZone(backendServer),
+      ),
     );
   }
 
@@ -322,11 +336,12 @@
   role: 'primary' | 'replica',
   isForeign: boolean,
   nowMs: number,
+  availabilityZone = `zone-${backendServer}`,
 ): SimulatedInstance {
   return {
     entry: {
       ...createEntry(backendServer, role),
-      availabilityZone: `zone-${backendServer}`,
+      availabilityZone,
       host: `host-${backendServer}`,
     },
     role,
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -25,10 +25,12 @@
 } from './simulated_group.js';
 import type {SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedOperator} from './simulated_operator.js';
+import type {SimulatedZones} from './simulated_zones.js';
 import {
   SimulatedConfiguration,
   SimulatedControlTable,
   SimulatedDirectory,
+  type StoreCallCounts,
 } from './simulated_tables.js';
 
 /** What the simulated proxies share. @internal */
@@ -36,9 +38,11 @@
   readonly clock: Clock;
   readonly network: SimulatedNetwork;
   readonly group: SimulatedGroup;
+  readonly zones: SimulatedZones;
   readonly store: FakeControlTable;
   readonly rosters: FakeControlTable;
   readonly operator: SimulatedOperator;
+  readonly storeCalls: StoreCallCounts;
   /** Running proxies by name. */
   readonly proxies: Map<string, SimulatedProxy>;
 }
@@ -66,7 +70,7 @@
       mutate({
         self: {
           entryVm: name,
-          availabilityZone: `zone-${name}`,
+          availabilityZone: deployment.zones.getZone(name),
           peerHost: name,
           peerPort: 1,
           incarnation: `${name}-${incarnation}`,
@@ -78,12 +82,25 @@
         connector,
         instances: new SimulatedInstanceControl(link, deployment.group),
         promotions: createPromotions(link, deployment.group),
-        controlTable: new SimulatedControlTable(link, deployment.store),
-        rosterTable: new SimulatedControlTable(link, deployment.rosters),
-        directoryTable: new SimulatedDirectory(link, deployment.group),
+        controlTable: new SimulatedControlTable(
+          link,
+          deployment.store,
+          deployment.storeCalls,
+        ),
+        rosterTable: new SimulatedControlTable(
+          link,
+          deployment.rosters,
+          deployment.storeCalls,
+        ),
+        directoryTable: new SimulatedDirectory(
+          link,
+          deployment.group,
+          deployment.storeCalls,
+        ),
         configurationTable: new SimulatedConfiguration(
           link,
           deployment.operator,
+          deployment.storeCalls,
         ),
         configurationKey: 'config',
         peers: createPeers(link, deployment),
@@ -195,6 +212,8 @@
     handOverDuty: (peer, handover) =>
       call(peer, handler => handler.takeOverDuty(handover)),
     compareRecords: peer => call(peer, handler => handler.compareRecords()),
+    followZone: (peer, question) =>
+      call(peer, handler => handler.followZone(question)),
   };
 }
 
--- a/packages/gateway/src/simulation/simulated_tables.ts
+++ b/packages/gateway/src/simulation/simulated_tables.ts
@@ -1,5 +1,6 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {
+  BatchWriteError,
   ConditionalWrite,
   ListableTable,
   PlatformError,
@@ -24,14 +25,23 @@
 
 const UNAVAILABLE: PlatformError = {kind: 'unavailable', reason: 'simulated'};
 
+/** Calls to the store, by what they are for. @internal */
+export interface StoreCallCounts {
+  control: number;
+  directory: number;
+  configuration: number;
+}
+
 /** The table of the proxies themselves. @internal */
 export class SimulatedControlTable implements ListableTable {
   constructor(
     private readonly link: PartyLink,
     private readonly store: FakeControlTable,
+    private readonly calls: StoreCallCounts,
   ) {}
 
   async listEntries(): Promise<Result<TableListing, PlatformError>> {
+    this.calls.control++;
     if (!(await this.link.reach(STORE))) {
       return failure(UNAVAILABLE);
     }
@@ -51,11 +61,21 @@
   async putEntry(
     write: ConditionalWrite,
   ): Promise<Result<TableEntry, PlatformError>> {
+    this.calls.control++;
     return (await this.link.reach(STORE))
       ? this.store.putEntry(write)
       : failure(UNAVAILABLE);
   }
 
+  async putEntries(
+    writes: readonly ConditionalWrite[],
+  ): Promise<Result<ReadonlyMap<string, TableEntry>, BatchWriteError>> {
+    this.calls.control++;
+    return (await this.link.reach(STORE))
+      ? this.store.putEntries(writes)
+      : failure({kind: 'unavailable', reason: 'simulated'});
+  }
+
   async removeEntry(
     key: string,
     expectedRevision: number,
@@ -68,16 +88,16 @@
 
 /** The instances whose heartbeats reach the store. @internal */
 export class SimulatedDirectory implements WatchableTable<BackendServerEntry> {
-  private revision = 0;
-
   constructor(
     private readonly link: PartyLink,
     private readonly group: SimulatedGroup,
+    private readonly calls: StoreCallCounts,
   ) {}
 
   async list(): Promise<
     Result<TableChanges<BackendServerEntry>, PlatformError>
   > {
+    this.calls.directory++;
     if (!(await this.link.reach(STORE))) {
       return failure(UNAVAILABLE);
     }
@@ -90,8 +110,7 @@
   }
 
   private describe(): TableChanges<BackendServerEntry> {
-    this.revision++;
-    const {revision} = this;
+    const revision = this.group.directoryRevision;
     const changes: TableChange<BackendServerEntry>[] = [];
     for (const key of this.group.listExpired()) {
       changes.push({kind: 'removed', key, revision});
@@ -111,11 +130,13 @@
   constructor(
     private readonly link: PartyLink,
     private readonly operator: SimulatedOperator,
+    private readonly calls: StoreCallCounts,
   ) {}
 
   async list(): Promise<
     Result<TableChanges<ServiceConfiguration>, PlatformError>
   > {
+    this.calls.configuration++;
     return (await this.link.reach(STORE))
       ? success(this.describe())
       : failure(UNAVAILABLE);
@@ -131,6 +152,7 @@
       }
       await this.link.pause(WATCH_STEP_MS);
     }
+    this.calls.configuration++;
     return (await this.link.reach(STORE))
       ? success({changes: [], revision: afterRevision})
       : failure(UNAVAILABLE);
--- /dev/null
+++ b/packages/gateway/src/simulation/simulated_zones.ts
@@ -0,0 +1,45 @@
+import type {HistoryLayout} from './history_fault.js';
+
+const SHARED_ZONES: Readonly<Record<string, string>> = {
+  p: 'zone-a',
+  r1: 'zone-b',
+  r2: 'zone-c',
+  e1: 'zone-a',
+  e2: 'zone-b',
+  e3: 'zone-c',
+  e4: 'zone-b',
+  e5: 'zone-b',
+};
+
+const PROXIES_APART = ['e1', 'e2', 'e3'] as const;
+
+const PROXIES_SHARED = ['e1', 'e2', 'e3', 'e4', 'e5'] as const;
+
+/** Proxies and availability zones of a simulated deployment. @internal */
+export class SimulatedZones {
+  private constructor(private readonly layout: HistoryLayout) {}
+
+  static create(layout: HistoryLayout): SimulatedZones {
+    return new SimulatedZones(layout);
+  }
+
+  /** Names of the proxies. */
+  get proxies(): readonly string[] {
+    return this.layout === 'apart' ? PROXIES_APART : PROXIES_SHARED;
+  }
+
+  /** Availability zone of a proxy or an instance. */
+  getZone(party: string): string {
+    const shared = this.layout === 'shared' ? SHARED_ZONES[party] : undefined;
+    return shared ?? `zone-${party}`;
+  }
+
+  /** Parties of the zone of one of them, where zones are shared. */
+  getZoneMates(party: string): readonly string[] {
+    return this.layout === 'apart'
+      ? [party]
+      : Object.keys(SHARED_ZONES).filter(
+          other => this.getZone(other) === this.getZone(party),
+        );
+  }
+}
--- a/packages/gateway/src/testing/fake_control_table.ts
+++ b/packages/gateway/src/testing/fake_control_table.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {
+  BatchWriteError,
   ConditionalWrite,
   ListableTable,
   PlatformError,
@@ -77,6 +78,36 @@
       : success(entry);
   }
 
+  async putEntries(
+    writes: readonly ConditionalWrite[],
+  ): Promise<Result<ReadonlyMap<string, TableEntry>, BatchWriteError>> {
+    await Promise.resolve();
+    this.writeCount++;
+    const current = new Map<string, TableEntry | null>();
+    for (const {key, expectedRevision} of writes) {
+      const refusal = this.findRefusal(key, expectedRevision);
+      if (refusal?.kind === 'conflict') {
+        current.set(key, refusal.current);
+      } else if (refusal !== null) {
+        return failure(refusal);
+      }
+    }
+    if (current.size > 0) {
+      return failure({kind: 'conflicts', current});
+    }
+    this.revision++;
+    const written = new Map<string, TableEntry>();
+    for (const {key, value} of writes) {
+      written.set(key, {value, revision: this.revision});
+    }
+    for (const [key, entry] of written) {
+      this.entries.set(key, entry);
+    }
+    return this.writeMode === 'doneWithoutAnswer'
+      ? failure({kind: 'outcomeUnknown', reason: 'the answer was lost'})
+      : success(written);
+  }
+
   async removeEntry(
     key: string,
     expectedRevision: number,
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -2,6 +2,7 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {ZoneNews} from '../zone/zone_news.js';
 import type {
   PeerCaller,
   PeerError,
@@ -61,6 +62,11 @@
     return success({digest: null});
   }
 
+  async followZone(): Promise<Result<ZoneNews | null, PeerError>> {
+    await Promise.resolve();
+    return success(null);
+  }
+
   async handOverDuty(): Promise<Result<void, PeerError>> {
     await Promise.resolve();
     return success(undefined);
--- /dev/null
+++ b/packages/gateway/src/zone/zone_news_codec.ts
@@ -0,0 +1,123 @@
+import * as z from 'zod';
+import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import type {ZoneNews} from './zone_news.js';
+
+/** The form in which news of a zone travel between proxies. */
+
+const routeSchema = z.object({
+  databaseName: z.string(),
+  databaseGroup: z.string(),
+  consistency: z.enum(['strict', 'session', 'age']),
+  maxAgeMs: z.number().nullable(),
+  statementTimeoutMs: z.number(),
+  targetLatencyMs: z.number(),
+  priority: z.enum(['booking', 'normal', 'lookup']),
+});
+
+const configurationSchema = z
+  .object({
+    version: z.number(),
+    routes: z.array(z.tuple([z.string(), routeSchema])),
+    databaseGroups: z.array(
+      z.tuple([
+        z.string(),
+        z.object({
+          databaseGroup: z.string(),
+          maxConnections: z.number(),
+          synchronousReplicaCount: z.number(),
+        }),
+      ]),
+    ),
+    transactionIdleTimeoutMs: z.number(),
+  })
+  .transform((value): ServiceConfiguration => ({
+    ...value,
+    routes: new Map(value.routes),
+    databaseGroups: new Map(value.databaseGroups),
+  }));
+
+const backendServerSchema = z.object({
+  backendServer: z.string(),
+  databaseGroup: z.string(),
+  host: z.string(),
+  port: z.number(),
+  availabilityZone: z.string(),
+  state: z.enum(['active', 'draining']),
+  reportedRole: z.enum(['primary', 'replica']),
+  slots: z.number(),
+  warmUpRemainingMs: z.number(),
+  startedAtEpochMs: z.number().nullable(),
+});
+
+function createNewsSchema<T>(value: z.ZodType<T>) {
+  return z.object({
+    isListing: z.boolean(),
+    revision: z.number(),
+    changes: z.array(
+      z.discriminatedUnion('kind', [
+        z.object({
+          kind: z.literal('put'),
+          key: z.string(),
+          revision: z.number(),
+          value,
+        }),
+        z.object({
+          kind: z.literal('removed'),
+          key: z.string(),
+          revision: z.number(),
+        }),
+        z.object({
+          kind: z.literal('unreadable'),
+          key: z.string(),
+          revision: z.number(),
+          reason: z.string(),
+        }),
+      ]),
+    ),
+  });
+}
+
+const zoneNewsSchema = z.object({
+  control: createNewsSchema(z.string()).extend({
+    storeTimeMs: z.number(),
+    readLeadMs: z.number(),
+  }),
+  directory: createNewsSchema(backendServerSchema),
+  configuration: createNewsSchema(configurationSchema),
+  contact: z.object({digest: z.string(), startLeadMs: z.number()}).nullable(),
+});
+
+/** Validates a question to the reader of a zone. @public */
+export const zoneQuestionSchema = z.object({
+  entryVm: z.string().min(1),
+  incarnation: z.string().min(1),
+  controlRevision: z.number().nullable(),
+  directoryRevision: z.number().nullable(),
+  configurationRevision: z.number().nullable(),
+  isUrgent: z.boolean(),
+  waitMs: z.number().nonnegative(),
+});
+
+/** Turns news into plain JSON values; maps become lists of pairs. @public */
+export function encodeZoneNews(news: ZoneNews): unknown {
+  const changes = news.configuration.changes.map(change =>
+    change.kind === 'put'
+      ? {...change, value: encodeConfiguration(change.value)}
+      : change,
+  );
+  return {...news, configuration: {...news.configuration, changes}};
+}
+
+/** Reads news; null when the value is none. @public */
+export function decodeZoneNews(value: unknown): ZoneNews | null {
+  const parsed = zoneNewsSchema.safeParse(value);
+  return parsed.success ? parsed.data : null;
+}
+
+function encodeConfiguration(configuration: ServiceConfiguration): unknown {
+  return {
+    ...configuration,
+    routes: [...configuration.routes],
+    databaseGroups: [...configuration.databaseGroups],
+  };
+}
--- a/packages/platform/src/platform_service.ts
+++ b/packages/platform/src/platform_service.ts
@@ -54,9 +54,32 @@
   readonly storeTimeMs: number;
 }
 
+/** Why a call failed that can't conflict with another writer. @public */
+export type PlatformCallError = Exclude<
+  PlatformError,
+  {readonly kind: 'conflict'}
+>;
+
+/**
+ * Why a write of several keys failed. `conflicts` has the keys whose revisions
+ * differed, with what they hold; nothing was written.
+ *
+ * @public
+ */
+export type BatchWriteError =
+  | PlatformCallError
+  | {
+      readonly kind: 'conflicts';
+      readonly current: ReadonlyMap<string, TableEntry | null>;
+    };
+
 /** A table that can be read whole. @public */
 export interface ListableTable extends PlatformTable {
   listEntries(): Promise<Result<TableListing, PlatformError>>;
+  /** Writes all keys if each has its expected revision, or none of them. */
+  putEntries(
+    writes: readonly ConditionalWrite[],
+  ): Promise<Result<ReadonlyMap<string, TableEntry>, BatchWriteError>>;
   /** Removes a key if it has the revision. */
   removeEntry(
     key: string,
