A history in which every instance leaves for good owes no recovery

The draw of drains all three instances of the group; each ends for good 9 s later, so that nothing can be served ('0 of 112 served'). The check stands wherever one instance runs at the end.

--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -99,6 +99,11 @@
     return leader ?? this.get('p');
   }
 
+  /** Whether any instance is left; all of them may drain and end for good. */
+  get hasRunningInstance(): boolean {
+    return [...this.instances.values()].some(({isRunning}) => isRunning);
+  }
+
   getPosition(instance: SimulatedInstance): LogPosition {
     const last = instance.log.at(-1);
     return {term: last?.term ?? 1, position: instance.log.length};
