--- a/packages/gateway/src/control/control_poller_test.ts
+++ b/packages/gateway/src/control/control_poller_test.ts
@@ -1,4 +1,5 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import type {TableListing} from '@filbertrun/platform/platform_service.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {ClockWatch} from '../group/clock_watch.js';
 import {RecordedEvents} from '../observability/gateway_events.js';
@@ -75,4 +76,32 @@
     await advance(12_000);
     expect(readAtMs).toEqual([]);
   });
+
+  function createListing(revision: number): TableListing {
+    return {entries: new Map(), revision, storeTimeMs: 0};
+  }
+
+  it('reads nothing while it is paused, and at once afterwards', async () => {
+    poller.pause();
+    await advance(12_000);
+    expect(await poller.readNow()).toBe(false);
+    expect(readAtMs).toEqual([]);
+    poller.resume();
+    await advance(UPKEEP_MS);
+    expect(readAtMs).toHaveLength(1);
+  });
+
+  it('takes a listing that another proxy has read, unless it is out of date', async () => {
+    poller.pause();
+    const readAt = {timeMs: clock.nowMs(), epoch: 0};
+    poller.takeListing(createListing(9), readAt);
+    poller.takeListing(createListing(8), readAt);
+    expect(readAtMs).toHaveLength(1);
+    expect(poller.newestListing?.revision).toBe(9);
+  });
+
+  it('repeats the newest listing for whoever comes later', () => {
+    poller.repeat();
+    expect(readAtMs).toHaveLength(1);
+  });
 });
--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -126,4 +126,81 @@
     await readLease(registration);
     expect(registration.getEntryVm('entry-2')).toBeNull();
   });
+
+  it('extends the leases of its followers with its own, in one write', async () => {
+    const follower = create(identify('entry-2'));
+    await readLease(follower);
+    await follower.maintain();
+    const reader = create();
+    await readLease(reader);
+    await reader.maintain();
+    followers.set('entry-2', 'one');
+    clock.advance(5_000);
+    table.writeCount = 0;
+    await readLease(reader);
+    expect(await reader.maintain()).toBe(true);
+    expect(table.writeCount).toBe(1);
+    expect(await readLease(follower)).toBe(await readLease(reader));
+  });
+
+  it('extends no lease of another process of a follower', async () => {
+    const follower = create(identify('entry-2', 'two'));
+    await readLease(follower);
+    await follower.maintain();
+    const reader = create();
+    await readLease(reader);
+    await reader.maintain();
+    followers.set('entry-2', 'one');
+    clock.advance(5_000);
+    await readLease(reader);
+    await reader.maintain();
+    expect(await readLease(follower)).toBeLessThan(await readLease(reader));
+  });
+
+  it('leaves a follower out that has removed its record, and extends the others', async () => {
+    const follower = create(identify('entry-2'));
+    await readLease(follower);
+    await follower.maintain();
+    const reader = create();
+    await readLease(reader);
+    await reader.maintain();
+    followers.set('entry-2', 'one');
+    clock.advance(5_000);
+    await readLease(reader);
+    await follower.leave();
+    expect(await reader.maintain()).toBe(false);
+    expect(await reader.maintain()).toBe(true);
+    await readLease(reader);
+    expect(reader.getEntryVm('entry-2')).toBeNull();
+  });
+
+  it('waits longer for its reader than for itself before it renews', async () => {
+    const registration = create();
+    await readLease(registration);
+    await registration.maintain();
+    isFollowing = true;
+    clock.advance(6_000);
+    await readLease(registration);
+    expect(await registration.maintain()).toBe(false);
+    clock.advance(1_000);
+    await readLease(registration);
+    expect(await registration.maintain()).toBe(true);
+  });
+
+  it('relies on no later end of its lease than a listing shows', async () => {
+    const registration = create();
+    await readLease(registration);
+    await registration.maintain();
+    const readAt = watch.read();
+    const before = await table.listEntries();
+    clock.advance(5_000);
+    await registration.maintain();
+    if (!before.ok) {
+      throw new Error('The fake table does not answer.');
+    }
+    registration.observe(before.value, readAt);
+    expect(registration.getLeaseDurationMs(before.value)).toBe(12_000);
+    // The own renewal is not forgotten over the older listing.
+    expect(await registration.maintain()).toBe(false);
+  });
 });
--- a/packages/gateway/src/control/failover_duty_lease_test.ts
+++ b/packages/gateway/src/control/failover_duty_lease_test.ts
@@ -19,11 +19,13 @@
   let clock: VirtualClock;
   let wallClock: FakeWallClock;
   let table: FakeControlTable;
+  let mayTakeOver: boolean;
 
   beforeEach(() => {
     clock = VirtualClock.create();
     wallClock = FakeWallClock.create(clock);
     table = FakeControlTable.create(clock);
+    mayTakeOver = true;
   });
 
   function create(entryVm: string, incarnation = 'one'): FailoverDutyLease {
@@ -34,7 +36,7 @@
       clockWatch: ClockWatch.create(clock, wallClock),
       random: SeededRandom.create(1),
       events: RecordedEvents.create(),
-      mayTakeOver: () => true,
+      mayTakeOver: () => mayTakeOver,
     });
   }
 
@@ -160,4 +162,56 @@
     await first.maintain();
     expect(first.getFencingToken()).toBeNull();
   });
+
+  it('is left alone for a while by the proxy that passed it on', async () => {
+    const first = create('entry-1');
+    await first.maintain();
+    expect(first.passOn('elsewhere is better')).toBe(1);
+    await first.maintain();
+    expect(first.getFencingToken()).toBeNull();
+    clock.advance(3_000);
+    observe(first);
+    await first.maintain();
+    expect(first.getFencingToken()).toBe(2);
+  });
+
+  it('is taken at once by the proxy that it was passed to, also after a renewal', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    await first.maintain();
+    observe(second);
+    clock.advance(800);
+    await first.maintain();
+    second.receive(first.passOn('elsewhere is better') ?? 0);
+    await second.maintain();
+    await second.maintain();
+    expect(second.getFencingToken()).toBe(2);
+  });
+
+  it('is taken over by none that leaves that to another proxy, unless it was passed to it', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    mayTakeOver = false;
+    await second.maintain();
+    expect(second.getFencingToken()).toBeNull();
+    mayTakeOver = true;
+    await first.maintain();
+    mayTakeOver = false;
+    observe(second);
+    second.receive(first.passOn('elsewhere is better') ?? 0);
+    await second.maintain();
+    expect(second.getFencingToken()).toBe(2);
+  });
+
+  it('does not count an old listing as a sign that its holder stands still', async () => {
+    const first = create('entry-1');
+    const second = create('entry-2');
+    await first.maintain();
+    observe(second);
+    const readAt = ClockWatch.create(clock, wallClock).read();
+    clock.advance(DUTY_TAKEOVER_MS + TAKEOVER_ROOM_MS);
+    second.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
+    await second.maintain();
+    expect(second.getFencingToken()).toBeNull();
+  });
 });
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -105,4 +105,38 @@
     expect(losses).toHaveLength(1);
     expect(table.listCount).toBe(4);
   });
+
+  it('discards what is answered after a pause, and goes on where the news left off', async () => {
+    let resolveWatch: (
+      result: Result<TableChanges<string>, WatchError>,
+    ) => void = () => {};
+    table.listings.push(success(changes(5, 'a')));
+    table.watch = afterRevision => {
+      table.watchedAfter.push(afterRevision);
+      return new Promise(resolve => {
+        resolveWatch = resolve;
+      });
+    };
+    watcher.start();
+    await advanceClock(clock, 10);
+    seen.length = 0;
+    const resolveOld = resolveWatch;
+    watcher.pause();
+    watcher.takeNews(changes(8, 'b'), false);
+    resolveOld(success(changes(7, 'old')));
+    await advanceClock(clock, 10);
+    expect(seen).toEqual(['changes 8']);
+    watcher.resume();
+    await advanceClock(clock, 10);
+    expect(table.watchedAfter).toEqual([5, 8]);
+  });
+
+  it('takes no news that are older than what it knows', async () => {
+    table.listings.push(success(changes(5, 'a')));
+    watcher.start();
+    await advanceClock(clock, 10);
+    seen.length = 0;
+    watcher.takeNews(changes(4, 'old'), true);
+    expect(seen).toEqual([]);
+  });
 });
