A proxy without a lease confirms nothing, so no change of primary waits for one

Change: a proxy that has not released counts as confirming up to the end of its lease; contact is counted from the latest of the releases, those ends and the intent (a read of the store before it is a contact).

--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -49,6 +49,8 @@
  */
 export class ReleaseCollector {
   private readonly pending: PendingRelease[] = [];
+  /** Soon after the intent was recorded. */
+  private startedAtMs = Number.NEGATIVE_INFINITY;
   private highest: LogPosition | null = null;
   private isStopped = false;
 
@@ -65,6 +67,7 @@
 
   /** Asks all proxies; each is asked again until it answers. */
   start(holders: readonly LeaseHolder[]): void {
+    this.startedAtMs = this.options.clock.nowMs();
     for (const holder of holders) {
       const release: PendingRelease = {holder, answeredAtMs: null};
       this.pending.push(release);
@@ -117,8 +120,8 @@
    */
   private estimateEndMs({holder}: PendingRelease): number {
     const {contactWindowMs} = holder.record;
-    const lastContactMs = this.findLastContactMs(holder.record);
     const leaseEndMs = holder.leaseEndMs + LEASE_MARGIN_MS;
+    const lastContactMs = this.findLastContactMs(holder.record);
     return contactWindowMs === null || lastContactMs === null
       ? leaseEndMs
       : Math.min(
@@ -128,9 +131,10 @@
   }
 
   /**
-   * Time after which nobody can have confirmed the old primary to a proxy:
-   * those of the other availability zones have released, and a read of the
-   * store would have shown the intent. Null while that is not so.
+   * Time after which nobody can have confirmed the old primary to a proxy: each
+   * one of the other availability zones has released, or holds no lease any
+   * more and so confirms nothing; and a read of the store since the start
+   * would have shown the intent. Null where there is no other zone.
    */
   private findLastContactMs(record: EntryVmRecord): number | null {
     let lastMs: number | null = null;
@@ -138,10 +142,9 @@
       if (holder.record.availabilityZone === record.availabilityZone) {
         continue;
       }
-      if (answeredAtMs === null) {
-        return null;
-      }
-      lastMs = Math.max(lastMs ?? answeredAtMs, answeredAtMs);
+      const confirmsUntilMs =
+        answeredAtMs ?? holder.leaseEndMs + LEASE_MARGIN_MS;
+      lastMs = Math.max(lastMs ?? this.startedAtMs, confirmsUntilMs);
     }
     return lastMs;
   }
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -17,9 +17,10 @@
   entryVm: string,
   availabilityZone: string,
   contactWindowMs: number | null = WINDOW_MS,
+  leaseEndMs = LEASE_END_MS,
 ): LeaseHolder {
   return {
-    leaseEndMs: LEASE_END_MS,
+    leaseEndMs,
     record: {
       entryVm,
       availabilityZone,
@@ -27,7 +28,7 @@
       peerPort: 1,
       incarnation: 'one',
       // The store's clock shows the same time as the virtual one.
-      leaseEndStoreMs: LEASE_END_MS,
+      leaseEndStoreMs: leaseEndMs,
       contactWindowMs,
     },
   };
@@ -125,6 +126,46 @@
     alone.stop();
   });
 
+  it('counts none whose lease has ended among those that could confirm', async () => {
+    const endedMs = clock.nowMs() - 5_000;
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('removed', 'zone-b', WINDOW_MS, endedMs),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1']);
+    expect(collector.getOutstanding()).toEqual(['cut']);
+    await advanceClock(clock, WINDOW_MS + MARGIN_MS + 10);
+    expect(collector.getOutstanding()).toEqual([]);
+    collector.stop();
+  });
+
+  it('counts a read of the store before the intent as a contact', async () => {
+    const holders = [
+      createHolder('removed', 'zone-b', WINDOW_MS, clock.nowMs() - 5_000),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, []);
+    await advanceClock(clock, WINDOW_MS - 10);
+    expect(collector.getOutstanding()).toEqual(['cut']);
+    collector.stop();
+  });
+
+  it('counts the window from the end of a lease that ends before the other one', async () => {
+    const endMs = clock.nowMs() + 4_000;
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('dead', 'zone-b', WINDOW_MS, endMs),
+      createHolder('cut', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1']);
+    await advanceClock(clock, endMs + WINDOW_MS - 10 - clock.nowMs());
+    expect(collector.getOutstanding()).toContain('cut');
+    await advanceClock(clock, LEASE_MARGIN_MS + MARGIN_MS + 20);
+    expect(collector.getOutstanding()).toEqual([]);
+    collector.stop();
+  });
+
   it('counts the window from the last release that arrived', async () => {
     const holders = [
       createHolder('e1', 'zone-a'),
