--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -27,6 +27,12 @@
   readonly events: GatewayEvents;
 }
 
+/**
+ * Least time between two calls. While changes follow each other closely, as
+ * when all servers register, one call then brings several of them.
+ */
+const MIN_CALL_INTERVAL_MS = 250;
+
 const MIN_RETRY_DELAY_MS = 80;
 const MAX_RETRY_DELAY_MS = 600;
 
@@ -106,6 +112,7 @@
   }
 
   private async runOnce(run: number): Promise<void> {
+    const startedAtMs = this.options.clock.nowMs();
     const failureReason = await (this.mustList
       ? this.list(run)
       : this.watch(run));
@@ -114,11 +121,20 @@
     }
     if (failureReason === null) {
       this.recordContact();
-      void this.runOnce(run);
+      const elapsedMs = this.options.clock.nowMs() - startedAtMs;
+      this.schedule(run, MIN_CALL_INTERVAL_MS - elapsedMs);
       return;
     }
     this.recordFailure(failureReason);
-    this.timer = this.options.clock.startTimer(this.getRetryDelayMs(), () => {
+    this.schedule(run, this.getRetryDelayMs());
+  }
+
+  private schedule(run: number, delayMs: number): void {
+    if (delayMs <= 0) {
+      void this.runOnce(run);
+      return;
+    }
+    this.timer = this.options.clock.startTimer(delayMs, () => {
       void this.runOnce(run);
     });
   }
