Fewer calls at the start and of watches

Change: the first watch 800 ms after its listing; 500 ms between watches of the directory; a new group takes its record from the last listing; the rosters are read by one listing and written by one call; the wait of the configuration's watch is a part of the time that the settings allow (0.7, 0.4 with followers).

--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -1,6 +1,9 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
-import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
+import type {
+  ListableTable,
+  TableEntry,
+} from '@filbertrun/platform/platform_service.js';
 import * as z from 'zod';
 import {parseRecord} from '../control/control_record.js';
 import type {BackendServerEntry} from './backend_server_entry.js';
@@ -28,7 +31,7 @@
 export interface GroupRosterOptions {
   readonly clock: Clock;
   /** Table of the system's own, apart from the one that all proxies read often. */
-  readonly table: PlatformTable;
+  readonly table: ListableTable;
   /**
    * The instances of a group that this process knows, those included that left
    * a short while ago.
@@ -38,6 +41,16 @@
   hasLongMemory(): boolean;
 }
 
+/** Rosters that are written at once. */
+const MAX_BATCH = 50;
+
+/** A roster to be written over the one of a revision. */
+interface RosterChange {
+  readonly databaseGroup: DatabaseGroupName;
+  readonly entries: readonly BackendServerEntry[];
+  readonly revision: number;
+}
+
 interface StoredRoster {
   readonly entries: readonly BackendServerEntry[];
   readonly revision: number;
@@ -67,14 +80,7 @@
     databaseGroup: DatabaseGroupName,
   ): Promise<readonly BackendServerEntry[] | null> {
     const result = await this.options.table.getEntry(getKey(databaseGroup));
-    if (!result.ok) {
-      return null;
-    }
-    const {value: entry} = result;
-    const entries =
-      entry === null ? [] : (parseRecord(rosterSchema, entry.value) ?? []);
-    this.stored.set(databaseGroup, {entries, revision: entry?.revision ?? 0});
-    return entries;
+    return result.ok ? this.store(databaseGroup, result.value) : null;
   }
 
   /** Writes the rosters that no longer name the instances that are known. */
@@ -85,38 +91,78 @@
     }
     this.maintainedAtMs = nowMs;
     this.isWriting = true;
-    for (const databaseGroup of groups) {
-      await this.maintainOne(databaseGroup);
+    const isRead =
+      groups.every(group => this.stored.has(group)) ||
+      (await this.readAll(groups));
+    const changes = isRead ? this.findChanges(groups) : [];
+    for (let start = 0; start < changes.length; start += MAX_BATCH) {
+      await this.write(changes.slice(start, start + MAX_BATCH));
     }
     this.isWriting = false;
   }
 
-  private async maintainOne(databaseGroup: DatabaseGroupName): Promise<void> {
-    if (!this.stored.has(databaseGroup)) {
-      await this.read(databaseGroup);
+  /** Reads the rosters of all groups by one listing; false without an answer. */
+  private async readAll(
+    groups: readonly DatabaseGroupName[],
+  ): Promise<boolean> {
+    const listing = await this.options.table.listEntries();
+    if (!listing.ok) {
+      return false;
     }
-    const stored = this.stored.get(databaseGroup);
-    if (stored === undefined) {
-      return;
+    for (const group of groups) {
+      this.store(group, listing.value.entries.get(getKey(group)) ?? null);
     }
-    const entries = this.merge(databaseGroup, stored.entries);
-    if (namesSame(entries, stored.entries)) {
-      return;
+    return true;
+  }
+
+  private findChanges(
+    groups: readonly DatabaseGroupName[],
+  ): readonly RosterChange[] {
+    const changes: RosterChange[] = [];
+    for (const databaseGroup of groups) {
+      const stored = this.stored.get(databaseGroup);
+      if (stored === undefined) {
+        continue;
+      }
+      const entries = this.merge(databaseGroup, stored.entries);
+      if (!namesSame(entries, stored.entries)) {
+        changes.push({databaseGroup, entries, revision: stored.revision});
+      }
     }
-    const result = await this.options.table.putEntry({
-      key: getKey(databaseGroup),
-      value: JSON.stringify(entries),
-      expectedRevision: stored.revision,
-    });
-    if (result.ok) {
-      const {revision} = result.value;
-      this.stored.set(databaseGroup, {entries, revision});
-    } else {
-      // Whatever became of the write, the next look reads the roster anew.
-      this.stored.delete(databaseGroup);
+    return changes;
+  }
+
+  private async write(changes: readonly RosterChange[]): Promise<void> {
+    const result = await this.options.table.putEntries(
+      changes.map(({databaseGroup, entries, revision}) => ({
+        key: getKey(databaseGroup),
+        value: JSON.stringify(entries),
+        expectedRevision: revision,
+      })),
+    );
+    for (const {databaseGroup, entries} of changes) {
+      const written = result.ok
+        ? result.value.get(getKey(databaseGroup))
+        : undefined;
+      if (written === undefined) {
+        // Whatever became of the write, the next look reads the rosters anew.
+        this.stored.delete(databaseGroup);
+      } else {
+        this.stored.set(databaseGroup, {entries, revision: written.revision});
+      }
     }
   }
 
+  private store(
+    databaseGroup: DatabaseGroupName,
+    entry: TableEntry | null,
+  ): readonly BackendServerEntry[] {
+    const entries =
+      entry === null ? [] : (parseRecord(rosterSchema, entry.value) ?? []);
+    this.stored.set(databaseGroup, {entries, revision: entry?.revision ?? 0});
+    return entries;
+  }
+
   /** A process without a long memory drops no instance that another one named. */
   private merge(
     databaseGroup: DatabaseGroupName,
--- a/packages/gateway/src/directory/group_roster_test.ts
+++ b/packages/gateway/src/directory/group_roster_test.ts
@@ -1,6 +1,7 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {FakeControlTable} from '../testing/fake_control_table.js';
+import {bind} from '../simulation/mutant_parts.js';
 import {createEntry} from '../testing/fake_instances.js';
 import type {BackendServerEntry} from './backend_server_entry.js';
 import {GroupRoster} from './group_roster.js';
@@ -78,4 +79,26 @@
     await maintain(third);
     expect(await readNames()).toEqual(['p']);
   });
+
+  it('reads and writes the rosters of all groups by one call each', async () => {
+    const names = Array.from({length: 40}, (_unused, index) => `g${index}`);
+    let listingCount = 0;
+    const roster = GroupRoster.create({
+      clock,
+      table: {
+        ...bind(table),
+        listEntries: () => {
+          listingCount++;
+          return table.listEntries();
+        },
+      },
+      listKnown: group => [createEntry(`${group}-p`, 'primary')],
+      hasLongMemory: () => true,
+    });
+    clock.advance(1_000);
+    await roster.maintain(names);
+    expect(listingCount).toBe(1);
+    expect(table.writeCount).toBe(1);
+    expect(await roster.read('g39')).toHaveLength(1);
+  });
 });
--- a/packages/gateway/src/directory/known_instances.ts
+++ b/packages/gateway/src/directory/known_instances.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
-import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
+import type {ListableTable} from '@filbertrun/platform/platform_service.js';
 import type {BackendDirectory} from './backend_directory.js';
 import type {BackendServerEntry} from './backend_server_entry.js';
 import {GroupRoster} from './group_roster.js';
@@ -11,7 +11,7 @@
   readonly clock: Clock;
   readonly directory: BackendDirectory;
   readonly directoryTable: WatchableTable<BackendServerEntry>;
-  readonly rosterTable: PlatformTable;
+  readonly rosterTable: ListableTable;
 }
 
 /** The instances of a group that may run, as a change of its primary counts them. @public */
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -20,6 +20,11 @@
    * that goes silent is noticed a little later than this.
    */
   getWaitMs(): number;
+  /**
+   * Least time between two calls. While changes follow each other closely, one
+   * call then brings several of them.
+   */
+  readonly minIntervalMs: number;
   readonly table: WatchableTable<T>;
   readonly listener: TableListener<T>;
   readonly clock: Clock;
@@ -28,10 +33,10 @@
 }
 
 /**
- * Least time between two calls. While changes follow each other closely, as
- * when all servers register, one call then brings several of them.
+ * Time from a listing to the first watch. Until then a process that has just
+ * started may have found another one that reads for it.
  */
-const MIN_CALL_INTERVAL_MS = 250;
+const FIRST_WATCH_DELAY_MS = 800;
 
 const MIN_RETRY_DELAY_MS = 80;
 const MAX_RETRY_DELAY_MS = 600;
@@ -113,16 +118,18 @@
 
   private async runOnce(run: number): Promise<void> {
     const startedAtMs = this.options.clock.nowMs();
-    const failureReason = await (this.mustList
-      ? this.list(run)
-      : this.watch(run));
+    const isListing = this.mustList;
+    const failureReason = await (isListing ? this.list(run) : this.watch(run));
     if (this.isOver(run)) {
       return;
     }
     if (failureReason === null) {
       this.recordContact();
       const elapsedMs = this.options.clock.nowMs() - startedAtMs;
-      this.schedule(run, MIN_CALL_INTERVAL_MS - elapsedMs);
+      const intervalMs = isListing
+        ? FIRST_WATCH_DELAY_MS
+        : this.options.minIntervalMs;
+      this.schedule(run, intervalMs - elapsedMs);
       return;
     }
     this.recordFailure(failureReason);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,6 @@
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
 import type {
   ListableTable,
-  PlatformTable,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
 import type {BackendLinkConnector} from './backend/backend_link.js';
@@ -75,7 +74,7 @@
   readonly promotions: PromotionService;
   readonly controlTable: ListableTable;
   /** Table of the rosters of the database groups. */
-  readonly rosterTable: PlatformTable;
+  readonly rosterTable: ListableTable;
   readonly directoryTable: WatchableTable<BackendServerEntry>;
   readonly configurationTable: WatchableTable<ServiceConfiguration>;
   /** Key of the configuration in its table. */
@@ -84,6 +83,8 @@
   readonly relay: ControlRelay;
   /** Time for which a draining backend server may be used. */
   readonly drainDurationMs: number;
+  /** Time in which a newer configuration must be in force. */
+  readonly configurationApplyMs: number;
   /** Time after the last contact for which a primary is relied on. */
   readonly contactWindowMs: number;
 }
@@ -91,11 +92,20 @@
 /** Wait of a watch on the backend servers; a drain allows several seconds. */
 const DIRECTORY_WAIT_MS = 5_000;
 
-/** Wait of a watch on the configuration, which must be in force within 3 s. */
-const CONFIGURATION_WAIT_MS = 2_200;
+/**
+ * Part of the time in which a configuration must be in force that a watch may
+ * be silent; the rest is for noticing that and for a listing.
+ */
+const CONFIGURATION_WAIT_PART = 0.7;
 
 /** The same for a proxy that reads for others, which hear of a failure after it. */
-const READER_CONFIGURATION_WAIT_MS = 1_200;
+const READER_CONFIGURATION_WAIT_PART = 0.4;
+
+/** Least time between two calls of the watch on the configuration. */
+const CONFIGURATION_INTERVAL_MS = 250;
+
+/** The same for the backend servers, which register many at a time. */
+const DIRECTORY_INTERVAL_MS = 500;
 
 /** Interval of the upkeep of duty, registration, shares and readiness. */
 const UPKEEP_INTERVAL_MS = 100;
@@ -194,6 +204,7 @@
     this.directoryWatcher = TableWatcher.create({
       name: 'backend servers',
       getWaitMs: () => DIRECTORY_WAIT_MS,
+      minIntervalMs: DIRECTORY_INTERVAL_MS,
       table: options.directoryTable,
       listener: this.publisher.watchDirectory(this.directory),
       clock,
@@ -203,9 +214,11 @@
     this.configurationWatcher = TableWatcher.create({
       name: 'configuration',
       getWaitMs: () =>
-        this.publisher.getFollowers().size === 0
-          ? CONFIGURATION_WAIT_MS
-          : READER_CONFIGURATION_WAIT_MS,
+        options.configurationApplyMs *
+        (this.publisher.getFollowers().size === 0
+          ? CONFIGURATION_WAIT_PART
+          : READER_CONFIGURATION_WAIT_PART),
+      minIntervalMs: CONFIGURATION_INTERVAL_MS,
       table: options.configurationTable,
       listener: this.publisher.watchConfiguration(this.configuration),
       clock,
@@ -503,9 +516,8 @@
         group.updateServer(entry);
       }
     }
-    // A follower learns the records of the group from the last listing.
+    // The last listing has the record of the group, if there is one.
     this.poller.repeat();
-    void this.poller.readNow();
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
--- a/packages/gateway/src/simulation/configuration_oracle.ts
+++ b/packages/gateway/src/simulation/configuration_oracle.ts
@@ -3,7 +3,7 @@
 import type {TouchRecord} from './touch_record.js';
 
 /** Time after its acceptance from which a version is in force. */
-const APPLY_MS = 3_000;
+export const CONFIGURATION_APPLY_MS = 3_000;
 
 /** A request on the optional route. @internal */
 export interface RouteProbe {
@@ -50,7 +50,8 @@
     this.oldest.set(key, first);
     const isInTouch = this.touch.isInTouch(probe.proxy, nowMs);
     const isTimely = candidates.some(
-      index => this.getSupersededMs(index, probe.startedAtMs) < APPLY_MS,
+      index =>
+        this.getSupersededMs(index, probe.startedAtMs) < CONFIGURATION_APPLY_MS,
     );
     if (isInTouch && !isTimely) {
       this.oracle.report('lateConfiguration', key);
--- a/packages/gateway/src/simulation/deployment_mutants.ts
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -1,5 +1,8 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {PlatformError} from '@filbertrun/platform/platform_service.js';
+import type {
+  PlatformCallError,
+  TableListing,
+} from '@filbertrun/platform/platform_service.js';
 import type {
   InstanceControl,
   InstanceControlError,
@@ -78,7 +81,8 @@
       rosterTable: {
         ...bind(options.controlTable),
         getEntry: () => Promise.resolve(success(null)),
-        putEntry: () => Promise.resolve(failure(TABLE_UNAVAILABLE)),
+        listEntries: () => Promise.resolve(success(EMPTY_TABLE)),
+        putEntries: () => Promise.resolve(failure(TABLE_UNAVAILABLE)),
       },
     }),
   },
@@ -136,7 +140,13 @@
   },
 ];
 
-const TABLE_UNAVAILABLE: PlatformError = {
+const EMPTY_TABLE: TableListing = {
+  entries: new Map(),
+  revision: 1,
+  storeTimeMs: 0,
+};
+
+const TABLE_UNAVAILABLE: PlatformCallError = {
   kind: 'unavailable',
   reason: 'mutant',
 };
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -17,6 +17,7 @@
 import type {PeerCaller, PeerError, PeerHandler} from '../peer/peer_caller.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {CONFIGURATION_APPLY_MS} from './configuration_oracle.js';
 import {PartyLink} from './party_link.js';
 import {
   DRAIN_MS,
@@ -107,6 +108,7 @@
         relay: createRelay(link, deployment),
         contactWindowMs: CONTACT_WINDOW_MS,
         drainDurationMs: DRAIN_MS,
+        configurationApplyMs: CONFIGURATION_APPLY_MS,
       }),
     );
   }
