A drain goes on counting when the entry of the server lapses and comes back

Cause (drawn history): a draining server was cut off, its entry expired and came back; its drain counted anew from then, so that it was used, and even promoted, up to 7 s beyond its drain. The same after a restart of the proxy. Change: since when a server drains is remembered beyond its entry, by its start; a server first seen draining counts as halfway through. Three tests failed first.

--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -13,6 +13,7 @@
 } from '../backend/backend_link.js';
 import {PooledLink} from '../backend/pooled_link.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {DrainMemory} from './drain_memory.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 
 /** What a backend server's runtime is made of. @public */
@@ -24,6 +25,8 @@
   readonly maxConnections: number;
   /** Time for which a draining server may be used once its state is known. */
   readonly drainDurationMs: number;
+  /** Since when servers have been draining, also those that come back. */
+  readonly drains: DrainMemory;
 }
 
 /**
@@ -106,7 +109,7 @@
     private currentEntry: BackendServerEntry,
     private readonly options: BackendServerRuntimeOptions,
   ) {
-    this.noteState();
+    this.noteState(false);
     this.pool = BackendPool.create<PooledLink>({
       clock: options.clock,
       random: options.random,
@@ -190,8 +193,9 @@
       entry.startedAtEpochMs === this.currentEntry.startedAtEpochMs &&
       entry.host === this.currentEntry.host &&
       entry.port === this.currentEntry.port;
+    const wasActive = this.currentEntry.state === 'active';
     this.currentEntry = entry;
-    this.noteState();
+    this.noteState(wasActive);
     return isSameStart;
   }
 
@@ -276,12 +280,9 @@
     this.closeAll(reason);
   }
 
-  private noteState(): void {
-    if (this.currentEntry.state === 'draining') {
-      this.drainingSinceMs ??= this.options.clock.nowMs();
-    } else {
-      this.drainingSinceMs = null;
-    }
+  private noteState(wasActive: boolean): void {
+    const {drains} = this.options;
+    this.drainingSinceMs = drains.note(this.currentEntry, wasActive);
   }
 
   private async connect(): Promise<Result<PooledLink, ConnectError>> {
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -15,6 +15,7 @@
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {BackendCandidate} from '../routing/choose_backend_server.js';
+import {DrainMemory} from './drain_memory.js';
 import {BackendServerRuntime} from './backend_server_runtime.js';
 import type {ClockWatch} from './clock_watch.js';
 import {choosePrimaryWaitMs} from '../routing/choose_primary_wait.js';
@@ -82,10 +83,12 @@
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
+  private readonly drains: DrainMemory;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
     this.lease = PrimaryLease.create(options.clockWatch, options.contact);
     this.writes = WriteProgress.create(options.clock);
+    this.drains = DrainMemory.create(options.clock, options.drainDurationMs);
   }
 
   static create(options: GroupRuntimeOptions): GroupRuntime {
@@ -121,6 +124,7 @@
         events,
         maxConnections: this.maxConnections,
         drainDurationMs,
+        drains: this.drains,
       });
       this.servers.set(entry.backendServer, runtime);
     } else if (!known.updateEntry(entry)) {
--- a/packages/gateway/src/group/group_runtime_test.ts
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -89,6 +89,48 @@
     expect(getWritable()).toBe('p');
   });
 
+  it('counts a drain on when the entry of the server lapses and comes back', () => {
+    const draining = {
+      ...createEntry('p', 'primary'),
+      state: 'draining' as const,
+    };
+    world.group.updateServer(draining);
+    world.clock.advance(4_000);
+    world.group.removeServer('p', 'it was drained');
+    world.clock.advance(1_000);
+    world.group.updateServer(draining);
+    expect(getWritable()).toBe('p');
+    world.clock.advance(2_000);
+    expect(getWritable()).toBeNull();
+  });
+
+  it('counts no drain of an earlier process of a server', () => {
+    const draining = {
+      ...createEntry('p', 'primary'),
+      state: 'draining' as const,
+    };
+    world.group.updateServer(draining);
+    world.clock.advance(6_000);
+    world.group.removeServer('p', 'it was drained');
+    world.group.updateServer({
+      ...createEntry('p', 'primary'),
+      startedAtEpochMs: 77,
+    });
+    world.clock.advance(60_000);
+    expect(getWritable()).toBe('p');
+  });
+
+  it('uses a server for a short while only that it never saw other than draining', () => {
+    world.group.updateServer({
+      ...createEntry('late', 'replica'),
+      state: 'draining',
+    });
+    const late = world.group.getServer('late');
+    expect(late?.isPastDrain).toBe(false);
+    world.clock.advance(3_000);
+    expect(late?.isPastDrain).toBe(true);
+  });
+
   it('serves aged reads from the last position of the old term', () => {
     world.group.learnRecord(CHANGING, prove(), 'test');
     const fresh = world.group.getFreshPosition(world.clock.nowMs(), 1_500);
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -198,6 +198,19 @@
     expect(outcome.violations).toEqual([]);
   });
 
+  it('uses no server past its drain whose entry lapsed and came back meanwhile', async () => {
+    const outcome = await playHistory({
+      seed: 999_998,
+      faults: [
+        {kind: 'drainPrimary', atMs: 4_682},
+        {kind: 'drainReplica', atMs: 2_996, replica: 1},
+        {kind: 'cutZone', atMs: 5_238, forMs: 6_900, replica: 1, proxy: 3},
+        {kind: 'crashPrimary', atMs: 427, forMs: 4_720},
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+  });
+
   it('goes on reading at the last instance when the others have left', async () => {
     const outcome = await playHistory({
       seed: 823_559,
