--- a/apps/explain/src/explain_request.ts
+++ b/apps/explain/src/explain_request.ts
@@ -18,6 +18,7 @@
   'dependencyRegained',
   'dutyGained',
   'dutyLost',
+  'zoneReaderChosen',
 ]);
 
 /** The story of a request. @public */
@@ -48,13 +49,19 @@
     return null;
   }
   const names = collectNames(own);
+  const choices = findReaderChoices(records, own);
   const entryVms = new Set(own.map(({entryVm}) => entryVm));
-  const beliefs: LogRecord[] = [];
+  for (const {fields} of choices) {
+    entryVms.add(String(fields['reader']));
+  }
+  // Who reads for a proxy was often decided long before the request.
+  const beliefs: LogRecord[] = [...choices];
   for (const record of records) {
     const isNear =
       record.timeMs >= first.timeMs - CONTEXT_BEFORE_MS &&
       record.timeMs <= last.timeMs + CONTEXT_AFTER_MS;
-    if (isNear && isBelief(record, names, entryVms)) {
+    const isTold = choices.includes(record);
+    if (isNear && !isTold && isBelief(record, names, entryVms)) {
       beliefs.push(record);
     }
   }
@@ -79,6 +86,24 @@
   return left.timeMs - right.timeMs;
 }
 
+/** The latest choice of a reader by each proxy that handled the request. */
+function findReaderChoices(
+  records: readonly LogRecord[],
+  own: readonly LogRecord[],
+): readonly LogRecord[] {
+  const latest = new Map<string, LogRecord>();
+  for (const record of records) {
+    const lastOwn = own.findLast(({entryVm}) => entryVm === record.entryVm);
+    const isBefore = lastOwn !== undefined && record.timeMs <= lastOwn.timeMs;
+    const known = latest.get(record.entryVm);
+    const isNewer = known === undefined || known.timeMs <= record.timeMs;
+    if (record.event === 'zoneReaderChosen' && isBefore && isNewer) {
+      latest.set(record.entryVm, record);
+    }
+  }
+  return [...latest.values()];
+}
+
 /** The database groups and backend servers that a request touched. */
 function collectNames(own: readonly LogRecord[]): ReadonlySet<string> {
   const names = new Set<string>();
--- a/apps/explain/src/explain_request_test.ts
+++ b/apps/explain/src/explain_request_test.ts
@@ -33,6 +33,24 @@
     expect(story?.beliefs.map(({event}) => event)).toEqual(['changeIntended']);
   });
 
+  it('follows a belief through the reader of the zone, however long ago it was chosen', () => {
+    const records = [
+      ...RECORDS,
+      record(10, 'entry-1', 'zoneReaderChosen', {reader: 'entry-3'}),
+      record(20, 'entry-1', 'zoneReaderChosen', {reader: 'entry-2'}),
+      record(30, 'entry-2', 'zoneReaderChosen', {reader: 'entry-2'}),
+    ];
+    const story = explainRequest(records, 'r1');
+    expect(
+      story?.beliefs.map(({event, entryVm}) => `${entryVm} ${event}`),
+    ).toEqual([
+      'entry-1 zoneReaderChosen',
+      'entry-2 changeIntended',
+      'entry-2 dependencyLost',
+    ]);
+    expect(story?.beliefs[0]?.fields['reader']).toBe('entry-2');
+  });
+
   it('gives null for a request that no record names', () => {
     expect(explainRequest(RECORDS, 'r2')).toBeNull();
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -442,6 +442,16 @@
       'Whether the store or a proxy of another zone has just confirmed the primaries.',
       this.contact.isInContact() ? 1 : 0,
     );
+    metrics.setGauge(
+      'filbertrun_reads_store',
+      'Whether the proxy reads the store itself; 0 while another one of its zone does.',
+      this.follower.isReading ? 1 : 0,
+    );
+    metrics.setGauge(
+      'filbertrun_followers',
+      'Proxies of the zone that get their news of the store from this one.',
+      this.publisher.getFollowers().size,
+    );
     metrics.setGauge(
       'filbertrun_loop_delay_seconds',
       'Delay of the latest periodic upkeep.',
