--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -56,11 +56,15 @@
 /** Factor by which a covered read lowers the expected lag. */
 const LAG_SUCCESS_FACTOR = 0.97;
 
-/** Connections that are kept open to an instance that is in use. */
-const MIN_IDLE_CONNECTIONS = 1;
+/**
+ * Connections that are kept open to an instance whether or not it is used. None:
+ * in a large deployment those of proxies that do not use an instance would take
+ * all that it admits, and none would be left when many proxies start again.
+ */
+const MIN_IDLE_CONNECTIONS = 0;
 
-/** Time after which a connection beyond those is closed; idle ones crowd out others. */
-const IDLE_TIMEOUT_MS = 10_000;
+/** Time after which an unused connection is closed. */
+const IDLE_TIMEOUT_MS = 3_000;
 
 /**
  * Statements that a proxy always keeps at an instance. Under load the others
--- a/packages/gateway/src/group/group_runtime_test.ts
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -1,5 +1,6 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {createEntry} from '../testing/fake_instances.js';
+import {advanceClock} from '../testing/settle.js';
 import {SessionWorld} from '../testing/session_world.js';
 import type {LeaseProof} from './primary_lease.js';
 import type {RevisedPrimaryRecord} from './primary_record.js';
@@ -136,4 +137,12 @@
     const fresh = world.group.getFreshPosition(world.clock.nowMs(), 1_500);
     expect(fresh?.position).toEqual({term: 1, position: 5});
   });
+
+  it('leaves no connection open to a server that is not used any more', async () => {
+    const session = world.open('strict');
+    await world.run(session, {kind: 'read', text: 'READ a'});
+    expect(world.backend.openLinks.size).toBe(1);
+    await advanceClock(world.clock, 3_100);
+    expect(world.backend.openLinks.size).toBe(0);
+  });
 });
