Close unused connections to replicas of other zones after 0.5 s

Connections that were opened in passing, while a zone was cut off, take the room of the new ones. Change: an unused connection is kept for 3 s at primaries and in the own zone (anywhere where that has no instance), for 0.5 s elsewhere. What binds the rest: after a start no position of the primary is known, and the primary admits nobody for 1.5 s, so that replicas with room may not answer; positions would have to be passed on within the zone.

--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -13,6 +13,7 @@
 } from '../backend/backend_link.js';
 import {PooledLink} from '../backend/pooled_link.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {IDLE_TIMEOUT_MS} from '../control/choose_idle_timeout.js';
 import type {DrainMemory} from './drain_memory.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 
@@ -63,9 +64,6 @@
  */
 const MIN_IDLE_CONNECTIONS = 0;
 
-/** Time after which an unused connection is closed. */
-const IDLE_TIMEOUT_MS = 3_000;
-
 /**
  * Statements that a proxy always keeps at an instance. Under load the others
  * wait here, by priority, and not in the instance's queue.
@@ -207,6 +205,11 @@
     this.pool.setLimits({maxConnections});
   }
 
+  /** Sets the time after which an unused connection is closed. */
+  setIdleTimeout(idleTimeoutMs: number): void {
+    this.pool.setLimits({idleTimeoutMs});
+  }
+
   recordAnswer(latencyMs: number, position: LogPosition | null): void {
     this.meanLatencyMs =
       this.meanLatencyMs === null
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -15,6 +15,7 @@
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import type {BackendCandidate} from '../routing/choose_backend_server.js';
+import {chooseIdleTimeoutMs} from '../control/choose_idle_timeout.js';
 import {DrainMemory} from './drain_memory.js';
 import {BackendServerRuntime} from './backend_server_runtime.js';
 import type {ClockWatch} from './clock_watch.js';
@@ -134,6 +135,7 @@
       });
       known.closeAll('the backend server was started anew');
     }
+    this.updateIdleTimeouts();
     this.settleWaiters();
   }
 
@@ -144,6 +146,7 @@
     }
     this.servers.delete(backendServer);
     runtime.dispose(reason);
+    this.updateIdleTimeouts();
   }
 
   setMaxConnections(maxConnections: number): void {
@@ -438,10 +441,29 @@
     if (record.phase === 'stable' && record.primary !== this.writtenPrimary) {
       this.writtenPrimary = record.primary;
       this.writes.reset();
+      this.updateIdleTimeouts();
     }
     this.settleWaiters();
   }
 
+  /** Sets anew how long unused connections to each instance are kept. */
+  private updateIdleTimeouts(): void {
+    const servers = this.getServers();
+    const known = this.lease.getLastKnownPrimary();
+    const groupZones = servers.map(({entry}) => entry.availabilityZone);
+    for (const server of servers) {
+      const {availabilityZone, backendServer} = server.entry;
+      server.setIdleTimeout(
+        chooseIdleTimeoutMs({
+          ownZone: this.options.availabilityZone,
+          instanceZone: availabilityZone,
+          isPrimary: known?.primary === backendServer,
+          groupZones,
+        }),
+      );
+    }
+  }
+
   private settleWaiters(): void {
     if (this.lease.getLastKnownPrimary() === null) {
       return;
