--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,12 +17,7 @@
 import {ContactWatch} from './control/contact_watch.js';
 import {DutyPlacement, findPrimaryZones} from './control/duty_placement.js';
 import {ControlPoller} from './control/control_poller.js';
-import {
-  ENTRY_VM_PREFIX,
-  entryVmRecordSchema,
-  FAILOVER_DUTY_KEY,
-  parseRecord,
-} from './control/control_record.js';
+import {FAILOVER_DUTY_KEY, parseRecord} from './control/control_record.js';
 import {RelayingControlTable} from './control/relaying_control_table.js';
 import {
   EntryVmRegistration,
@@ -35,6 +30,7 @@
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
 import {chooseDutyHeirs} from './failover/choose_duty_successor.js';
+import {findLeaseHolders} from './failover/find_lease_holders.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
 import {SuspicionReporter} from './failover/suspicion_reporter.js';
 import {collectGroupGauges} from './observability/group_gauges.js';
@@ -43,7 +39,6 @@
   type ClockReading,
   type WallClock,
 } from './group/clock_watch.js';
-import type {LeaseHolder} from './failover/release_collector.js';
 import {GroupRuntime} from './group/group_runtime.js';
 import {ReplicaFreshness} from './group/replica_freshness.js';
 import {
@@ -56,10 +51,7 @@
 import type {PeerCaller, PeerHandler} from './peer/peer_caller.js';
 import {PeerAnswers} from './peer/peer_answers.js';
 import type {ControlRelay, ControlRelayHandler} from './peer/control_relay.js';
-import {ZoneFollower} from './zone/zone_follower.js';
-import type {ZoneNews} from './zone/zone_news.js';
-import {ZonePublisher} from './zone/zone_publisher.js';
-import {applyZoneNews} from './zone/apply_zone_news.js';
+import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
 
 /** What a gateway is made of. @public */
@@ -148,8 +140,7 @@
   private readonly dutyPlacement: DutyPlacement;
   private readonly readiness: ReadinessMonitor;
   private readonly reporter: SuspicionReporter;
-  private readonly publisher: ZonePublisher;
-  private readonly follower: ZoneFollower;
+  private readonly zoneReading: ZoneReading;
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
   private removedGoneAtMs: number;
@@ -193,20 +184,33 @@
       events,
       listener: configuration => this.handleConfiguration(configuration),
     });
-    this.publisher = ZonePublisher.create({
+    this.zoneReading = ZoneReading.create({
+      self,
       clock,
       clockWatch,
-      isReading: () => this.isReadingForZone(),
-      getContactStart: () => this.contact.getContactStart(),
+      events,
+      peers: options.peers,
+      getSources: () => ({
+        poller: this.poller,
+        contact: this.contact,
+        directoryWatcher: this.directoryWatcher,
+        configurationWatcher: this.configurationWatcher,
+        computeDigest: () => this.answers.computeDigest(),
+      }),
+      getRegistration: () => this.registration,
+      getControlTable: () => this.relayedTable,
+      mayFollow: () => this.mayFollow(),
+      isStopping: () => this.isStopping,
+      isUrgent: () => this.isControlUrgent(),
       computeProvenDigest: () => this.answers.computeProvenDigest(),
-      hasten: () => this.poller.hasten(),
     });
+    const {publisher} = this.zoneReading;
     this.directoryWatcher = TableWatcher.create({
       name: 'backend servers',
       getWaitMs: () => DIRECTORY_WAIT_MS,
       minIntervalMs: DIRECTORY_INTERVAL_MS,
       table: options.directoryTable,
-      listener: this.publisher.watchDirectory(this.directory),
+      listener: publisher.watchDirectory(this.directory),
       clock,
       random,
       events,
@@ -215,12 +219,12 @@
       name: 'configuration',
       getWaitMs: () =>
         options.configurationApplyMs *
-        (this.publisher.getFollowers().size === 0
+        (publisher.getFollowers().size === 0
           ? CONFIGURATION_WAIT_PART
           : READER_CONFIGURATION_WAIT_PART),
       minIntervalMs: CONFIGURATION_INTERVAL_MS,
       table: options.configurationTable,
-      listener: this.publisher.watchConfiguration(this.configuration),
+      listener: publisher.watchConfiguration(this.configuration),
       clock,
       random,
       events,
@@ -237,8 +241,8 @@
       table: this.relayedTable,
       clockWatch,
       contactWindowMs: options.contactWindowMs,
-      getFollowers: () => this.publisher.getFollowers(),
-      isFollowing: () => !this.follower.isReading,
+      getFollowers: () => publisher.getFollowers(),
+      isFollowing: () => !this.zoneReading.isReading,
     });
     this.duty = FailoverDutyLease.create({
       entryVm: self.entryVm,
@@ -247,7 +251,7 @@
       clockWatch,
       random,
       events,
-      mayTakeOver: () => this.follower.isReading,
+      mayTakeOver: () => this.zoneReading.isReading,
     });
     this.poller = ControlPoller.create({
       table: this.relayedTable,
@@ -274,7 +278,8 @@
       isTableRead: () => this.poller.hasRead,
       listInstances: databaseGroup =>
         this.instances.listFromStore(databaseGroup),
-      observeLeaseHolders: listing => this.observeLeaseHolders(listing),
+      observeLeaseHolders: listing =>
+        findLeaseHolders(listing, this.clock.nowMs()),
       handleRecord: record => {
         if (record.record.phase === 'changing') {
           this.dutyPlacement.noteChange();
@@ -301,7 +306,7 @@
       random,
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       computeDigest: () => this.answers.computeDigest(),
-      isFollowing: () => !this.follower.isReading,
+      isFollowing: () => !this.zoneReading.isReading,
       readStore: () => void this.poller.readNow(),
     });
     this.reporter = SuspicionReporter.create({
@@ -331,21 +336,7 @@
       takeReport: report => this.coordinator.takeReport(report),
       readControlTable: () => void this.poller.readNow(),
       maintainDuty: () => void this.maintainRecords(),
-      answerFollower: question => this.publisher.answer(question),
-    });
-    this.follower = ZoneFollower.create({
-      self,
-      clock,
-      clockWatch,
-      events,
-      peers: options.peers,
-      getEntryVms: () => this.registration.getEntryVms(),
-      canFollow: () => this.canFollow(),
-      isStoreAnswering: () => this.isStoreAnswering(),
-      getKnownRevisions: () => this.publisher.getKnownRevisions(),
-      isUrgent: () => this.isControlUrgent(),
-      handleNews: (news, askedAt) => this.handleZoneNews(news, askedAt),
-      setReading: isReading => this.setReading(isReading),
+      answerFollower: question => publisher.answer(question),
     });
     this.readiness = ReadinessMonitor.create({
       clock,
@@ -393,7 +384,7 @@
 
   private disposeParts(reason: string): void {
     this.upkeepTimer?.cancel();
-    this.follower.dispose();
+    this.zoneReading.dispose();
     this.shares.dispose();
     this.coordinator.dispose();
     this.poller.dispose();
@@ -442,16 +433,7 @@
       'Whether the store or a proxy of another zone has just confirmed the primaries.',
       this.contact.isInContact() ? 1 : 0,
     );
-    metrics.setGauge(
-      'filbertrun_reads_store',
-      'Whether the proxy reads the store itself; 0 while another one of its zone does.',
-      this.follower.isReading ? 1 : 0,
-    );
-    metrics.setGauge(
-      'filbertrun_followers',
-      'Proxies of the zone that get their news of the store from this one.',
-      this.publisher.getFollowers().size,
-    );
+    this.zoneReading.collectGauges(metrics);
     metrics.setGauge(
       'filbertrun_loop_delay_seconds',
       'Delay of the latest periodic upkeep.',
@@ -493,11 +475,16 @@
   }
 
   private handleConfiguration(configuration: ServiceConfiguration): void {
+    const known = this.groups.size;
     for (const databaseGroup of configuration.databaseGroups.keys()) {
       if (!this.groups.has(databaseGroup)) {
         this.addGroup(databaseGroup);
       }
     }
+    if (this.groups.size > known) {
+      // The last listing has the records of new groups, if there are any.
+      this.poller.repeat();
+    }
     for (const [databaseGroup, group] of [...this.groups]) {
       if (!configuration.databaseGroups.has(databaseGroup)) {
         this.groups.delete(databaseGroup);
@@ -526,13 +513,11 @@
         group.updateServer(entry);
       }
     }
-    // The last listing has the record of the group, if there is one.
-    this.poller.repeat();
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
     this.contact.noteContact(readAt);
-    this.publisher.takeControl(listing, readAt);
+    this.zoneReading.publisher.takeControl(listing, readAt);
     this.registration.observe(listing, readAt);
     this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
     this.shares.apply();
@@ -559,26 +544,8 @@
     }
   }
 
-  /** Converts the ends of leases from the store's clock to the own one. */
-  private observeLeaseHolders(listing: TableListing): readonly LeaseHolder[] {
-    const nowMs = this.clock.nowMs();
-    const holders: LeaseHolder[] = [];
-    for (const [key, entry] of listing.entries) {
-      const record = key.startsWith(ENTRY_VM_PREFIX)
-        ? parseRecord(entryVmRecordSchema, entry.value)
-        : null;
-      if (record !== null) {
-        // The store's clock was read before now, so this end is not too early.
-        const leaseEndMs =
-          nowMs + (record.leaseEndStoreMs - listing.storeTimeMs);
-        holders.push({record, leaseEndMs});
-      }
-    }
-    return holders;
-  }
-
   private isControlUrgent(): boolean {
-    if (this.publisher.isUrgent) {
+    if (this.zoneReading.publisher.isUrgent) {
       return true;
     }
     for (const group of this.groups.values()) {
@@ -594,59 +561,16 @@
   }
 
   /** Whether this process may get its news from another one of its zone. */
-  private canFollow(): boolean {
-    const {entryVm, incarnation} = this.options.self;
+  private mayFollow(): boolean {
     return (
       !this.isStopping &&
       this.directory.isListed &&
       this.configuration.current !== null &&
       // The holder of the duty acts on the newest records.
-      this.duty.getFencingToken() === null &&
-      this.registration.getEntryVm(entryVm)?.incarnation === incarnation
-    );
-  }
-
-  private isStoreAnswering(): boolean {
-    return (
-      !this.relayedTable.isSuspect &&
-      this.directoryWatcher.isAnswered &&
-      this.configurationWatcher.isAnswered
-    );
-  }
-
-  /** Whether other proxies of the zone may rely on what this one reads. */
-  private isReadingForZone(): boolean {
-    return (
-      !this.isStopping && this.follower.isReading && this.isStoreAnswering()
+      this.duty.getFencingToken() === null
     );
   }
 
-  private setReading(isReading: boolean): void {
-    const sources = [
-      this.configurationWatcher,
-      this.directoryWatcher,
-      this.poller,
-    ];
-    for (const source of sources) {
-      if (isReading) {
-        source.resume();
-      } else {
-        source.pause();
-      }
-    }
-    this.publisher.wake();
-  }
-
-  private handleZoneNews(news: ZoneNews, askedAt: ClockReading): void {
-    applyZoneNews(news, askedAt, {
-      poller: this.poller,
-      contact: this.contact,
-      directoryWatcher: this.directoryWatcher,
-      configurationWatcher: this.configurationWatcher,
-      computeDigest: () => this.answers.computeDigest(),
-    });
-  }
-
   private scheduleUpkeep(): void {
     const dueMs = this.clock.nowMs() + UPKEEP_INTERVAL_MS;
     this.upkeepTimer = this.clock.startTimer(UPKEEP_INTERVAL_MS, () => {
@@ -684,14 +608,12 @@
       void this.replicaFreshness.maintain(group);
     }
     this.readiness.update();
-    this.follower.maintain();
+    this.zoneReading.maintain();
     this.poller.hasten();
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
     void this.contactKeeper.maintain();
-    // A new contact of this process is news for its followers.
-    this.publisher.wake();
     void this.dutyPlacement.maintain();
     void this.maintainRecords();
   }
