Promote away from the holder of the duty, and pass the duty on 3 s after a change

Change: among equals the instance of another zone is promoted; the duty may move 3 s after a change.

--- a/packages/gateway/src/control/duty_placement.ts
+++ b/packages/gateway/src/control/duty_placement.ts
@@ -29,7 +29,7 @@
  * Time without a change of primary before the duty is passed on, so that two
  * proxies do not promote shortly after one another without need.
  */
-const CALM_BEFORE_MS = 8_000;
+const CALM_BEFORE_MS = 3_000;
 
 /**
  * Passes the failover duty on to an availability zone with fewer primaries.
--- a/packages/gateway/src/failover/choose_promotion_target.ts
+++ b/packages/gateway/src/failover/choose_promotion_target.ts
@@ -23,7 +23,8 @@
   /** Whether it obeys the new term: a replica paused in it, a primary stepped down. */
   readonly isFenced: boolean;
   readonly isDraining: boolean;
-  readonly isNear: boolean;
+  /** Whether it is in the availability zone of the holder of the failover duty. */
+  readonly isBesideHolder: boolean;
   /** End of its log when it was fenced; null while unknown. */
   readonly receivedPosition: LogPosition | null;
 }
@@ -140,5 +141,6 @@
       return order > 0;
     }
   }
-  return left.isNear && !right.isNear;
+  // Lost with its primaries, a holder could not replace them.
+  return !left.isBesideHolder && right.isBesideHolder;
 }
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -95,7 +95,7 @@
       isOldPrimary,
       isFenced: fence !== null && this.isFenced(fence),
       isDraining: entry.state === 'draining',
-      isNear: entry.availabilityZone === availabilityZone,
+      isBesideHolder: entry.availabilityZone === availabilityZone,
       receivedPosition: fence?.status.receivedPosition ?? null,
     };
   }
