--- a/packages/gateway/src/control/duty_placement_test.ts
+++ b/packages/gateway/src/control/duty_placement_test.ts
@@ -6,23 +6,15 @@
 import {RecordedEvents} from '../observability/gateway_events.js';
 import type {DutyHandover, PeerCaller} from '../peer/peer_caller.js';
 import {bindPeers} from '../simulation/mutant_parts.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {advanceClock} from '../testing/settle.js';
-import type {EntryVmRecord} from './control_record.js';
 import {DutyPlacement} from './duty_placement.js';
 import {FailoverDutyLease} from './failover_duty_lease.js';
 
-const ELSEWHERE: EntryVmRecord = {
-  entryVm: 'entry-2',
-  availabilityZone: 'zone-b',
-  peerHost: '127.0.0.1',
-  peerPort: 1,
-  incarnation: 'one',
-  leaseEndStoreMs: 0,
-  contactWindowMs: null,
-};
+const ELSEWHERE = createEntryVmRecord('entry-2', 'zone-b');
 
 /** Longer than the interval at which the placement looks. */
 const LOOK_MS = 1_100;
--- a/packages/gateway/src/control/relaying_control_table_test.ts
+++ b/packages/gateway/src/control/relaying_control_table_test.ts
@@ -3,19 +3,11 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {ControlRelay} from '../peer/control_relay.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
-import type {EntryVmRecord} from './control_record.js';
 import {RelayingControlTable} from './relaying_control_table.js';
 
-const PEER: EntryVmRecord = {
-  entryVm: 'entry-2',
-  availabilityZone: 'zone-b',
-  peerHost: '127.0.0.1',
-  peerPort: 1,
-  incarnation: 'one',
-  leaseEndStoreMs: 0,
-  contactWindowMs: null,
-};
+const PEER = createEntryVmRecord('entry-2', 'zone-b');
 
 describe('RelayingControlTable', () => {
   let clock: VirtualClock;
--- a/packages/gateway/src/directory/backend_server_entry.ts
+++ b/packages/gateway/src/directory/backend_server_entry.ts
@@ -3,6 +3,7 @@
   BackendServerId,
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
+import * as z from 'zod';
 
 /** What a backend server reports of itself. @public */
 export interface BackendServerEntry {
@@ -21,3 +22,19 @@
   /** Wall-clock time of the server's start, which tells a restart; null if unknown. */
   readonly startedAtEpochMs: number | null;
 }
+
+/** Validates an entry in the project's own form. @public */
+export const backendServerEntrySchema: z.ZodType<BackendServerEntry> = z.object(
+  {
+    backendServer: z.string().min(1),
+    databaseGroup: z.string().min(1),
+    host: z.string().min(1),
+    port: z.number().int(),
+    availabilityZone: z.string(),
+    state: z.enum(['active', 'draining']),
+    reportedRole: z.enum(['primary', 'replica']),
+    slots: z.number(),
+    warmUpRemainingMs: z.number(),
+    startedAtEpochMs: z.number().nullable(),
+  },
+);
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -6,23 +6,13 @@
 } from '@filbertrun/platform/platform_service.js';
 import * as z from 'zod';
 import {parseRecord} from '../control/control_record.js';
-import type {BackendServerEntry} from './backend_server_entry.js';
+import {
+  backendServerEntrySchema,
+  type BackendServerEntry,
+} from './backend_server_entry.js';
 
 /** Validates the roster of a database group. */
-const rosterSchema = z.array(
-  z.object({
-    backendServer: z.string().min(1),
-    databaseGroup: z.string().min(1),
-    host: z.string().min(1),
-    port: z.number().int(),
-    availabilityZone: z.string(),
-    state: z.enum(['active', 'draining']),
-    reportedRole: z.enum(['primary', 'replica']),
-    slots: z.number(),
-    warmUpRemainingMs: z.number(),
-    startedAtEpochMs: z.number().nullable(),
-  }),
-);
+const rosterSchema = z.array(backendServerEntrySchema);
 
 /** Least time between two looks at the rosters. */
 const MAINTAIN_INTERVAL_MS = 500;
--- a/packages/gateway/src/failover/choose_duty_successor_test.ts
+++ b/packages/gateway/src/failover/choose_duty_successor_test.ts
@@ -1,22 +1,8 @@
 import {describe, expect, it} from 'vitest';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import {chooseDutySuccessors} from './choose_duty_successor.js';
 
-function createRecord(
-  entryVm: string,
-  availabilityZone: string,
-): EntryVmRecord {
-  return {
-    entryVm,
-    availabilityZone,
-    peerHost: '127.0.0.1',
-    peerPort: 1,
-    incarnation: 'one',
-    leaseEndStoreMs: 0,
-    contactWindowMs: null,
-  };
-}
-
 function chooseNames(
   ownZone: string,
   primaryZones: readonly string[],
@@ -35,9 +21,9 @@
       'a',
       ['a', 'a', 'b'],
       [
-        createRecord('e2', 'b'),
-        createRecord('e3', 'c'),
-        createRecord('e1', 'a'),
+        createEntryVmRecord('e2', 'b'),
+        createEntryVmRecord('e3', 'c'),
+        createEntryVmRecord('e1', 'a'),
       ],
     );
     expect(names).toEqual(['e3', 'e2']);
@@ -48,7 +34,7 @@
       chooseNames(
         'a',
         ['a', 'b', 'c'],
-        [createRecord('e2', 'b'), createRecord('e3', 'c')],
+        [createEntryVmRecord('e2', 'b'), createEntryVmRecord('e3', 'c')],
       ),
     ).toEqual([]);
   });
@@ -58,7 +44,7 @@
       chooseNames(
         'd',
         ['a', 'b'],
-        [createRecord('e1', 'a'), createRecord('e4', 'd')],
+        [createEntryVmRecord('e1', 'a'), createEntryVmRecord('e4', 'd')],
       ),
     ).toEqual([]);
   });
@@ -68,7 +54,7 @@
       chooseNames(
         'a',
         ['a'],
-        [createRecord('e3', 'c'), createRecord('e2', 'b')],
+        [createEntryVmRecord('e3', 'c'), createEntryVmRecord('e2', 'b')],
       ),
     ).toEqual(['e2', 'e3']);
   });
--- a/packages/gateway/src/zone/choose_zone_reader_test.ts
+++ b/packages/gateway/src/zone/choose_zone_reader_test.ts
@@ -1,27 +1,12 @@
 import {describe, expect, it} from 'vitest';
-import type {EntryVmRecord} from '../control/control_record.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {chooseZoneReader} from './choose_zone_reader.js';
 
-function createRecord(
-  entryVm: string,
-  availabilityZone = 'zone-a',
-): EntryVmRecord {
-  return {
-    entryVm,
-    availabilityZone,
-    peerHost: '127.0.0.1',
-    peerPort: 1,
-    incarnation: 'one',
-    leaseEndStoreMs: 0,
-    contactWindowMs: null,
-  };
-}
-
 const ALL = [
-  createRecord('e3'),
-  createRecord('e1'),
-  createRecord('e0', 'zone-b'),
-  createRecord('e2'),
+  createEntryVmRecord('e3'),
+  createEntryVmRecord('e1'),
+  createEntryVmRecord('e0', 'zone-b'),
+  createEntryVmRecord('e2'),
 ];
 
 function choose(
--- a/packages/gateway/src/zone/zone_follower_test.ts
+++ b/packages/gateway/src/zone/zone_follower_test.ts
@@ -2,7 +2,7 @@
 import {pause} from '@filbertrun/base/pause.js';
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
-import type {EntryVmRecord} from '../control/control_record.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {ClockWatch} from '../group/clock_watch.js';
 import {RecordedEvents} from '../observability/gateway_events.js';
 import type {PeerCaller, PeerError} from '../peer/peer_caller.js';
@@ -31,18 +31,6 @@
 /** What a proxy does with the questions of others. */
 type Behaviour = 'answers' | 'refuses' | 'silent';
 
-function createRecord(entryVm: string): EntryVmRecord {
-  return {
-    entryVm,
-    availabilityZone: 'zone-a',
-    peerHost: '127.0.0.1',
-    peerPort: 1,
-    incarnation: 'one',
-    leaseEndStoreMs: 0,
-    contactWindowMs: null,
-  };
-}
-
 describe('ZoneFollower', () => {
   let clock: VirtualClock;
   let behaviours: Map<string, Behaviour>;
@@ -79,7 +67,9 @@
       events: RecordedEvents.create(),
       peers,
       getEntryVms: () =>
-        ['entry-1', 'entry-2', 'entry-3'].map(name => createRecord(name)),
+        ['entry-1', 'entry-2', 'entry-3'].map(name =>
+          createEntryVmRecord(name),
+        ),
       canFollow: () => canFollow,
       isStoreAnswering: () => isStoreAnswering,
       getKnownRevisions: () => ({
--- a/packages/gateway/src/zone/zone_news_codec.ts
+++ b/packages/gateway/src/zone/zone_news_codec.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import {backendServerEntrySchema} from '../directory/backend_server_entry.js';
 import type {ZoneNews} from './zone_news.js';
 
 /** The form in which news of a zone travel between proxies. */
@@ -36,19 +37,6 @@
     databaseGroups: new Map(value.databaseGroups),
   }));
 
-const backendServerSchema = z.object({
-  backendServer: z.string(),
-  databaseGroup: z.string(),
-  host: z.string(),
-  port: z.number(),
-  availabilityZone: z.string(),
-  state: z.enum(['active', 'draining']),
-  reportedRole: z.enum(['primary', 'replica']),
-  slots: z.number(),
-  warmUpRemainingMs: z.number(),
-  startedAtEpochMs: z.number().nullable(),
-});
-
 function createNewsSchema<T>(value: z.ZodType<T>) {
   return z.object({
     isListing: z.boolean(),
@@ -82,7 +70,7 @@
     storeTimeMs: z.number(),
     readLeadMs: z.number(),
   }),
-  directory: createNewsSchema(backendServerSchema),
+  directory: createNewsSchema(backendServerEntrySchema),
   configuration: createNewsSchema(configurationSchema),
   contact: z.object({digest: z.string(), startLeadMs: z.number()}).nullable(),
 });
