--- a/packages/base/src/http_request.ts
+++ b/packages/base/src/http_request.ts
@@ -19,6 +19,8 @@
 /** A complete answer. @public */
 export interface HttpReply {
   readonly status: number;
+  /** Headers by their names in lower case. */
+  readonly headers: Readonly<http.IncomingHttpHeaders>;
   readonly body: string;
 }
 
@@ -100,6 +102,7 @@
   incoming.on('error', () => {});
   incoming.on('end', () => {
     const body = Buffer.concat(chunks).toString('utf8');
-    handleReply({status: incoming.statusCode ?? 0, body});
+    const {headers, statusCode} = incoming;
+    handleReply({status: statusCode ?? 0, headers, body});
   });
 }
--- a/packages/gateway/src/control/control_record.ts
+++ b/packages/gateway/src/control/control_record.ts
@@ -43,6 +43,11 @@
     /** Rises with each change of holder. */
     fencingToken: z.number().int().positive(),
     renewalCount: z.number().int().nonnegative(),
+    /**
+     * Time on the store's clock at which the duty was first claimed in the
+     * present era of the store; 0 if the store has never come back from a copy.
+     */
+    eraSinceStoreMs: z.number().default(0),
   })
   .readonly();
 
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -4,6 +4,7 @@
   TableEntry,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
 import {
   ENTRY_VM_PREFIX,
@@ -47,8 +48,10 @@
  * Time for which an entry VM may rely on what it has read. It outlasts the
  * usual outage of the store. A change of primary waits for it only where
  * proxies of several availability zones can't be asked to release.
+ *
+ * @public
  */
-const LEASE_DURATION_MS = 12_000;
+export const LEASE_DURATION_MS = 12_000;
 
 /** Time after the end of its lease for which an entry VM stays listed. */
 const GONE_AFTER_LEASE_MS = 30_000;
@@ -73,6 +76,9 @@
  */
 export class EntryVmRegistration {
   private readonly observed = new Map<string, ObservedEntryVm>();
+  /** Records from before the store came back from a copy, by entry VM. */
+  private remembered: readonly EntryVmRecord[] = [];
+  private era = 0;
   private storeClock: StoreClockReading | null = null;
   private failedAt: ClockReading | null = null;
   private isWriting = false;
@@ -105,6 +111,14 @@
     );
   }
 
+  /**
+   * Proxies that were registered when the store came back from a copy, whether
+   * or not the copy has them.
+   */
+  getRemembered(): readonly EntryVmRecord[] {
+    return this.remembered;
+  }
+
   getEntryVm(entryVm: string): EntryVmRecord | null {
     return this.observed.get(entryVm)?.record ?? null;
   }
@@ -113,6 +127,12 @@
   observe(listing: TableListing, readAt: ClockReading): void {
     this.storeClock = {readAt, storeTimeMs: listing.storeTimeMs};
     const own = this.observed.get(this.options.self.entryVm);
+    const era = getEra(listing.revision);
+    if (era > this.era) {
+      this.remembered = this.getEntryVms();
+      this.era = era;
+      this.failedAt = null;
+    }
     this.observed.clear();
     for (const [key, entry] of listing.entries) {
       if (key.startsWith(ENTRY_VM_PREFIX)) {
--- a/packages/gateway/src/control/failover_duty_lease.ts
+++ b/packages/gateway/src/control/failover_duty_lease.ts
@@ -4,6 +4,7 @@
   PlatformTable,
   TableEntry,
 } from '@filbertrun/platform/platform_service.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 import {
@@ -12,6 +13,7 @@
   parseRecord,
   type FailoverDuty,
 } from './control_record.js';
+import {getNextToken, getTokenEra} from './fencing_token.js';
 
 /** Time after the start of a renewal for which the holder may act on it. @public */
 export const DUTY_HOLD_MS = 1_900;
@@ -43,6 +45,22 @@
   mayTakeOver(): boolean;
 }
 
+/** The listing in which a record of the duty was found, or was missing. @public */
+export interface DutyReading {
+  /** Start of the read. */
+  readonly readAt: ClockReading;
+  /** Era of the store at the read. */
+  readonly era: number;
+  readonly storeTimeMs: number;
+}
+
+/** What is to be done with the duty after the store came back from a copy. */
+type EraClaim =
+  /** This proxy held the duty, or was given it, and no other one can have taken it. */
+  | {readonly kind: 'claimAgain'}
+  /** A holder that the store has forgotten may still act. */
+  | {readonly kind: 'waitForHolder'; readonly since: ClockReading};
+
 interface ObservedDuty {
   readonly duty: FailoverDuty;
   readonly revision: number;
@@ -65,9 +83,14 @@
   private yieldedToken = 0;
   /** Highest token of a holder that has passed the duty to this proxy. */
   private receivedToken = 0;
+  private receivedAt: ClockReading | null = null;
   private passedOnAt: ClockReading | null = null;
   private failedAt: ClockReading | null = null;
   private isWriting = false;
+  /** Era and time of the store at the latest listing. */
+  private store = {era: 0, storeTimeMs: 0};
+  private eraClaim: EraClaim | null = null;
+  private hasObserved = false;
   private readonly jitterMs: number;
 
   private constructor(private readonly options: FailoverDutyLeaseOptions) {
@@ -102,11 +125,10 @@
       : this.options.clockWatch.getElapsedMs(this.renewedAt);
   }
 
-  /**
-   * Takes the record from a listing whose read began at `readAt`; `null` when
-   * there is none.
-   */
-  observe(entry: TableEntry | null, readAt: ClockReading): void {
+  /** Takes the record from a listing; `null` when there is none. */
+  observe(entry: TableEntry | null, reading: DutyReading): void {
+    const {readAt} = reading;
+    this.noteStore(reading);
     if (entry === null) {
       this.observed = null;
       return;
@@ -178,15 +200,71 @@
   receive(fencingToken: number): void {
     this.yieldedToken = Math.max(this.yieldedToken, fencingToken);
     this.receivedToken = this.yieldedToken;
+    this.receivedAt = this.options.clockWatch.read();
+    if (this.eraClaim !== null) {
+      this.eraClaim = {kind: 'claimAgain'};
+    }
     this.passedOnAt = null;
     this.failedAt = null;
   }
 
+  private noteStore({era, storeTimeMs}: DutyReading): void {
+    const isRestored = era > this.store.era && this.hasObserved;
+    if (isRestored) {
+      this.eraClaim =
+        this.wasLastHolder() || this.wasNamedHeir()
+          ? {kind: 'claimAgain'}
+          : {kind: 'waitForHolder', since: this.options.clockWatch.read()};
+      this.recordLost('the store came back from a copy');
+      this.observed = null;
+      this.failedAt = null;
+    }
+    this.hasObserved = true;
+    this.store = {era, storeTimeMs};
+  }
+
+  /** Whether this proxy renewed the duty so lately that no other one has taken it over. */
+  private wasLastHolder(): boolean {
+    const ageMs = this.getRenewalAgeMs();
+    return ageMs !== null && ageMs < DUTY_TAKEOVER_MS;
+  }
+
+  /** Whether the last known holder has just passed the duty to this proxy. */
+  private wasNamedHeir(): boolean {
+    if (this.receivedAt === null) {
+      return false;
+    }
+    const ageMs = this.options.clockWatch.getElapsedMs(this.receivedAt);
+    const isNewest =
+      this.receivedToken >= (this.observed?.duty.fencingToken ?? 0);
+    return isNewest && ageMs !== null && ageMs < DUTY_TAKEOVER_MS;
+  }
+
+  /** Whether a holder that the store has forgotten may still act. */
+  private mayBeHeld(): boolean {
+    if (this.eraClaim?.kind !== 'waitForHolder') {
+      return false;
+    }
+    const {clockWatch} = this.options;
+    const elapsedMs = clockWatch.getElapsedMs(this.eraClaim.since);
+    if (elapsedMs === null) {
+      this.eraClaim = {kind: 'waitForHolder', since: clockWatch.read()};
+      return true;
+    }
+    return elapsedMs < DUTY_HOLD_MS;
+  }
+
   private shouldWrite(): boolean {
     const {observed, options} = this;
     if (this.hasPassedOn()) {
       return false;
     }
+    if (this.eraClaim?.kind === 'claimAgain') {
+      return true;
+    }
+    if (this.mayBeHeld()) {
+      return false;
+    }
     const duty = observed?.duty ?? null;
     const isReceived = duty !== null && duty.fencingToken <= this.receivedToken;
     const isNamed = duty?.holder === options.entryVm;
@@ -246,15 +324,20 @@
   private createClaim(): FailoverDuty {
     const {entryVm, incarnation} = this.options;
     const duty = this.observed?.duty ?? null;
+    const {era, storeTimeMs} = this.store;
+    const isOfEra = duty !== null && getTokenEra(duty.fencingToken) === era;
     const isOwn =
-      duty?.holder === entryVm &&
+      isOfEra &&
+      duty.holder === entryVm &&
       duty.incarnation === incarnation &&
-      duty.fencingToken > this.yieldedToken;
+      duty.fencingToken > this.yieldedToken &&
+      this.eraClaim === null;
     return {
       holder: entryVm,
       incarnation,
-      fencingToken: (duty?.fencingToken ?? 0) + (isOwn ? 0 : 1),
+      fencingToken: isOwn ? duty.fencingToken : getNextToken(era, duty),
       renewalCount: (duty?.renewalCount ?? 0) + 1,
+      eraSinceStoreMs: isOfEra ? duty.eraSinceStoreMs : storeTimeMs,
     };
   }
 
@@ -284,7 +367,12 @@
   private handleWriteError(error: PlatformError): void {
     this.failedAt = this.options.clockWatch.read();
     if (error.kind === 'conflict') {
-      this.observe(error.current, this.failedAt);
+      const {era, storeTimeMs} = this.store;
+      this.observe(error.current, {
+        readAt: this.failedAt,
+        era: Math.max(era, getEra(error.current?.revision ?? 0)),
+        storeTimeMs,
+      });
       const token = this.observed?.duty.fencingToken ?? 0;
       if (token <= this.receivedToken) {
         // The record had been renewed before it was passed on.
@@ -303,6 +391,7 @@
     }
     this.heldToken = token;
     this.renewedAt = startedAt;
+    this.eraClaim = null;
   }
 
   private adopt(observed: ObservedDuty): void {
@@ -311,6 +400,10 @@
     this.unchangedSince = clockWatch.read();
     this.seenAgainAt = null;
     const {duty} = observed;
+    if (getTokenEra(duty.fencingToken) === this.store.era) {
+      // Somebody has claimed it in this era, so the usual rules hold again.
+      this.eraClaim = null;
+    }
     const isOwn = duty.holder === entryVm && duty.incarnation === incarnation;
     if (!isOwn && this.heldToken !== null) {
       this.recordLost(`${duty.holder ?? 'nobody'} holds it`);
--- a/packages/gateway/src/control/failover_duty_lease_test.ts
+++ b/packages/gateway/src/control/failover_duty_lease_test.ts
@@ -42,7 +42,11 @@
 
   function observe(duty: FailoverDutyLease): void {
     const readAt = ClockWatch.create(clock, wallClock).read();
-    duty.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
+    duty.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, {
+      readAt,
+      era: 0,
+      storeTimeMs: clock.nowMs(),
+    });
   }
 
   it('is held by one proxy', async () => {
@@ -210,7 +214,11 @@
     observe(second);
     const readAt = ClockWatch.create(clock, wallClock).read();
     clock.advance(DUTY_TAKEOVER_MS + TAKEOVER_ROOM_MS);
-    second.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
+    second.observe(table.entries.get(FAILOVER_DUTY_KEY) ?? null, {
+      readAt,
+      era: 0,
+      storeTimeMs: clock.nowMs(),
+    });
     await second.maintain();
     expect(second.getFencingToken()).toBeNull();
   });
--- a/packages/gateway/src/control/relaying_control_table.ts
+++ b/packages/gateway/src/control/relaying_control_table.ts
@@ -56,6 +56,11 @@
     return this.options.clock.nowMs() - this.failedAtMs < SUSPECT_MS;
   }
 
+  /** Takes an answer of the store to another call for a sign that it is there. */
+  noteStoreAnswered(): void {
+    this.failedAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Time since another proxy answered a relayed call, whatever it said. */
   getPeerSilenceMs(): number {
     return this.options.clock.nowMs() - this.peerAnsweredAtMs;
@@ -137,7 +142,7 @@
       result.error.kind === 'conflict' ||
       result.error.kind === 'conflicts';
     if (hasAnswered) {
-      this.failedAtMs = Number.NEGATIVE_INFINITY;
+      this.noteStoreAnswered();
     } else {
       this.failedAtMs = this.options.clock.nowMs();
     }
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -65,6 +65,11 @@
     return new GroupRoster(options);
   }
 
+  /** Reads all rosters anew, since the store has come back from a copy. */
+  forgetStored(): void {
+    this.stored.clear();
+  }
+
   /** Instances of a group by its roster; null when the store does not answer. */
   async read(
     databaseGroup: DatabaseGroupName,
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -6,6 +6,7 @@
   ListableTable,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {
   InstanceControl,
   PromotionService,
@@ -24,7 +25,8 @@
   type PromotionChoice,
 } from './choose_promotion_target.js';
 import {InstanceFences} from './instance_fences.js';
-import {ReleaseCollector, type LeaseHolder} from './release_collector.js';
+import type {LeaseHolders} from './find_lease_holders.js';
+import {ReleaseCollector} from './release_collector.js';
 
 /** What a change of primary needs of the process. @public */
 export interface PrimaryChangeDependencies {
@@ -42,9 +44,9 @@
     databaseGroup: string,
   ): Promise<readonly BackendServerEntry[] | null>;
   /** The proxies that a listing, read just now, names. */
-  readonly observeLeaseHolders: (
-    listing: TableListing,
-  ) => readonly LeaseHolder[];
+  readonly observeLeaseHolders: (listing: TableListing) => LeaseHolders;
+  /** Newest era of the store that this process has seen. */
+  getStoreEra(): number;
   /** Takes each record that the change writes. */
   handleRecord(record: RevisedPrimaryRecord): void;
 }
@@ -52,6 +54,11 @@
 /** A record that intends a change. */
 type ChangingRecord = Extract<PrimaryRecord, {readonly phase: 'changing'}>;
 
+/** The holders of leases with the moment of the listing on both clocks. */
+interface ListedHolders extends LeaseHolders {
+  readonly listedAt: {readonly timeMs: number; readonly storeTimeMs: number};
+}
+
 /** Interval at which the change looks again at what it waits for. */
 const STEP_INTERVAL_MS = 25;
 
@@ -128,7 +135,8 @@
         revision: this.current.revision,
       },
     });
-    releases.start(holders);
+    releases.start(holders.known);
+    this.waitForForgotten(releases, holders);
     const outcome = await this.fenceAndPromote(intent, releases);
     if (outcome === 'completed') {
       void this.openWrites(releases);
@@ -138,6 +146,20 @@
     return outcome;
   }
 
+  private waitForForgotten(
+    releases: ReleaseCollector,
+    {forgottenUntilMs, listedAt}: ListedHolders,
+  ): void {
+    if (forgottenUntilMs === null) {
+      return;
+    }
+    const remainingMs = forgottenUntilMs - listedAt.timeMs;
+    releases.waitForForgotten(
+      forgottenUntilMs,
+      listedAt.storeTimeMs + remainingMs,
+    );
+  }
+
   /** Lets writes begin as soon as the last old lease has ended. */
   private async openWrites(releases: ReleaseCollector): Promise<void> {
     const completed = this.current;
@@ -199,12 +221,16 @@
    * The proxies that may hold a lease. They are listed after the intent was
    * recorded, so whoever registers later finds the intent.
    */
-  private async listLeaseHolders(): Promise<readonly LeaseHolder[] | null> {
-    const {table, observeLeaseHolders} = this.dependencies;
+  private async listLeaseHolders(): Promise<ListedHolders | null> {
+    const {table, observeLeaseHolders, clock} = this.dependencies;
     for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
       const listing = await table.listEntries();
       if (listing.ok) {
-        return observeLeaseHolders(listing.value);
+        const {storeTimeMs} = listing.value;
+        return {
+          ...observeLeaseHolders(listing.value),
+          listedAt: {timeMs: clock.nowMs(), storeTimeMs},
+        };
       }
       await pause(this.dependencies.clock, TABLE_RETRY_MS);
     }
@@ -403,7 +429,7 @@
 
   private async announce(): Promise<void> {
     const holders = await this.listLeaseHolders();
-    for (const {record} of holders ?? []) {
+    for (const {record} of holders?.known ?? []) {
       void this.dependencies.peers.announce(record, this.current);
     }
   }
@@ -425,7 +451,7 @@
     const key = getPrimaryRecordKey(record.databaseGroup);
     const value = JSON.stringify(record);
     for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
-      if (this.token === null) {
+      if (this.token === null || this.isOutdated) {
         return false;
       }
       const result = await this.dependencies.table.putEntry({
@@ -451,6 +477,11 @@
     return false;
   }
 
+  /** Whether the store has come back from a copy since the record was read. */
+  private get isOutdated(): boolean {
+    return getEra(this.current.revision) < this.dependencies.getStoreEra();
+  }
+
   private take(revised: RevisedPrimaryRecord): void {
     this.current = revised;
     this.dependencies.handleRecord(revised);
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -83,11 +83,14 @@
         duty,
         events,
         listInstances: () => Promise.resolve(instances.listEntries()),
-        observeLeaseHolders: () =>
-          holders.map(entryVm => ({
+        observeLeaseHolders: () => ({
+          known: holders.map(entryVm => ({
             record: createEntryVm(entryVm),
             leaseEndMs: LEASE_END_MS,
           })),
+          forgottenUntilMs: null,
+        }),
+        getStoreEra: () => 0,
         handleRecord: () => {},
       },
       {record: STABLE, revision},
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -4,6 +4,7 @@
   getLaterPosition,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
+import {CONTACT_WINDOW_MS} from '../control/contact_watch.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {PeerCaller, ReleaseRequest} from '../peer/peer_caller.js';
 
@@ -36,6 +37,8 @@
 /** What became of one proxy's release. */
 interface PendingRelease {
   readonly holder: LeaseHolder;
+  /** False for the proxies that the store may have forgotten: nobody knows whom to ask. */
+  readonly canBeAsked: boolean;
   /** When its answer arrived; null while it is outstanding. */
   answeredAtMs: number | null;
 }
@@ -69,12 +72,28 @@
   start(holders: readonly LeaseHolder[]): void {
     this.startedAtMs = this.options.clock.nowMs();
     for (const holder of holders) {
-      const release: PendingRelease = {holder, answeredAtMs: null};
+      const release: PendingRelease = {
+        holder,
+        canBeAsked: true,
+        answeredAtMs: null,
+      };
       this.pending.push(release);
       void this.collect(release);
     }
   }
 
+  /**
+   * Waits also for proxies that nobody knows, as if one of them were in an
+   * availability zone of its own. `endMs` is the end of their leases.
+   */
+  waitForForgotten(endMs: number, endStoreMs: number): void {
+    this.pending.push({
+      holder: {record: createForgottenRecord(endStoreMs), leaseEndMs: endMs},
+      canBeAsked: false,
+      answeredAtMs: null,
+    });
+  }
+
   stop(): void {
     this.isStopped = true;
   }
@@ -84,7 +103,11 @@
    * term. One that was waited out has lost its reads, not its writes.
    */
   get haveAllAnswered(): boolean {
-    return this.pending.every(({answeredAtMs}) => answeredAtMs !== null);
+    const nowMs = this.options.clock.nowMs();
+    return this.pending.every(
+      ({answeredAtMs, canBeAsked, holder}) =>
+        answeredAtMs !== null || (!canBeAsked && nowMs >= holder.leaseEndMs),
+    );
   }
 
   /** Proxies that may still rely on the old primary. */
@@ -172,3 +195,16 @@
         : getLaterPosition(this.highest, position);
   }
 }
+
+/** Stands for the proxies that a store from a copy no longer lists. */
+function createForgottenRecord(leaseEndStoreMs: number): EntryVmRecord {
+  return {
+    entryVm: 'forgotten',
+    availabilityZone: 'unknown',
+    peerHost: '',
+    peerPort: 0,
+    incarnation: '',
+    leaseEndStoreMs,
+    contactWindowMs: CONTACT_WINDOW_MS,
+  };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,12 +5,14 @@
   ListableTable,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {BackendLinkConnector} from './backend/backend_link.js';
 import type {
   InstanceControl,
   PromotionService,
 } from './backend/instance_control.js';
 import {ConfigurationHolder} from './configuration/configuration_holder.js';
+import {NewestConfiguration} from './configuration/newest_configuration.js';
 import type {ServiceConfiguration} from './configuration/service_configuration.js';
 import {ConnectionShares} from './control/connection_shares.js';
 import {ContactKeeper} from './control/contact_keeper.js';
@@ -24,6 +26,8 @@
   type EntryVmIdentity,
 } from './control/entry_vm_registration.js';
 import {FailoverDutyLease} from './control/failover_duty_lease.js';
+import {RecordRestorer} from './control/record_restorer.js';
+import {StoreEraWatch} from './control/store_era_watch.js';
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
 import {KnownInstances} from './directory/known_instances.js';
@@ -42,6 +46,7 @@
 import {GroupRuntime} from './group/group_runtime.js';
 import {ReplicaFreshness} from './group/replica_freshness.js';
 import {
+  getPrimaryRecordKey,
   PRIMARY_RECORD_PREFIX,
   primaryRecordSchema,
 } from './group/primary_record.js';
@@ -141,6 +146,8 @@
   private readonly readiness: ReadinessMonitor;
   private readonly reporter: SuspicionReporter;
   private readonly zoneReading: ZoneReading;
+  private readonly storeEra: StoreEraWatch;
+  private readonly restorer: RecordRestorer;
   private upkeepTimer: Timer | null = null;
   private isStopping = false;
   private removedGoneAtMs: number;
@@ -205,12 +212,20 @@
       computeProvenDigest: () => this.answers.computeProvenDigest(),
     });
     const {publisher} = this.zoneReading;
+    this.storeEra = StoreEraWatch.create({
+      events,
+      handleRestored: () => {
+        this.instances.roster.forgetStored();
+        this.relayedTable.noteStoreAnswered();
+        void this.poller.readNow();
+      },
+    });
     this.directoryWatcher = TableWatcher.create({
       name: 'backend servers',
       getWaitMs: () => DIRECTORY_WAIT_MS,
       minIntervalMs: DIRECTORY_INTERVAL_MS,
       table: options.directoryTable,
-      listener: publisher.watchDirectory(this.directory),
+      listener: this.storeEra.observe(publisher.watchDirectory(this.directory)),
       clock,
       random,
       events,
@@ -224,7 +239,13 @@
           : READER_CONFIGURATION_WAIT_PART),
       minIntervalMs: CONFIGURATION_INTERVAL_MS,
       table: options.configurationTable,
-      listener: publisher.watchConfiguration(this.configuration),
+      listener: this.storeEra.observe(
+        NewestConfiguration.create({
+          key: options.configurationKey,
+          listener: publisher.watchConfiguration(this.configuration),
+          getCurrent: () => this.configuration.current,
+        }),
+      ),
       clock,
       random,
       events,
@@ -279,7 +300,12 @@
       listInstances: databaseGroup =>
         this.instances.listFromStore(databaseGroup),
       observeLeaseHolders: listing =>
-        findLeaseHolders(listing, this.clock.nowMs()),
+        findLeaseHolders({
+          listing,
+          nowMs: this.clock.nowMs(),
+          remembered: this.registration.getRemembered(),
+        }),
+      getStoreEra: () => this.storeEra.era,
       handleRecord: record => {
         if (record.record.phase === 'changing') {
           this.dutyPlacement.noteChange();
@@ -287,6 +313,15 @@
         this.answers.announce(record);
       },
     });
+    this.restorer = RecordRestorer.create({
+      clock,
+      random,
+      events,
+      table: this.relayedTable,
+      getGroups: () => this.groups.values(),
+      isFirst: () => this.duty.getFencingToken() !== null,
+      readTable: () => void this.poller.readNow(),
+    });
     this.dutyPlacement = DutyPlacement.create({
       clock,
       availabilityZone: self.availabilityZone,
@@ -434,6 +469,11 @@
       this.contact.isInContact() ? 1 : 0,
     );
     this.zoneReading.collectGauges(metrics);
+    metrics.setGauge(
+      'filbertrun_store_era',
+      'Times that the store has come back from a copy.',
+      this.storeEra.era,
+    );
     metrics.setGauge(
       'filbertrun_loop_delay_seconds',
       'Delay of the latest periodic upkeep.',
@@ -519,7 +559,13 @@
     this.contact.noteContact(readAt);
     this.zoneReading.publisher.takeControl(listing, readAt);
     this.registration.observe(listing, readAt);
-    this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null, readAt);
+    const {storeTimeMs, revision} = listing;
+    this.storeEra.note(revision);
+    this.duty.observe(listing.entries.get(FAILOVER_DUTY_KEY) ?? null, {
+      readAt,
+      era: getEra(revision),
+      storeTimeMs,
+    });
     this.shares.apply();
     if (!this.isStopping) {
       void this.maintainRecords();
@@ -537,11 +583,15 @@
       }
       const revised = {record, revision: entry.revision};
       // Without the own record nobody would ask this proxy to release.
-      const {storeTimeMs} = listing;
       const proof = {readAt, durationMs, storeTimeMs};
       group.learnRecord(revised, proof, 'control table');
       void this.seedFreshness(group);
     }
+    for (const [databaseGroup, group] of this.groups) {
+      if (!listing.entries.has(getPrimaryRecordKey(databaseGroup))) {
+        group.learnMissingRecord(revision);
+      }
+    }
   }
 
   private isControlUrgent(): boolean {
@@ -613,6 +663,7 @@
     if (!this.poller.hasRead || this.isStopping) {
       return;
     }
+    this.restorer.maintain();
     void this.contactKeeper.maintain();
     void this.dutyPlacement.maintain();
     void this.maintainRecords();
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -27,6 +27,11 @@
 } from './primary_lease.js';
 import {WriteProgress} from './write_progress.js';
 import type {PrimaryRecord, RevisedPrimaryRecord} from './primary_record.js';
+import {
+  RecordMemory,
+  type LostRecord,
+  type ToldChange,
+} from './record_memory.js';
 
 /** What a group's runtime is made of. @public */
 export interface GroupRuntimeOptions {
@@ -84,6 +89,7 @@
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
+  private readonly memory = RecordMemory.create();
   private readonly drains: DrainMemory;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
@@ -163,6 +169,10 @@
     source: string,
   ): void {
     const {record} = revised;
+    if (!this.memory.take(revised)) {
+      this.handleLostRecord();
+      return;
+    }
     const previousRevision = this.lease.revision;
     // A read may arrive after the announcement of a newer record.
     if (revised.revision >= previousRevision) {
@@ -175,8 +185,33 @@
     }
   }
 
+  /** Takes a listing of the table that holds no record of the group. */
+  learnMissingRecord(revision: number): void {
+    this.memory.noteMissing(revision);
+    if (this.memory.lostRecord !== null) {
+      this.handleLostRecord();
+    }
+  }
+
+  /** The record that the store has lost and this proxy remembers, or null. */
+  get lostRecord(): LostRecord | null {
+    return this.memory.lostRecord;
+  }
+
+  /** Relies on no primary until the lost record stands again. */
+  private handleLostRecord(): void {
+    if (this.lease.isProven()) {
+      const {databaseGroup} = this;
+      this.options.events.record({kind: 'primaryRecordLost', databaseGroup});
+    }
+    this.lease.dropProof();
+  }
+
   /** Takes a record that another proxy announced. */
   learnAnnouncedRecord(revised: RevisedPrimaryRecord): void {
+    if (!this.memory.take(revised)) {
+      return;
+    }
     const previousRevision = this.lease.revision;
     this.lease.learnUnproven(revised);
     if (revised.revision > previousRevision) {
@@ -215,6 +250,12 @@
     );
   }
 
+  /** Gives up the primary for a change that another proxy has recorded. */
+  releaseFor(change: ToldChange, revision: number): void {
+    this.memory.noteChange(change, revision);
+    this.release(revision, change.oldTerm);
+  }
+
   /** Gives up the primary for a change that was recorded at `revision`. */
   release(revision: number, oldTerm: number): void {
     this.lease.release(revision);
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -74,6 +74,11 @@
     this.proof = null;
   }
 
+  /** Ends the lease until another read proves the record. */
+  dropProof(): void {
+    this.proof = null;
+  }
+
   /** Gives the lease up for every revision up to `revision`. */
   release(revision: number): void {
     this.releasedRevision = Math.max(this.releasedRevision, revision);
--- a/packages/gateway/src/group/primary_record.ts
+++ b/packages/gateway/src/group/primary_record.ts
@@ -49,6 +49,23 @@
 /** The record of a database group's primary. @public */
 export type PrimaryRecord = z.infer<typeof primaryRecordSchema>;
 
+/** Steps of a change of primary, by which records of one term are ordered. */
+const STEPS_PER_TERM = 4;
+
+/**
+ * Orders the records of one group by how far they have come, whatever the
+ * store makes of their revisions: by term, then by the steps of a change.
+ *
+ * @public
+ */
+export function getRecordProgress(record: PrimaryRecord): number {
+  if (record.phase === 'stable') {
+    return record.term * STEPS_PER_TERM;
+  }
+  const step = record.target === null ? 1 : 2;
+  return record.oldTerm * STEPS_PER_TERM + step;
+}
+
 /** A record with the revision of the table that holds it. @public */
 export interface RevisedPrimaryRecord {
   readonly record: PrimaryRecord;
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -46,6 +46,20 @@
       readonly reader: string;
       readonly reason: string;
     }
+  /** The store came back from a copy, which may lack the latest changes. */
+  | {
+      readonly kind: 'storeRestored';
+      readonly era: number;
+      readonly previousEra: number;
+    }
+  /** The store has lost a record of a primary that this proxy remembers. */
+  | {readonly kind: 'primaryRecordLost'; readonly databaseGroup: string}
+  | {
+      readonly kind: 'primaryRecordRewritten';
+      readonly databaseGroup: string;
+      readonly phase: string;
+      readonly outcome: string;
+    }
   | {readonly kind: 'clockDisagreement'; readonly epoch: number}
   | {readonly kind: 'loopDelayed'; readonly delayMs: number}
   | {
--- a/packages/gateway/src/peer/peer_answers.ts
+++ b/packages/gateway/src/peer/peer_answers.ts
@@ -62,7 +62,7 @@
     if (group === undefined) {
       return {incarnation, highestAcknowledged: null};
     }
-    group.release(request.revision, request.oldTerm);
+    group.releaseFor(request, request.revision);
     await this.waitForPendingWrites(group);
     const {highestAcknowledged} = group.createReleaseReport();
     events.record({
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -37,6 +37,12 @@
     ),
   }),
   fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
+  fc.record({
+    kind: fc.constant('storeRestored' as const),
+    atMs,
+    forMs: fc.integer({min: 20, max: 1_500}),
+    ageMs: fc.integer({min: 0, max: 6_000}),
+  }),
   fc.record({kind: fc.constant('answersLost' as const), atMs, forMs}),
   fc.record({kind: fc.constant('killProxy' as const), atMs, proxy}),
   fc.record({
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -22,6 +22,7 @@
   ROUTE_MAX_AGE_MS,
   SimulatedOperator,
 } from './simulated_operator.js';
+import {SimulatedRestore} from './simulated_restore.js';
 import type {StoreCallCounts} from './simulated_tables.js';
 import {SimulatedZones} from './simulated_zones.js';
 import {TouchRecord} from './touch_record.js';
@@ -96,19 +97,30 @@
   ) {
     this.random = SeededRandom.create(plan.seed);
     const zones = SimulatedZones.create(plan.layout ?? 'apart');
+    const {clock} = this;
+    const group = SimulatedGroup.create(
+      clock,
+      this.network,
+      this.oracle,
+      zones,
+    );
+    const store = FakeControlTable.create(clock);
+    const rosters = FakeControlTable.create(clock);
+    const operator = SimulatedOperator.create(clock);
     this.deployment = {
-      clock: this.clock,
+      clock,
       network: this.network,
-      group: SimulatedGroup.create(
-        this.clock,
-        this.network,
-        this.oracle,
-        zones,
-      ),
+      group,
       zones,
-      store: FakeControlTable.create(this.clock),
-      rosters: FakeControlTable.create(this.clock),
-      operator: SimulatedOperator.create(this.clock),
+      store,
+      rosters,
+      operator,
+      restore: SimulatedRestore.create({
+        clock,
+        group,
+        operator,
+        tables: [store, rosters],
+      }),
       storeCalls: {control: 0, directory: 0, configuration: 0},
       proxies: new Map(),
     };
@@ -137,6 +149,7 @@
       elapsedMs += STEP_MS;
       if (elapsedMs % REPLICATION_INTERVAL_MS === 0) {
         this.deployment.group.tick();
+        this.deployment.restore.keepCopy();
       }
       this.noteDisturbances();
       if (elapsedMs % OPERATION_INTERVAL_MS === 0) {
--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -73,11 +73,12 @@
         return;
       }
       case 'storeDown':
-        this.cutFor(
-          STORE,
-          [...this.options.proxies, ...group.instances.keys()],
-          fault.forMs,
-        );
+        this.cutStoreOff(fault.forMs);
+        return;
+      case 'storeRestored':
+        this.cutStoreOff(fault.forMs);
+        // What is done while nobody reaches the store is as good as done at the start.
+        this.options.deployment.restore.restore(fault.ageMs);
         return;
       case 'answersLost':
         store.writeMode = 'doneWithoutAnswer';
@@ -131,6 +132,15 @@
     }
   }
 
+  private cutStoreOff(forMs: number): void {
+    const {group} = this.options.deployment;
+    this.cutFor(
+      STORE,
+      [...this.options.proxies, ...group.instances.keys()],
+      forMs,
+    );
+  }
+
   private pickReplica(index: number) {
     const replicas = [
       ...this.options.deployment.group.instances.values(),
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -41,6 +41,13 @@
       readonly proxies: readonly [number, number];
     }
   | {readonly kind: 'storeDown'; readonly atMs: number; readonly forMs: number}
+  /** The store is away for a moment and comes back from a copy of an age. */
+  | {
+      readonly kind: 'storeRestored';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly ageMs: number;
+    }
   | {
       readonly kind: 'answersLost';
       readonly atMs: number;
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -15,6 +15,7 @@
 import {RecordedEvents} from '../observability/gateway_events.js';
 import type {ControlRelay} from '../peer/control_relay.js';
 import type {PeerCaller, PeerError, PeerHandler} from '../peer/peer_caller.js';
+import {StoreEra} from '@filbertrun/platform/store_era.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {CONFIGURATION_APPLY_MS} from './configuration_oracle.js';
@@ -26,6 +27,7 @@
 } from './simulated_group.js';
 import type {SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedOperator} from './simulated_operator.js';
+import type {SimulatedRestore} from './simulated_restore.js';
 import type {SimulatedZones} from './simulated_zones.js';
 import {
   SimulatedConfiguration,
@@ -43,6 +45,7 @@
   readonly store: FakeControlTable;
   readonly rosters: FakeControlTable;
   readonly operator: SimulatedOperator;
+  readonly restore: SimulatedRestore;
   readonly storeCalls: StoreCallCounts;
   /** Running proxies by name. */
   readonly proxies: Map<string, SimulatedProxy>;
@@ -67,6 +70,7 @@
     const {clock} = deployment;
     this.wallClock = FakeWallClock.create(clock);
     const link = new PartyLink(name, clock, deployment.network);
+    const era = StoreEra.create();
     this.gateway = Gateway.create(
       mutate({
         self: {
@@ -87,20 +91,24 @@
           link,
           deployment.store,
           deployment.storeCalls,
+          era,
         ),
         rosterTable: new SimulatedControlTable(
           link,
           deployment.rosters,
           deployment.storeCalls,
+          era,
         ),
         directoryTable: new SimulatedDirectory(
           link,
           deployment.group,
+          deployment.restore,
           deployment.storeCalls,
         ),
         configurationTable: new SimulatedConfiguration(
           link,
           deployment.operator,
+          deployment.restore,
           deployment.storeCalls,
         ),
         configurationKey: 'config',
--- a/packages/gateway/src/simulation/simulated_tables.ts
+++ b/packages/gateway/src/simulation/simulated_tables.ts
@@ -15,7 +15,10 @@
   WatchableTable,
   WatchError,
 } from '../directory/watchable_table.js';
+import {StoreEra} from '@filbertrun/platform/store_era.js';
+import {createRevision, getEra} from '@filbertrun/platform/store_revision.js';
 import type {FakeControlTable} from '../testing/fake_control_table.js';
+import type {SimulatedRestore} from './simulated_restore.js';
 import {CALL_MS, CALL_TIMEOUT_MS, type PartyLink} from './party_link.js';
 import type {SimulatedGroup} from './simulated_group.js';
 import {STORE} from './simulated_network.js';
@@ -32,12 +35,14 @@
   configuration: number;
 }
 
-/** The table of the proxies themselves. @internal */
+/** The table of the proxies themselves, as a client of the store reaches it. @internal */
 export class SimulatedControlTable implements ListableTable {
   constructor(
     private readonly link: PartyLink,
     private readonly store: FakeControlTable,
     private readonly calls: StoreCallCounts,
+    /** Newest era that this client has seen. */
+    private readonly era: StoreEra,
   ) {}
 
   async listEntries(): Promise<Result<TableListing, PlatformError>> {
@@ -46,6 +51,7 @@
       return failure(UNAVAILABLE);
     }
     const listing = await this.store.listEntries();
+    this.era.note(this.store.era);
     await this.link.pause(CALL_MS);
     return listing;
   }
@@ -62,24 +68,47 @@
     write: ConditionalWrite,
   ): Promise<Result<TableEntry, PlatformError>> {
     this.calls.control++;
-    return (await this.link.reach(STORE))
-      ? this.store.putEntry(write)
-      : failure(UNAVAILABLE);
+    if (this.era.isOutdated(write.expectedRevision)) {
+      return failure({kind: 'conflict', current: null});
+    }
+    if (!(await this.link.reach(STORE))) {
+      return failure(UNAVAILABLE);
+    }
+    const result = await this.store.putEntry(write);
+    this.era.note(this.store.era);
+    return result.ok && this.era.isOutdated(write.expectedRevision)
+      ? failure({kind: 'outcomeUnknown', reason: 'simulated'})
+      : result;
   }
 
   async putEntries(
     writes: readonly ConditionalWrite[],
   ): Promise<Result<ReadonlyMap<string, TableEntry>, BatchWriteError>> {
     this.calls.control++;
-    return (await this.link.reach(STORE))
-      ? this.store.putEntries(writes)
-      : failure({kind: 'unavailable', reason: 'simulated'});
+    const isOutdated = () =>
+      writes.some(({expectedRevision}) =>
+        this.era.isOutdated(expectedRevision),
+      );
+    if (isOutdated()) {
+      return failure({kind: 'conflicts', current: new Map()});
+    }
+    if (!(await this.link.reach(STORE))) {
+      return failure({kind: 'unavailable', reason: 'simulated'});
+    }
+    const result = await this.store.putEntries(writes);
+    this.era.note(this.store.era);
+    return result.ok && isOutdated()
+      ? failure({kind: 'outcomeUnknown', reason: 'simulated'})
+      : result;
   }
 
   async removeEntry(
     key: string,
     expectedRevision: number,
   ): Promise<Result<void, PlatformError>> {
+    if (this.era.isOutdated(expectedRevision)) {
+      return failure({kind: 'conflict', current: null});
+    }
     return (await this.link.reach(STORE))
       ? this.store.removeEntry(key, expectedRevision)
       : failure(UNAVAILABLE);
@@ -91,6 +120,7 @@
   constructor(
     private readonly link: PartyLink,
     private readonly group: SimulatedGroup,
+    private readonly restore: SimulatedRestore,
     private readonly calls: StoreCallCounts,
   ) {}
 
@@ -104,13 +134,31 @@
     return success(this.describe());
   }
 
-  async watch(): Promise<Result<TableChanges<BackendServerEntry>, WatchError>> {
+  async watch(
+    afterRevision: number,
+  ): Promise<Result<TableChanges<BackendServerEntry>, WatchError>> {
     await this.link.pause(CALL_TIMEOUT_MS);
+    if (this.restore.era > getEra(afterRevision)) {
+      return failure({kind: 'historyLost'});
+    }
     return this.list();
   }
 
   private describe(): TableChanges<BackendServerEntry> {
-    const revision = this.group.directoryRevision;
+    const {era, copiedEntries} = this.restore;
+    const change = this.group.directoryRevision;
+    const revision = createRevision({era, change}) ?? 0;
+    if (copiedEntries !== null) {
+      const changes = copiedEntries.map(
+        (value): TableChange<BackendServerEntry> => ({
+          kind: 'put',
+          key: value.backendServer,
+          revision,
+          value,
+        }),
+      );
+      return {changes, revision};
+    }
     const changes: TableChange<BackendServerEntry>[] = [];
     for (const key of this.group.listExpired()) {
       changes.push({kind: 'removed', key, revision});
@@ -130,6 +178,7 @@
   constructor(
     private readonly link: PartyLink,
     private readonly operator: SimulatedOperator,
+    private readonly restore: SimulatedRestore,
     private readonly calls: StoreCallCounts,
   ) {}
 
@@ -147,7 +196,11 @@
     waitMs: number,
   ): Promise<Result<TableChanges<ServiceConfiguration>, WatchError>> {
     for (let waitedMs = 0; waitedMs < waitMs; waitedMs += WATCH_STEP_MS) {
-      if (this.operator.current.version > afterRevision) {
+      if (this.restore.era > getEra(afterRevision)) {
+        await this.link.pause(CALL_MS);
+        return failure({kind: 'historyLost'});
+      }
+      if (this.getRevision() > afterRevision) {
         return this.list();
       }
       await this.link.pause(WATCH_STEP_MS);
@@ -159,8 +212,19 @@
   }
 
   private describe(): TableChanges<ServiceConfiguration> {
-    const value = this.operator.current;
-    const revision = value.version;
+    const value = this.getStored();
+    const revision = this.getRevision();
     return {changes: [{kind: 'put', key: 'config', revision, value}], revision};
   }
+
+  private getRevision(): number {
+    const {era} = this.restore;
+    const {version} = this.getStored();
+    return createRevision({era, change: version}) ?? 0;
+  }
+
+  /** What the store holds: for a while after a restore, what the copy has. */
+  private getStored(): ServiceConfiguration {
+    return this.restore.copiedConfiguration ?? this.operator.current;
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/simulation/store_restored_test.ts
@@ -0,0 +1,224 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {playHistory} from './failover_history.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import {PROMOTION_MS} from './simulated_group.js';
+
+/** Longest time from the store's return to the next write, with the primary unchanged. */
+const WRITES_BACK_MS = 1_500;
+
+/** Longest time from the loss of a primary to the intent of its change. */
+const DETECTION_MS = 1_000;
+
+/** Length of the store's absence in the planned histories. */
+const AWAY_MS = 300;
+
+const LAYOUTS = ['apart', 'shared'] as const;
+
+/** Histories in CI; FAILOVER_HISTORIES asks for more by hand. */
+const HISTORY_COUNT = Number(process.env['FAILOVER_HISTORIES'] ?? 30);
+const SEED = Number(process.env['FAILOVER_SEED'] ?? 1);
+
+function restore(atMs: number, ageMs: number, forMs = AWAY_MS): HistoryFault {
+  return {kind: 'storeRestored', atMs, forMs, ageMs};
+}
+
+/** A planned history for each layout and some seeds. */
+function planAll(faults: readonly HistoryFault[]): readonly HistoryPlan[] {
+  return LAYOUTS.flatMap(layout =>
+    [1, 2, 3].map(seed => ({seed, layout, faults})),
+  );
+}
+
+/** Time from one moment to the first acknowledgement after it. */
+function findWaitMs(
+  acknowledgedAtMs: readonly number[],
+  fromMs: number,
+): number {
+  const firstAtMs = acknowledgedAtMs.find(atMs => atMs > fromMs);
+  return (firstAtMs ?? Number.POSITIVE_INFINITY) - fromMs;
+}
+
+/**
+ * Plays a history and checks that no promise is broken and that writes are
+ * back in time after each return of the store.
+ */
+async function expectKept(
+  faults: readonly HistoryFault[],
+  writesBackMs: number,
+): Promise<void> {
+  for (const plan of planAll(faults)) {
+    const {violations, acknowledgedAtMs} = await playHistory(plan);
+    const {seed, layout} = plan;
+    expect({seed, layout, violations}).toEqual({seed, layout, violations: []});
+    for (const fault of faults) {
+      if (fault.kind === 'storeRestored') {
+        const returnedAtMs = fault.atMs + fault.forMs;
+        const waitMs = findWaitMs(acknowledgedAtMs, returnedAtMs);
+        expect(waitMs).toBeLessThanOrEqual(writesBackMs);
+      }
+    }
+  }
+}
+
+/** Longest time from the store's return to the next write, with a change of primary. */
+const CHANGE_MS = DETECTION_MS + PROMOTION_MS + WRITES_BACK_MS;
+
+describe('store restored', () => {
+  it('store restored: writes go on when nothing had changed', () =>
+    expectKept([restore(3_000, 2_000)], WRITES_BACK_MS));
+
+  it('store restored: twice within a lease', () =>
+    expectKept([restore(3_000, 2_000), restore(6_000, 4_500)], WRITES_BACK_MS));
+
+  it('store restored: the whole change of a primary is forgotten', () =>
+    expectKept(
+      [
+        {kind: 'crashPrimary', atMs: 2_000, forMs: 14_000},
+        restore(5_000, 4_000),
+      ],
+      CHANGE_MS,
+    ));
+
+  it.each([200, 400, 600, 800, 1_000, 1_200, 1_400])(
+    'store restored: %i ms after the loss of a primary, in the middle of its change',
+    afterMs =>
+      expectKept(
+        [
+          {kind: 'crashPrimary', atMs: 2_000, forMs: 14_000},
+          restore(2_000 + afterMs, 1_500),
+        ],
+        CHANGE_MS,
+      ),
+  );
+
+  it('store restored: a configuration that was acknowledged is gone for a while', () =>
+    expectKept(
+      [{kind: 'changeConfiguration', atMs: 3_000}, restore(4_500, 3_000)],
+      WRITES_BACK_MS,
+    ));
+
+  it('store restored: a drain is forgotten for a while', () =>
+    expectKept(
+      [{kind: 'drainPrimary', atMs: 3_000}, restore(4_500, 3_000)],
+      CHANGE_MS,
+    ));
+
+  it('store restored: a proxy that was started in between is not listed', () =>
+    expectKept(
+      [
+        {kind: 'killProxy', atMs: 1_000, proxy: 1},
+        restore(4_000, 3_500),
+        {kind: 'crashPrimary', atMs: 4_500, forMs: 10_000},
+      ],
+      CHANGE_MS,
+    ));
+
+  it('store restored: some proxies are turned away before and after', () =>
+    expectKept(
+      [
+        {kind: 'cutStore', atMs: 2_000, forMs: 5_000, proxy: 0},
+        {kind: 'cutStore', atMs: 2_000, forMs: 5_000, proxy: 2},
+        restore(4_000, 3_000),
+      ],
+      WRITES_BACK_MS,
+    ));
+
+  it('store restored: a proxy that is cut off does not hear of it', async () => {
+    for (const plan of planAll([
+      {kind: 'cutProxy', atMs: 2_500, forMs: 12_000, proxy: 0},
+      restore(3_000, 2_000),
+      {kind: 'crashPrimary', atMs: 3_800, forMs: 12_000},
+    ])) {
+      const outcome = await playHistory(plan);
+      expect(outcome.violations).toEqual([]);
+    }
+  });
+
+  it('store restored: all processes end in the same second', async () => {
+    for (const plan of planAll([
+      {kind: 'crashPrimary', atMs: 2_000, forMs: 12_000},
+      restore(4_000, 3_000),
+      {kind: 'killAllProxies', atMs: 4_100},
+    ])) {
+      const outcome = await playHistory(plan);
+      expect(outcome.violations).toEqual([]);
+    }
+  });
+
+  it('store restored: a proxy starts just after', async () => {
+    for (const plan of planAll([
+      {kind: 'crashPrimary', atMs: 2_000, forMs: 12_000},
+      {kind: 'killProxy', atMs: 3_900, proxy: 0},
+      restore(4_800, 4_000),
+    ])) {
+      const outcome = await playHistory(plan);
+      expect(outcome.violations).toEqual([]);
+    }
+  });
+
+  it('store restored: a late write of before meets a number given out again', async () => {
+    for (const plan of planAll([
+      {kind: 'answersLost', atMs: 2_500, forMs: 3_000},
+      restore(3_500, 2_000, 40),
+      restore(4_500, 800, 20),
+    ])) {
+      const outcome = await playHistory(plan);
+      expect(outcome.violations).toEqual([]);
+    }
+  });
+
+  it('store restored: keeps its promises whatever else fails', async () => {
+    const atMs = fc.integer({min: 0, max: 9_000});
+    const forMs = fc.integer({min: 300, max: 6_000});
+    const proxy = fc.nat(4);
+    const restored = fc.record({
+      kind: fc.constant('storeRestored' as const),
+      atMs,
+      forMs: fc.integer({min: 20, max: 1_500}),
+      ageMs: fc.integer({min: 0, max: 6_000}),
+    });
+    const other: fc.Arbitrary<HistoryFault> = fc.oneof(
+      fc.record({kind: fc.constant('crashPrimary' as const), atMs, forMs}),
+      fc.record({kind: fc.constant('killProxy' as const), atMs, proxy}),
+      fc.record({kind: fc.constant('killAllProxies' as const), atMs}),
+      fc.record({kind: fc.constant('cutStore' as const), atMs, forMs, proxy}),
+      fc.record({kind: fc.constant('cutProxy' as const), atMs, forMs, proxy}),
+      fc.record({kind: fc.constant('answersLost' as const), atMs, forMs}),
+      fc.record({kind: fc.constant('drainPrimary' as const), atMs}),
+      fc.record({kind: fc.constant('changeConfiguration' as const), atMs}),
+      fc.record({
+        kind: fc.constant('cutPrimary' as const),
+        atMs,
+        forMs,
+        proxies: fc.subarray([0, 1, 2, 3, 4]),
+        isFromReplicas: fc.boolean(),
+      }),
+      fc.record({
+        kind: fc.constant('cutZoneControl' as const),
+        atMs,
+        forMs,
+        proxy,
+      }),
+    );
+    const plan: fc.Arbitrary<HistoryPlan> = fc
+      .record({
+        seed: fc.nat(1_000_000),
+        layout: fc.constantFrom(...LAYOUTS),
+        restores: fc.array(restored, {minLength: 1, maxLength: 2}),
+        others: fc.array(other, {minLength: 1, maxLength: 3}),
+      })
+      .map(({seed, layout, restores, others}) => ({
+        seed,
+        layout,
+        faults: [...restores, ...others],
+      }));
+    await fc.assert(
+      fc.asyncProperty(plan, async drawn => {
+        const outcome = await playHistory(drawn);
+        expect(outcome.violations).toEqual([]);
+      }),
+      {numRuns: HISTORY_COUNT, seed: SEED, endOnFailure: true},
+    );
+  }, 3_600_000);
+});
--- a/packages/gateway/src/testing/fake_control_table.ts
+++ b/packages/gateway/src/testing/fake_control_table.ts
@@ -1,5 +1,9 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
+import {
+  createRevision,
+  splitRevision,
+} from '@filbertrun/platform/store_revision.js';
 import type {
   BatchWriteError,
   ConditionalWrite,
@@ -12,13 +16,30 @@
 /** What the store does with a write. @internal */
 export type WriteMode = 'answered' | 'unavailable' | 'doneWithoutAnswer';
 
-/** A control table in memory, with outages and lost answers. @internal */
+/** What the table held after a change. */
+interface Copy {
+  readonly atMs: number;
+  readonly entries: ReadonlyMap<string, TableEntry>;
+  readonly revision: number;
+}
+
+/** Copies that are kept. */
+const MAX_COPIES = 2_000;
+
+/**
+ * A control table in memory, with outages and lost answers. It can be put back
+ * to what it held earlier, as a store that comes back from a copy: numbers of
+ * changes are then given out again, and conditions are compared by them alone.
+ *
+ * @internal
+ */
 export class FakeControlTable implements ListableTable {
   readonly entries = new Map<string, TableEntry>();
   writeMode: WriteMode = 'answered';
   isReadable = true;
   writeCount = 0;
   private revision = 0;
+  private readonly copies: Copy[] = [];
 
   private constructor(private readonly clock: Clock) {}
 
@@ -37,9 +58,39 @@
     this.revision++;
     const entry = {value: JSON.stringify(value), revision: this.revision};
     this.entries.set(key, entry);
+    this.keepCopy();
     return this.revision;
   }
 
+  /** The era of the store, which rises each time that it comes back from a copy. */
+  get era(): number {
+    return splitRevision(this.revision).era;
+  }
+
+  /** Puts the table back to what it held at a time, in a new era. */
+  restore(toMs: number): void {
+    const copy = this.copies.findLast(({atMs}) => atMs <= toMs);
+    const era = this.era + 1;
+    this.revision = inEra(copy?.revision ?? 0, era);
+    this.entries.clear();
+    for (const [key, {value, revision}] of copy?.entries ?? []) {
+      this.entries.set(key, {value, revision: inEra(revision, era)});
+    }
+    this.copies.length = 0;
+    this.keepCopy();
+  }
+
+  private keepCopy(): void {
+    this.copies.push({
+      atMs: this.clock.nowMs(),
+      entries: new Map(this.entries),
+      revision: this.revision,
+    });
+    if (this.copies.length > MAX_COPIES) {
+      this.copies.shift();
+    }
+  }
+
   async listEntries(): Promise<Result<TableListing, PlatformError>> {
     await Promise.resolve();
     if (!this.isReadable) {
@@ -73,6 +124,7 @@
     this.revision++;
     const entry = {value: write.value, revision: this.revision};
     this.entries.set(write.key, entry);
+    this.keepCopy();
     return this.writeMode === 'doneWithoutAnswer'
       ? failure({kind: 'outcomeUnknown', reason: 'the answer was lost'})
       : success(entry);
@@ -103,6 +155,7 @@
     for (const [key, entry] of written) {
       this.entries.set(key, entry);
     }
+    this.keepCopy();
     return this.writeMode === 'doneWithoutAnswer'
       ? failure({kind: 'outcomeUnknown', reason: 'the answer was lost'})
       : success(written);
@@ -119,6 +172,7 @@
     }
     this.revision++;
     this.entries.delete(key);
+    this.keepCopy();
     return success(undefined);
   }
 
@@ -130,8 +184,15 @@
       return {kind: 'unavailable', reason: 'switched off'};
     }
     const current = this.entries.get(key) ?? null;
-    return (current?.revision ?? 0) === expectedRevision
-      ? null
-      : {kind: 'conflict', current};
+    const isExpected =
+      splitRevision(current?.revision ?? 0).change ===
+      splitRevision(expectedRevision).change;
+    return isExpected ? null : {kind: 'conflict', current};
   }
 }
+
+/** The revision of the same change in another era. */
+function inEra(revision: number, era: number): number {
+  const {change} = splitRevision(revision);
+  return createRevision({era, change}) ?? 0;
+}
--- a/packages/platform/src/platform_service.ts
+++ b/packages/platform/src/platform_service.ts
@@ -19,13 +19,20 @@
 export type PlatformError =
   | {readonly kind: 'unavailable'; readonly reason: string}
   | {readonly kind: 'outcomeUnknown'; readonly reason: string}
+  /**
+   * The key has another revision. `current` is null if it does not exist, or if
+   * the expected revision was read before the store came back from a copy.
+   */
   | {readonly kind: 'conflict'; readonly current: TableEntry | null}
   | {readonly kind: 'malformed'; readonly reason: string};
 
 /** A value of the table service with the revision that a write must name. @public */
 export interface TableEntry {
   readonly value: string;
-  /** Rises with each write to the key, from 1. */
+  /**
+   * Rises with each write to the key, from 1. It also rises when the store comes
+   * back from a copy (`store_revision.ts`).
+   */
   readonly revision: number;
 }
 
@@ -62,7 +69,8 @@
 
 /**
  * Why a write of several keys failed. `conflicts` has the keys whose revisions
- * differed, with what they hold; nothing was written.
+ * differed, with what they hold; nothing was written. It is empty if expected
+ * revisions were read before the store came back from a copy.
  *
  * @public
  */
