--- /dev/null
+++ b/packages/gateway/src/failover/find_lease_holders_test.ts
@@ -0,0 +1,99 @@
+import type {TableListing} from '@filbertrun/platform/platform_service.js';
+import {createRevision} from '@filbertrun/platform/store_revision.js';
+import {describe, expect, it} from 'vitest';
+import {FAILOVER_DUTY_KEY} from '../control/control_record.js';
+import {LEASE_DURATION_MS} from '../control/entry_vm_registration.js';
+import {getNextToken} from '../control/fencing_token.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
+import {findLeaseHolders} from './find_lease_holders.js';
+
+const NOW_MS = 500_000;
+const STORE_TIME_MS = 9_000_000;
+
+/** A listing with one proxy whose lease has 3 s to go. */
+function createListing(
+  era: number,
+  duty: {readonly era: number; readonly sinceMs: number} | null,
+): TableListing {
+  const revision = createRevision({era, change: 50}) ?? -1;
+  const record = {
+    ...createEntryVmRecord('entry-1'),
+    leaseEndStoreMs: STORE_TIME_MS + 3_000,
+  };
+  const entries = new Map([
+    ['entryVm/entry-1', {value: JSON.stringify(record), revision}],
+  ]);
+  if (duty !== null) {
+    const value = JSON.stringify({
+      holder: 'entry-1',
+      incarnation: 'one',
+      fencingToken: getNextToken(duty.era, null),
+      renewalCount: 1,
+      eraSinceStoreMs: duty.sinceMs,
+    });
+    entries.set(FAILOVER_DUTY_KEY, {value, revision});
+  }
+  return {entries, revision, storeTimeMs: STORE_TIME_MS};
+}
+
+describe('findLeaseHolders', () => {
+  it('takes the leases as they are listed', () => {
+    const holders = findLeaseHolders({
+      listing: createListing(0, null),
+      nowMs: NOW_MS,
+      remembered: [],
+    });
+    expect(holders.forgottenUntilMs).toBeNull();
+    expect(holders.known.map(({leaseEndMs}) => leaseEndMs)).toEqual([
+      NOW_MS + 3_000,
+    ]);
+  });
+
+  it('store restored: waits for leases that the store may have forgotten', () => {
+    const holders = findLeaseHolders({
+      listing: createListing(1, {era: 1, sinceMs: STORE_TIME_MS - 2_000}),
+      nowMs: NOW_MS,
+      remembered: [],
+    });
+    const endMs = NOW_MS + LEASE_DURATION_MS - 2_000;
+    expect(holders.forgottenUntilMs).toBe(endMs);
+    expect(holders.known[0]?.leaseEndMs).toBe(endMs);
+  });
+
+  it('store restored: counts from now while nobody has claimed the duty in the new era', () => {
+    for (const duty of [null, {era: 0, sinceMs: 0}]) {
+      const holders = findLeaseHolders({
+        listing: createListing(1, duty),
+        nowMs: NOW_MS,
+        remembered: [],
+      });
+      expect(holders.forgottenUntilMs).toBe(NOW_MS + LEASE_DURATION_MS);
+    }
+  });
+
+  it('store restored: asks proxies that were known before and are listed no more', () => {
+    const forgotten = {
+      ...createEntryVmRecord('entry-2'),
+      incarnation: 'two',
+    };
+    const holders = findLeaseHolders({
+      listing: createListing(1, {era: 1, sinceMs: STORE_TIME_MS}),
+      nowMs: NOW_MS,
+      remembered: [createEntryVmRecord('entry-1'), forgotten],
+    });
+    expect(holders.known.map(({record}) => record.entryVm)).toEqual([
+      'entry-1',
+      'entry-2',
+    ]);
+  });
+
+  it('store restored: is over once every lease of before has ended', () => {
+    const sinceMs = STORE_TIME_MS - LEASE_DURATION_MS;
+    const holders = findLeaseHolders({
+      listing: createListing(1, {era: 1, sinceMs}),
+      nowMs: NOW_MS,
+      remembered: [],
+    });
+    expect(holders.forgottenUntilMs).toBeNull();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/group/record_memory_test.ts
@@ -0,0 +1,94 @@
+import {createRevision} from '@filbertrun/platform/store_revision.js';
+import {describe, expect, it} from 'vitest';
+import type {PrimaryRecord} from './primary_record.js';
+import {RecordMemory} from './record_memory.js';
+
+function revision(era: number, change: number): number {
+  return createRevision({era, change}) ?? -1;
+}
+
+function stable(primary: string, term: number): PrimaryRecord {
+  return {
+    phase: 'stable',
+    databaseGroup: 'group',
+    primary,
+    term,
+    writesFromStoreMs: null,
+  };
+}
+
+function changing(oldTerm: number, target: string | null): PrimaryRecord {
+  return {
+    phase: 'changing',
+    databaseGroup: 'group',
+    changeId: 'change',
+    oldPrimary: 'p',
+    oldTerm,
+    target,
+    lastOldPosition: null,
+  };
+}
+
+describe('RecordMemory', () => {
+  it('takes what one era of the store says, in its order', () => {
+    const memory = RecordMemory.create();
+    expect(memory.take({record: stable('p', 1), revision: 5})).toBe(true);
+    expect(memory.take({record: changing(1, null), revision: 6})).toBe(true);
+    expect(memory.take({record: stable('r', 2), revision: 7})).toBe(true);
+    expect(memory.lostRecord).toBeNull();
+  });
+
+  it.each([
+    {known: stable('r', 2), copy: stable('p', 1)},
+    {known: stable('r', 2), copy: changing(1, 'r')},
+    {known: changing(1, 'r'), copy: changing(1, null)},
+    {known: changing(1, null), copy: stable('p', 1)},
+  ])(
+    'store restored: $copy.phase is not believed once $known.phase was known',
+    ({known, copy}) => {
+      const memory = RecordMemory.create();
+      memory.take({record: known, revision: revision(0, 90)});
+      expect(memory.take({record: copy, revision: revision(1, 60)})).toBe(
+        false,
+      );
+      expect(memory.lostRecord).toEqual({
+        record: known,
+        expectedRevision: revision(1, 60),
+      });
+    },
+  );
+
+  it('store restored: a record that was written again ends the loss', () => {
+    const memory = RecordMemory.create();
+    memory.take({record: stable('r', 2), revision: revision(0, 90)});
+    memory.take({record: stable('p', 1), revision: revision(1, 60)});
+    memory.take({record: stable('r', 2), revision: revision(1, 70)});
+    expect(memory.lostRecord).toBeNull();
+  });
+
+  it('store restored: a record that is gone altogether is to be written anew', () => {
+    const memory = RecordMemory.create();
+    memory.take({record: stable('p', 1), revision: revision(0, 90)});
+    memory.noteMissing(revision(1, 10));
+    expect(memory.lostRecord).toEqual({
+      record: stable('p', 1),
+      expectedRevision: 0,
+    });
+  });
+
+  it('store restored: a change of which only the release was heard is resumed', () => {
+    const memory = RecordMemory.create();
+    memory.take({record: stable('p', 1), revision: revision(0, 80)});
+    memory.noteChange({changeId: 'change', oldTerm: 1}, revision(0, 90));
+    memory.take({record: stable('p', 1), revision: revision(1, 80)});
+    expect(memory.lostRecord?.record).toEqual(changing(1, null));
+  });
+
+  it('store restored: a record as far as the known one is believed', () => {
+    const memory = RecordMemory.create();
+    memory.take({record: stable('p', 1), revision: revision(0, 80)});
+    expect(
+      memory.take({record: stable('p', 1), revision: revision(1, 40)}),
+    ).toBe(true);
+  });
+});
