Store from a copy: a process that started since waits for records to be written again; the holder asks the instances once an era

Found by the drawn plan of a mutant: a change of primary was forgotten and a proxy started just after read the old record (staleRead, whole code). Change: leases of a process that remembers nothing begin 1.5 s after the first claim of the duty in the era, and the holder compares terms with the instances.

--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -6,6 +6,7 @@
 } from '@filbertrun/platform/platform_service.js';
 import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {ClockReading, ClockWatch} from '../group/clock_watch.js';
+import {getEraAgeMs} from './era_age.js';
 import {
   ENTRY_VM_PREFIX,
   entryVmRecordSchema,
@@ -38,6 +39,12 @@
 /** Time after which one whose leases another proxy extends does so itself. */
 const FOLLOWER_RENEWAL_MS = 7_000;
 
+/**
+ * Time after the store came back from a copy in which the proxies that remember
+ * more than the copy has write it again. One that started since waits for it.
+ */
+const RECORDS_REWRITTEN_MS = 1_500;
+
 /** Records that are written at once. */
 const MAX_BATCH = 100;
 
@@ -78,7 +85,9 @@
   private readonly observed = new Map<string, ObservedEntryVm>();
   /** Records from before the store came back from a copy, by entry VM. */
   private remembered: readonly EntryVmRecord[] = [];
-  private era = 0;
+  /** Era of the latest listing; null before the first. */
+  private era: number | null = null;
+  private firstEra = 0;
   private storeClock: StoreClockReading | null = null;
   private failedAt: ClockReading | null = null;
   private isWriting = false;
@@ -128,7 +137,10 @@
     this.storeClock = {readAt, storeTimeMs: listing.storeTimeMs};
     const own = this.observed.get(this.options.self.entryVm);
     const era = getEra(listing.revision);
-    if (era > this.era) {
+    if (this.era === null) {
+      this.firstEra = era;
+      this.era = era;
+    } else if (era > this.era) {
       this.remembered = this.getEntryVms();
       this.era = era;
       this.failedAt = null;
@@ -152,7 +164,8 @@
 
   /**
    * Time for which what the same listing says of primaries may be relied on,
-   * counted from the start of its read; 0 without the own record.
+   * counted from the start of its read; 0 without the own record, or while the
+   * store may lack records that others are about to write again.
    */
   getLeaseDurationMs(listing: TableListing): number {
     const {entryVm, incarnation} = this.options.self;
@@ -165,6 +178,10 @@
     if (record?.incarnation !== incarnation || this.isLeaving) {
       return 0;
     }
+    const remembersNothing = this.firstEra === getEra(listing.revision);
+    if (remembersNothing && getEraAgeMs(listing) < RECORDS_REWRITTEN_MS) {
+      return 0;
+    }
     return Math.max(0, record.leaseEndStoreMs - listing.storeTimeMs);
   }
 
--- /dev/null
+++ b/packages/gateway/src/control/era_age.ts
@@ -0,0 +1,29 @@
+import type {TableListing} from '@filbertrun/platform/platform_service.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
+import {
+  FAILOVER_DUTY_KEY,
+  failoverDutySchema,
+  parseRecord,
+} from './control_record.js';
+import {getTokenEra} from './fencing_token.js';
+
+/**
+ * Time on the store's clock since the failover duty was first claimed in the
+ * present era of the store: 0 while nobody has claimed it, infinite if the
+ * store has never come back from a copy.
+ *
+ * @public
+ */
+export function getEraAgeMs(listing: TableListing): number {
+  const era = getEra(listing.revision);
+  if (era === 0) {
+    return Number.POSITIVE_INFINITY;
+  }
+  const entry = listing.entries.get(FAILOVER_DUTY_KEY);
+  const duty =
+    entry === undefined ? null : parseRecord(failoverDutySchema, entry.value);
+  if (duty === null || getTokenEra(duty.fencingToken) < era) {
+    return 0;
+  }
+  return listing.storeTimeMs - duty.eraSinceStoreMs;
+}
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -5,6 +5,7 @@
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
 import {isCovered} from '@filbertrun/model/log_position.js';
+import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {BackendLinkConnector} from '../backend/backend_link.js';
 import type {InstanceStatus} from '../backend/instance_control.js';
 import type {EntryVmRecord} from '../control/control_record.js';
@@ -67,6 +68,8 @@
   /** Latest report of each entry VM. */
   readonly reports: Map<string, TimedReport>;
   mismatchSinceMs: number | null;
+  /** Era of the store in which the instances have confirmed the record. */
+  confirmedEra: number;
 }
 
 /**
@@ -124,6 +127,7 @@
         quietUntilMs: 0,
         reports: new Map(),
         mismatchSinceMs: null,
+        confirmedEra: 0,
       };
       this.watches.set(databaseGroup, watch);
     }
@@ -150,6 +154,9 @@
       this.settle(watch);
       return;
     }
+    if (await this.resolveLaterTerm(group, watch, {record, revision})) {
+      return;
+    }
     if (await this.resolveRoleMismatch(group, watch, record.primary)) {
       return;
     }
@@ -347,6 +354,29 @@
     return true;
   }
 
+  /**
+   * Asks the instances once after the store came back from a copy, whose record
+   * may be older than what they know; true if it was.
+   */
+  private async resolveLaterTerm(
+    group: GroupRuntime,
+    watch: GroupWatch,
+    {record, revision}: RevisedPrimaryRecord,
+  ): Promise<boolean> {
+    const era = getEra(revision);
+    if (era <= watch.confirmedEra || record.phase !== 'stable') {
+      return false;
+    }
+    watch.confirmedEra = era;
+    const leader = await this.findLeader(group);
+    if (leader === null || leader.term <= record.term) {
+      return false;
+    }
+    await this.adoptLeader(group, revision, record);
+    this.settle(watch);
+    return true;
+  }
+
   /** Looks into a primary that has long called itself a replica. */
   private async resolveRoleMismatch(
     group: GroupRuntime,
--- a/packages/gateway/src/failover/find_lease_holders.ts
+++ b/packages/gateway/src/failover/find_lease_holders.ts
@@ -1,15 +1,12 @@
 import type {TableListing} from '@filbertrun/platform/platform_service.js';
-import {getEra} from '@filbertrun/platform/store_revision.js';
 import {
   ENTRY_VM_PREFIX,
   entryVmRecordSchema,
-  FAILOVER_DUTY_KEY,
-  failoverDutySchema,
   parseRecord,
   type EntryVmRecord,
 } from '../control/control_record.js';
+import {getEraAgeMs} from '../control/era_age.js';
 import {LEASE_DURATION_MS} from '../control/entry_vm_registration.js';
-import {getTokenEra} from '../control/fencing_token.js';
 import type {LeaseHolder} from './release_collector.js';
 
 /** What the holders of leases are found from. @public */
@@ -86,21 +83,8 @@
   return {record: {...record, leaseEndStoreMs}, leaseEndMs};
 }
 
-/**
- * Time for which proxies may still hold leases that the store has forgotten,
- * counted from the first claim of the duty in its present era; null if none.
- */
+/** Time for which leases may be left that the store has forgotten; null if none. */
 function findForgottenForMs(listing: TableListing): number | null {
-  const era = getEra(listing.revision);
-  if (era === 0) {
-    return null;
-  }
-  const entry = listing.entries.get(FAILOVER_DUTY_KEY);
-  const duty =
-    entry === undefined ? null : parseRecord(failoverDutySchema, entry.value);
-  if (duty === null || getTokenEra(duty.fencingToken) < era) {
-    return LEASE_DURATION_MS;
-  }
-  const elapsedMs = listing.storeTimeMs - duty.eraSinceStoreMs;
-  return elapsedMs < LEASE_DURATION_MS ? LEASE_DURATION_MS - elapsedMs : null;
+  const forMs = LEASE_DURATION_MS - getEraAgeMs(listing);
+  return forMs > 0 ? forMs : null;
 }
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -4,6 +4,7 @@
 import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
 import type {HistoryPlan} from './history_fault.js';
 import {planWith, type Mutant} from './mutant.js';
+import {RESTORE_MUTANTS} from './restore_mutants.js';
 import {ZONE_MUTANTS} from './zone_mutants.js';
 import {
   bind,
@@ -282,4 +283,5 @@
   ...FAILOVER_MUTANTS,
   ...DEPLOYMENT_MUTANTS,
   ...ZONE_MUTANTS,
+  ...RESTORE_MUTANTS,
 ];
