A position proven before the machine may have been suspended counts as proof no more

Cause: the steady clock does not count a suspension, so after it the ring of proven positions looked younger than it was; leases were dropped, this was not. With a replica that lags by seconds, a read of bounded age could lack commits acknowledged before that age (STALE). Tests: two in group_runtime_test.ts, seen failing before.

--- a/packages/gateway/src/group/clock_watch.ts
+++ b/packages/gateway/src/group/clock_watch.ts
@@ -24,6 +24,8 @@
  */
 export class ClockWatch {
   private epoch = 0;
+  /** Monotonic time at which the present epoch was noticed. */
+  private epochStartMs = Number.NEGATIVE_INFINITY;
   private offsetMs: number;
 
   private constructor(
@@ -43,11 +45,21 @@
     const offsetMs = this.wallClock.nowEpochMs() - timeMs;
     if (Math.abs(offsetMs - this.offsetMs) > MAX_CLOCK_DISAGREEMENT_MS) {
       this.epoch++;
+      this.epochStartMs = timeMs;
       this.offsetMs = offsetMs;
     }
     return {timeMs, epoch: this.epoch};
   }
 
+  /**
+   * Monotonic time from which on no suspension was noticed; times before it are
+   * longer ago than they seem.
+   */
+  getEpochStartMs(): number {
+    this.read();
+    return this.epochStartMs;
+  }
+
   /** Time since an earlier reading, or null when it lies in another epoch. */
   getElapsedMs(since: ClockReading): number | null {
     const now = this.read();
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -47,6 +47,9 @@
   readonly drainDurationMs: number;
 }
 
+/** Least difference between two times, by which one counts as later. */
+const CLOCK_STEP_MS = 1;
+
 /** Margin that makes up for rounding in ages of data. */
 const AGE_MARGIN_MS = 10;
 
@@ -181,7 +184,7 @@
       this.handleLearned(revised, previousRevision, source);
     }
     if (record.phase === 'changing' && record.lastOldPosition !== null) {
-      this.ring.record(proof.readAt.timeMs, record.lastOldPosition);
+      this.recordProof(proof.readAt.timeMs, record.lastOldPosition);
     }
   }
 
@@ -407,8 +410,15 @@
     return server === null || server.isUnreachable ? record.primary : null;
   }
 
-  /** Records that all commits acknowledged before `atMs` are at or before `position`. */
+  /**
+   * Records that all commits acknowledged before `atMs` are at or before
+   * `position`. A time from before a suspension is longer ago than it seems and
+   * proves nothing.
+   */
   recordProof(atMs: number, position: LogPosition): void {
+    if (atMs <= this.options.clockWatch.getEpochStartMs()) {
+      return;
+    }
     this.hasPosition = true;
     this.provenAtMs = Math.max(this.provenAtMs, atMs);
     this.ring.record(atMs, position);
@@ -419,7 +429,11 @@
    * `atMs`; null when none is known.
    */
   getFreshPosition(atMs: number, maxAgeMs: number): FreshPosition | null {
-    const entry = this.ring.getEntry(atMs, maxAgeMs - AGE_MARGIN_MS);
+    const sinceEpochMs = atMs - this.options.clockWatch.getEpochStartMs();
+    const entry = this.ring.getEntry(
+      atMs,
+      Math.min(maxAgeMs - AGE_MARGIN_MS, sinceEpochMs - CLOCK_STEP_MS),
+    );
     if (entry === null) {
       return null;
     }
--- a/packages/gateway/src/group/group_runtime_test.ts
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -1,3 +1,4 @@
+import type {LogPosition} from '@filbertrun/model/log_position.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {createEntry} from '../testing/fake_instances.js';
 import {advanceClock} from '../testing/settle.js';
@@ -30,6 +31,8 @@
   },
 };
 
+const POSITION: LogPosition = {term: 1, position: 5};
+
 describe('GroupRuntime', () => {
   let world: SessionWorld;
 
@@ -74,6 +77,30 @@
     expect(getWritable()).toBeNull();
   });
 
+  /** The position that is known to be fresh enough now, or null. */
+  function getFresh(): LogPosition | null {
+    const nowMs = world.clock.nowMs();
+    return world.group.getFreshPosition(nowMs, 1_500)?.position ?? null;
+  }
+
+  it('takes no position for fresh that was proven before a suspension', () => {
+    world.group.recordProof(world.clock.nowMs(), POSITION);
+    expect(getFresh()).toEqual(POSITION);
+    world.wallClock.step(5_000);
+    expect(getFresh()).toBeNull();
+    world.clock.advance(1);
+    world.group.recordProof(world.clock.nowMs(), POSITION);
+    expect(getFresh()).toEqual(POSITION);
+  });
+
+  it('takes no answer for a proof whose question was sent before a suspension', () => {
+    const sentAtMs = world.clock.nowMs();
+    world.clock.advance(20);
+    world.wallClock.step(5_000);
+    world.group.recordProof(sentAtMs, POSITION);
+    expect(getFresh()).toBeNull();
+  });
+
   it('uses a draining primary for a while, and then no more', () => {
     const draining = {
       ...createEntry('p', 'primary'),
