--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
   type WallClock,
 } from './group/clock_watch.js';
 import {GroupRuntime} from './group/group_runtime.js';
+import {PeerFreshness} from './group/peer_freshness.js';
 import {ReplicaFreshness} from './group/replica_freshness.js';
 import {
   getPrimaryRecordKey,
@@ -135,6 +136,7 @@
   private readonly shares: ConnectionShares;
   private readonly answers: PeerAnswers;
   private readonly replicaFreshness: ReplicaFreshness;
+  private readonly peerFreshness: PeerFreshness;
   private readonly directoryWatcher: TableWatcher<BackendServerEntry>;
   private readonly configurationWatcher: TableWatcher<ServiceConfiguration>;
   private readonly poller: ControlPoller;
@@ -186,6 +188,15 @@
       instances: options.instances,
       listKnown: databaseGroup => this.instances.listIfComplete(databaseGroup),
     });
+    this.peerFreshness = PeerFreshness.create({
+      availabilityZone: self.availabilityZone,
+      clock,
+      clockWatch,
+      random,
+      events,
+      peers: options.peers,
+      getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+    });
     this.configuration = ConfigurationHolder.create({
       key: options.configurationKey,
       events,
@@ -498,6 +509,10 @@
     return this.configuration.current;
   }
 
+  learnPosition(group: GroupRuntime): Promise<void> {
+    return this.peerFreshness.learn(group);
+  }
+
   getGroup(databaseGroup: string): GroupRuntime | null {
     return this.groups.get(databaseGroup) ?? null;
   }
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -1,6 +1,9 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
-import {FreshnessRing} from '@filbertrun/group/freshness_ring.js';
+import {
+  FreshnessRing,
+  type FreshnessEntry,
+} from '@filbertrun/group/freshness_ring.js';
 import type {
   AvailabilityZone,
   BackendServerId,
@@ -85,7 +88,7 @@
   private highestAcknowledged: LogPosition | null = null;
   private releasedTerm = -1;
   private hasPosition = false;
-  private provenAtMs = Number.NEGATIVE_INFINITY;
+  private newestProof: FreshnessEntry | null = null;
   private writtenPrimary: string | null = null;
   private writableFromMs = Number.NEGATIVE_INFINITY;
   private writeTimer: Timer | null = null;
@@ -394,7 +397,30 @@
 
   /** Time since the newest proof of a position. */
   getFreshnessAgeMs(): number {
-    return this.options.clock.nowMs() - this.provenAtMs;
+    const proof = this.getNewestProof();
+    return proof === null
+      ? Number.POSITIVE_INFINITY
+      : this.options.clock.nowMs() - proof.timeMs;
+  }
+
+  /** The newest proven position with the time of its proof, or null. */
+  getNewestProof(): FreshnessEntry | null {
+    const {newestProof} = this;
+    const epochStartMs = this.options.clockWatch.getEpochStartMs();
+    return newestProof !== null && newestProof.timeMs > epochStartMs
+      ? newestProof
+      : null;
+  }
+
+  /** Whether the leased primary admits no connection of this proxy. */
+  isPrimaryFull(): boolean {
+    return this.getLeasedPrimary()?.pool.getStatus().isTurnedAway === true;
+  }
+
+  /** Whether the leased primary is in this proxy's availability zone. */
+  isPrimaryNear(): boolean {
+    const primary = this.getLeasedPrimary();
+    return primary?.entry.availabilityZone === this.options.availabilityZone;
   }
 
   /** The recorded primary if it can't be reached, or the one that is being replaced; or null. */
@@ -420,7 +446,9 @@
       return;
     }
     this.hasPosition = true;
-    this.provenAtMs = Math.max(this.provenAtMs, atMs);
+    if (atMs >= (this.newestProof?.timeMs ?? Number.NEGATIVE_INFINITY)) {
+      this.newestProof = {timeMs: atMs, position};
+    }
     this.ring.record(atMs, position);
   }
 
--- /dev/null
+++ b/packages/gateway/src/group/peer_freshness_test.ts
@@ -0,0 +1,115 @@
+import {SeededRandom} from '@filbertrun/base/random_source.js';
+import type {LogPosition} from '@filbertrun/model/log_position.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {EntryVmRecord} from '../control/control_record.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
+import {FakePeers} from '../testing/fake_peers.js';
+import {SessionWorld} from '../testing/session_world.js';
+import {advanceClock} from '../testing/settle.js';
+import {PeerFreshness} from './peer_freshness.js';
+
+const POSITION: LogPosition = {term: 1, position: 5};
+
+describe('PeerFreshness', () => {
+  let world: SessionWorld;
+  let peers: FakePeers;
+  let entryVms: EntryVmRecord[];
+  let freshness: PeerFreshness;
+
+  beforeEach(() => {
+    world = SessionWorld.create();
+    world.grantLease();
+    peers = FakePeers.create();
+    entryVms = [];
+    freshness = PeerFreshness.create({
+      availabilityZone: world.availabilityZone,
+      clock: world.clock,
+      clockWatch: world.watch,
+      random: SeededRandom.create(1),
+      events: world.events,
+      peers,
+      getOtherEntryVms: () => entryVms,
+    });
+    world.learnPosition = () => freshness.learn(world.group);
+  });
+
+  function addPeer(
+    entryVm: string,
+    availabilityZone: string,
+    leadMs: number | null = null,
+  ): void {
+    entryVms.push({...createEntryVmRecord(entryVm), availabilityZone});
+    if (leadMs !== null) {
+      peers.positions.set(entryVm, {position: POSITION, leadMs});
+    }
+  }
+
+  async function learn(): Promise<void> {
+    const learned = freshness.learn(world.group);
+    await advanceClock(world.clock, 40);
+    await learned;
+  }
+
+  it('counts the age of a position from before its question was sent', async () => {
+    addPeer('e2', 'zone-a', 700);
+    const askedAtMs = world.clock.nowMs();
+    await learn();
+    expect(world.group.getNewestProof()).toEqual({
+      timeMs: askedAtMs - 700,
+      position: POSITION,
+    });
+  });
+
+  it('takes no position that is too old for a read', async () => {
+    addPeer('e2', 'zone-a', 1_600);
+    await learn();
+    const nowMs = world.clock.nowMs();
+    expect(world.group.getFreshPosition(nowMs, 1_500)).toBeNull();
+  });
+
+  it('takes no answer to a question from before a suspension', async () => {
+    addPeer('e2', 'zone-a', 10);
+    const learned = freshness.learn(world.group);
+    world.wallClock.step(5_000);
+    await advanceClock(world.clock, 40);
+    await learned;
+    expect(world.group.getNewestProof()).toBeNull();
+  });
+
+  it('asks only proxies of its own zone while the primary can be asked', async () => {
+    addPeer('e2', 'zone-a');
+    addPeer('e3', 'zone-b', 10);
+    await learn();
+    expect(peers.askedPositions).toEqual(['e2']);
+  });
+
+  it('asks a few of many', async () => {
+    for (let index = 0; index < 20; index++) {
+      addPeer(`e${index + 2}`, 'zone-a');
+    }
+    await learn();
+    expect(peers.askedPositions.length).toBe(3);
+  });
+
+  it('asks once for many reads that come together', async () => {
+    addPeer('e2', 'zone-a', 10);
+    const questions = Array.from({length: 10}, () =>
+      freshness.learn(world.group),
+    );
+    await advanceClock(world.clock, 40);
+    await Promise.all(questions);
+    expect(peers.askedPositions.length).toBe(1);
+  });
+
+  it('lets replicas answer after a loss of power while the primary admits nobody', async () => {
+    addPeer('e2', 'zone-b', 50);
+    world.backend.full.add('p');
+    const session = world.open('age');
+    // The first attempts show that the primary turns this proxy away.
+    await world.run(session, {kind: 'read', text: 'READ 1'});
+    const startedAtMs = world.clock.nowMs();
+    const reply = await world.run(session, {kind: 'read', text: 'READ 1'});
+    expect(reply.result.kind).toBe('complete');
+    expect(world.clock.nowMs() - startedAtMs).toBeLessThanOrEqual(100);
+  });
+});
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -195,6 +195,14 @@
       readonly durationMs: number;
     }
   /** Replicas showed a position that is fresh although the primary is silent. */
+  /** Another proxy told a position of the primary; the lead is its age there. */
+  | {
+      readonly kind: 'freshnessLearned';
+      readonly databaseGroup: string;
+      readonly entryVm: string;
+      readonly position: LogPosition;
+      readonly leadMs: number;
+    }
   | {
       readonly kind: 'freshnessProvenByReplicas';
       readonly databaseGroup: string;
--- a/packages/gateway/src/peer/malformed_peer_message_test.ts
+++ b/packages/gateway/src/peer/malformed_peer_message_test.ts
@@ -18,6 +18,7 @@
   askReach: () => Promise.resolve({isReachable: true}),
   takeOverDuty: () => {},
   compareRecords: () => ({digest: 'digest'}),
+  tellPosition: () => null,
   followZone: () => Promise.reject(new Error('broken')),
 };
 
@@ -71,7 +72,14 @@
   });
 
   it('goes on answering after calls with any input', async () => {
-    const names = ['followZone', 'release', 'announce', 'putControl', 'none'];
+    const names = [
+      'followZone',
+      'askPosition',
+      'release',
+      'announce',
+      'putControl',
+      'none',
+    ];
     await fc.assert(
       fc.asyncProperty(
         fc.constantFrom(...names),
--- a/packages/gateway/src/peer/peer_answers.ts
+++ b/packages/gateway/src/peer/peer_answers.ts
@@ -11,6 +11,8 @@
 import type {
   DutyHandover,
   PeerHandler,
+  PositionAnswer,
+  PositionQuestion,
   ReachAnswer,
   ReachQuestion,
   RecordComparison,
@@ -42,6 +44,9 @@
 /** Time that pending writes get to end before a release is answered. */
 const RELEASE_DRAIN_MS = 150;
 
+/** Age from which a position is of no use to another proxy's reads. */
+const MAX_TOLD_AGE_MS = 10_000;
+
 /** Interval at which a release looks at the pending writes. */
 const RELEASE_STEP_MS = 10;
 
@@ -114,6 +119,17 @@
     return {digest: this.computeProvenDigest()};
   }
 
+  tellPosition({databaseGroup}: PositionQuestion): PositionAnswer | null {
+    const proof = this.options.groups.get(databaseGroup)?.getNewestProof();
+    if (proof === undefined || proof === null) {
+      return null;
+    }
+    const leadMs = this.options.clock.nowMs() - proof.timeMs;
+    return leadMs > MAX_TOLD_AGE_MS
+      ? null
+      : {position: proof.position, leadMs: Math.max(0, leadMs)};
+  }
+
   /** Digest of the records; null while a lease on one of them is missing. */
   computeProvenDigest(): string | null {
     if (this.options.isStopping()) {
--- a/packages/gateway/src/peer/peer_caller.ts
+++ b/packages/gateway/src/peer/peer_caller.ts
@@ -43,6 +43,18 @@
   readonly isReachable: boolean;
 }
 
+/** Asks for a position of a group's primary. @public */
+export interface PositionQuestion {
+  readonly databaseGroup: string;
+}
+
+/** A position before which all commits were acknowledged up to a time. @public */
+export interface PositionAnswer {
+  readonly position: LogPosition;
+  /** How long before the question arrived that was proven. */
+  readonly leadMs: number;
+}
+
 /** Tells that the holder of the failover duty acts on it no more. @public */
 export interface DutyHandover {
   readonly fencingToken: number;
@@ -85,6 +97,11 @@
   compareRecords(
     peer: EntryVmRecord,
   ): Promise<Result<RecordComparison, PeerError>>;
+  /** The newest position that another proxy knows; null when it knows none. */
+  askPosition(
+    peer: EntryVmRecord,
+    question: PositionQuestion,
+  ): Promise<Result<PositionAnswer | null, PeerError>>;
   /** News of the store from the reader of the zone; null when it refuses. */
   followZone(
     peer: EntryVmRecord,
@@ -100,5 +117,6 @@
   askReach(question: ReachQuestion): Promise<ReachAnswer>;
   takeOverDuty(handover: DutyHandover): void;
   compareRecords(): RecordComparison;
+  tellPosition(question: PositionQuestion): PositionAnswer | null;
   followZone(question: ZoneQuestion): Promise<ZoneNews | null>;
 }
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -33,6 +33,11 @@
   reporter: z.string(),
 });
 
+const positionAnswerSchema = z.object({
+  position: logPositionSchema,
+  leadMs: z.number().nonnegative(),
+});
+
 const conditionalWriteSchema = z.object({
   key: z.string().min(1),
   value: z.string(),
@@ -77,6 +82,10 @@
     compareRecords: trpc.procedure
       .output(z.object({digest: z.string().nullable()}))
       .query(() => handler.compareRecords()),
+    askPosition: trpc.procedure
+      .input(z.object({databaseGroup: z.string()}))
+      .output(positionAnswerSchema.nullable())
+      .query(({input}) => handler.tellPosition(input)),
     followZone: trpc.procedure
       .input(zoneQuestionSchema)
       .query(async ({input}) => {
--- a/packages/gateway/src/peer/trpc_peer_caller.ts
+++ b/packages/gateway/src/peer/trpc_peer_caller.ts
@@ -14,6 +14,8 @@
   DutyHandover,
   PeerCaller,
   PeerError,
+  PositionAnswer,
+  PositionQuestion,
   ReachAnswer,
   ReachQuestion,
   RecordComparison,
@@ -96,6 +98,13 @@
     return this.call(() => this.getClient(peer).compareRecords.query());
   }
 
+  askPosition(
+    peer: EntryVmRecord,
+    question: PositionQuestion,
+  ): Promise<Result<PositionAnswer | null, PeerError>> {
+    return this.call(() => this.getClient(peer).askPosition.query(question));
+  }
+
   async followZone(
     peer: EntryVmRecord,
     question: ZoneQuestion,
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -15,6 +15,8 @@
   readonly availabilityZone: AvailabilityZone;
   getConfiguration(): ServiceConfiguration | null;
   getGroup(databaseGroup: string): GroupRuntime | null;
+  /** Asks other proxies for a position of a group's primary; resolves soon. */
+  learnPosition(group: GroupRuntime): Promise<void>;
 }
 
 /** What one statement is executed with. @public */
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -180,12 +180,19 @@
     const {group, gateway, route} = this.context;
     const untilMs = gateway.clock.nowMs() + this.getPrimaryWaitMs();
     let requirement = this.resolveRequirement();
+    if (route.consistency === 'strict' || this.read.needsPrimary) {
+      return requirement;
+    }
+    if (requirement.kind === 'primary' && !group.isPrimaryNear()) {
+      await gateway.learnPosition(group);
+      requirement = this.resolveRequirement();
+    }
     while (
       requirement.kind === 'primary' &&
-      route.consistency !== 'strict' &&
-      group.getLeasedPrimary() === null &&
+      (group.getLeasedPrimary() === null || group.isPrimaryFull()) &&
       gateway.clock.nowMs() < untilMs
     ) {
+      await gateway.learnPosition(group);
       await pause(gateway.clock, REQUIREMENT_STEP_MS);
       requirement = this.resolveRequirement();
     }
--- a/packages/gateway/src/simulation/mutant_parts.ts
+++ b/packages/gateway/src/simulation/mutant_parts.ts
@@ -25,6 +25,7 @@
     askReach: (peer, question) => peers.askReach(peer, question),
     handOverDuty: (peer, handover) => peers.handOverDuty(peer, handover),
     compareRecords: peer => peers.compareRecords(peer),
+    askPosition: (peer, question) => peers.askPosition(peer, question),
     followZone: (peer, question) => peers.followZone(peer, question),
   };
 }
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -222,6 +222,8 @@
     handOverDuty: (peer, handover) =>
       call(peer, handler => handler.takeOverDuty(handover)),
     compareRecords: peer => call(peer, handler => handler.compareRecords()),
+    askPosition: (peer, question) =>
+      call(peer, handler => handler.tellPosition(question)),
     followZone: (peer, question) =>
       call(peer, handler => handler.followZone(question)),
   };
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -54,6 +54,8 @@
   readonly fates = new Map<string, StatementFate[]>();
   readonly positions = new Map<string, LogPosition>();
   readonly unreachable = new Set<string>();
+  /** Servers that admit no further connection. */
+  readonly full = new Set<string>();
   readonly openLinks = new Set<FakeLink>();
   committedWrites: string[] = [];
 
@@ -79,6 +81,9 @@
     if (this.unreachable.has(backendServer.backendServer)) {
       return failure({kind: 'unreachable', reason: 'test'});
     }
+    if (this.full.has(backendServer.backendServer)) {
+      return failure({kind: 'refused'});
+    }
     const link = new FakeLink(backendServer, this);
     this.openLinks.add(link);
     return success(link);
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -6,6 +6,7 @@
 import type {
   PeerCaller,
   PeerError,
+  PositionAnswer,
   ReachAnswer,
   RecordComparison,
   ReleaseAnswer,
@@ -17,6 +18,9 @@
   /** Highest acknowledged position by entry VM; who is missing does not answer. */
   readonly acknowledged = new Map<string, LogPosition | null>();
   readonly released: string[] = [];
+  /** Positions that proxies know, by entry VM. */
+  readonly positions = new Map<string, PositionAnswer>();
+  readonly askedPositions: string[] = [];
   readonly announcements: RevisedPrimaryRecord[] = [];
 
   private constructor() {}
@@ -67,6 +71,14 @@
     return success(null);
   }
 
+  async askPosition(
+    peer: EntryVmRecord,
+  ): Promise<Result<PositionAnswer | null, PeerError>> {
+    await Promise.resolve();
+    this.askedPositions.push(peer.entryVm);
+    return success(this.positions.get(peer.entryVm) ?? null);
+  }
+
   async handOverDuty(): Promise<Result<void, PeerError>> {
     await Promise.resolve();
     return success(undefined);
--- a/packages/gateway/src/testing/session_world.ts
+++ b/packages/gateway/src/testing/session_world.ts
@@ -124,6 +124,9 @@
     };
   }
 
+  /** Other proxies, of which none answers unless a test says otherwise. */
+  learnPosition: () => Promise<void> = () => Promise.resolve();
+
   getGroup(): GroupRuntime {
     return this.group;
   }
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -111,6 +111,8 @@
   readonly suspendedLeases: number;
   readonly queueLength: number;
   readonly concurrencyLimit: number;
+  /** Whether no connection stands and the last attempt was refused. */
+  readonly isTurnedAway: boolean;
   /** Leases that could be granted now without waiting for another's release. */
   readonly freeSlots: number;
 }
