--- a/apps/explain/src/explain_request.ts
+++ b/apps/explain/src/explain_request.ts
@@ -1,4 +1,4 @@
-import type {LogRecord} from './log_record.js';
+import type {LogRecord} from '@filbertrun/observability/log_record.js';
 
 /** Time before a request from which beliefs are told. */
 const CONTEXT_BEFORE_MS = 10_000;
--- a/apps/explain/src/explain_request_test.ts
+++ b/apps/explain/src/explain_request_test.ts
@@ -1,6 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {explainRequest, formatStory} from './explain_request.js';
-import {parseLogLine, type LogRecord} from './log_record.js';
+import {
+  parseLogLine,
+  type LogRecord,
+} from '@filbertrun/observability/log_record.js';
 
 function record(
   second: number,
--- a/apps/explain/src/main.ts
+++ b/apps/explain/src/main.ts
@@ -5,7 +5,10 @@
 import type {Readable} from 'node:stream';
 import yargs from 'yargs';
 import {explainRequest, formatStory} from './explain_request.js';
-import {parseLogLine, type LogRecord} from './log_record.js';
+import {
+  parseLogLine,
+  type LogRecord,
+} from '@filbertrun/observability/log_record.js';
 
 /**
  * `filbertrun-explain`: tells from the logs of all proxies what became of one
--- a/apps/report/src/main.ts
+++ b/apps/report/src/main.ts
@@ -5,14 +5,21 @@
 import type {AlertLevel} from '@filbertrun/report/burn.js';
 import {createBurnReport} from '@filbertrun/report/burn_report.js';
 import {formatHtmlReport} from '@filbertrun/report/html_report.js';
+import {formatLossHtml} from '@filbertrun/report/loss_html.js';
+import {
+  createLossReport,
+  formatLossText,
+} from '@filbertrun/report/loss_report.js';
 import {formatTextReport} from '@filbertrun/report/text_report.js';
+import {readLogFiles} from './log_source.js';
 import {REPORT_SETTINGS} from './report_settings.js';
 import {collectSnapshots} from './snapshot_source.js';
 
 /**
- * `filbertrun-report`: prints the service-level burn of a set of proxies.
+ * `filbertrun-report`: prints the service-level burn of a set of proxies, or
+ * with `--log-files` which statements were not served and why.
  * Exit codes: 0 report made, 1 alert at or above `--fail-on`, 2 bad settings,
- * 3 no proxy answered.
+ * 3 no proxy answered or a file can't be read.
  */
 
 const PROGRAM_NAME = 'filbertrun-report';
@@ -40,12 +47,38 @@
   return ALERT_ORDER.indexOf(alert) >= ALERT_ORDER.indexOf(failOn);
 }
 
+/** Reports what the logs say of statements that were not served. */
+async function reportLosses(settings: {
+  readonly logFiles: readonly string[];
+  readonly html: string;
+  readonly format: 'text' | 'json';
+}): Promise<number> {
+  const records = await readLogFiles(settings.logFiles);
+  if (!records.ok) {
+    process.stderr.write(`${PROGRAM_NAME}: ${records.error.reason}\n`);
+    return EXIT_CODE_NO_SOURCE;
+  }
+  const report = createLossReport(records.value);
+  if (settings.html !== '') {
+    await writeFile(settings.html, formatLossHtml(report));
+  }
+  process.stdout.write(
+    settings.format === 'json'
+      ? `${JSON.stringify(report)}\n`
+      : formatLossText(report),
+  );
+  return 0;
+}
+
 async function main(): Promise<number> {
   const settings = readSettingsOrExit(
     REPORT_SETTINGS,
     PROGRAM_NAME,
     expandShortFlags(process.argv.slice(2)),
   );
+  if (settings.logFiles.length > 0) {
+    return reportLosses(settings);
+  }
   const {snapshots, missing} = await collectSnapshots(settings);
   for (const {source, reason} of missing) {
     process.stderr.write(
--- a/apps/report/src/report_settings.ts
+++ b/apps/report/src/report_settings.ts
@@ -41,6 +41,13 @@
     defaultText: '',
     schema: listSchema.pipe(z.array(z.string()).readonly()),
   },
+  logFiles: {
+    description:
+      'Log files of the proxies, separated by commas, for a report on statements that were not served.',
+    allowed: 'paths',
+    defaultText: '',
+    schema: listSchema.pipe(z.array(z.string()).readonly()),
+  },
   objectives: {
     description: 'Service-level objectives per application.',
     allowed:
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -194,7 +194,6 @@
       /** Time since the intent of the change. */
       readonly durationMs: number;
     }
-  /** Replicas showed a position that is fresh although the primary is silent. */
   /** Another proxy told a position of the primary; the lead is its age there. */
   | {
       readonly kind: 'freshnessLearned';
@@ -203,6 +202,7 @@
       readonly position: LogPosition;
       readonly leadMs: number;
     }
+  /** Replicas showed a position that is fresh although the primary is silent. */
   | {
       readonly kind: 'freshnessProvenByReplicas';
       readonly databaseGroup: string;
--- a/packages/report/src/html_report.ts
+++ b/packages/report/src/html_report.ts
@@ -1,5 +1,6 @@
-import * as echarts from 'echarts';
+import type * as echarts from 'echarts';
 import type {BurnReport, ObjectiveBurn, TimelinePoint} from './burn_report.js';
+import {escapeHtml, formatPage, renderPlot} from './html_page.js';
 import {formatDuration, formatTarget} from './text_report.js';
 
 /**
@@ -7,8 +8,6 @@
  * plots.
  */
 
-const PLOT_SIZE = {widthPx: 860, heightPx: 260} as const;
-
 /** Burn rates that the plot marks, with the alert that each belongs to. */
 const MARKED_RATES = [
   {rate: 14.4, label: 'page 14.4x'},
@@ -19,15 +18,6 @@
 /** A rate below this is drawn at it, since the axis is logarithmic. */
 const LOWEST_DRAWN_RATE = 0.01;
 
-const STYLE = `
-body{font:15px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:900px;color:#1c2733}
-table{border-collapse:collapse;width:100%;font-size:14px}
-th,td{padding:.3rem .6rem;border-bottom:1px solid #dde3ea;text-align:left}
-td.number,th.number{text-align:right;font-variant-numeric:tabular-nums}
-.page{background:#fbdcd9}.ticket{background:#fdf1cf}
-h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:2rem}
-.note{color:#56657a}`;
-
 /** Writes the page. @public */
 export function formatHtmlReport(report: BurnReport): string {
   const plots: string[] = [plotBurn(report.objectives)];
@@ -35,17 +25,11 @@
     plots.push(plotTimeline(application, timeline));
   }
   plots.push(plotWriteGaps(report));
-  return [
-    '<!doctype html>',
-    '<html lang="en"><head><meta charset="utf-8">',
-    '<title>filbertrun: service-level burn</title>',
-    `<style>${STYLE}</style></head><body>`,
+  return formatPage('filbertrun: service-level burn', [
     formatSummary(report),
     formatTable(report.objectives),
     ...plots.filter(plot => plot !== ''),
-    '</body></html>',
-    '',
-  ].join('\n');
+  ]);
 }
 
 function formatSummary(report: BurnReport): string {
@@ -186,27 +170,6 @@
   });
 }
 
-function renderPlot(title: string, option: echarts.EChartsOption): string {
-  const chart = echarts.init(null, null, {
-    renderer: 'svg',
-    ssr: true,
-    width: PLOT_SIZE.widthPx,
-    height: PLOT_SIZE.heightPx,
-  });
-  chart.setOption({animation: false, ...option});
-  const svg = chart.renderToSVGString();
-  chart.dispose();
-  return `<h2>${escapeHtml(title)}</h2>\n${svg}`;
-}
-
 function formatClock(timeMs: number): string {
   return new Date(timeMs).toISOString().slice(11, 16);
 }
-
-function escapeHtml(text: string): string {
-  return text
-    .replaceAll('&', '&amp;')
-    .replaceAll('<', '&lt;')
-    .replaceAll('>', '&gt;')
-    .replaceAll('"', '&quot;');
-}
--- /dev/null
+++ b/packages/report/src/loss_report_test.ts
@@ -0,0 +1,93 @@
+import type {LogRecord} from '@filbertrun/observability/log_record.js';
+import {describe, expect, it} from 'vitest';
+import {formatLossHtml} from './loss_html.js';
+import {createLossReport, formatLossText} from './loss_report.js';
+
+function record(
+  timeMs: number,
+  event: string,
+  fields: Record<string, unknown> = {},
+  entryVm = 'entry-1',
+): LogRecord {
+  return {timeMs, entryVm, event, fields: {databaseGroup: 'g1', ...fields}};
+}
+
+function refused(timeMs: number, reason: string, entryVm?: string): LogRecord {
+  return record(
+    timeMs,
+    'statementRefused',
+    {reason, consistency: 'strict'},
+    entryVm,
+  );
+}
+
+/** A primary that is lost at 1.0 s and replaced by 2.4 s. */
+const CHANGE: readonly LogRecord[] = [
+  record(0, 'primaryBelieved'),
+  record(1_000, 'backendUnreachable', {backendServer: 'p'}),
+  record(1_400, 'changeIntended', {primary: 'p'}),
+  record(1_700, 'promotionOrdered'),
+  record(2_000, 'changeCompleted', {waitingFor: ['entry-2']}),
+  record(2_400, 'writesOpened'),
+];
+
+describe('createLossReport', () => {
+  it('puts losses down to the step of the change that was under way', () => {
+    const report = createLossReport([
+      refused(2_200, 'no primary'),
+      refused(1_900, 'no primary'),
+      refused(1_500, 'no primary'),
+      refused(1_100, 'the server is out of reach'),
+      refused(2_500, 'no connection: overloaded'),
+      ...CHANGE,
+    ]);
+    expect(report.losses.map(({second, cause}) => [second, cause])).toEqual([
+      [1, 'detection'],
+      [1, 'release and fence'],
+      [1, 'promotion'],
+      [2, 'lease'],
+      [2, 'connection'],
+    ]);
+  });
+
+  it('puts a full queue beside a change down to the queue', () => {
+    const report = createLossReport([
+      ...CHANGE,
+      refused(1_500, 'rejected: BUSY'),
+    ]);
+    expect(report.totals).toEqual([{cause: 'slot', count: 1}]);
+  });
+
+  it('puts losses just after the start of a process down to it', () => {
+    const report = createLossReport([
+      record(0, 'started', {}, 'entry-2'),
+      refused(500, 'no connection: overloaded', 'entry-2'),
+      refused(500, 'no connection: overloaded', 'entry-3'),
+    ]);
+    expect(report.totals).toEqual([
+      {cause: 'process start', count: 1},
+      {cause: 'connection', count: 1},
+    ]);
+  });
+
+  it('adds equal losses up and says how many log lines are missing', () => {
+    const report = createLossReport([
+      refused(100, 'rejected: BUSY'),
+      refused(200, 'rejected: BUSY'),
+      record(300, 'logLinesDropped', {count: 7}),
+    ]);
+    expect(report.losses.map(({count}) => count)).toEqual([2]);
+    expect(report.droppedLines).toBe(7);
+  });
+
+  it('writes text and one HTML page', () => {
+    const report = createLossReport([
+      ...CHANGE,
+      refused(1_500, 'no <primary>'),
+    ]);
+    expect(formatLossText(report)).toContain('1  release and fence');
+    const page = formatLossHtml(report);
+    expect(page).toContain('<svg');
+    expect(page).toContain('no &lt;primary&gt;');
+  });
+});
