--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -14,6 +14,7 @@
 import {PooledLink} from '../backend/pooled_link.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {IDLE_TIMEOUT_MS} from '../control/choose_idle_timeout.js';
+import {FailureShare} from '../routing/failure_share.js';
 import type {DrainMemory} from './drain_memory.js';
 import type {GatewayEvents} from '../observability/gateway_events.js';
 
@@ -94,6 +95,8 @@
 /** This proxy's connections to one backend server and what it knows of it. @public */
 export class BackendServerRuntime {
   readonly pool: BackendPool<PooledLink>;
+  /** Share of its statements that failed lately. */
+  readonly failures: FailureShare;
   private readonly links = new Set<PooledLink>();
   private meanLatencyMs: number | null = null;
   private lagMs = INITIAL_EXPECTED_LAG_MS;
@@ -112,6 +115,7 @@
     private readonly options: BackendServerRuntimeOptions,
   ) {
     this.noteState(false);
+    this.failures = FailureShare.create(options.clock);
     this.pool = BackendPool.create<PooledLink>({
       clock: options.clock,
       random: options.random,
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -485,6 +485,7 @@
         slots: server.entry.slots,
         latencyMs: server.latencyMs,
         isSuspect: server.isSuspect || server.isUnreachable,
+        isFailing: server.failures.isFailing(),
         knownPosition: server.knownPosition,
         expectedLagMs: server.expectedLagMs,
       });
--- a/packages/gateway/src/routing/choose_backend_server.ts
+++ b/packages/gateway/src/routing/choose_backend_server.ts
@@ -18,6 +18,8 @@
   readonly latencyMs: number | null;
   /** Whether recent attempts failed, so that it is used only without another. */
   readonly isSuspect: boolean;
+  /** Whether many of its statements failed lately. */
+  readonly isFailing: boolean;
   /** Newest log position seen in its answers. */
   readonly knownPosition: LogPosition | null;
   /** Time by which it is expected to lag behind the primary. */
@@ -69,6 +71,9 @@
 /** Cost that puts a server behind every other that is not suspect. */
 const SUSPECT_COST_MS = 1_000_000;
 
+/** Cost of a server that fails statements; a lagging one is worse, as it runs nothing. */
+const FAILING_COST_MS = 5_000;
+
 /** Cost of a server that will probably reject the read for its lag. */
 const LAGGING_COST_MS = 10_000;
 
@@ -83,6 +88,9 @@
   } else if (!isExpectedToCover(candidate, need)) {
     costMs += LAGGING_COST_MS;
   }
+  if (candidate.isFailing) {
+    costMs += FAILING_COST_MS;
+  }
   if (candidate.isSuspect) {
     costMs += SUSPECT_COST_MS;
   }
--- a/packages/gateway/src/routing/choose_backend_server_test.ts
+++ b/packages/gateway/src/routing/choose_backend_server_test.ts
@@ -24,6 +24,7 @@
     slots: 3,
     latencyMs: 20,
     isSuspect: false,
+    isFailing: false,
     knownPosition: {term: 1, position: 10},
     expectedLagMs: 60,
     ...changes,
--- /dev/null
+++ b/packages/gateway/src/routing/failure_share_test.ts
@@ -0,0 +1,40 @@
+import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {FailureShare} from './failure_share.js';
+
+describe('FailureShare', () => {
+  let clock: VirtualClock;
+  let share: FailureShare;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    share = FailureShare.create(clock);
+  });
+
+  function record(failures: number, successes: number): void {
+    for (let index = 0; index < failures; index++) {
+      share.record(true);
+    }
+    for (let index = 0; index < successes; index++) {
+      share.record(false);
+    }
+  }
+
+  it('takes a server that fails most of its statements for failing', () => {
+    record(3, 1);
+    expect(share.isFailing()).toBe(true);
+  });
+
+  it('takes a rare failure for none', () => {
+    record(1, 20);
+    expect(share.isFailing()).toBe(false);
+  });
+
+  it('lets a server be tried again a few seconds later', () => {
+    record(10, 0);
+    clock.advance(2_000);
+    expect(share.isFailing()).toBe(true);
+    clock.advance(2_500);
+    expect(share.isFailing()).toBe(false);
+  });
+});
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -229,7 +229,7 @@
     const leased = await server.pool.acquire({
       priority: this.context.route.priority,
       deadlineMs: getQueueDeadlineMs(this.context),
-      isPreferred: pooled => pooled.isPreparedFor(this.read.session),
+      countPreparations: pooled => pooled.countPreparations(this.read.session),
     });
     if (!leased.ok) {
       return {
@@ -285,6 +285,16 @@
     const {rejection, code} = answer.result;
     const isClean = answer.transactionState === 'idle';
     switch (rejection) {
+      case 'executionFailed':
+        if (!this.mayReadElsewhere(plan)) {
+          return {kind: 'answered', read: {answer, server, lease}};
+        }
+        lease.release(isClean ? 'clean' : 'doubtful');
+        return {
+          kind: 'tryNext',
+          error: SERVER_UNAVAILABLE,
+          reason: `rejected: ${code}`,
+        };
       case 'overloaded':
       case 'tooManyConnections':
       case 'positionNotReached':
@@ -309,6 +319,27 @@
     }
   }
 
+  /** Whether a read that failed at a server can be sent to another one in time. */
+  private mayReadElsewhere({requiredPosition, server}: ReadPlan): boolean {
+    const {group} = this.context;
+    const {backendServer} = server.entry;
+    const hasOther = group
+      .getServers()
+      .some(
+        other =>
+          other.entry.backendServer !== backendServer &&
+          other.entry.state === 'active' &&
+          !other.isUnreachable &&
+          !this.excluded.has(other.entry.backendServer),
+      );
+    return (
+      requiredPosition !== null &&
+      !this.read.needsPrimary &&
+      hasOther &&
+      this.attempts < MAX_ATTEMPTS
+    );
+  }
+
   private judgeRunError(
     server: BackendServerRuntime,
     lease: PoolLease<PooledLink>,
@@ -357,6 +388,10 @@
     const {group, gateway} = this.context;
     const {server} = plan;
     server.recordAnswer(gateway.clock.nowMs() - sent.sentAtMs, answer.position);
+    const hasFailed =
+      answer.result.kind === 'rejected' &&
+      answer.result.rejection === 'executionFailed';
+    server.failures.record(hasFailed);
     if (sent.sender !== null && answer.position !== null) {
       group.recordPrimaryPosition(sent.sentAtMs, sent.sender, answer.position);
     }
--- a/packages/pool/src/backend_pool_test.ts
+++ b/packages/pool/src/backend_pool_test.ts
@@ -94,7 +94,8 @@
     const suited = await pool.acquire({
       priority: 'normal',
       deadlineMs: clock.nowMs() + 1000,
-      isPreferred: connection => connection === first.connection,
+      countPreparations: connection =>
+        connection === first.connection ? 0 : 1,
     });
     expect(suited.ok && suited.value.connection).toBe(first.connection);
   });
