Reverted: connections chosen by preparations, a spare one where the only one suits badly

Hypothesis: a session's RESET, SET and PREPARE before a statement (1.07 messages a statement between zones, 16% of these bytes) become fewer if the pool chooses the connection that needs fewest and opens a second one. Conclusion: not kept.

--- a/packages/gateway/src/backend/pooled_link.ts
+++ b/packages/gateway/src/backend/pooled_link.ts
@@ -27,12 +27,9 @@
     return new PooledLink(link);
   }
 
-  /** Commands that a statement needs before it, those that a reset causes later included. */
-  countPreparations(context: SessionContext): number {
-    const commands = this.planPreparation(context);
-    const isReset = commands[0]?.kind === 'reset';
-    // What the reset clears will have to be prepared again for others.
-    return commands.length + (isReset ? this.preparedNames.size : 0);
+  /** Whether the connection already shows the state that a statement needs. */
+  isPreparedFor(context: SessionContext): boolean {
+    return this.planPreparation(context).length === 0;
   }
 
   /**
--- a/packages/gateway/src/backend/pooled_link_test.ts
+++ b/packages/gateway/src/backend/pooled_link_test.ts
@@ -80,7 +80,7 @@
     for (const command of pooled.planPreparation(context)) {
       pooled.recordPrepared(command);
     }
-    expect(pooled.countPreparations(context)).toBe(0);
+    expect(pooled.isPreparedFor(context)).toBe(true);
   });
 
   it('prepares again a name that the server turned out not to know', () => {
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -229,7 +229,7 @@
     const leased = await server.pool.acquire({
       priority: this.context.route.priority,
       deadlineMs: getQueueDeadlineMs(this.context),
-      countPreparations: pooled => pooled.countPreparations(this.read.session),
+      isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
     if (!leased.ok) {
       return {
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -115,7 +115,7 @@
     const leased = await server.pool.acquire({
       priority: context.route.priority,
       deadlineMs: getQueueDeadlineMs(context),
-      countPreparations: pooled => pooled.countPreparations(this.write.session),
+      isPreferred: pooled => pooled.isPreparedFor(this.write.session),
     });
     if (!leased.ok) {
       const error = convertPoolError(leased.error);
--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -44,9 +44,6 @@
  */
 const MAX_EXPECTED_WAIT_SHARE = 0.5;
 
-/** Messages before a request from which another connection is worth its opening. */
-const SPARE_FROM_PREPARATIONS = 4;
-
 /** Entries that one arrival can push out of the queue. */
 const MAX_SHED_PER_ARRIVAL = 2;
 
@@ -54,7 +51,7 @@
 
 interface WaitingEntry<C> {
   readonly priority: RequestPriority;
-  readonly countPreparations: ((connection: C) => number) | null;
+  readonly isPreferred: ((connection: C) => boolean) | null;
   readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
 }
@@ -283,7 +280,7 @@
     const entry: WaitingEntry<C> = {
       priority,
       deadlineMs,
-      countPreparations: request.countPreparations ?? null,
+      isPreferred: request.isPreferred ?? null,
       settle: result => {
         timer.cancel();
         signal?.removeEventListener('abort', handleAbort);
@@ -330,29 +327,15 @@
         entry.settle(failure(createOverloadedError(waitMs)));
         continue;
       }
-      const connection = this.idle.take(entry.countPreparations);
+      const connection = this.idle.take(entry.isPreferred);
       if (connection === null) {
         this.connectIfNeeded();
         return;
       }
-      this.openSpare(entry.countPreparations?.(connection) ?? 0);
       entry.settle(success(this.createLease(connection)));
     }
   }
 
-  /**
-   * Opens another connection, within the limit, where the only one left suits
-   * badly: sessions of different kinds then keep to one each.
-   */
-  private openSpare(preparationCount: number): void {
-    const open = this.openConnections + 1 + this.opener.attemptCount;
-    const isAlone = this.idle.size === 0 && this.opener.attemptCount === 0;
-    const hasRoom = open < this.limits.maxConnections;
-    if (preparationCount >= SPARE_FROM_PREPARATIONS && isAlone && hasRoom) {
-      this.opener.requestAttempt();
-    }
-  }
-
   private createLease(connection: C): PoolLease<C> {
     this.active++;
     return LeasedConnection.create(connection, this.active, this.leaseEvents);
--- a/packages/pool/src/backend_pool_test.ts
+++ b/packages/pool/src/backend_pool_test.ts
@@ -94,8 +94,7 @@
     const suited = await pool.acquire({
       priority: 'normal',
       deadlineMs: clock.nowMs() + 1000,
-      countPreparations: connection =>
-        connection === first.connection ? 0 : 1,
+      isPreferred: connection => connection === first.connection,
     });
     expect(suited.ok && suited.value.connection).toBe(first.connection);
   });
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -45,11 +45,11 @@
 
   /**
    * Takes a connection that still stands, or null when there is none: the
-   * one that needs the fewest preparations, of several the latest.
+   * latest that `isPreferred`, else the latest.
    */
-  take(countPreparations: ((connection: C) => number) | null = null): C | null {
-    if (countPreparations !== null) {
-      this.moveLast(countPreparations);
+  take(isPreferred: ((connection: C) => boolean) | null = null): C | null {
+    if (isPreferred !== null) {
+      this.moveLast(isPreferred);
     }
     for (;;) {
       const last = this.entries.pop();
@@ -63,21 +63,16 @@
     }
   }
 
-  /** Makes the connection with the fewest preparations the first to be taken. */
-  private moveLast(countPreparations: (connection: C) => number): void {
-    let bestIndex = -1;
-    let fewest = Number.POSITIVE_INFINITY;
-    for (const [index, {connection}] of this.entries.entries()) {
-      const count = countPreparations(connection);
-      if (count <= fewest) {
-        bestIndex = index;
-        fewest = count;
+  /** Makes the latest preferred connection the first to be taken. */
+  private moveLast(isPreferred: (connection: C) => boolean): void {
+    for (let index = this.entries.length - 1; index >= 0; index--) {
+      const entry = this.entries[index];
+      if (entry !== undefined && isPreferred(entry.connection)) {
+        this.entries.splice(index, 1);
+        this.entries.push(entry);
+        return;
       }
     }
-    const [best] = this.entries.splice(bestIndex, bestIndex < 0 ? 0 : 1);
-    if (best !== undefined) {
-      this.entries.push(best);
-    }
   }
 
   /** Forgets a connection that has ended; false when it is not idle. */
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -36,11 +36,8 @@
   /** Moment on the pool's clock from which the request is given up. */
   readonly deadlineMs: number;
   readonly signal?: AbortSignal;
-  /**
-   * Messages that an unused connection needs before it suits the request; the
-   * one with the fewest is taken.
-   */
-  readonly countPreparations?: (connection: C) => number;
+  /** Which of several unused connections suits best. */
+  readonly isPreferred?: (connection: C) => boolean;
 }
 
 /** State in which a connection comes back. @public */
