--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
 import {ContactWatch} from './control/contact_watch.js';
 import {DutyPlacement, findPrimaryZones} from './control/duty_placement.js';
 import {ControlPoller} from './control/control_poller.js';
-import {FAILOVER_DUTY_KEY, parseRecord} from './control/control_record.js';
+import {FAILOVER_DUTY_KEY} from './control/control_record.js';
 import {RelayingControlTable} from './control/relaying_control_table.js';
 import {
   EntryVmRegistration,
@@ -37,20 +37,18 @@
 import {findLeaseHolders} from './failover/find_lease_holders.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
 import {SuspicionReporter} from './failover/suspicion_reporter.js';
-import {collectGroupGauges} from './observability/group_gauges.js';
+import {collectGatewayGauges} from './observability/gateway_gauges.js';
 import {
   ClockWatch,
   type ClockReading,
   type WallClock,
 } from './group/clock_watch.js';
-import {GroupRuntime} from './group/group_runtime.js';
+import {FreshnessSeeder} from './group/freshness_seeder.js';
+import {GroupRegistry} from './group/group_registry.js';
+import type {GroupRuntime} from './group/group_runtime.js';
+import {learnRecords} from './group/learn_records.js';
 import {PeerFreshness} from './group/peer_freshness.js';
 import {ReplicaFreshness} from './group/replica_freshness.js';
-import {
-  getPrimaryRecordKey,
-  PRIMARY_RECORD_PREFIX,
-  primaryRecordSchema,
-} from './group/primary_record.js';
 import type {Readiness} from './lifecycle/readiness.js';
 import {ReadinessMonitor} from './lifecycle/readiness_monitor.js';
 import type {GatewayEvents} from './observability/gateway_events.js';
@@ -111,8 +109,6 @@
 /** Delay of the event loop from which it is logged. */
 const LOGGED_LOOP_DELAY_MS = 250;
 
-const MS_PER_SECOND = 1_000;
-
 /** Interval at which the holder of the duty looks for entry VMs that are gone. */
 const REMOVE_GONE_INTERVAL_MS = 10_000;
 
@@ -127,9 +123,9 @@
   private readonly clockWatch: ClockWatch;
   private readonly contact: ContactWatch;
   private readonly contactKeeper: ContactKeeper;
-  private readonly groups = new Map<string, GroupRuntime>();
-  /** Groups whose primary is being asked for its first position. */
-  private readonly seeding = new Set<GroupRuntime>();
+  private readonly registry: GroupRegistry;
+  private readonly groups: ReadonlyMap<string, GroupRuntime>;
+  private readonly freshnessSeeder: FreshnessSeeder;
   private readonly directory: BackendDirectory;
   private readonly configuration: ConfigurationHolder;
   private readonly instances: KnownInstances;
@@ -165,15 +161,31 @@
     this.clockWatch = ClockWatch.create(clock, wallClock);
     const {clockWatch} = this;
     this.contact = ContactWatch.create(clockWatch, options.contactWindowMs);
+    this.registry = GroupRegistry.create({
+      shared: {
+        availabilityZone: self.availabilityZone,
+        clock,
+        clockWatch,
+        contact: this.contact,
+        random,
+        connector: options.connector,
+        events,
+        drainDurationMs: options.drainDurationMs,
+      },
+      getDirectory: () => this.directory,
+    });
+    this.groups = this.registry.groups;
+    this.freshnessSeeder = FreshnessSeeder.create({
+      clock,
+      instances: options.instances,
+    });
     this.directory = BackendDirectory.create({
       clock,
       events,
       listener: {
-        handleServerUpdated: entry => this.handleServerUpdated(entry),
+        handleServerUpdated: entry => this.registry.updateServer(entry),
         handleServerGone: (entry, reason) =>
-          this.groups
-            .get(entry.databaseGroup)
-            ?.removeServer(entry.backendServer, reason),
+          this.registry.removeServer(entry, reason),
       },
     });
     this.instances = KnownInstances.create({
@@ -305,7 +317,7 @@
       connector: options.connector,
       duty: this.duty,
       directory: this.directory,
-      getGroups: () => this.getConfiguredGroups(),
+      getGroups: () => this.registry.list(),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       isTableRead: () => this.poller.hasRead,
       listInstances: databaseGroup =>
@@ -338,7 +350,7 @@
       availabilityZone: self.availabilityZone,
       duty: this.duty,
       peers: options.peers,
-      findPrimaryZones: () => findPrimaryZones(this.getConfiguredGroups()),
+      findPrimaryZones: () => findPrimaryZones(this.registry.list()),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       computeDigest: () => this.answers.computeDigest(),
     });
@@ -388,7 +400,7 @@
       clock,
       events,
       availabilityZone: self.availabilityZone,
-      getGroups: () => this.getConfiguredGroups(),
+      getGroups: () => this.registry.list(),
       hasConfiguration: () => this.configuration.current !== null,
       getPeerSilenceMs: () => this.relayedTable.getPeerSilenceMs(),
     });
@@ -437,9 +449,7 @@
     this.configurationWatcher.dispose();
     this.directoryWatcher.dispose();
     this.directory.dispose();
-    for (const group of this.groups.values()) {
-      group.dispose(reason);
-    }
+    this.registry.dispose(reason);
   }
 
   /** What other proxies may ask this one. */
@@ -463,46 +473,20 @@
 
   /** Sets the gauges that describe the present state. */
   collectGauges(metrics: MetricsRegistry): void {
-    const nowMs = this.clock.nowMs();
-    metrics.setGauge(
-      'filbertrun_configuration_version',
-      'Version of the configuration in force.',
-      this.configuration.current?.version ?? 0,
-    );
-    metrics.setGauge(
-      'filbertrun_control_table_age_seconds',
-      'Time since the control table was last read.',
-      (nowMs - this.poller.lastContactMs) / MS_PER_SECOND,
-    );
-    metrics.setGauge(
-      'filbertrun_in_contact',
-      'Whether the store or a proxy of another zone has just confirmed the primaries.',
-      this.contact.isInContact() ? 1 : 0,
-    );
     this.zoneReading.collectGauges(metrics);
-    metrics.setGauge(
-      'filbertrun_store_era',
-      'Times that the store has come back from a copy.',
-      this.storeEra.era,
-    );
-    metrics.setGauge(
-      'filbertrun_loop_delay_seconds',
-      'Delay of the latest periodic upkeep.',
-      this.loopDelayMs / MS_PER_SECOND,
-    );
-    metrics.setGauge(
-      'filbertrun_ready',
-      'Whether the proxy asks for new callers.',
-      this.readiness.isReady ? 1 : 0,
-    );
-    metrics.setGauge(
-      'filbertrun_failover_duty_held',
-      'Whether this proxy holds the failover duty.',
-      this.duty.getFencingToken() === null ? 0 : 1,
+    collectGatewayGauges(
+      {
+        configurationVersion: this.configuration.current?.version ?? 0,
+        controlTableAgeMs: this.clock.nowMs() - this.poller.lastContactMs,
+        isInContact: this.contact.isInContact(),
+        storeEra: this.storeEra.era,
+        loopDelayMs: this.loopDelayMs,
+        isReady: this.readiness.isReady,
+        isDutyHeld: this.duty.getFencingToken() !== null,
+        groups: this.registry.list(),
+      },
+      metrics,
     );
-    for (const group of this.groups.values()) {
-      collectGroupGauges(group, metrics);
-    }
   }
 
   getConfiguration(): ServiceConfiguration | null {
@@ -517,59 +501,14 @@
     return this.groups.get(databaseGroup) ?? null;
   }
 
-  private getConfiguredGroups(): readonly GroupRuntime[] {
-    return [...this.groups.values()];
-  }
-
-  private handleServerUpdated(entry: BackendServerEntry): void {
-    const group = this.groups.get(entry.databaseGroup);
-    if (group === undefined) {
-      return;
-    }
-    group.updateServer(entry);
-  }
-
   private handleConfiguration(configuration: ServiceConfiguration): void {
-    const known = this.groups.size;
-    for (const databaseGroup of configuration.databaseGroups.keys()) {
-      if (!this.groups.has(databaseGroup)) {
-        this.addGroup(databaseGroup);
-      }
-    }
-    if (this.groups.size > known) {
+    if (this.registry.takeConfiguration(configuration)) {
       // The last listing has the records of new groups, if there are any.
       this.poller.repeat();
     }
-    for (const [databaseGroup, group] of [...this.groups]) {
-      if (!configuration.databaseGroups.has(databaseGroup)) {
-        this.groups.delete(databaseGroup);
-        group.dispose('the database group was removed');
-      }
-    }
     this.shares.apply();
   }
 
-  private addGroup(databaseGroup: string): void {
-    const {random, connector} = this.options;
-    const group = GroupRuntime.create({
-      databaseGroup,
-      availabilityZone: this.availabilityZone,
-      clock: this.clock,
-      clockWatch: this.clockWatch,
-      contact: this.contact,
-      random,
-      connector,
-      events: this.events,
-      drainDurationMs: this.options.drainDurationMs,
-    });
-    this.groups.set(databaseGroup, group);
-    for (const entry of this.directory.getEntries()) {
-      if (entry.databaseGroup === databaseGroup) {
-        group.updateServer(entry);
-      }
-    }
-  }
-
   private handleListing(listing: TableListing, readAt: ClockReading): void {
     this.contact.noteContact(readAt);
     this.zoneReading.publisher.takeControl(listing, readAt);
@@ -585,27 +524,12 @@
     if (!this.isStopping) {
       void this.maintainRecords();
     }
+    // Without the own record nobody would ask this proxy to release.
     const durationMs = this.registration.getLeaseDurationMs(listing);
-    for (const [key, entry] of listing.entries) {
-      if (!key.startsWith(PRIMARY_RECORD_PREFIX)) {
-        continue;
-      }
-      const record = parseRecord(primaryRecordSchema, entry.value);
-      const group =
-        record === null ? undefined : this.groups.get(record.databaseGroup);
-      if (record === null || group === undefined) {
-        continue;
-      }
-      const revised = {record, revision: entry.revision};
-      // Without the own record nobody would ask this proxy to release.
-      const proof = {readAt, durationMs, storeTimeMs};
-      group.learnRecord(revised, proof, 'control table');
-      void this.seedFreshness(group);
-    }
-    for (const [databaseGroup, group] of this.groups) {
-      if (!listing.entries.has(getPrimaryRecordKey(databaseGroup))) {
-        group.learnMissingRecord(revision);
-      }
+    const proof = {readAt, durationMs, storeTimeMs};
+    learnRecords(listing, proof, this.groups);
+    for (const group of this.groups.values()) {
+      void this.freshnessSeeder.seed(group);
     }
   }
 
@@ -667,7 +591,7 @@
   private maintain(): void {
     this.checkClocks();
     this.yieldDutyWithoutStore();
-    this.reporter.look(this.getConfiguredGroups());
+    this.reporter.look(this.registry.list());
     this.probeUnreachable();
     for (const group of this.groups.values()) {
       void this.replicaFreshness.maintain(group);
@@ -719,27 +643,4 @@
       }
     }
   }
-
-  /**
-   * Learns a position of the primary before any caller's statement has shown
-   * one, so that replicas can answer at once after a start.
-   */
-  private async seedFreshness(group: GroupRuntime): Promise<void> {
-    const leased = group.lease.getPrimary();
-    const server = group.getLeasedPrimary();
-    if (leased === null || server === null || group.hasFreshness) {
-      return;
-    }
-    if (this.seeding.has(group)) {
-      return;
-    }
-    this.seeding.add(group);
-    const sentAtMs = this.clock.nowMs();
-    const status = await this.options.instances.getStatus(server.entry);
-    this.seeding.delete(group);
-    if (status.ok && status.value.role === 'primary') {
-      const {receivedPosition} = status.value;
-      group.recordPrimaryPosition(sentAtMs, leased, receivedPosition);
-    }
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/group/freshness_seeder.ts
@@ -0,0 +1,45 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {InstanceControl} from '../backend/instance_control.js';
+import type {GroupRuntime} from './group_runtime.js';
+
+/** What a seeder is made of. @public */
+export interface FreshnessSeederOptions {
+  readonly clock: Clock;
+  readonly instances: InstanceControl;
+}
+
+/**
+ * Asks the primary of a group for its position before any caller's statement
+ * has shown one, so that replicas can answer at once after a start.
+ *
+ * @public
+ */
+export class FreshnessSeeder {
+  /** Groups whose primary is being asked. */
+  private readonly asking = new Set<GroupRuntime>();
+
+  private constructor(private readonly options: FreshnessSeederOptions) {}
+
+  static create(options: FreshnessSeederOptions): FreshnessSeeder {
+    return new FreshnessSeeder(options);
+  }
+
+  async seed(group: GroupRuntime): Promise<void> {
+    const leased = group.lease.getPrimary();
+    const server = group.getLeasedPrimary();
+    if (leased === null || server === null || group.hasFreshness) {
+      return;
+    }
+    if (this.asking.has(group)) {
+      return;
+    }
+    this.asking.add(group);
+    const sentAtMs = this.options.clock.nowMs();
+    const status = await this.options.instances.getStatus(server.entry);
+    this.asking.delete(group);
+    if (status.ok && status.value.role === 'primary') {
+      const {receivedPosition} = status.value;
+      group.recordPrimaryPosition(sentAtMs, leased, receivedPosition);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/group/group_registry.ts
@@ -0,0 +1,71 @@
+import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import type {BackendDirectory} from '../directory/backend_directory.js';
+import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {GroupRuntime, type GroupRuntimeOptions} from './group_runtime.js';
+
+/** What a registry is made of. @public */
+export interface GroupRegistryOptions {
+  /** What every group's runtime is made of, but for its name. */
+  readonly shared: Omit<GroupRuntimeOptions, 'databaseGroup'>;
+  /** The backend servers that are known already when a group is added. */
+  readonly getDirectory: () => BackendDirectory;
+}
+
+/** The database groups of the configuration in force. @public */
+export class GroupRegistry {
+  readonly groups = new Map<string, GroupRuntime>();
+
+  private constructor(private readonly options: GroupRegistryOptions) {}
+
+  static create(options: GroupRegistryOptions): GroupRegistry {
+    return new GroupRegistry(options);
+  }
+
+  list(): readonly GroupRuntime[] {
+    return [...this.groups.values()];
+  }
+
+  /** Adds and removes groups; true if any was added. */
+  takeConfiguration(configuration: ServiceConfiguration): boolean {
+    const {databaseGroups} = configuration;
+    let hasAdded = false;
+    for (const databaseGroup of databaseGroups.keys()) {
+      if (!this.groups.has(databaseGroup)) {
+        this.add(databaseGroup);
+        hasAdded = true;
+      }
+    }
+    for (const [databaseGroup, group] of [...this.groups]) {
+      if (!databaseGroups.has(databaseGroup)) {
+        this.groups.delete(databaseGroup);
+        group.dispose('the database group was removed');
+      }
+    }
+    return hasAdded;
+  }
+
+  updateServer(entry: BackendServerEntry): void {
+    this.groups.get(entry.databaseGroup)?.updateServer(entry);
+  }
+
+  removeServer(entry: BackendServerEntry, reason: string): void {
+    const {backendServer, databaseGroup} = entry;
+    this.groups.get(databaseGroup)?.removeServer(backendServer, reason);
+  }
+
+  dispose(reason: string): void {
+    for (const group of this.groups.values()) {
+      group.dispose(reason);
+    }
+  }
+
+  private add(databaseGroup: string): void {
+    const group = GroupRuntime.create({...this.options.shared, databaseGroup});
+    this.groups.set(databaseGroup, group);
+    for (const entry of this.options.getDirectory().getEntries()) {
+      if (entry.databaseGroup === databaseGroup) {
+        group.updateServer(entry);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/group/learn_records.ts
@@ -0,0 +1,37 @@
+import type {TableListing} from '@filbertrun/platform/platform_service.js';
+import {parseRecord} from '../control/control_record.js';
+import type {GroupRuntime} from './group_runtime.js';
+import type {LeaseProof} from './primary_lease.js';
+import {
+  getPrimaryRecordKey,
+  PRIMARY_RECORD_PREFIX,
+  primaryRecordSchema,
+} from './primary_record.js';
+
+/**
+ * Hands the primary records of a listing of the control table to their groups,
+ * and tells the groups without a record so.
+ *
+ * @public
+ */
+export function learnRecords(
+  listing: TableListing,
+  proof: LeaseProof,
+  groups: ReadonlyMap<string, GroupRuntime>,
+): void {
+  for (const [key, {value, revision}] of listing.entries) {
+    const record = key.startsWith(PRIMARY_RECORD_PREFIX)
+      ? parseRecord(primaryRecordSchema, value)
+      : null;
+    if (record !== null) {
+      groups
+        .get(record.databaseGroup)
+        ?.learnRecord({record, revision}, proof, 'control table');
+    }
+  }
+  for (const [databaseGroup, group] of groups) {
+    if (!listing.entries.has(getPrimaryRecordKey(databaseGroup))) {
+      group.learnMissingRecord(listing.revision);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/observability/gateway_gauges.ts
@@ -0,0 +1,63 @@
+import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import {collectGroupGauges} from './group_gauges.js';
+
+/** The present state of a proxy, as its gauges show it. @public */
+export interface GatewayState {
+  /** Version of the configuration in force, 0 without one. */
+  readonly configurationVersion: number;
+  readonly controlTableAgeMs: number;
+  readonly isInContact: boolean;
+  readonly storeEra: number;
+  readonly loopDelayMs: number;
+  readonly isReady: boolean;
+  readonly isDutyHeld: boolean;
+  readonly groups: readonly GroupRuntime[];
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Sets the gauges that describe the present state. @public */
+export function collectGatewayGauges(
+  state: GatewayState,
+  metrics: MetricsRegistry,
+): void {
+  metrics.setGauge(
+    'filbertrun_configuration_version',
+    'Version of the configuration in force.',
+    state.configurationVersion,
+  );
+  metrics.setGauge(
+    'filbertrun_control_table_age_seconds',
+    'Time since the control table was last read.',
+    state.controlTableAgeMs / MS_PER_SECOND,
+  );
+  metrics.setGauge(
+    'filbertrun_in_contact',
+    'Whether the store or a proxy of another zone has just confirmed the primaries.',
+    state.isInContact ? 1 : 0,
+  );
+  metrics.setGauge(
+    'filbertrun_store_era',
+    'Times that the store has come back from a copy.',
+    state.storeEra,
+  );
+  metrics.setGauge(
+    'filbertrun_loop_delay_seconds',
+    'Delay of the latest periodic upkeep.',
+    state.loopDelayMs / MS_PER_SECOND,
+  );
+  metrics.setGauge(
+    'filbertrun_ready',
+    'Whether the proxy asks for new callers.',
+    state.isReady ? 1 : 0,
+  );
+  metrics.setGauge(
+    'filbertrun_failover_duty_held',
+    'Whether this proxy holds the failover duty.',
+    state.isDutyHeld ? 1 : 0,
+  );
+  for (const group of state.groups) {
+    collectGroupGauges(group, metrics);
+  }
+}
