--- a/packages/base/src/http_request_test.ts
+++ b/packages/base/src/http_request_test.ts
@@ -41,14 +41,25 @@
     });
   }
 
-  it('gives status and body of an answer', async () => {
+  it('gives status, headers and body of an answer', async () => {
     handle = (request, response) => {
       response.statusCode = 412;
+      response.sendDate = false;
+      response.setHeader('Store-Era', '3');
       response.end(`${request.method} ${request.url}`);
     };
     expect(await send()).toEqual({
       ok: true,
-      value: {status: 412, body: 'GET /path?key=value'},
+      value: {
+        status: 412,
+        headers: {
+          'store-era': '3',
+          connection: 'keep-alive',
+          'keep-alive': 'timeout=5',
+          'content-length': '19',
+        },
+        body: 'GET /path?key=value',
+      },
     });
   });
 
