--- a/packages/report/src/loss_cause.ts
+++ b/packages/report/src/loss_cause.ts
@@ -19,6 +19,8 @@
   | 'connection'
   | 'slot'
   | 'lag of replicas'
+  /** No server that could answer can be reached. */
+  | 'servers out of reach'
   | 'lost connection'
   | 'idle transaction'
   | 'other';
@@ -143,29 +145,34 @@
 
 /** Whether a reason tells of a primary that is missing or out of reach. */
 function concernsPrimary(reason: string): boolean {
-  return !reason.startsWith('rejected') && reason !== 'no server qualifies';
+  return (
+    !reason.includes('rejected') && !reason.includes('no server qualifies')
+  );
 }
 
 function isEmpty(value: unknown): boolean {
   return Array.isArray(value) && value.length === 0;
 }
 
+/** Causes by a part of the reason; the first that fits counts. */
 const REASON_CAUSES: readonly (readonly [string, LossCause])[] = [
   ['no connection', 'connection'],
   ['rejected: LAGGING', 'lag of replicas'],
-  ['no server qualifies', 'lag of replicas'],
+  ['no server qualifies', 'servers out of reach'],
   ['rejected', 'slot'],
-  ['the server is out of reach', 'detection'],
-  ['no primary', 'detection'],
+  ['out of reach', 'servers out of reach'],
+  ['no primary', 'servers out of reach'],
   ['the transaction was idle', 'idle transaction'],
   ['connectionLost', 'lost connection'],
   ['timedOut', 'lost connection'],
   ['timed out', 'lost connection'],
+  ['the primary was given up', 'release and fence'],
+  ['earlier writes are not acknowledged', 'lag of replicas'],
 ];
 
 function classifyReason(reason: string): LossCause {
-  for (const [start, cause] of REASON_CAUSES) {
-    if (reason.startsWith(start)) {
+  for (const [part, cause] of REASON_CAUSES) {
+    if (reason.includes(part)) {
       return cause;
     }
   }
