--- a/packages/gateway/src/simulation/restore_mutants.ts
+++ b/packages/gateway/src/simulation/restore_mutants.ts
@@ -6,9 +6,12 @@
 } from '@filbertrun/platform/platform_service.js';
 import {
   createRevision,
+  getEra,
   splitRevision,
 } from '@filbertrun/platform/store_revision.js';
+import type {ServiceConfiguration} from '../configuration/service_configuration.js';
 import {FAILOVER_DUTY_KEY} from '../control/control_record.js';
+import type {TableChanges} from '../directory/watchable_table.js';
 import {PRIMARY_RECORD_PREFIX} from '../group/primary_record.js';
 import type {HistoryFault} from './history_fault.js';
 import {planWith, type Mutant} from './mutant.js';
@@ -75,9 +78,34 @@
     rules: ['staleRead', 'acknowledgedByReplaced'],
     mutate: options => ({
       ...options,
-      controlTable: changeListing(options.controlTable, (key, value) =>
-        key === FAILOVER_DUTY_KEY ? {...value, eraSinceStoreMs: -1e9} : value,
-      ),
+      controlTable: withOldEra(options.controlTable),
+    }),
+  },
+  {
+    name: 'a process that started since the restore believes the copy at once',
+    plans: planWith(FORGOTTEN_CHANGE),
+    rules: ['staleRead', 'acknowledgedByReplaced'],
+    mutate: options => ({
+      ...options,
+      controlTable: withOldEra(options.controlTable),
+    }),
+  },
+  {
+    name: 'the configuration of the copy is taken for a newer one',
+    plans: planWith([
+      {kind: 'changeConfiguration', atMs: 1_000},
+      {kind: 'storeRestored', atMs: 2_000, forMs: 60, ageMs: 1_500},
+    ]),
+    rules: ['configurationRegressed', 'lateConfiguration'],
+    mutate: options => ({
+      ...options,
+      configurationTable: {
+        list: async () => raiseCopied(await options.configurationTable.list()),
+        watch: async (afterRevision, waitMs) =>
+          raiseCopied(
+            await options.configurationTable.watch(afterRevision, waitMs),
+          ),
+      },
     }),
   },
   {
@@ -108,6 +136,34 @@
   },
 ];
 
+/** Says that the present era began long ago. */
+function withOldEra(table: ListableTable): ListableTable {
+  return changeListing(table, (key, value) =>
+    key === FAILOVER_DUTY_KEY ? {...value, eraSinceStoreMs: -1e9} : value,
+  );
+}
+
+/** Versions by which the configuration of a later era seems newer. */
+const VERSIONS_PER_ERA = 1_000;
+
+function raiseCopied<E>(
+  result: Result<TableChanges<ServiceConfiguration>, E>,
+): Result<TableChanges<ServiceConfiguration>, E> {
+  if (!result.ok) {
+    return result;
+  }
+  const raise = getEra(result.value.revision) * VERSIONS_PER_ERA;
+  const changes = result.value.changes.map(change =>
+    change.kind === 'put'
+      ? {
+          ...change,
+          value: {...change.value, version: change.value.version + raise},
+        }
+      : change,
+  );
+  return success({...result.value, changes});
+}
+
 /** Shows the records of some keys as if the store had never come back from a copy. */
 function withoutEra(
   table: ListableTable,
