--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -3,6 +3,8 @@
 import {ClockWatch} from '../group/clock_watch.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
+import {FAILOVER_DUTY_KEY} from './control_record.js';
+import {getNextToken} from './fencing_token.js';
 import {
   EntryVmRegistration,
   type EntryVmIdentity,
@@ -69,6 +71,56 @@
     expect(await readLease(registration)).toBe(leaseMs - 1_000);
   });
 
+  /** Claims the duty in the era of the store, as its holder does. */
+  function claimDuty(): void {
+    table.seed(FAILOVER_DUTY_KEY, {
+      holder: 'entry-9',
+      incarnation: 'one',
+      fencingToken: getNextToken(table.era, null),
+      renewalCount: 1,
+      eraSinceStoreMs: clock.nowMs(),
+    });
+  }
+
+  it('store restored: a process that started since gives no lease until records are written again', async () => {
+    table.restore(clock.nowMs());
+    const registration = create();
+    await readLease(registration);
+    await registration.maintain();
+    expect(await readLease(registration)).toBe(0);
+    claimDuty();
+    clock.advance(1_400);
+    expect(await readLease(registration)).toBe(0);
+    clock.advance(200);
+    expect(await readLease(registration)).toBeGreaterThan(0);
+  });
+
+  it('store restored: a process that was there before goes on, and registers anew', async () => {
+    const registration = create();
+    await readLease(registration);
+    await registration.maintain();
+    expect(await readLease(registration)).toBeGreaterThan(0);
+    // The copy is from before the registration.
+    table.restore(clock.nowMs() - 1);
+    expect(await readLease(registration)).toBe(0);
+    expect(await registration.maintain()).toBe(true);
+    expect(await readLease(registration)).toBeGreaterThan(0);
+  });
+
+  it('store restored: whoever was registered before is remembered', async () => {
+    const other = create(identify('entry-2', 'two'));
+    await readLease(other);
+    await other.maintain();
+    const registration = create();
+    await readLease(registration);
+    table.restore(clock.nowMs() - 1);
+    await readLease(registration);
+    expect(registration.getOtherEntryVms()).toEqual([]);
+    expect(
+      registration.getRemembered().map(({incarnation}) => incarnation),
+    ).toEqual(['two']);
+  });
+
   it('gives no lease on the record of an earlier process', async () => {
     const before = create();
     await readLease(before);
