--- a/packages/base/src/http_request_test.ts
+++ b/packages/base/src/http_request_test.ts
@@ -45,7 +45,7 @@
     handle = (request, response) => {
       response.statusCode = 412;
       response.sendDate = false;
-      response.setHeader('Store-Era', '3');
+      response.setHeader('X-Count', '3');
       response.end(`${request.method} ${request.url}`);
     };
     expect(await send()).toEqual({
@@ -53,7 +53,7 @@
       value: {
         status: 412,
         headers: {
-          'store-era': '3',
+          'x-count': '3',
           connection: 'keep-alive',
           'keep-alive': 'timeout=5',
           'content-length': '19',
