Customers: keys resolved for each operation, backend connections opened under the customer's name

Change: the configuration has customers with digests of their keys; a session resolves its key at the start and for each operation, also for each statement of an open transaction; a pooled connection belongs to one identity for its life, and the pool replaces only idle connections. Peers and logs see digests or names, never keys.

--- a/packages/fuzz/src/pool_history.ts
+++ b/packages/fuzz/src/pool_history.ts
@@ -86,6 +86,7 @@
 
   private async runSession(session: number): Promise<void> {
     const result = await this.pool.acquire({
+      identity: 'shared',
       priority: 'booking',
       deadlineMs: this.clock.nowMs() + DEADLINE_MS,
     });
--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -1,6 +1,9 @@
 import type {Result} from '@filbertrun/base/result.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
-import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectError,
+  ConnectionIdentity,
+} from '@filbertrun/pool/pool_types.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {
   CallerStatement,
@@ -69,8 +72,10 @@
 
 /** Opens connections to backend servers. @public */
 export interface BackendConnector {
+  /** Opens a connection under an identity, which it keeps until it is closed. */
   connect(
     backendServer: BackendServerEntry,
+    identity: ConnectionIdentity,
     timeoutMs: number,
   ): Promise<
     Result<BackendConnection, ConnectError | {readonly kind: 'wrongServer'}>
--- a/packages/gateway/src/backend/pooled_connection.ts
+++ b/packages/gateway/src/backend/pooled_connection.ts
@@ -1,3 +1,4 @@
+import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {PreparedStatement} from '../statement/caller_statement.js';
 import type {BackendCommand, BackendConnection} from './backend_connection.js';
 
@@ -21,10 +22,16 @@
   private values = new Map<string, string>();
   private preparedNames = new Set<string>();
 
-  private constructor(readonly connection: BackendConnection) {}
+  private constructor(
+    readonly connection: BackendConnection,
+    readonly identity: ConnectionIdentity,
+  ) {}
 
-  static create(connection: BackendConnection): PooledConnection {
-    return new PooledConnection(connection);
+  static create(
+    connection: BackendConnection,
+    identity: ConnectionIdentity,
+  ): PooledConnection {
+    return new PooledConnection(connection, identity);
   }
 
   /** Whether the connection already has the state that a statement needs. */
--- a/packages/gateway/src/configuration/newest_configuration_filter_test.ts
+++ b/packages/gateway/src/configuration/newest_configuration_filter_test.ts
@@ -10,6 +10,7 @@
     version,
     routes: new Map(),
     databaseGroups: new Map(),
+    customers: null,
     transactionIdleTimeoutMs: 3_000,
   };
 }
--- a/packages/gateway/src/configuration/service_configuration.ts
+++ b/packages/gateway/src/configuration/service_configuration.ts
@@ -3,6 +3,7 @@
   RequestPriority,
 } from '@filbertrun/model/configuration.js';
 import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
+import type {CustomerDirectory} from '../customer/customer_directory.js';
 
 /** The service configuration that the platform's operator maintains. */
 
@@ -23,6 +24,8 @@
   /** Target latency of a whole operation. */
   readonly targetLatencyMs: number;
   readonly priority: RequestPriority;
+  /** Whether callers need no known API key. */
+  readonly isPublic: boolean;
 }
 
 /** Settings of one database group. @public */
@@ -43,6 +46,8 @@
     DatabaseGroupName,
     DatabaseGroupSettings
   >;
+  /** Null if the deployment has no customers, so that keys are not checked. */
+  readonly customers: CustomerDirectory | null;
   /** Time after which an idle open transaction may be aborted. */
   readonly transactionIdleTimeoutMs: number;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,6 +139,7 @@
   readonly clock: Clock;
   readonly events: GatewayEventRecorder;
   readonly availabilityZone: string;
+  readonly sharedIdentity: string;
   private readonly clockJumpDetector: ClockJumpDetector;
   private readonly contact: ContactTracker;
   private readonly contactRenewer: ContactRenewer;
@@ -177,6 +178,7 @@
     this.clock = clock;
     this.events = events;
     this.availabilityZone = self.availabilityZone;
+    this.sharedIdentity = self.entryVm;
     this.expiredRemovedAtMs = clock.nowMs();
     this.clockJumpDetector = ClockJumpDetector.create(clock, wallClock);
     const {clockJumpDetector} = this;
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -6,7 +6,10 @@
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
 import {BackendPool} from '@filbertrun/pool/backend_pool.js';
-import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectError,
+  ConnectionIdentity,
+} from '@filbertrun/pool/pool_types.js';
 import type {
   BackendConnector,
   ReachabilityResult,
@@ -132,7 +135,7 @@
       clock: options.clock,
       random: options.random,
       connector: {
-        connect: () => this.connect(),
+        connect: identity => this.connect(identity),
         close: pooled => this.closeConnection(pooled, 'closed by the pool'),
         isUsable: pooled => pooled.connection.isOpen,
       },
@@ -323,10 +326,12 @@
     this.drainingSinceMs = drainTracker.update(this.currentEntry, wasActive);
   }
 
-  private async connect(): Promise<Result<PooledConnection, ConnectError>> {
+  private async connect(
+    identity: ConnectionIdentity,
+  ): Promise<Result<PooledConnection, ConnectError>> {
     const {connector, events} = this.options;
     const entry = this.currentEntry;
-    const result = await connector.connect(entry, CONNECT_TIMEOUT_MS);
+    const result = await connector.connect(entry, identity, CONNECT_TIMEOUT_MS);
     if (!result.ok) {
       const reason =
         result.error.kind === 'unreachable'
@@ -346,7 +351,7 @@
       void this.probe();
       return failure({kind: 'unreachable', reason});
     }
-    const pooled = PooledConnection.create(result.value);
+    const pooled = PooledConnection.create(result.value, identity);
     this.unreachableAtMs = null;
     this.connections.add(pooled);
     this.scheduleResponseCheck();
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -10,6 +10,8 @@
 export interface RouteInputs {
   readonly databaseGroup: string;
   readonly consistency: string;
+  /** Customer of the caller; null for none. */
+  readonly customer: string | null;
   /** Version of the configuration that the route comes from. */
   readonly configurationVersion: number;
   /** Term of the leased primary, or null without a lease. */
@@ -245,6 +247,15 @@
       readonly retryAfterMs: number | null;
       readonly waitedMs: number;
     } & RouteInputs)
+  /** A statement was refused because of its database or its caller. */
+  | {
+      readonly kind: 'statementDenied';
+      readonly requestId: string;
+      readonly databaseName: string;
+      /** Null without a configuration. */
+      readonly configurationVersion: number | null;
+      readonly reason: string;
+    }
   | {
       readonly kind: 'statementRetried';
       readonly requestId: string;
@@ -308,6 +319,7 @@
     case 'statementAnswered':
       return 'success';
     case 'statementRefused':
+    case 'statementDenied':
     case 'statementRejected':
     case 'outcomeUnknown':
     case 'transactionLost':
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -1,6 +1,13 @@
 import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
+import {digestApiKey, type ApiKeyDigest} from '../customer/api_key_digest.js';
+import {
+  resolveCaller,
+  type CallerResolution,
+} from '../customer/resolve_caller.js';
+import type {DatabaseRoute} from '../configuration/service_configuration.js';
 import type {
   CallerStatement,
   StatementRequest,
@@ -12,7 +19,12 @@
 } from '../statement/statement_answer.js';
 import type {GatewayContext, StatementContext} from './gateway_context.js';
 import {ReadExecutor, type AnsweredRead} from './read_executor.js';
-import {createErrorReply, createLocalReply} from './refusal.js';
+import {
+  createErrorReply,
+  createLocalReply,
+  TRANSACTION_LOST,
+} from './refusal.js';
+import {recordRefused} from './statement_events.js';
 import {SessionState} from './session_state.js';
 import {SessionTransaction} from './session_transaction.js';
 import {WriteExecutor} from './write_executor.js';
@@ -20,6 +32,13 @@
 /** Idle timeout of a transaction that begins without a configuration. */
 const DEFAULT_IDLE_TIMEOUT_MS = 100;
 
+/** What a caller gives when it opens a session. @public */
+export interface SessionRequest {
+  readonly databaseName: string;
+  /** API key; not checked if the deployment has no customers. */
+  readonly apiKey: string;
+}
+
 /** A caller's session. It handles one statement at a time, in order. @public */
 export class CallerSession {
   private readonly state = SessionState.create();
@@ -28,17 +47,26 @@
   private constructor(
     private readonly gateway: GatewayContext,
     readonly databaseName: string,
+    private readonly keyDigest: ApiKeyDigest,
   ) {}
 
-  /** Opens a session for a database; null if no route has that name. */
+  /** Opens a session if its database has a route that admits the caller. */
   static open(
     gateway: GatewayContext,
-    databaseName: string,
-  ): CallerSession | null {
+    {databaseName, apiKey}: SessionRequest,
+  ): Result<CallerSession, CallerError> {
+    const session = new CallerSession(
+      gateway,
+      databaseName,
+      digestApiKey(apiKey),
+    );
     const route = gateway.getConfiguration()?.routes.get(databaseName);
-    return route === undefined
-      ? null
-      : new CallerSession(gateway, databaseName);
+    if (route === undefined) {
+      return failure(session.createUnknownDatabaseError());
+    }
+    return session.resolveCaller(route)?.kind === 'denied'
+      ? failure({kind: 'accessDenied'})
+      : success(session);
   }
 
   get transactionState(): TransactionState {
@@ -56,8 +84,15 @@
       transaction === null
         ? this.createContext(request)
         : transaction.createContext(request);
-    if (context === null) {
-      return this.refuseWithoutRoute();
+    if ('kind' in context) {
+      return this.refuseOnArrival(request, context);
+    }
+    const refusal =
+      transaction === null
+        ? null
+        : this.findTransactionRefusal(transaction, context, request.statement);
+    if (transaction !== null && refusal !== null) {
+      return this.endRefused(transaction, context, request.statement, refusal);
     }
     const reply =
       transaction === null
@@ -150,18 +185,24 @@
     }
   }
 
-  /** Creates the context of a statement; null if its database has no route. */
-  private createContext(request: StatementRequest): StatementContext | null {
+  /** Creates the context of a statement that no transaction contains. */
+  private createContext(
+    request: StatementRequest,
+  ): StatementContext | CallerError {
     const configuration = this.gateway.getConfiguration();
     const route = configuration?.routes.get(this.databaseName);
-    if (configuration === null || route === undefined) {
-      return null;
+    const group =
+      route === undefined ? null : this.gateway.getGroup(route.databaseGroup);
+    if (configuration === null || route === undefined || group === null) {
+      return this.createUnknownDatabaseError();
     }
-    const group = this.gateway.getGroup(route.databaseGroup);
-    if (group === null) {
-      return null;
+    const caller = this.resolveCaller(route);
+    if (caller === null || caller.kind === 'denied') {
+      return {kind: 'accessDenied'};
     }
     return {
+      customer: caller.customer,
+      identity: caller.identity,
       gateway: this.gateway,
       route,
       group,
@@ -172,15 +213,74 @@
     };
   }
 
-  /** The group is unknown, so the error holds the name of the database. */
-  private refuseWithoutRoute(): StatementReply {
-    const error: CallerError = {
-      kind: 'unknownDatabase',
-      databaseGroup: this.databaseName,
-    };
+  /** Resolves the caller's key with the newest configuration, if any. */
+  private resolveCaller(route: DatabaseRoute): CallerResolution | null {
+    const configuration = this.gateway.getConfiguration();
+    if (configuration === null) {
+      return null;
+    }
+    const {keyDigest} = this;
+    const {sharedIdentity} = this.gateway;
+    return resolveCaller({configuration, route, keyDigest, sharedIdentity});
+  }
+
+  /**
+   * Returns why a transaction must not go on: the caller's key was withdrawn, or
+   * it was moved to another customer, whose statements must not run on the
+   * connection of the transaction. A rollback is always allowed.
+   */
+  private findTransactionRefusal(
+    transaction: SessionTransaction,
+    context: StatementContext,
+    statement: CallerStatement,
+  ): CallerError | null {
+    if (statement.kind === 'rollback') {
+      return null;
+    }
+    const caller = this.resolveCaller(context.route);
+    if (caller?.kind === 'denied') {
+      return {kind: 'accessDenied'};
+    }
+    return caller !== null && caller.identity !== transaction.identity
+      ? TRANSACTION_LOST
+      : null;
+  }
+
+  /** Rolls back a transaction that must not go on. */
+  private endRefused(
+    transaction: SessionTransaction,
+    context: StatementContext,
+    statement: CallerStatement,
+    error: CallerError,
+  ): StatementReply {
+    recordRefused(context, error, describeRefusal(error));
+    const reply = transaction.refuse(statement, error);
+    if (transaction.transactionState === 'idle') {
+      this.transaction = null;
+    }
+    return reply;
+  }
+
+  /** Refuses a statement that has no route or whose caller is denied. */
+  private refuseOnArrival(
+    request: StatementRequest,
+    error: CallerError,
+  ): StatementReply {
+    this.gateway.events.record({
+      kind: 'statementDenied',
+      requestId: request.requestId,
+      databaseName: this.databaseName,
+      configurationVersion: this.gateway.getConfiguration()?.version ?? null,
+      reason: describeRefusal(error),
+    });
     return createErrorReply(error, 'idle');
   }
 
+  /** The group is unknown, so the error holds the name of the database. */
+  private createUnknownDatabaseError(): CallerError {
+    return {kind: 'unknownDatabase', databaseGroup: this.databaseName};
+  }
+
   private async handleInTransaction(
     transaction: SessionTransaction,
     context: StatementContext,
@@ -331,6 +431,17 @@
   }
 }
 
+function describeRefusal(error: CallerError): string {
+  switch (error.kind) {
+    case 'unknownDatabase':
+      return 'no route for the database';
+    case 'accessDenied':
+      return 'no customer holds the key';
+    default:
+      return 'the key was moved to another customer';
+  }
+}
+
 function toReply(answer: BackendAnswer): StatementReply {
   const {rows, result, transactionState, position} = answer;
   return {rows, result, transactionState, position};
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -1,9 +1,11 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
+import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {
   DatabaseRoute,
   ServiceConfiguration,
 } from '../configuration/service_configuration.js';
+import type {Customer} from '../customer/customer.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
 import {chooseQueueWaitMs} from '../routing/choose_queue_wait.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
@@ -13,6 +15,8 @@
   readonly clock: Clock;
   readonly events: GatewayEventRecorder;
   readonly availabilityZone: AvailabilityZone;
+  /** Identity of backend connections that belong to no customer. */
+  readonly sharedIdentity: ConnectionIdentity;
   getConfiguration(): ServiceConfiguration | null;
   getGroup(databaseGroup: string): GroupRuntime | null;
   /**
@@ -28,6 +32,10 @@
   readonly gateway: GatewayContext;
   readonly route: DatabaseRoute;
   readonly group: GroupRuntime;
+  /** Customer that the operation counts for, or null for none. */
+  readonly customer: Customer | null;
+  /** Identity of the backend connections that may run the statement. */
+  readonly identity: ConnectionIdentity;
   readonly configurationVersion: number;
   readonly requestId: string;
   readonly receivedAtMs: number;
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -246,6 +246,7 @@
     }
     const leased = await server.pool.acquire({
       priority: this.context.route.priority,
+      identity: this.context.identity,
       deadlineMs: getQueueDeadlineMs(this.context),
       isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
@@ -266,6 +267,7 @@
         statement: this.read.statement,
         requiredPosition: plan.requiredPosition,
         session: this.read.session,
+        identity: this.context.identity,
         deadlineMs: this.context.deadlineMs,
         confirmSend: () => {
           leasedPrimary = this.findLeasedPrimary(server);
--- a/packages/gateway/src/session/refusal.ts
+++ b/packages/gateway/src/session/refusal.ts
@@ -23,6 +23,15 @@
   retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
 };
 
+/** Retry delay suggested to a caller whose transaction was lost. */
+const LOST_RETRY_AFTER_MS = 50;
+
+/** The transaction was rolled back and can be repeated. @public */
+export const TRANSACTION_LOST: CallerError = {
+  kind: 'transactionLost',
+  retryAfterMs: LOST_RETRY_AFTER_MS,
+};
+
 /** The server had no free capacity; the statement was not run. @public */
 export const SERVER_OVERLOADED: CallerError = {
   kind: 'overloaded',
--- a/packages/gateway/src/session/run_on_connection.ts
+++ b/packages/gateway/src/session/run_on_connection.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {failure, type Result} from '@filbertrun/base/result.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {
   BackendCommand,
   BackendConnectionError,
@@ -19,6 +20,8 @@
   readonly statement: CallerStatement;
   readonly requiredPosition: LogPosition | null;
   readonly session: SessionContext;
+  /** Identity that the connection must have been opened under. */
+  readonly identity: ConnectionIdentity;
   readonly deadlineMs: number;
   /** Called just before the statement is sent; false prevents the send. */
   readonly confirmSend: () => boolean;
@@ -42,6 +45,12 @@
   request: ConnectionRequest,
   clock: Clock,
 ): Promise<Result<BackendAnswer, RunError>> {
+  if (pooled.identity !== request.identity) {
+    return failure({
+      kind: 'notSent',
+      reason: 'the connection has another identity',
+    });
+  }
   const preparation = await prepareConnection(pooled, request, clock);
   if (preparation !== null) {
     return failure(preparation);
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -1,6 +1,7 @@
 import type {Timer} from '@filbertrun/base/clock.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
 import type {
   CallerStatement,
@@ -12,13 +13,14 @@
 } from '../statement/statement_answer.js';
 import type {StatementContext} from './gateway_context.js';
 import type {AnsweredRead} from './read_executor.js';
-import {createErrorReply, createLocalReply} from './refusal.js';
+import {
+  createErrorReply,
+  createLocalReply,
+  TRANSACTION_LOST,
+} from './refusal.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 import {recordOutcomeUnknown} from './statement_events.js';
 
-/** Retry delay suggested to a caller whose transaction was lost. */
-const LOST_RETRY_AFTER_MS = 50;
-
 /** Timeout of the rollback of an abandoned or idle transaction. */
 const ROLLBACK_TIMEOUT_MS = 500;
 
@@ -58,6 +60,11 @@
     return this.state;
   }
 
+  /** Identity of the connection on which the transaction runs. */
+  get identity(): ConnectionIdentity {
+    return this.beginContext.identity;
+  }
+
   /** Log position of the commit once it has been acknowledged. */
   committedPosition: LogPosition | null = null;
 
@@ -102,6 +109,7 @@
         statement,
         requiredPosition: null,
         session,
+        identity: context.identity,
         deadlineMs: context.deadlineMs,
         confirmSend: () => true,
       },
@@ -139,6 +147,14 @@
     return isCommitted ? this.acknowledge(context, reply, sentAtMs) : reply;
   }
 
+  /** Rolls back because the caller may not go on with the transaction. */
+  refuse(statement: CallerStatement, error: CallerError): StatementReply {
+    this.idleTimer?.cancel();
+    void this.rollBack();
+    this.state = endsTransaction(statement) ? 'idle' : 'failed';
+    return createErrorReply(error, this.state);
+  }
+
   /** Ends the transaction without a commit because its caller disconnected. */
   abandon(): void {
     this.idleTimer?.cancel();
@@ -224,15 +240,11 @@
   private createTransactionLostReply(
     statement: CallerStatement,
   ): StatementReply {
-    const error: CallerError = {
-      kind: 'transactionLost',
-      retryAfterMs: LOST_RETRY_AFTER_MS,
-    };
     this.state = endsTransaction(statement) ? 'idle' : 'failed';
     if (statement.kind === 'rollback') {
       return createLocalReply('idle');
     }
-    return createErrorReply(error, this.state);
+    return createErrorReply(TRANSACTION_LOST, this.state);
   }
 
   private recordUnknownOutcome(
--- a/packages/gateway/src/session/statement_events.ts
+++ b/packages/gateway/src/session/statement_events.ts
@@ -13,10 +13,11 @@
  * @public
  */
 export function describeRouteInputs(context: StatementContext): RouteInputs {
-  const {route, group, configurationVersion} = context;
+  const {route, group, customer, configurationVersion} = context;
   return {
     databaseGroup: group.databaseGroup,
     consistency: route.consistency,
+    customer: customer?.name ?? null,
     configurationVersion,
     leasedTerm: group.lease.getPrimary()?.term ?? null,
     requiredPosition: null,
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -117,6 +117,7 @@
     }
     const leased = await server.pool.acquire({
       priority: context.route.priority,
+      identity: context.identity,
       deadlineMs: getQueueDeadlineMs(context),
       isPreferred: pooled => pooled.isPreparedFor(this.write.session),
     });
@@ -143,6 +144,7 @@
         statement: this.write.statement,
         requiredPosition: null,
         session: this.write.session,
+        identity: context.identity,
         deadlineMs: context.deadlineMs,
         confirmSend: () => group.getWritablePrimary() === server,
       },
--- a/packages/gateway/src/simulation/deployment_mutants.ts
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -35,9 +35,10 @@
       connector: {
         checkReachable: (server, timeoutMs) =>
           options.connector.checkReachable(server, timeoutMs),
-        connect: (server, timeoutMs) =>
+        connect: (server, identity, timeoutMs) =>
           options.connector.connect(
             {...server, backendServer: ANY_INSTANCE},
+            identity,
             timeoutMs,
           ),
       },
--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -131,8 +131,8 @@
   return {
     checkReachable: (server, timeoutMs) =>
       connector.checkReachable(server, timeoutMs),
-    connect: async (server, timeoutMs) => {
-      const result = await connector.connect(server, timeoutMs);
+    connect: async (server, identity, timeoutMs) => {
+      const result = await connector.connect(server, identity, timeoutMs);
       if (!result.ok) {
         return result;
       }
--- a/packages/gateway/src/simulation/simulated_connector.ts
+++ b/packages/gateway/src/simulation/simulated_connector.ts
@@ -2,7 +2,10 @@
 import {sleep} from '@filbertrun/base/sleep.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {isCovered} from '@filbertrun/model/log_position.js';
-import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectError,
+  ConnectionIdentity,
+} from '@filbertrun/pool/pool_types.js';
 import type {
   BackendCommand,
   BackendConnection,
@@ -55,6 +58,7 @@
 
   async connect(
     backendServer: BackendServerEntry,
+    identity: ConnectionIdentity,
     timeoutMs: number,
   ): Promise<
     Result<BackendConnection, ConnectError | {readonly kind: 'wrongServer'}>
--- a/packages/gateway/src/simulation/simulated_operator.ts
+++ b/packages/gateway/src/simulation/simulated_operator.ts
@@ -77,6 +77,7 @@
         },
       ],
     ]),
+    customers: null,
     transactionIdleTimeoutMs: 3_000,
   };
 }
@@ -93,5 +94,6 @@
     statementTimeoutMs: 1_000,
     targetLatencyMs: 400,
     priority: 'normal',
+    isPublic: false,
   };
 }
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -2,7 +2,10 @@
 import {sleep} from '@filbertrun/base/sleep.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
-import type {ConnectError} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectError,
+  ConnectionIdentity,
+} from '@filbertrun/pool/pool_types.js';
 import type {
   BackendCommand,
   BackendConnection,
@@ -37,6 +40,8 @@
 /** A statement that a fake server has run. @internal */
 export interface ExecutedStatement {
   readonly backendServer: string;
+  /** Identity of the connection on which it was run. */
+  readonly identity: ConnectionIdentity;
   readonly requestId: string;
   readonly text: string;
   readonly values: ReadonlyMap<string, string>;
@@ -76,6 +81,7 @@
 
   async connect(
     backendServer: BackendServerEntry,
+    identity: ConnectionIdentity,
   ): Promise<Result<BackendConnection, ConnectError>> {
     await Promise.resolve();
     if (this.unreachable.has(backendServer.backendServer)) {
@@ -84,7 +90,7 @@
     if (this.atConnectionLimit.has(backendServer.backendServer)) {
       return failure({kind: 'refused'});
     }
-    const connection = new FakeConnection(backendServer, this);
+    const connection = new FakeConnection(backendServer, identity, this);
     this.openConnections.add(connection);
     return success(connection);
   }
@@ -110,6 +116,7 @@
 
   constructor(
     readonly backendServer: BackendServerEntry,
+    private readonly identity: ConnectionIdentity,
     private readonly backend: FakeBackend,
   ) {}
 
@@ -191,6 +198,7 @@
     const text = 'text' in statement ? statement.text : statement.kind;
     this.backend.runs.push({
       backendServer,
+      identity: this.identity,
       requestId,
       text,
       values: new Map(this.values),
--- a/packages/gateway/src/zone/zone_update_codec.ts
+++ b/packages/gateway/src/zone/zone_update_codec.ts
@@ -1,5 +1,7 @@
 import * as z from 'zod';
 import type {ServiceConfiguration} from '../configuration/service_configuration.js';
+import {customerSchema} from '../customer/customer.js';
+import {CustomerDirectory} from '../customer/customer_directory.js';
 import {backendServerEntrySchema} from '../directory/backend_server_entry.js';
 import type {ZoneUpdate} from './zone_update.js';
 
@@ -13,6 +15,7 @@
   statementTimeoutMs: z.number(),
   targetLatencyMs: z.number(),
   priority: z.enum(['booking', 'normal', 'lookup']),
+  isPublic: z.boolean(),
 });
 
 const configurationSchema = z
@@ -29,12 +32,17 @@
         }),
       ]),
     ),
+    customers: z.array(customerSchema).nullable(),
     transactionIdleTimeoutMs: z.number(),
   })
   .transform((value): ServiceConfiguration => ({
     ...value,
     routes: new Map(value.routes),
     databaseGroups: new Map(value.databaseGroups),
+    customers:
+      value.customers === null
+        ? null
+        : CustomerDirectory.create(value.customers),
   }));
 
 function createTableUpdateSchema<T>(value: z.ZodType<T>) {
@@ -107,5 +115,6 @@
     ...configuration,
     routes: [...configuration.routes],
     databaseGroups: [...configuration.databaseGroups],
+    customers: configuration.customers?.customers ?? null,
   };
 }
--- a/packages/gateway/src/zone/zone_update_codec_test.ts
+++ b/packages/gateway/src/zone/zone_update_codec_test.ts
@@ -1,4 +1,6 @@
 import {describe, expect, it} from 'vitest';
+import {digestApiKey} from '../customer/api_key_digest.js';
+import {CustomerDirectory} from '../customer/customer_directory.js';
 import type {ZoneUpdate} from './zone_update.js';
 import {
   decodeZoneUpdate,
@@ -62,6 +64,7 @@
                 statementTimeoutMs: 1_000,
                 targetLatencyMs: 200,
                 priority: 'lookup',
+                isPublic: true,
               },
             ],
           ]),
@@ -75,6 +78,14 @@
               },
             ],
           ]),
+          customers: CustomerDirectory.create([
+            {
+              name: 'studio',
+              keyDigests: [digestApiKey('key')],
+              limit: {operationsPerSecond: 1.5, burstOperations: 3},
+            },
+            {name: 'unlimited', keyDigests: [], limit: null},
+          ]),
           transactionIdleTimeoutMs: 3_000,
         },
       },
--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -24,6 +24,10 @@
   | {readonly kind: 'invalidToken'; readonly reason: string}
   | {readonly kind: 'invalidParameter'; readonly reason: string}
   | {readonly kind: 'invalidAuthorization'; readonly reason: string}
+  /** No customer holds the caller's API key. */
+  | {readonly kind: 'accessDenied'}
+  /** The customer has reached the limit on its operations. */
+  | {readonly kind: 'limitExceeded'; readonly retryAfterMs: number}
   | {readonly kind: 'unknownDatabase'; readonly databaseGroup: string}
   | {readonly kind: 'protocolViolation'; readonly reason: string}
   | {readonly kind: 'requestKeyReused'}
@@ -115,6 +119,20 @@
       );
     case 'invalidAuthorization':
       return createReport('FATAL', '28P01', error.reason, null);
+    case 'accessDenied':
+      return createReport(
+        'FATAL',
+        '28000',
+        'The API key is unknown or was withdrawn.',
+        null,
+      );
+    case 'limitExceeded':
+      return createReport(
+        'ERROR',
+        '53400',
+        'The customer has reached the limit on its operations.',
+        error.retryAfterMs,
+      );
     case 'unknownDatabase':
       return createReport(
         'FATAL',
--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -15,6 +15,7 @@
   type AcquireRequest,
   type BackendConnector,
   type ConnectError,
+  type ConnectionIdentity,
   type PoolError,
   type PoolLease,
   type PoolLimits,
@@ -51,6 +52,7 @@
 
 interface WaitingEntry<C> {
   readonly priority: RequestPriority;
+  readonly identity: ConnectionIdentity;
   readonly isPreferred: ((connection: C) => boolean) | null;
   readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
@@ -97,7 +99,8 @@
       limits,
       events: {
         handleReady: () => this.dispatch(),
-        handleOpened: connection => this.handleOpened(connection),
+        handleOpened: (connection, identity) =>
+          this.returnConnection(connection, identity, true),
         handleFailed: error => this.handleConnectFailed(error),
       },
     });
@@ -276,7 +279,7 @@
     request: AcquireRequest<C>,
     resolve: (result: LeaseResult<C>) => void,
   ): void {
-    const {priority, deadlineMs, signal} = request;
+    const {priority, identity, deadlineMs, signal} = request;
     const handleAbort = () => entry.settle(failure({kind: 'cancelled'}));
     const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () => {
       const waitMs = this.estimateWaitMs(priority);
@@ -284,6 +287,7 @@
     });
     const entry: WaitingEntry<C> = {
       priority,
+      identity,
       deadlineMs,
       isPreferred: request.isPreferred ?? null,
       settle: result => {
@@ -318,14 +322,20 @@
     }
   }
 
-  /** Leases connections to queued entries up to the concurrency limit. */
+  /**
+   * Leases connections to queued entries up to the concurrency limit, and opens
+   * the missing ones. An entry that waits for its connection counts towards the
+   * limit, so that entries behind it don't open more connections than can be
+   * used.
+   */
   private dispatch(): void {
     if (this.state !== 'open') {
       return;
     }
-    while (this.active < this.concurrency.value) {
-      const entry = this.queue.getFirst();
-      if (entry === null) {
+    const attempts = this.opener.getAttempts();
+    let waitingForConnection = 0;
+    for (const entry of this.queue.getAll()) {
+      if (this.active + waitingForConnection >= this.concurrency.value) {
         return;
       }
       if (entry.deadlineMs <= this.clock.nowMs()) {
@@ -333,18 +343,50 @@
         entry.settle(failure(createOverloadedError(waitMs)));
         continue;
       }
-      const connection = this.idle.take(entry.isPreferred);
-      if (connection === null) {
-        this.connectIfNeeded();
-        return;
+      const {identity} = entry;
+      const connection = this.idle.take(identity, entry.isPreferred);
+      if (connection !== null) {
+        entry.settle(success(this.createLease(connection, identity)));
+        continue;
+      }
+      waitingForConnection++;
+      const opening = attempts.get(identity) ?? 0;
+      if (opening > 0) {
+        attempts.set(identity, opening - 1);
+      } else {
+        this.openConnection(identity);
       }
-      entry.settle(success(this.createLease(connection)));
     }
   }
 
-  private createLease(connection: C): PoolLease<C> {
+  /**
+   * Starts a connection attempt if one may start now. At the connection limit,
+   * it replaces the connection that has been idle for longest.
+   */
+  private openConnection(identity: ConnectionIdentity): void {
+    const isFull =
+      this.openConnections + this.opener.attemptCount >=
+      this.limits.maxConnections;
+    if ((isFull && this.idle.size === 0) || !this.opener.mayStart()) {
+      return;
+    }
+    if (isFull) {
+      this.idle.close(1);
+    }
+    this.opener.requestAttempt(identity);
+  }
+
+  private createLease(
+    connection: C,
+    identity: ConnectionIdentity,
+  ): PoolLease<C> {
     this.active++;
-    return LeasedConnection.create(connection, this.active, this.leaseEvents);
+    return LeasedConnection.create(
+      connection,
+      identity,
+      this.active,
+      this.leaseEvents,
+    );
   }
 
   private handleSuspended(): void {
@@ -368,43 +410,26 @@
       this.serviceTime.record(end.serviceTimeMs);
       this.concurrency.record(end.serviceTimeMs, end.activeAtStart);
     }
-    this.returnConnection(end.connection, end.condition === 'clean');
+    const isClean = end.condition === 'clean';
+    this.returnConnection(end.connection, end.identity, isClean);
     this.resolveDrainIfDone();
   }
 
   /** Returns a connection to the idle connections, or closes it. */
-  private returnConnection(connection: C, isClean: boolean): void {
+  private returnConnection(
+    connection: C,
+    identity: ConnectionIdentity,
+    isClean: boolean,
+  ): void {
     const isSurplus = this.openConnections >= this.limits.maxConnections;
     if (isClean && this.state === 'open' && !isSurplus) {
-      this.idle.add(connection);
+      this.idle.add(connection, identity);
     } else {
       this.connector.close(connection);
     }
     this.dispatch();
   }
 
-  /** Starts as many connection attempts as the queued entries need. */
-  private connectIfNeeded(): void {
-    let hasStarted = true;
-    while (hasStarted && this.needsConnection()) {
-      hasStarted = this.opener.requestAttempt();
-    }
-  }
-
-  private needsConnection(): boolean {
-    const {attemptCount} = this.opener;
-    const needed = Math.min(
-      this.queue.length,
-      this.concurrency.value - this.active,
-    );
-    const available = this.limits.maxConnections - this.openConnections;
-    return attemptCount < Math.min(needed, available);
-  }
-
-  private handleOpened(connection: C): void {
-    this.returnConnection(connection, true);
-  }
-
   private handleConnectFailed(error: ConnectError): void {
     if (this.openConnections + this.opener.attemptCount === 0) {
       this.refuseWithoutConnection(error);
--- a/packages/pool/src/connection_opener.ts
+++ b/packages/pool/src/connection_opener.ts
@@ -6,13 +6,17 @@
   connectPacingMachine,
   type ConnectPacingLimits,
 } from './connect_pacing_machine.js';
-import type {BackendConnector, ConnectError} from './pool_types.js';
+import type {
+  BackendConnector,
+  ConnectError,
+  ConnectionIdentity,
+} from './pool_types.js';
 
 /** Callbacks of a `ConnectionOpener`. @internal */
 export interface ConnectionOpenerEvents<C> {
   /** Called when a postponed attempt may start. */
   readonly handleReady: () => void;
-  readonly handleOpened: (connection: C) => void;
+  readonly handleOpened: (connection: C, identity: ConnectionIdentity) => void;
   readonly handleFailed: (error: ConnectError) => void;
 }
 
@@ -30,7 +34,7 @@
   private readonly pacing: ActorRefFrom<typeof connectPacingMachine>;
   private timer: Timer | null = null;
   private isDisposed = false;
-  private attempts = 0;
+  private readonly attempts = new Map<ConnectionIdentity, number>();
   private error: ConnectError | null = null;
 
   private constructor(private readonly options: ConnectionOpenerOptions<C>) {
@@ -45,7 +49,16 @@
 
   /** Number of attempts in progress. */
   get attemptCount(): number {
-    return this.attempts;
+    let total = 0;
+    for (const count of this.attempts.values()) {
+      total += count;
+    }
+    return total;
+  }
+
+  /** Returns the number of attempts in progress by identity. */
+  getAttempts(): Map<ConnectionIdentity, number> {
+    return new Map(this.attempts);
   }
 
   /** Error of the last finished attempt, or null if it succeeded. */
@@ -60,13 +73,24 @@
   }
 
   /**
-   * Starts an attempt and returns true. If it is too early, schedules
-   * `handleReady` for the time at which one may start and returns false.
+   * Starts an attempt for an identity and returns true. If it is too early,
+   * schedules `handleReady` and returns false.
    */
-  requestAttempt(): boolean {
+  requestAttempt(identity: ConnectionIdentity): boolean {
+    if (!this.mayStart()) {
+      return false;
+    }
+    this.startAttempt(identity);
+    return true;
+  }
+
+  /**
+   * Whether an attempt may start now. If it is too early, schedules
+   * `handleReady` for the time at which one may start.
+   */
+  mayStart(): boolean {
     const delayMs = this.getDelayMs();
     if (delayMs <= 0) {
-      this.startAttempt();
       return true;
     }
     this.timer ??= this.options.clock.startTimer(delayMs, () => {
@@ -82,21 +106,34 @@
     this.pacing.stop();
   }
 
-  private startAttempt(): void {
-    this.attempts++;
+  private startAttempt(identity: ConnectionIdentity): void {
+    this.addToCount(identity, 1);
     const nowMs = this.options.clock.nowMs();
     this.pacing.send({type: 'attemptStarted', nowMs});
-    void this.options.connector.connect().then(
-      result => this.handleResult(result),
+    void this.options.connector.connect(identity).then(
+      result => this.handleResult(identity, result),
       (error: unknown) =>
         this.handleResult(
+          identity,
           failure({kind: 'unreachable', reason: String(error)}),
         ),
     );
   }
 
-  private handleResult(result: Result<C, ConnectError>): void {
-    this.attempts--;
+  private addToCount(identity: ConnectionIdentity, change: number): void {
+    const count = (this.attempts.get(identity) ?? 0) + change;
+    if (count === 0) {
+      this.attempts.delete(identity);
+    } else {
+      this.attempts.set(identity, count);
+    }
+  }
+
+  private handleResult(
+    identity: ConnectionIdentity,
+    result: Result<C, ConnectError>,
+  ): void {
+    this.addToCount(identity, -1);
     if (this.isDisposed) {
       if (result.ok) {
         this.options.connector.close(result.value);
@@ -106,7 +143,7 @@
     if (result.ok) {
       this.error = null;
       this.pacing.send({type: 'attemptSucceeded'});
-      this.options.events.handleOpened(result.value);
+      this.options.events.handleOpened(result.value, identity);
       return;
     }
     this.error = result.error;
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -1,8 +1,13 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
-import type {BackendConnector, PoolLimits} from './pool_types.js';
+import type {
+  BackendConnector,
+  ConnectionIdentity,
+  PoolLimits,
+} from './pool_types.js';
 
 interface IdleConnection<C> {
   readonly connection: C;
+  readonly identity: ConnectionIdentity;
   readonly idleSinceMs: number;
 }
 
@@ -39,41 +44,51 @@
     this.limits = limits;
   }
 
-  add(connection: C): void {
-    this.entries.push({connection, idleSinceMs: this.clock.nowMs()});
+  add(connection: C, identity: ConnectionIdentity): void {
+    const idleSinceMs = this.clock.nowMs();
+    this.entries.push({connection, identity, idleSinceMs});
     this.schedulePrune();
   }
 
   /**
-   * Removes and returns a usable connection, or null if there is none. Prefers
-   * the most recent one that matches `isPreferred`, then the most recent one.
+   * Removes and returns a usable connection of an identity, or null if there is
+   * none. Prefers the most recent one that matches `isPreferred`, then the most
+   * recent one.
    */
-  take(isPreferred: ((connection: C) => boolean) | null = null): C | null {
-    if (isPreferred !== null) {
-      this.movePreferredToEnd(isPreferred);
-    }
+  take(
+    identity: ConnectionIdentity,
+    isPreferred: ((connection: C) => boolean) | null = null,
+  ): C | null {
     for (;;) {
-      const last = this.entries.pop();
-      if (last === undefined) {
+      const index = this.findIndex(identity, isPreferred);
+      const [entry] = index < 0 ? [] : this.entries.splice(index, 1);
+      if (entry === undefined) {
         return null;
       }
-      if (this.connector.isUsable(last.connection)) {
-        return last.connection;
+      if (this.connector.isUsable(entry.connection)) {
+        return entry.connection;
       }
-      this.connector.close(last.connection);
+      this.connector.close(entry.connection);
     }
   }
 
-  /** Moves the most recent preferred connection to the end, to be used next. */
-  private movePreferredToEnd(isPreferred: (connection: C) => boolean): void {
+  /** Finds the connection to take next; -1 if the identity has none. */
+  private findIndex(
+    identity: ConnectionIdentity,
+    isPreferred: ((connection: C) => boolean) | null,
+  ): number {
+    let newest = -1;
     for (let index = this.entries.length - 1; index >= 0; index--) {
       const entry = this.entries[index];
-      if (entry !== undefined && isPreferred(entry.connection)) {
-        this.entries.splice(index, 1);
-        this.entries.push(entry);
-        return;
+      if (entry === undefined || entry.identity !== identity) {
+        continue;
+      }
+      if (isPreferred === null || isPreferred(entry.connection)) {
+        return index;
       }
+      newest = Math.max(newest, index);
     }
+    return newest;
   }
 
   /** Removes a closed connection. Returns false if it was not idle. */
--- a/packages/pool/src/leased_connection.ts
+++ b/packages/pool/src/leased_connection.ts
@@ -1,8 +1,13 @@
-import type {ConnectionCondition, PoolLease} from './pool_types.js';
+import type {
+  ConnectionCondition,
+  ConnectionIdentity,
+  PoolLease,
+} from './pool_types.js';
 
 /** Result of a released lease. @internal */
 export interface LeaseEnd<C> {
   readonly connection: C;
+  readonly identity: ConnectionIdentity;
   readonly condition: ConnectionCondition;
   readonly activeAtStart: number;
   /** Duration, or null if it includes more than the server's own work. */
@@ -25,6 +30,7 @@
 
   private constructor(
     readonly connection: C,
+    readonly identity: ConnectionIdentity,
     private readonly activeAtStart: number,
     private readonly events: LeaseEvents<C>,
   ) {
@@ -33,10 +39,11 @@
 
   static create<C>(
     connection: C,
+    identity: ConnectionIdentity,
     activeAtStart: number,
     events: LeaseEvents<C>,
   ): LeasedConnection<C> {
-    return new LeasedConnection(connection, activeAtStart, events);
+    return new LeasedConnection(connection, identity, activeAtStart, events);
   }
 
   suspend(): void {
@@ -65,6 +72,7 @@
     const durationMs = this.events.getNowMs() - this.startMs;
     const end: LeaseEnd<C> = {
       connection: this.connection,
+      identity: this.identity,
       condition,
       activeAtStart: this.activeAtStart,
       serviceTimeMs:
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -9,9 +9,18 @@
   | {readonly kind: 'refused'}
   | {readonly kind: 'unreachable'; readonly reason: string};
 
+/**
+ * Name under which a connection was opened at the backend server. A connection
+ * keeps it until it is closed and is leased only to requests of the same
+ * identity.
+ *
+ * @public
+ */
+export type ConnectionIdentity = string;
+
 /** Opens and closes connections for a pool. @public */
 export interface BackendConnector<C> {
-  connect(): Promise<Result<C, ConnectError>>;
+  connect(identity: ConnectionIdentity): Promise<Result<C, ConnectError>>;
   close(connection: C): void;
   /** Whether an idle connection can still be used. */
   isUsable(connection: C): boolean;
@@ -33,6 +42,8 @@
 /** Request for a connection. @public */
 export interface AcquireRequest<C> {
   readonly priority: RequestPriority;
+  /** Identity that the connection must have been opened under. */
+  readonly identity: ConnectionIdentity;
   /** Time on the pool's clock at which the request is refused. */
   readonly deadlineMs: number;
   readonly signal?: AbortSignal;
@@ -56,6 +67,7 @@
 /** Exclusive use of a connection by one session. @public */
 export interface PoolLease<C> {
   readonly connection: C;
+  readonly identity: ConnectionIdentity;
   /**
    * Marks the lease as waiting for the caller within an open transaction. It
    * does not count towards the concurrency until `resume`.
--- a/packages/pool/src/wait_queue.ts
+++ b/packages/pool/src/wait_queue.ts
@@ -48,16 +48,6 @@
     this.entries[entry.priority].delete(entry);
   }
 
-  /** Returns the entry to serve next without removing it, or null. */
-  getFirst(): E | null {
-    for (const priority of PRIORITY_ORDER) {
-      for (const entry of this.entries[priority]) {
-        return entry;
-      }
-    }
-    return null;
-  }
-
   /**
    * Returns the newest entry of the lowest priority below `priority`, or null
    * if there is none.
--- a/packages/proxy/src/group/server_pool.ts
+++ b/packages/proxy/src/group/server_pool.ts
@@ -33,6 +33,9 @@
   readonly getConnectionShare: (server: BackendServer) => number;
 }
 
+/** All connections are opened with the credentials of the proxy. */
+const SHARED_IDENTITY = 'proxy';
+
 /**
  * The connection pool of this proxy for one instance. A returned connection is
  * kept only if it is known to be clean.
@@ -104,7 +107,10 @@
   async acquire(
     request: LeaseRequest,
   ): Promise<Result<ConnectionLease, CallerError>> {
-    const lease = await this.pool.acquire(request);
+    const lease = await this.pool.acquire({
+      ...request,
+      identity: SHARED_IDENTITY,
+    });
     return lease.ok
       ? success(this.createLease(lease.value))
       : failure(convertPoolError(lease.error));
