Quotas: customers' limits by permits from one owner a zone

Change: each availability zone has a fixed share of each customer's limit. A proxy acts as owner only by recent registrations and only after it has been registered for longer than any other proxy's view may be old, so that two owners never act in a zone. An operation needs a permit before it takes a queue, slot or connection; a permit that was not used serves another operation.

--- a/packages/gateway/src/control/contact_renewer_test.ts
+++ b/packages/gateway/src/control/contact_renewer_test.ts
@@ -24,6 +24,7 @@
     incarnation: 'one',
     leaseEndStoreMs: 0,
     contactWindowMs: WINDOW_MS,
+    registeredSinceStoreMs: null,
   };
 }
 
--- a/packages/gateway/src/control/control_record.ts
+++ b/packages/gateway/src/control/control_record.ts
@@ -31,6 +31,11 @@
      * lease limits it.
      */
     contactWindowMs: z.number().positive().nullable().default(null),
+    /**
+     * Time on the store's clock since which the entry VM has been registered
+     * without interruption, across restarts of its process; null if unknown.
+     */
+    registeredSinceStoreMs: z.number().nullable().default(null),
   })
   .readonly();
 
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -9,6 +9,7 @@
   ClockReading,
   ClockJumpDetector,
 } from '../group/clock_jump_detector.js';
+import type {RegistrationView} from './registration_view.js';
 import {getEraAgeMs} from './era_age.js';
 import {
   ENTRY_VM_PREFIX,
@@ -20,7 +21,7 @@
 /** Identity of an entry VM and its process. @public */
 export type EntryVmIdentity = Omit<
   EntryVmRecord,
-  'leaseEndStoreMs' | 'contactWindowMs'
+  'leaseEndStoreMs' | 'contactWindowMs' | 'registeredSinceStoreMs'
 >;
 
 /** Options of {@link EntryVmRegistration}. @public */
@@ -28,6 +29,11 @@
   readonly self: EntryVmIdentity;
   readonly table: ListableTable;
   readonly clockJumpDetector: ClockJumpDetector;
+  /**
+   * Whether the whole deployment starts for the first time. No earlier process
+   * can then rely on registrations that lack this one.
+   */
+  readonly isFirstStart: boolean;
   /** Contact window that is published in the record. */
   readonly contactWindowMs: number;
   /**
@@ -70,6 +76,14 @@
  */
 export const LEASE_DURATION_MS = 12_000;
 
+/**
+ * Time after the end of its lease for which a registration that is renewed
+ * counts as uninterrupted.
+ *
+ * @public
+ */
+export const REGISTRATION_GAP_MS = 12_000;
+
 /** Time after the end of its lease at which an entry VM's record is removed. */
 const REMOVAL_DELAY_MS = 30_000;
 
@@ -124,6 +138,27 @@
     return this.hasSeenPredecessor;
   }
 
+  /**
+   * Returns the registrations as of the newest listing; null before the first
+   * one and after a suspension of the machine, until the next one.
+   */
+  getView(): RegistrationView | null {
+    const {storeClock} = this;
+    if (storeClock === null) {
+      return null;
+    }
+    const ageMs = this.options.clockJumpDetector.getElapsedMs(
+      storeClock.readAt,
+    );
+    return ageMs === null
+      ? null
+      : {
+          entryVms: this.getEntryVms(),
+          storeNowMs: storeClock.storeTimeMs + ageMs,
+          ageMs,
+        };
+  }
+
   /** Returns the registered entry VMs, including this one. */
   getEntryVms(): readonly EntryVmRecord[] {
     const records: EntryVmRecord[] = [];
@@ -223,9 +258,8 @@
       return false;
     }
     this.isWriting = true;
-    const leaseEndStoreMs =
-      this.estimateStoreTimeMs(storeClock) + LEASE_DURATION_MS;
-    const records = this.createRecords(leaseEndStoreMs);
+    const storeNowMs = this.estimateStoreTimeMs(storeClock);
+    const records = this.createRecords(storeNowMs);
     let isWritten = true;
     for (let start = 0; start < records.length; start += MAX_BATCH) {
       const batch = records.slice(start, start + MAX_BATCH);
@@ -269,20 +303,36 @@
    * Returns this proxy's record and those of its followers with the new lease
    * end.
    */
-  private createRecords(leaseEndStoreMs: number): readonly EntryVmRecord[] {
+  private createRecords(storeNowMs: number): readonly EntryVmRecord[] {
     const {self, contactWindowMs, getFollowers} = this.options;
+    const leaseEndStoreMs = storeNowMs + LEASE_DURATION_MS;
     const records: EntryVmRecord[] = [
-      {...self, leaseEndStoreMs, contactWindowMs},
+      {
+        ...self,
+        leaseEndStoreMs,
+        contactWindowMs,
+        registeredSinceStoreMs: this.computeRegisteredSinceMs(storeNowMs),
+      },
     ];
     for (const [entryVm, incarnation] of getFollowers()) {
       const record = this.getEntryVm(entryVm);
       if (entryVm !== self.entryVm && record?.incarnation === incarnation) {
-        records.push({...record, leaseEndStoreMs});
+        const registeredSinceStoreMs = continueRegistration(record, storeNowMs);
+        records.push({...record, leaseEndStoreMs, registeredSinceStoreMs});
       }
     }
     return records;
   }
 
+  /** A restarted process continues the registration of the previous one. */
+  private computeRegisteredSinceMs(storeNowMs: number): number {
+    const known = this.getEntryVm(this.options.self.entryVm);
+    if (known !== null) {
+      return continueRegistration(known, storeNowMs);
+    }
+    return this.options.isFirstStart ? 0 : storeNowMs;
+  }
+
   private write(records: readonly EntryVmRecord[]): Promise<boolean> {
     const [first] = records;
     return records.length === 1 && first !== undefined
@@ -395,6 +445,20 @@
   }
 }
 
+/**
+ * Returns since when an entry VM is registered if its record is renewed now. The
+ * registration starts anew if other proxies may have regarded it as expired.
+ */
+function continueRegistration(
+  {registeredSinceStoreMs, leaseEndStoreMs}: EntryVmRecord,
+  storeNowMs: number,
+): number {
+  return registeredSinceStoreMs === null ||
+    storeNowMs > leaseEndStoreMs + REGISTRATION_GAP_MS
+    ? storeNowMs
+    : registeredSinceStoreMs;
+}
+
 function getEntryVmKey(entryVm: string): string {
   return `${ENTRY_VM_PREFIX}${entryVm}`;
 }
--- a/packages/gateway/src/control/entry_vm_registration_test.ts
+++ b/packages/gateway/src/control/entry_vm_registration_test.ts
@@ -40,6 +40,7 @@
       self,
       table,
       clockJumpDetector: detector,
+      isFirstStart: false,
       contactWindowMs: 2_500,
       getFollowers: () => followers,
       isFollowing: () => isFollowing,
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -236,5 +236,6 @@
     incarnation: 'one',
     leaseEndStoreMs: LEASE_END_MS,
     contactWindowMs: null,
+    registeredSinceStoreMs: null,
   };
 }
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -211,5 +211,6 @@
     incarnation: '',
     leaseEndStoreMs,
     contactWindowMs: CONTACT_WINDOW_MS,
+    registeredSinceStoreMs: null,
   };
 }
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -30,6 +30,7 @@
       // The store's clock shows the same time as the virtual one.
       leaseEndStoreMs: leaseEndMs,
       contactWindowMs,
+      registeredSinceStoreMs: null,
     },
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,12 @@
 import type {PeerClient, PeerHandler} from './peer/peer_client.js';
 import {PeerRequestHandler} from './peer/peer_request_handler.js';
 import type {ControlRelay, ControlRelayHandler} from './peer/control_relay.js';
+import {CustomerQuotas} from './quota/customer_quotas.js';
+import {
+  UNLIMITED_OPERATIONS,
+  type OperationLimiter,
+} from './quota/operation_limiter.js';
+import type {QuotaRules} from './quota/quota_rules.js';
 import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
 
@@ -87,6 +93,12 @@
   readonly drainDurationMs: number;
   /** Time within which a newer configuration must be in force. */
   readonly configurationApplyMs: number;
+  /** How customers' limits are applied; null if they are not. */
+  readonly quotaRules: QuotaRules | null;
+  /** All availability zones of the deployment. */
+  readonly availabilityZones: readonly string[];
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Time after the last contact during which a primary lease is valid. */
   readonly contactWindowMs: number;
 }
@@ -140,6 +152,7 @@
   readonly events: GatewayEventRecorder;
   readonly availabilityZone: string;
   readonly sharedIdentity: string;
+  readonly limiter: OperationLimiter;
   private readonly clockJumpDetector: ClockJumpDetector;
   private readonly contact: ContactTracker;
   private readonly contactRenewer: ContactRenewer;
@@ -167,6 +180,8 @@
   private readonly zoneReading: ZoneReading;
   private readonly storeEraTracker: StoreEraTracker;
   private readonly recordRestorer: RecordRestorer;
+  /** Null if customers' limits are not applied. */
+  private readonly quotas: CustomerQuotas | null;
   private maintenanceTimer: Timer | null = null;
   private isStopping = false;
   private expiredRemovedAtMs: number;
@@ -311,6 +326,7 @@
       self,
       table: this.relayedTable,
       clockJumpDetector,
+      isFirstStart: options.isFirstStart,
       contactWindowMs: options.contactWindowMs,
       getFollowers: () => publisher.getFollowers(),
       isFollowing: () => !this.zoneReading.isReading,
@@ -422,7 +438,23 @@
       readControlTable: () => void this.controlPoller.readNow(),
       maintainLeadership: () => void this.maintainStoreRecords(),
       handleUpdateRequest: request => publisher.answer(request),
+      grantPermits: (customer, wanted) =>
+        this.quotas?.owner.grant(customer, wanted) ?? null,
     });
+    this.quotas =
+      options.quotaRules === null
+        ? null
+        : CustomerQuotas.create({
+            self,
+            availabilityZones: options.availabilityZones,
+            clock,
+            clockJumpDetector,
+            events,
+            peers: options.peers,
+            rules: options.quotaRules,
+            getView: () => this.registration.getView(),
+          });
+    this.limiter = this.quotas?.limiter ?? UNLIMITED_OPERATIONS;
     this.readiness = ReadinessMonitor.create({
       clock,
       events,
@@ -535,6 +567,7 @@
       this.controlPoller.replayListing();
     }
     this.connectionShares.apply();
+    this.quotas?.applyCustomers(configuration.customers?.customers ?? []);
   }
 
   private handleListing(listing: TableListing, readAt: ClockReading): void {
@@ -641,6 +674,7 @@
     }
     this.readiness.update();
     this.zoneReading.maintain();
+    this.quotas?.owner.maintain();
     this.controlPoller.pollIfUrgent();
     if (!this.controlPoller.hasRead || this.isStopping) {
       return;
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -247,6 +247,13 @@
       readonly retryAfterMs: number | null;
       readonly waitedMs: number;
     } & RouteInputs)
+  /** The number of customers whose quota this proxy owns in its zone changed. */
+  | {
+      readonly kind: 'quotasOwned';
+      readonly count: number;
+      /** Age of the registrations; null without valid ones. */
+      readonly viewAgeMs: number | null;
+    }
   /** A statement was refused because of its database or its caller. */
   | {
       readonly kind: 'statementDenied';
--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -7,10 +7,12 @@
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import {computeRecordDigest} from '../group/record_digest.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import type {PermitGrant} from '../quota/quota_ledger.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from '../zone/zone_update.js';
 import type {
   LeadershipTransfer,
   PeerHandler,
+  PermitRequest,
   PositionAnswer,
   PositionRequest,
   ReachabilityAnswer,
@@ -39,6 +41,8 @@
   maintainLeadership(): void;
   /** Returns updates of the store for another proxy of the zone. */
   handleUpdateRequest(request: ZoneUpdateRequest): Promise<ZoneUpdate | null>;
+  /** Grants permits of a quota that this proxy owns; null for others. */
+  grantPermits(customer: string, wanted: number): PermitGrant | null;
 }
 
 /** Maximum time for pending writes to end before a release is confirmed. */
@@ -150,6 +154,12 @@
       : this.options.handleUpdateRequest(request);
   }
 
+  grantPermits({customer, wanted}: PermitRequest): PermitGrant | null {
+    return this.options.isStopping()
+      ? null
+      : this.options.grantPermits(customer, wanted);
+  }
+
   /** Digest of the primary records that this proxy knows. */
   computeDigest(): string {
     const revisions = new Map<string, number>();
--- a/packages/gateway/src/peer/trpc_peer_client.ts
+++ b/packages/gateway/src/peer/trpc_peer_client.ts
@@ -6,6 +6,7 @@
   type TrafficMeter,
 } from '../observability/traffic_meter.js';
 import type {EntryVmRecord} from '../control/control_record.js';
+import type {PermitGrant} from '../quota/quota_ledger.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import type {
   ConditionalWrite,
@@ -18,6 +19,7 @@
   LeadershipTransfer,
   PeerClient,
   PeerError,
+  PermitRequest,
   PositionAnswer,
   PositionRequest,
   ReachabilityAnswer,
@@ -109,6 +111,13 @@
     return this.call(() => this.getClient(peer).askPosition.query(request));
   }
 
+  takePermits(
+    peer: EntryVmRecord,
+    request: PermitRequest,
+  ): Promise<Result<PermitGrant | null, PeerError>> {
+    return this.call(() => this.getClient(peer).takePermits.query(request));
+  }
+
   async followZone(
     peer: EntryVmRecord,
     request: ZoneUpdateRequest,
--- /dev/null
+++ b/packages/gateway/src/quota/customer_quotas.ts
@@ -0,0 +1,62 @@
+import type {Clock} from '@filbertrun/base/clock.js';
+import type {Customer} from '../customer/customer.js';
+import type {EntryVmIdentity} from '../control/entry_vm_registration.js';
+import type {RegistrationView} from '../control/registration_view.js';
+import type {ClockJumpDetector} from '../group/clock_jump_detector.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import type {PeerClient} from '../peer/peer_client.js';
+import {QuotaOperationLimiter} from './operation_limiter.js';
+import {QuotaOwnerRole} from './quota_owner_role.js';
+import type {QuotaRules} from './quota_rules.js';
+
+/** Dependencies of {@link CustomerQuotas}. @public */
+export interface CustomerQuotasOptions {
+  readonly self: EntryVmIdentity;
+  readonly availabilityZones: readonly string[];
+  readonly clock: Clock;
+  readonly clockJumpDetector: ClockJumpDetector;
+  readonly events: GatewayEventRecorder;
+  readonly peers: PeerClient;
+  readonly rules: QuotaRules;
+  getView(): RegistrationView | null;
+}
+
+/** Applies the limits of the customers of the newest configuration. @public */
+export class CustomerQuotas {
+  readonly owner: QuotaOwnerRole;
+  readonly limiter: QuotaOperationLimiter;
+  private customers: readonly Customer[] = [];
+
+  private constructor(options: CustomerQuotasOptions) {
+    const {self, clock, clockJumpDetector, events, peers, rules} = options;
+    this.owner = QuotaOwnerRole.create({
+      self,
+      clock,
+      events,
+      rules,
+      getView: () => options.getView(),
+      getCustomers: () => this.customers,
+    });
+    this.limiter = QuotaOperationLimiter.create({
+      entryVm: self.entryVm,
+      availabilityZone: self.availabilityZone,
+      availabilityZones: options.availabilityZones,
+      clock,
+      clockJumpDetector,
+      peers,
+      getView: () => options.getView(),
+      grantLocally: (customer, wanted) => this.owner.grant(customer, wanted),
+    });
+  }
+
+  static create(options: CustomerQuotasOptions): CustomerQuotas {
+    return new CustomerQuotas(options);
+  }
+
+  /** Applies the customers of a newer configuration. */
+  applyCustomers(customers: readonly Customer[]): void {
+    this.customers = customers;
+    this.limiter.retain(new Set(customers.map(({name}) => name)));
+    this.owner.handleConfiguration();
+  }
+}
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -12,6 +12,8 @@
   CallerStatement,
   StatementRequest,
 } from '../statement/caller_statement.js';
+import type {LimitError} from '../quota/operation_limiter.js';
+import {UNLIMITED_PERMIT} from '../quota/operation_permit.js';
 import type {
   BackendAnswer,
   StatementReply,
@@ -203,6 +205,7 @@
     return {
       customer: caller.customer,
       identity: caller.identity,
+      permit: UNLIMITED_PERMIT,
       gateway: this.gateway,
       route,
       group,
@@ -305,7 +308,34 @@
     return reply;
   }
 
-  private handleOutsideTransaction(
+  /** Runs the first statement of an operation if the limit admits it. */
+  private async handleOutsideTransaction(
+    context: StatementContext,
+    statement: CallerStatement,
+  ): Promise<StatementReply> {
+    const admitted = await this.gateway.limiter.admit(context.customer);
+    if (!admitted.ok) {
+      return this.refuseByLimit(context, admitted.error);
+    }
+    const permit = admitted.value;
+    const reply = await this.execute({...context, permit}, statement);
+    permit.end();
+    return reply;
+  }
+
+  private refuseByLimit(
+    context: StatementContext,
+    {kind, retryAfterMs}: LimitError,
+  ): StatementReply {
+    const error: CallerError =
+      kind === 'exhausted'
+        ? {kind: 'limitExceeded', retryAfterMs}
+        : {kind: 'unavailable', retryAfterMs};
+    recordRefused(context, error, `limit: ${kind}`);
+    return createErrorReply(error, 'idle');
+  }
+
+  private execute(
     context: StatementContext,
     statement: CallerStatement,
   ): Promise<StatementReply> {
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -7,6 +7,8 @@
 } from '../configuration/service_configuration.js';
 import type {Customer} from '../customer/customer.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import type {OperationPermit} from '../quota/operation_permit.js';
+import type {OperationLimiter} from '../quota/operation_limiter.js';
 import {chooseQueueWaitMs} from '../routing/choose_queue_wait.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
@@ -17,6 +19,7 @@
   readonly availabilityZone: AvailabilityZone;
   /** Identity of backend connections that belong to no customer. */
   readonly sharedIdentity: ConnectionIdentity;
+  readonly limiter: OperationLimiter;
   getConfiguration(): ServiceConfiguration | null;
   getGroup(databaseGroup: string): GroupRuntime | null;
   /**
@@ -36,6 +39,8 @@
   readonly customer: Customer | null;
   /** Identity of the backend connections that may run the statement. */
   readonly identity: ConnectionIdentity;
+  /** Permit of the operation that the statement belongs to. */
+  readonly permit: OperationPermit;
   readonly configurationVersion: number;
   readonly requestId: string;
   readonly receivedAtMs: number;
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -268,6 +268,7 @@
         requiredPosition: plan.requiredPosition,
         session: this.read.session,
         identity: this.context.identity,
+        permit: this.context.permit,
         deadlineMs: this.context.deadlineMs,
         confirmSend: () => {
           leasedPrimary = this.findLeasedPrimary(server);
--- a/packages/gateway/src/session/run_on_connection.ts
+++ b/packages/gateway/src/session/run_on_connection.ts
@@ -11,6 +11,7 @@
   type PooledConnection,
   type SessionContext,
 } from '../backend/pooled_connection.js';
+import type {OperationPermit} from '../quota/operation_permit.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
 
@@ -22,6 +23,7 @@
   readonly session: SessionContext;
   /** Identity that the connection must have been opened under. */
   readonly identity: ConnectionIdentity;
+  readonly permit: OperationPermit;
   readonly deadlineMs: number;
   /** Called just before the statement is sent; false prevents the send. */
   readonly confirmSend: () => boolean;
@@ -58,6 +60,7 @@
   if (!request.confirmSend()) {
     return failure({kind: 'sendDeclined'});
   }
+  request.permit.markSent();
   const command: BackendCommand = {
     kind: 'callerStatement',
     requestId: request.requestId,
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -110,6 +110,7 @@
         requiredPosition: null,
         session,
         identity: context.identity,
+        permit: context.permit,
         deadlineMs: context.deadlineMs,
         confirmSend: () => true,
       },
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -145,6 +145,7 @@
         requiredPosition: null,
         session: this.write.session,
         identity: context.identity,
+        permit: context.permit,
         deadlineMs: context.deadlineMs,
         confirmSend: () => group.getWritablePrimary() === server,
       },
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -117,6 +117,9 @@
         contactWindowMs: CONTACT_WINDOW_MS,
         drainDurationMs: DRAIN_MS,
         configurationApplyMs: CONFIGURATION_APPLY_MS,
+        quotaRules: null,
+        availabilityZones: [],
+        isFirstStart: false,
       }),
     );
   }
@@ -226,6 +229,8 @@
       call(peer, handler => handler.tellPosition(request)),
     followZone: (peer, request) =>
       call(peer, handler => handler.followZone(request)),
+    takePermits: (peer, request) =>
+      call(peer, handler => handler.grantPermits(request)),
   };
 }
 
--- a/packages/gateway/src/testing/create_entry_vm_record.ts
+++ b/packages/gateway/src/testing/create_entry_vm_record.ts
@@ -14,6 +14,7 @@
     incarnation: 'one',
     leaseEndStoreMs: 0,
     contactWindowMs: null,
+    registeredSinceStoreMs: null,
     ...changes,
   };
 }
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -2,6 +2,7 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {PermitGrant} from '../quota/quota_ledger.js';
 import type {ZoneUpdate} from '../zone/zone_update.js';
 import type {
   PeerClient,
@@ -82,6 +83,11 @@
     return success(this.positions.get(peer.entryVm) ?? null);
   }
 
+  async takePermits(): Promise<Result<PermitGrant | null, PeerError>> {
+    await Promise.resolve();
+    return success(null);
+  }
+
   async handOverDuty(): Promise<Result<void, PeerError>> {
     await Promise.resolve();
     return success(undefined);
--- a/packages/gateway/src/testing/session_test_harness.ts
+++ b/packages/gateway/src/testing/session_test_harness.ts
@@ -8,6 +8,10 @@
 import {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {GroupRuntime} from '../group/group_runtime.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
+import {
+  UNLIMITED_OPERATIONS,
+  type OperationLimiter,
+} from '../quota/operation_limiter.js';
 import {CallerSession} from '../session/caller_session.js';
 import type {GatewayContext} from '../session/gateway_context.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
@@ -32,6 +36,7 @@
   readonly events = InMemoryEventRecorder.create();
   readonly availabilityZone = 'zone-a';
   readonly sharedIdentity = 'proxy';
+  limiter: OperationLimiter = UNLIMITED_OPERATIONS;
   /** Customers of the configuration in force. */
   customers: CustomerDirectory | null = null;
   readonly backend = FakeBackend.create(this.clock);
