--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -84,6 +84,13 @@
  */
 export const REGISTRATION_GAP_MS = 12_000;
 
+/**
+ * How long before its first registration an entry VM counts as registered when
+ * the whole deployment starts for the first time. No process has older
+ * registrations in view then, so it is enough that each one reads the store again.
+ */
+const FIRST_START_LEAD_MS = 12_000;
+
 /** Time after the end of its lease at which an entry VM's record is removed. */
 const REMOVAL_DELAY_MS = 30_000;
 
@@ -330,7 +337,9 @@
     if (known !== null) {
       return continueRegistration(known, storeNowMs);
     }
-    return this.options.isFirstStart ? 0 : storeNowMs;
+    return this.options.isFirstStart
+      ? storeNowMs - FIRST_START_LEAD_MS
+      : storeNowMs;
   }
 
   private write(records: readonly EntryVmRecord[]): Promise<boolean> {
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -7,6 +7,7 @@
 import type {
   PeerClient,
   PeerError,
+  PermitRequest,
   PositionAnswer,
   ReachabilityAnswer,
   RecordComparison,
@@ -27,7 +28,7 @@
   readonly positionRequests: string[] = [];
   readonly announcements: RevisedPrimaryRecord[] = [];
 
-  private constructor() {}
+  protected constructor() {}
 
   static create(): FakePeers {
     return new FakePeers();
@@ -83,7 +84,10 @@
     return success(this.positions.get(peer.entryVm) ?? null);
   }
 
-  async takePermits(): Promise<Result<PermitGrant | null, PeerError>> {
+  async takePermits(
+    _peer: EntryVmRecord,
+    _request: PermitRequest,
+  ): Promise<Result<PermitGrant | null, PeerError>> {
     await Promise.resolve();
     return success(null);
   }
