--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -121,7 +121,7 @@
       return createReport('FATAL', '28P01', error.reason, null);
     case 'accessDenied':
       return createReport(
-        'FATAL',
+        'ERROR',
         '28000',
         'The API key is unknown or was withdrawn.',
         null,
--- a/packages/report/src/loss_cause.ts
+++ b/packages/report/src/loss_cause.ts
@@ -23,6 +23,12 @@
   /** No backend server that could run the statement is reachable. */
   | 'servers out of reach'
   | 'lost connection'
+  /** The customer has reached its limit. */
+  | 'customer limit'
+  /** No proxy that grants permits of the customer's limit has answered. */
+  | 'quota owner out of reach'
+  /** The caller's key was moved to another customer. */
+  | 'key moved'
   | 'idle transaction'
   | 'other';
 
@@ -150,7 +156,10 @@
 /** Whether the reason can result from a missing or unreachable primary. */
 function concernsPrimary(reason: string): boolean {
   return (
-    !reason.includes('rejected') && !reason.includes('no server qualifies')
+    !reason.includes('rejected') &&
+    !reason.includes('no server qualifies') &&
+    !reason.startsWith('limit: ') &&
+    !reason.includes('key')
   );
 }
 
@@ -160,6 +169,9 @@
 
 /** Causes by substring of the reason; the first match counts. */
 const REASON_CAUSES: readonly (readonly [string, LossCause])[] = [
+  ['limit: exhausted', 'customer limit'],
+  ['limit: unreachable', 'quota owner out of reach'],
+  ['the key was moved', 'key moved'],
   ['no connection', 'connection'],
   ['rejected: LAGGING', 'lag of replicas'],
   ['no server qualifies', 'servers out of reach'],
