Quotas: most operations use permits that the zone's owner has reserved

Change: the owner reserves permits for a proxy, which count as tokens until they are used; a proxy replenishes, renews and returns them once a second in one message for each of four partitions of the customers. Without a reserved permit it asks as before. Also removed, with their tests where they had any: code without users (PrimaryPositionHistory, MajorityTracker.getLatest, GroupAssignment.isMonitor, the event versionReported, OMITTED_LINES); a request key set by SET may be as long as one in a comment, 128 characters, not 200.

--- a/packages/completion/src/completion_statement.ts
+++ b/packages/completion/src/completion_statement.ts
@@ -12,9 +12,6 @@
 /** Maximum length of a response in its stored form, in characters. @public */
 export const MAX_STORED_ANSWER_LENGTH = 65_536;
 
-/** Maximum length of an idempotency key in characters. @public */
-export const MAX_REQUEST_KEY_LENGTH = 128;
-
 /** Row of the completion table. @public */
 export interface CompletionRecord {
   readonly requestKey: string;
--- a/packages/configuration/src/configuration_core.ts
+++ b/packages/configuration/src/configuration_core.ts
@@ -38,7 +38,6 @@
   | {readonly type: 'platformResponded'; readonly version: number}
   | {readonly type: 'peerResponded'; readonly version: number}
   | {readonly type: 'allResponded'}
-  | {readonly type: 'versionReported'; readonly version: number}
   | {readonly type: 'configurationObtained'; readonly held: HeldConfiguration}
   | {readonly type: 'disposed'};
 
@@ -121,8 +120,6 @@
       return {...recordVersion(context, event.version), hasPeerResponded: true};
     case 'allResponded':
       return {haveAllResponded: true};
-    case 'versionReported':
-      return recordVersion(context, event.version);
     case 'configurationObtained':
       return replaceHeld(context, event.held);
     case 'disposed':
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -438,8 +438,8 @@
       readControlTable: () => void this.controlPoller.readNow(),
       maintainLeadership: () => void this.maintainStoreRecords(),
       handleUpdateRequest: request => publisher.answer(request),
-      grantPermits: (customer, wanted) =>
-        this.quotas?.owner.grant(customer, wanted) ?? null,
+      exchangePermits: exchange =>
+        this.quotas?.owner.exchange(exchange) ?? null,
     });
     this.quotas =
       options.quotaRules === null
@@ -674,7 +674,7 @@
     }
     this.readiness.update();
     this.zoneReading.maintain();
-    this.quotas?.owner.maintain();
+    this.quotas?.maintain();
     this.controlPoller.pollIfUrgent();
     if (!this.controlPoller.hasRead || this.isStopping) {
       return;
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -247,10 +247,10 @@
       readonly retryAfterMs: number | null;
       readonly waitedMs: number;
     } & RouteInputs)
-  /** The number of customers whose quota this proxy owns in its zone changed. */
+  /** The number of quota partitions that this proxy owns in its zone changed. */
   | {
       readonly kind: 'quotasOwned';
-      readonly count: number;
+      readonly partitionCount: number;
       /** Age of the registrations; null without valid ones. */
       readonly viewAgeMs: number | null;
     }
--- a/packages/gateway/src/peer/malformed_peer_message_test.ts
+++ b/packages/gateway/src/peer/malformed_peer_message_test.ts
@@ -19,7 +19,7 @@
   takeOverDuty: () => {},
   compareRecords: () => ({digest: 'digest'}),
   tellPosition: () => null,
-  grantPermits: () => null,
+  exchangePermits: () => null,
   followZone: () => Promise.reject(new Error('broken')),
 };
 
--- a/packages/gateway/src/peer/peer_client.ts
+++ b/packages/gateway/src/peer/peer_client.ts
@@ -3,7 +3,7 @@
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from '../zone/zone_update.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
-import type {PermitGrant} from '../quota/quota_ledger.js';
+import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
 
 /** Requests and responses between the proxies of a deployment. */
 
@@ -81,12 +81,6 @@
   readonly digest: string | null;
 }
 
-/** Asks the quota owner for permits for operations of a customer. @public */
-export interface PermitRequest {
-  readonly customer: string;
-  readonly wanted: number;
-}
-
 /** Reason why another proxy did not respond. @public */
 export interface PeerError {
   readonly kind: 'unreachable';
@@ -130,11 +124,11 @@
     peer: EntryVmRecord,
     request: ZoneUpdateRequest,
   ): Promise<Result<ZoneUpdate | null, PeerError>>;
-  /** Returns granted permits; null if the proxy is not the quota owner. */
-  takePermits(
+  /** Exchanges permits; null if the other proxy is not the quota owner. */
+  exchangePermits(
     peer: EntryVmRecord,
-    request: PermitRequest,
-  ): Promise<Result<PermitGrant | null, PeerError>>;
+    exchange: PermitExchange,
+  ): Promise<Result<PermitGrants | null, PeerError>>;
 }
 
 /** Handles the requests of other proxies. @public */
@@ -150,6 +144,6 @@
   /** Returns this proxy's newest freshness bound; null for none. */
   tellPosition(request: PositionRequest): PositionAnswer | null;
   followZone(request: ZoneUpdateRequest): Promise<ZoneUpdate | null>;
-  /** Grants permits; null if this proxy is not the quota owner. */
-  grantPermits(request: PermitRequest): PermitGrant | null;
+  /** Exchanges permits; null if this proxy is not the quota owner. */
+  exchangePermits(exchange: PermitExchange): PermitGrants | null;
 }
--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -7,12 +7,11 @@
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import {computeRecordDigest} from '../group/record_digest.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {PermitGrant} from '../quota/quota_ledger.js';
+import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from '../zone/zone_update.js';
 import type {
   LeadershipTransfer,
   PeerHandler,
-  PermitRequest,
   PositionAnswer,
   PositionRequest,
   ReachabilityAnswer,
@@ -41,8 +40,8 @@
   maintainLeadership(): void;
   /** Returns updates of the store for another proxy of the zone. */
   handleUpdateRequest(request: ZoneUpdateRequest): Promise<ZoneUpdate | null>;
-  /** Grants permits of a quota that this proxy owns; null for others. */
-  grantPermits(customer: string, wanted: number): PermitGrant | null;
+  /** Exchanges permits of quotas that this proxy owns; null for others. */
+  exchangePermits(exchange: PermitExchange): PermitGrants | null;
 }
 
 /** Maximum time for pending writes to end before a release is confirmed. */
@@ -154,10 +153,10 @@
       : this.options.handleUpdateRequest(request);
   }
 
-  grantPermits({customer, wanted}: PermitRequest): PermitGrant | null {
+  exchangePermits(exchange: PermitExchange): PermitGrants | null {
     return this.options.isStopping()
       ? null
-      : this.options.grantPermits(customer, wanted);
+      : this.options.exchangePermits(exchange);
   }
 
   /** Digest of the primary records that this proxy knows. */
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -2,6 +2,10 @@
 import {initTRPC} from '@trpc/server';
 import * as z from 'zod';
 import {primaryRecordSchema} from '../group/primary_record.js';
+import {
+  permitExchangeSchema,
+  permitGrantsSchema,
+} from '../quota/permit_exchange.js';
 import type {ControlRelayHandler} from './control_relay.js';
 import {
   encodeZoneUpdate,
@@ -11,9 +15,6 @@
 
 /** The protocol between proxies, as a tRPC router. */
 
-/** Most permits that a proxy may ask for at once. */
-const MAX_WANTED_PERMITS = 10_000;
-
 const releaseRequestSchema = z.object({
   databaseGroup: z.string(),
   changeId: z.string(),
@@ -44,16 +45,6 @@
   leadMs: z.number().nonnegative(),
 });
 
-const permitRequestSchema = z.object({
-  customer: z.string().min(1),
-  wanted: z.number().int().min(1).max(MAX_WANTED_PERMITS),
-});
-
-const permitGrantSchema = z.object({
-  grantedCount: z.number().int().nonnegative(),
-  retryAfterMs: z.number().nonnegative(),
-});
-
 const conditionalWriteSchema = z.object({
   key: z.string().min(1),
   value: z.string(),
@@ -108,10 +99,10 @@
         const update = await handler.followZone(input);
         return update === null ? null : encodeZoneUpdate(update);
       }),
-    takePermits: trpc.procedure
-      .input(permitRequestSchema)
-      .output(permitGrantSchema.nullable())
-      .query(({input}) => handler.grantPermits(input)),
+    exchangePermits: trpc.procedure
+      .input(permitExchangeSchema)
+      .output(permitGrantsSchema.nullable())
+      .mutation(({input}) => handler.exchangePermits(input)),
     askReach: trpc.procedure
       .input(z.object({backendServer: z.string()}))
       .output(z.object({isReachable: z.boolean()}))
--- a/packages/gateway/src/peer/trpc_peer_client.ts
+++ b/packages/gateway/src/peer/trpc_peer_client.ts
@@ -6,7 +6,7 @@
   type TrafficMeter,
 } from '../observability/traffic_meter.js';
 import type {EntryVmRecord} from '../control/control_record.js';
-import type {PermitGrant} from '../quota/quota_ledger.js';
+import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import type {
   ConditionalWrite,
@@ -19,7 +19,6 @@
   LeadershipTransfer,
   PeerClient,
   PeerError,
-  PermitRequest,
   PositionAnswer,
   PositionRequest,
   ReachabilityAnswer,
@@ -111,11 +110,13 @@
     return this.call(() => this.getClient(peer).askPosition.query(request));
   }
 
-  takePermits(
+  exchangePermits(
     peer: EntryVmRecord,
-    request: PermitRequest,
-  ): Promise<Result<PermitGrant | null, PeerError>> {
-    return this.call(() => this.getClient(peer).takePermits.query(request));
+    exchange: PermitExchange,
+  ): Promise<Result<PermitGrants | null, PeerError>> {
+    return this.call(() =>
+      this.getClient(peer).exchangePermits.mutate(exchange),
+    );
   }
 
   async followZone(
--- a/packages/gateway/src/quota/choose_quota_owner.ts
+++ b/packages/gateway/src/quota/choose_quota_owner.ts
@@ -3,7 +3,7 @@
 import {REGISTRATION_GAP_MS} from '../control/entry_vm_registration.js';
 
 /**
- * Chooses the quota owner of a customer in an availability zone by rendezvous
+ * Chooses the quota owner of a partition in an availability zone by rendezvous
  * hashing among the registered proxies.
  *
  * At most one proxy of a zone acts as the owner:
@@ -23,7 +23,7 @@
 
 /** Inputs of {@link chooseQuotaOwner}. @public */
 export interface QuotaOwnerInputs {
-  readonly customer: string;
+  readonly partition: string;
   readonly availabilityZone: string;
   readonly entryVms: readonly EntryVmRecord[];
   /** Current time on the store's clock. */
@@ -35,7 +35,7 @@
   inputs: QuotaOwnerInputs,
 ): EntryVmRecord | null {
   const {availabilityZone, entryVms, storeNowMs} = inputs;
-  const keyHash = computeHash(inputs.customer);
+  const keyHash = computeHash(inputs.partition);
   let best: EntryVmRecord | null = null;
   let bestScore = -1;
   for (const record of entryVms) {
--- a/packages/gateway/src/quota/customer_quotas.ts
+++ b/packages/gateway/src/quota/customer_quotas.ts
@@ -38,14 +38,13 @@
       getCustomers: () => this.customers,
     });
     this.limiter = QuotaOperationLimiter.create({
-      entryVm: self.entryVm,
-      availabilityZone: self.availabilityZone,
+      self,
       availabilityZones: options.availabilityZones,
       clock,
       clockJumpDetector,
       peers,
       getView: () => options.getView(),
-      grantLocally: (customer, wanted) => this.owner.grant(customer, wanted),
+      exchangeLocally: exchange => this.owner.exchange(exchange),
     });
   }
 
@@ -56,7 +55,13 @@
   /** Applies the customers of a newer configuration. */
   applyCustomers(customers: readonly Customer[]): void {
     this.customers = customers;
-    this.limiter.retain(new Set(customers.map(({name}) => name)));
-    this.owner.handleConfiguration();
+    this.limiter.applyCustomers(customers);
+    this.owner.handleCustomers();
+  }
+
+  /** Checks ownership and replenishes permits. Called on each maintenance pass. */
+  maintain(): void {
+    this.owner.maintain();
+    this.limiter.maintain();
   }
 }
--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -1,15 +1,23 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {sleep} from '@filbertrun/base/sleep.js';
-import type {Customer} from '../customer/customer.js';
+import type {Customer, CustomerLimit} from '../customer/customer.js';
+import type {EntryVmIdentity} from '../control/entry_vm_registration.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RegistrationView} from '../control/registration_view.js';
 import type {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import type {PeerClient} from '../peer/peer_client.js';
+import {chooseQuotaOwner} from './choose_quota_owner.js';
 import {UNLIMITED_PERMIT, type OperationPermit} from './operation_permit.js';
+import type {
+  CustomerReport,
+  PermitExchange,
+  PermitGrants,
+} from './permit_exchange.js';
+import {PermitReserve, type ReserveSnapshot} from './permit_reserve.js';
 import {PermitStock} from './permit_stock.js';
-import type {PermitGrant} from './quota_ledger.js';
-import {findQuotaOwner} from './quota_owner_role.js';
+import {isSameLimit} from './quota_ledger.js';
+import {getQuotaPartition} from './quota_partition.js';
 
 /** Why an operation got no permit. It was not run. @public */
 export interface LimitError {
@@ -35,16 +43,15 @@
 
 /** Dependencies of {@link QuotaOperationLimiter}. @public */
 export interface QuotaOperationLimiterOptions {
-  readonly entryVm: string;
-  readonly availabilityZone: string;
+  readonly self: EntryVmIdentity;
   /** All availability zones of the deployment. */
   readonly availabilityZones: readonly string[];
   readonly clock: Clock;
   readonly clockJumpDetector: ClockJumpDetector;
   readonly peers: PeerClient;
   getView(): RegistrationView | null;
-  /** Grants permits if this proxy is the owner itself, else returns null. */
-  grantLocally(customer: string, wanted: number): PermitGrant | null;
+  /** Exchanges permits with this proxy if it is the owner itself. */
+  exchangeLocally(exchange: PermitExchange): PermitGrants | null;
 }
 
 /** Timeout for the answer of a quota owner. */
@@ -69,32 +76,52 @@
 /** Requests to owners after which an operation is refused. */
 const MAX_ROUNDS = 3;
 
+/** Interval at which reserved permits are replenished. */
+const REPLENISH_INTERVAL_MS = 1_000;
+
+/** Time without operations after which a customer's permits are returned. */
+const IDLE_RETURN_MS = 5_000;
+
+/** Remaining lifetime below which held permits are reported again. */
+const RENEW_BELOW_MS = 4_000;
+
+/** Most permits that are reserved for one customer. */
+const MAX_RESERVE = 50;
+
 type AskOutcome =
   | {readonly kind: 'granted'}
   | {readonly kind: 'exhausted'; readonly retryAfterMs: number}
   | {readonly kind: 'unreachable'};
 
-/** Limits of one customer as this proxy sees them. */
+interface ExhaustedZone {
+  /** Time until which the owner is not asked again. */
+  readonly askAgainAtMs: number;
+  /** Time at which the owner expects to have a permit. */
+  readonly permitAtMs: number;
+}
+
+/** One customer as this proxy sees it. */
 interface CustomerState {
+  readonly partition: string;
+  readonly limit: CustomerLimit;
+  /** Permits for operations that wait. */
   readonly stock: PermitStock;
+  readonly reserve: PermitReserve;
   /** Operations that wait for the request in progress. */
   waiting: number;
   request: Promise<AskOutcome> | null;
   /** Zones whose owner has no permits left. */
   readonly exhausted: Map<string, ExhaustedZone>;
-}
-
-interface ExhaustedZone {
-  /** Time until which the owner is not asked again. */
-  readonly askAgainAtMs: number;
-  /** Time at which the owner expects to have a permit. */
-  readonly permitAtMs: number;
+  usedAtMs: number;
+  /** Operations since the reserve was last replenished. */
+  recentCount: number;
 }
 
 /**
- * Admits operations with permits of the customer's quota owners: first the one
- * of the local zone, then those of the other zones, whose shares may be left
- * over.
+ * Admits operations with permits of the customer's quota owners. Most use one
+ * that the owner of the local zone has reserved for this proxy. Without one, the
+ * owner of the local zone is asked, then those of the other zones, whose shares
+ * may be left over.
  *
  * @public
  */
@@ -102,6 +129,7 @@
   private readonly states = new Map<string, CustomerState>();
   /** Times until which proxies that did not answer are not asked, by entry VM. */
   private readonly unreachableUntilMs = new Map<string, number>();
+  private replenishedAtMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly options: QuotaOperationLimiterOptions) {}
 
@@ -115,49 +143,98 @@
     if (customer === null || customer.limit === null) {
       return success(UNLIMITED_PERMIT);
     }
-    const state = this.getState(customer.name);
-    const held = state.stock.take();
-    if (held !== null) {
-      return success(held);
-    }
-    return this.waitForPermit(customer.name, state);
+    const state = this.getState(customer.name, customer.limit);
+    state.usedAtMs = this.options.clock.nowMs();
+    state.recentCount++;
+    const held = state.stock.take() ?? state.reserve.take();
+    return held === null
+      ? this.waitForPermit(customer.name, state)
+      : success(held);
   }
 
-  /** Forgets customers that the configuration no longer has. */
-  retain(customers: ReadonlySet<string>): void {
-    for (const name of [...this.states.keys()]) {
-      if (!customers.has(name)) {
+  /** Forgets the permits of customers whose limit has changed. */
+  applyCustomers(customers: readonly Customer[]): void {
+    const limits = new Map(customers.map(({name, limit}) => [name, limit]));
+    for (const [name, {limit}] of [...this.states]) {
+      if (!isSameLimit(limits.get(name) ?? null, limit)) {
         this.states.delete(name);
       }
     }
   }
 
+  /** Replenishes and returns permits if due. Called on each maintenance pass. */
+  maintain(): void {
+    const nowMs = this.options.clock.nowMs();
+    if (nowMs - this.replenishedAtMs < REPLENISH_INTERVAL_MS) {
+      return;
+    }
+    this.replenishedAtMs = nowMs;
+    const reports = new Map<string, CustomerReport[]>();
+    for (const [customer, state] of this.states) {
+      const report = this.createReplenishment(customer, state);
+      if (report !== null) {
+        const known = reports.get(state.partition) ?? [];
+        known.push(report);
+        reports.set(state.partition, known);
+      }
+    }
+    for (const [partition, partitionReports] of reports) {
+      void this.exchange(
+        partition,
+        this.options.self.availabilityZone,
+        partitionReports,
+      );
+    }
+  }
+
+  /** Returns what to report about a customer's reserve; null for nothing. */
+  private createReplenishment(
+    customer: string,
+    state: CustomerState,
+  ): CustomerReport | null {
+    const nowMs = this.options.clock.nowMs();
+    const {reserve} = state;
+    const target = Math.min(MAX_RESERVE, Math.max(1, state.recentCount));
+    state.recentCount = 0;
+    if (state.request !== null) {
+      return null;
+    }
+    const {heldCount} = reserve;
+    if (nowMs - state.usedAtMs >= IDLE_RETURN_MS) {
+      return heldCount === 0
+        ? null
+        : createReport(customer, {returnedCount: reserve.clear()});
+    }
+    const wantedCount = Math.max(0, target - heldCount);
+    const isDue = wantedCount > 0 || reserve.getRemainingMs() < RENEW_BELOW_MS;
+    return isDue ? createReport(customer, {heldCount, wantedCount}) : null;
+  }
+
   private async waitForPermit(
     customer: string,
     state: CustomerState,
   ): Promise<Result<OperationPermit, LimitError>> {
     state.waiting++;
-    // A request that was sent before this operation arrived may not include it.
-    for (let round = 0; round < MAX_ROUNDS; round++) {
-      state.request ??= this.ask(customer, state).finally(() => {
-        state.request = null;
-      });
-      const outcome = await state.request;
-      const permit = state.stock.take();
-      if (permit !== null) {
-        state.waiting--;
-        return success(permit);
-      }
-      if (outcome.kind !== 'granted') {
-        state.waiting--;
-        return failure(toLimitError(outcome));
+    try {
+      // A request that was sent before this operation arrived may not include it.
+      for (let round = 0; round < MAX_ROUNDS; round++) {
+        state.request ??= this.ask(customer, state).finally(() => {
+          state.request = null;
+        });
+        const outcome = await state.request;
+        const permit = state.stock.take() ?? state.reserve.take();
+        if (permit !== null) {
+          return success(permit);
+        }
+        if (outcome.kind !== 'granted') {
+          return failure(toLimitError(outcome));
+        }
       }
+    } finally {
+      state.waiting--;
     }
-    state.waiting--;
-    return failure({
-      kind: 'exhausted',
-      retryAfterMs: UNREACHABLE_RETRY_AFTER_MS,
-    });
+    const retryAfterMs = UNREACHABLE_RETRY_AFTER_MS;
+    return failure({kind: 'exhausted', retryAfterMs});
   }
 
   /** Asks the owners zone by zone until one of them grants a permit. */
@@ -187,7 +264,8 @@
 
   /** The local zone first, then the others in an order of the customer's own. */
   private listZones(customer: string): readonly string[] {
-    const {availabilityZone, availabilityZones} = this.options;
+    const {self, availabilityZones} = this.options;
+    const {availabilityZone} = self;
     const others = availabilityZones.filter(zone => zone !== availabilityZone);
     const first = customer.length % Math.max(1, others.length);
     return [
@@ -202,18 +280,21 @@
     state: CustomerState,
     zone: string,
   ): Promise<AskOutcome> {
-    const {clock} = this.options;
+    const {clock, self} = this.options;
     const known = state.exhausted.get(zone);
     if (known !== undefined && clock.nowMs() < known.askAgainAtMs) {
       const retryAfterMs = known.permitAtMs - clock.nowMs();
       return {kind: 'exhausted', retryAfterMs};
     }
-    const owner = this.findOwner(customer, zone);
-    if (owner === null || this.isUnreachable(owner)) {
-      return {kind: 'unreachable'};
-    }
-    const grant = await this.fetchGrant(customer, state, owner);
-    if (grant === null) {
+    const isLocal = zone === self.availabilityZone;
+    const report = createReport(customer, {
+      heldCount: isLocal ? state.reserve.heldCount : 0,
+      neededCount: Math.max(1, state.waiting),
+      wantedCount: isLocal ? 1 : 0,
+    });
+    const grants = await this.exchange(state.partition, zone, [report]);
+    const grant = grants?.grants[0];
+    if (grant === undefined) {
       return {kind: 'unreachable'};
     }
     if (grant.grantedCount > 0) {
@@ -222,70 +303,105 @@
     }
     const {retryAfterMs} = grant;
     const permitAtMs = clock.nowMs() + retryAfterMs;
-    const backoffMs = this.chooseBackoffMs(zone, retryAfterMs);
+    const backoffMs = chooseBackoffMs(isLocal, retryAfterMs);
     const askAgainAtMs = clock.nowMs() + backoffMs;
     state.exhausted.set(zone, {askAgainAtMs, permitAtMs});
     return {kind: 'exhausted', retryAfterMs};
   }
 
-  private chooseBackoffMs(zone: string, retryAfterMs: number): number {
-    if (zone !== this.options.availabilityZone) {
-      return Math.max(OTHER_ZONE_BACKOFF_MS, retryAfterMs);
-    }
-    const waitMs = Math.max(MIN_LOCAL_BACKOFF_MS, retryAfterMs);
-    return Math.min(MAX_LOCAL_BACKOFF_MS, waitMs);
-  }
-
-  private isUnreachable(owner: EntryVmRecord): boolean {
-    const untilMs = this.unreachableUntilMs.get(owner.entryVm);
-    return untilMs !== undefined && this.options.clock.nowMs() < untilMs;
-  }
-
   /**
-   * Returns the owner's answer, whose permits are in the stock by then; null if
-   * there is none in time or the proxy is not the owner. Permits of a late answer
-   * are added to the stock, too.
+   * Exchanges permits with the owner of a partition in a zone. Returns the answer
+   * after it was applied; null if there is none in time or the proxy is not the
+   * owner. A late answer is applied, too.
    */
-  private async fetchGrant(
-    customer: string,
-    state: CustomerState,
-    owner: EntryVmRecord,
-  ): Promise<PermitGrant | null> {
-    const {clock, clockJumpDetector, peers} = this.options;
-    const askedAt = clockJumpDetector.read();
-    const wanted = Math.max(1, state.waiting);
-    if (owner.entryVm === this.options.entryVm) {
-      const grant = this.options.grantLocally(customer, wanted);
-      state.stock.add(grant?.grantedCount ?? 0, askedAt);
-      return grant;
+  private async exchange(
+    partition: string,
+    zone: string,
+    reports: readonly CustomerReport[],
+  ): Promise<PermitGrants | null> {
+    const {clock, peers, self} = this.options;
+    const owner = this.findOwner(partition, zone);
+    if (owner === null || this.isUnreachable(owner)) {
+      return null;
     }
-    const answer = peers.takePermits(owner, {customer, wanted}).then(result => {
-      const grant = result.ok ? result.value : null;
-      state.stock.add(grant?.grantedCount ?? 0, askedAt);
-      return grant;
-    });
+    const holder = self.incarnation;
+    const message = {holder, partition, reports};
+    const apply = this.prepareApply(reports, zone);
+    if (owner.entryVm === self.entryVm) {
+      return apply(this.options.exchangeLocally(message));
+    }
+    const answer = peers
+      .exchangePermits(owner, message)
+      .then(result => apply(result.ok ? result.value : null));
     const timeout = sleep(clock, ASK_TIMEOUT_MS).then(() => null);
-    const grant = await Promise.race([answer, timeout]);
-    if (grant === null) {
+    const grants = await Promise.race([answer, timeout]);
+    if (grants === null) {
       const untilMs = clock.nowMs() + UNREACHABLE_BACKOFF_MS;
       this.unreachableUntilMs.set(owner.entryVm, untilMs);
     }
-    return grant;
+    return grants;
   }
 
-  private findOwner(customer: string, zone: string): EntryVmRecord | null {
+  /** Returns a function that applies the answer to reports sent now. */
+  private prepareApply(
+    reports: readonly CustomerReport[],
+    zone: string,
+  ): (grants: PermitGrants | null) => PermitGrants | null {
+    const sentAt = this.options.clockJumpDetector.read();
+    const isLocal = zone === this.options.self.availabilityZone;
+    const states = new Map<string, CustomerState>();
+    const snapshots = new Map<string, ReserveSnapshot>();
+    for (const {customer} of reports) {
+      const state = this.states.get(customer);
+      if (state !== undefined) {
+        states.set(customer, state);
+        snapshots.set(customer, state.reserve.createSnapshot());
+      }
+    }
+    return grants => {
+      for (const grant of grants?.grants ?? []) {
+        const state = states.get(grant.customer);
+        const snapshot = snapshots.get(grant.customer);
+        state?.stock.add(grant.grantedCount, sentAt);
+        if (isLocal && state !== undefined && snapshot !== undefined) {
+          state.reserve.applyGrant(grant, snapshot);
+        }
+      }
+      return grants;
+    };
+  }
+
+  private findOwner(partition: string, zone: string): EntryVmRecord | null {
     const view = this.options.getView();
-    return view === null ? null : findQuotaOwner(customer, zone, view);
+    return view === null
+      ? null
+      : chooseQuotaOwner({
+          partition,
+          availabilityZone: zone,
+          entryVms: view.entryVms,
+          storeNowMs: view.storeNowMs,
+        });
+  }
+
+  private isUnreachable(owner: EntryVmRecord): boolean {
+    const untilMs = this.unreachableUntilMs.get(owner.entryVm);
+    return untilMs !== undefined && this.options.clock.nowMs() < untilMs;
   }
 
-  private getState(customer: string): CustomerState {
+  private getState(customer: string, limit: CustomerLimit): CustomerState {
+    const {clockJumpDetector} = this.options;
     let state = this.states.get(customer);
     if (state === undefined) {
       state = {
-        stock: PermitStock.create(this.options.clockJumpDetector),
+        partition: getQuotaPartition(customer),
+        limit,
+        stock: PermitStock.create(clockJumpDetector),
+        reserve: PermitReserve.create(clockJumpDetector),
         waiting: 0,
         request: null,
         exhausted: new Map(),
+        usedAtMs: Number.NEGATIVE_INFINITY,
+        recentCount: 0,
       };
       this.states.set(customer, state);
     }
@@ -293,6 +409,28 @@
   }
 }
 
+function createReport(
+  customer: string,
+  counts: Partial<Omit<CustomerReport, 'customer'>>,
+): CustomerReport {
+  return {
+    customer,
+    heldCount: 0,
+    returnedCount: 0,
+    neededCount: 0,
+    wantedCount: 0,
+    ...counts,
+  };
+}
+
+function chooseBackoffMs(isLocal: boolean, retryAfterMs: number): number {
+  if (!isLocal) {
+    return Math.max(OTHER_ZONE_BACKOFF_MS, retryAfterMs);
+  }
+  const waitMs = Math.max(MIN_LOCAL_BACKOFF_MS, retryAfterMs);
+  return Math.min(MAX_LOCAL_BACKOFF_MS, waitMs);
+}
+
 function toLimitError(outcome: AskOutcome): LimitError {
   return outcome.kind === 'exhausted'
     ? {kind: 'exhausted', retryAfterMs: outcome.retryAfterMs}
--- a/packages/gateway/src/quota/quota_ledger.ts
+++ b/packages/gateway/src/quota/quota_ledger.ts
@@ -1,14 +1,11 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {Customer, CustomerLimit} from '../customer/customer.js';
 import {computeZoneQuota, type QuotaRules} from './quota_rules.js';
-import {TokenBucket} from './token_bucket.js';
-
-/** Permits that an owner grants. @public */
-export interface PermitGrant {
-  readonly grantedCount: number;
-  /** Time after which a permit may be available, if fewer were granted. */
-  readonly retryAfterMs: number;
-}
+import {
+  TokenBucket,
+  type PermitGrant,
+  type PermitReport,
+} from './token_bucket.js';
 
 /** Longest retry delay that is reported. */
 const MAX_RETRY_AFTER_MS = 5_000;
@@ -52,21 +49,19 @@
     }
   }
 
-  /** Stops owning a customer's quota. */
-  drop(customer: string): void {
-    this.buckets.delete(customer);
-  }
-
-  /** Grants up to `wanted` permits; null if the quota is not owned. */
-  grant(customer: string, wanted: number): PermitGrant | null {
+  /** Applies a proxy's report; null if the customer's quota is not owned. */
+  exchange(
+    customer: string,
+    holder: string,
+    report: PermitReport,
+  ): PermitGrant | null {
     const known = this.buckets.get(customer);
     if (known === undefined) {
       return null;
     }
-    const nowMs = this.clock.nowMs();
-    const grantedCount = known.bucket.take(wanted, nowMs);
-    const waitMs = known.bucket.getWaitMs(nowMs);
-    return {grantedCount, retryAfterMs: Math.min(waitMs, MAX_RETRY_AFTER_MS)};
+    const grant = known.bucket.exchange(holder, report, this.clock.nowMs());
+    const retryAfterMs = Math.min(grant.retryAfterMs, MAX_RETRY_AFTER_MS);
+    return {...grant, retryAfterMs};
   }
 
   private applyLimit(name: string, limit: CustomerLimit): void {
@@ -78,12 +73,20 @@
       this.buckets.set(name, {bucket, limit});
       return;
     }
-    if (
-      known.limit.operationsPerSecond !== limit.operationsPerSecond ||
-      known.limit.burstOperations !== limit.burstOperations
-    ) {
+    if (!isSameLimit(known.limit, limit)) {
       known.bucket.setQuota(quota, nowMs);
       known.limit = limit;
     }
   }
 }
+
+/** Whether two limits are equal. @internal */
+export function isSameLimit(
+  left: CustomerLimit | null,
+  right: CustomerLimit | null,
+): boolean {
+  return (
+    left?.operationsPerSecond === right?.operationsPerSecond &&
+    left?.burstOperations === right?.burstOperations
+  );
+}
--- a/packages/gateway/src/quota/quota_owner_role.ts
+++ b/packages/gateway/src/quota/quota_owner_role.ts
@@ -1,11 +1,16 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {Customer} from '../customer/customer.js';
 import type {EntryVmIdentity} from '../control/entry_vm_registration.js';
-import type {EntryVmRecord} from '../control/control_record.js';
 import type {RegistrationView} from '../control/registration_view.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import {chooseQuotaOwner, mayActAsOwner} from './choose_quota_owner.js';
-import {QuotaLedger, type PermitGrant} from './quota_ledger.js';
+import {mayActAsOwner} from './choose_quota_owner.js';
+import type {
+  CustomerGrant,
+  PermitExchange,
+  PermitGrants,
+} from './permit_exchange.js';
+import {QuotaLedger} from './quota_ledger.js';
+import {getQuotaPartition, listPartitions} from './quota_partition.js';
 import type {QuotaRules} from './quota_rules.js';
 
 /** Dependencies of {@link QuotaOwnerRole}. @public */
@@ -20,14 +25,14 @@
   getCustomers(): readonly Customer[];
 }
 
-/** Interval at which ownership of all customers' quotas is checked. */
+/** Interval at which ownership of all partitions is checked. */
 const CHECK_INTERVAL_MS = 1_000;
 
 /** Grants permits of the quotas that this proxy owns in its zone. @public */
 export class QuotaOwnerRole {
   private readonly ledger: QuotaLedger;
   private checkedAtMs = Number.NEGATIVE_INFINITY;
-  private ownedCount = 0;
+  private ownedPartitions: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: QuotaOwnerRoleOptions) {
     this.ledger = QuotaLedger.create(options.clock, options.rules);
@@ -46,59 +51,63 @@
     }
   }
 
-  /** Applies changed limits at once. */
-  handleConfiguration(): void {
+  /** Applies changed customers and limits at once. */
+  handleCustomers(): void {
     this.checkOwnership();
   }
 
-  /** Grants up to `wanted` permits; null if this proxy is not the owner. */
-  grant(customer: string, wanted: number): PermitGrant | null {
-    const view = this.options.getView();
-    if (view === null || !this.isOwner(customer, view)) {
-      this.ledger.drop(customer);
+  /** Grants permits; null if this proxy is not the owner of the partition. */
+  exchange({holder, partition, reports}: PermitExchange): PermitGrants | null {
+    if (!this.ownedPartitions.has(partition) || !this.isOwner(partition)) {
+      this.checkOwnership();
       return null;
     }
-    return this.ledger.grant(customer, wanted);
+    const grants: CustomerGrant[] = [];
+    for (const report of reports) {
+      const {customer} = report;
+      const isOwned = getQuotaPartition(customer) === partition;
+      const grant = isOwned
+        ? this.ledger.exchange(customer, holder, report)
+        : null;
+      if (grant !== null) {
+        grants.push({customer, ...grant});
+      }
+    }
+    return {grants};
   }
 
   private checkOwnership(): void {
-    const view = this.options.getView();
-    const owned =
-      view === null
-        ? []
-        : this.options
-            .getCustomers()
-            .filter(({name}) => this.isOwner(name, view));
-    this.ledger.setOwned(owned);
-    if (owned.length !== this.ownedCount) {
-      this.ownedCount = owned.length;
-      this.options.events.record({
+    const {getCustomers, events, getView} = this.options;
+    const owned = new Set(
+      listPartitions().filter(partition => this.isOwner(partition)),
+    );
+    const customers = getCustomers().filter(({name}) =>
+      owned.has(getQuotaPartition(name)),
+    );
+    this.ledger.setOwned(customers);
+    if (owned.size !== this.ownedPartitions.size) {
+      events.record({
         kind: 'quotasOwned',
-        count: owned.length,
-        viewAgeMs: view?.ageMs ?? null,
+        partitionCount: owned.size,
+        viewAgeMs: getView()?.ageMs ?? null,
       });
     }
+    this.ownedPartitions = owned;
   }
 
-  private isOwner(customer: string, view: RegistrationView): boolean {
-    const {self} = this.options;
-    return mayActAsOwner({
-      self,
-      customer,
-      availabilityZone: self.availabilityZone,
-      entryVms: view.entryVms,
-      storeNowMs: view.storeNowMs,
-      viewAgeMs: view.ageMs,
-    });
+  private isOwner(partition: string): boolean {
+    const {self, getView} = this.options;
+    const view = getView();
+    return (
+      view !== null &&
+      mayActAsOwner({
+        self,
+        partition,
+        availabilityZone: self.availabilityZone,
+        entryVms: view.entryVms,
+        storeNowMs: view.storeNowMs,
+        viewAgeMs: view.ageMs,
+      })
+    );
   }
 }
-
-/** Returns the quota owner of a customer in a zone, or null. @public */
-export function findQuotaOwner(
-  customer: string,
-  availabilityZone: string,
-  view: RegistrationView,
-): EntryVmRecord | null {
-  const {entryVms, storeNowMs} = view;
-  return chooseQuotaOwner({customer, availabilityZone, entryVms, storeNowMs});
-}
--- a/packages/gateway/src/quota/quota_rules.ts
+++ b/packages/gateway/src/quota/quota_rules.ts
@@ -27,23 +27,31 @@
 }
 
 /**
- * Time for which a permit is valid, counted by its holder from when it asked for
- * the permit. Short, because operations of the previous window may use up to
- * this many milliseconds' worth of permits in the next one.
+ * Time for which a permit for a waiting operation is valid, counted by its holder
+ * from when it asked. Such permits count as used when they are granted, so a
+ * window may contain those of this much time before it.
  *
  * @public
  */
 export const PERMIT_LIFETIME_MS = 400;
 
+/**
+ * Time for which a reserved permit is valid, counted by its holder from when it
+ * last reported it to the owner.
+ *
+ * @public
+ */
+export const RESERVATION_LIFETIME_MS = 10_000;
+
 /** Fraction of the allowed operations that is granted, for rounding errors. */
 const SAFETY_FRACTION = 0.98;
 
 const MS_PER_SECOND = 1_000;
 
 /**
- * Computes the share of a zone. In a window of length W, permits are used that
- * were granted in W plus the lifetime of a permit, so that all zones together
- * run at most rate * (W + lifetime) + tokens operations.
+ * Computes the share of a zone. Reserved permits count as tokens until they are
+ * used. In a window of length W, all zones together run at most
+ * rate * (W + permit lifetime) + tokens operations.
  *
  * @public
  */
--- a/packages/gateway/src/quota/quota_zone_simulation.ts
+++ b/packages/gateway/src/quota/quota_zone_simulation.ts
@@ -7,13 +7,13 @@
 import {EntryVmRegistration} from '../control/entry_vm_registration.js';
 import {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {PeerError, PermitRequest} from '../peer/peer_client.js';
+import type {PeerError} from '../peer/peer_client.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {advanceClock} from '../testing/settle.js';
 import {CustomerQuotas} from './customer_quotas.js';
-import type {PermitGrant} from './quota_ledger.js';
+import type {PermitExchange, PermitGrants} from './permit_exchange.js';
 import {computeWindowLimit, type QuotaRules} from './quota_rules.js';
 
 /** Simulated proxies of several zones that apply the limit of one customer. */
@@ -63,11 +63,11 @@
     super();
   }
 
-  override async takePermits(
+  override async exchangePermits(
     peer: EntryVmRecord,
-    request: PermitRequest,
-  ): Promise<Result<PermitGrant | null, PeerError>> {
-    return this.simulation.deliver(this.self, peer.entryVm, request);
+    exchange: PermitExchange,
+  ): Promise<Result<PermitGrants | null, PeerError>> {
+    return this.simulation.deliver(this.self, peer.entryVm, exchange);
   }
 }
 
@@ -226,12 +226,12 @@
     }
   }
 
-  /** Delivers a request for permits; fails between zones that are cut off. */
+  /** Delivers an exchange of permits; fails between zones that are cut off. */
   async deliver(
     from: string,
     to: string,
-    request: PermitRequest,
-  ): Promise<Result<PermitGrant | null, PeerError>> {
+    exchange: PermitExchange,
+  ): Promise<Result<PermitGrants | null, PeerError>> {
     await sleep(this.clock, MESSAGE_MS);
     const sender = this.proxies.get(from);
     const receiver = this.proxies.get(to);
@@ -244,12 +244,15 @@
     if (crossesCut) {
       return failure({kind: 'unreachable', reason: 'simulated'});
     }
-    const grant =
+    const answer =
       this.options.mutation?.grantsWithoutLimit === true
-        ? {grantedCount: request.wanted, retryAfterMs: 0}
-        : receiver.quotas.owner.grant(request.customer, request.wanted);
+        ? grantAll(exchange)
+        : receiver.quotas.owner.exchange(exchange);
     await sleep(this.clock, MESSAGE_MS);
-    return success(grant);
+    // The answer is lost if the holder was restarted meanwhile.
+    return this.proxies.get(from) === sender
+      ? success(answer)
+      : failure({kind: 'unreachable', reason: 'simulated'});
   }
 
   /** Most operations in any window, compared with the limit. */
@@ -268,7 +271,7 @@
 
   private maintain(): void {
     for (const [name, proxy] of this.proxies) {
-      proxy.quotas.owner.maintain();
+      proxy.quotas.maintain();
       const isCut =
         this.cutZones.has(proxy.zone) || this.cutFromStore.has(name);
       if (!isCut && this.clock.nowMs() >= proxy.nextReadAtMs) {
@@ -308,3 +311,15 @@
     return {name: CUSTOMER, keyDigests: [], limit: this.limit};
   }
 }
+
+function grantAll({reports}: PermitExchange): PermitGrants {
+  return {
+    grants: reports.map(({customer, neededCount, wantedCount, heldCount}) => ({
+      customer,
+      confirmedCount: heldCount,
+      grantedCount: neededCount,
+      reservedCount: wantedCount,
+      retryAfterMs: 0,
+    })),
+  };
+}
--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -36,7 +36,7 @@
     compareRecords: peer => peers.compareRecords(peer),
     askPosition: (peer, request) => peers.askPosition(peer, request),
     followZone: (peer, request) => peers.followZone(peer, request),
-    takePermits: (peer, request) => peers.takePermits(peer, request),
+    exchangePermits: (peer, exchange) => peers.exchangePermits(peer, exchange),
   };
 }
 
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -229,8 +229,8 @@
       call(peer, handler => handler.tellPosition(request)),
     followZone: (peer, request) =>
       call(peer, handler => handler.followZone(request)),
-    takePermits: (peer, request) =>
-      call(peer, handler => handler.grantPermits(request)),
+    exchangePermits: (peer, exchange) =>
+      call(peer, handler => handler.exchangePermits(exchange)),
   };
 }
 
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -2,12 +2,11 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
-import type {PermitGrant} from '../quota/quota_ledger.js';
+import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
 import type {ZoneUpdate} from '../zone/zone_update.js';
 import type {
   PeerClient,
   PeerError,
-  PermitRequest,
   PositionAnswer,
   ReachabilityAnswer,
   RecordComparison,
@@ -84,10 +83,10 @@
     return success(this.positions.get(peer.entryVm) ?? null);
   }
 
-  async takePermits(
+  async exchangePermits(
     _peer: EntryVmRecord,
-    _request: PermitRequest,
-  ): Promise<Result<PermitGrant | null, PeerError>> {
+    _exchange: PermitExchange,
+  ): Promise<Result<PermitGrants | null, PeerError>> {
     await Promise.resolve();
     return success(null);
   }
--- a/packages/group/src/majority_tracker.ts
+++ b/packages/group/src/majority_tracker.ts
@@ -81,11 +81,6 @@
     }
   }
 
-  /** Last position that a majority is known to hold. */
-  getLatest(): LogPosition | null {
-    return this.latest;
-  }
-
   dispose(): void {
     for (const waiter of [...this.waiters]) {
       waiter.settle(createUnconfirmed('disposed'));
--- a/packages/membership/src/group_assignment.ts
+++ b/packages/membership/src/group_assignment.ts
@@ -64,13 +64,6 @@
     return monitors;
   }
 
-  /** Whether a proxy monitors a database group for its availability zone. */
-  isMonitor(member: ProxyLocation, databaseGroup: DatabaseGroupName): boolean {
-    const candidates = this.zones.get(member.availabilityZone) ?? [];
-    const keyHash = computeHash(`watch/${databaseGroup}`);
-    return findBest(keyHash, candidates)?.name === member.entryVm;
-  }
-
   /**
    * The proxies that hold connections to an instance of a database group, in
    * the order in which they get the remainder of the division. All proxies are
--- a/packages/proxy/src/session/local_statements.ts
+++ b/packages/proxy/src/session/local_statements.ts
@@ -2,6 +2,7 @@
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {SessionTokenCodec} from '@filbertrun/session/session_token_codec.js';
 import {describeTokenError} from '@filbertrun/session/token_error.js';
+import {MAX_REQUEST_KEY_LENGTH} from '@filbertrun/sql/request_key_comment.js';
 import type {StatementClass} from '@filbertrun/sql/statement_class.js';
 import {SESSION_TOKEN_PARAMETER} from '../execution/acknowledgement.js';
 import type {LocalResponse} from './local_response.js';
@@ -16,9 +17,6 @@
 const REQUEST_KEY_PARAMETER = 'filbertrun.request_key';
 const APPLICATION_NAME_PARAMETER = 'application_name';
 
-/** Maximum length of an idempotency key in characters. */
-const MAX_REQUEST_KEY_LENGTH = 200;
-
 /**
  * Runs statements on session state that the proxy keeps: its own run-time
  * parameters and the prepared statements.
--- a/packages/standin/src/testing/wire_transcript.ts
+++ b/packages/standin/src/testing/wire_transcript.ts
@@ -10,11 +10,6 @@
 const CLIENT_NONCE = 'client-nonce';
 const KEY_BYTES = 32;
 
-/** Lines that the transcript leaves out. */
-const OMITTED_LINES: ReadonlySet<string> = new Set([
-  'parameterStatus client_encoding',
-]);
-
 /**
  * A client of a session without sockets. It records the messages sent and
  * received as a transcript with one message per line.
@@ -111,7 +106,7 @@
   }
 
   private record(line: string): void {
-    if (this.isRecording && !OMITTED_LINES.has(line)) {
+    if (this.isRecording) {
       this.lines.push(line);
     }
   }
