--- a/packages/gateway/src/quota/quota_zone_simulation.ts
+++ b/packages/gateway/src/quota/quota_zone_simulation.ts
@@ -8,6 +8,7 @@
 import {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerError} from '../peer/peer_client.js';
+import {bindPeers} from '../simulation/mutant_wrappers.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
@@ -55,22 +56,6 @@
   readonly mutation?: QuotaMutation;
 }
 
-class QuotaPeers extends FakePeers {
-  constructor(
-    private readonly simulation: QuotaSimulation,
-    private readonly self: string,
-  ) {
-    super();
-  }
-
-  override async exchangePermits(
-    peer: EntryVmRecord,
-    exchange: PermitExchange,
-  ): Promise<Result<PermitGrants | null, PeerError>> {
-    return this.simulation.deliver(this.self, peer.entryVm, exchange);
-  }
-}
-
 /** A proxy with its own registration, quota owner role and limiter. */
 interface QuotaProxy {
   readonly zone: string;
@@ -150,7 +135,11 @@
       clock,
       clockJumpDetector: detector,
       events: InMemoryEventRecorder.create(),
-      peers: new QuotaPeers(this, name),
+      peers: {
+        ...bindPeers(FakePeers.create()),
+        exchangePermits: (peer, exchange) =>
+          this.deliver(name, peer.entryVm, exchange),
+      },
       rules: this.rules,
       getView: () => this.getView(registration),
     });
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -2,7 +2,7 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
-import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
+import type {PermitGrants} from '../quota/permit_exchange.js';
 import type {ZoneUpdate} from '../zone/zone_update.js';
 import type {
   PeerClient,
@@ -27,7 +27,7 @@
   readonly positionRequests: string[] = [];
   readonly announcements: RevisedPrimaryRecord[] = [];
 
-  protected constructor() {}
+  private constructor() {}
 
   static create(): FakePeers {
     return new FakePeers();
@@ -83,10 +83,7 @@
     return success(this.positions.get(peer.entryVm) ?? null);
   }
 
-  async exchangePermits(
-    _peer: EntryVmRecord,
-    _exchange: PermitExchange,
-  ): Promise<Result<PermitGrants | null, PeerError>> {
+  async exchangePermits(): Promise<Result<PermitGrants | null, PeerError>> {
     await Promise.resolve();
     return success(null);
   }
