Writes need contact: a proxy that was cut off acknowledges nothing any more

A replica that was paused and then cut off together with the old primary and a proxy confirms the old primary's commits again, and that proxy, without contact for 4 s, acknowledges them. Change: a write is sent and acknowledged only while the proxy has contact with the store or with a proxy of another zone that has the same records (2.8 s), as reads at the primary already do.

--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -302,9 +302,17 @@
     return {highestAcknowledged: this.highestAcknowledged};
   }
 
-  /** Whether a commit at `position` may still be acknowledged to its caller. */
+  /**
+   * Whether a commit at `position` may still be acknowledged to its caller. A
+   * proxy without contact may have missed a change of primary: when an instance
+   * is promoted, replication resumes on all others, and one that was cut off
+   * together with the old primary confirms its commits again.
+   */
   mayAcknowledge(position: LogPosition | null): boolean {
-    return position === null || position.term > this.releasedTerm;
+    return (
+      position === null ||
+      (position.term > this.releasedTerm && this.options.contact.isInContact())
+    );
   }
 
   /** Time since the change of primary began; null if none is in progress. */
@@ -322,7 +330,9 @@
 
   /** The primary to which writes may be sent now, or null. */
   getWritablePrimary(): BackendServerRuntime | null {
-    if (this.options.clock.nowMs() < this.writesBlockedUntilMs) {
+    const {clock, contact} = this.options;
+    const areWritesBlocked = clock.nowMs() < this.writesBlockedUntilMs;
+    if (areWritesBlocked || !contact.isInContact()) {
       return null;
     }
     const known = this.lease.getLastKnownPrimary();
--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -64,12 +64,14 @@
 const UNREACHABLE_RETRY_AFTER_MS = 100;
 
 /**
- * Shortest time between two requests to an owner of another zone that has no
- * permits left, because traffic between zones is billed.
+ * Time for which an owner of another zone that has no permits left is not asked
+ * again. It doubles while the owner has none, because traffic between zones is
+ * billed.
  */
-const OTHER_ZONE_BACKOFF_MS = 400;
+const MIN_OTHER_ZONE_BACKOFF_MS = 1_000;
+const MAX_OTHER_ZONE_BACKOFF_MS = 8_000;
 
-/** The same in the local zone, where traffic is free: at least and at most. */
+/** The same in the local zone, where traffic is free. */
 const MIN_LOCAL_BACKOFF_MS = 20;
 const MAX_LOCAL_BACKOFF_MS = 250;
 
@@ -96,6 +98,7 @@
 interface ExhaustedZone {
   /** Time until which the owner is not asked again. */
   readonly askAgainAtMs: number;
+  readonly backoffMs: number;
   /** Time at which the owner expects to have a permit. */
   readonly permitAtMs: number;
 }
@@ -303,9 +306,11 @@
     }
     const {retryAfterMs} = grant;
     const permitAtMs = clock.nowMs() + retryAfterMs;
-    const backoffMs = chooseBackoffMs(isLocal, retryAfterMs);
+    const backoffMs = isLocal
+      ? chooseLocalBackoffMs(retryAfterMs)
+      : chooseOtherZoneBackoffMs(known?.backoffMs ?? 0);
     const askAgainAtMs = clock.nowMs() + backoffMs;
-    state.exhausted.set(zone, {askAgainAtMs, permitAtMs});
+    state.exhausted.set(zone, {askAgainAtMs, backoffMs, permitAtMs});
     return {kind: 'exhausted', retryAfterMs};
   }
 
@@ -423,10 +428,12 @@
   };
 }
 
-function chooseBackoffMs(isLocal: boolean, retryAfterMs: number): number {
-  if (!isLocal) {
-    return Math.max(OTHER_ZONE_BACKOFF_MS, retryAfterMs);
-  }
+function chooseOtherZoneBackoffMs(previousMs: number): number {
+  const doubledMs = Math.max(MIN_OTHER_ZONE_BACKOFF_MS, previousMs * 2);
+  return Math.min(MAX_OTHER_ZONE_BACKOFF_MS, doubledMs);
+}
+
+function chooseLocalBackoffMs(retryAfterMs: number): number {
   const waitMs = Math.max(MIN_LOCAL_BACKOFF_MS, retryAfterMs);
   return Math.min(MAX_LOCAL_BACKOFF_MS, waitMs);
 }
