--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -79,7 +79,7 @@
 const MAX_ROUNDS = 3;
 
 /** Interval at which reserved permits are replenished. */
-const REPLENISH_INTERVAL_MS = 1_000;
+const REPLENISH_INTERVAL_MS = 2_000;
 
 /** Time without operations after which a customer's permits are returned. */
 const IDLE_RETURN_MS = 5_000;
--- a/packages/gateway/src/quota/quota_partition.ts
+++ b/packages/gateway/src/quota/quota_partition.ts
@@ -5,7 +5,7 @@
  * a partition have one owner, so a proxy exchanges permits with at most this many
  * others.
  */
-const PARTITION_COUNT = 4;
+const PARTITION_COUNT = 2;
 
 /** Returns the partition of a customer. @public */
 export function getQuotaPartition(customer: string): string {
