--- a/packages/gateway/src/quota/quota_zone_simulation_test.ts
+++ b/packages/gateway/src/quota/quota_zone_simulation_test.ts
@@ -13,6 +13,9 @@
 
 const LIMIT: CustomerLimit = {operationsPerSecond: 20, burstOperations: 20};
 
+/** Proxies that join each zone; enough that one of them is preferred. */
+const NEW_PROXIES = 8;
+
 /** Time after a first start until quota owners act. */
 const START_MS = 12_000;
 
@@ -82,9 +85,9 @@
 }
 
 /**
- * All proxies of a zone lose the store, or only reads of it, then others register there, of which one
- * is preferred as the owner. The load comes after pauses, when all tokens are
- * available.
+ * All proxies lose the store, or only reads of it, then others register in each
+ * zone, of which one is preferred as the owner. The load comes after pauses, when
+ * all tokens are available.
  */
 async function replaceUnseenOwner(
   simulation: QuotaSimulation,
@@ -92,12 +95,12 @@
 ): Promise<void> {
   await simulation.run(22_000, OVERLOAD_PER_SECOND);
   for (const name of simulation.names) {
-    if (name.startsWith('zone-a')) {
-      lost.add(name);
-    }
+    lost.add(name);
   }
-  for (let index = 0; index < 8; index++) {
-    simulation.start(`zone-a-new-${index}`, 'zone-a');
+  for (const zone of ZONES) {
+    for (let index = 0; index < NEW_PROXIES; index++) {
+      simulation.start(`${zone}-new-${index}`, zone);
+    }
   }
   await simulation.run(5_000, 0);
   await simulation.run(6_000, OVERLOAD_PER_SECOND);
