Drain: a drain that began while the directory was not watched is counted from before

Change: a table watcher knows for how long it had not watched the table before the changes that it applies; a drain that is seen then counts as begun at the last time it was watched.

--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -38,6 +38,12 @@
  */
 const FIRST_WATCH_DELAY_MS = 800;
 
+/**
+ * Longest interval at which a zone reader sends updates while it watches the
+ * table.
+ */
+const UPDATE_INTERVAL_MS = 1_500;
+
 const MIN_RETRY_DELAY_MS = 80;
 const MAX_RETRY_DELAY_MS = 600;
 
@@ -57,6 +63,9 @@
   /** Incremented by `pause` to discard responses to earlier calls. */
   private generation = 0;
 
+  /** Time of the last successful call or update from another proxy. */
+  private watchedUntilMs: number | null = null;
+  private lastUnwatchedMs = 0;
   private readonly dependency: DependencyTracker;
 
   private constructor(private readonly options: TableWatcherOptions<T>) {
@@ -72,6 +81,14 @@
     return new TableWatcher(options);
   }
 
+  /**
+   * Time for which the table had not been watched before the call whose changes
+   * are being applied: a change may be older by this time.
+   */
+  get unwatchedMs(): number {
+    return this.lastUnwatchedMs;
+  }
+
   /** Whether the last call succeeded. */
   get isAvailable(): boolean {
     return this.failureCount === 0;
@@ -107,6 +124,7 @@
       return;
     }
     this.revision = update.revision;
+    this.recordWatched(this.options.clock.nowMs() - UPDATE_INTERVAL_MS);
     if (isListing) {
       this.mustList = false;
       this.options.listener.handleListing(update);
@@ -152,12 +170,21 @@
     });
   }
 
+  /** Records that the table was watched from a time until now. */
+  private recordWatched(fromMs: number): void {
+    const {watchedUntilMs} = this;
+    this.lastUnwatchedMs =
+      watchedUntilMs === null ? 0 : Math.max(0, fromMs - watchedUntilMs);
+    this.watchedUntilMs = this.options.clock.nowMs();
+  }
+
   private isStale(generation: number): boolean {
     return this.isDisposed || generation !== this.generation;
   }
 
   /** Lists the table; returns the reason of a failure, or null on success. */
   private async list(generation: number): Promise<string | null> {
+    const startedAtMs = this.options.clock.nowMs();
     const result = await this.options.table.list();
     if (this.isStale(generation)) {
       return null;
@@ -171,12 +198,14 @@
     }
     this.revision = listing.revision;
     this.mustList = false;
+    this.recordWatched(startedAtMs);
     this.options.listener.handleListing(listing);
     return null;
   }
 
   private async watch(generation: number): Promise<string | null> {
     const afterRevision = this.revision ?? 0;
+    const startedAtMs = this.options.clock.nowMs();
     const result = await this.options.table.watch(
       afterRevision,
       this.options.getWaitMs(),
@@ -191,6 +220,7 @@
       }
       return result.error.kind;
     }
+    this.recordWatched(startedAtMs);
     if (result.value.changes.length > 0) {
       this.options.listener.handleChanges(result.value);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,6 +211,7 @@
         connector: options.connector,
         events,
         drainDurationMs: options.drainDurationMs,
+        getUnwatchedMs: () => this.directoryWatcher.unwatchedMs,
       },
       getDirectory: () => this.directory,
     });
--- a/packages/gateway/src/group/drain_tracker.ts
+++ b/packages/gateway/src/group/drain_tracker.ts
@@ -32,10 +32,19 @@
   private constructor(
     private readonly clock: Clock,
     private readonly drainDurationMs: number,
+    private readonly getUnwatchedMs: () => number,
   ) {}
 
-  static create(clock: Clock, drainDurationMs: number): DrainTracker {
-    return new DrainTracker(clock, drainDurationMs);
+  /**
+   * `getUnwatchedMs` returns how long the directory had not been watched when the
+   * change that is being applied was received.
+   */
+  static create(
+    clock: Clock,
+    drainDurationMs: number,
+    getUnwatchedMs: () => number,
+  ): DrainTracker {
+    return new DrainTracker(clock, drainDurationMs, getUnwatchedMs);
   }
 
   /**
@@ -54,7 +63,7 @@
       return known.sinceMs;
     }
     const unobservedMs = wasActive
-      ? 0
+      ? this.getUnwatchedMs()
       : this.drainDurationMs * UNOBSERVED_DRAIN_FRACTION;
     const sinceMs = this.clock.nowMs() - unobservedMs;
     this.drains.set(backendServer, {startedAtEpochMs, sinceMs});
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -48,6 +48,11 @@
   readonly events: GatewayEventRecorder;
   /** Time for which a draining server remains usable. */
   readonly drainDurationMs: number;
+  /**
+   * How long the directory had not been watched when the change that is being
+   * applied was received.
+   */
+  getUnwatchedMs(): number;
 }
 
 /**
@@ -121,6 +126,7 @@
     this.drainTracker = DrainTracker.create(
       options.clock,
       options.drainDurationMs,
+      () => options.getUnwatchedMs(),
     );
   }
 
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -240,6 +240,25 @@
     expect(outcome.promotionCount).toBeLessThanOrEqual(2);
   });
 
+  it('does not use a server past its drain after an isolation that hid its start', async () => {
+    const outcome = await runHistory({
+      seed: 882_184,
+      faults: [
+        {kind: 'isolateProxy', atMs: 13, forMs: 2_293, proxy: 2},
+        {kind: 'drainPrimary', atMs: 634},
+        {kind: 'drainPrimary', atMs: 7_087},
+        {
+          kind: 'isolatePrimary',
+          atMs: 7_877,
+          forMs: 3_905,
+          proxies: [0, 1, 3, 4],
+          isFromReplicas: true,
+        },
+      ],
+    });
+    expect(outcome.violations).toEqual([]);
+  });
+
   it('violates no invariant under any faults', async () => {
     await fc.assert(
       fc.asyncProperty(plan, async drawn => {
--- a/packages/gateway/src/testing/session_test_harness.ts
+++ b/packages/gateway/src/testing/session_test_harness.ts
@@ -57,6 +57,7 @@
       clockJumpDetector: this.clockJumpDetector,
       contact: {isInContact: () => true},
       drainDurationMs: 7_000,
+      getUnwatchedMs: () => 0,
       random: SeededRandom.create(1),
       connector: this.backend,
       events: this.events,
