Quotas: larger and longer reserves

Change: permits are kept for 15 s without operations (5 s) and reserved for twice the operations of an interval; a reservation lives 30 s (10 s). The bound does not depend on it, as reserved permits count as tokens.

--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -82,10 +82,13 @@
 const REPLENISH_INTERVAL_MS = 2_000;
 
 /** Time without operations after which a customer's permits are returned. */
-const IDLE_RETURN_MS = 5_000;
+const IDLE_RETURN_MS = 15_000;
 
 /** Remaining lifetime below which held permits are reported again. */
-const RENEW_BELOW_MS = 4_000;
+const RENEW_BELOW_MS = 10_000;
+
+/** Permits to reserve for each operation of the last interval. */
+const RESERVE_FACTOR = 2;
 
 /** Most permits that are reserved for one customer. */
 const MAX_RESERVE = 50;
@@ -197,7 +200,7 @@
   ): CustomerReport | null {
     const nowMs = this.options.clock.nowMs();
     const {reserve} = state;
-    const target = Math.min(MAX_RESERVE, Math.max(1, state.recentCount));
+    const target = chooseReserve(state.recentCount);
     state.recentCount = 0;
     if (state.request !== null) {
       return null;
@@ -414,6 +417,17 @@
   }
 }
 
+/**
+ * Returns how many permits to reserve after an interval with this many
+ * operations. A customer with few operations gets one, because its callers may be
+ * at many proxies and its tokens are few.
+ */
+function chooseReserve(recentCount: number): number {
+  return recentCount <= 1
+    ? 1
+    : Math.min(MAX_RESERVE, recentCount * RESERVE_FACTOR);
+}
+
 function createReport(
   customer: string,
   counts: Partial<Omit<CustomerReport, 'customer'>>,
--- a/packages/gateway/src/quota/quota_rules.ts
+++ b/packages/gateway/src/quota/quota_rules.ts
@@ -41,7 +41,7 @@
  *
  * @public
  */
-export const RESERVATION_LIFETIME_MS = 10_000;
+export const RESERVATION_LIFETIME_MS = 30_000;
 
 /** Fraction of the allowed operations that is granted, for rounding errors. */
 const SAFETY_FRACTION = 0.98;
