Group: an instance that responds with an error is alive

Cause: a poll that was answered with an error counted as a refused connection, which is evidence for a failover.

--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -29,6 +29,7 @@
   PrimaryChangeError,
   TermUnconfirmed,
 } from './group_error.js';
+import {classifyHealth} from './classify_health.js';
 import type {GroupPeers, GroupView, InstanceHealth} from './group_peers.js';
 import {GroupRules} from './group_rules.js';
 import type {InstanceConnector, InstanceEvent} from './instance_connector.js';
@@ -288,11 +289,7 @@
     if (client === null) {
       return 'unknown';
     }
-    const result = await client.poll();
-    if (result.ok) {
-      return 'healthy';
-    }
-    return result.error.kind === 'timedOut' ? 'silent' : 'refused';
+    return classifyHealth(await client.poll());
   }
 
   /** Whether new writes wait for a planned change of primary. */
