--- a/packages/membership/src/membership_core_test.ts
+++ b/packages/membership/src/membership_core_test.ts
@@ -68,6 +68,24 @@
     expect(fresh.joinedAtMs).toBe(10_020);
   });
 
+  it('probes one dead member every two seconds', () => {
+    const dead = createRecord(2, {state: 'dead'});
+    let state = handle(START, receive(10, createRecord(3), null, [dead]));
+    const probedAtMs: number[] = [];
+    for (let nowMs = 500; nowMs <= 6_500; nowMs += 500) {
+      const step = reduceMembership(state, {kind: 'tick', nowMs}, random);
+      state = step.state;
+      const isProbed = step.commands.some(
+        command =>
+          command.kind === 'sendHeartbeat' && command.entryVm === dead.entryVm,
+      );
+      if (isProbed) {
+        probedAtMs.push(nowMs);
+      }
+    }
+    expect(probedAtMs).toEqual([2_000, 4_000, 6_000]);
+  });
+
   it('refutes its own death with a higher incarnation', () => {
     const dead = createRecord(1, {state: 'dead', incarnation: 105});
     const state = handle(START, receive(10, createRecord(2), null, [dead]));
