--- a/packages/membership/src/membership_core_test.ts
+++ b/packages/membership/src/membership_core_test.ts
@@ -70,7 +70,11 @@
 
   it('probes one dead member every two seconds', () => {
     const dead = createRecord(2, {state: 'dead'});
-    let state = handle(START, receive(10, createRecord(3), null, [dead]));
+    let state = handle(
+      START,
+      receive(10, createRecord(2)),
+      receive(20, createRecord(3), null, [dead]),
+    );
     const probedAtMs: number[] = [];
     for (let nowMs = 500; nowMs <= 6_500; nowMs += 500) {
       const step = reduceMembership(state, {kind: 'tick', nowMs}, random);
