--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -95,8 +95,12 @@
     return deployment;
   }
 
-  waitForReady() {
-    return waitForReady(this.proxies);
+  async waitForReady() {
+    const isReady = await waitForReady(this.proxies);
+    for (const {name, exits} of isReady ? [] : this.proxies) {
+      this.note(`not ready in time: ${name}, ends ${JSON.stringify(exits)}`);
+    }
+    return isReady;
   }
 
   note(text) {
--- a/review/lib/proxies.mjs
+++ b/review/lib/proxies.mjs
@@ -38,7 +38,10 @@
 }
 
 export class Proxy {
-  /** Exit codes or signals of processes that ended, without planned stops. */
+  /**
+   * Exit codes or signals of processes that ended, without planned stops and
+   * without those that found their port taken by another program.
+   */
   exits = [];
   isWanted = false;
   errorText = '';
@@ -80,7 +83,9 @@
     if (!this.isWanted) {
       return;
     }
-    this.exits.push({code, signal, error: this.errorText});
+    if (!this.errorText.includes('EADDRINUSE')) {
+      this.exits.push({code, signal, error: this.errorText});
+    }
     this.errorText = '';
     setTimeout(() => {
       if (this.isWanted) {
