--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -29,7 +29,8 @@
 
 /** One requester that writes, and those that read; all on one item. */
 class Traffic {
-  violations = [];
+  /** Reads that missed an acknowledged commit, with the commit's id. */
+  suspects = [];
   isOver = false;
   /** Number and time of the newest write that was acknowledged. */
   acknowledged = {number: 0, atMs: 0};
@@ -81,11 +82,22 @@
   check(proxy, before, answer) {
     const seen = answer.rows[0] === '-' ? 0 : Number(answer.rows[0]);
     if (seen < before.number) {
-      this.violations.push(
-        `${answer.id} at ${proxy.name} read ${seen}, signed ${answer.signature}; ${before.id} had written ${before.number} and was acknowledged before`,
-      );
+      const text = `${answer.id} at ${proxy.name} read ${seen}, signed ${answer.signature}; ${before.id} had written ${before.number} and was acknowledged before`;
+      this.suspects.push({commitId: before.id, text});
     }
   }
+
+  /** Leaves out commits that a promote rolled back: they don't count. */
+  findViolations() {
+    const {instances, newestTerm} = this.deployment.group;
+    const primary = instances.find(
+      ({role, term}) => role === 'primary' && term === newestTerm,
+    );
+    const kept = new Set(primary?.log.map(({id}) => id));
+    return this.suspects
+      .filter(({commitId}) => kept.has(commitId))
+      .map(({text}) => text);
+  }
 }
 
 function findProxy(deployment, name) {
@@ -181,8 +193,12 @@
   traffic.isOver = true;
   await Promise.all(sessions);
   deployment.note(`reads answered: ${traffic.reads}`);
+  const violations = traffic.findViolations();
+  deployment.note(
+    `reads that missed a commit: ${traffic.suspects.length}, ${violations.length} of them one that was not rolled back`,
+  );
   deployment.stop();
-  return traffic.reads === 0 ? null : traffic.violations;
+  return traffic.reads === 0 ? null : violations;
 }
 
 async function play(start) {
