Failover: another primary is adopted by a change, with release and announcement

Cause: FailoverCoordinator.adoptReportedPrimary wrote a stable record with the primary of a later term itself. No proxy was asked to release its lease on the recorded primary, writesFromStoreMs was null and nothing was announced. A proxy with a lease on the old record went on reading at the old primary while the failover leader wrote at the new one. resolveLaterTerm (restored store) took the same path.

Fix: a recorded primary is replaced by a PrimaryChange in every case. It finds that another instance leads a later term, orders nothing, and records it with the end of the leases that were not released. Only a group without any record gets one directly: nobody can hold a lease on its primary. That is why it works: from the intent on, reads at the old primary are served only by a proxy that is waited for.

--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -7,11 +7,11 @@
 import {isCovered} from '@filbertrun/model/log_position.js';
 import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {BackendConnector} from '../backend/backend_connection.js';
-import type {InstanceStatus} from '../backend/instance_control.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {BackendDirectory} from '../directory/backend_directory.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import type {TermPrimary} from '../group/primary_lease.js';
 import {
   getPrimaryRecordKey,
   type PrimaryRecord,
@@ -25,7 +25,7 @@
 
 /** Dependencies of the coordinator. @public */
 export interface FailoverCoordinatorOptions extends PrimaryChangeDependencies {
-  readonly directory: BackendDirectory;
+  readonly directory: Pick<BackendDirectory, 'isListed' | 'getEntry'>;
   readonly connector: BackendConnector;
   getGroups(): readonly GroupRuntime[];
   getOtherEntryVms(): readonly EntryVmRecord[];
@@ -432,8 +432,10 @@
   }
 
   /**
-   * Records the primary of the latest term that the instances report. If that
-   * term is not later than the recorded one, replaces the recorded primary.
+   * Handles a primary that is not the recorded one, or is not recorded yet. A
+   * recorded primary is always replaced by a change, even if another instance
+   * leads already: a proxy with a lease on the old record must release it before
+   * anything is written at the new primary.
    */
   private async adoptReportedPrimary(
     group: GroupRuntime,
@@ -444,27 +446,35 @@
     if (reported === null) {
       return;
     }
-    const previousTerm = previous?.phase === 'stable' ? previous.term : -1;
-    if (reported.term <= previousTerm) {
-      if (previous !== null) {
-        await this.change(
-          {record: previous, revision},
-          'the recorded primary is no longer primary',
-        );
-      }
+    if (previous === null) {
+      await this.recordFirstPrimary(group, reported);
       return;
     }
+    await this.change(
+      {record: previous, revision},
+      `the recorded primary is no longer primary, ${reported.primary} is in term ${reported.term}`,
+    );
+  }
+
+  /**
+   * Records the primary of a group without a record. No proxy can hold a lease
+   * on a primary of this group, so nothing has to be released.
+   */
+  private async recordFirstPrimary(
+    group: GroupRuntime,
+    {primary, term}: TermPrimary,
+  ): Promise<void> {
     const record: PrimaryRecord = {
       phase: 'stable',
       databaseGroup: group.databaseGroup,
-      primary: reported.backendServer,
-      term: reported.term,
+      primary,
+      term,
       writesFromStoreMs: null,
     };
     const result = await this.options.table.putEntry({
       key: getPrimaryRecordKey(group.databaseGroup),
       value: JSON.stringify(record),
-      expectedRevision: revision,
+      expectedRevision: 0,
     });
     if (result.ok) {
       this.options.handleRecord({record, revision: result.value.revision});
@@ -475,18 +485,14 @@
    * Returns the primary of the highest term that an instance reports. Waits
    * until each request has completed or failed.
    */
-  private async findReportedPrimary(group: GroupRuntime): Promise<{
-    readonly backendServer: BackendServerId;
-    readonly term: number;
-  } | null> {
+  private async findReportedPrimary(
+    group: GroupRuntime,
+  ): Promise<TermPrimary | null> {
     const servers = group.getServers();
     const statuses = await Promise.all(
       servers.map(server => this.options.instances.getStatus(server.entry)),
     );
-    let primary: {
-      backendServer: BackendServerId;
-      status: InstanceStatus;
-    } | null = null;
+    let reported: TermPrimary | null = null;
     for (const [index, result] of statuses.entries()) {
       const server = servers[index];
       if (
@@ -496,15 +502,11 @@
       ) {
         continue;
       }
-      if (primary === null || result.value.term > primary.status.term) {
-        primary = {
-          backendServer: server.entry.backendServer,
-          status: result.value,
-        };
+      const {term} = result.value;
+      if (reported === null || term > reported.term) {
+        reported = {primary: server.entry.backendServer, term};
       }
     }
-    return primary === null
-      ? null
-      : {backendServer: primary.backendServer, term: primary.status.term};
+    return reported;
   }
 }
