Gateway, platform: nothing that a dependency throws ends the process

Cause: net.connect throws for such a port inside a promise executor, which becomes a rejection; callers discarded the promise with 'void', and an unhandled rejection ends a process.

Work that nobody waits for goes through runInBackground, which records taskFailed. Flags are reset in finally, and the table loops go on after an unexpected failure. It works because neither the known throw nor another one of the same kind can become an unhandled rejection, and because what the failed task guarded is released.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,6 +28,21 @@
       '@typescript-eslint/no-explicit-any': 'error',
     },
   },
+  {
+    // A rejection that nobody handles ends the process, so a task that nobody
+    // waits for states what becomes of its failure; `void` hides it.
+    files: ['packages/gateway/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: [
+      '**/*_test.ts',
+      '**/testing/**',
+      '**/*simulation*',
+      '**/simulation/**',
+    ],
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
+      '@typescript-eslint/no-misused-promises': 'error',
+    },
+  },
   {
     files: ['*.js', 'tools/*.js'],
     languageOptions: {sourceType: 'module'},
--- a/packages/base/src/http_request.ts
+++ b/packages/base/src/http_request.ts
@@ -49,22 +49,17 @@
       clearTimeout(timer);
       resolve(failure({reason, wasConnected}));
     };
-    const outgoing = http.request(
-      request.url,
-      {
-        method: request.method,
-        agent: request.agent,
-        headers: request.headers ?? {},
-        ...(request.sourceAddress === undefined
-          ? {}
-          : {localAddress: request.sourceAddress}),
-      },
-      incoming =>
-        readResponse(incoming, request, response => {
-          clearTimeout(timer);
-          resolve(success(response));
-        }),
+    const created = createRequest(request, incoming =>
+      readResponse(incoming, request, response => {
+        clearTimeout(timer);
+        resolve(success(response));
+      }),
     );
+    if (!created.ok) {
+      resolve(failure({reason: created.error, wasConnected}));
+      return;
+    }
+    const outgoing = created.value;
     const timer = setTimeout(() => {
       outgoing.destroy(new Error(`no response within ${request.timeoutMs} ms`));
     }, request.timeoutMs);
@@ -83,6 +78,29 @@
   });
 }
 
+/** Creates a request; fails on a URL or header that the runtime refuses. */
+function createRequest(
+  request: HttpRequest,
+  handleResponse: (incoming: http.IncomingMessage) => void,
+): Result<http.ClientRequest, string> {
+  const {sourceAddress} = request;
+  try {
+    const outgoing = http.request(
+      request.url,
+      {
+        method: request.method,
+        agent: request.agent,
+        headers: request.headers ?? {},
+        ...(sourceAddress === undefined ? {} : {localAddress: sourceAddress}),
+      },
+      handleResponse,
+    );
+    return success(outgoing);
+  } catch (error) {
+    return failure(String(error));
+  }
+}
+
 function readResponse(
   incoming: http.IncomingMessage,
   request: HttpRequest,
--- a/packages/base/src/http_request_test.ts
+++ b/packages/base/src/http_request_test.ts
@@ -122,4 +122,18 @@
     handle = (_request, response) => response.end('x'.repeat(1_000));
     expect(await send({maxResponseBytes: 100})).toMatchObject({ok: false});
   });
+
+  // Guards against an unhandled rejection: the runtime throws on such a URL.
+  it.each(['http://127.0.0.1:70000/', 'http://[x', 'http://a b/'])(
+    'fails without connecting to %s',
+    async url => {
+      const result = await send({url});
+      expect(result).toMatchObject({ok: false, error: {wasConnected: false}});
+    },
+  );
+
+  it('fails when the runtime refuses a header', async () => {
+    const result = await send({headers: {name: 'a\nb'}});
+    expect(result).toMatchObject({ok: false, error: {wasConnected: false}});
+  });
 });
--- a/packages/gateway/src/control/contact_renewer.ts
+++ b/packages/gateway/src/control/contact_renewer.ts
@@ -78,10 +78,12 @@
       return;
     }
     this.isRenewing = true;
-    const isConfirmed = await this.compareWithPeer();
-    this.isRenewing = false;
-    if (!isConfirmed) {
-      this.options.readStore();
+    try {
+      if (!(await this.compareWithPeer())) {
+        this.options.readStore();
+      }
+    } finally {
+      this.isRenewing = false;
     }
   }
 
--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -9,6 +9,10 @@
 } from '../group/clock_jump_detector.js';
 import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import {
+  recordTaskFailure,
+  runInBackground,
+} from '../observability/background_task.js';
 
 /** Dependencies of {@link ControlPoller}. @public */
 export interface ControlPollerOptions {
@@ -85,7 +89,7 @@
   }
 
   start(): void {
-    void this.poll();
+    this.startPoll();
   }
 
   dispose(): void {
@@ -109,7 +113,7 @@
   resume(): void {
     if (this.isPaused && !this.isDisposed) {
       this.isPaused = false;
-      void this.poll();
+      this.startPoll();
     }
   }
 
@@ -138,7 +142,7 @@
       !this.isPaused && this.scheduledDelayMs === POLL_INTERVAL_MS;
     if (isWaiting && this.currentRead === null && this.options.isUrgent()) {
       this.timer?.cancel();
-      void this.poll();
+      this.startPoll();
     }
   }
 
@@ -168,8 +172,12 @@
     return this.currentRead;
   }
 
+  private startPoll(): void {
+    runInBackground(this.options.events, 'poll of the table', this.poll());
+  }
+
   private async poll(): Promise<void> {
-    const hasResponded = await this.readNow();
+    const hasResponded = await this.readSafely();
     if (this.isDisposed || this.isPaused) {
       return;
     }
@@ -179,10 +187,20 @@
     this.schedule(delayMs);
   }
 
+  /** Reads; an unexpected failure must not end the polling. */
+  private async readSafely(): Promise<boolean> {
+    try {
+      return await this.readNow();
+    } catch (error) {
+      recordTaskFailure(this.options.events, 'read of the table', error);
+      return false;
+    }
+  }
+
   private schedule(delayMs: number): void {
     this.timer?.cancel();
     this.timer = this.options.clock.startTimer(delayMs, () => {
-      void this.poll();
+      this.startPoll();
     });
   }
 
--- a/packages/gateway/src/control/control_poller_test.ts
+++ b/packages/gateway/src/control/control_poller_test.ts
@@ -16,11 +16,13 @@
   let poller: ControlPoller;
   let isUrgent: boolean;
   let readAtMs: number[];
+  let handleListing: () => void;
 
   beforeEach(async () => {
     clock = VirtualClock.create();
     isUrgent = false;
     readAtMs = [];
+    handleListing = () => {};
     const table = FakeControlTable.create(clock);
     table.seed('key', {});
     poller = ControlPoller.create({
@@ -31,7 +33,10 @@
         FakeWallClock.create(clock),
       ),
       events: InMemoryEventRecorder.create(),
-      handleListing: () => readAtMs.push(clock.nowMs()),
+      handleListing: () => {
+        readAtMs.push(clock.nowMs());
+        handleListing();
+      },
       isUrgent: () => isUrgent,
     });
     poller.start();
@@ -111,4 +116,13 @@
     poller.replayListing();
     expect(readAtMs).toHaveLength(1);
   });
+
+  it('goes on reading after its listener has failed', async () => {
+    handleListing = () => {
+      handleListing = () => {};
+      throw new Error('test');
+    };
+    await advance(15_000);
+    expect(readAtMs.length).toBeGreaterThanOrEqual(2);
+  });
 });
--- a/packages/gateway/src/control/entry_vm_registration.ts
+++ b/packages/gateway/src/control/entry_vm_registration.ts
@@ -265,6 +265,15 @@
       return false;
     }
     this.isWriting = true;
+    try {
+      return await this.writeRecords(storeClock);
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  /** Writes all records in batches; true if all of them were written. */
+  private async writeRecords(storeClock: StoreClockReading): Promise<boolean> {
     const storeNowMs = this.estimateStoreTimeMs(storeClock);
     const records = this.createRecords(storeNowMs);
     let isWritten = true;
@@ -272,7 +281,6 @@
       const batch = records.slice(start, start + MAX_BATCH);
       isWritten = (await this.write(batch)) && isWritten;
     }
-    this.isWriting = false;
     return isWritten;
   }
 
--- a/packages/gateway/src/control/failover_leader_lease.ts
+++ b/packages/gateway/src/control/failover_leader_lease.ts
@@ -190,8 +190,11 @@
       return;
     }
     this.isWriting = true;
-    await this.write(this.createRecord());
-    this.isWriting = false;
+    try {
+      await this.write(this.createRecord());
+    } finally {
+      this.isWriting = false;
+    }
   }
 
   /** Releases leadership, so that another proxy can acquire it immediately. */
--- a/packages/gateway/src/control/failover_leader_placement.ts
+++ b/packages/gateway/src/control/failover_leader_placement.ts
@@ -75,12 +75,15 @@
     this.checkedAtMs = nowMs;
     const successors = this.findSuccessors();
     this.isTransferring = true;
-    for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
-      if (await this.transferTo(successor)) {
-        break;
+    try {
+      for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
+        if (await this.transferTo(successor)) {
+          return;
+        }
       }
+    } finally {
+      this.isTransferring = false;
     }
-    this.isTransferring = false;
   }
 
   private findSuccessors(): readonly EntryVmRecord[] {
--- a/packages/gateway/src/control/record_restorer.ts
+++ b/packages/gateway/src/control/record_restorer.ts
@@ -5,6 +5,7 @@
 import {getPrimaryRecordKey} from '../group/primary_record.js';
 import type {LostRecord} from '../group/primary_record_cache.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of {@link RecordRestorer}. @public */
 export interface RecordRestorerOptions {
@@ -51,7 +52,11 @@
       if (lostRecord === null) {
         this.dueAtMs.delete(databaseGroup);
       } else if (this.checkDue(databaseGroup)) {
-        void this.rewrite(databaseGroup, lostRecord);
+        runInBackground(
+          this.options.events,
+          'restore of a primary record',
+          this.rewrite(databaseGroup, lostRecord),
+        );
       }
     }
   }
--- a/packages/gateway/src/control/relaying_control_table.ts
+++ b/packages/gateway/src/control/relaying_control_table.ts
@@ -11,6 +11,8 @@
 } from '@filbertrun/platform/platform_service.js';
 import type {ControlRelay} from '../peer/control_relay.js';
 import type {EntryVmRecord} from './control_record.js';
+import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies of {@link RelayingControlTable}. @public */
 export interface RelayingControlTableOptions {
@@ -19,6 +21,7 @@
   /** Access to the store through another proxy. */
   readonly relay: ControlRelay;
   readonly clock: Clock;
+  readonly events: GatewayEventRecorder;
   readonly random: RandomSource;
   getOtherEntryVms(): readonly EntryVmRecord[];
 }
@@ -163,7 +166,11 @@
     const nowMs = this.options.clock.nowMs();
     if (nowMs - this.probedAtMs >= PROBE_INTERVAL_MS) {
       this.probedAtMs = nowMs;
-      void this.listDirectly();
+      runInBackground(
+        this.options.events,
+        'probe of the store',
+        this.listDirectly(),
+      );
     }
   }
 
--- a/packages/gateway/src/control/relaying_control_table_test.ts
+++ b/packages/gateway/src/control/relaying_control_table_test.ts
@@ -4,6 +4,7 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {ControlRelay} from '../peer/control_relay.js';
 import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
+import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {RelayingControlTable} from './relaying_control_table.js';
 
@@ -37,6 +38,7 @@
       direct,
       relay,
       clock,
+      events: InMemoryEventRecorder.create(),
       random: SeededRandom.create(1),
       getOtherEntryVms: () => [PEER],
     });
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -95,6 +95,16 @@
     }
     this.lastMaintainedAtMs = nowMs;
     this.isWriting = true;
+    try {
+      await this.writeChanges(groups);
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  private async writeChanges(
+    groups: readonly DatabaseGroupName[],
+  ): Promise<void> {
     const isRead =
       groups.every(group => this.stored.has(group)) ||
       (await this.readAll(groups));
@@ -102,7 +112,6 @@
     for (let start = 0; start < changes.length; start += MAX_BATCH) {
       await this.write(changes.slice(start, start + MAX_BATCH));
     }
-    this.isWriting = false;
   }
 
   /**
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -3,6 +3,10 @@
 import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {TableChanges, WatchableTable} from './watchable_table.js';
+import {
+  recordTaskFailure,
+  runInBackground,
+} from '../observability/background_task.js';
 
 /** Receives the contents and changes of a watched table. @public */
 export interface TableListener<T> {
@@ -95,7 +99,7 @@
   }
 
   start(): void {
-    void this.runOnce(this.generation);
+    this.startRun(this.generation);
   }
 
   /**
@@ -138,12 +142,15 @@
     this.timer?.cancel();
   }
 
+  private startRun(generation: number): void {
+    const {events, name} = this.options;
+    runInBackground(events, `watch of ${name}`, this.runOnce(generation));
+  }
+
   private async runOnce(generation: number): Promise<void> {
     const startedAtMs = this.options.clock.nowMs();
     const isListing = this.mustList;
-    const failureReason = await (isListing
-      ? this.list(generation)
-      : this.watch(generation));
+    const failureReason = await this.readSafely(generation, isListing);
     if (this.isStale(generation)) {
       return;
     }
@@ -160,13 +167,29 @@
     this.schedule(generation, this.getRetryDelayMs());
   }
 
+  /** Lists or watches; an unexpected failure must not end the watching. */
+  private async readSafely(
+    generation: number,
+    isListing: boolean,
+  ): Promise<string | null> {
+    try {
+      return await (isListing ? this.list(generation) : this.watch(generation));
+    } catch (error) {
+      const {events, name} = this.options;
+      recordTaskFailure(events, `watch of ${name}`, error);
+      // Its changes may have been applied in part.
+      this.mustList = true;
+      return 'an unexpected failure';
+    }
+  }
+
   private schedule(generation: number, delayMs: number): void {
     if (delayMs <= 0) {
-      void this.runOnce(generation);
+      this.startRun(generation);
       return;
     }
     this.timer = this.options.clock.startTimer(delayMs, () => {
-      void this.runOnce(generation);
+      this.startRun(generation);
     });
   }
 
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -54,11 +54,13 @@
   let seen: string[];
   let watcher: TableWatcher<string>;
   let events: InMemoryEventRecorder;
+  let handleListing: () => void;
 
   beforeEach(() => {
     clock = VirtualClock.create();
     table = new ScriptedTable();
     seen = [];
+    handleListing = () => {};
     events = InMemoryEventRecorder.create();
     watcher = TableWatcher.create({
       name: 'test',
@@ -69,7 +71,10 @@
       random: SeededRandom.create(1),
       events,
       listener: {
-        handleListing: listing => seen.push(`list ${listing.revision}`),
+        handleListing: listing => {
+          seen.push(`list ${listing.revision}`);
+          handleListing();
+        },
         handleChanges: ({revision}) => seen.push(`changes ${revision}`),
       },
     });
@@ -159,4 +164,22 @@
     await advanceClock(clock, 2_000);
     expect(table.watchedAfter.length).toBeLessThanOrEqual(8);
   });
+
+  // Guards against a proxy that stops following the table after one odd entry.
+  it('lists again after its listener has failed', async () => {
+    table.listings = [success(changes(5, 'a')), success(changes(8, 'b'))];
+    handleListing = () => {
+      handleListing = () => {};
+      throw new Error('test');
+    };
+    watcher.start();
+    await advanceClock(clock, 3_000);
+    expect(table.listCount).toBe(2);
+    expect(table.watchedAfter).toEqual([8]);
+    expect(events.events).toContainEqual({
+      kind: 'taskFailed',
+      task: 'watch of test',
+      reason: 'test',
+    });
+  });
 });
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -22,6 +22,7 @@
   PrimaryChange,
   type PrimaryChangeDependencies,
 } from './primary_change.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the coordinator. @public */
 export interface FailoverCoordinatorOptions extends PrimaryChangeDependencies {
@@ -124,7 +125,11 @@
         !state.isBusy &&
         this.options.clock.nowMs() >= state.cooldownUntilMs
       ) {
-        void this.checkExclusively(group, state);
+        runInBackground(
+          this.options.events,
+          `check of ${group.databaseGroup}`,
+          this.checkExclusively(group, state),
+        );
       }
     }
   }
@@ -149,8 +154,11 @@
     state: GroupState,
   ): Promise<void> {
     state.isBusy = true;
-    await this.checkGroup(group, state);
-    state.isBusy = false;
+    try {
+      await this.checkGroup(group, state);
+    } finally {
+      state.isBusy = false;
+    }
   }
 
   private async checkGroup(
--- a/packages/gateway/src/failover/failover_coordinator_test.ts
+++ b/packages/gateway/src/failover/failover_coordinator_test.ts
@@ -150,4 +150,23 @@
       primary: 'r1',
     });
   });
+
+  // Guards against a group that nobody checks again, and against the end of the
+  // process, when a dependency throws.
+  it('checks a group again after a dependency has thrown', async () => {
+    peers.acknowledged.set('entry-2', null);
+    const getStatus = instances.getStatus.bind(instances);
+    instances.getStatus = () => {
+      instances.getStatus = getStatus;
+      return Promise.reject(new RangeError('test'));
+    };
+    startWithOtherPrimary();
+    await advance(5_000);
+    expect(harness.events.events).toContainEqual({
+      kind: 'taskFailed',
+      task: 'check of group',
+      reason: 'test',
+    });
+    expect(table.getValue(KEY)).toMatchObject({phase: 'stable', primary: 'r1'});
+  });
 });
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -7,11 +7,14 @@
   InstanceStatus,
 } from '../backend/instance_control.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {FencedInstance} from './choose_promotion_target.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Options of the fences of one change. @public */
 export interface InstanceFencesOptions {
   readonly clock: Clock;
+  readonly events: GatewayEventRecorder;
   readonly instances: InstanceControl;
   readonly oldPrimary: BackendServerId;
   readonly oldTerm: number;
@@ -69,7 +72,11 @@
         this.isFenced(fence) &&
         nowMs - fence.confirmedAtMs < CONFIRM_AFTER_MS;
       if (!isRecent && !this.pending.has(entry.backendServer)) {
-        void this.fence(entry);
+        runInBackground(
+          this.options.events,
+          `fence of ${entry.backendServer}`,
+          this.fence(entry),
+        );
       }
     }
   }
@@ -127,14 +134,23 @@
   }
 
   private async fence(entry: BackendServerEntry): Promise<void> {
-    const {clock} = this.options;
-    const {backendServer, startedAtEpochMs} = entry;
-    this.pending.add(backendServer);
-    const wasPrimary = await this.checkWasPrimary(entry);
-    const result = wasPrimary
-      ? await this.stepDown(entry)
-      : await this.pause(entry);
-    this.pending.delete(backendServer);
+    this.pending.add(entry.backendServer);
+    try {
+      const wasPrimary = await this.checkWasPrimary(entry);
+      const result = wasPrimary
+        ? await this.stepDown(entry)
+        : await this.pause(entry);
+      this.applyResult(entry, wasPrimary, result);
+    } finally {
+      this.pending.delete(entry.backendServer);
+    }
+  }
+
+  private applyResult(
+    {backendServer, startedAtEpochMs}: BackendServerEntry,
+    wasPrimary: boolean,
+    result: ControlResult,
+  ): void {
     if (!result.ok && result.error.kind === 'wrongServer') {
       this.replaced.add(backendServer);
     }
@@ -142,7 +158,7 @@
       this.fences.set(backendServer, {
         wasPrimary,
         status: result.value,
-        confirmedAtMs: clock.nowMs(),
+        confirmedAtMs: this.options.clock.nowMs(),
         startedAtEpochMs,
       });
     }
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -27,6 +27,7 @@
 import {InstanceFences} from './instance_fences.js';
 import type {LeaseHolders} from './find_lease_holders.js';
 import {ReleaseCollector} from './release_collector.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of a primary change. @public */
 export interface PrimaryChangeDependencies {
@@ -133,6 +134,7 @@
     }
     const releases = ReleaseCollector.create({
       clock: this.dependencies.clock,
+      events: this.dependencies.events,
       peers: this.dependencies.peers,
       request: {
         databaseGroup: intent.databaseGroup,
@@ -145,7 +147,7 @@
     this.waitForUnlisted(releases, holders);
     const outcome = await this.fenceAndPromote(intent, releases);
     if (outcome === 'completed') {
-      void this.openWrites(releases);
+      this.runInBackground('open writes', this.openWrites(releases));
     } else {
       releases.stop();
     }
@@ -249,9 +251,10 @@
     releases: ReleaseCollector,
   ): Promise<ChangeOutcome> {
     await this.waitForReleases(releases, RELEASE_WAIT_MS);
-    const {clock, instances, availabilityZone} = this.dependencies;
+    const {clock, events, instances, availabilityZone} = this.dependencies;
     const fences = InstanceFences.create({
       clock,
+      events,
       instances,
       availabilityZone,
       oldPrimary: intent.oldPrimary,
@@ -334,7 +337,7 @@
     // `lastOldPosition`, fenced replicas that hold this position can serve reads,
     // since every commit of the old term that can be acknowledged is at or before
     // it.
-    void this.announce();
+    this.runInBackground('announce', this.announce());
     const {token} = this;
     if (token === null) {
       return this.abandon('the failover leadership was lost');
@@ -435,15 +438,21 @@
       waitingFor: releases.getOutstanding(),
       durationMs: this.dependencies.clock.nowMs() - this.startedAtMs,
     });
-    void this.announce();
-    void this.stepDownOldPrimary(intent, term);
+    this.runInBackground('announce', this.announce());
+    this.runInBackground(
+      'step down the old primary',
+      this.stepDownOldPrimary(intent, term),
+    );
     return 'completed';
   }
 
   private async announce(): Promise<void> {
     const holders = await this.listLeaseHolders();
     for (const {record} of holders?.known ?? []) {
-      void this.dependencies.peers.announce(record, this.current);
+      this.runInBackground(
+        'announce',
+        this.dependencies.peers.announce(record, this.current),
+      );
     }
   }
 
@@ -517,6 +526,10 @@
     });
   }
 
+  private runInBackground(task: string, promise: Promise<unknown>): void {
+    runInBackground(this.dependencies.events, task, promise);
+  }
+
   private abandon(reason: string): ChangeOutcome {
     const {record} = this.current;
     this.dependencies.events.record({
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -6,11 +6,14 @@
 } from '@filbertrun/model/log_position.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_tracker.js';
 import type {EntryVmRecord} from '../control/control_record.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient, ReleaseRequest} from '../peer/peer_client.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Options of a collector. @public */
 export interface ReleaseCollectorOptions {
   readonly clock: Clock;
+  readonly events: GatewayEventRecorder;
   readonly peers: PeerClient;
   readonly request: ReleaseRequest;
 }
@@ -80,7 +83,11 @@
         releasedAtMs: null,
       };
       this.pending.push(release);
-      void this.collect(release);
+      runInBackground(
+        this.options.events,
+        `release of ${holder.record.entryVm}`,
+        this.collect(release),
+      );
     }
   }
 
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {advanceClock} from '../testing/settle.js';
 import {ReleaseCollector, type LeaseHolder} from './release_collector.js';
@@ -53,6 +54,7 @@
     }
     const collector = ReleaseCollector.create({
       clock,
+      events: InMemoryEventRecorder.create(),
       peers,
       request: {databaseGroup: 'group', changeId: 'c', oldTerm: 1, revision: 2},
     });
--- a/packages/gateway/src/failover/suspicion_reporter.ts
+++ b/packages/gateway/src/failover/suspicion_reporter.ts
@@ -6,11 +6,14 @@
   PrimaryFailureEvidence,
   SuspicionReport,
 } from '../peer/peer_client.js';
+import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies of the reporter. @public */
 export interface SuspicionReporterOptions {
   readonly clock: Clock;
   readonly entryVm: string;
+  readonly events: GatewayEventRecorder;
   readonly peers: PeerClient;
   /** Entry VM of the failover leader as far as it is known, or null. */
   getFailoverLeader(): string | null;
@@ -69,7 +72,11 @@
     }
     const peer = this.options.getEntryVm(leader);
     if (peer !== null) {
-      void peers.reportSuspicion(peer, report);
+      runInBackground(
+        this.options.events,
+        'suspicion report',
+        peers.reportSuspicion(peer, report),
+      );
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,7 @@
 import type {QuotaRules} from './quota/quota_rules.js';
 import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
+import {runInBackground} from './observability/background_task.js';
 
 /** Options of a gateway. @public */
 export interface GatewayOptions {
@@ -281,7 +282,7 @@
       handleRestored: () => {
         this.instances.roster.clearCache();
         this.relayedTable.markStoreAvailable();
-        void this.controlPoller.readNow();
+        this.readControlTable();
       },
     });
     this.directoryWatcher = TableWatcher.create({
@@ -320,6 +321,7 @@
       direct: controlTable,
       relay: options.relay,
       clock,
+      events,
       random,
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
     });
@@ -387,7 +389,7 @@
       table: this.relayedTable,
       getGroups: () => this.groups.values(),
       isFailoverLeader: () => this.leaderLease.getFencingToken() !== null,
-      readTable: () => void this.controlPoller.readNow(),
+      readTable: () => this.readControlTable(),
     });
     this.leaderPlacement = FailoverLeaderPlacement.create({
       clock,
@@ -409,11 +411,12 @@
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
       computeDigest: () => this.peerRequestHandler.computeDigest(),
       isFollowing: () => !this.zoneReading.isReading,
-      readStore: () => void this.controlPoller.readNow(),
+      readStore: () => this.readControlTable(),
     });
     this.suspicionReporter = SuspicionReporter.create({
       clock,
       entryVm: self.entryVm,
+      events,
       peers: options.peers,
       getFailoverLeader: () => this.leaderLease.holder,
       getEntryVm: entryVm => this.registration.getEntryVm(entryVm),
@@ -436,8 +439,9 @@
       connector: options.connector,
       isStopping: () => this.isStopping,
       handleSuspicionReport: report => this.coordinator.handleReport(report),
-      readControlTable: () => void this.controlPoller.readNow(),
-      maintainLeadership: () => void this.maintainStoreRecords(),
+      readControlTable: () => this.readControlTable(),
+      maintainLeadership: () =>
+        this.runInBackground('store records', this.maintainStoreRecords()),
       handleUpdateRequest: request => publisher.answer(request),
       exchangePermits: exchange =>
         this.quotas?.owner.exchange(exchange) ?? null,
@@ -484,7 +488,7 @@
     this.isStopping = true;
     this.readiness.markStopping();
     this.coordinator.dispose();
-    void this.leaderLease.stepDown();
+    this.runInBackground('step-down', this.leaderLease.stepDown());
   }
 
   /** Stops at once and without deregistration, like a killed process. */
@@ -587,7 +591,7 @@
     );
     this.connectionShares.apply();
     if (!this.isStopping) {
-      void this.maintainStoreRecords();
+      this.runInBackground('store records', this.maintainStoreRecords());
     }
     // The duration is 0 if the listing has no registration of this proxy: other
     // proxies would then not ask it to release a primary.
@@ -595,7 +599,7 @@
     const grant = {readAt, durationMs, storeTimeMs};
     applyRecords(listing, grant, this.groups);
     for (const group of this.groups.values()) {
-      void this.freshnessSeeder.seed(group);
+      this.runInBackground('freshness seed', this.freshnessSeeder.seed(group));
     }
   }
 
@@ -661,7 +665,10 @@
     for (const peer of chooseTakeoverCandidates(
       registration.getOtherEntryVms(),
     )) {
-      void this.options.peers.handOverDuty(peer, {fencingToken});
+      this.runInBackground(
+        'transfer of leadership',
+        this.options.peers.handOverDuty(peer, {fencingToken}),
+      );
     }
   }
 
@@ -671,7 +678,10 @@
     this.suspicionReporter.check(this.registry.list());
     this.probeUnreachable();
     for (const group of this.groups.values()) {
-      void this.replicaFreshness.maintain(group);
+      this.runInBackground(
+        'replica freshness',
+        this.replicaFreshness.maintain(group),
+      );
     }
     this.readiness.update();
     this.zoneReading.maintain();
@@ -681,9 +691,9 @@
       return;
     }
     this.recordRestorer.maintain();
-    void this.contactRenewer.maintain();
-    void this.leaderPlacement.maintain();
-    void this.maintainStoreRecords();
+    this.runInBackground('contact', this.contactRenewer.maintain());
+    this.runInBackground('placement', this.leaderPlacement.maintain());
+    this.runInBackground('store records', this.maintainStoreRecords());
   }
 
   /**
@@ -693,14 +703,17 @@
    */
   private async maintainStoreRecords(): Promise<void> {
     if (await this.registration.maintain()) {
-      void this.controlPoller.readNow();
+      this.readControlTable();
     }
     await this.leaderLease.maintain();
     if (
       this.leaderLease.getFencingToken() !== null &&
       this.directory.isListed
     ) {
-      void this.instances.roster.maintain([...this.groups.keys()]);
+      this.runInBackground(
+        'rosters',
+        this.instances.roster.maintain([...this.groups.keys()]),
+      );
     }
     const nowMs = this.clock.nowMs();
     const isRemovalDue =
@@ -711,12 +724,20 @@
     }
   }
 
+  private readControlTable(): void {
+    this.runInBackground('read of the table', this.controlPoller.readNow());
+  }
+
+  private runInBackground(task: string, promise: Promise<unknown>): void {
+    runInBackground(this.events, task, promise);
+  }
+
   private checkClock(): void {
     const {epoch} = this.clockJumpDetector.read();
     if (epoch !== this.clockEpoch) {
       this.clockEpoch = epoch;
       this.events.record({kind: 'clockDisagreement', epoch});
-      void this.controlPoller.readNow();
+      this.readControlTable();
     }
   }
 
@@ -725,7 +746,7 @@
     for (const group of this.groups.values()) {
       for (const server of group.getServers()) {
         if (server.isProbeDue) {
-          void server.probe();
+          this.runInBackground('probe', server.probe());
         }
       }
     }
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -20,6 +20,7 @@
 import {FailureRate} from '../routing/failure_rate.js';
 import type {DrainTracker} from './drain_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies and settings of a {@link BackendServerRuntime}. @public */
 export interface BackendServerRuntimeOptions {
@@ -348,7 +349,7 @@
       this.markSuspect();
       // A full accept queue looks the same as an unreachable server, so check
       // reachability separately.
-      void this.probe();
+      runInBackground(events, 'probe', this.probe());
       return failure({kind: 'unreachable', reason});
     }
     const pooled = PooledConnection.create(result.value, identity);
@@ -376,7 +377,11 @@
         this.responseCheckTimer = null;
         this.removeClosedConnections();
         if (this.hasOverdueResponse()) {
-          void this.checkReachability();
+          runInBackground(
+            this.options.events,
+            'reachability check',
+            this.checkReachability(),
+          );
         }
         this.scheduleResponseCheck();
       },
@@ -413,16 +418,17 @@
       return;
     }
     this.isCheckingReachability = true;
-    const entry = this.currentEntry;
-    const result = await this.options.connector.checkReachable(
-      entry,
-      REACHABILITY_TIMEOUT_MS,
-    );
-    this.isCheckingReachability = false;
-    if (result === 'accepted') {
-      return;
+    try {
+      const result = await this.options.connector.checkReachable(
+        this.currentEntry,
+        REACHABILITY_TIMEOUT_MS,
+      );
+      if (result !== 'accepted') {
+        this.markUnreachable(result);
+      }
+    } finally {
+      this.isCheckingReachability = false;
     }
-    this.markUnreachable(result);
   }
 
   private markUnreachable(evidence: ReachabilityResult): void {
--- a/packages/gateway/src/group/peer_freshness_source.ts
+++ b/packages/gateway/src/group/peer_freshness_source.ts
@@ -7,6 +7,7 @@
 import type {PeerClient} from '../peer/peer_client.js';
 import type {ClockJumpDetector} from './clock_jump_detector.js';
 import type {GroupRuntime} from './group_runtime.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the peer freshness source. @public */
 export interface PeerFreshnessSourceOptions {
@@ -82,11 +83,15 @@
     );
     const firstNewer = new Promise<void>(resolve => {
       for (const query of queries) {
-        void query.then(isNewer => {
-          if (isNewer) {
-            resolve();
-          }
-        });
+        runInBackground(
+          this.options.events,
+          'query of a position',
+          query.then(isNewer => {
+            if (isNewer) {
+              resolve();
+            }
+          }),
+        );
       }
     });
     return Promise.race([
--- a/packages/gateway/src/lifecycle/readiness_monitor.ts
+++ b/packages/gateway/src/lifecycle/readiness_monitor.ts
@@ -5,6 +5,7 @@
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import {findUnreachableZones} from './find_unreachable_zones.js';
 import {decideReadiness, type Readiness} from './readiness.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the monitor. @public */
 export interface ReadinessMonitorOptions {
@@ -139,7 +140,9 @@
     this.probedZonesAtMs = nowMs;
     for (const zone of zones) {
       const server = servers.find(({entry}) => entry.availabilityZone === zone);
-      void server?.probe();
+      if (server !== undefined) {
+        runInBackground(this.options.events, 'probe', server.probe());
+      }
     }
   }
 }
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -303,6 +303,12 @@
       readonly reason: string;
     }
   | {readonly kind: 'storeConflict'; readonly key: string}
+  /** A background task has failed with an error that nothing expects. */
+  | {
+      readonly kind: 'taskFailed';
+      readonly task: string;
+      readonly reason: string;
+    }
   | {readonly kind: 'logLinesDropped'; readonly count: number};
 
 /**
@@ -331,6 +337,7 @@
     case 'outcomeUnknown':
     case 'transactionLost':
     case 'backendConnectFailed':
+    case 'taskFailed':
       return 'failure';
     default:
       return 'belief';
--- a/packages/gateway/src/quota/customer_quotas.ts
+++ b/packages/gateway/src/quota/customer_quotas.ts
@@ -42,6 +42,7 @@
       availabilityZones: options.availabilityZones,
       clock,
       clockJumpDetector,
+      events,
       peers,
       getView: () => options.getView(),
       exchangeLocally: exchange => this.owner.exchange(exchange),
--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -18,6 +18,8 @@
 import {PermitStock} from './permit_stock.js';
 import {isSameLimit} from './quota_ledger.js';
 import {getQuotaPartition} from './quota_partition.js';
+import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Why an operation got no permit. It was not run. @public */
 export interface LimitError {
@@ -48,6 +50,7 @@
   readonly availabilityZones: readonly string[];
   readonly clock: Clock;
   readonly clockJumpDetector: ClockJumpDetector;
+  readonly events: GatewayEventRecorder;
   readonly peers: PeerClient;
   getView(): RegistrationView | null;
   /** Exchanges permits with this proxy if it is the owner itself. */
@@ -185,10 +188,14 @@
       }
     }
     for (const [partition, partitionReports] of reports) {
-      void this.exchange(
-        partition,
-        this.options.self.availabilityZone,
-        partitionReports,
+      runInBackground(
+        this.options.events,
+        'exchange of permits',
+        this.exchange(
+          partition,
+          this.options.self.availabilityZone,
+          partitionReports,
+        ),
       );
     }
   }
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -20,6 +20,7 @@
 } from './refusal.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 import {recordOutcomeUnknown} from './statement_events.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Timeout of the rollback of an abandoned or idle transaction. */
 const ROLLBACK_TIMEOUT_MS = 500;
@@ -151,7 +152,7 @@
   /** Rolls back because the caller may not go on with the transaction. */
   refuse(statement: CallerStatement, error: CallerError): StatementReply {
     this.idleTimer?.cancel();
-    void this.rollBack();
+    this.startRollback();
     this.state = endsTransaction(statement) ? 'idle' : 'failed';
     return createErrorReply(error, this.state);
   }
@@ -166,7 +167,7 @@
       this.end('dirty');
       return;
     }
-    void this.rollBack();
+    this.startRollback();
   }
 
   /**
@@ -265,7 +266,7 @@
     this.idleTimer = this.beginContext.gateway.clock.startTimer(
       this.idleTimeoutMs,
       () => {
-        void this.rollBack();
+        this.startRollback();
         this.state = 'failed';
         this.beginContext.gateway.events.record({
           kind: 'transactionLost',
@@ -277,6 +278,11 @@
     );
   }
 
+  private startRollback(): void {
+    const {events} = this.beginContext.gateway;
+    runInBackground(events, 'rollback', this.rollBack());
+  }
+
   private async rollBack(): Promise<void> {
     const heldConnection = this.heldConnection;
     this.heldConnection = null;
--- a/packages/gateway/src/zone/zone_follower.ts
+++ b/packages/gateway/src/zone/zone_follower.ts
@@ -9,6 +9,7 @@
 import type {PeerClient} from '../peer/peer_client.js';
 import {chooseZoneReader} from './choose_zone_reader.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from './zone_update.js';
+import {runInBackground} from '../observability/background_task.js';
 
 /** Newest table revisions that a follower knows. @public */
 export type KnownRevisions = Pick<
@@ -120,7 +121,7 @@
       this.setReader(null, 'no other proxy of the zone is preferred as reader');
       return;
     }
-    void this.poll(next);
+    runInBackground(this.options.events, 'poll of the reader', this.poll(next));
   }
 
   private chooseReader(): EntryVmRecord | null {
@@ -155,6 +156,15 @@
   /** Polls one reader until it fails or another reader is preferred. */
   private async poll(reader: EntryVmRecord): Promise<void> {
     this.isPolling = true;
+    try {
+      await this.pollUntilReplaced(reader);
+    } finally {
+      this.isPolling = false;
+    }
+    this.maintain();
+  }
+
+  private async pollUntilReplaced(reader: EntryVmRecord): Promise<void> {
     // No wait in the first request, so an unresponsive proxy is detected early.
     let waitMs = 0;
     for (;;) {
@@ -165,7 +175,7 @@
       }
       if (outcome !== 'answered') {
         this.backOff(reader, outcome);
-        break;
+        return;
       }
       this.setReader(reader, 'it responds');
       waitMs = FOLLOW_WAIT_MS;
@@ -174,11 +184,9 @@
         await sleep(this.options.clock, MIN_INTERVAL_MS - elapsedMs);
       }
       if (this.chooseReader()?.entryVm !== reader.entryVm) {
-        break;
+        return;
       }
     }
-    this.isPolling = false;
-    this.maintain();
   }
 
   private async requestUpdate(
