Platform: an entry of another writer is checked whole, or names no instance

Cause: decodeBackendServer checked some fields by type and hardly any by range; whatever it let through counted as an instance everywhere.

It works because a refused entry is in no list: nothing reads there, and no change waits for it.

--- a/packages/gateway/src/directory/backend_server_entry.ts
+++ b/packages/gateway/src/directory/backend_server_entry.ts
@@ -25,18 +25,25 @@
   readonly startedAtEpochMs: number | null;
 }
 
+const MAX_PORT = 65_535;
+
+/** Whether a connection can be opened to a port of this number. @public */
+export function isPort(port: number): boolean {
+  return Number.isInteger(port) && port >= 1 && port <= MAX_PORT;
+}
+
 /** Validates a serialized {@link BackendServerEntry}. @public */
 export const backendServerEntrySchema: z.ZodType<BackendServerEntry> = z.object(
   {
     backendServer: z.string().min(1),
     databaseGroup: z.string().min(1),
     host: z.string().min(1),
-    port: z.number().int(),
+    port: z.number().refine(isPort),
     availabilityZone: z.string(),
     state: z.enum(['active', 'draining']),
     reportedRole: z.enum(['primary', 'replica']),
-    slots: z.number(),
-    warmUpRemainingMs: z.number(),
-    startedAtEpochMs: z.number().nullable(),
+    slots: z.number().positive(),
+    warmUpRemainingMs: z.number().nonnegative(),
+    startedAtEpochMs: z.number().int().nonnegative().nullable(),
   },
 );
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -11,8 +11,20 @@
   type BackendServerEntry,
 } from './backend_server_entry.js';
 
-/** Validates the stored roster of a database group. */
-const rosterSchema = z.array(backendServerEntrySchema);
+/**
+ * Validates the stored roster of a database group. An earlier build may have
+ * stored an entry that names no instance; it must not hide the others.
+ */
+const rosterSchema = z.array(z.unknown()).transform(entries => {
+  const valid: BackendServerEntry[] = [];
+  for (const entry of entries) {
+    const parsed = backendServerEntrySchema.safeParse(entry);
+    if (parsed.success) {
+      valid.push(parsed.data);
+    }
+  }
+  return valid;
+});
 
 /** Minimum time between two maintenance passes. */
 const MAINTAIN_INTERVAL_MS = 500;
--- a/packages/gateway/src/directory/group_roster_test.ts
+++ b/packages/gateway/src/directory/group_roster_test.ts
@@ -101,4 +101,17 @@
     expect(table.writeCount).toBe(1);
     expect(await roster.read('g39')).toHaveLength(1);
   });
+
+  // Guards against a promotion that waits for an instance that does not exist.
+  it('leaves out stored entries that name no instance', async () => {
+    const valid = createEntry('p', 'primary');
+    table.seed('roster/group', [
+      {...valid, backendServer: 'x', port: 70_000},
+      valid,
+      {...valid, backendServer: 'y', port: 0},
+      {...valid, backendServer: 'z', startedAtEpochMs: 1.5},
+      null,
+    ]);
+    expect(await readNames()).toEqual(['p']);
+  });
 });
