Failover: no order of an earlier leader takes effect after a later one

Reproduced first with real processes: five proxies, one group, the primary crashes, the platform accepts the order late, SIGTERM reaches the leader 20 ms after it was sent.

Cause: leadership was given up with an order on its way (stop, transfer, loss of the store); the successor read a record that names the target and ignored it; the token was checked once, before the connection was opened; a call that timed out was closed, not reset; of two instances in later terms the first one found was recorded.

Fix: leadership is released only when no order is under way (OrdersInFlight); a successor waits for the recorded target until the order can no longer take effect (5.9 s after it first saw the record) and only then chooses; the token is asked again when the connection is open, and a timed out call is reset; a surely refused order clears the target; the highest term counts.

The highest of two terms is a second, smaller fault; it is in this commit since its test shares the file.

--- a/packages/base/src/http_request.ts
+++ b/packages/base/src/http_request.ts
@@ -12,6 +12,12 @@
   readonly sourceAddress?: string;
   /** Timeout from sending the request to the end of the response. */
   readonly timeoutMs: number;
+  /**
+   * Asked once the connection is open, right before the request is sent. If it
+   * denies, nothing is sent. With it, a request that times out also resets its
+   * connection, so that the system sends nothing of it any more.
+   */
+  readonly maySend?: () => boolean;
   /** Largest accepted response body. A larger one fails the request. */
   readonly maxResponseBytes?: number;
 }
@@ -61,23 +67,43 @@
     }
     const outgoing = created.value;
     const timer = setTimeout(() => {
+      if (request.maySend !== undefined) {
+        resetConnection(outgoing);
+      }
       outgoing.destroy(new Error(`no response within ${request.timeoutMs} ms`));
     }, request.timeoutMs);
-    outgoing.on('socket', socket => {
-      if (!socket.connecting) {
-        wasConnected = true;
+    const handleConnected = (): void => {
+      if (request.maySend?.() === false) {
+        outgoing.destroy(new Error('the request may not be sent any more'));
         return;
       }
-      socket.once('connect', () => {
-        wasConnected = true;
-      });
+      wasConnected = true;
+      if (request.maySend !== undefined) {
+        outgoing.end(request.body ?? undefined);
+      }
+    };
+    outgoing.on('socket', socket => {
+      if (socket.connecting) {
+        socket.once('connect', handleConnected);
+      } else {
+        handleConnected();
+      }
     });
     outgoing.on('error', error => fail(error.message));
     outgoing.on('close', () => fail('connection closed'));
-    outgoing.end(request.body ?? undefined);
+    if (request.maySend === undefined) {
+      outgoing.end(request.body ?? undefined);
+    }
   });
 }
 
+/** Discards what the system has not yet sent on an open connection. */
+function resetConnection({socket}: http.ClientRequest): void {
+  if (socket !== null && !socket.connecting) {
+    socket.resetAndDestroy();
+  }
+}
+
 /** Creates a request; fails on a URL or header that the runtime refuses. */
 function createRequest(
   request: HttpRequest,
--- a/packages/base/src/http_request_test.ts
+++ b/packages/base/src/http_request_test.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {sendHttpRequest, type HttpRequest} from './http_request.js';
 
 describe('sendHttpRequest', () => {
@@ -136,4 +136,41 @@
     const result = await send({headers: {name: 'a\nb'}});
     expect(result).toMatchObject({ok: false, error: {wasConnected: false}});
   });
+
+  // Guards against a request that leaves after its sender may no longer act.
+  it.each([false, true])(
+    'sends nothing that is denied once the connection is open (open before: %s)',
+    async isOpenBefore => {
+      let requestCount = 0;
+      if (isOpenBefore) {
+        await send();
+      }
+      handle = (_request, response) => {
+        requestCount++;
+        response.end('{}');
+      };
+      const denied = await send({maySend: () => false});
+      expect(denied).toMatchObject({ok: false, error: {wasConnected: false}});
+      expect(requestCount).toBe(0);
+      const allowed = await send({
+        method: 'POST',
+        body: 'x',
+        maySend: () => true,
+      });
+      expect(allowed.ok).toBe(true);
+      expect(requestCount).toBe(1);
+    },
+  );
+
+  it('resets the connection of a guarded request that times out', async () => {
+    let error: Error | null = null;
+    handle = request => {
+      request.socket.on('error', caught => {
+        error = caught;
+      });
+    };
+    const result = await send({timeoutMs: 50, maySend: () => true});
+    expect(result).toMatchObject({ok: false, error: {wasConnected: true}});
+    await vi.waitFor(() => expect(error).toMatchObject({code: 'ECONNRESET'}));
+  });
 });
--- a/packages/gateway/src/backend/instance_control.ts
+++ b/packages/gateway/src/backend/instance_control.ts
@@ -80,5 +80,12 @@
 
 /** Requests promotions from the platform. @public */
 export interface PromotionService {
-  promote(order: PromotionOrder): Promise<Result<void, PromotionError>>;
+  /**
+   * Sends an order. `maySend` is asked at the last moment before the order
+   * leaves the process; if it denies, nothing is sent.
+   */
+  promote(
+    order: PromotionOrder,
+    maySend: () => boolean,
+  ): Promise<Result<void, PromotionError>>;
 }
--- a/packages/gateway/src/control/failover_leader_placement.ts
+++ b/packages/gateway/src/control/failover_leader_placement.ts
@@ -17,6 +17,8 @@
    */
   findPrimaryZones(): readonly AvailabilityZone[] | null;
   getOtherEntryVms(): readonly EntryVmRecord[];
+  /** Whether a promotion order of this process is under way. */
+  hasOrderInFlight(): boolean;
   /** Digest of the primary records that this proxy knows. */
   computeDigest(): string;
 }
@@ -102,7 +104,9 @@
     const {peers, leaderLease, computeDigest, findPrimaryZones} = this.options;
     const response = await peers.compareRecords(successor);
     const isReady = response.ok && response.value.digest === computeDigest();
-    if (!isReady || findPrimaryZones() === null) {
+    const isChanging =
+      findPrimaryZones() === null || this.options.hasOrderInFlight();
+    if (!isReady || isChanging) {
       return false;
     }
     const fencingToken = leaderLease.beginTransfer(
--- a/packages/gateway/src/control/failover_leader_placement_test.ts
+++ b/packages/gateway/src/control/failover_leader_placement_test.ts
@@ -26,12 +26,14 @@
   let primaryZones: readonly string[] | null;
   let otherDigest: string | null;
   let transfers: LeadershipTransfer[];
+  let hasOrderInFlight: boolean;
 
   beforeEach(async () => {
     clock = VirtualClock.create();
     primaryZones = ['zone-a'];
     otherDigest = 'same';
     transfers = [];
+    hasOrderInFlight = false;
     leaderLease = FailoverLeaderLease.create({
       entryVm: 'entry-1',
       incarnation: 'one',
@@ -59,6 +61,7 @@
       peers,
       findPrimaryZones: () => primaryZones,
       getOtherEntryVms: () => [OTHER_PROXY],
+      hasOrderInFlight: () => hasOrderInFlight,
       computeDigest: () => 'same',
     });
     await leaderLease.maintain();
@@ -88,6 +91,14 @@
     expect(transfers).toEqual([]);
   });
 
+  // Guards against a lower fencing token that arrives after a higher one.
+  it('keeps leadership while a promotion order is under way', async () => {
+    hasOrderInFlight = true;
+    await checkPlacement();
+    expect(transfers).toEqual([]);
+    expect(leaderLease.getFencingToken()).toBe(1);
+  });
+
   it('keeps leadership while the other proxy knows different primaries', async () => {
     otherDigest = 'other';
     await checkPlacement();
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -89,6 +89,7 @@
 export class FailoverCoordinator {
   private readonly groupStates = new Map<DatabaseGroupName, GroupState>();
   private timer: Timer | null = null;
+  private isDisposed = false;
 
   private constructor(private readonly options: FailoverCoordinatorOptions) {}
 
@@ -104,6 +105,7 @@
   }
 
   dispose(): void {
+    this.isDisposed = true;
     this.timer?.cancel();
   }
 
@@ -116,6 +118,9 @@
   }
 
   private tick(): void {
+    if (this.isDisposed) {
+      return;
+    }
     if (this.options.leaderLease.getFencingToken() === null) {
       return;
     }
@@ -175,6 +180,7 @@
     }
     if (record.phase === 'changing') {
       await this.change(
+        group,
         {record, revision},
         'an earlier change was not completed',
       );
@@ -189,7 +195,7 @@
     }
     const reason = await this.findReason(group, state, record.primary);
     if (reason !== null) {
-      await this.change({record, revision}, reason);
+      await this.change(group, {record, revision}, reason);
       this.startCooldown(state);
     }
   }
@@ -201,10 +207,16 @@
 
   /** Replaces the primary, or resumes a change that is recorded. */
   private async change(
+    {lease}: GroupRuntime,
     current: RevisedPrimaryRecord,
     reason: string,
   ): Promise<void> {
-    await PrimaryChange.create(this.options, current, reason).run();
+    await PrimaryChange.create(
+      this.options,
+      current,
+      lease.getRecordAgeMs(),
+      reason,
+    ).run();
   }
 
   private async findReason(
@@ -459,6 +471,7 @@
       return;
     }
     await this.change(
+      group,
       {record: previous, revision},
       `the recorded primary is no longer primary, ${reported.primary} is in term ${reported.term}`,
     );
--- a/packages/gateway/src/failover/failover_coordinator_test.ts
+++ b/packages/gateway/src/failover/failover_coordinator_test.ts
@@ -12,6 +12,7 @@
 import {FakePeers} from '../testing/fake_peers.js';
 import {SessionTestHarness} from '../testing/session_test_harness.js';
 import {advanceClock} from '../testing/settle.js';
+import {OrdersInFlight} from './orders_in_flight.js';
 import {FailoverCoordinator} from './failover_coordinator.js';
 
 const KEY = getPrimaryRecordKey('group');
@@ -79,6 +80,7 @@
       instances,
       promotions: instances,
       leaderLease,
+      orders: OrdersInFlight.create(),
       events,
       connector: backend,
       directory: {
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -7,6 +7,7 @@
   InstanceStatus,
 } from '../backend/instance_control.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {TermPrimary} from '../group/primary_lease.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {FencedInstance} from './choose_promotion_target.js';
 import {runInBackground} from '../observability/background_task.js';
@@ -88,17 +89,21 @@
       .map(entry => this.describeInstance(entry));
   }
 
-  /** Instance that an earlier promotion order has made primary, or null. */
-  findNewPrimary(): {
-    readonly backendServer: string;
-    readonly term: number;
-  } | null {
-    for (const [backendServer, {status}] of this.fences) {
-      if (status.role === 'primary' && status.term > this.options.oldTerm) {
-        return {backendServer, term: status.term};
+  /**
+   * Instance that an earlier promotion order has made primary, or null. If
+   * several report a later term, all but the one of the highest term have been
+   * replaced already.
+   */
+  findNewPrimary(): TermPrimary | null {
+    let newest: TermPrimary | null = null;
+    for (const [primary, {status}] of this.fences) {
+      const {role, term} = status;
+      const isNewer = term > (newest?.term ?? this.options.oldTerm);
+      if (role === 'primary' && isNewer) {
+        newest = {primary, term};
       }
     }
-    return null;
+    return newest;
   }
 
   private describeInstance(entry: BackendServerEntry): FencedInstance {
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
 import {sleep} from '@filbertrun/base/sleep.js';
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
-import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {
   ListableTable,
   TableListing,
@@ -11,7 +11,10 @@
   InstanceControl,
   PromotionService,
 } from '../backend/instance_control.js';
-import type {FailoverLeaderLease} from '../control/failover_leader_lease.js';
+import {
+  LEADERSHIP_LEASE_MS,
+  type FailoverLeaderLease,
+} from '../control/failover_leader_lease.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {
   getPrimaryRecordKey,
@@ -26,6 +29,7 @@
 } from './choose_promotion_target.js';
 import {InstanceFences} from './instance_fences.js';
 import type {LeaseHolders} from './find_lease_holders.js';
+import type {OrdersInFlight} from './orders_in_flight.js';
 import {ReleaseCollector} from './release_collector.js';
 import {runInBackground} from '../observability/background_task.js';
 
@@ -39,6 +43,7 @@
   readonly instances: InstanceControl;
   readonly promotions: PromotionService;
   readonly leaderLease: FailoverLeaderLease;
+  readonly orders: OrdersInFlight;
   readonly events: GatewayEventRecorder;
   /**
    * The group's instances as the platform lists them now; null if the platform
@@ -78,9 +83,22 @@
 /** Interval of the polls for the effect of a promotion. */
 const PROMOTION_POLL_MS = 100;
 
-/** Time after which an ordered promotion counts as failed. */
+/**
+ * Time after which an ordered promotion can no longer take effect: the longest
+ * time that the platform may take to accept a call, and the promotion itself.
+ */
 const PROMOTION_TIMEOUT_MS = 4_000;
 
+/**
+ * The same for the order of an earlier leader, counted from the time at which
+ * its record was first seen. That leader may have sent the order at any time
+ * while it could act.
+ */
+const EARLIER_ORDER_TIMEOUT_MS = LEADERSHIP_LEASE_MS + PROMOTION_TIMEOUT_MS;
+
+/** Time after a refused order before a target is chosen again. */
+const REFUSED_RETRY_MS = 100;
+
 /** Attempts to list or write the table before the operation fails. */
 const MAX_TABLE_ATTEMPTS = 8;
 
@@ -90,6 +108,20 @@
 /** Minimum time between two log lines about what the change waits for. */
 const WAITING_LOG_INTERVAL_MS = 1_000;
 
+/** A target that was chosen, with the end of its log. */
+type ChosenTarget = Extract<PromotionChoice, {readonly kind: 'promote'}>;
+
+/** What became of an order. */
+type OrderOutcome =
+  /** The target could not be recorded, so nothing was ordered. */
+  | 'unrecorded'
+  /** Nothing was ordered. */
+  | 'leadershipLost'
+  /** The order takes no effect. */
+  | 'refused'
+  /** The order was accepted, or its outcome is unknown. */
+  | 'mayTakeEffect';
+
 /** How a change ended. @public */
 export type ChangeOutcome = 'completed' | 'abandoned';
 
@@ -109,6 +141,8 @@
   private constructor(
     private readonly dependencies: PrimaryChangeDependencies,
     private current: RevisedPrimaryRecord,
+    /** Time since this process first saw the current record. */
+    private readonly currentAgeMs: number,
     private readonly reason: string,
   ) {
     this.startedAtMs = dependencies.clock.nowMs();
@@ -118,9 +152,10 @@
   static create(
     dependencies: PrimaryChangeDependencies,
     current: RevisedPrimaryRecord,
+    currentAgeMs: number,
     reason: string,
   ): PrimaryChange {
-    return new PrimaryChange(dependencies, current, reason);
+    return new PrimaryChange(dependencies, current, currentAgeMs, reason);
   }
 
   async run(): Promise<ChangeOutcome> {
@@ -145,7 +180,10 @@
     });
     releases.start(holders.known);
     this.waitForUnlisted(releases, holders);
-    const outcome = await this.fenceAndPromote(intent, releases);
+    await this.waitForReleases(releases, RELEASE_WAIT_MS);
+    const outcome =
+      (await this.awaitEarlierOrder(intent, releases)) ??
+      (await this.fenceAndPromote(intent, releases));
     if (outcome === 'completed') {
       this.runInBackground('open writes', this.openWrites(releases));
     } else {
@@ -250,7 +288,6 @@
     intent: ChangingRecord,
     releases: ReleaseCollector,
   ): Promise<ChangeOutcome> {
-    await this.waitForReleases(releases, RELEASE_WAIT_MS);
     const {clock, events, instances, availabilityZone} = this.dependencies;
     const fences = InstanceFences.create({
       clock,
@@ -266,8 +303,8 @@
       await sleep(this.dependencies.clock, STEP_INTERVAL_MS);
       const newPrimary = fences.findNewPrimary();
       if (newPrimary !== null) {
-        const {backendServer, term} = newPrimary;
-        return this.complete(intent, releases, backendServer, term);
+        const {primary, term} = newPrimary;
+        return this.complete(intent, releases, primary, term);
       }
       const choice = choosePromotionTarget(
         fences.describe(entries),
@@ -320,18 +357,50 @@
     return this.listedInstances;
   }
 
-  /** Orders the promotion; null if the target has to be chosen again. */
+  /** Promotes the choice; null if the target has to be chosen again. */
   private async promote(
     intent: ChangingRecord,
     releases: ReleaseCollector,
-    choice: Extract<PromotionChoice, {readonly kind: 'promote'}>,
+    choice: ChosenTarget,
   ): Promise<ChangeOutcome | null> {
-    const {target, position} = choice;
+    const outcome = await this.dependencies.orders.run(() =>
+      this.order(intent, releases, choice),
+    );
+    switch (outcome) {
+      case null:
+        return this.abandon('this proxy is stopping');
+      case 'unrecorded':
+        return this.abandon('the target could not be recorded');
+      case 'leadershipLost':
+        return this.abandon('the failover leadership was lost');
+      case 'refused':
+        return this.clearTarget(intent);
+      case 'mayTakeEffect':
+        return this.awaitEffect(
+          intent,
+          releases,
+          choice.target,
+          this.dependencies.clock.nowMs() + PROMOTION_TIMEOUT_MS,
+        );
+      default:
+        return exhaustiveSwitchError(outcome);
+    }
+  }
+
+  /**
+   * Records the target and orders its promotion. The record is written before
+   * each order, so a later leader knows of every order that may take effect.
+   */
+  private async order(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+    {target, position}: ChosenTarget,
+  ): Promise<OrderOutcome> {
     // While a proxy can still write to the old primary, a restarted replica may
     // acknowledge commits beyond the positions seen during fencing.
     const lastOldPosition = releases.haveAllReleased ? position : null;
-    if (!(await this.recordTarget(intent, target, lastOldPosition))) {
-      return this.abandon('the target could not be recorded');
+    if (!(await this.write({...intent, target, lastOldPosition}))) {
+      return 'unrecorded';
     }
     // Makes the proxies read the record before the promotion. If it contains
     // `lastOldPosition`, fenced replicas that hold this position can serve reads,
@@ -340,9 +409,9 @@
     this.runInBackground('announce', this.announce());
     const {token} = this;
     if (token === null) {
-      return this.abandon('the failover leadership was lost');
+      return 'leadershipLost';
     }
-    const {events, promotions, entryVm, clock} = this.dependencies;
+    const {events, promotions, entryVm} = this.dependencies;
     const {databaseGroup, changeId} = intent;
     events.record({
       kind: 'promotionOrdered',
@@ -352,12 +421,10 @@
       position,
       fencingToken: token,
     });
-    const result = await promotions.promote({
-      databaseGroup,
-      target,
-      failoverLeader: entryVm,
-      fencingToken: token,
-    });
+    const result = await promotions.promote(
+      {databaseGroup, target, failoverLeader: entryVm, fencingToken: token},
+      () => this.token === token,
+    );
     const outcome = result.ok ? 'accepted' : result.error.kind;
     events.record({
       kind: 'promotionAnswered',
@@ -366,17 +433,62 @@
       target,
       outcome,
     });
-    if (!result.ok && result.error.kind !== 'outcomeUnknown') {
-      await sleep(this.dependencies.clock, STEP_INTERVAL_MS);
+    const isRefused = !result.ok && result.error.kind !== 'outcomeUnknown';
+    return isRefused ? 'refused' : 'mayTakeEffect';
+  }
+
+  /**
+   * Records that no order is outstanding, so that a later leader does not wait
+   * for one; null, since the target has to be chosen again.
+   */
+  private async clearTarget(
+    intent: ChangingRecord,
+  ): Promise<ChangeOutcome | null> {
+    const record = {...intent, target: null, lastOldPosition: null};
+    if (!(await this.write(record))) {
+      return this.abandon('the refused target could not be cleared');
+    }
+    await sleep(this.dependencies.clock, REFUSED_RETRY_MS);
+    return null;
+  }
+
+  /**
+   * Waits for the order that an earlier leader has recorded, which may still take
+   * effect; null if there is none, or it can no longer take effect. No other
+   * instance may be promoted before: the order could undo what was committed
+   * there, and it would arrive with a lower fencing token.
+   */
+  private async awaitEarlierOrder(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+  ): Promise<ChangeOutcome | null> {
+    const {target} = intent;
+    if (target === null) {
       return null;
     }
-    const untilMs = clock.nowMs() + PROMOTION_TIMEOUT_MS;
+    this.recordWaiting(intent, `the earlier order to promote ${target}`);
+    const seenAtMs = this.startedAtMs - this.currentAgeMs;
+    const untilMs = seenAtMs + EARLIER_ORDER_TIMEOUT_MS;
+    return this.awaitEffect(intent, releases, target, untilMs);
+  }
+
+  /** Waits until the target is primary; null if it is not in time. */
+  private async awaitEffect(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+    target: string,
+    untilMs: number,
+  ): Promise<ChangeOutcome | null> {
+    const {clock} = this.dependencies;
     while (clock.nowMs() < untilMs) {
-      await sleep(this.dependencies.clock, PROMOTION_POLL_MS);
+      if (this.token === null) {
+        return this.abandon('the failover leadership was lost');
+      }
       const term = await this.findNewTerm(intent, target);
       if (term !== null) {
         return this.complete(intent, releases, target, term);
       }
+      await sleep(clock, PROMOTION_POLL_MS);
     }
     return null;
   }
@@ -386,7 +498,8 @@
     intent: ChangingRecord,
     target: string,
   ): Promise<number | null> {
-    const entry = this.listedInstances?.find(
+    const instances = await this.findInstances(intent.databaseGroup);
+    const entry = instances?.find(
       ({backendServer}) => backendServer === target,
     );
     if (entry === undefined) {
@@ -399,14 +512,6 @@
     return status.value.term > intent.oldTerm ? status.value.term : null;
   }
 
-  private async recordTarget(
-    intent: ChangingRecord,
-    target: string,
-    lastOldPosition: LogPosition | null,
-  ): Promise<boolean> {
-    return this.write({...intent, target, lastOldPosition});
-  }
-
   /**
    * Records the new primary. It serves reads immediately; writes wait until the
    * leases of proxies that did not respond have expired.
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -14,6 +14,7 @@
 import {FakePeers} from '../testing/fake_peers.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {advanceClock} from '../testing/settle.js';
+import {OrdersInFlight} from './orders_in_flight.js';
 import {PrimaryChange, type ChangeOutcome} from './primary_change.js';
 
 /** The fake store's clock and the virtual clock show the same time. */
@@ -29,6 +30,20 @@
   writesFromStoreMs: null,
 };
 
+/** Record of a change in which an earlier leader has ordered to promote `r1`. */
+const EARLIER_ORDER: PrimaryRecord = {
+  phase: 'changing',
+  databaseGroup: GROUP,
+  changeId: 'entry-2-1-1',
+  oldPrimary: 'p',
+  oldTerm: 1,
+  target: 'r1',
+  lastOldPosition: null,
+};
+
+/** Time after which the order of an earlier leader takes no effect any more. */
+const EARLIER_ORDER_MS = 5_900;
+
 describe('PrimaryChange', () => {
   let clock: VirtualClock;
   let table: FakeControlTable;
@@ -37,6 +52,7 @@
   let events: InMemoryEventRecorder;
   let leaderLease: FailoverLeaderLease;
   let outcome: ChangeOutcome | null;
+  let orders: OrdersInFlight;
 
   beforeEach(async () => {
     clock = VirtualClock.create();
@@ -45,6 +61,7 @@
     peers = FakePeers.create();
     events = InMemoryEventRecorder.create();
     outcome = null;
+    orders = OrdersInFlight.create();
     leaderLease = FailoverLeaderLease.create({
       entryVm: 'entry-1',
       incarnation: 'one',
@@ -72,8 +89,12 @@
     }
   }
 
-  function start(holders: readonly string[] = ['entry-1']): void {
-    const revision = table.seed(KEY, STABLE);
+  function start(
+    holders: readonly string[] = ['entry-1'],
+    record: PrimaryRecord = STABLE,
+    recordAgeMs = 0,
+  ): void {
+    const revision = table.seed(KEY, record);
     const change = PrimaryChange.create(
       {
         clock,
@@ -84,6 +105,7 @@
         instances,
         promotions: instances,
         leaderLease,
+        orders,
         events,
         listInstances: () => Promise.resolve(instances.listEntries()),
         findLeaseHolders: () => ({
@@ -96,7 +118,8 @@
         getStoreEra: () => 0,
         handleRecord: () => {},
       },
-      {record: STABLE, revision},
+      {record, revision},
+      recordAgeMs,
       'unreachable',
     );
     void change.run().then(result => {
@@ -217,6 +240,86 @@
     expect(outcome).toBe('abandoned');
   });
 
+  // Guards against an acknowledged commit that is lost, and against a lower fencing
+  // token after a higher one: the order of a leader that has stopped took effect
+  // after its successor had promoted another instance.
+  it('waits for the recorded order of an earlier leader', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').position = {term: 1, position: 7};
+    instances.takeEffectAfter(3_000, 'r1');
+    start(['entry-1'], EARLIER_ORDER);
+    await advance(2_900);
+    expect(instances.orders).toEqual([]);
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+    expect(instances.orders).toEqual([]);
+    expect(table.getValue(KEY)).toMatchObject({primary: 'r1', term: 2});
+  });
+
+  it('orders anew once an earlier order can no longer take effect', async () => {
+    instances.get('p').isRunning = false;
+    start(['entry-1'], EARLIER_ORDER);
+    await advance(EARLIER_ORDER_MS - 100);
+    expect(instances.orders).toEqual([]);
+    await advance(2_000);
+    expect(outcome).toBe('completed');
+    expect(instances.orders).toHaveLength(1);
+  });
+
+  it('counts the time for which the record of an earlier order has been known', async () => {
+    instances.get('p').isRunning = false;
+    start(['entry-1'], EARLIER_ORDER, EARLIER_ORDER_MS);
+    await advance(1_000);
+    expect(outcome).toBe('completed');
+    expect(instances.orders).toHaveLength(1);
+  });
+
+  it('does not wait for a recorded order that was refused', async () => {
+    instances.get('p').isRunning = false;
+    instances.isRefusing = true;
+    start();
+    await advance(1_000);
+    expect(instances.orders.length).toBeGreaterThan(1);
+    leaderLease.stopActing('test');
+    await advanceClock(clock, 1_000);
+    expect(outcome).toBe('abandoned');
+    expect(table.getValue(KEY)).toMatchObject({target: null});
+  });
+
+  // Guards against stale reads: the first instance found was recorded, although
+  // another one had replaced it already.
+  it('records the primary of the highest of two later terms', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').role = 'primary';
+    instances.get('r1').term = 2;
+    instances.get('r2').role = 'primary';
+    instances.get('r2').term = 3;
+    start();
+    await advance(1_000);
+    expect(table.getValue(KEY)).toMatchObject({primary: 'r2', term: 3});
+  });
+
+  it('sends no order after leadership was lost while its connection was opened', async () => {
+    instances.get('p').isRunning = false;
+    instances.beforeSending = async () => {
+      leaderLease.stopActing('test');
+    };
+    start();
+    await advanceClock(clock, 2_000);
+    expect(outcome).toBe('abandoned');
+    expect(instances.orders).toEqual([]);
+  });
+
+  it('gives no order once the process is stopping', async () => {
+    instances.get('p').isRunning = false;
+    void orders.close();
+    start();
+    await advance(1_000);
+    expect(outcome).toBe('abandoned');
+    expect(instances.orders).toEqual([]);
+    expect(table.getValue(KEY)).toMatchObject({target: null});
+  });
+
   it('sends the fencing token of the failover leader with the promotion order', async () => {
     instances.get('p').isRunning = false;
     start();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@filbertrun/base/sleep.js';
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {MetricsRegistry} from '@filbertrun/observability/metrics.js';
@@ -66,6 +67,7 @@
 import type {QuotaRules} from './quota/quota_rules.js';
 import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
+import {OrdersInFlight} from './failover/orders_in_flight.js';
 import {runInBackground} from './observability/background_task.js';
 
 /** Options of a gateway. @public */
@@ -147,6 +149,12 @@
 /** Time without a renewal after which failover leadership is transferred. */
 const TRANSFER_LEADERSHIP_AFTER_MS = 1_400;
 
+/**
+ * Longest wait of a stop for a promotion order under way: the timeout of its call
+ * and the write of its record before.
+ */
+const MAX_ORDER_WAIT_MS = 1_500;
+
 /** Creates the components of a proxy and connects them. @public */
 export class Gateway implements GatewayContext {
   readonly clock: Clock;
@@ -174,6 +182,7 @@
   private readonly relayedTable: RelayingControlTable;
   private readonly registration: EntryVmRegistration;
   private readonly leaderLease: FailoverLeaderLease;
+  private readonly orders = OrdersInFlight.create();
   private readonly coordinator: FailoverCoordinator;
   private readonly leaderPlacement: FailoverLeaderPlacement;
   private readonly readiness: ReadinessMonitor;
@@ -362,6 +371,7 @@
       promotions: options.promotions,
       connector: options.connector,
       leaderLease: this.leaderLease,
+      orders: this.orders,
       directory: this.directory,
       getGroups: () => this.registry.list(),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
@@ -398,6 +408,7 @@
       peers: options.peers,
       findPrimaryZones: () => findPrimaryZones(this.registry.list()),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
+      hasOrderInFlight: () => this.orders.hasAny,
       computeDigest: () => this.peerRequestHandler.computeDigest(),
     });
     this.contactRenewer = ContactRenewer.create({
@@ -488,7 +499,16 @@
     this.isStopping = true;
     this.readiness.markStopping();
     this.coordinator.dispose();
-    this.runInBackground('step-down', this.leaderLease.stepDown());
+    this.runInBackground('step-down', this.releaseLeadership());
+  }
+
+  /** Releases leadership once no promotion order is under way. */
+  private async releaseLeadership(): Promise<void> {
+    await Promise.race([
+      this.orders.close(),
+      sleep(this.clock, MAX_ORDER_WAIT_MS),
+    ]);
+    await this.leaderLease.stepDown();
   }
 
   /** Stops at once and without deregistration, like a killed process. */
@@ -656,6 +676,9 @@
     if (ageMs === null || ageMs < TRANSFER_LEADERSHIP_AFTER_MS) {
       return;
     }
+    if (this.orders.hasAny) {
+      return;
+    }
     const fencingToken = this.leaderLease.stopActing(
       'the store is unreachable',
     );
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -32,6 +32,8 @@
  */
 export class PrimaryLease {
   private current: RevisedPrimaryRecord | null = null;
+  /** Time at which the current revision was first seen. */
+  private seenAt: ClockReading | null = null;
   private grant: LeaseGrant | null = null;
   private releasedRevision = 0;
 
@@ -70,7 +72,7 @@
     if (!isSameRevision || !this.expiresAfter(grant)) {
       this.grant = grant;
     }
-    this.current = revised;
+    this.setCurrent(revised);
   }
 
   /** Applies a record announced by another proxy, which grants no lease. */
@@ -78,10 +80,27 @@
     if (revised.revision <= this.revision) {
       return;
     }
-    this.current = revised;
+    this.setCurrent(revised);
     this.grant = null;
   }
 
+  /**
+   * Least time for which the current record has been known to this process; 0
+   * if the machine may have been suspended since it was first seen.
+   */
+  getRecordAgeMs(): number {
+    return this.seenAt === null
+      ? 0
+      : (this.clockJumpDetector.getElapsedMs(this.seenAt) ?? 0);
+  }
+
+  private setCurrent(revised: RevisedPrimaryRecord): void {
+    if (revised.revision !== this.revision) {
+      this.seenAt = this.clockJumpDetector.read();
+    }
+    this.current = revised;
+  }
+
   /** Ends the lease until another read grants it again. */
   dropGrant(): void {
     this.grant = null;
--- a/packages/gateway/src/simulation/restore_mutants.ts
+++ b/packages/gateway/src/simulation/restore_mutants.ts
@@ -130,11 +130,14 @@
     mutate: options => ({
       ...options,
       promotions: {
-        promote: order =>
-          options.promotions.promote({
-            ...order,
-            fencingToken: Math.max(1, order.fencingToken % TOKENS_PER_ERA),
-          }),
+        promote: (order, maySend) =>
+          options.promotions.promote(
+            {
+              ...order,
+              fencingToken: Math.max(1, order.fencingToken % TOKENS_PER_ERA),
+            },
+            maySend,
+          ),
       },
     }),
   },
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -185,10 +185,13 @@
   group: SimulatedGroup,
 ): PromotionService {
   return {
-    promote: async order => {
+    promote: async (order, maySend) => {
       if (!(await path.reach('promotions'))) {
         return failure({kind: 'outcomeUnknown', reason: 'simulated'});
       }
+      if (!maySend()) {
+        return failure({kind: 'unavailable', reason: 'simulated'});
+      }
       return group.order(order)
         ? success(undefined)
         : failure({kind: 'rejected', status: 409});
--- a/packages/gateway/src/testing/fake_instances.ts
+++ b/packages/gateway/src/testing/fake_instances.ts
@@ -35,6 +35,10 @@
 export class FakeInstances implements InstanceControl, PromotionService {
   readonly instances = new Map<string, FakeInstance>();
   readonly orders: PromotionOrder[] = [];
+  /** Runs before an order is sent, like the opening of a connection. */
+  beforeSending: () => Promise<void> = () => Promise.resolve();
+  /** Whether the platform refuses orders. */
+  isRefusing = false;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -122,17 +126,30 @@
     });
   }
 
-  async promote(order: PromotionOrder): Promise<Result<void, PromotionError>> {
-    await Promise.resolve();
+  async promote(
+    order: PromotionOrder,
+    maySend: () => boolean,
+  ): Promise<Result<void, PromotionError>> {
+    await this.beforeSending();
+    if (!maySend()) {
+      return failure({kind: 'unavailable', reason: 'not sent'});
+    }
     this.orders.push(order);
     const target = this.instances.get(order.target);
-    if (target === undefined || !target.isRunning) {
+    if (target === undefined || !target.isRunning || this.isRefusing) {
       return failure({kind: 'rejected', status: 409});
     }
     this.clock.startTimer(PROMOTION_MS, () => this.finishPromotion(target));
     return success(undefined);
   }
 
+  /** Lets the order of another leader take effect after a while. */
+  takeEffectAfter(delayMs: number, backendServer: string): void {
+    this.clock.startTimer(delayMs, () =>
+      this.finishPromotion(this.get(backendServer)),
+    );
+  }
+
   private finishPromotion(target: FakeInstance): void {
     let newestTerm = 0;
     for (const instance of this.instances.values()) {
