Simulation: late promotions, and leaders that go away at each step of a change

New faults: slowPromotions (orders accepted 0 to 2,000 ms late, also those whose caller has given up or ended), stopProxy, and disturbLeader (a stop, kill, freeze or isolation 0 to 600 ms after a step of a change, once or also of the successor). A successor of the build before, which ignores the target, does no harm after a planned stop, since the leader waits for its order.

--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {runHistory} from './failover_history.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import {SUCCESSOR_OF_EARLIER_BUILD} from './leader_mutants.js';
 import {MUTANTS} from './mutants.js';
 import {PROMOTION_MS} from './simulated_group.js';
 
@@ -9,6 +10,28 @@
 const forMs = fc.integer({min: 300, max: 7_000});
 const proxy = fc.nat(4);
 
+const acceptDelayMs = fc.integer({min: 0, max: 2_000});
+
+/** A leader that goes away at a step of a change, maybe its successor too. */
+const leaderFault = fc.record({
+  kind: fc.constant('disturbLeader' as const),
+  atMs,
+  step: fc.constantFrom(
+    'changeIntended' as const,
+    'promotionOrdered' as const,
+    'promotionAnswered' as const,
+    'changeCompleted' as const,
+  ),
+  afterMs: fc.integer({min: 0, max: 600}),
+  how: fc.constantFrom(
+    'stop' as const,
+    'kill' as const,
+    'freeze' as const,
+    'isolate' as const,
+  ),
+  count: fc.constantFrom(1 as const, 2 as const),
+});
+
 /** Any fault at any time; a history may combine and repeat them. */
 const fault: fc.Arbitrary<HistoryFault> = fc.oneof(
   fc.record({kind: fc.constant('crashPrimary' as const), atMs, forMs}),
@@ -88,8 +111,38 @@
   }),
   fc.record({kind: fc.constant('changeConfiguration' as const), atMs}),
   fc.record({kind: fc.constant('killAllProxies' as const), atMs}),
+  fc.record({kind: fc.constant('stopProxy' as const), atMs, proxy}),
+  fc.record({
+    kind: fc.constant('slowPromotions' as const),
+    atMs,
+    forMs,
+    delayMs: acceptDelayMs,
+  }),
+  leaderFault,
 );
 
+/** A change of primary with late orders and leaders that go away during it. */
+const changePlan: fc.Arbitrary<HistoryPlan> = fc
+  .record({
+    seed: fc.nat(1_000_000),
+    layout: fc.constantFrom('apart' as const, 'shared' as const),
+    crashMs: fc.integer({min: 500, max: 4_000}),
+    slowMs: fc.integer({min: 200, max: 3_000}),
+    delayMs: acceptDelayMs,
+    leaderFaults: fc.array(leaderFault, {minLength: 1, maxLength: 2}),
+    others: fc.array(fault, {maxLength: 1}),
+  })
+  .map(({seed, layout, crashMs, slowMs, delayMs, leaderFaults, others}) => ({
+    seed,
+    layout,
+    faults: [
+      {kind: 'crashPrimary', atMs: crashMs, forMs: 7_000},
+      {kind: 'slowPromotions', atMs: crashMs, forMs: slowMs, delayMs},
+      ...leaderFaults.map(other => ({...other, atMs: crashMs})),
+      ...others,
+    ],
+  }));
+
 const plan: fc.Arbitrary<HistoryPlan> = fc.record({
   seed: fc.nat(1_000_000),
   layout: fc.constantFrom('apart' as const, 'shared' as const),
@@ -269,6 +322,16 @@
     );
   }, 3_600_000);
 
+  it('violates no invariant when leaders go away during a change', async () => {
+    await fc.assert(
+      fc.asyncProperty(changePlan, async drawn => {
+        const outcome = await runHistory(drawn);
+        expect(outcome.violations).toEqual([]);
+      }),
+      {numRuns: HISTORY_COUNT, seed: SEED, endOnFailure: true},
+    );
+  }, 3_600_000);
+
   it('violates no invariant in the histories of the mutants', async () => {
     for (const {name, plans} of MUTANTS) {
       for (const mutantPlan of plans.slice(0, MAX_PLANS_CHECKED)) {
@@ -281,6 +344,15 @@
     }
   }, 600_000);
 
+  // Guards against a lower fencing token after a higher one while builds are mixed.
+  it('lets no order of a stopped leader meet one of a successor of the build before', async () => {
+    const {plans, mutate} = SUCCESSOR_OF_EARLIER_BUILD;
+    for (const successorPlan of plans) {
+      const outcome = await runHistory(successorPlan, mutate);
+      expect(outcome.violations).toEqual([]);
+    }
+  });
+
   it.each(MUTANTS)(
     'detects the mutant: $name',
     async ({mutate, plans, rules}) => {
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -15,6 +15,10 @@
 import {FaultInjector} from './fault_injector.js';
 import {getLastEndMs, type HistoryPlan} from './history_fault.js';
 import {ConfigurationOracle} from './configuration_oracle.js';
+import {
+  LeaderDisturbances,
+  type LeaderFaultHandler,
+} from './leader_disturbances.js';
 import {RecoveryChecker, RESTART_MS} from './recovery_checker.js';
 import {SimulatedNetwork, STORE} from './simulated_network.js';
 import {
@@ -81,6 +85,8 @@
   private readonly configurationOracle: ConfigurationOracle;
   private readonly random: RandomSource;
   private readonly deployment: SimulatedDeployment;
+  private readonly leaderDisturbances: LeaderDisturbances;
+  private readonly injector: FaultInjector;
   /** Writes that each read must see, fixed when the read starts. */
   private readonly requiredWrites = new Map<string, readonly string[]>();
   private readonly sessions = new Map<string, CallerSession>();
@@ -129,6 +135,17 @@
       this.disturbances,
       this.oracle,
     );
+    this.leaderDisturbances = LeaderDisturbances.create(
+      this.clock,
+      this.createLeaderFaultHandler(),
+    );
+    this.injector = FaultInjector.create({
+      deployment: this.deployment,
+      disturbances: this.disturbances,
+      proxies: this.deployment.zones.proxies,
+      killProxy: name => this.killProxy(name),
+      leaderDisturbances: this.leaderDisturbances,
+    });
     this.clock.advance(100_000);
     this.recovery = RecoveryChecker.create(
       this.clock.nowMs() + WARM_UP_MS + getLastEndMs(plan.faults),
@@ -194,17 +211,18 @@
       incarnation,
       this.deployment,
       connector,
-      options => this.mutate(this.recordIntents(options)),
+      options => this.mutate(this.observeEvents(name, options)),
     );
   }
 
-  /** Records when a proxy intends a change of primary. */
-  private recordIntents(options: GatewayOptions): GatewayOptions {
+  /** Records when a proxy intends a change, and strikes it at its steps. */
+  private observeEvents(name: string, options: GatewayOptions): GatewayOptions {
     const events: GatewayEventRecorder = {
       record: event => {
         if (event.kind === 'changeIntended') {
           this.intendedAtMs.push(this.clock.nowMs());
         }
+        this.leaderDisturbances.handleEvent(name, event.kind);
         options.events.record(event);
       },
     };
@@ -325,13 +343,19 @@
     this.readCount += reply.result.kind === 'complete' ? 1 : 0;
   }
 
+  private createLeaderFaultHandler(): LeaderFaultHandler {
+    const {proxies} = this.deployment;
+    return {
+      beginStop: name => proxies.get(name)?.gateway.beginStop(),
+      kill: name => this.killProxy(name),
+      freeze: name => proxies.get(name)?.controlClock.freeze(),
+      thaw: name => proxies.get(name)?.controlClock.thaw(),
+      isolate: (name, forMs) => this.injector.isolateProxy(name, forMs),
+    };
+  }
+
   private scheduleFaults(): void {
-    const injector = FaultInjector.create({
-      deployment: this.deployment,
-      disturbances: this.disturbances,
-      proxies: this.deployment.zones.proxies,
-      killProxy: name => this.killProxy(name),
-    });
+    const {injector} = this;
     for (const fault of this.plan.faults) {
       this.clock.startTimer(WARM_UP_MS + fault.atMs, () =>
         injector.inject(fault),
--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -1,4 +1,5 @@
 import type {HistoryFault} from './history_fault.js';
+import type {LeaderDisturbances} from './leader_disturbances.js';
 import {STORE} from './simulated_network.js';
 import type {SimulatedDeployment} from './simulated_proxy.js';
 import type {DisturbanceTracker} from './disturbance_tracker.js';
@@ -10,6 +11,7 @@
   /** Names of the proxies, by their index in a fault. */
   readonly proxies: readonly string[];
   killProxy(name: string): void;
+  readonly leaderDisturbances: LeaderDisturbances;
 }
 
 /** Injects the faults of a history. @internal */
@@ -57,17 +59,9 @@
         this.disconnectFor(primary, [...replicas, ...proxies], fault.forMs);
         return;
       }
-      case 'isolateProxy': {
-        const proxy = this.getProxy(fault.proxy);
-        const others = this.options.proxies.filter(name => name !== proxy);
-        // The node `promotions` is the promotion service.
-        this.disconnectFor(
-          proxy,
-          [...others, STORE, 'promotions'],
-          fault.forMs,
-        );
+      case 'isolateProxy':
+        this.isolateProxy(this.getProxy(fault.proxy), fault.forMs);
         return;
-      }
       case 'disconnectStore':
         this.disconnectFor(this.getProxy(fault.proxy), [STORE], fault.forMs);
         return;
@@ -135,9 +129,31 @@
           this.options.killProxy(name);
         }
         return;
+      case 'stopProxy':
+        this.options.leaderDisturbances.stop(this.getProxy(fault.proxy));
+        return;
+      case 'slowPromotions':
+        group.acceptDelayMs = fault.delayMs;
+        this.after(fault.forMs, () => {
+          group.acceptDelayMs = 0;
+        });
+        return;
+      case 'disturbLeader':
+        this.options.leaderDisturbances.arm(fault);
+        return;
     }
   }
 
+  /**
+   * Disconnects a proxy from the store, the node `promotions`, which is the
+   * promotion service, and the other
+   * proxies, but not from instances.
+   */
+  isolateProxy(proxy: string, forMs: number): void {
+    const others = this.options.proxies.filter(name => name !== proxy);
+    this.disconnectFor(proxy, [...others, STORE, 'promotions'], forMs);
+  }
+
   private isolateStore(forMs: number): void {
     const {group} = this.options.deployment;
     this.disconnectFor(
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -1,3 +1,5 @@
+import {ARMED_MS, DISTURBED_MS} from './leader_disturbances.js';
+
 /** Faults and plans of simulated histories. */
 
 /**
@@ -110,7 +112,38 @@
     }
   | {readonly kind: 'changeConfiguration'; readonly atMs: number}
   /** All proxies are killed at once. */
-  | {readonly kind: 'killAllProxies'; readonly atMs: number};
+  | {readonly kind: 'killAllProxies'; readonly atMs: number}
+  /** A proxy is stopped as planned, ends a while later and is started again. */
+  | {readonly kind: 'stopProxy'; readonly atMs: number; readonly proxy: number}
+  /**
+   * The platform accepts promotion orders this much later than they arrive, also
+   * those whose caller has given up or has ended.
+   */
+  | {
+      readonly kind: 'slowPromotions';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly delayMs: number;
+    }
+  /**
+   * The next proxies that record a step of a change of primary are struck some
+   * time after it. With a count of two, so is the successor of the first.
+   */
+  | {
+      readonly kind: 'disturbLeader';
+      readonly atMs: number;
+      readonly step: ChangeStep;
+      readonly afterMs: number;
+      readonly how: 'stop' | 'kill' | 'freeze' | 'isolate';
+      readonly count: 1 | 2;
+    };
+
+/** A step of a change of primary: the event that is recorded there. @internal */
+export type ChangeStep =
+  | 'changeIntended'
+  | 'promotionOrdered'
+  | 'promotionAnswered'
+  | 'changeCompleted';
 
 /**
  * Placement of the nodes: with `apart`, each proxy and each instance is in an
@@ -133,7 +166,12 @@
 export function getLastEndMs(faults: readonly HistoryFault[]): number {
   let lastMs = 0;
   for (const fault of faults) {
-    const forMs = 'forMs' in fault ? fault.forMs : 0;
+    const forMs =
+      fault.kind === 'disturbLeader'
+        ? ARMED_MS + DISTURBED_MS
+        : 'forMs' in fault
+          ? fault.forMs
+          : 0;
     lastMs = Math.max(lastMs, fault.atMs + forMs);
   }
   return lastMs;
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -6,6 +6,7 @@
 } from '../control/control_record.js';
 import {DEPLOYMENT_MUTANTS} from './deployment_mutants.js';
 import type {HistoryPlan} from './history_fault.js';
+import {LEADER_MUTANTS} from './leader_mutants.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
 import {RESTORE_MUTANTS} from './restore_mutants.js';
 import {ZONE_MUTANTS} from './zone_mutants.js';
@@ -321,6 +322,7 @@
 export const MUTANTS: readonly Mutant[] = [
   ...FAILOVER_MUTANTS,
   ...DEPLOYMENT_MUTANTS,
+  ...LEADER_MUTANTS,
   ...ZONE_MUTANTS,
   ...RESTORE_MUTANTS,
 ];
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -57,6 +57,8 @@
 export class SimulatedGroup {
   readonly instances = new Map<string, SimulatedInstance>();
   readonly orders: PromotionOrder[] = [];
+  /** Time after which the platform accepts an order that has arrived. */
+  acceptDelayMs = 0;
   private readonly foreignHosts = new Set<string>();
 
   private constructor(
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -6,6 +6,7 @@
   InstanceControl,
   InstanceControlError,
   InstanceStatus,
+  PromotionError,
   PromotionService,
 } from '../backend/instance_control.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_tracker.js';
@@ -19,6 +20,7 @@
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {CONFIGURATION_APPLY_MS} from './configuration_oracle.js';
+import {FreezableClock} from './freezable_clock.js';
 import {NetworkPath} from './network_path.js';
 import {
   DRAIN_MS,
@@ -36,6 +38,9 @@
   type StoreCallCounts,
 } from './simulated_tables.js';
 
+/** Time after which a proxy gives up a promotion call. */
+const PROMOTE_TIMEOUT_MS = 1_000;
+
 /** State shared by the simulated proxies. @internal */
 export interface SimulatedDeployment {
   readonly clock: Clock;
@@ -59,6 +64,8 @@
   readonly events = InMemoryEventRecorder.create();
   readonly wallClock: FakeWallClock;
   readonly gateway: Gateway;
+  /** Timers of the process; statements under way go on while it is frozen. */
+  readonly controlClock: FreezableClock;
 
   private constructor(
     readonly name: string,
@@ -69,7 +76,8 @@
   ) {
     const {clock} = deployment;
     this.wallClock = FakeWallClock.create(clock);
-    const path = new NetworkPath(name, clock, deployment.network);
+    this.controlClock = FreezableClock.create(clock);
+    const path = new NetworkPath(name, this.controlClock, deployment.network);
     const era = LatestStoreEra.create();
     this.gateway = Gateway.create(
       mutate({
@@ -80,13 +88,13 @@
           peerPort: 1,
           incarnation: `${name}-${incarnation}`,
         },
-        clock,
+        clock: this.controlClock,
         wallClock: this.wallClock,
         random: SeededRandom.create(incarnation),
         events: this.events,
         connector,
         instances: new SimulatedInstanceControl(path, deployment.group),
-        promotions: createPromotions(path, deployment.group),
+        promotions: createPromotions(path, clock, deployment.group),
         controlTable: new SimulatedControlTable(
           path,
           deployment.store,
@@ -180,8 +188,13 @@
   }
 }
 
+/**
+ * The promotion service. It accepts a late order although its caller has given
+ * up or has ended.
+ */
 function createPromotions(
   path: NetworkPath,
+  clock: Clock,
   group: SimulatedGroup,
 ): PromotionService {
   return {
@@ -192,13 +205,28 @@
       if (!maySend()) {
         return failure({kind: 'unavailable', reason: 'simulated'});
       }
-      return group.order(order)
-        ? success(undefined)
-        : failure({kind: 'rejected', status: 409});
+      const delayMs = group.acceptDelayMs;
+      if (delayMs === 0) {
+        return convertAccepted(group.order(order));
+      }
+      let isAccepted: boolean | null = null;
+      clock.startTimer(delayMs, () => {
+        isAccepted = group.order(order);
+      });
+      await path.pause(Math.min(delayMs, PROMOTE_TIMEOUT_MS));
+      return isAccepted === null
+        ? failure({kind: 'outcomeUnknown', reason: 'simulated'})
+        : convertAccepted(isAccepted);
     },
   };
 }
 
+function convertAccepted(isAccepted: boolean): Result<void, PromotionError> {
+  return isAccepted
+    ? success(undefined)
+    : failure({kind: 'rejected', status: 409});
+}
+
 function createPeers(
   path: NetworkPath,
   deployment: SimulatedDeployment,
