Configuration, membership, peer, group: failures of background work are logged

They now log task_failed with a bounded reason, and the rule is on for configuration, membership and peer as well. Ten places without a logger are left: instance_client, term_confirmer and packages/proxy.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,10 +31,14 @@
   {
     // A rejection that nobody handles ends the process, so a task that nobody
     // waits for states what becomes of its failure; `void` hides it.
-    files: ['packages/gateway/src/**/*.ts', 'platform/src/**/*.ts'],
+    files: [
+      'packages/{configuration,gateway,membership,peer}/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
     ignores: [
       '**/*_test.ts',
       '**/testing/**',
+      '**/fake_*',
       '**/*simulation*',
       '**/simulation/**',
     ],
--- a/packages/configuration/src/configuration_manager.ts
+++ b/packages/configuration/src/configuration_manager.ts
@@ -2,6 +2,7 @@
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {Configuration} from '@filbertrun/model/configuration.js';
 import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import {runInBackground} from '@filbertrun/observability/background_task.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {
   ObjectStore,
@@ -169,7 +170,11 @@
     }
     const source = this.options.peers.getSource(entryVm);
     if (source !== null && this.announcedFetchCount < MAX_ANNOUNCED_FETCHES) {
-      void this.fetchAnnouncedVersion(source, `peer ${entryVm}`);
+      runInBackground(
+        this.options.logger,
+        'fetch',
+        this.fetchAnnouncedVersion(source, `peer ${entryVm}`),
+      );
     }
   }
 
@@ -211,10 +216,14 @@
     this.startTimer = this.options.clock.startTimer(START_TIMEOUT_MS, () => {
       this.notifyIfBecameReady(() => this.actor.send({type: 'allResponded'}));
     });
-    void this.queryPeersBeforeReady();
+    runInBackground(
+      this.options.logger,
+      'query of peers',
+      this.queryPeersBeforeReady(),
+    );
     const delayMs = START_JITTER_MS * this.options.random.nextFloat();
     this.pollTimer = this.options.clock.startTimer(delayMs, () => {
-      void this.poll();
+      runInBackground(this.options.logger, 'poll', this.poll());
     });
   }
 
@@ -239,7 +248,11 @@
     }
     this.failedPollCount = hasResponded ? 0 : this.failedPollCount + 1;
     if (this.getReadiness() === 'notReady' && !hasResponded) {
-      void this.queryPeersBeforeReady();
+      runInBackground(
+        this.options.logger,
+        'query of peers',
+        this.queryPeersBeforeReady(),
+      );
     }
     const delayMs = computePollDelayMs(
       this.options.peers.getProxyCount(),
@@ -247,7 +260,7 @@
       this.options.random,
     );
     this.pollTimer = this.options.clock.startTimer(delayMs, () => {
-      void this.poll();
+      runInBackground(this.options.logger, 'poll', this.poll());
     });
   }
 
--- a/packages/gateway/src/observability/background_task.ts
+++ b/packages/gateway/src/observability/background_task.ts
@@ -1,3 +1,4 @@
+import {describeTaskFailure} from '@filbertrun/observability/background_task.js';
 import type {GatewayEventRecorder} from './gateway_event_recorder.js';
 
 /**
@@ -6,9 +7,6 @@
  * recorded here, because an unhandled rejection would end the process.
  */
 
-/** Maximum length of a recorded reason, in characters. */
-const MAX_REASON_LENGTH = 300;
-
 /**
  * Leaves a task to itself and records its rejection.
  *
@@ -28,10 +26,5 @@
   task: string,
   error: unknown,
 ): void {
-  const reason = error instanceof Error ? error.message : String(error);
-  events.record({
-    kind: 'taskFailed',
-    task,
-    reason: reason.slice(0, MAX_REASON_LENGTH),
-  });
+  events.record({kind: 'taskFailed', task, reason: describeTaskFailure(error)});
 }
--- a/packages/group/src/failover_driver.ts
+++ b/packages/group/src/failover_driver.ts
@@ -7,6 +7,7 @@
   BackendServerId,
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
+import {runInBackground} from '@filbertrun/observability/background_task.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {ClaimTable} from './claim_table.js';
 import {reduceFailover} from './failover_core.js';
@@ -131,7 +132,7 @@
       this.options.onState(step.state);
     }
     for (const command of step.commands) {
-      void this.execute(command);
+      runInBackground(this.options.logger, command.kind, this.execute(command));
     }
   }
 
--- a/packages/group/src/group_manager.ts
+++ b/packages/group/src/group_manager.ts
@@ -13,6 +13,7 @@
   ORIGIN_POSITION,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
+import {runInBackground} from '@filbertrun/observability/background_task.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {PlatformTable} from '@filbertrun/platform/platform_service.js';
 import {ClaimTable} from './claim_table.js';
@@ -457,7 +458,7 @@
     this.nextReplacementMs = nowMs + REPLACEMENT_INTERVAL_MS;
     const {databaseGroup, logger} = this.options;
     logger.info('draining_primary_replaced', {databaseGroup, target});
-    void this.change.run(target);
+    runInBackground(logger, 'change of primary', this.change.run(target));
   }
 
   /** The active replica with the last position, if the primary is draining. */
@@ -485,7 +486,11 @@
     const isDue = nowMs - this.lastConfirmationMs >= FRESHNESS_INTERVAL_MS;
     if (isDemanded && isDue) {
       this.lastConfirmationMs = nowMs;
-      void this.confirmer.confirm();
+      runInBackground(
+        this.options.logger,
+        'confirmation',
+        this.confirmer.confirm(),
+      );
     }
   }
 
--- a/packages/membership/src/membership_manager.ts
+++ b/packages/membership/src/membership_manager.ts
@@ -1,6 +1,7 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {EntryVmId} from '@filbertrun/model/identifiers.js';
+import {runInBackground} from '@filbertrun/observability/background_task.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {VmDirectory} from '@filbertrun/platform/platform_service.js';
 import {
@@ -114,7 +115,7 @@
   /** Creates membership and starts to send heartbeats. */
   static create(options: MembershipManagerOptions): MembershipManager {
     const manager = new MembershipManager(options);
-    void manager.readList();
+    runInBackground(options.logger, 'read of the list', manager.readList());
     manager.scheduleTick();
     return manager;
   }
@@ -251,10 +252,18 @@
   /** Sends a heartbeat to each neighbour now, to announce a change. */
   sendHeartbeatsNow(): void {
     for (const {entryVm, peerUrl} of this.getNeighbours()) {
-      void this.sendHeartbeat(entryVm, peerUrl);
+      this.startHeartbeat(entryVm, peerUrl);
     }
   }
 
+  private startHeartbeat(entryVm: EntryVmId, peerUrl: string): void {
+    runInBackground(
+      this.options.logger,
+      'heartbeat',
+      this.sendHeartbeat(entryVm, peerUrl),
+    );
+  }
+
   /** Announces that this proxy accepts no new work. */
   startLeaving(): void {
     this.handle({kind: 'leaveStarted', nowMs: this.options.clock.nowMs()});
@@ -299,7 +308,7 @@
     if (this.state.table.size === 0) {
       for (const peerUrl of this.options.seedPeerUrls) {
         // The entry VM at a seed URL is unknown.
-        void this.sendHeartbeat('', peerUrl);
+        this.startHeartbeat('', peerUrl);
       }
     }
     this.notifyIfSharesChanged(nowMs);
@@ -324,13 +333,21 @@
   private execute(command: MembershipCommand): void {
     switch (command.kind) {
       case 'sendHeartbeat':
-        void this.sendHeartbeat(command.entryVm, command.peerUrl);
+        this.startHeartbeat(command.entryVm, command.peerUrl);
         return;
       case 'askSilence':
-        void this.askSilence(command);
+        runInBackground(
+          this.options.logger,
+          'question',
+          this.askSilence(command),
+        );
         return;
       case 'requestMembers':
-        void this.requestMembers(command.peerUrl);
+        runInBackground(
+          this.options.logger,
+          'request of members',
+          this.requestMembers(command.peerUrl),
+        );
         return;
       case 'memberChanged':
         this.logMember(command.record);
@@ -405,7 +422,7 @@
     const meanMs = Math.max(MIN_LIST_INTERVAL_MS, budgetedMs);
     const delayMs = meanMs * (0.5 + this.options.random.nextFloat());
     this.listTimer = this.options.clock.startTimer(delayMs, () => {
-      void this.readList();
+      runInBackground(this.options.logger, 'read of the list', this.readList());
     });
   }
 
--- a/packages/peer/src/control_plane.ts
+++ b/packages/peer/src/control_plane.ts
@@ -10,6 +10,7 @@
   BackendServerId,
   DatabaseGroupName,
 } from '@filbertrun/model/identifiers.js';
+import {runInBackground} from '@filbertrun/observability/background_task.js';
 import type {Logger} from '@filbertrun/observability/logger.js';
 import type {PlatformService} from '@filbertrun/platform/platform_service.js';
 import {GroupViewTable} from './group_view_table.js';
@@ -109,7 +110,9 @@
       peers: PeerConfigurationSources.create(transport, this.membership),
     });
     this.configuration.onChange(() => this.membership.sendHeartbeatsNow());
-    this.membership.onSuspended(() => void this.catchUp());
+    this.membership.onSuspended(() =>
+      runInBackground(this.options.logger, 'catch-up', this.catchUp()),
+    );
   }
 
   /** Creates the managers, which start to poll the platform and the peers. */
@@ -241,7 +244,11 @@
       nowMs - this.lastViewsChangeAtMs >= VIEWS_PROPAGATION_MS;
     if (groupViewsDigest !== this.groupViews.getDigest() && isRequestDue) {
       this.lastViewsRequestAtMs = nowMs;
-      void this.requestGroupViews(sender.peerUrl);
+      runInBackground(
+        this.options.logger,
+        'request of views',
+        this.requestGroupViews(sender.peerUrl),
+      );
     }
   }
 
@@ -251,8 +258,11 @@
    */
   private async catchUp(): Promise<void> {
     this.activeCatchUps++;
-    await this.configuration.catchUp();
-    this.activeCatchUps--;
+    try {
+      await this.configuration.catchUp();
+    } finally {
+      this.activeCatchUps--;
+    }
   }
 
   private async requestGroupViews(peerUrl: string): Promise<void> {
@@ -279,12 +289,14 @@
     this.lastViewsChangeAtMs = this.options.clock.nowMs();
     for (const {peerUrl} of this.membership.getNeighbours()) {
       if (peerUrl !== fromUrl) {
-        void this.options.transport.call(
+        const {logger, transport} = this.options;
+        const call = transport.call(
           peerUrl,
           'announceGroupViews',
           {views: newViews},
           CALL_TIMEOUT_MS,
         );
+        runInBackground(logger, 'announcement of views', call);
       }
     }
   }
