--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -29,7 +29,7 @@
     'freeze' as const,
     'isolate' as const,
   ),
-  count: fc.constantFrom(1 as const, 2 as const),
+  count: fc.constantFrom(1 as const, 2 as const, 3 as const),
 });
 
 /** Any fault at any time; a history may combine and repeat them. */
@@ -127,21 +127,29 @@
     seed: fc.nat(1_000_000),
     layout: fc.constantFrom('apart' as const, 'shared' as const),
     crashMs: fc.integer({min: 500, max: 4_000}),
-    slowMs: fc.integer({min: 200, max: 3_000}),
+    promotionMs: fc.constantFrom(300, 1_000),
+    isReplicaDeaf: fc.boolean(),
+    slowMs: fc.integer({min: 0, max: 3_000}),
     delayMs: acceptDelayMs,
     leaderFaults: fc.array(leaderFault, {minLength: 1, maxLength: 2}),
     others: fc.array(fault, {maxLength: 1}),
   })
-  .map(({seed, layout, crashMs, slowMs, delayMs, leaderFaults, others}) => ({
-    seed,
-    layout,
-    faults: [
+  .map(drawn => {
+    const {seed, layout, promotionMs, crashMs, slowMs, delayMs} = drawn;
+    const faults: HistoryFault[] = [
       {kind: 'crashPrimary', atMs: crashMs, forMs: 7_000},
       {kind: 'slowPromotions', atMs: crashMs, forMs: slowMs, delayMs},
-      ...leaderFaults.map(other => ({...other, atMs: crashMs})),
-      ...others,
-    ],
-  }));
+    ];
+    if (drawn.isReplicaDeaf) {
+      const atMs = crashMs + 300;
+      faults.push({kind: 'stallReplication', atMs, forMs: 6_500, replica: 1});
+    }
+    for (const other of drawn.leaderFaults) {
+      faults.push({...other, atMs: crashMs});
+    }
+    faults.push(...drawn.others);
+    return {seed, layout, promotionMs, faults};
+  });
 
 const plan: fc.Arbitrary<HistoryPlan> = fc.record({
   seed: fc.nat(1_000_000),
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -10,7 +10,7 @@
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {settlePromises} from '../testing/settle.js';
 import {SafetyOracle, type Violation} from './safety_oracle.js';
-import {SimulatedGroup} from './simulated_group.js';
+import {PROMOTION_MS, SimulatedGroup} from './simulated_group.js';
 import {SimulatedConnector} from './simulated_connector.js';
 import {FaultInjector} from './fault_injector.js';
 import {getLastEndMs, type HistoryPlan} from './history_fault.js';
@@ -110,6 +110,7 @@
       this.oracle,
       zones,
     );
+    group.promotionMs = plan.promotionMs ?? PROMOTION_MS;
     const store = FakeControlTable.create(clock);
     const rosters = FakeControlTable.create(clock);
     const operator = SimulatedOperator.create(clock);
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -127,7 +127,7 @@
     }
   /**
    * The next proxies that record a step of a change of primary are struck some
-   * time after it. With a count of two, so is the successor of the first.
+   * time after it. With a higher count, so are the successors of the first.
    */
   | {
       readonly kind: 'disturbLeader';
@@ -135,7 +135,7 @@
       readonly step: ChangeStep;
       readonly afterMs: number;
       readonly how: 'stop' | 'kill' | 'freeze' | 'isolate';
-      readonly count: 1 | 2;
+      readonly count: 1 | 2 | 3;
     };
 
 /** A step of a change of primary: the event that is recorded there. @internal */
@@ -159,6 +159,8 @@
   readonly seed: number;
   /** Default: `apart`. */
   readonly layout?: HistoryLayout;
+  /** Time from an accepted order to its effect. Default: `PROMOTION_MS`. */
+  readonly promotionMs?: number;
   readonly faults: readonly HistoryFault[];
 }
 
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -44,7 +44,7 @@
 /** Time until a draining instance stops. */
 const DRAIN_STOP_DELAY_MS = 9_000;
 
-/** Time from a promotion order to its effect. @internal */
+/** Time from a promotion order to its effect, by default. @internal */
 export const PROMOTION_MS = 300;
 
 /**
@@ -59,6 +59,8 @@
   readonly orders: PromotionOrder[] = [];
   /** Time after which the platform accepts an order that has arrived. */
   acceptDelayMs = 0;
+  /** Time from an accepted order to its effect. */
+  promotionMs = PROMOTION_MS;
   private readonly foreignHosts = new Set<string>();
 
   private constructor(
@@ -206,7 +208,7 @@
     if (target === undefined || !target.isRunning) {
       return false;
     }
-    this.clock.startTimer(PROMOTION_MS, () => {
+    this.clock.startTimer(this.promotionMs, () => {
       if (target.isRunning) {
         this.promote(target);
       }
