Failover: the records of a change are written by a module of their own

PrimaryRecordWriter holds the record of the change and writes the next one under its condition; behaviour is unchanged, and the 50 tests of the folder pass.

--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -6,7 +6,6 @@
   ListableTable,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
-import {getEra} from '@filbertrun/platform/store_revision.js';
 import type {
   InstanceControl,
   PromotionService,
@@ -16,10 +15,9 @@
   type FailoverLeaderLease,
 } from '../control/failover_leader_lease.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
-import {
-  getPrimaryRecordKey,
-  type PrimaryRecord,
-  type RevisedPrimaryRecord,
+import type {
+  PrimaryRecord,
+  RevisedPrimaryRecord,
 } from '../group/primary_record.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
@@ -30,6 +28,11 @@
 import {InstanceFences} from './instance_fences.js';
 import type {LeaseHolders} from './find_lease_holders.js';
 import type {OrdersInFlight} from './orders_in_flight.js';
+import {
+  MAX_TABLE_ATTEMPTS,
+  PrimaryRecordWriter,
+  TABLE_RETRY_MS,
+} from './primary_record_writer.js';
 import {ReleaseCollector} from './release_collector.js';
 import {runInBackground} from '../observability/background_task.js';
 
@@ -99,12 +102,6 @@
 /** Time after a refused order before a target is chosen again. */
 const REFUSED_RETRY_MS = 100;
 
-/** Attempts to list or write the table before the operation fails. */
-const MAX_TABLE_ATTEMPTS = 8;
-
-/** Delay between two attempts. */
-const TABLE_RETRY_MS = 150;
-
 /** Minimum time between two log lines about what the change waits for. */
 const WAITING_LOG_INTERVAL_MS = 1_000;
 
@@ -138,14 +135,27 @@
   private instancesListedAtMs = Number.NEGATIVE_INFINITY;
   private lastWaitLogMs = Number.NEGATIVE_INFINITY;
 
+  private readonly records: PrimaryRecordWriter;
+
   private constructor(
     private readonly dependencies: PrimaryChangeDependencies,
-    private current: RevisedPrimaryRecord,
+    current: RevisedPrimaryRecord,
     /** Time since this process first saw the current record. */
     private readonly currentAgeMs: number,
     private readonly reason: string,
   ) {
     this.startedAtMs = dependencies.clock.nowMs();
+    this.records = PrimaryRecordWriter.create(
+      {
+        clock: dependencies.clock,
+        table: dependencies.table,
+        events: dependencies.events,
+        mayAct: () => this.token !== null,
+        getStoreEra: () => dependencies.getStoreEra(),
+        handleRecord: record => dependencies.handleRecord(record),
+      },
+      current,
+    );
   }
 
   /** Creates a change that starts from a stable record or resumes a change. */
@@ -175,7 +185,7 @@
         databaseGroup: intent.databaseGroup,
         changeId: intent.changeId,
         oldTerm: intent.oldTerm,
-        revision: this.current.revision,
+        revision: this.records.current.revision,
       },
     });
     releases.start(holders.known);
@@ -208,7 +218,7 @@
 
   /** Opens the new primary for writes once the last old lease has expired. */
   private async openWrites(releases: ReleaseCollector): Promise<void> {
-    const completed = this.current;
+    const completed = this.records.current;
     while (releases.getLastLeaseEndStoreMs() !== null) {
       await sleep(this.dependencies.clock, STEP_INTERVAL_MS);
     }
@@ -216,8 +226,8 @@
     const {record} = completed;
     const areWritesBlocked =
       record.phase === 'stable' && record.writesFromStoreMs !== null;
-    if (areWritesBlocked && this.current === completed) {
-      await this.write({...record, writesFromStoreMs: null});
+    if (areWritesBlocked && this.records.current === completed) {
+      await this.records.write({...record, writesFromStoreMs: null});
       this.dependencies.events.record({
         kind: 'writesOpened',
         databaseGroup: record.databaseGroup,
@@ -235,7 +245,7 @@
 
   /** Writes the intent, or resumes the one that is recorded. */
   private async recordIntent(): Promise<ChangingRecord | null> {
-    const {record} = this.current;
+    const {record} = this.records.current;
     const {token} = this;
     if (token === null) {
       return null;
@@ -246,7 +256,7 @@
     const intent: ChangingRecord = {
       phase: 'changing',
       databaseGroup: record.databaseGroup,
-      changeId: `${this.dependencies.entryVm}-${token}-${this.current.revision}`,
+      changeId: `${this.dependencies.entryVm}-${token}-${this.records.current.revision}`,
       oldPrimary: record.primary,
       oldTerm: record.term,
       target: null,
@@ -261,7 +271,7 @@
       reason: this.reason,
       fencingToken: token,
     });
-    return (await this.write(intent)) ? intent : null;
+    return (await this.records.write(intent)) ? intent : null;
   }
 
   /**
@@ -399,7 +409,7 @@
     // While a proxy can still write to the old primary, a restarted replica may
     // acknowledge commits beyond the positions seen during fencing.
     const lastOldPosition = releases.haveAllReleased ? position : null;
-    if (!(await this.write({...intent, target, lastOldPosition}))) {
+    if (!(await this.records.write({...intent, target, lastOldPosition}))) {
       return 'unrecorded';
     }
     // Makes the proxies read the record before the promotion. If it contains
@@ -445,7 +455,7 @@
     intent: ChangingRecord,
   ): Promise<ChangeOutcome | null> {
     const record = {...intent, target: null, lastOldPosition: null};
-    if (!(await this.write(record))) {
+    if (!(await this.records.write(record))) {
       return this.abandon('the refused target could not be cleared');
     }
     await sleep(this.dependencies.clock, REFUSED_RETRY_MS);
@@ -524,7 +534,7 @@
   ): Promise<ChangeOutcome> {
     const {databaseGroup, changeId} = intent;
     const writesFromStoreMs = releases.getLastLeaseEndStoreMs();
-    const isWritten = await this.write({
+    const isWritten = await this.records.write({
       phase: 'stable',
       databaseGroup,
       primary,
@@ -556,7 +566,7 @@
     for (const {record} of holders?.known ?? []) {
       this.runInBackground(
         'announce',
-        this.dependencies.peers.announce(record, this.current),
+        this.dependencies.peers.announce(record, this.records.current),
       );
     }
   }
@@ -573,50 +583,6 @@
     }
   }
 
-  /**
-   * Writes the record. After an unknown outcome it is written again; a conflict
-   * with the same value means that the earlier write succeeded.
-   */
-  private async write(record: PrimaryRecord): Promise<boolean> {
-    const key = getPrimaryRecordKey(record.databaseGroup);
-    const value = JSON.stringify(record);
-    for (let attempt = 0; attempt < MAX_TABLE_ATTEMPTS; attempt++) {
-      if (this.token === null || this.isOutdated) {
-        return false;
-      }
-      const result = await this.dependencies.table.putEntry({
-        key,
-        value,
-        expectedRevision: this.current.revision,
-      });
-      if (result.ok) {
-        this.applyRecord({record, revision: result.value.revision});
-        return true;
-      }
-      if (result.error.kind === 'conflict') {
-        const {current} = result.error;
-        if (current?.value !== value) {
-          this.dependencies.events.record({kind: 'storeConflict', key});
-          return false;
-        }
-        this.applyRecord({record, revision: current.revision});
-        return true;
-      }
-      await sleep(this.dependencies.clock, TABLE_RETRY_MS);
-    }
-    return false;
-  }
-
-  /** Whether the store was restored from a backup after the record was read. */
-  private get isOutdated(): boolean {
-    return getEra(this.current.revision) < this.dependencies.getStoreEra();
-  }
-
-  private applyRecord(revised: RevisedPrimaryRecord): void {
-    this.current = revised;
-    this.dependencies.handleRecord(revised);
-  }
-
   private recordWaiting(intent: ChangingRecord, waitingFor: string): void {
     const nowMs = this.dependencies.clock.nowMs();
     if (nowMs - this.lastWaitLogMs < WAITING_LOG_INTERVAL_MS) {
@@ -636,7 +602,7 @@
   }
 
   private abandon(reason: string): ChangeOutcome {
-    const {record} = this.current;
+    const {record} = this.records.current;
     this.dependencies.events.record({
       kind: 'changeAbandoned',
       databaseGroup: record.databaseGroup,
