Simulation: an instance leads that nobody has recorded

New fault lateOrder: an order whose leader is long gone promotes a replica, and the recorded primary then falls behind.

--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -2,7 +2,10 @@
 import {describe, expect, it} from 'vitest';
 import {runHistory} from './failover_history.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
-import {SUCCESSOR_OF_EARLIER_BUILD} from './leader_mutants.js';
+import {
+  SUCCESSOR_OF_EARLIER_BUILD,
+  UNRECORDED_PRIMARY,
+} from './leader_mutants.js';
 import {MUTANTS} from './mutants.js';
 import {PROMOTION_MS} from './simulated_group.js';
 
@@ -352,6 +355,16 @@
     }
   }, 600_000);
 
+  // Guards against stale strict reads at a replaced primary that is behind, while
+  // the failover leader writes at the one that it has found.
+  it('reads nothing stale when an instance leads that nobody has recorded', async () => {
+    for (const adoptionPlan of UNRECORDED_PRIMARY) {
+      const outcome = await runHistory(adoptionPlan);
+      expect(outcome.violations).toEqual([]);
+      expect(outcome.promotionCount).toBe(0);
+    }
+  });
+
   // Guards against a lower fencing token after a higher one while builds are mixed.
   it('lets no order of a stopped leader meet one of a successor of the build before', async () => {
     const {plans, mutate} = SUCCESSOR_OF_EARLIER_BUILD;
--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -138,6 +138,13 @@
           group.acceptDelayMs = 0;
         });
         return;
+      case 'lateOrder': {
+        const replica = this.pickReplica(fault.replica);
+        if (replica !== null) {
+          group.promote(replica);
+        }
+        return;
+      }
       case 'disturbLeader':
         this.options.leaderDisturbances.arm(fault);
         return;
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -113,6 +113,12 @@
   | {readonly kind: 'changeConfiguration'; readonly atMs: number}
   /** All proxies are killed at once. */
   | {readonly kind: 'killAllProxies'; readonly atMs: number}
+  /** An order whose leader is long gone promotes a replica. */
+  | {
+      readonly kind: 'lateOrder';
+      readonly atMs: number;
+      readonly replica: number;
+    }
   /** A proxy is stopped as planned, ends a while later and is started again. */
   | {readonly kind: 'stopProxy'; readonly atMs: number; readonly proxy: number}
   /**
--- a/packages/gateway/src/simulation/leader_mutants.ts
+++ b/packages/gateway/src/simulation/leader_mutants.ts
@@ -1,12 +1,16 @@
-import {failure} from '@filbertrun/base/result.js';
+import {failure, success} from '@filbertrun/base/result.js';
 import type {GatewayOptions} from '../gateway.js';
 import {
   PRIMARY_RECORD_PREFIX,
   type RevisedPrimaryRecord,
 } from '../group/primary_record.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
-import type {Mutant} from './mutant.js';
-import {bindPeers, mapListedValues} from './mutant_wrappers.js';
+import {planWithSeeds, type Mutant} from './mutant.js';
+import {
+  bindPeers,
+  mapListedValues,
+  PEER_UNREACHABLE,
+} from './mutant_wrappers.js';
 
 /**
  * Mutants of the rules that keep the orders of one failover leader apart from
@@ -55,6 +59,17 @@
   [1_300, 1_500, 1_700, 1_900, 2_000],
 );
 
+/**
+ * A replica leads although the record names another primary, which then receives
+ * nothing any more.
+ *
+ * @internal
+ */
+export const UNRECORDED_PRIMARY: readonly HistoryPlan[] = planWithSeeds([
+  {kind: 'lateOrder', atMs: 3_000, replica: 0},
+  {kind: 'stallReplication', atMs: 3_010, forMs: 9_000, replica: 0},
+]);
+
 /** Hides the target that an earlier leader has recorded. */
 function withoutRecordedTarget(options: GatewayOptions): GatewayOptions {
   return {
@@ -119,6 +134,20 @@
       ...withForgottenOrders(options),
     }),
   },
+  {
+    name: 'no proxy is asked to release an unrecorded primary',
+    plans: UNRECORDED_PRIMARY,
+    rules: ['staleRead'],
+    mutate: options => ({
+      ...options,
+      peers: {
+        ...bindPeers(options.peers),
+        release: ({incarnation}) =>
+          Promise.resolve(success({incarnation, highestAcknowledged: null})),
+        announce: () => Promise.resolve(failure(PEER_UNREACHABLE)),
+      },
+    }),
+  },
 ];
 
 /**
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -308,7 +308,8 @@
     );
   }
 
-  private promote(target: SimulatedInstance): void {
+  /** Makes an instance the primary of the next term. */
+  promote(target: SimulatedInstance): void {
     this.oracle.checkPromotion(target);
     let newestTerm = 0;
     for (const {term} of this.instances.values()) {
