Failover: a slow store does not delay the questions to an ordered target

Seen when reading again: awaitEffect listed the instances from the store every 500 ms while it waited for a promotion, so a slow store (answers x 50) would have held up the status of the target, and each wait cost store calls. The entry that was listed once is used on, as before; only a target that is missing is listed again.

--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -508,11 +508,8 @@
     intent: ChangingRecord,
     target: string,
   ): Promise<number | null> {
-    const instances = await this.findInstances(intent.databaseGroup);
-    const entry = instances?.find(
-      ({backendServer}) => backendServer === target,
-    );
-    if (entry === undefined) {
+    const entry = await this.findEntry(intent.databaseGroup, target);
+    if (entry === null) {
       return null;
     }
     const status = await this.dependencies.instances.getStatus(entry);
@@ -522,6 +519,24 @@
     return status.value.term > intent.oldTerm ? status.value.term : null;
   }
 
+  /**
+   * The target's entry. An entry that was listed once is used on, so that a slow
+   * store does not delay the questions to the target.
+   */
+  private async findEntry(
+    databaseGroup: string,
+    target: string,
+  ): Promise<BackendServerEntry | null> {
+    const isTarget = ({backendServer}: BackendServerEntry) =>
+      backendServer === target;
+    const known = this.listedInstances?.find(isTarget);
+    if (known !== undefined) {
+      return known;
+    }
+    const listed = await this.findInstances(databaseGroup);
+    return listed?.find(isTarget) ?? null;
+  }
+
   /**
    * Records the new primary. It serves reads immediately; writes wait until the
    * leases of proxies that did not respond have expired.
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -53,6 +53,7 @@
   let leaderLease: FailoverLeaderLease;
   let outcome: ChangeOutcome | null;
   let orders: OrdersInFlight;
+  let listCount: number;
 
   beforeEach(async () => {
     clock = VirtualClock.create();
@@ -62,6 +63,7 @@
     events = InMemoryEventRecorder.create();
     outcome = null;
     orders = OrdersInFlight.create();
+    listCount = 0;
     leaderLease = FailoverLeaderLease.create({
       entryVm: 'entry-1',
       incarnation: 'one',
@@ -107,7 +109,10 @@
         leaderLease,
         orders,
         events,
-        listInstances: () => Promise.resolve(instances.listEntries()),
+        listInstances: () => {
+          listCount++;
+          return Promise.resolve(instances.listEntries());
+        },
         findLeaseHolders: () => ({
           known: holders.map(entryVm => ({
             record: createEntryVm(entryVm),
@@ -274,6 +279,16 @@
     expect(instances.orders).toHaveLength(1);
   });
 
+  // Guards against a longer time without writes while the store is slow.
+  it('lists the instances once while it waits for an order to take effect', async () => {
+    instances.get('p').isRunning = false;
+    instances.takeEffectAfter(3_000, 'r1');
+    start(['entry-1'], EARLIER_ORDER);
+    await advance(4_000);
+    expect(outcome).toBe('completed');
+    expect(listCount).toBe(1);
+  });
+
   it('does not wait for a recorded order that was refused', async () => {
     instances.get('p').isRunning = false;
     instances.isRefusing = true;
