Gateway: a definition with blanks is prepared under a name of one word

Cause: the name on the instance's connection was made from the definition, which is the last field of PREPARE and may hold blanks; a name ends at the first one.

Fix: plain definitions keep their name, any other is named by its digest under another prefix, so that a name is always one short word and different statements have different names.

Names of the sites' definitions don't change.

--- a/packages/gateway/src/backend/pooled_connection.ts
+++ b/packages/gateway/src/backend/pooled_connection.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {PreparedStatement} from '../statement/caller_statement.js';
 import type {BackendCommand, BackendConnection} from './backend_connection.js';
@@ -100,13 +101,26 @@
   }
 }
 
+/** A definition that can be part of a name. */
+const PLAIN_DEFINITION = /^[A-Za-z0-9_.-]{1,64}$/;
+
 /**
  * Returns the name under which all sessions share a prepared statement on a
  * connection. Different sessions may use one name for different statements, so
- * the name is derived from the statement itself.
+ * the name is derived from the statement itself. A definition may hold blanks,
+ * which end a name, and be long; such a one is named by its digest. No name of a
+ * digest equals one of a plain definition.
  *
  * @public
  */
-export function getPreparedStatementName(prepared: PreparedStatement): string {
-  return `${prepared.access === 'read' ? 'r' : 'w'}_${prepared.definitionText}`;
+export function getPreparedStatementName({
+  access,
+  definitionText,
+}: PreparedStatement): string {
+  const prefix = access === 'read' ? 'r' : 'w';
+  if (PLAIN_DEFINITION.test(definitionText)) {
+    return `${prefix}_${definitionText}`;
+  }
+  const digest = createHash('sha256').update(definitionText).digest('hex');
+  return `${prefix}h_${digest}`;
 }
--- a/packages/gateway/src/backend/pooled_connection_test.ts
+++ b/packages/gateway/src/backend/pooled_connection_test.ts
@@ -98,4 +98,32 @@
     pooled.removePrepared(prepared);
     expect(pooled.planPreparation(context)).toHaveLength(1);
   });
+
+  // Guards against a statement that runs as another one: a blank ended the name,
+  // and the rest of the definition was read as a second definition.
+  it.each(['q WRITE 1a4', 'a b', '', 'é', 'x'.repeat(1_000)])(
+    'names the definition %j in one short word',
+    definitionText => {
+      for (const access of ['read', 'write'] as const) {
+        const name = getPreparedStatementName({access, definitionText});
+        expect(name).toMatch(/^[\x21-\x7e]{1,70}$/);
+      }
+    },
+  );
+
+  it('gives different statements different names', () => {
+    const names = new Set<string>();
+    const definitions = [
+      'q',
+      'q WRITE 1a4',
+      'q READ 1a4',
+      'q  WRITE 1a4',
+      'h_q',
+    ];
+    for (const definitionText of definitions) {
+      names.add(getPreparedStatementName({access: 'read', definitionText}));
+      names.add(getPreparedStatementName({access: 'write', definitionText}));
+    }
+    expect(names.size).toBe(2 * definitions.length);
+  });
 });
