--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -476,22 +476,9 @@
     if (target === null) {
       return null;
     }
-    const {token} = this;
-    if (token === null) {
-      return null;
-    }
-    // The recorded target is ordered again at once, with this leader's token.
-    const {promotions, entryVm, clock} = this.dependencies;
-    await promotions.promote(
-      {
-        databaseGroup: intent.databaseGroup,
-        target,
-        failoverLeader: entryVm,
-        fencingToken: token,
-      },
-      () => this.token === token,
-    );
-    const untilMs = clock.nowMs() + PROMOTION_TIMEOUT_MS;
+    this.recordWaiting(intent, `the earlier order to promote ${target}`);
+    const seenAtMs = this.startedAtMs - this.currentAgeMs;
+    const untilMs = seenAtMs + EARLIER_ORDER_TIMEOUT_MS;
     return this.awaitEffect(intent, releases, target, untilMs);
   }
 
