Base: one clock that can be paused, for the simulations of gateway and peer

FreezableClock of the new histories was the same as PausableClock of peer, which gateway may not depend on: it moves to base and serves both. Imports of the changed modules are in order. No behaviour is changed.

--- a/packages/peer/src/pausable_clock.ts
+++ b/packages/base/src/pausable_clock.ts
@@ -1,4 +1,4 @@
-import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {Clock, Timer} from './clock.js';
 
 /**
  * Clock of a test process that can be paused. Time continues during a pause,
--- a/packages/gateway/src/control/control_poller.ts
+++ b/packages/gateway/src/control/control_poller.ts
@@ -7,12 +7,12 @@
   ClockReading,
   ClockJumpDetector,
 } from '../group/clock_jump_detector.js';
-import {DependencyTracker} from '../observability/dependency_tracker.js';
-import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import {
   recordTaskFailure,
   runInBackground,
 } from '../observability/background_task.js';
+import {DependencyTracker} from '../observability/dependency_tracker.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies of {@link ControlPoller}. @public */
 export interface ControlPollerOptions {
--- a/packages/gateway/src/control/record_restorer.ts
+++ b/packages/gateway/src/control/record_restorer.ts
@@ -4,8 +4,8 @@
 import type {GroupRuntime} from '../group/group_runtime.js';
 import {getPrimaryRecordKey} from '../group/primary_record.js';
 import type {LostRecord} from '../group/primary_record_cache.js';
-import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies of {@link RecordRestorer}. @public */
 export interface RecordRestorerOptions {
--- a/packages/gateway/src/control/relaying_control_table.ts
+++ b/packages/gateway/src/control/relaying_control_table.ts
@@ -9,10 +9,10 @@
   TableEntry,
   TableListing,
 } from '@filbertrun/platform/platform_service.js';
-import type {ControlRelay} from '../peer/control_relay.js';
-import type {EntryVmRecord} from './control_record.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import type {ControlRelay} from '../peer/control_relay.js';
+import type {EntryVmRecord} from './control_record.js';
 
 /** Dependencies of {@link RelayingControlTable}. @public */
 export interface RelayingControlTableOptions {
--- a/packages/gateway/src/control/relaying_control_table_test.ts
+++ b/packages/gateway/src/control/relaying_control_table_test.ts
@@ -2,9 +2,9 @@
 import {failure, success} from '@filbertrun/base/result.js';
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {ControlRelay} from '../peer/control_relay.js';
 import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
-import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {RelayingControlTable} from './relaying_control_table.js';
 
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -1,12 +1,12 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
-import {DependencyTracker} from '../observability/dependency_tracker.js';
-import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {TableChanges, WatchableTable} from './watchable_table.js';
 import {
   recordTaskFailure,
   runInBackground,
 } from '../observability/background_task.js';
+import {DependencyTracker} from '../observability/dependency_tracker.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import type {TableChanges, WatchableTable} from './watchable_table.js';
 
 /** Receives the contents and changes of a watched table. @public */
 export interface TableListener<T> {
--- a/packages/gateway/src/failover/failover_coordinator.ts
+++ b/packages/gateway/src/failover/failover_coordinator.ts
@@ -17,12 +17,12 @@
   type PrimaryRecord,
   type RevisedPrimaryRecord,
 } from '../group/primary_record.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {SuspicionReport} from '../peer/peer_client.js';
 import {
   PrimaryChange,
   type PrimaryChangeDependencies,
 } from './primary_change.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the coordinator. @public */
 export interface FailoverCoordinatorOptions extends PrimaryChangeDependencies {
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -8,9 +8,9 @@
 } from '../backend/instance_control.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {TermPrimary} from '../group/primary_lease.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {FencedInstance} from './choose_promotion_target.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Options of the fences of one change. @public */
 export interface InstanceFencesOptions {
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -19,6 +19,7 @@
   PrimaryRecord,
   RevisedPrimaryRecord,
 } from '../group/primary_record.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
 import {
@@ -34,7 +35,6 @@
   TABLE_RETRY_MS,
 } from './primary_record_writer.js';
 import {ReleaseCollector} from './release_collector.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of a primary change. @public */
 export interface PrimaryChangeDependencies {
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -6,9 +6,9 @@
 } from '@filbertrun/model/log_position.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_tracker.js';
 import type {EntryVmRecord} from '../control/control_record.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient, ReleaseRequest} from '../peer/peer_client.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Options of a collector. @public */
 export interface ReleaseCollectorOptions {
--- a/packages/gateway/src/failover/suspicion_reporter.ts
+++ b/packages/gateway/src/failover/suspicion_reporter.ts
@@ -1,13 +1,13 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {
   PeerClient,
   PrimaryFailureEvidence,
   SuspicionReport,
 } from '../peer/peer_client.js';
-import {runInBackground} from '../observability/background_task.js';
-import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies of the reporter. @public */
 export interface SuspicionReporterOptions {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
 import {findLeaseHolders} from './failover/find_lease_holders.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
 import {SuspicionReporter} from './failover/suspicion_reporter.js';
+import {runInBackground} from './observability/background_task.js';
 import {collectGatewayGauges} from './observability/gateway_gauges.js';
 import {
   ClockJumpDetector,
@@ -68,7 +69,6 @@
 import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
 import {OrdersInFlight} from './failover/orders_in_flight.js';
-import {runInBackground} from './observability/background_task.js';
 
 /** Options of a gateway. @public */
 export interface GatewayOptions {
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -17,10 +17,10 @@
 import {PooledConnection} from '../backend/pooled_connection.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {IDLE_TIMEOUT_MS} from '../control/choose_idle_timeout.js';
+import {runInBackground} from '../observability/background_task.js';
 import {FailureRate} from '../routing/failure_rate.js';
 import type {DrainTracker} from './drain_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies and settings of a {@link BackendServerRuntime}. @public */
 export interface BackendServerRuntimeOptions {
--- a/packages/gateway/src/group/peer_freshness_source.ts
+++ b/packages/gateway/src/group/peer_freshness_source.ts
@@ -3,11 +3,11 @@
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {EntryVmRecord} from '../control/control_record.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
 import type {ClockJumpDetector} from './clock_jump_detector.js';
 import type {GroupRuntime} from './group_runtime.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the peer freshness source. @public */
 export interface PeerFreshnessSourceOptions {
--- a/packages/gateway/src/lifecycle/readiness_monitor.ts
+++ b/packages/gateway/src/lifecycle/readiness_monitor.ts
@@ -2,10 +2,10 @@
 import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import {findUnreachableZones} from './find_unreachable_zones.js';
 import {decideReadiness, type Readiness} from './readiness.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Dependencies of the monitor. @public */
 export interface ReadinessMonitorOptions {
--- a/packages/gateway/src/quota/operation_limiter.ts
+++ b/packages/gateway/src/quota/operation_limiter.ts
@@ -6,6 +6,8 @@
 import type {EntryVmRecord} from '../control/control_record.js';
 import type {RegistrationView} from '../control/registration_view.js';
 import type {ClockJumpDetector} from '../group/clock_jump_detector.js';
+import {runInBackground} from '../observability/background_task.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
 import {chooseQuotaOwner} from './choose_quota_owner.js';
 import {UNLIMITED_PERMIT, type OperationPermit} from './operation_permit.js';
@@ -18,8 +20,6 @@
 import {PermitStock} from './permit_stock.js';
 import {isSameLimit} from './quota_ledger.js';
 import {getQuotaPartition} from './quota_partition.js';
-import {runInBackground} from '../observability/background_task.js';
-import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Why an operation got no permit. It was not run. @public */
 export interface LimitError {
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -3,6 +3,7 @@
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {
   CallerStatement,
   StatementRequest,
@@ -20,7 +21,6 @@
 } from './refusal.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 import {recordOutcomeUnknown} from './statement_events.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Timeout of the rollback of an abandoned or idle transaction. */
 const ROLLBACK_TIMEOUT_MS = 500;
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -349,8 +349,8 @@
     return {
       beginStop: name => proxies.get(name)?.gateway.beginStop(),
       kill: name => this.killProxy(name),
-      freeze: name => proxies.get(name)?.controlClock.freeze(),
-      thaw: name => proxies.get(name)?.controlClock.thaw(),
+      freeze: name => proxies.get(name)?.controlClock.pause(),
+      thaw: name => proxies.get(name)?.controlClock.resume(),
       isolate: (name, forMs) => this.injector.isolateProxy(name, forMs),
     };
   }
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -20,7 +20,7 @@
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {CONFIGURATION_APPLY_MS} from './configuration_oracle.js';
-import {FreezableClock} from './freezable_clock.js';
+import {PausableClock} from '@filbertrun/base/pausable_clock.js';
 import {NetworkPath} from './network_path.js';
 import {
   DRAIN_MS,
@@ -64,8 +64,8 @@
   readonly events = InMemoryEventRecorder.create();
   readonly wallClock: FakeWallClock;
   readonly gateway: Gateway;
-  /** Timers of the process; statements under way go on while it is frozen. */
-  readonly controlClock: FreezableClock;
+  /** Timers of the process; statements under way go on while it is paused. */
+  readonly controlClock: PausableClock;
 
   private constructor(
     readonly name: string,
@@ -76,7 +76,7 @@
   ) {
     const {clock} = deployment;
     this.wallClock = FakeWallClock.create(clock);
-    this.controlClock = FreezableClock.create(clock);
+    this.controlClock = PausableClock.create(clock);
     const path = new NetworkPath(name, this.controlClock, deployment.network);
     const era = LatestStoreEra.create();
     this.gateway = Gateway.create(
--- a/packages/gateway/src/zone/zone_follower.ts
+++ b/packages/gateway/src/zone/zone_follower.ts
@@ -5,11 +5,11 @@
   ClockReading,
   ClockJumpDetector,
 } from '../group/clock_jump_detector.js';
+import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
 import {chooseZoneReader} from './choose_zone_reader.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from './zone_update.js';
-import {runInBackground} from '../observability/background_task.js';
 
 /** Newest table revisions that a follower knows. @public */
 export type KnownRevisions = Pick<
--- a/packages/peer/src/fake_control_cluster.ts
+++ b/packages/peer/src/fake_control_cluster.ts
@@ -5,7 +5,7 @@
 import type {PlatformService} from '@filbertrun/platform/platform_service.js';
 import {ControlPlane} from './control_plane.js';
 import {FakePeerNetwork} from './fake_peer_network.js';
-import {PausableClock} from './pausable_clock.js';
+import {PausableClock} from '@filbertrun/base/pausable_clock.js';
 
 /**
  * Control planes of several proxies on virtual time, for tests.
