Group: replicas prove no freshness where commits are acknowledged without them

Cause: ReplicaFreshnessSource takes the latest position of all replicas as a bound of every acknowledged commit; without synchronous replicas the primary may have acknowledged more, so a bounded read could be staler than allowed.

Fix: the source looks at the group's number of synchronous replicas, which was decoded and used nowhere, and records nothing if it is 0.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,6 +250,10 @@
       events,
       instances: options.instances,
       listKnown: databaseGroup => this.instances.listIfComplete(databaseGroup),
+      isReplicatedBeforeAcknowledgement: databaseGroup => {
+        const settings = this.configuration.current?.databaseGroups;
+        return (settings?.get(databaseGroup)?.synchronousReplicaCount ?? 0) > 0;
+      },
     });
     this.peerFreshness = PeerFreshnessSource.create({
       availabilityZone: self.availabilityZone,
--- a/packages/gateway/src/group/replica_freshness_source.ts
+++ b/packages/gateway/src/group/replica_freshness_source.ts
@@ -15,6 +15,8 @@
   readonly instances: InstanceControl;
   /** Lists the instances of a group that may still run; null if unknown. */
   listKnown(databaseGroup: string): readonly BackendServerEntry[] | null;
+  /** Whether the primary acknowledges a commit only once a replica holds it. */
+  isReplicatedBeforeAcknowledgement(databaseGroup: string): boolean;
 }
 
 /** Replicas are queried once the newest freshness bound has this age. */
@@ -28,7 +30,8 @@
  * unreachable and has not been replaced, for example because the store is down
  * too. A commit is acknowledged once two instances hold it. If every instance
  * but the primary is queried, all commits that were acknowledged before the
- * queries are at or before the latest position in the responses.
+ * queries are at or before the latest position in the responses. Replicas prove
+ * nothing in a group whose primary acknowledges without them.
  *
  * @public
  */
@@ -52,6 +55,9 @@
     if (primary === null || group.getFreshnessAgeMs() < REFRESH_AFTER_MS) {
       return;
     }
+    if (!this.options.isReplicatedBeforeAcknowledgement(group.databaseGroup)) {
+      return;
+    }
     const nowMs = clock.nowMs();
     const queriedAtMs = this.queriedAtMs.get(group.databaseGroup) ?? -Infinity;
     if (nowMs - queriedAtMs < QUERY_INTERVAL_MS) {
--- a/packages/gateway/src/group/replica_freshness_source_test.ts
+++ b/packages/gateway/src/group/replica_freshness_source_test.ts
@@ -13,10 +13,12 @@
   let instances: FakeInstances;
   let known: readonly BackendServerEntry[] | null;
   let freshness: ReplicaFreshnessSource;
+  let isReplicated: boolean;
 
   beforeEach(() => {
     harness = SessionTestHarness.create();
     harness.grantLease();
+    isReplicated = true;
     instances = FakeInstances.create(VirtualClock.create());
     instances.add('p', 'primary', 12);
     instances.add('r1', 'replica', 7);
@@ -27,6 +29,7 @@
       events: harness.events,
       instances,
       listKnown: () => known,
+      isReplicatedBeforeAcknowledgement: () => isReplicated,
     });
     // A primary that is missing from the directory counts as unreachable.
     harness.group.removeServer('p', 'test');
@@ -45,6 +48,14 @@
     expect(getPosition()).toBeNull();
   });
 
+  // Guards against stale reads: the primary had acknowledged more than its
+  // replicas hold.
+  it('records nothing in a group whose primary acknowledges without its replicas', async () => {
+    isReplicated = false;
+    await freshness.maintain(harness.group);
+    expect(getPosition()).toBeNull();
+  });
+
   it('records nothing unless all of these instances answer', async () => {
     instances.get('r1').isRunning = false;
     await freshness.maintain(harness.group);
