Failover: a planned stop completes a change whose order was accepted

Fix: OrdersInFlight covers an order up to its effect. A stop gives no new order, goes on renewing, waits for an accepted order at most 2.5 s and records the result, so that any successor finds a stable record. Transfers and the loss of the store wait for the call only: a successor with the store is sooner there. An order without an answer is not waited for, since its effect may never come.

--- a/packages/gateway/src/failover/orders_in_flight.ts
+++ b/packages/gateway/src/failover/orders_in_flight.ts
@@ -1,13 +1,18 @@
+/** Result of `OrdersInFlight.run` if this process gives no more orders. */
+const CLOSED = 'closed';
+
 /**
- * Tracks the promotion orders of this process that are under way: from the
- * moment at which the target is about to be recorded until the platform has
- * answered or the call has ended. Leadership is given up only when there is
- * none, so that no order of this leader arrives after one of the next leader.
+ * Tracks the promotion orders of this process that are under way: first the
+ * call, from the moment at which the target is about to be recorded until the
+ * platform has answered or the call has ended, then the wait for its effect. A
+ * leader does not hand over during a call, so that no order of it arrives after
+ * one of the next leader. A stop also waits for the effect.
  *
  * @public
  */
 export class OrdersInFlight {
-  private count = 0;
+  private orderCount = 0;
+  private callCount = 0;
   private isClosed = false;
   private readonly waiters: (() => void)[] = [];
 
@@ -17,22 +22,33 @@
     return new OrdersInFlight();
   }
 
-  get hasAny(): boolean {
-    return this.count > 0;
+  /** Whether the call of an order is under way. */
+  get hasCall(): boolean {
+    return this.callCount > 0;
   }
 
   /**
-   * Runs an order; null if this process gives no further orders.
+   * Runs an order up to its effect; `order` calls `endCall` once its call has
+   * ended. Runs nothing if this process gives no more orders.
    */
-  async run<T>(order: () => Promise<T>): Promise<T | null> {
+  async run<T>(
+    order: (endCall: () => void) => Promise<T>,
+  ): Promise<T | typeof CLOSED> {
     if (this.isClosed) {
-      return null;
+      return CLOSED;
     }
-    this.count++;
+    let isCalling = true;
+    const endCall = () => {
+      this.callCount -= isCalling ? 1 : 0;
+      isCalling = false;
+    };
+    this.orderCount++;
+    this.callCount++;
     try {
-      return await order();
+      return await order(endCall);
     } finally {
-      this.count--;
+      endCall();
+      this.orderCount--;
       this.notifyIfNone();
     }
   }
@@ -47,7 +63,7 @@
   }
 
   private notifyIfNone(): void {
-    if (this.count > 0) {
+    if (this.orderCount > 0) {
       return;
     }
     for (const notify of this.waiters.splice(0)) {
--- a/packages/gateway/src/failover/orders_in_flight_test.ts
+++ b/packages/gateway/src/failover/orders_in_flight_test.ts
@@ -1,42 +1,73 @@
+import {beforeEach, describe, expect, it} from 'vitest';
 import {settlePromises} from '../testing/settle.js';
-import {describe, expect, it} from 'vitest';
 import {OrdersInFlight} from './orders_in_flight.js';
 
 describe('OrdersInFlight', () => {
-  // Guards against leadership that is given up while an order is on its way: the
-  // next leader's order, with a higher fencing token, then arrives first.
-  it('closes only after every order has ended', async () => {
-    const orders = OrdersInFlight.create();
-    let end: () => void = () => {};
-    const order = orders.run(
-      () =>
+  let orders: OrdersInFlight;
+  let endCall: () => void;
+  let endOrder: () => void;
+  let isClosed: boolean;
+
+  beforeEach(() => {
+    orders = OrdersInFlight.create();
+    isClosed = false;
+  });
+
+  function startOrder(): Promise<unknown> {
+    return orders.run(
+      end =>
         new Promise<void>(resolve => {
-          end = resolve;
+          endCall = end;
+          endOrder = resolve;
         }),
     );
-    let isClosed = false;
-    const closing = orders.close().then(() => {
+  }
+
+  async function close(): Promise<void> {
+    void orders.close().then(() => {
       isClosed = true;
     });
     await settlePromises();
-    expect(orders.hasAny).toBe(true);
+  }
+
+  // Guards against leadership that is given up while an order is on its way: the
+  // next leader's order, with a higher fencing token, then arrives first.
+  it('closes only after the effect of every order', async () => {
+    const order = startOrder();
+    await close();
+    expect(orders.hasCall).toBe(true);
+    endCall();
+    await settlePromises();
+    expect(orders.hasCall).toBe(false);
     expect(isClosed).toBe(false);
-    end();
-    await Promise.all([order, closing]);
-    expect(orders.hasAny).toBe(false);
+    endOrder();
+    await order;
+    await settlePromises();
+    expect(isClosed).toBe(true);
+  });
+
+  it('counts a call once, however often its end is reported', async () => {
+    void startOrder();
+    const endFirst = endCall;
+    void startOrder();
+    endFirst();
+    endFirst();
+    expect(orders.hasCall).toBe(true);
+    endCall();
+    expect(orders.hasCall).toBe(false);
   });
 
   it('closes at once when there is no order, and gives none afterwards', async () => {
-    const orders = OrdersInFlight.create();
-    await orders.close();
-    expect(await orders.run(() => Promise.resolve('ordered'))).toBeNull();
+    await close();
+    expect(isClosed).toBe(true);
+    expect(await orders.run(() => Promise.resolve('ordered'))).toBe('closed');
   });
 
   it('closes after an order that has failed', async () => {
-    const orders = OrdersInFlight.create();
     const order = orders.run(() => Promise.reject(new Error('test')));
     await expect(order).rejects.toThrow('test');
-    await orders.close();
-    expect(orders.hasAny).toBe(false);
+    await close();
+    expect(isClosed).toBe(true);
+    expect(orders.hasCall).toBe(false);
   });
 });
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -116,8 +116,10 @@
   | 'leadershipLost'
   /** The order takes no effect. */
   | 'refused'
-  /** The order was accepted, or its outcome is unknown. */
-  | 'mayTakeEffect';
+  /** The order takes effect a while later. */
+  | 'accepted'
+  /** The order may take effect. */
+  | 'outcomeUnknown';
 
 /** How a change ended. @public */
 export type ChangeOutcome = 'completed' | 'abandoned';
@@ -373,25 +375,39 @@
     releases: ReleaseCollector,
     choice: ChosenTarget,
   ): Promise<ChangeOutcome | null> {
-    const outcome = await this.dependencies.orders.run(() =>
-      this.order(intent, releases, choice),
-    );
+    const outcome = await this.dependencies.orders.run(async endCall => {
+      const ordered = await this.order(intent, releases, choice);
+      endCall();
+      return ordered === 'outcomeUnknown'
+        ? ordered
+        : this.handleOrdered(intent, releases, choice.target, ordered);
+    });
     switch (outcome) {
-      case null:
+      case 'closed':
         return this.abandon('this proxy is stopping');
+      case 'outcomeUnknown':
+        // A stop does not wait for an effect that may never come.
+        return this.awaitOrdered(intent, releases, choice.target);
+      default:
+        return outcome;
+    }
+  }
+
+  private async handleOrdered(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+    target: string,
+    outcome: Exclude<OrderOutcome, 'outcomeUnknown'>,
+  ): Promise<ChangeOutcome | null> {
+    switch (outcome) {
       case 'unrecorded':
         return this.abandon('the target could not be recorded');
       case 'leadershipLost':
         return this.abandon('the failover leadership was lost');
       case 'refused':
         return this.clearTarget(intent);
-      case 'mayTakeEffect':
-        return this.awaitEffect(
-          intent,
-          releases,
-          choice.target,
-          this.dependencies.clock.nowMs() + PROMOTION_TIMEOUT_MS,
-        );
+      case 'accepted':
+        return this.awaitOrdered(intent, releases, target);
       default:
         return exhaustiveSwitchError(outcome);
     }
@@ -443,8 +459,12 @@
       target,
       outcome,
     });
-    const isRefused = !result.ok && result.error.kind !== 'outcomeUnknown';
-    return isRefused ? 'refused' : 'mayTakeEffect';
+    if (result.ok) {
+      return 'accepted';
+    }
+    return result.error.kind === 'outcomeUnknown'
+      ? 'outcomeUnknown'
+      : 'refused';
   }
 
   /**
@@ -482,6 +502,16 @@
     return this.awaitEffect(intent, releases, target, untilMs);
   }
 
+  /** Waits for the effect of an order of this leader. */
+  private awaitOrdered(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+    target: string,
+  ): Promise<ChangeOutcome | null> {
+    const untilMs = this.dependencies.clock.nowMs() + PROMOTION_TIMEOUT_MS;
+    return this.awaitEffect(intent, releases, target, untilMs);
+  }
+
   /** Waits until the target is primary; null if it is not in time. */
   private async awaitEffect(
     intent: ChangingRecord,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,10 +150,13 @@
 const TRANSFER_LEADERSHIP_AFTER_MS = 1_400;
 
 /**
- * Longest wait of a stop for a promotion order under way: the timeout of its call
- * and the write of its record before.
+ * Longest wait of a stop for a promotion order under way: its call, its effect
+ * and the record of the result.
  */
-const MAX_ORDER_WAIT_MS = 1_500;
+const MAX_ORDER_WAIT_MS = 2_500;
+
+/** Interval at which a stop renews leadership while it waits for an order. */
+const RENEWAL_CHECK_MS = 100;
 
 /** Creates the components of a proxy and connects them. @public */
 export class Gateway implements GatewayContext {
@@ -412,7 +415,7 @@
       peers: options.peers,
       findPrimaryZones: () => findPrimaryZones(this.registry.list()),
       getOtherEntryVms: () => this.registration.getOtherEntryVms(),
-      hasOrderInFlight: () => this.orders.hasAny,
+      hasOrderInFlight: () => this.orders.hasCall,
       computeDigest: () => this.peerRequestHandler.computeDigest(),
     });
     this.contactRenewer = ContactRenewer.create({
@@ -506,12 +509,22 @@
     this.runInBackground('step-down', this.releaseLeadership());
   }
 
-  /** Releases leadership once no promotion order is under way. */
+  /**
+   * Releases leadership once no promotion order is under way, so that this
+   * proxy completes a change whose order it has given.
+   */
   private async releaseLeadership(): Promise<void> {
-    await Promise.race([
-      this.orders.close(),
-      sleep(this.clock, MAX_ORDER_WAIT_MS),
-    ]);
+    const untilMs = this.clock.nowMs() + MAX_ORDER_WAIT_MS;
+    let areOrdersOver = false;
+    const closing = this.orders.close().then(() => {
+      areOrdersOver = true;
+    });
+    while (!areOrdersOver && this.clock.nowMs() < untilMs) {
+      if (this.leaderLease.getFencingToken() !== null) {
+        this.runInBackground('renewal', this.leaderLease.maintain());
+      }
+      await Promise.race([closing, sleep(this.clock, RENEWAL_CHECK_MS)]);
+    }
     await this.leaderLease.stepDown();
   }
 
@@ -680,7 +693,7 @@
     if (ageMs === null || ageMs < TRANSFER_LEADERSHIP_AFTER_MS) {
       return;
     }
-    if (this.orders.hasAny) {
+    if (this.orders.hasCall) {
       return;
     }
     const fencingToken = this.leaderLease.stopActing(
--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -416,6 +416,7 @@
     for (const successorPlan of plans) {
       const outcome = await runHistory(successorPlan, mutate);
       expect(outcome.violations).toEqual([]);
+      expect(outcome.promotionCount).toBe(1);
     }
   });
 
--- a/packages/gateway/src/simulation/leader_mutants.ts
+++ b/packages/gateway/src/simulation/leader_mutants.ts
@@ -53,6 +53,11 @@
 /** The successor of a stopped leader acts before its order is accepted. */
 const STOPPED_AFTER_ORDER = planLeaderLoss('stop', ACCEPT_DELAYS_MS);
 
+/** The successor of a stopped leader acts before its order takes effect. */
+const STOPPED_BEFORE_EFFECT: readonly HistoryPlan[] = STOPPED_AFTER_ORDER.map(
+  plan => ({...plan, layout: 'shared', promotionMs: 500}),
+);
+
 /** A killed leader is back, and leads, before its order is accepted. */
 const KILLED_AFTER_ORDER = planLeaderLoss(
   'kill',
@@ -157,6 +162,6 @@
  * @internal
  */
 export const SUCCESSOR_OF_EARLIER_BUILD = {
-  plans: STOPPED_AFTER_ORDER,
+  plans: [...STOPPED_AFTER_ORDER, ...STOPPED_BEFORE_EFFECT],
   mutate: withoutRecordedTarget,
 } as const;
