Forwarding: operations of groups with shared access go to one holder in each zone

Cause: 37 proxies before instances that admit 82 connections (83 before 46) have a share of one each, so customers take turns on it and nearly every operation pays for a new connection.

Change: the session's first statement goes through an OperationExecutor; with shared access the forwarder sends it to the holder of the group, which runs it with the code for its own callers. Shares are computed per zone. Where a proxy's direct share is two or more, nothing changes.

--- a/packages/gateway/src/control/compute_connection_share.ts
+++ b/packages/gateway/src/control/compute_connection_share.ts
@@ -8,8 +8,10 @@
 /**
  * Connections of an instance that are reserved for control commands, such as
  * status queries and step-downs.
+ *
+ * @public
  */
-const RESERVED_CONNECTIONS = 2;
+export const RESERVED_CONNECTIONS = 2;
 
 /** Fraction of the unreserved connections used in steady state. */
 const STEADY_STATE_FRACTION = 0.8;
--- /dev/null
+++ b/packages/gateway/src/control/compute_zone_share.ts
@@ -0,0 +1,76 @@
+import {
+  computeConnectionShare,
+  RESERVED_CONNECTIONS,
+} from './compute_connection_share.js';
+
+/**
+ * Decides whether the proxies of an availability zone share their connections to
+ * an instance, and divides the connection limit of an instance among the zones.
+ * Where there are as many proxies as connections, each proxy could hold only one
+ * to an instance, and callers of different customers would take turns on it.
+ */
+
+/** Smallest direct share with which a proxy uses its own connections. */
+const MIN_DIRECT_SHARE = 2;
+
+/**
+ * Smallest mean number of proxies in a zone with which sharing saves connections.
+ */
+const MIN_PROXIES_PER_ZONE = 3;
+
+/**
+ * Fraction of a zone's connections that its holder uses. The remainder is for a
+ * second holder while the holder changes, and for connections that an instance
+ * still counts after a loss of power.
+ */
+const HOLDER_FRACTION = 0.75;
+
+/**
+ * Fraction of the holder's share that a restarted proxy may open while an
+ * instance may still count the connections of its previous process.
+ */
+const RESTART_FRACTION = 0.5;
+
+/** The proxies and connections of a deployment. @public */
+export interface ZoneShareInputs {
+  /** Connection limit of the instance for all proxies together. */
+  readonly maxConnections: number;
+  /** Registered entry VMs, including crashed ones that are still listed. */
+  readonly entryVmCount: number;
+  /** Those among them that do not accept forwarded operations. */
+  readonly directEntryVmCount: number;
+  /** Availability zones with registered entry VMs. */
+  readonly zoneCount: number;
+  /** Whether orphaned connections may still count against the limit. */
+  readonly mayHaveOrphans: boolean;
+}
+
+/** Whether operations are forwarded to the holder of a zone. @public */
+export function isAccessShared(inputs: ZoneShareInputs): boolean {
+  const {maxConnections, entryVmCount, zoneCount} = inputs;
+  const directShare = computeConnectionShare({
+    maxConnections,
+    entryVmCount,
+    mayHaveOrphans: false,
+  });
+  return (
+    directShare < MIN_DIRECT_SHARE &&
+    entryVmCount >= MIN_PROXIES_PER_ZONE * zoneCount
+  );
+}
+
+/**
+ * Returns how many connections the holder of a zone may open to an instance (at
+ * least 1).
+ *
+ * @public
+ */
+export function computeZoneShare(inputs: ZoneShareInputs): number {
+  const {maxConnections, directEntryVmCount, zoneCount} = inputs;
+  const available = maxConnections - RESERVED_CONNECTIONS - directEntryVmCount;
+  const zoneConnections = available / Math.max(1, zoneCount);
+  const fraction = inputs.mayHaveOrphans
+    ? HOLDER_FRACTION * RESTART_FRACTION
+    : HOLDER_FRACTION;
+  return Math.max(1, Math.floor(zoneConnections * fraction));
+}
--- /dev/null
+++ b/packages/gateway/src/control/compute_zone_share_test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, it} from 'vitest';
+import * as fc from 'fast-check';
+import {computeZoneShare, isAccessShared} from './compute_zone_share.js';
+
+const DEPLOYMENT = {
+  maxConnections: 82,
+  entryVmCount: 37,
+  directEntryVmCount: 0,
+  zoneCount: 3,
+  mayHaveOrphans: false,
+};
+
+describe('isAccessShared', () => {
+  it('is true where each proxy would get a single connection', () => {
+    expect(isAccessShared(DEPLOYMENT)).toBe(true);
+    expect(
+      isAccessShared({
+        ...DEPLOYMENT,
+        maxConnections: 46,
+        entryVmCount: 83,
+        zoneCount: 6,
+      }),
+    ).toBe(true);
+  });
+
+  it('leaves deployments with room for each proxy unchanged', () => {
+    expect(
+      isAccessShared({...DEPLOYMENT, maxConnections: 22, entryVmCount: 5}),
+    ).toBe(false);
+    expect(
+      isAccessShared({...DEPLOYMENT, maxConnections: 180, entryVmCount: 26}),
+    ).toBe(false);
+  });
+
+  it('does not forward where a zone has only one or two proxies', () => {
+    expect(
+      isAccessShared({
+        ...DEPLOYMENT,
+        maxConnections: 16,
+        entryVmCount: 5,
+        zoneCount: 4,
+      }),
+    ).toBe(false);
+  });
+});
+
+describe('computeZoneShare', () => {
+  it('leaves a quarter of the zone for a second holder', () => {
+    expect(computeZoneShare(DEPLOYMENT)).toBe(20);
+  });
+
+  it('halves the share while the previous process may be counted', () => {
+    expect(computeZoneShare({...DEPLOYMENT, mayHaveOrphans: true})).toBe(10);
+  });
+
+  it('never exceeds the limit together with the proxies of older builds', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 20, max: 500}),
+        fc.integer({min: 1, max: 7}),
+        fc.integer({min: 0, max: 10}),
+        (maxConnections, zoneCount, directEntryVmCount) => {
+          const share = computeZoneShare({
+            maxConnections,
+            entryVmCount: 100,
+            directEntryVmCount,
+            zoneCount,
+            mayHaveOrphans: false,
+          });
+          const total = share * zoneCount + directEntryVmCount;
+          expect(total).toBeLessThanOrEqual(maxConnections - 2);
+        },
+      ),
+      {seed: 1},
+    );
+  });
+});
--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -1,25 +1,43 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
 import type {ServiceConfiguration} from '../configuration/service_configuration.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import {
   computeConnectionShare,
   ORPHANED_CONNECTIONS_MS,
 } from './compute_connection_share.js';
+import {computeZoneShare, isAccessShared} from './compute_zone_share.js';
+import type {EntryVmRecord} from './control_record.js';
 import type {EntryVmRegistration} from './entry_vm_registration.js';
 
 /** Dependencies of {@link ConnectionShares}. @public */
 export interface ConnectionSharesOptions {
   readonly clock: Clock;
+  readonly events: GatewayEventRecorder;
   readonly registration: EntryVmRegistration;
   readonly groups: ReadonlyMap<string, GroupRuntime>;
+  /** Whether this proxy can forward operations to others. */
+  readonly canForward: boolean;
   getConfiguration(): ServiceConfiguration | null;
   /** Whether the registrations have been read since process start. */
   hasRegistrations(): boolean;
+  /** Whether this proxy holds the connections to a group for its zone. */
+  isHolder(databaseGroup: string): boolean;
+}
+
+/** Connections of a proxy that is not the holder of a group with shared access. */
+const FOLLOWER_CONNECTIONS = 1;
+
+/** Access of this proxy to the instances of a group. */
+interface Access {
+  readonly isShared: boolean;
+  readonly maxConnections: number;
 }
 
 /** Limits this proxy's connections to each instance to its share. @public */
 export class ConnectionShares {
   private readonly startedAtMs: number;
+  private readonly accesses = new Map<string, Access>();
   private timer: Timer | null = null;
 
   private constructor(private readonly options: ConnectionSharesOptions) {
@@ -49,24 +67,74 @@
     if (!this.options.hasRegistrations()) {
       return;
     }
-    const entryVmCount = registration.getOtherEntryVms().length + 1;
-    const mayHaveOrphans = this.mayHaveOrphans();
+    const others = registration.getOtherEntryVms();
     const configuration = getConfiguration();
     for (const [databaseGroup, group] of groups) {
       const settings = configuration?.databaseGroups.get(databaseGroup);
       if (settings !== undefined) {
         const {maxConnections} = settings;
-        group.setMaxConnections(
-          computeConnectionShare({
-            maxConnections,
-            entryVmCount,
-            mayHaveOrphans,
-          }),
+        const access = this.computeAccess(
+          databaseGroup,
+          maxConnections,
+          others,
         );
+        this.applyAccess(group, access);
       }
     }
   }
 
+  private computeAccess(
+    databaseGroup: string,
+    maxConnections: number,
+    others: readonly EntryVmRecord[],
+  ): Access {
+    const {registration, canForward, isHolder} = this.options;
+    const entryVmCount = others.length + 1;
+    const mayHaveOrphans = this.mayHaveOrphans();
+    const inputs = {
+      maxConnections,
+      entryVmCount,
+      directEntryVmCount: countDirect(others),
+      zoneCount: countZones(registration.getEntryVms()),
+      mayHaveOrphans,
+    };
+    if (!canForward || !isAccessShared(inputs)) {
+      return {
+        isShared: false,
+        maxConnections: computeConnectionShare({
+          maxConnections,
+          entryVmCount,
+          mayHaveOrphans,
+        }),
+      };
+    }
+    return {
+      isShared: true,
+      maxConnections: isHolder(databaseGroup)
+        ? computeZoneShare(inputs)
+        : FOLLOWER_CONNECTIONS,
+    };
+  }
+
+  private applyAccess(group: GroupRuntime, access: Access): void {
+    const {databaseGroup} = group;
+    const known = this.accesses.get(databaseGroup);
+    group.setSharedAccess(access.isShared);
+    group.setMaxConnections(access.maxConnections);
+    this.accesses.set(databaseGroup, access);
+    const wasShared = known?.isShared ?? false;
+    const hasChanged =
+      access.isShared !== wasShared ||
+      (access.isShared && access.maxConnections !== known?.maxConnections);
+    if (hasChanged) {
+      this.options.events.record({
+        kind: 'accessChanged',
+        databaseGroup,
+        ...access,
+      });
+    }
+  }
+
   /**
    * Whether orphaned connections of the previous process may still count
    * against the limits of instances.
@@ -77,3 +145,13 @@
     return registration.hasPredecessor && uptimeMs < ORPHANED_CONNECTIONS_MS;
   }
 }
+
+/** Counts the proxies that do not accept forwarded operations. */
+function countDirect(entryVms: readonly EntryVmRecord[]): number {
+  return entryVms.filter(({forwardPort}) => forwardPort === undefined).length;
+}
+
+function countZones(entryVms: readonly EntryVmRecord[]): number {
+  const zones = new Set(entryVms.map(({availabilityZone}) => availabilityZone));
+  return Math.max(1, zones.size);
+}
--- a/packages/gateway/src/control/control_record.ts
+++ b/packages/gateway/src/control/control_record.ts
@@ -36,6 +36,13 @@
      * without interruption, across restarts of its process; null if unknown.
      */
     registeredSinceStoreMs: z.number().nullable().default(null),
+    /**
+     * Port on which the process accepts forwarded operations; absent in records
+     * of builds that do not.
+     */
+    forwardPort: z.number().int().min(1).max(65535).optional(),
+    /** Processor cores of the entry VM; absent if unknown. */
+    processorCores: z.number().positive().optional(),
   })
   .readonly();
 
--- a/packages/gateway/src/customer/customer_history.ts
+++ b/packages/gateway/src/customer/customer_history.ts
@@ -74,6 +74,7 @@
       availabilityZone: harness.availabilityZone,
       sharedIdentity: harness.sharedIdentity,
       limiter: harness.limiter,
+      operations: harness.operations,
       getConfiguration: (): ServiceConfiguration | null =>
         this.hasConfiguration ? harness.getConfiguration() : null,
       getGroup: () => harness.getGroup(),
--- a/packages/gateway/src/forwarding/forward_message.ts
+++ b/packages/gateway/src/forwarding/forward_message.ts
@@ -60,6 +60,34 @@
   }),
 ]) satisfies z.ZodType<CallerStatement>;
 
+/** A statement that can be forwarded. @public */
+export type ForwardableStatement = z.infer<typeof statementSchema>;
+
+/**
+ * Returns a statement that needs a backend server as it is; null for one that a
+ * session handles itself.
+ *
+ * @public
+ */
+export function toForwardable(
+  statement: CallerStatement,
+): ForwardableStatement | null {
+  switch (statement.kind) {
+    case 'begin':
+    case 'commit':
+    case 'rollback':
+    case 'read':
+    case 'write':
+    case 'execute':
+      return statement;
+    case 'setValue':
+    case 'prepare':
+    case 'closePrepared':
+    case 'malformed':
+      return null;
+  }
+}
+
 const valuesSchema = z
   .array(z.tuple([z.string(), z.string()]).readonly())
   .readonly();
--- /dev/null
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -0,0 +1,203 @@
+import type {CallerError} from '@filbertrun/model/outcome.js';
+import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import {
+  getRemainingMs,
+  type StatementContext,
+} from '../session/gateway_context.js';
+import type {
+  Operation,
+  OperationExecutor,
+  OperationResult,
+} from '../session/operation_executor.js';
+import {createErrorReply, SERVER_UNAVAILABLE} from '../session/refusal.js';
+import {
+  recordOutcomeUnknown,
+  recordRefused,
+} from '../session/statement_events.js';
+import type {
+  ForwardClientStream,
+  ForwardError,
+} from './forward_client_stream.js';
+import {describeForwardError} from './describe_forward_error.js';
+import {
+  toForwardable,
+  type ForwardableStatement,
+  type ForwardedOperation,
+} from './forward_message.js';
+import type {ForwardStreams} from './forward_streams.js';
+import {ForwardedTransaction} from './forwarded_transaction.js';
+import type {Holder, HolderDirectory} from './holder_directory.js';
+
+/** Options of an {@link OperationForwarder}. @public */
+export interface OperationForwarderOptions {
+  /** Name of this proxy's entry VM. */
+  readonly entryVm: string;
+  readonly events: GatewayEventRecorder;
+  readonly holders: HolderDirectory;
+  readonly streams: ForwardStreams;
+  /** Runs operations on this proxy's own connections. */
+  readonly local: OperationExecutor;
+}
+
+/** Number of holders that one operation is sent to. */
+const MAX_HOLDERS = 3;
+
+/**
+ * Time beyond the deadline of a statement for which a follower waits for the
+ * holder, which reports the timeout itself.
+ */
+const REPLY_SLACK_MS = 50;
+
+/** Outcome of one attempt at a holder. */
+type AttemptResult =
+  | {readonly kind: 'answered'; readonly result: OperationResult}
+  /** Nothing was run, or the operation may be run again. */
+  | {readonly kind: 'tryNext'}
+  | {readonly kind: 'outcomeUnknown'; readonly reason: string};
+
+/**
+ * Sends the operations of groups with shared access to the holder of the group
+ * in this availability zone. An operation is sent to another holder only if it
+ * was not run, or if it is a read or a `begin`, which keep nothing.
+ *
+ * @public
+ */
+export class OperationForwarder implements OperationExecutor {
+  private constructor(private readonly options: OperationForwarderOptions) {}
+
+  static create(options: OperationForwarderOptions): OperationForwarder {
+    return new OperationForwarder(options);
+  }
+
+  async execute(
+    context: StatementContext,
+    operation: Operation,
+  ): Promise<OperationResult> {
+    const {local, holders, entryVm, streams} = this.options;
+    const statement = toForwardable(operation.statement);
+    if (!context.group.hasSharedAccess || statement === null) {
+      return local.execute(context, operation);
+    }
+    let attempts = 0;
+    for (const holder of holders.rank(context.group.databaseGroup)) {
+      if (holder.entryVm === entryVm || attempts >= MAX_HOLDERS) {
+        break;
+      }
+      const stream = await streams.get(holder);
+      if (stream === null) {
+        continue;
+      }
+      const remainingMs = getRemainingMs(context);
+      if (remainingMs <= 0) {
+        recordRefused(context, SERVER_UNAVAILABLE, 'no holder answered');
+        return createErrorResult(SERVER_UNAVAILABLE);
+      }
+      attempts++;
+      const message = createMessage(context, operation, statement);
+      const attempt = await this.attempt(context, message, {holder, stream});
+      if (attempt.kind === 'answered') {
+        return attempt.result;
+      }
+      if (attempt.kind === 'outcomeUnknown') {
+        recordOutcomeUnknown(context, holder.entryVm, attempt.reason);
+        return createErrorResult({kind: 'outcomeUnknown'});
+      }
+    }
+    return local.execute(context, operation);
+  }
+
+  private async attempt(
+    context: StatementContext,
+    message: ForwardedOperation,
+    target: {readonly holder: Holder; readonly stream: ForwardClientStream},
+  ): Promise<AttemptResult> {
+    const {holder, stream} = target;
+    const {events, streams} = this.options;
+    const {requestId, group} = context;
+    const exchange = stream.sendOperation(
+      message,
+      getRemainingMs(context) + REPLY_SLACK_MS,
+    );
+    events.record({
+      kind: 'statementForwarded',
+      requestId,
+      databaseGroup: group.databaseGroup,
+      holder: holder.entryVm,
+    });
+    const result = await exchange.result;
+    if (!result.ok) {
+      events.record({
+        kind: 'forwardingFailed',
+        requestId,
+        databaseGroup: group.databaseGroup,
+        holder: holder.entryVm,
+        reason: describeForwardError(result.error),
+      });
+      if (result.error.kind === 'declined') {
+        streams.avoid(holder);
+      }
+      return this.classifyError(context, message, result.error);
+    }
+    streams.recordAnswer(holder);
+    if (result.value.wasSent) {
+      context.permit.markSent();
+    }
+    const {reply, committedPosition} = result.value;
+    const transaction =
+      reply.transactionState === 'idle'
+        ? null
+        : ForwardedTransaction.create({
+            stream,
+            transactionId: exchange.exchangeId,
+            holder: holder.entryVm,
+            beginContext: context,
+          });
+    return {kind: 'answered', result: {reply, committedPosition, transaction}};
+  }
+
+  private classifyError(
+    context: StatementContext,
+    {isWrite}: ForwardedOperation,
+    error: ForwardError,
+  ): AttemptResult {
+    switch (error.kind) {
+      case 'notSent':
+      case 'declined':
+        return {kind: 'tryNext'};
+      case 'connectionLost':
+      case 'timedOut':
+        // The holder may have sent the statement to a backend server.
+        context.permit.markSent();
+        return isWrite || error.kind === 'timedOut'
+          ? {kind: 'outcomeUnknown', reason: `holder: ${error.kind}`}
+          : {kind: 'tryNext'};
+    }
+  }
+}
+
+/** Creates the message that carries an operation to a holder. */
+function createMessage(
+  context: StatementContext,
+  {isWrite, session, sessionFloor, idleTimeoutMs}: Operation,
+  statement: ForwardableStatement,
+): ForwardedOperation {
+  return {
+    requestId: context.requestId,
+    statement,
+    isWrite,
+    values: [...session.values],
+    prepared: session.prepared,
+    remainingMs: Math.max(0, getRemainingMs(context)),
+    route: context.route,
+    identity: context.identity,
+    customerName: context.customer?.name ?? null,
+    configurationVersion: context.configurationVersion,
+    sessionFloor,
+    idleTimeoutMs,
+  };
+}
+
+function createErrorResult(error: CallerError): OperationResult {
+  const reply = createErrorReply(error, 'idle');
+  return {reply, transaction: null, committedPosition: null};
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,10 @@
 import {findLeaseHolders} from './failover/find_lease_holders.js';
 import {FailoverCoordinator} from './failover/failover_coordinator.js';
 import {SuspicionReporter} from './failover/suspicion_reporter.js';
+import type {ByteChannel} from './forwarding/byte_channel.js';
+import type {DeclineReason} from './forwarding/forward_message.js';
+import type {ForwardConnector} from './forwarding/forward_streams.js';
+import {Forwarding} from './forwarding/forwarding.js';
 import {runInBackground} from './observability/background_task.js';
 import {collectGatewayGauges} from './observability/gateway_gauges.js';
 import {
@@ -68,6 +72,7 @@
 import type {QuotaRules} from './quota/quota_rules.js';
 import {ZoneReading} from './zone/zone_reading.js';
 import type {GatewayContext} from './session/gateway_context.js';
+import type {OperationExecutor} from './session/operation_executor.js';
 import {OrdersInFlight} from './failover/orders_in_flight.js';
 
 /** Options of a gateway. @public */
@@ -92,6 +97,8 @@
   readonly configurationKey: string;
   readonly peers: PeerClient;
   readonly relay: ControlRelay;
+  /** Opens streams to other proxies; null if operations are not forwarded. */
+  readonly forwardConnector: ForwardConnector | null;
   /** Time for which a draining backend server may be used. */
   readonly drainDurationMs: number;
   /** Time within which a newer configuration must be in force. */
@@ -165,6 +172,8 @@
   readonly availabilityZone: string;
   readonly sharedIdentity: string;
   readonly limiter: OperationLimiter;
+  readonly operations: OperationExecutor;
+  private readonly forwarding: Forwarding;
   private readonly clockJumpDetector: ClockJumpDetector;
   private readonly contact: ContactTracker;
   private readonly contactRenewer: ContactRenewer;
@@ -440,8 +449,21 @@
       getEntryVm: entryVm => this.registration.getEntryVm(entryVm),
       handleReport: report => this.coordinator.handleReport(report),
     });
+    this.forwarding = Forwarding.create({
+      self,
+      clock,
+      events,
+      gateway: this,
+      connector: options.forwardConnector,
+      findDeclineReason: group => this.findDeclineReason(group),
+      handleHolderChanged: () => this.connectionShares.apply(),
+    });
+    this.operations = this.forwarding.executor;
     this.connectionShares = ConnectionShares.create({
       clock,
+      events,
+      canForward: options.forwardConnector !== null,
+      isHolder: databaseGroup => this.forwarding.isHolder(databaseGroup),
       registration: this.registration,
       groups: this.groups,
       getConfiguration: () => this.configuration.current,
@@ -545,6 +567,7 @@
     this.maintenanceTimer?.cancel();
     this.zoneReading.dispose();
     this.connectionShares.dispose();
+    this.forwarding.dispose(reason);
     this.coordinator.dispose();
     this.controlPoller.dispose();
     this.configurationWatcher.dispose();
@@ -558,6 +581,27 @@
     return this.peerRequestHandler;
   }
 
+  /** Serves the operations that another proxy forwards on a channel. */
+  acceptForwardChannel(channel: ByteChannel): void {
+    this.forwarding.accept(channel);
+  }
+
+  /** Number of open transactions that other proxies have forwarded. */
+  get forwardedTransactionCount(): number {
+    return this.forwarding.transactionCount;
+  }
+
+  /**
+   * Returns why this proxy serves no other proxy as the holder of a group. A proxy
+   * that has not read the group's primary record yet could only let it wait.
+   */
+  private findDeclineReason({lease}: GroupRuntime): DeclineReason | null {
+    if (this.isStopping) {
+      return 'stopping';
+    }
+    return lease.record === null ? 'notServing' : null;
+  }
+
   /** Handles calls to the store that other proxies relay through this one. */
   get controlRelayHandler(): ControlRelayHandler {
     return this.relayedTable;
@@ -575,6 +619,7 @@
   /** Sets the gauges that describe the current state. */
   collectGauges(metrics: MetricsRegistry): void {
     this.zoneReading.collectGauges(metrics);
+    this.forwarding.collectGauges(metrics);
     collectGatewayGauges(
       {
         configurationVersion: this.configuration.current?.version ?? 0,
@@ -626,6 +671,7 @@
         storeTimeMs,
       },
     );
+    this.forwarding.updateHolders(this.registration.getEntryVms());
     this.connectionShares.apply();
     if (!this.isStopping) {
       this.runInBackground('store records', this.maintainStoreRecords());
@@ -724,6 +770,7 @@
       );
     }
     this.readiness.update();
+    this.forwarding.maintain();
     this.zoneReading.maintain();
     this.quotas?.maintain();
     this.controlPoller.pollIfUrgent();
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -114,6 +114,7 @@
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
+  private isAccessShared = false;
   private readonly recordCache = PrimaryRecordCache.create();
   private readonly drainTracker: DrainTracker;
 
@@ -194,6 +195,18 @@
     }
   }
 
+  /**
+   * Whether the proxies of this availability zone share the connections that one
+   * of them, the holder, has to the instances.
+   */
+  get hasSharedAccess(): boolean {
+    return this.isAccessShared;
+  }
+
+  setSharedAccess(isShared: boolean): void {
+    this.isAccessShared = isShared;
+  }
+
   /** Applies a primary record from a linearizable read. */
   applyRecord(
     revised: RevisedPrimaryRecord,
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -269,6 +269,36 @@
       readonly backendServer: string;
       readonly reason: string;
     }
+  /** An operation was sent to the holder of its group's connections. */
+  | {
+      readonly kind: 'statementForwarded';
+      readonly requestId: string;
+      readonly databaseGroup: string;
+      /** Entry VM of the holder. */
+      readonly holder: string;
+    }
+  | {
+      readonly kind: 'forwardingFailed';
+      readonly requestId: string;
+      readonly databaseGroup: string;
+      readonly holder: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'holderUnreachable';
+      readonly holder: string;
+      readonly reason: string;
+    }
+  /** A stream of a follower was closed because of an invalid message. */
+  | {readonly kind: 'forwardedMessageInvalid'; readonly reason: string}
+  /** Whether operations of a group are forwarded, and the local share. */
+  | {
+      readonly kind: 'accessChanged';
+      readonly databaseGroup: string;
+      readonly isShared: boolean;
+      /** Connections that this proxy may open to an instance. */
+      readonly maxConnections: number;
+    }
   | {
       readonly kind: 'statementRejected';
       readonly requestId: string;
@@ -328,12 +358,14 @@
 export function classifyEvent(event: GatewayEvent): EventClass {
   switch (event.kind) {
     case 'statementRouted':
+    case 'statementForwarded':
     case 'statementRetried':
     case 'statementAnswered':
       return 'success';
     case 'statementRefused':
     case 'statementDenied':
     case 'statementRejected':
+    case 'forwardingFailed':
     case 'outcomeUnknown':
     case 'transactionLost':
     case 'backendConnectFailed':
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -15,12 +15,11 @@
 import type {LimitError} from '../quota/operation_limiter.js';
 import {UNLIMITED_PERMIT} from '../quota/operation_permit.js';
 import type {
-  BackendAnswer,
   StatementReply,
   TransactionState,
 } from '../statement/statement_answer.js';
 import type {GatewayContext, StatementContext} from './gateway_context.js';
-import {ReadExecutor, type AnsweredRead} from './read_executor.js';
+import type {OpenTransaction} from './open_transaction.js';
 import {
   createErrorReply,
   createLocalReply,
@@ -28,8 +27,6 @@
 } from './refusal.js';
 import {recordRefused} from './statement_events.js';
 import {SessionState} from './session_state.js';
-import {SessionTransaction} from './session_transaction.js';
-import {WriteExecutor} from './write_executor.js';
 
 /** Idle timeout of a transaction that begins without a configuration. */
 const DEFAULT_IDLE_TIMEOUT_MS = 100;
@@ -44,7 +41,9 @@
 /** A caller's session. It handles one statement at a time, in order. @public */
 export class CallerSession {
   private readonly state = SessionState.create();
-  private transaction: SessionTransaction | null = null;
+  private transaction: OpenTransaction | null = null;
+  /** Aborted when the caller has left. */
+  private readonly closing = new AbortController();
 
   private constructor(
     private readonly gateway: GatewayContext,
@@ -110,6 +109,7 @@
 
   /** Closes the session and rolls back an open transaction. */
   close(): void {
+    this.closing.abort();
     this.transaction?.abandon();
     this.transaction = null;
   }
@@ -213,6 +213,8 @@
       requestId: request.requestId,
       receivedAtMs: request.receivedAtMs,
       deadlineMs: request.receivedAtMs + route.statementTimeoutMs,
+      // With direct access, a statement keeps its place after its caller has left.
+      signal: group.hasSharedAccess ? this.closing.signal : undefined,
     };
   }
 
@@ -233,7 +235,7 @@
    * connection of the transaction. A rollback is always allowed.
    */
   private findTransactionRefusal(
-    transaction: SessionTransaction,
+    transaction: OpenTransaction,
     context: StatementContext,
     statement: CallerStatement,
   ): CallerError | null {
@@ -251,7 +253,7 @@
 
   /** Rolls back a transaction that must not go on. */
   private endRefused(
-    transaction: SessionTransaction,
+    transaction: OpenTransaction,
     context: StatementContext,
     statement: CallerStatement,
     error: CallerError,
@@ -285,7 +287,7 @@
   }
 
   private async handleInTransaction(
-    transaction: SessionTransaction,
+    transaction: OpenTransaction,
     context: StatementContext,
     statement: CallerStatement,
   ): Promise<StatementReply> {
@@ -335,88 +337,29 @@
     return createErrorReply(error, 'idle');
   }
 
-  private execute(
+  private async execute(
     context: StatementContext,
     statement: CallerStatement,
   ): Promise<StatementReply> {
-    if (statement.kind === 'begin') {
-      return this.begin(context, statement);
-    }
-    return this.isWrite(statement)
-      ? this.write(context, statement)
-      : this.read(context, statement);
-  }
-
-  private async read(
-    context: StatementContext,
-    statement: CallerStatement,
-  ): Promise<StatementReply> {
-    const result = await this.executeRead(context, statement, false);
-    if ('kind' in result) {
-      return createErrorReply(result, 'idle');
-    }
-    const {answer, lease} = result;
-    lease.release(answer.transactionState === 'idle' ? 'clean' : 'dirty');
-    return toReply(answer);
-  }
-
-  private async write(
-    context: StatementContext,
-    statement: CallerStatement,
-  ): Promise<StatementReply> {
-    const result = await WriteExecutor.create(context, {
+    const {databaseGroup} = context.group;
+    const result = await this.gateway.operations.execute(context, {
       statement,
+      isWrite: this.isWrite(statement),
       session: this.createSessionContext(statement),
-    }).run();
-    if ('kind' in result) {
-      return createErrorReply(result, 'idle');
-    }
-    if (result.result.kind === 'complete' && result.position !== null) {
-      this.state.raiseFloor(context.group.databaseGroup, result.position);
-    }
-    return toReply(result);
-  }
-
-  private async begin(
-    context: StatementContext,
-    statement: Extract<CallerStatement, {kind: 'begin'}>,
-  ): Promise<StatementReply> {
-    const result = await this.executeRead(
-      context,
-      statement,
-      !statement.isReadOnly,
-    );
-    if ('kind' in result) {
-      return createErrorReply(result, 'idle');
+      sessionFloor: this.state.getFloor(databaseGroup),
+      idleTimeoutMs:
+        this.gateway.getConfiguration()?.transactionIdleTimeoutMs ??
+        DEFAULT_IDLE_TIMEOUT_MS,
+    });
+    if (this.closing.signal.aborted) {
+      result.transaction?.abandon();
+      return result.reply;
     }
-    const {answer, lease} = result;
-    if (answer.transactionState === 'idle') {
-      lease.release('clean');
-      return toReply(answer);
+    this.transaction = result.transaction;
+    if (result.committedPosition !== null) {
+      this.state.raiseFloor(databaseGroup, result.committedPosition);
     }
-    const idleTimeoutMs =
-      this.gateway.getConfiguration()?.transactionIdleTimeoutMs ??
-      DEFAULT_IDLE_TIMEOUT_MS;
-    this.transaction = SessionTransaction.create(
-      result,
-      context,
-      idleTimeoutMs,
-    );
-    return toReply(answer);
-  }
-
-  /** Executes a read or a `begin`, which can both be retried. */
-  private executeRead(
-    context: StatementContext,
-    statement: CallerStatement,
-    needsPrimary: boolean,
-  ): Promise<AnsweredRead | CallerError> {
-    return ReadExecutor.create(context, {
-      statement,
-      session: this.createSessionContext(statement),
-      sessionFloor: this.state.getFloor(context.group.databaseGroup),
-      needsPrimary,
-    }).run();
+    return result.reply;
   }
 
   private recordAnswered(
@@ -471,8 +414,3 @@
       return 'the key was moved to another customer';
   }
 }
-
-function toReply(answer: BackendAnswer): StatementReply {
-  const {rows, result, transactionState, position} = answer;
-  return {rows, result, transactionState, position};
-}
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -10,6 +10,7 @@
 import type {OperationPermit} from '../quota/operation_permit.js';
 import type {OperationLimiter} from '../quota/operation_limiter.js';
 import {chooseQueueWaitMs} from '../routing/choose_queue_wait.js';
+import type {OperationExecutor} from './operation_executor.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** What the sessions use of the gateway. @public */
@@ -20,6 +21,7 @@
   /** Identity of backend connections that belong to no customer. */
   readonly sharedIdentity: ConnectionIdentity;
   readonly limiter: OperationLimiter;
+  readonly operations: OperationExecutor;
   getConfiguration(): ServiceConfiguration | null;
   getGroup(databaseGroup: string): GroupRuntime | null;
   /**
@@ -46,6 +48,8 @@
   readonly receivedAtMs: number;
   /** Monotonic time at which the statement times out. */
   readonly deadlineMs: number;
+  /** Aborted when nobody waits for the statement any more; absent for none. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** Time left until a statement's deadline; negative after it. @public */
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -248,6 +248,7 @@
       priority: this.context.route.priority,
       identity: this.context.identity,
       deadlineMs: getQueueDeadlineMs(this.context),
+      signal: this.context.signal,
       isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
     if (!leased.ok) {
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -19,6 +19,11 @@
   createLocalReply,
   TRANSACTION_LOST,
 } from './refusal.js';
+import {
+  createLaterContext,
+  endsTransaction,
+  type OpenTransaction,
+} from './open_transaction.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 import {recordOutcomeUnknown} from './statement_events.js';
 
@@ -31,7 +36,7 @@
  *
  * @public
  */
-export class SessionTransaction {
+export class SessionTransaction implements OpenTransaction {
   private state: TransactionState = 'open';
   private hasWritten = false;
   private isBusy = false;
@@ -69,15 +74,8 @@
   /** Log position of the commit once it has been acknowledged. */
   committedPosition: LogPosition | null = null;
 
-  /** Creates the context of a later statement, with the route of `begin`. */
   createContext(request: StatementRequest): StatementContext {
-    const {beginContext} = this;
-    return {
-      ...beginContext,
-      requestId: request.requestId,
-      receivedAtMs: request.receivedAtMs,
-      deadlineMs: request.receivedAtMs + beginContext.route.statementTimeoutMs,
-    };
+    return createLaterContext(this.beginContext, request);
   }
 
   async handle(
@@ -303,7 +301,3 @@
     this.heldConnection = null;
   }
 }
-
-function endsTransaction(statement: CallerStatement): boolean {
-  return statement.kind === 'commit' || statement.kind === 'rollback';
-}
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -119,6 +119,7 @@
       priority: context.route.priority,
       identity: context.identity,
       deadlineMs: getQueueDeadlineMs(context),
+      signal: context.signal,
       isPreferred: pooled => pooled.isPreparedFor(this.write.session),
     });
     if (!leased.ok) {
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -122,6 +122,7 @@
         configurationKey: 'config',
         peers: createPeers(path, deployment),
         relay: createRelay(path, deployment),
+        forwardConnector: null,
         contactWindowMs: CONTACT_WINDOW_MS,
         drainDurationMs: DRAIN_MS,
         configurationApplyMs: CONFIGURATION_APPLY_MS,
--- a/packages/gateway/src/testing/session_test_harness.ts
+++ b/packages/gateway/src/testing/session_test_harness.ts
@@ -14,6 +14,10 @@
 } from '../quota/operation_limiter.js';
 import {CallerSession} from '../session/caller_session.js';
 import type {GatewayContext} from '../session/gateway_context.js';
+import {
+  LocalOperationExecutor,
+  type OperationExecutor,
+} from '../session/operation_executor.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {StatementReply} from '../statement/statement_answer.js';
 import {FakeBackend} from './fake_backend.js';
@@ -37,6 +41,7 @@
   readonly availabilityZone = 'zone-a';
   readonly sharedIdentity = 'proxy';
   limiter: OperationLimiter = UNLIMITED_OPERATIONS;
+  operations: OperationExecutor = LocalOperationExecutor.create();
   /** Customers of the configuration in force. */
   customers: CustomerDirectory | null = null;
   readonly backend = FakeBackend.create(this.clock);
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -46,7 +46,7 @@
   readonly identity: ConnectionIdentity;
   /** Time on the pool's clock at which the request is refused. */
   readonly deadlineMs: number;
-  readonly signal?: AbortSignal;
+  readonly signal?: AbortSignal | undefined;
   /** Selects the idle connections to use first. */
   readonly isPreferred?: (connection: C) => boolean;
 }
