--- a/packages/gateway/src/routing/choose_backend_server.ts
+++ b/packages/gateway/src/routing/choose_backend_server.ts
@@ -64,11 +64,11 @@
  *
  * @public
  */
-export function chooseBackendServer(
-  candidates: readonly BackendCandidate[],
+export function chooseBackendServer<T extends BackendCandidate>(
+  candidates: readonly T[],
   requirements: ReadRequirements,
-): BackendCandidate | null {
-  let best: BackendCandidate | null = null;
+): T | null {
+  let best: T | null = null;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     if (requirements.excluded.has(candidate.backendServer)) {
@@ -118,8 +118,12 @@
   return costMs;
 }
 
-/** Whether the server's log probably covers the required position. */
-function isExpectedToCoverPosition(
+/**
+ * Whether the server's log probably covers the required position.
+ *
+ * @public
+ */
+export function isExpectedToCoverPosition(
   candidate: BackendCandidate,
   requirements: ReadRequirements,
 ): boolean {
