Groups: shared access selects servers by expected completion time

Cause: the new policy needs the distance of a server, the wait in its pool and whether an identity has an idle connection there. Connections of customers were closed after 0.5 to 3 s, and each new one costs 12 ms of a slot.

Change: a connection reports the duration of its TCP connect; a server keeps the recent minimum and measures again after a restart or an interruption. Reads record their service time by route. GroupRuntime.setSharedAccess(true) switches to the new policy and to an idle timeout of 30 s; getAccessLimits is where pool limits of shared access are added. The default, false, keeps the present choice and limits.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -57,6 +57,11 @@
   readonly isOpen: boolean;
   /** Number of commands that were sent and have no response yet. */
   readonly pendingCount: number;
+  /**
+   * Duration of the TCP connect, which is one round trip of the network; null or
+   * absent if it was not measured, such as in a connection without a network.
+   */
+  readonly connectTimeMs?: number | null;
   /**
    * Time since which a response is pending without any byte received; null if
    * no response is pending.
--- a/packages/gateway/src/control/choose_idle_timeout.ts
+++ b/packages/gateway/src/control/choose_idle_timeout.ts
@@ -14,6 +14,15 @@
 /** Default idle timeout of a connection. @public */
 export const IDLE_TIMEOUT_MS = 3_000;
 
+/**
+ * Idle timeout with shared access, at all instances. Each new connection
+ * occupies a slot of the instance for 12 ms, and few proxies hold connections,
+ * so that the connections orphaned by a power loss are bounded by their shares.
+ *
+ * @public
+ */
+export const IDLE_TIMEOUT_SHARED_MS = 30_000;
+
 /** Idle timeout at instances that serve this proxy only as a fallback. */
 const FALLBACK_IDLE_TIMEOUT_MS = 500;
 
--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -9,6 +9,7 @@
 import type {
   ConnectError,
   ConnectionIdentity,
+  PoolLimits,
 } from '@filbertrun/pool/pool_types.js';
 import type {
   BackendConnector,
@@ -18,8 +19,11 @@
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {IDLE_TIMEOUT_MS} from '../control/choose_idle_timeout.js';
 import {runInBackground} from '../observability/background_task.js';
+import {estimateQueueWaitMs} from '../routing/estimate_queue_wait.js';
 import {FailureRate} from '../routing/failure_rate.js';
+import {ServerSlowdown} from '../routing/server_slowdown.js';
 import type {DrainTracker} from './drain_tracker.js';
+import {RoundTripTracker} from './round_trip_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 
 /** Dependencies and settings of a {@link BackendServerRuntime}. @public */
@@ -37,6 +41,16 @@
   readonly drainTracker: DrainTracker;
 }
 
+/**
+ * Limits of a pool that depend on whether proxies share the connections. The
+ * others have methods of their own.
+ *
+ * @public
+ */
+export type AccessLimits = Partial<
+  Omit<PoolLimits, 'maxConnections' | 'idleTimeoutMs'>
+>;
+
 /**
  * Part of the drain duration reserved for the delay until this proxy observes
  * the draining state and for statements that wait for a connection.
@@ -111,6 +125,9 @@
   readonly pool: BackendPool<PooledConnection>;
   /** Recent failure rate of its statements. */
   readonly failures: FailureRate;
+  private readonly roundTrip: RoundTripTracker;
+  private readonly serviceSlowdown: ServerSlowdown;
+  private maxConnections: number;
   private readonly connections = new Set<PooledConnection>();
   private meanLatencyMs: number | null = null;
   private lagMs = INITIAL_EXPECTED_LAG_MS;
@@ -132,6 +149,9 @@
   ) {
     this.updateDrainState(false);
     this.failures = FailureRate.create(options.clock);
+    this.roundTrip = RoundTripTracker.create(options.clock);
+    this.serviceSlowdown = ServerSlowdown.create(options.clock);
+    this.maxConnections = options.maxConnections;
     this.pool = BackendPool.create<PooledConnection>({
       clock: options.clock,
       random: options.random,
@@ -178,6 +198,16 @@
     return this.meanLatencyMs;
   }
 
+  /** Recent minimum of the network round-trip time; null while unknown. */
+  get roundTripMs(): number | null {
+    return this.roundTrip.value;
+  }
+
+  /** Recent service time relative to that of the same work on all servers. */
+  get slowdown(): number {
+    return this.serviceSlowdown.value;
+  }
+
   get expectedLagMs(): number {
     return this.lagMs;
   }
@@ -223,10 +253,24 @@
     const wasActive = this.currentEntry.state === 'active';
     this.currentEntry = entry;
     this.updateDrainState(wasActive);
+    if (!isSameStart) {
+      this.restartMeasurements();
+    }
     return isSameStart;
   }
 
+  /** Expected wait of a new statement for a lease of the pool. */
+  estimateQueueWaitMs(): number {
+    const status = this.pool.getStatus();
+    return estimateQueueWaitMs({
+      ...status,
+      maxConnections: this.maxConnections,
+      meanLatencyMs: this.meanLatencyMs,
+    });
+  }
+
   setMaxConnections(maxConnections: number): void {
+    this.maxConnections = maxConnections;
     this.pool.setLimits({maxConnections});
   }
 
@@ -235,6 +279,21 @@
     this.pool.setLimits({idleTimeoutMs});
   }
 
+  /** Changes the limits that depend on whether access is shared. */
+  setAccessLimits(limits: AccessLimits): void {
+    this.pool.setLimits(limits);
+  }
+
+  /**
+   * Records the service time of a statement and that expected of its kind of
+   * work; null if none is known.
+   */
+  recordService(serviceMs: number, expectedMs: number | null): void {
+    if (expectedMs !== null) {
+      this.serviceSlowdown.record(serviceMs, expectedMs);
+    }
+  }
+
   recordResponse(latencyMs: number, position: LogPosition | null): void {
     this.meanLatencyMs =
       this.meanLatencyMs === null
@@ -352,7 +411,11 @@
       runInBackground(events, 'probe', this.probe());
       return failure({kind: 'unreachable', reason});
     }
-    const pooled = PooledConnection.create(result.value, identity);
+    const connection = result.value;
+    if (typeof connection.connectTimeMs === 'number') {
+      this.roundTrip.record(connection.connectTimeMs);
+    }
+    const pooled = PooledConnection.create(connection, identity);
     this.unreachableAtMs = null;
     this.connections.add(pooled);
     this.scheduleResponseCheck();
@@ -431,9 +494,19 @@
     }
   }
 
+  /**
+   * Measures again after a restart or an interruption: the network path and the
+   * speed of the server may have changed.
+   */
+  private restartMeasurements(): void {
+    this.roundTrip.restart();
+    this.serviceSlowdown.reset();
+  }
+
   private markUnreachable(evidence: ReachabilityResult): void {
     if (this.unreachableAtMs === null) {
       this.unreachableAtMs = this.options.clock.nowMs();
+      this.restartMeasurements();
       this.options.events.record({
         kind: 'backendUnreachable',
         backendServer: this.currentEntry.backendServer,
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -13,14 +13,27 @@
   getLaterPosition,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
+import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
 import type {BackendConnector} from '../backend/backend_connection.js';
 import type {ContactStatus} from '../control/contact_tracker.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {BackendCandidate} from '../routing/choose_backend_server.js';
-import {chooseIdleTimeoutMs} from '../control/choose_idle_timeout.js';
+import {CompletionTimeSelection} from '../routing/completion_time_selection.js';
+import {ExpectedWork} from '../routing/expected_work.js';
+import {FixedCostSelection} from '../routing/fixed_cost_selection.js';
+import type {
+  SelectionCandidate,
+  ServerSelectionPolicy,
+} from '../routing/server_selection_policy.js';
+import {
+  chooseIdleTimeoutMs,
+  IDLE_TIMEOUT_SHARED_MS,
+} from '../control/choose_idle_timeout.js';
 import {DrainTracker} from './drain_tracker.js';
-import {BackendServerRuntime} from './backend_server_runtime.js';
+import {
+  BackendServerRuntime,
+  type AccessLimits,
+} from './backend_server_runtime.js';
 import type {ClockJumpDetector} from './clock_jump_detector.js';
 import {choosePrimaryWaitMs} from '../routing/choose_primary_wait.js';
 import {
@@ -114,10 +127,15 @@
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
   private maxConnections = 1;
+  private isShared = false;
+  private readonly expectedWork = ExpectedWork.create();
+  private readonly directSelection = FixedCostSelection.create();
+  private readonly sharedSelection: CompletionTimeSelection;
   private readonly recordCache = PrimaryRecordCache.create();
   private readonly drainTracker: DrainTracker;
 
   private constructor(private readonly options: GroupRuntimeOptions) {
+    this.sharedSelection = CompletionTimeSelection.create(options.random);
     this.lease = PrimaryLease.create(
       options.clockJumpDetector,
       options.contact,
@@ -165,6 +183,9 @@
         drainDurationMs,
         drainTracker: this.drainTracker,
       });
+      if (this.isShared) {
+        runtime.setAccessLimits(this.getAccessLimits());
+      }
       this.servers.set(entry.backendServer, runtime);
     } else if (!known.updateEntry(entry)) {
       this.options.events.record({
@@ -194,6 +215,52 @@
     }
   }
 
+  /** Whether proxies share the connections to this group's instances. */
+  get hasSharedAccess(): boolean {
+    return this.isShared;
+  }
+
+  /**
+   * Sets whether proxies share the connections to this group's instances, which
+   * decides how a server is selected and how the pools are limited.
+   */
+  setSharedAccess(isShared: boolean): void {
+    if (isShared === this.isShared) {
+      return;
+    }
+    this.isShared = isShared;
+    for (const server of this.servers.values()) {
+      server.setAccessLimits(this.getAccessLimits());
+    }
+    this.updateIdleTimeouts();
+  }
+
+  /** Limits of the pools that depend on whether access is shared. */
+  private getAccessLimits(): AccessLimits {
+    return {};
+  }
+
+  /** Policy that chooses the servers of reads. */
+  get serverSelection(): ServerSelectionPolicy {
+    return this.isShared ? this.sharedSelection : this.directSelection;
+  }
+
+  /** Expected service time of a kind of work; null while unknown. */
+  getExpectedWorkMs(workKind: string): number | null {
+    return this.expectedWork.get(workKind);
+  }
+
+  /** Records the latency of a statement that a server has completed. */
+  recordWork(
+    workKind: string,
+    server: BackendServerRuntime,
+    latencyMs: number,
+  ): void {
+    const serviceMs = Math.max(0, latencyMs - (server.roundTripMs ?? 0));
+    server.recordService(serviceMs, this.expectedWork.get(workKind));
+    this.expectedWork.record(workKind, serviceMs);
+  }
+
   /** Applies a primary record from a linearizable read. */
   applyRecord(
     revised: RevisedPrimaryRecord,
@@ -525,10 +592,10 @@
     return {position: entry.position, ageMs};
   }
 
-  /** Lists the active servers as candidates for new reads. */
-  listCandidates(): readonly BackendCandidate[] {
+  /** Lists the active servers as candidates for new reads of an identity. */
+  listCandidates(identity: ConnectionIdentity): readonly SelectionCandidate[] {
     const primary = this.lease.getLastKnownPrimary()?.primary ?? null;
-    const candidates: BackendCandidate[] = [];
+    const candidates: SelectionCandidate[] = [];
     for (const server of this.servers.values()) {
       if (server.entry.state !== 'active') {
         continue;
@@ -544,6 +611,11 @@
         isFailing: server.failures.isFailing(),
         knownPosition: server.knownPosition,
         expectedLagMs: server.expectedLagMs,
+        roundTripMs: server.roundTripMs,
+        expectedWaitMs: server.estimateQueueWaitMs(),
+        freeCapacity: server.pool.getStatus().freeSlots,
+        hasIdleConnection: server.pool.hasIdleConnection(identity),
+        slowdown: server.slowdown,
       });
     }
     return candidates;
@@ -596,13 +668,14 @@
     const groupZones = servers.map(({entry}) => entry.availabilityZone);
     for (const server of servers) {
       const {availabilityZone, backendServer} = server.entry;
+      const directTimeoutMs = chooseIdleTimeoutMs({
+        localZone: this.options.availabilityZone,
+        instanceZone: availabilityZone,
+        isPrimary: known?.primary === backendServer,
+        groupZones,
+      });
       server.setIdleTimeout(
-        chooseIdleTimeoutMs({
-          localZone: this.options.availabilityZone,
-          instanceZone: availabilityZone,
-          isPrimary: known?.primary === backendServer,
-          groupZones,
-        }),
+        this.isShared ? IDLE_TIMEOUT_SHARED_MS : directTimeoutMs,
       );
     }
   }
--- a/packages/gateway/src/routing/completion_time_selection.ts
+++ b/packages/gateway/src/routing/completion_time_selection.ts
@@ -58,16 +58,16 @@
  * Ranks of a candidate, in descending order of preference. No queue at the
  * servers of one rank makes a lower rank preferable.
  */
-const EXPECTED_TO_SERVE = 0;
+const RANK_EXPECTED_TO_SERVE = 0;
 
 /** Responds with errors to many statements. */
-const FAILING = 1;
+const RANK_FAILING = 1;
 
 /** Will probably reject the read because of its lag. */
-const LAGGING = 2;
+const RANK_LAGGING = 2;
 
 /** A recent attempt to reach it failed. */
-const SUSPECT = 3;
+const RANK_SUSPECT = 3;
 
 interface EstimatedCandidate {
   readonly candidate: SelectionCandidate;
@@ -136,7 +136,7 @@
   candidates: readonly SelectionCandidate[],
   requirements: SelectionRequirements,
 ): readonly SelectionCandidate[] {
-  let bestRank: number = SUSPECT;
+  let bestRank: number = RANK_SUSPECT;
   let best: SelectionCandidate[] = [];
   for (const candidate of candidates) {
     if (requirements.excluded.has(candidate.backendServer)) {
@@ -159,14 +159,14 @@
   requirements: SelectionRequirements,
 ): number {
   if (candidate.isSuspect) {
-    return SUSPECT;
+    return RANK_SUSPECT;
   }
   const isLagging =
     !candidate.isPrimary && !isExpectedToCoverPosition(candidate, requirements);
   if (isLagging) {
-    return LAGGING;
+    return RANK_LAGGING;
   }
-  return candidate.isFailing ? FAILING : EXPECTED_TO_SERVE;
+  return candidate.isFailing ? RANK_FAILING : RANK_EXPECTED_TO_SERVE;
 }
 
 function estimate(
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -10,7 +10,6 @@
 } from '../backend/pooled_connection.js';
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {TermPrimary} from '../group/primary_lease.js';
-import {chooseBackendServer} from '../routing/choose_backend_server.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
 import {
@@ -136,11 +135,13 @@
     if (requirement.kind === 'primary' || this.read.needsPrimary) {
       return this.planPrimary(requirement);
     }
-    const candidate = chooseBackendServer(group.listCandidates(), {
+    const candidates = group.listCandidates(this.context.identity);
+    const candidate = group.serverSelection.choose(candidates, {
       requiredPosition: requirement.position,
       requiredPositionAgeMs: requirement.ageMs,
       availabilityZone: this.context.gateway.availabilityZone,
       excluded: this.excluded,
+      expectedWorkMs: group.getExpectedWorkMs(this.context.route.databaseName),
     });
     const server =
       candidate === null ? null : group.getServer(candidate.backendServer);
@@ -414,10 +415,9 @@
   ): void {
     const {group, gateway} = this.context;
     const {server} = plan;
-    server.recordResponse(
-      gateway.clock.nowMs() - sent.sentAtMs,
-      answer.position,
-    );
+    const latencyMs = gateway.clock.nowMs() - sent.sentAtMs;
+    server.recordResponse(latencyMs, answer.position);
+    this.recordWork(server, answer, latencyMs);
     const hasFailed =
       answer.result.kind === 'rejected' &&
       answer.result.rejection === 'executionFailed';
@@ -438,6 +438,20 @@
     server.recordLagOutcome(!isLagging, plan.requiredPositionAgeMs);
   }
 
+  /** Records the service time of a read, not of the start of a transaction. */
+  private recordWork(
+    server: BackendServerRuntime,
+    answer: BackendAnswer,
+    latencyMs: number,
+  ): void {
+    const isWork =
+      answer.result.kind === 'complete' && this.read.statement.kind !== 'begin';
+    if (isWork) {
+      const {group, route} = this.context;
+      group.recordWork(route.databaseName, server, latencyMs);
+    }
+  }
+
   private recordRouted(plan: ReadPlan): void {
     const {backendServer} = plan.server.entry;
     const leased = this.context.group.lease.getLastKnownPrimary();
--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -140,6 +140,7 @@
       const connection = result.value;
       const changed: BackendConnection = {
         backendServer: connection.backendServer,
+        connectTimeMs: connection.connectTimeMs ?? null,
         get isOpen() {
           return connection.isOpen;
         },
--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -156,6 +156,11 @@
     };
   }
 
+  /** Whether the identity has an idle connection that can be used. */
+  hasIdleConnection(identity: ConnectionIdentity): boolean {
+    return this.idle.hasIdleConnection(identity);
+  }
+
   /** Changes limits at run time, such as when a connection share changes. */
   setLimits(limits: Partial<PoolLimits>): void {
     this.limits = {...this.limits, ...limits};
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -40,6 +40,15 @@
     return this.entries.length;
   }
 
+  /** Whether a connection of the identity could be used now. */
+  hasIdleConnection(identity: ConnectionIdentity): boolean {
+    return this.entries.some(
+      entry =>
+        entry.identity === identity &&
+        this.connector.isUsable(entry.connection),
+    );
+  }
+
   setLimits(limits: PoolLimits): void {
     this.limits = limits;
   }
