--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -31,6 +31,7 @@
 /** Access of this proxy to the instances of a group. */
 interface Access {
   readonly isShared: boolean;
+  readonly isHolder: boolean;
   readonly maxConnections: number;
 }
 
@@ -101,6 +102,7 @@
     if (!canForward || !isAccessShared(inputs)) {
       return {
         isShared: false,
+        isHolder: false,
         maxConnections: computeConnectionShare({
           maxConnections,
           entryVmCount,
@@ -108,9 +110,11 @@
         }),
       };
     }
+    const isConnectionHolder = isHolder(databaseGroup);
     return {
       isShared: true,
-      maxConnections: isHolder(databaseGroup)
+      isHolder: isConnectionHolder,
+      maxConnections: isConnectionHolder
         ? computeZoneShare(inputs)
         : FOLLOWER_CONNECTIONS,
     };
@@ -120,6 +124,7 @@
     const {databaseGroup} = group;
     const known = this.accesses.get(databaseGroup);
     group.setSharedAccess(access.isShared);
+    group.setHolder(access.isHolder);
     group.setMaxConnections(access.maxConnections);
     this.accesses.set(databaseGroup, access);
     const wasShared = known?.isShared ?? false;
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -291,11 +291,14 @@
     }
   /** A stream of a follower was closed because of an invalid message. */
   | {readonly kind: 'forwardedMessageInvalid'; readonly reason: string}
-  /** Whether operations of a group are forwarded, and the local share. */
+  /** How this proxy reaches the instances of a group. */
   | {
       readonly kind: 'accessChanged';
       readonly databaseGroup: string;
+      /** Whether operations go to the holder of the availability zone. */
       readonly isShared: boolean;
+      /** Whether this proxy is that holder. */
+      readonly isHolder: boolean;
       /** Connections that this proxy may open to an instance. */
       readonly maxConnections: number;
     }
