--- a/apps/explain/src/explain_request.ts
+++ b/apps/explain/src/explain_request.ts
@@ -21,6 +21,15 @@
   'zoneReaderChosen',
 ]);
 
+/** Fields by which a state change is related to a request. */
+const RELATING_FIELDS = [
+  'databaseGroup',
+  'backendServer',
+  'primary',
+  'target',
+  'holder',
+] as const;
+
 /** Event history of a request, which `--json` prints. @public */
 export interface RequestHistory {
   /** Records that carry the id of the request, in order of time. */
@@ -57,6 +66,11 @@
   for (const {fields} of readerChoices) {
     entryVms.add(String(fields['reader']));
   }
+  for (const {fields} of own) {
+    if (typeof fields['holder'] === 'string') {
+      entryVms.add(fields['holder']);
+    }
+  }
   // A zone reader is often chosen long before the request, so its choice counts
   // at any age.
   const stateChanges: LogRecord[] = [...readerChoices];
@@ -121,13 +135,13 @@
   return [...latest.values()];
 }
 
-/** Returns the database groups and backend servers that the records name. */
+/** Returns the database groups, backend servers and holders that the records name. */
 function collectNames(
   requestRecords: readonly LogRecord[],
 ): ReadonlySet<string> {
   const names = new Set<string>();
   for (const {fields} of requestRecords) {
-    for (const name of ['databaseGroup', 'backendServer']) {
+    for (const name of ['databaseGroup', 'backendServer', 'holder']) {
       const value = fields[name];
       if (typeof value === 'string') {
         names.add(value);
@@ -149,7 +163,7 @@
   if (PROCESS_EVENTS.has(event)) {
     return entryVms.has(entryVm);
   }
-  return ['databaseGroup', 'backendServer', 'primary', 'target'].some(name => {
+  return RELATING_FIELDS.some(name => {
     const value = fields[name];
     return typeof value === 'string' && names.has(value);
   });
--- a/apps/explain/src/explain_request_test.ts
+++ b/apps/explain/src/explain_request_test.ts
@@ -56,6 +56,35 @@
     expect(history?.beliefs[0]?.fields['reader']).toBe('entry-2');
   });
 
+  // Guards against a forwarded statement whose holder stays out of the account.
+  it('follows a forwarded statement to its holder', () => {
+    const records = [
+      record(10, 'entry-1', 'statementForwarded', {
+        requestId: 'r3',
+        databaseGroup: 'g3',
+        holder: 'entry-2',
+      }),
+      record(10.1, 'entry-2', 'statementRouted', {
+        requestId: 'r3',
+        backendServer: 'i-3',
+      }),
+      record(9, 'entry-2', 'loopDelayed', {delayMs: 300}),
+      record(9, 'entry-3', 'holderUnreachable', {holder: 'entry-2'}),
+      record(9, 'entry-3', 'holderUnreachable', {holder: 'entry-4'}),
+    ];
+    const history = explainRequest(records, 'r3');
+    expect(history?.own.map(({entryVm}) => entryVm)).toEqual([
+      'entry-1',
+      'entry-2',
+    ]);
+    expect(
+      history?.beliefs.map(({event, fields}) => [event, fields['holder']]),
+    ).toEqual([
+      ['loopDelayed', undefined],
+      ['holderUnreachable', 'entry-2'],
+    ]);
+  });
+
   it('returns null for a request without records', () => {
     expect(explainRequest(RECORDS, 'r2')).toBeNull();
   });
