Groups: tests of shared access; reads of customers that write open a connection at a replica

Cause: writes keep a connection of each customer at the primary, so that at a cost of 10 ms the primary was cheaper than a replica with a new connection (12 ms and two round trips), for every read and in spite of free replicas.

Change: the primary costs 20 ms, is never within the tolerance of a replica, and an unmeasured server of another zone counts as 2 ms away (5 ms before).

--- a/packages/gateway/src/routing/completion_time_selection.ts
+++ b/packages/gateway/src/routing/completion_time_selection.ts
@@ -20,9 +20,10 @@
 
 /**
  * Round-trip time assumed for an unmeasured server in another zone. It is low,
- * so that the server is tried, and thereby measured, when the others are busy.
+ * so that the server is tried, and thereby measured, when the others are busy or
+ * the only local server is the primary.
  */
-const UNKNOWN_REMOTE_ROUND_TRIP_MS = 5;
+const UNKNOWN_REMOTE_ROUND_TRIP_MS = 2;
 
 /** Time for which a connection handshake occupies a slot of the server. */
 const HANDSHAKE_WORK_MS = 12;
@@ -45,8 +46,13 @@
 /** Slots of the primary that are left to strict reads and writes. */
 const RESERVED_PRIMARY_SLOTS = 1;
 
-/** Cost of reading from the primary, whose slots are needed for writes. */
-const PRIMARY_COST_MS = 10;
+/**
+ * Cost of reading from the primary, whose slots are needed for writes. It is
+ * higher than that of a connection handshake in the same region: at 10 ms, a
+ * customer whose writes keep a connection at the primary read there as well and
+ * never opened one at a replica.
+ */
+const PRIMARY_COST_MS = 20;
 
 /** Smallest tolerance within which candidates count as equally good. */
 const MIN_TOLERANCE_MS = 1;
@@ -213,7 +219,11 @@
   return Math.max(0, freeCapacity - reserved);
 }
 
-/** Returns the candidates within the tolerance of the earliest completion. */
+/**
+ * Returns the candidates within the tolerance of the earliest completion. The
+ * primary is one of them only if it is the earliest itself: its idle connections,
+ * which writes keep there, would otherwise decide.
+ */
 function findNearBest(
   estimated: readonly EstimatedCandidate[],
 ): readonly EstimatedCandidate[] {
@@ -226,7 +236,8 @@
     earliestMs * TOLERANCE_FRACTION,
   );
   return estimated.filter(
-    ({completionMs}) => completionMs <= earliestMs + toleranceMs,
+    ({candidate, completionMs}) =>
+      completionMs <= earliestMs + (candidate.isPrimary ? 0 : toleranceMs),
   );
 }
 
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -62,6 +62,10 @@
   /** Servers whose connection limit is reached. */
   readonly atConnectionLimit = new Set<string>();
   readonly openConnections = new Set<FakeConnection>();
+  /** Duration of the TCP connect to a server; not measured if absent. */
+  readonly connectTimesMs = new Map<string, number>();
+  /** Response times of servers that differ from the usual one. */
+  readonly answerTimesMs = new Map<string, number>();
   committedWrites: string[] = [];
 
   private constructor(readonly clock: Clock) {}
@@ -120,6 +124,11 @@
     private readonly backend: FakeBackend,
   ) {}
 
+  get connectTimeMs(): number | null {
+    const {backendServer} = this.backendServer;
+    return this.backend.connectTimesMs.get(backendServer) ?? null;
+  }
+
   getUnresponsiveSinceMs(): number | null {
     return null;
   }
@@ -137,7 +146,9 @@
     if (!this.isOpen) {
       return failure({kind: 'notSent', reason: 'closed'});
     }
-    await sleep(this.backend.clock, ANSWER_MS);
+    const {backendServer} = this.backendServer;
+    const answerMs = this.backend.answerTimesMs.get(backendServer) ?? ANSWER_MS;
+    await sleep(this.backend.clock, answerMs);
     switch (command.kind) {
       case 'reset':
         this.values.clear();
