Pool: concurrency derived from responses, behind the adaptive pacing

Cause: the concurrency limit follows the latency alone, in windows of 20 responses, and starts at the configured slots. An instance that has just started is overloaded, and rejections and failures do not lower its limit.

Change: ConcurrencyControl is the interface of the limit. PoolLimits.pacing selects them; 'fixedStart', the default, is today's behavior. PoolLease.release carries the outcome of the lease, AcquireRequest a kind of work, and BackendPool.restartPace resets the adaptation. Responses to requests from before a restart are ignored.

The tests of ConcurrencyLimit pass samples instead of two numbers; their assertions are the same.

--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -2,9 +2,14 @@
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import type {
+  ConcurrencyControl,
+  ConcurrencyOptions,
+} from './concurrency_control.js';
 import {ConcurrencyLimit} from './concurrency_limit.js';
 import {ConnectionOpener} from './connection_opener.js';
 import {IdleConnections} from './idle_connections.js';
+import {LatencyGradient} from './latency_gradient.js';
 import {
   LeasedConnection,
   type LeaseEnd,
@@ -30,6 +35,14 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly limits?: Partial<PoolLimits>;
+  /**
+   * Creates the control of the `adaptive` pacing. Tests compare controls with it.
+   *
+   * @internal
+   */
+  readonly createAdaptiveControl?: (
+    options: ConcurrencyOptions,
+  ) => ConcurrencyControl;
 }
 
 /** Lowest retry delay reported with an `overloaded` error. */
@@ -50,9 +63,13 @@
 
 type LeaseResult<C> = Result<PoolLease<C>, PoolError>;
 
+/** Work kind of requests that name none. */
+const DEFAULT_WORK_KIND = '';
+
 interface WaitingEntry<C> {
   readonly priority: RequestPriority;
   readonly identity: ConnectionIdentity;
+  readonly workKind: string;
   readonly isPreferred: ((connection: C) => boolean) | null;
   readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
@@ -72,11 +89,13 @@
   private state: PoolState = 'open';
   private readonly queue = WaitQueue.create<WaitingEntry<C>>();
   private readonly serviceTime = ServiceTimeEstimator.create();
-  private readonly concurrency: ConcurrencyLimit;
+  private concurrency: ConcurrencyControl;
   private readonly idle: IdleConnections<C>;
   private readonly opener: ConnectionOpener<C>;
   private readonly leaseEvents: LeaseEvents<C>;
   private readonly drainWaiters: (() => void)[] = [];
+  /** Time of the last restart of the adaptive concurrency. */
+  private paceStartMs = Number.NEGATIVE_INFINITY;
   private active = 0;
   private suspended = 0;
 
@@ -85,12 +104,11 @@
     private readonly clock: Clock,
     random: RandomSource,
     private limits: PoolLimits,
+    private readonly createAdaptiveControl: (
+      options: ConcurrencyOptions,
+    ) => ConcurrencyControl,
   ) {
-    this.concurrency = ConcurrencyLimit.create(
-      Math.min(limits.minConcurrency, limits.slots),
-      limits.maxConnections,
-      limits.slots,
-    );
+    this.concurrency = this.createControl();
     this.idle = IdleConnections.create(connector, clock, limits);
     this.opener = ConnectionOpener.create({
       connector,
@@ -115,7 +133,13 @@
   static create<C>(options: BackendPoolOptions<C>): BackendPool<C> {
     const limits = {...DEFAULT_POOL_LIMITS, ...options.limits};
     const {connector, clock, random} = options;
-    return new BackendPool(connector, clock, random, limits);
+    return new BackendPool(
+      connector,
+      clock,
+      random,
+      limits,
+      options.createAdaptiveControl ?? LatencyGradient.create,
+    );
   }
 
   /**
@@ -158,7 +182,11 @@
 
   /** Changes limits at run time, such as when a connection share changes. */
   setLimits(limits: Partial<PoolLimits>): void {
+    const {pacing} = this.limits;
     this.limits = {...this.limits, ...limits};
+    if (this.limits.pacing !== pacing) {
+      this.concurrency = this.createControl();
+    }
     this.concurrency.setBounds(
       Math.min(this.limits.minConcurrency, this.limits.slots),
       this.limits.maxConnections,
@@ -168,6 +196,18 @@
     this.dispatch();
   }
 
+  /**
+   * Resets the adaptation of the concurrency to its start, for a server that has
+   * restarted, was promoted or has become reachable again. Has no effect with
+   * the `fixedStart` pacing.
+   */
+  restartPace(): void {
+    if (this.limits.pacing === 'adaptive') {
+      this.concurrency.restart();
+      this.paceStartMs = this.clock.nowMs();
+    }
+  }
+
   /** Removes a connection that was closed while it was idle. */
   handleConnectionClosed(connection: C): void {
     if (this.idle.remove(connection)) {
@@ -210,6 +250,14 @@
     return this.idle.size + this.active + this.suspended;
   }
 
+  private createControl(): ConcurrencyControl {
+    const {maxConnections: maximum, slots, pacing} = this.limits;
+    const minimum = Math.min(this.limits.minConcurrency, slots);
+    return pacing === 'fixedStart'
+      ? ConcurrencyLimit.create(minimum, maximum, slots)
+      : this.createAdaptiveControl({minimum, maximum, slots});
+  }
+
   /** Returns the error that refuses a request on arrival, or null. */
   private findRefusal(request: AcquireRequest<C>): PoolError | null {
     if (this.state === 'disposed') {
@@ -288,6 +336,7 @@
     const entry: WaitingEntry<C> = {
       priority,
       identity,
+      workKind: request.workKind ?? DEFAULT_WORK_KIND,
       deadlineMs,
       isPreferred: request.isPreferred ?? null,
       settle: result => {
@@ -346,7 +395,7 @@
       const {identity} = entry;
       const connection = this.idle.take(identity, entry.isPreferred);
       if (connection !== null) {
-        entry.settle(success(this.createLease(connection, identity)));
+        entry.settle(success(this.createLease(connection, entry)));
         continue;
       }
       waitingForConnection++;
@@ -378,12 +427,13 @@
 
   private createLease(
     connection: C,
-    identity: ConnectionIdentity,
+    {identity, workKind}: WaitingEntry<C>,
   ): PoolLease<C> {
     this.active++;
     return LeasedConnection.create(
       connection,
       identity,
+      workKind,
       this.active,
       this.leaseEvents,
     );
@@ -408,7 +458,15 @@
     }
     if (end.serviceTimeMs !== null) {
       this.serviceTime.record(end.serviceTimeMs);
-      this.concurrency.record(end.serviceTimeMs, end.activeAtStart);
+    }
+    // A response to an earlier request says nothing about the restarted server.
+    if (end.startMs >= this.paceStartMs) {
+      this.concurrency.record({
+        latencyMs: end.serviceTimeMs,
+        workKind: end.workKind,
+        activeAtStart: end.activeAtStart,
+        outcome: end.outcome,
+      });
     }
     const isClean = end.condition === 'clean';
     this.returnConnection(end.connection, end.identity, isClean);
--- a/packages/pool/src/backend_pool_test.ts
+++ b/packages/pool/src/backend_pool_test.ts
@@ -282,4 +282,72 @@
     pool.dispose();
     expect(await waiting).toEqual(failure({kind: 'disposed'}));
   });
+
+  describe('with the adaptive pacing', () => {
+    beforeEach(() => {
+      pool.setLimits({maxConnections: 4, slots: 4, minConcurrency: 1});
+      pool.setLimits({pacing: 'adaptive'});
+    });
+
+    function getLimit(): number {
+      return pool.getStatus().concurrencyLimit;
+    }
+
+    it('starts at the slots, and at 1 after a restart of the pace', () => {
+      expect(getLimit()).toBe(4);
+      pool.restartPace();
+      expect(getLimit()).toBe(1);
+    });
+
+    it('returns to the slots with good responses', async () => {
+      pool.restartPace();
+      for (let round = 0; round < 8; round++) {
+        const held: PoolLease<object>[] = [];
+        while (held.length < getLimit()) {
+          held.push(await lease());
+        }
+        held.forEach(each => each.release('clean'));
+      }
+      expect(getLimit()).toBe(4);
+    });
+
+    it.each(['rejected', 'failed', 'timedOut'] as const)(
+      'reduces the limit at once when a statement is %s',
+      async outcome => {
+        const held = await lease();
+        held.release('dirty', outcome);
+        expect(getLimit()).toBe(2);
+      },
+    );
+
+    it('keeps the limit when a caller disconnects within a statement', async () => {
+      const held = await lease();
+      held.release('dirty');
+      expect(getLimit()).toBe(4);
+    });
+
+    it('counts a timeout whose duration is not a service time', async () => {
+      const held = await lease();
+      held.release('unacknowledged', 'timedOut');
+      expect(getLimit()).toBe(2);
+    });
+
+    it('ignores responses to requests from before a restart of the pace', async () => {
+      const outdated = [await lease(), await lease(), await lease()];
+      pool.restartPace();
+      clock.advance(50);
+      outdated.forEach(each => each.release('clean'));
+      expect(getLimit()).toBe(1);
+    });
+
+    it('starts anew at the slots when the pacing is switched', () => {
+      pool.restartPace();
+      pool.setLimits({pacing: 'fixedStart'});
+      expect(getLimit()).toBe(4);
+      pool.restartPace();
+      expect(getLimit()).toBe(4);
+      pool.setLimits({pacing: 'adaptive'});
+      expect(getLimit()).toBe(4);
+    });
+  });
 });
--- a/packages/pool/src/concurrency_limit.ts
+++ b/packages/pool/src/concurrency_limit.ts
@@ -1,3 +1,8 @@
+import type {
+  ConcurrencyControl,
+  ConcurrencySample,
+} from './concurrency_control.js';
+
 /**
  * Adaptive concurrency limit with additive increase and multiplicative decrease
  * (AIMD). It rises while it is reached at normal latency and falls when the
@@ -18,8 +23,12 @@
 /** Growth of the baseline per window, so that it follows a lasting change. */
 const BASELINE_DRIFT = 1.02;
 
-/** Adjusts the concurrency limit between two bounds. @internal */
-export class ConcurrencyLimit {
+/**
+ * Adjusts the concurrency limit between two bounds by latency alone.
+ *
+ * @internal
+ */
+export class ConcurrencyLimit implements ConcurrencyControl {
   private limit: number;
   private baselineMs: number | null = null;
   private windowSumMs = 0;
@@ -56,8 +65,11 @@
     this.limit = this.clamp(this.limit);
   }
 
-  /** Records the latency of a request and how many were active at its start. */
-  record(latencyMs: number, activeAtStart: number): void {
+  /** Records a latency, whatever the outcome of the request. */
+  record({latencyMs, activeAtStart}: ConcurrencySample): void {
+    if (latencyMs === null) {
+      return;
+    }
     this.windowSumMs += latencyMs;
     this.windowSamples++;
     if (activeAtStart >= this.value) {
@@ -68,6 +80,9 @@
     }
   }
 
+  /** Does nothing: the limit has no slow start. */
+  restart(): void {}
+
   private closeWindow(): void {
     const meanMs = this.windowSumMs / this.windowSamples;
     const baselineMs = Math.min(
--- a/packages/pool/src/concurrency_limit_test.ts
+++ b/packages/pool/src/concurrency_limit_test.ts
@@ -1,9 +1,17 @@
 import {describe, expect, it} from 'vitest';
+import type {ConcurrencySample} from './concurrency_control.js';
 import {ConcurrencyLimit} from './concurrency_limit.js';
 
+function createSample(
+  latencyMs: number | null,
+  activeAtStart: number,
+): ConcurrencySample {
+  return {latencyMs, activeAtStart, workKind: 'read', outcome: 'served'};
+}
+
 function record(limit: ConcurrencyLimit, windows: number, latencyMs: number) {
   for (let sample = 0; sample < windows * 20; sample++) {
-    limit.record(latencyMs, limit.value);
+    limit.record(createSample(latencyMs, limit.value));
   }
 }
 
@@ -25,7 +33,7 @@
   it('does not rise while fewer requests are active than it allows', () => {
     const limit = ConcurrencyLimit.create(2, 6);
     for (let sample = 0; sample < 100; sample++) {
-      limit.record(5, 1);
+      limit.record(createSample(5, 1));
     }
     expect(limit.value).toBe(2);
   });
@@ -36,4 +44,16 @@
     record(limit, 80, 20);
     expect(limit.value).toBe(10);
   });
+
+  it('follows the latency alone, not the outcome, a missing latency or a restart', () => {
+    const limit = ConcurrencyLimit.create(2, 10, 5);
+    record(limit, 1, 5);
+    expect(limit.value).toBe(6);
+    for (const outcome of ['rejected', 'failed', 'timedOut'] as const) {
+      limit.record({...createSample(5, 1), outcome});
+      limit.record({...createSample(null, 6), outcome});
+    }
+    limit.restart();
+    expect(limit.value).toBe(6);
+  });
 });
--- a/packages/pool/src/leased_connection.ts
+++ b/packages/pool/src/leased_connection.ts
@@ -1,6 +1,7 @@
 import type {
   ConnectionCondition,
   ConnectionIdentity,
+  LeaseOutcome,
   PoolLease,
 } from './pool_types.js';
 
@@ -9,7 +10,10 @@
   readonly connection: C;
   readonly identity: ConnectionIdentity;
   readonly condition: ConnectionCondition;
+  readonly outcome: LeaseOutcome;
+  readonly workKind: string;
   readonly activeAtStart: number;
+  readonly startMs: number;
   /** Duration, or null if it includes more than the server's own work. */
   readonly serviceTimeMs: number | null;
 }
@@ -31,6 +35,7 @@
   private constructor(
     readonly connection: C,
     readonly identity: ConnectionIdentity,
+    private readonly workKind: string,
     private readonly activeAtStart: number,
     private readonly events: LeaseEvents<C>,
   ) {
@@ -40,10 +45,17 @@
   static create<C>(
     connection: C,
     identity: ConnectionIdentity,
+    workKind: string,
     activeAtStart: number,
     events: LeaseEvents<C>,
   ): LeasedConnection<C> {
-    return new LeasedConnection(connection, identity, activeAtStart, events);
+    return new LeasedConnection(
+      connection,
+      identity,
+      workKind,
+      activeAtStart,
+      events,
+    );
   }
 
   suspend(): void {
@@ -63,7 +75,10 @@
     this.events.handleResumed();
   }
 
-  release(condition: ConnectionCondition): void {
+  release(
+    condition: ConnectionCondition,
+    outcome: LeaseOutcome = condition === 'clean' ? 'served' : 'unused',
+  ): void {
     if (this.state === 'released') {
       return;
     }
@@ -74,7 +89,10 @@
       connection: this.connection,
       identity: this.identity,
       condition,
+      outcome,
+      workKind: this.workKind,
       activeAtStart: this.activeAtStart,
+      startMs: this.startMs,
       serviceTimeMs:
         this.wasSuspended || condition === 'unacknowledged' ? null : durationMs,
     };
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -47,6 +47,11 @@
   /** Time on the pool's clock at which the request is refused. */
   readonly deadlineMs: number;
   readonly signal?: AbortSignal;
+  /**
+   * Kind of work. Latencies are comparable only within a kind; requests without
+   * one share a kind.
+   */
+  readonly workKind?: string;
   /** Selects the idle connections to use first. */
   readonly isPreferred?: (connection: C) => boolean;
 }
@@ -64,6 +69,22 @@
    */
   | 'unacknowledged';
 
+/**
+ * What a lease shows about its server's capacity. The first four are responses,
+ * or the lack of one.
+ *
+ * @public
+ */
+export type LeaseOutcome =
+  | 'served'
+  /** The server was overloaded or at its connection limit. */
+  | 'rejected'
+  /** The server failed the statement, or the connection was lost. */
+  | 'failed'
+  | 'timedOut'
+  /** The server was not asked to do the work, or said nothing about it. */
+  | 'unused';
+
 /** Exclusive use of a connection by one session. @public */
 export interface PoolLease<C> {
   readonly connection: C;
@@ -75,10 +96,22 @@
   suspend(): void;
   /** Ends `suspend`. Never waits, even above the concurrency limit. */
   resume(): void;
-  /** Returns the connection to the pool. Later calls have no effect. */
-  release(condition: ConnectionCondition): void;
+  /**
+   * Returns the connection to the pool. Later calls have no effect. The outcome
+   * defaults to `served` for a clean connection and to `unused` for others.
+   */
+  release(condition: ConnectionCondition, outcome?: LeaseOutcome): void;
 }
 
+/**
+ * How a pool chooses its concurrency: `fixedStart` starts at the slots and
+ * follows the latency; `adaptive` also follows rejections, failures and timeouts
+ * and starts low after `restartPace`.
+ *
+ * @public
+ */
+export type Pacing = 'fixedStart' | 'adaptive';
+
 /** Limits of a pool. @public */
 export interface PoolLimits {
   /** This proxy's share of the backend server's connections. */
@@ -99,6 +132,7 @@
   readonly idleTimeoutMs: number;
   /** Idle connections that are kept beyond `idleTimeoutMs`. */
   readonly minIdleConnections: number;
+  readonly pacing: Pacing;
 }
 
 /** Default limits, suitable for current instance sizes. @public */
@@ -112,6 +146,7 @@
   maxBackOffMs: 1_000,
   idleTimeoutMs: 60_000,
   minIdleConnections: 1,
+  pacing: 'fixedStart',
 };
 
 /** Current state of a pool. @public */
--- /dev/null
+++ b/packages/pool/src/response_streak.ts
@@ -0,0 +1,55 @@
+import type {LeaseOutcome} from './pool_types.js';
+
+/**
+ * Good responses in a row from which a limit may grow. With 30% failures it
+ * admits about a third of the good responses, so that reductions outweigh
+ * growth; a recovered server needs two responses more.
+ */
+const GROWTH_STREAK = 3;
+
+/** What a response means for a concurrency limit. @internal */
+export type ResponseVerdict = 'grow' | 'keep' | 'reduce';
+
+/**
+ * Counts consecutive good responses, and decides which rejections, failures and
+ * timeouts reduce a concurrency limit. The requests that were in flight at a
+ * reduction were sent under the old limit, so their responses cause no further
+ * one.
+ *
+ * @internal
+ */
+export class ResponseStreak {
+  private goodResponses = 0;
+  /** Responses to come from before the last reduction. */
+  private outdatedResponses = 0;
+
+  private constructor() {}
+
+  static create(): ResponseStreak {
+    return new ResponseStreak();
+  }
+
+  /** Records a response received under the limit `limit`. */
+  record(outcome: LeaseOutcome, limit: number): ResponseVerdict {
+    if (outcome === 'unused') {
+      return 'keep';
+    }
+    const isOutdated = this.outdatedResponses > 0;
+    this.outdatedResponses = Math.max(0, this.outdatedResponses - 1);
+    if (outcome === 'served') {
+      this.goodResponses++;
+      return this.goodResponses >= GROWTH_STREAK ? 'grow' : 'keep';
+    }
+    this.goodResponses = 0;
+    if (isOutdated) {
+      return 'keep';
+    }
+    this.outdatedResponses = limit - 1;
+    return 'reduce';
+  }
+
+  restart(): void {
+    this.goodResponses = 0;
+    this.outdatedResponses = 0;
+  }
+}
