Gateway: outcomes on release, and a restart of the pace after a change

Cause: a pool with the adaptive pacing needs to know which responses were rejections, failures or timeouts, and when its server has started over.

Change: read_executor, write_executor and session_transaction pass the outcome of a statement on release (lease_outcome.ts). BackendServerRuntime restarts the pace when the instance restarts, when unreachability ends and when it becomes the primary. caller_session.ts does not pass an outcome yet: a failure that is returned to the caller there counts as served. With the default pacing nothing changes.

--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -223,9 +223,20 @@
     const wasActive = this.currentEntry.state === 'active';
     this.currentEntry = entry;
     this.updateDrainState(wasActive);
+    if (!isSameStart) {
+      this.pool.restartPace();
+    }
     return isSameStart;
   }
 
+  /**
+   * Handles that the server has become the primary. Its work changes, so
+   * earlier latencies no longer apply.
+   */
+  handlePromoted(): void {
+    this.pool.restartPace();
+  }
+
   setMaxConnections(maxConnections: number): void {
     this.pool.setLimits({maxConnections});
   }
@@ -249,7 +260,7 @@
    */
   recordPosition(position: LogPosition | null): void {
     if (this.unreachableAtMs !== null) {
-      this.unreachableAtMs = null;
+      this.endUnreachability();
       this.suspectUntilMs = Number.NEGATIVE_INFINITY;
     }
     this.respondedAtMs = this.options.clock.nowMs();
@@ -353,12 +364,20 @@
       return failure({kind: 'unreachable', reason});
     }
     const pooled = PooledConnection.create(result.value, identity);
-    this.unreachableAtMs = null;
+    this.endUnreachability();
     this.connections.add(pooled);
     this.scheduleResponseCheck();
     return success(pooled);
   }
 
+  /** Marks the server as reachable and restarts its pace if it was not. */
+  private endUnreachability(): void {
+    if (this.unreachableAtMs !== null) {
+      this.unreachableAtMs = null;
+      this.pool.restartPace();
+    }
+  }
+
   private closeConnection(pooled: PooledConnection, reason: string): void {
     this.connections.delete(pooled);
     pooled.connection.close(reason);
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -582,6 +582,9 @@
       record.phase === 'stable' &&
       record.primary !== this.lastStablePrimary
     ) {
+      if (this.lastStablePrimary !== null) {
+        this.getServer(record.primary)?.handlePromoted();
+      }
       this.lastStablePrimary = record.primary;
       this.writeStallDetector.reset();
       this.updateIdleTimeouts();
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -18,6 +18,7 @@
   getRemainingMs,
   type StatementContext,
 } from './gateway_context.js';
+import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import {
   resolveReadRequirement,
   type ReadRequirement,
@@ -308,12 +309,13 @@
     }
     const {rejection, code} = answer.result;
     const isClean = answer.transactionState === 'idle';
+    const outcome = getResponseOutcome(answer.result);
     switch (rejection) {
       case 'executionFailed':
         if (!this.mayRetryElsewhere(plan)) {
           return {kind: 'answered', read: {answer, server, lease}};
         }
-        lease.release(isClean ? 'clean' : 'dirty');
+        lease.release(isClean ? 'clean' : 'dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_UNAVAILABLE,
@@ -324,7 +326,7 @@
       case 'positionNotReached':
       case 'notPrimary':
       case 'unknownPreparedName':
-        lease.release(isClean ? 'clean' : 'dirty');
+        lease.release(isClean ? 'clean' : 'dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_OVERLOADED,
@@ -369,23 +371,24 @@
     lease: PoolLease<PooledConnection>,
     error: RunError,
   ): AttemptResult {
+    const outcome = getRunErrorOutcome(error);
     switch (error.kind) {
       case 'sendDeclined':
-        lease.release('clean');
+        lease.release('clean', outcome);
         return {
           kind: 'tryAgain',
           error: SERVER_UNAVAILABLE,
           reason: 'the lease of the primary ended',
         };
       case 'preparationFailed':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_UNAVAILABLE,
           reason: `preparation: ${error.code}`,
         };
       case 'timedOut':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         server.markSuspect();
         return {
           kind: 'failed',
@@ -394,7 +397,7 @@
         };
       case 'connectionLost':
       case 'notSent':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'tryAgain',
           error: SERVER_UNAVAILABLE,
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -1,7 +1,10 @@
 import type {Timer} from '@filbertrun/base/clock.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
-import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectionIdentity,
+  LeaseOutcome,
+} from '@filbertrun/pool/pool_types.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {
@@ -13,6 +16,7 @@
   TransactionState,
 } from '../statement/statement_answer.js';
 import type {StatementContext} from './gateway_context.js';
+import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import type {AnsweredRead} from './read_executor.js';
 import {
   createErrorReply,
@@ -35,6 +39,8 @@
   private state: TransactionState = 'open';
   private hasWritten = false;
   private isBusy = false;
+  /** The worst that its responses have shown about the server's capacity. */
+  private outcome: LeaseOutcome = 'served';
   private heldConnection: AnsweredRead | null;
   private idleTimer: Timer | null = null;
 
@@ -132,6 +138,10 @@
       position,
     } = result.value;
     this.heldConnection.server.recordPosition(position);
+    const outcome = getResponseOutcome(statementResult);
+    if (outcome !== 'served' && outcome !== 'unused') {
+      this.outcome = outcome;
+    }
     this.state = transactionState;
     const reply: StatementReply = {
       rows,
@@ -143,7 +153,7 @@
       this.suspend();
       return reply;
     }
-    this.end('clean');
+    this.end('clean', this.outcome);
     const isCommitted =
       statement.kind === 'commit' && statementResult.kind === 'complete';
     return isCommitted ? this.acknowledge(context, reply, sentAtMs) : reply;
@@ -164,7 +174,7 @@
       return;
     }
     if (this.isBusy) {
-      this.end('dirty');
+      this.end('dirty', 'unused');
       return;
     }
     this.startRollback();
@@ -204,7 +214,7 @@
     error: RunError,
   ): StatementReply {
     const server = this.beginResult.server;
-    this.end('dirty');
+    this.end('dirty', getRunErrorOutcome(error));
     const wasSent =
       error.kind === 'timedOut' || error.kind === 'connectionLost';
     if (wasSent) {
@@ -294,12 +304,16 @@
       ROLLBACK_TIMEOUT_MS,
     );
     const isClean = result.ok && result.value.transactionState === 'idle';
-    heldConnection.lease.release(isClean ? 'clean' : 'dirty');
+    if (isClean) {
+      heldConnection.lease.release('clean', this.outcome);
+    } else {
+      heldConnection.lease.release('dirty');
+    }
   }
 
   /** Returns the connection to the pool, which closes it if it is dirty. */
-  private end(condition: 'clean' | 'dirty'): void {
-    this.heldConnection?.lease.release(condition);
+  private end(condition: 'clean' | 'dirty', outcome: LeaseOutcome): void {
+    this.heldConnection?.lease.release(condition, outcome);
     this.heldConnection = null;
   }
 }
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -20,6 +20,7 @@
   SERVER_UNAVAILABLE,
   type FailedAttempt,
 } from './refusal.js';
+import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import {
   recordOutcomeUnknown,
   recordRefused,
@@ -167,7 +168,10 @@
     answer: BackendAnswer,
     sentAtMs: number,
   ): AttemptResult {
-    lease.release(answer.transactionState === 'idle' ? 'clean' : 'dirty');
+    lease.release(
+      answer.transactionState === 'idle' ? 'clean' : 'dirty',
+      getResponseOutcome(answer.result),
+    );
     const {group} = this.context;
     if (answer.result.kind === 'complete') {
       if (!group.mayAcknowledge(answer.position)) {
@@ -205,23 +209,24 @@
     lease: PoolLease<PooledConnection>,
     error: RunError,
   ): AttemptResult {
+    const outcome = getRunErrorOutcome(error);
     switch (error.kind) {
       case 'sendDeclined':
-        lease.release('clean');
+        lease.release('clean', outcome);
         return {
           kind: 'notRun',
           error: SERVER_UNAVAILABLE,
           reason: 'the primary was given up',
         };
       case 'preparationFailed':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'notRun',
           error: SERVER_UNAVAILABLE,
           reason: `preparation: ${error.code}`,
         };
       case 'notSent':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'notRun',
           error: SERVER_UNAVAILABLE,
@@ -231,7 +236,7 @@
       case 'timedOut':
         // The duration is not recorded as service time: the write may have waited
         // for an acknowledgement of the replicas.
-        lease.release('unacknowledged');
+        lease.release('unacknowledged', outcome);
         server.markSuspect();
         return {
           kind: 'failed',
--- a/packages/pool/src/latency_gradient.ts
+++ b/packages/pool/src/latency_gradient.ts
@@ -60,11 +60,13 @@
       this.limit = this.clamp(this.limit * REDUCTION_FACTOR);
       return;
     }
-    if (outcome !== 'served' || latencyMs === null) {
+    if (outcome !== 'served') {
       return;
     }
-    const ratio = this.baselines.record(workKind, latencyMs);
-    this.shortTermRatio += (ratio - this.shortTermRatio) * SHORT_TERM_WEIGHT;
+    if (latencyMs !== null) {
+      const ratio = this.baselines.record(workKind, latencyMs);
+      this.shortTermRatio += (ratio - this.shortTermRatio) * SHORT_TERM_WEIGHT;
+    }
     if (this.shortTermRatio > TOLERATED_RATIO) {
       this.followGradient();
     } else if (verdict === 'grow' && sample.activeAtStart >= this.value) {
