--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -255,6 +255,7 @@
     this.updateDrainState(wasActive);
     if (!isSameStart) {
       this.restartMeasurements();
+      this.pool.restartPace();
     }
     return isSameStart;
   }
@@ -269,6 +270,14 @@
     });
   }
 
+  /**
+   * Handles that the server has become the primary. Its work changes, so
+   * earlier latencies no longer apply.
+   */
+  handlePromoted(): void {
+    this.pool.restartPace();
+  }
+
   setMaxConnections(maxConnections: number): void {
     this.maxConnections = maxConnections;
     this.pool.setLimits({maxConnections});
@@ -308,7 +317,7 @@
    */
   recordPosition(position: LogPosition | null): void {
     if (this.unreachableAtMs !== null) {
-      this.unreachableAtMs = null;
+      this.endUnreachability();
       this.suspectUntilMs = Number.NEGATIVE_INFINITY;
     }
     this.respondedAtMs = this.options.clock.nowMs();
@@ -416,12 +425,20 @@
       this.roundTrip.record(connection.connectTimeMs);
     }
     const pooled = PooledConnection.create(connection, identity);
-    this.unreachableAtMs = null;
+    this.endUnreachability();
     this.connections.add(pooled);
     this.scheduleResponseCheck();
     return success(pooled);
   }
 
+  /** Marks the server as reachable and restarts its pace if it was not. */
+  private endUnreachability(): void {
+    if (this.unreachableAtMs !== null) {
+      this.unreachableAtMs = null;
+      this.pool.restartPace();
+    }
+  }
+
   private closeConnection(pooled: PooledConnection, reason: string): void {
     this.connections.delete(pooled);
     pooled.connection.close(reason);
