Forwarding: operations without a customer use the holder's identity; shares for one more zone than there are

Change: the identity of an operation without a customer is null and the holder uses its own. The share of a zone is that of one more zone than there are, which is room for a second holder in one zone: 20 of 80 as before with three zones, 6 instead of 5 of 44 with six.

--- a/packages/gateway/src/control/compute_zone_share.ts
+++ b/packages/gateway/src/control/compute_zone_share.ts
@@ -18,13 +18,6 @@
  */
 const MIN_PROXIES_PER_ZONE = 3;
 
-/**
- * Fraction of a zone's connections that its holder uses. The remainder is for a
- * second holder while the holder changes, and for connections that an instance
- * still counts after a loss of power.
- */
-const HOLDER_FRACTION = 0.75;
-
 /**
  * Fraction of the holder's share that a restarted proxy may open while an
  * instance may still count the connections of its previous process.
@@ -68,9 +61,8 @@
 export function computeZoneShare(inputs: ZoneShareInputs): number {
   const {maxConnections, directEntryVmCount, zoneCount} = inputs;
   const available = maxConnections - RESERVED_CONNECTIONS - directEntryVmCount;
-  const zoneConnections = available / Math.max(1, zoneCount);
-  const fraction = inputs.mayHaveOrphans
-    ? HOLDER_FRACTION * RESTART_FRACTION
-    : HOLDER_FRACTION;
-  return Math.max(1, Math.floor(zoneConnections * fraction));
+  // One share is left for a second holder while the holder of a zone changes.
+  const share = available / (Math.max(1, zoneCount) + 1);
+  const fraction = inputs.mayHaveOrphans ? RESTART_FRACTION : 1;
+  return Math.max(1, Math.floor(share * fraction));
 }
--- a/packages/gateway/src/control/compute_zone_share_test.ts
+++ b/packages/gateway/src/control/compute_zone_share_test.ts
@@ -45,7 +45,7 @@
 });
 
 describe('computeZoneShare', () => {
-  it('leaves a quarter of the zone for a second holder', () => {
+  it('leaves the share of one zone for a second holder', () => {
     expect(computeZoneShare(DEPLOYMENT)).toBe(20);
   });
 
--- a/packages/gateway/src/forwarding/forward_message.ts
+++ b/packages/gateway/src/forwarding/forward_message.ts
@@ -113,7 +113,14 @@
   .unwrap()
   .extend({
     route: routeSchema,
-    identity: z.string().min(1) satisfies z.ZodType<ConnectionIdentity>,
+    /**
+     * Identity of the connections that may run the operation; null for the shared
+     * identity of the holder, so that callers without a customer share connections
+     * whichever proxy they use.
+     */
+    identity: (
+      z.string().min(1) satisfies z.ZodType<ConnectionIdentity>
+    ).nullable(),
     /** Name of the caller's customer; null for none. */
     customerName: z.string().nullable(),
     configurationVersion: z.number(),
--- a/packages/gateway/src/forwarding/forwarded_operation_host.ts
+++ b/packages/gateway/src/forwarding/forwarded_operation_host.ts
@@ -78,7 +78,7 @@
       route: operation.route,
       group,
       customer: createCustomer(operation.customerName),
-      identity: operation.identity,
+      identity: operation.identity ?? gateway.sharedIdentity,
       permit,
       configurationVersion: operation.configurationVersion,
       requestId: operation.requestId,
--- a/packages/gateway/src/forwarding/forwarding_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_test.ts
@@ -1,4 +1,6 @@
 import {beforeEach, describe, expect, it} from 'vitest';
+import {digestApiKey} from '../customer/api_key_digest.js';
+import {CustomerDirectory} from '../customer/customer_directory.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {StatementReply} from '../statement/statement_answer.js';
 import {
@@ -90,6 +92,23 @@
     expect(run?.preparedStatement).toEqual(prepared);
   });
 
+  // Guards against one connection for each follower of a holder.
+  it('runs operations without a customer under the shared identity of the holder', async () => {
+    await harness.run(harness.open('strict'), READ);
+    const [run] = harness.sessions.backend.runs;
+    expect(run?.identity).toBe(harness.sessions.sharedIdentity);
+  });
+
+  // Guards against a connection that is lent to another customer.
+  it('runs the operations of a customer under its own identity', async () => {
+    harness.sessions.customers = CustomerDirectory.create([
+      {name: 'acme', keyDigests: [digestApiKey('key-1')], limit: null},
+    ]);
+    await harness.run(harness.open('strict', 'key-1'), READ);
+    const [run] = harness.sessions.backend.runs;
+    expect(run?.identity).toBe('acme');
+  });
+
   it('runs a transaction on one connection of the holder', async () => {
     const session = harness.open('strict');
     await harness.run(session, BEGIN);
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -189,7 +189,7 @@
     prepared: session.prepared,
     remainingMs: Math.max(0, getRemainingMs(context)),
     route: context.route,
-    identity: context.identity,
+    identity: context.customer === null ? null : context.identity,
     customerName: context.customer?.name ?? null,
     configurationVersion: context.configurationVersion,
     sessionFloor,
--- a/packages/gateway/src/testing/forwarding_test_harness.ts
+++ b/packages/gateway/src/testing/forwarding_test_harness.ts
@@ -64,7 +64,7 @@
       clock: sessions.clock,
       events: sessions.events,
       availabilityZone: sessions.availabilityZone,
-      sharedIdentity: sessions.sharedIdentity,
+      sharedIdentity: FOLLOWER,
       limiter: sessions.limiter,
       operations: this.follower.executor,
       getConfiguration: () => sessions.getConfiguration(),
@@ -91,10 +91,10 @@
   }
 
   /** Opens a session of a caller at the follower. */
-  open(route: HarnessRoute): CallerSession {
+  open(route: HarnessRoute, apiKey = ''): CallerSession {
     const opened = CallerSession.open(this.context, {
       databaseName: route,
-      apiKey: '',
+      apiKey,
     });
     if (!opened.ok) {
       throw new Error(`The session was refused: ${opened.error.kind}.`);
