--- a/packages/gateway/src/forwarding/forward_message.ts
+++ b/packages/gateway/src/forwarding/forward_message.ts
@@ -60,6 +60,34 @@
   }),
 ]) satisfies z.ZodType<CallerStatement>;
 
+/** A statement that can be forwarded. @public */
+export type ForwardableStatement = z.infer<typeof statementSchema>;
+
+/**
+ * Returns a statement that needs a backend server as it is; null for one that a
+ * session handles itself.
+ *
+ * @public
+ */
+export function toForwardable(
+  statement: CallerStatement,
+): ForwardableStatement | null {
+  switch (statement.kind) {
+    case 'begin':
+    case 'commit':
+    case 'rollback':
+    case 'read':
+    case 'write':
+    case 'execute':
+      return statement;
+    case 'setValue':
+    case 'prepare':
+    case 'closePrepared':
+    case 'malformed':
+      return null;
+  }
+}
+
 const valuesSchema = z
   .array(z.tuple([z.string(), z.string()]).readonly())
   .readonly();
@@ -85,7 +113,14 @@
   .unwrap()
   .extend({
     route: routeSchema,
-    identity: z.string().min(1) satisfies z.ZodType<ConnectionIdentity>,
+    /**
+     * Identity of the connections that may run the operation; null for the shared
+     * identity of the holder, so that callers without a customer share connections
+     * whichever proxy they use.
+     */
+    identity: (
+      z.string().min(1) satisfies z.ZodType<ConnectionIdentity>
+    ).nullable(),
     /** Name of the caller's customer; null for none. */
     customerName: z.string().nullable(),
     configurationVersion: z.number(),
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -10,7 +10,6 @@
 } from '../backend/pooled_connection.js';
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {TermPrimary} from '../group/primary_lease.js';
-import {chooseBackendServer} from '../routing/choose_backend_server.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
 import {
@@ -18,6 +17,7 @@
   getRemainingMs,
   type StatementContext,
 } from './gateway_context.js';
+import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import {
   resolveReadRequirement,
   type ReadRequirement,
@@ -136,11 +136,13 @@
     if (requirement.kind === 'primary' || this.read.needsPrimary) {
       return this.planPrimary(requirement);
     }
-    const candidate = chooseBackendServer(group.listCandidates(), {
+    const candidates = group.listCandidates(this.context.identity);
+    const candidate = group.serverSelection.choose(candidates, {
       requiredPosition: requirement.position,
       requiredPositionAgeMs: requirement.ageMs,
       availabilityZone: this.context.gateway.availabilityZone,
       excluded: this.excluded,
+      expectedWorkMs: group.getExpectedWorkMs(this.context.route.databaseName),
     });
     const server =
       candidate === null ? null : group.getServer(candidate.backendServer);
@@ -248,6 +250,7 @@
       priority: this.context.route.priority,
       identity: this.context.identity,
       deadlineMs: getQueueDeadlineMs(this.context),
+      signal: this.context.signal,
       isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
     if (!leased.ok) {
@@ -308,12 +311,13 @@
     }
     const {rejection, code} = answer.result;
     const isClean = answer.transactionState === 'idle';
+    const outcome = getResponseOutcome(answer.result);
     switch (rejection) {
       case 'executionFailed':
         if (!this.mayRetryElsewhere(plan)) {
           return {kind: 'answered', read: {answer, server, lease}};
         }
-        lease.release(isClean ? 'clean' : 'dirty');
+        lease.release(isClean ? 'clean' : 'dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_UNAVAILABLE,
@@ -324,7 +328,7 @@
       case 'positionNotReached':
       case 'notPrimary':
       case 'unknownPreparedName':
-        lease.release(isClean ? 'clean' : 'dirty');
+        lease.release(isClean ? 'clean' : 'dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_OVERLOADED,
@@ -369,23 +373,24 @@
     lease: PoolLease<PooledConnection>,
     error: RunError,
   ): AttemptResult {
+    const outcome = getRunErrorOutcome(error);
     switch (error.kind) {
       case 'sendDeclined':
-        lease.release('clean');
+        lease.release('clean', outcome);
         return {
           kind: 'tryAgain',
           error: SERVER_UNAVAILABLE,
           reason: 'the lease of the primary ended',
         };
       case 'preparationFailed':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'tryNext',
           error: SERVER_UNAVAILABLE,
           reason: `preparation: ${error.code}`,
         };
       case 'timedOut':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         server.markSuspect();
         return {
           kind: 'failed',
@@ -394,7 +399,7 @@
         };
       case 'connectionLost':
       case 'notSent':
-        lease.release('dirty');
+        lease.release('dirty', outcome);
         return {
           kind: 'tryAgain',
           error: SERVER_UNAVAILABLE,
@@ -414,10 +419,9 @@
   ): void {
     const {group, gateway} = this.context;
     const {server} = plan;
-    server.recordResponse(
-      gateway.clock.nowMs() - sent.sentAtMs,
-      answer.position,
-    );
+    const latencyMs = gateway.clock.nowMs() - sent.sentAtMs;
+    server.recordResponse(latencyMs, answer.position);
+    this.recordWork(server, answer, latencyMs);
     const hasFailed =
       answer.result.kind === 'rejected' &&
       answer.result.rejection === 'executionFailed';
@@ -438,6 +442,20 @@
     server.recordLagOutcome(!isLagging, plan.requiredPositionAgeMs);
   }
 
+  /** Records the service time of a read, not of the start of a transaction. */
+  private recordWork(
+    server: BackendServerRuntime,
+    answer: BackendAnswer,
+    latencyMs: number,
+  ): void {
+    const isWork =
+      answer.result.kind === 'complete' && this.read.statement.kind !== 'begin';
+    if (isWork) {
+      const {group, route} = this.context;
+      group.recordWork(route.databaseName, server, latencyMs);
+    }
+  }
+
   private recordRouted(plan: ReadPlan): void {
     const {backendServer} = plan.server.entry;
     const leased = this.context.group.lease.getLastKnownPrimary();
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -1,7 +1,10 @@
 import type {Timer} from '@filbertrun/base/clock.js';
 import type {LogPosition} from '@filbertrun/model/log_position.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
-import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
+import type {
+  ConnectionIdentity,
+  LeaseOutcome,
+} from '@filbertrun/pool/pool_types.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {
@@ -13,12 +16,18 @@
   TransactionState,
 } from '../statement/statement_answer.js';
 import type {StatementContext} from './gateway_context.js';
+import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import type {AnsweredRead} from './read_executor.js';
 import {
   createErrorReply,
   createLocalReply,
   TRANSACTION_LOST,
 } from './refusal.js';
+import {
+  createLaterContext,
+  endsTransaction,
+  type OpenTransaction,
+} from './open_transaction.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 import {recordOutcomeUnknown} from './statement_events.js';
 
@@ -31,10 +40,12 @@
  *
  * @public
  */
-export class SessionTransaction {
+export class SessionTransaction implements OpenTransaction {
   private state: TransactionState = 'open';
   private hasWritten = false;
   private isBusy = false;
+  /** The worst that its responses have shown about the server's capacity. */
+  private outcome: LeaseOutcome = 'served';
   private heldConnection: AnsweredRead | null;
   private idleTimer: Timer | null = null;
 
@@ -69,15 +80,8 @@
   /** Log position of the commit once it has been acknowledged. */
   committedPosition: LogPosition | null = null;
 
-  /** Creates the context of a later statement, with the route of `begin`. */
   createContext(request: StatementRequest): StatementContext {
-    const {beginContext} = this;
-    return {
-      ...beginContext,
-      requestId: request.requestId,
-      receivedAtMs: request.receivedAtMs,
-      deadlineMs: request.receivedAtMs + beginContext.route.statementTimeoutMs,
-    };
+    return createLaterContext(this.beginContext, request);
   }
 
   async handle(
@@ -132,6 +136,10 @@
       position,
     } = result.value;
     this.heldConnection.server.recordPosition(position);
+    const outcome = getResponseOutcome(statementResult);
+    if (outcome !== 'served' && outcome !== 'unused') {
+      this.outcome = outcome;
+    }
     this.state = transactionState;
     const reply: StatementReply = {
       rows,
@@ -143,7 +151,7 @@
       this.suspend();
       return reply;
     }
-    this.end('clean');
+    this.end('clean', this.outcome);
     const isCommitted =
       statement.kind === 'commit' && statementResult.kind === 'complete';
     return isCommitted ? this.acknowledge(context, reply, sentAtMs) : reply;
@@ -164,7 +172,7 @@
       return;
     }
     if (this.isBusy) {
-      this.end('dirty');
+      this.end('dirty', 'unused');
       return;
     }
     this.startRollback();
@@ -204,7 +212,7 @@
     error: RunError,
   ): StatementReply {
     const server = this.beginResult.server;
-    this.end('dirty');
+    this.end('dirty', getRunErrorOutcome(error));
     const wasSent =
       error.kind === 'timedOut' || error.kind === 'connectionLost';
     if (wasSent) {
@@ -294,16 +302,16 @@
       ROLLBACK_TIMEOUT_MS,
     );
     const isClean = result.ok && result.value.transactionState === 'idle';
-    heldConnection.lease.release(isClean ? 'clean' : 'dirty');
+    if (isClean) {
+      heldConnection.lease.release('clean', this.outcome);
+    } else {
+      heldConnection.lease.release('dirty');
+    }
   }
 
   /** Returns the connection to the pool, which closes it if it is dirty. */
-  private end(condition: 'clean' | 'dirty'): void {
-    this.heldConnection?.lease.release(condition);
+  private end(condition: 'clean' | 'dirty', outcome: LeaseOutcome): void {
+    this.heldConnection?.lease.release(condition, outcome);
     this.heldConnection = null;
   }
 }
-
-function endsTransaction(statement: CallerStatement): boolean {
-  return statement.kind === 'commit' || statement.kind === 'rollback';
-}
