Pool: fair queue, work estimates and admission behind a limit

One queue of an instance serves several proxies where connections are shared. FIFO within a priority lets a customer with many requests delay all others, one mean service time stands for statements of 8 and 40 ms, and handshakes and suspended transactions are not part of the estimate.

The order of the queue is an interface with two classes: the present priority queue and start-time fair queueing. Expected work by kind, the expected wait and the review of queued entries are modules of their own. PoolLimits gets queueing ('priority' by default, which behaves as before) and reservedSlots (0), PoolStatus gets queue lengths by priority and rejections by reason.

Existing pool tests pass unchanged.

--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -1,15 +1,26 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {RequestPriority} from '@filbertrun/model/configuration.js';
 import {ConcurrencyLimit} from './concurrency_limit.js';
 import {ConnectionOpener} from './connection_opener.js';
+import type {PoolLoad} from './expected_wait.js';
+import {
+  chooseRetryAfterMs,
+  estimateArrivalWaitMs,
+  isExpectedInTime,
+  ReviewSchedule,
+  reviewQueue,
+} from './fair_admission.js';
+import {FairQueue} from './fair_queue.js';
 import {IdleConnections} from './idle_connections.js';
 import {
   LeasedConnection,
   type LeaseEnd,
   type LeaseEvents,
 } from './leased_connection.js';
+import {LeaseTracker, type MeasuredEntry} from './lease_tracker.js';
+import {measureHandshakes} from './measure_handshakes.js';
 import {
   DEFAULT_POOL_LIMITS,
   type AcquireRequest,
@@ -20,9 +31,13 @@
   type PoolLease,
   type PoolLimits,
   type PoolStatus,
+  type Queueing,
 } from './pool_types.js';
+import {RejectionCounter, type RejectionReason} from './rejection_counts.js';
+import type {RequestQueue} from './request_queue.js';
 import {ServiceTimeEstimator} from './service_time_estimator.js';
 import {WaitQueue} from './wait_queue.js';
+import {WorkEstimates} from './work_estimates.js';
 
 /** Options of a `BackendPool`. @public */
 export interface BackendPoolOptions<C> {
@@ -45,19 +60,24 @@
  */
 const MAX_EXPECTED_WAIT_SHARE = 0.5;
 
+/** Retry delay reported to a request that has no slot to wait for. */
+const NO_SLOT_RETRY_AFTER_MS = 1_000;
+
 /** Largest number of queued entries that one arriving request can shed. */
 const MAX_SHED_PER_ARRIVAL = 2;
 
 type LeaseResult<C> = Result<PoolLease<C>, PoolError>;
 
-interface WaitingEntry<C> {
-  readonly priority: RequestPriority;
-  readonly identity: ConnectionIdentity;
+interface WaitingEntry<C> extends MeasuredEntry {
   readonly isPreferred: ((connection: C) => boolean) | null;
-  readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
 }
 
+interface Refusal {
+  readonly reason: RejectionReason;
+  readonly error: PoolError;
+}
+
 type PoolState = 'open' | 'draining' | 'disposed';
 
 /**
@@ -70,7 +90,11 @@
  */
 export class BackendPool<C> {
   private state: PoolState = 'open';
-  private readonly queue = WaitQueue.create<WaitingEntry<C>>();
+  private queue: RequestQueue<WaitingEntry<C>>;
+  private readonly estimates = WorkEstimates.create();
+  private readonly rejections = RejectionCounter.create();
+  private readonly tracker: LeaseTracker;
+  private readonly reviewSchedule: ReviewSchedule;
   private readonly serviceTime = ServiceTimeEstimator.create();
   private readonly concurrency: ConcurrencyLimit;
   private readonly idle: IdleConnections<C>;
@@ -83,9 +107,18 @@
   private constructor(
     private readonly connector: BackendConnector<C>,
     private readonly clock: Clock,
-    random: RandomSource,
+    private readonly random: RandomSource,
     private limits: PoolLimits,
   ) {
+    this.queue = createQueue(limits.queueing);
+    this.tracker = LeaseTracker.create({
+      estimates: this.estimates,
+      getNowMs: () => clock.nowMs(),
+      handleMeasured: (entry, workMs) => this.queue.correctWork(entry, workMs),
+    });
+    this.reviewSchedule = ReviewSchedule.create(clock, () =>
+      this.rejectLateEntries(),
+    );
     this.concurrency = ConcurrencyLimit.create(
       Math.min(limits.minConcurrency, limits.slots),
       limits.maxConnections,
@@ -93,7 +126,9 @@
     );
     this.idle = IdleConnections.create(connector, clock, limits);
     this.opener = ConnectionOpener.create({
-      connector,
+      connector: measureHandshakes(connector, clock, durationMs =>
+        this.estimates.recordHandshake(durationMs),
+      ),
       clock,
       random,
       limits,
@@ -124,12 +159,14 @@
    * reaches its deadline.
    */
   acquire(request: AcquireRequest<C>): Promise<LeaseResult<C>> {
-    const refusal = this.findRefusal(request);
+    const arrival = this.describe(request);
+    const refusal = this.findRefusal(request, arrival);
     if (refusal !== null) {
-      return Promise.resolve(failure(refusal));
+      this.rejections.add(refusal.reason);
+      return Promise.resolve(failure(refusal.error));
     }
     return new Promise(resolve => {
-      this.enqueue(request, resolve);
+      this.enqueue(request, arrival, resolve);
       this.dispatch();
     });
   }
@@ -148,6 +185,8 @@
       activeLeases: this.active,
       suspendedLeases: this.suspended,
       queueLength: this.queue.length,
+      queueLengths: this.queue.lengths,
+      rejectionCounts: this.rejections.counts,
       concurrencyLimit: this.concurrency.value,
       isConnectionLimitReached:
         this.openConnections === 0 && this.opener.lastError?.kind === 'refused',
@@ -158,7 +197,11 @@
 
   /** Changes limits at run time, such as when a connection share changes. */
   setLimits(limits: Partial<PoolLimits>): void {
+    const {queueing} = this.limits;
     this.limits = {...this.limits, ...limits};
+    if (this.limits.queueing !== queueing) {
+      this.replaceQueue();
+    }
     this.concurrency.setBounds(
       Math.min(this.limits.minConcurrency, this.limits.slots),
       this.limits.maxConnections,
@@ -166,6 +209,7 @@
     this.idle.setLimits(this.limits);
     this.idle.close(this.openConnections - this.limits.maxConnections);
     this.dispatch();
+    this.reviewIfDue();
   }
 
   /** Removes a connection that was closed while it was idle. */
@@ -180,7 +224,7 @@
     if (this.state === 'open') {
       this.state = 'draining';
     }
-    this.refuseAll({
+    this.refuseAll('draining', {
       kind: 'draining',
       retryAfterMs: DRAINING_RETRY_AFTER_MS,
     });
@@ -203,30 +247,54 @@
     this.state = 'disposed';
     this.opener.dispose();
     this.idle.dispose();
-    this.refuseAll({kind: 'disposed'});
+    this.reviewSchedule.clear();
+    this.refuseAll('disposed', {kind: 'disposed'});
   }
 
   private get openConnections(): number {
     return this.idle.size + this.active + this.suspended;
   }
 
-  /** Returns the error that refuses a request on arrival, or null. */
-  private findRefusal(request: AcquireRequest<C>): PoolError | null {
+  private get isFair(): boolean {
+    return this.limits.queueing === 'fair';
+  }
+
+  /** Slots for which connections are available. */
+  private get usableSlots(): number {
+    const connections = this.limits.maxConnections - this.suspended;
+    return Math.min(this.concurrency.value, connections);
+  }
+
+  /** Returns why a request is refused on arrival, or null. */
+  private findRefusal(
+    request: AcquireRequest<C>,
+    arrival: MeasuredEntry,
+  ): Refusal | null {
     if (this.state === 'disposed') {
-      return {kind: 'disposed'};
+      return {reason: 'disposed', error: {kind: 'disposed'}};
     }
     if (this.state === 'draining') {
-      return {kind: 'draining', retryAfterMs: DRAINING_RETRY_AFTER_MS};
+      const retryAfterMs = DRAINING_RETRY_AFTER_MS;
+      return {reason: 'draining', error: {kind: 'draining', retryAfterMs}};
     }
     if (request.signal?.aborted === true) {
-      return {kind: 'cancelled'};
+      return {reason: 'cancelled', error: {kind: 'cancelled'}};
     }
-    const waitMs = this.estimateWaitMs(request.priority);
+    const waitMs = this.estimateWaitMs(arrival);
     const remainingMs = request.deadlineMs - this.clock.nowMs();
-    if (waitMs >= remainingMs * MAX_EXPECTED_WAIT_SHARE) {
-      return createOverloadedError(waitMs);
+    const isInTime = this.isFair
+      ? isExpectedInTime(waitMs, remainingMs)
+      : waitMs < remainingMs * MAX_EXPECTED_WAIT_SHARE;
+    if (!isInTime) {
+      const error = this.createOverloadedError(waitMs);
+      return {reason: 'expectedLate', error};
     }
-    return this.findConnectRefusal(request) ?? this.displace(request, waitMs);
+    const connectError = this.findConnectRefusal(request);
+    if (connectError !== null) {
+      return {reason: 'noConnection', error: connectError};
+    }
+    const queueError = this.displace(arrival, waitMs);
+    return queueError && {reason: 'queueFull', error: queueError};
   }
 
   /** Returns an error if there is no connection and none can be opened soon. */
@@ -243,52 +311,97 @@
       return {kind: 'unreachable', reason: error.reason, retryAfterMs};
     }
     const isInTime = this.clock.nowMs() + retryAfterMs < request.deadlineMs;
-    return isInTime ? null : createOverloadedError(retryAfterMs);
+    return isInTime ? null : this.createOverloadedError(retryAfterMs);
   }
 
   /**
-   * Makes room in a full queue: removes the newest entry of the lowest priority
-   * below that of the request, or returns an error if there is none.
+   * Makes room in a full queue: removes the entry that the queue gives up for
+   * the arriving one, or returns an error if there is none.
    */
-  private displace(
-    request: AcquireRequest<C>,
-    waitMs: number,
-  ): PoolError | null {
+  private displace(arrival: MeasuredEntry, waitMs: number): PoolError | null {
     if (this.queue.length < this.limits.maxQueueLength) {
       return null;
     }
-    const displaced = this.queue.findDisplaceable(request.priority);
+    const displaced = this.queue.findDisplaceable(arrival);
     if (displaced === null) {
-      return createOverloadedError(waitMs);
+      return this.createOverloadedError(waitMs);
     }
-    displaced.settle(failure(createOverloadedError(waitMs)));
+    this.reject(displaced, 'queueFull', waitMs);
     return null;
   }
 
-  private estimateWaitMs(priority: RequestPriority): number {
-    const isBusy =
-      this.queue.length > 0 || this.active >= this.concurrency.value;
+  /** Expected wait of an entry that is queued or about to arrive. */
+  private estimateWaitMs(entry: MeasuredEntry): number {
+    if (this.isFair) {
+      return estimateArrivalWaitMs(entry, this.queue, this.createLoad());
+    }
+    const slots = this.countSlotsFor(entry);
+    const isBusy = this.queue.length > 0 || this.active >= slots;
     if (!isBusy) {
       return 0;
     }
-    const ahead = this.queue.countAhead(priority);
-    return this.serviceTime.estimateWaitMs(ahead, this.concurrency.value);
+    const ahead = this.queue.countAhead(entry.priority);
+    return slots <= 0
+      ? Infinity
+      : this.serviceTime.estimateWaitMs(ahead, slots);
+  }
+
+  /** Number of slots that an entry may use. */
+  private countSlotsFor({isReplaceable}: MeasuredEntry): number {
+    const reserved = isReplaceable ? this.limits.reservedSlots : 0;
+    return this.concurrency.value - reserved;
+  }
+
+  private createLoad(): PoolLoad {
+    const {maxConnections, reservedSlots, connectIntervalMs} = this.limits;
+    return {
+      slots: this.concurrency.value,
+      reservedSlots,
+      activeLeases: this.active,
+      nextReleaseMs: this.tracker.getNextReleaseMs(),
+      meanWorkMs: this.estimates.meanWorkMs,
+      maxConnections,
+      suspendedLeases: this.suspended,
+      holdMs: this.tracker.getHoldMs(),
+      handshakeMs: this.estimates.handshakeMs,
+      connectIntervalMs,
+      connectDelayMs: this.opener.getDelayMs(),
+      connectedIdentities: new Set([
+        ...this.idle.getIdentities(),
+        ...this.opener.getAttempts().keys(),
+        ...this.tracker.getActiveIdentities(),
+      ]),
+    };
+  }
+
+  private describe(request: AcquireRequest<C>): MeasuredEntry {
+    const {priority, identity, deadlineMs} = request;
+    const workKind = request.workKind ?? null;
+    return {
+      priority,
+      identity,
+      deadlineMs,
+      workKind,
+      workMs: this.estimates.getWorkMs(workKind),
+      isReplaceable: request.isReplaceable ?? false,
+    };
   }
 
   private enqueue(
     request: AcquireRequest<C>,
+    arrival: MeasuredEntry,
     resolve: (result: LeaseResult<C>) => void,
   ): void {
-    const {priority, identity, deadlineMs, signal} = request;
-    const handleAbort = () => entry.settle(failure({kind: 'cancelled'}));
-    const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () => {
-      const waitMs = this.estimateWaitMs(priority);
-      entry.settle(failure(createOverloadedError(waitMs)));
-    });
+    const {deadlineMs, signal} = request;
+    const handleAbort = () => {
+      this.rejections.add('cancelled');
+      entry.settle(failure({kind: 'cancelled'}));
+    };
+    const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () =>
+      this.reject(entry, 'deadline', this.estimateWaitMs(entry)),
+    );
     const entry: WaitingEntry<C> = {
-      priority,
-      identity,
-      deadlineMs,
+      ...arrival,
       isPreferred: request.isPreferred ?? null,
       settle: result => {
         timer.cancel();
@@ -299,13 +412,50 @@
     };
     signal?.addEventListener('abort', handleAbort);
     this.queue.add(entry);
-    this.shedLateEntries(priority);
+    if (this.isFair) {
+      this.reviewSchedule.addEntry(entry, this.usableSlots);
+      this.reviewIfDue();
+    } else {
+      this.shedLateEntries(entry);
+    }
+  }
+
+  private reviewIfDue(): void {
+    if (this.isFair && this.reviewSchedule.isDue(this.usableSlots)) {
+      this.rejectLateEntries();
+    }
+  }
+
+  /** Rejects the queued entries that can no longer be sent in time. */
+  private rejectLateEntries(): void {
+    const nowMs = this.clock.nowMs();
+    const review = reviewQueue(this.queue, this.createLoad(), nowMs);
+    for (const {entry, waitMs} of review.late) {
+      this.reject(entry, 'becameLate', waitMs);
+    }
+    this.reviewSchedule.plan(review.minSlackMs, this.usableSlots);
+    if (review.late.length > 0) {
+      this.dispatch();
+    }
+  }
+
+  /** Moves the queued entries to a queue of the present order. */
+  private replaceQueue(): void {
+    const entries = [...this.queue.getAll()];
+    this.queue = createQueue(this.limits.queueing);
+    this.reviewSchedule.clear();
+    for (const entry of entries) {
+      this.queue.add(entry);
+    }
+    if (this.isFair) {
+      this.rejectLateEntries();
+    }
   }
 
   /** Sheds less urgent entries that are now expected to miss their deadline. */
-  private shedLateEntries(priority: RequestPriority): void {
+  private shedLateEntries(arrival: MeasuredEntry): void {
     for (let count = 0; count < MAX_SHED_PER_ARRIVAL; count++) {
-      const latest = this.queue.findDisplaceable(priority);
+      const latest = this.queue.findDisplaceable(arrival);
       if (latest === null) {
         return;
       }
@@ -318,7 +468,7 @@
       if (this.clock.nowMs() + waitMs < latest.deadlineMs) {
         return;
       }
-      latest.settle(failure(createOverloadedError(waitMs)));
+      this.reject(latest, 'becameLate', waitMs);
     }
   }
 
@@ -335,18 +485,22 @@
     const attempts = this.opener.getAttempts();
     let waitingForConnection = 0;
     for (const entry of this.queue.getAll()) {
-      if (this.active + waitingForConnection >= this.concurrency.value) {
+      const usedSlots = this.active + waitingForConnection;
+      if (usedSlots >= this.concurrency.value) {
         return;
       }
       if (entry.deadlineMs <= this.clock.nowMs()) {
-        const waitMs = this.estimateWaitMs(entry.priority);
-        entry.settle(failure(createOverloadedError(waitMs)));
+        this.reject(entry, 'deadline', this.estimateWaitMs(entry));
+        continue;
+      }
+      if (usedSlots >= this.countSlotsFor(entry)) {
         continue;
       }
       const {identity} = entry;
       const connection = this.idle.take(identity, entry.isPreferred);
       if (connection !== null) {
-        entry.settle(success(this.createLease(connection, identity)));
+        this.queue.serve(entry);
+        entry.settle(success(this.createLease(connection, entry)));
         continue;
       }
       waitingForConnection++;
@@ -376,16 +530,13 @@
     this.opener.requestAttempt(identity);
   }
 
-  private createLease(
-    connection: C,
-    identity: ConnectionIdentity,
-  ): PoolLease<C> {
+  private createLease(connection: C, entry: WaitingEntry<C>): PoolLease<C> {
     this.active++;
     return LeasedConnection.create(
       connection,
-      identity,
+      entry.identity,
       this.active,
-      this.leaseEvents,
+      this.tracker.track(entry, this.leaseEvents),
     );
   }
 
@@ -393,6 +544,7 @@
     this.active--;
     this.suspended++;
     this.dispatch();
+    this.reviewIfDue();
   }
 
   private handleResumed(): void {
@@ -412,6 +564,7 @@
     }
     const isClean = end.condition === 'clean';
     this.returnConnection(end.connection, end.identity, isClean);
+    this.reviewIfDue();
     this.resolveDrainIfDone();
   }
 
@@ -441,23 +594,44 @@
   private refuseWithoutConnection(error: ConnectError): void {
     const retryAfterMs = this.opener.getDelayMs();
     if (error.kind === 'unreachable') {
-      this.refuseAll({kind: 'unreachable', reason: error.reason, retryAfterMs});
+      const {kind, reason} = error;
+      this.refuseAll('noConnection', {kind, reason, retryAfterMs});
       return;
     }
     const nextAttemptMs = this.clock.nowMs() + retryAfterMs;
     for (const entry of this.queue.getAll()) {
       if (entry.deadlineMs <= nextAttemptMs) {
-        entry.settle(failure(createOverloadedError(retryAfterMs)));
+        this.reject(entry, 'noConnection', retryAfterMs);
       }
     }
   }
 
-  private refuseAll(error: PoolError): void {
+  private refuseAll(reason: RejectionReason, error: PoolError): void {
     for (const entry of this.queue.getAll()) {
+      this.rejections.add(reason);
       entry.settle(failure(error));
     }
   }
 
+  private reject(
+    entry: WaitingEntry<C>,
+    reason: RejectionReason,
+    waitMs: number,
+  ): void {
+    this.rejections.add(reason);
+    entry.settle(failure(this.createOverloadedError(waitMs)));
+  }
+
+  private createOverloadedError(waitMs: number): PoolError {
+    if (this.isFair) {
+      const retryAfterMs = chooseRetryAfterMs(waitMs, this.random);
+      return {kind: 'overloaded', retryAfterMs};
+    }
+    const boundedMs = waitMs === Infinity ? NO_SLOT_RETRY_AFTER_MS : waitMs;
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, boundedMs);
+    return {kind: 'overloaded', retryAfterMs};
+  }
+
   private resolveDrainIfDone(): void {
     if (this.state === 'open' || this.active + this.suspended > 0) {
       return;
@@ -468,9 +642,13 @@
   }
 }
 
-function createOverloadedError(waitMs: number): PoolError {
-  return {
-    kind: 'overloaded',
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
-  };
+function createQueue<C>(queueing: Queueing): RequestQueue<WaitingEntry<C>> {
+  switch (queueing) {
+    case 'priority':
+      return WaitQueue.create();
+    case 'fair':
+      return FairQueue.create();
+    default:
+      return exhaustiveSwitchError(queueing);
+  }
 }
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -40,6 +40,11 @@
     return this.entries.length;
   }
 
+  /** Returns the identities of the idle connections. */
+  getIdentities(): readonly ConnectionIdentity[] {
+    return this.entries.map(({identity}) => identity);
+  }
+
   setLimits(limits: PoolLimits): void {
     this.limits = limits;
   }
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -1,5 +1,7 @@
 import type {Result} from '@filbertrun/base/result.js';
 import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import type {RejectionCounts} from './rejection_counts.js';
+import type {QueueLengths} from './request_queue.js';
 
 /** Types of the connection pool for one backend server. */
 
@@ -49,6 +51,13 @@
   readonly signal?: AbortSignal;
   /** Selects the idle connections to use first. */
   readonly isPreferred?: (connection: C) => boolean;
+  /** Kind of statement, by which the expected work is measured. */
+  readonly workKind?: string;
+  /**
+   * Whether another backend server could run the request. Such a request leaves
+   * `reservedSlots` free.
+   */
+  readonly isReplaceable?: boolean;
 }
 
 /** State of a connection when it is returned to the pool. @public */
@@ -79,6 +88,15 @@
   release(condition: ConnectionCondition): void;
 }
 
+/**
+ * Order and admission of waiting requests: `priority` is FIFO within three
+ * priorities, `fair` also shares the server among identities and rejects a
+ * request as soon as it is not expected to be sent in time.
+ *
+ * @public
+ */
+export type Queueing = 'priority' | 'fair';
+
 /** Limits of a pool. @public */
 export interface PoolLimits {
   /** This proxy's share of the backend server's connections. */
@@ -99,6 +117,9 @@
   readonly idleTimeoutMs: number;
   /** Idle connections that are kept beyond `idleTimeoutMs`. */
   readonly minIdleConnections: number;
+  readonly queueing: Queueing;
+  /** Slots that replaceable requests leave free. */
+  readonly reservedSlots: number;
 }
 
 /** Default limits, suitable for current instance sizes. @public */
@@ -112,6 +133,8 @@
   maxBackOffMs: 1_000,
   idleTimeoutMs: 60_000,
   minIdleConnections: 1,
+  queueing: 'priority',
+  reservedSlots: 0,
 };
 
 /** Current state of a pool. @public */
@@ -123,6 +146,9 @@
   readonly activeLeases: number;
   readonly suspendedLeases: number;
   readonly queueLength: number;
+  readonly queueLengths: QueueLengths;
+  /** Rejected requests since the pool was created, by reason. */
+  readonly rejectionCounts: RejectionCounts;
   readonly concurrencyLimit: number;
   /** Whether no connection is open and the last attempt was refused. */
   readonly isConnectionLimitReached: boolean;
--- a/packages/pool/src/wait_queue.ts
+++ b/packages/pool/src/wait_queue.ts
@@ -1,4 +1,5 @@
 import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import type {QueuedEntry, QueueLengths, RequestQueue} from './request_queue.js';
 
 /**
  * Priorities in the order of service. Reads outside a transaction get theirs from
@@ -12,17 +13,12 @@
   'lookup',
 ] as const satisfies readonly RequestPriority[];
 
-/** Entry of a `WaitQueue`. @internal */
-export interface QueuedEntry {
-  readonly priority: RequestPriority;
-}
-
 /**
  * Priority queue with FIFO order within a priority. The pool limits its length.
  *
  * @internal
  */
-export class WaitQueue<E extends QueuedEntry> {
+export class WaitQueue<E extends QueuedEntry> implements RequestQueue<E> {
   private readonly entries: Readonly<Record<RequestPriority, Set<E>>> = {
     booking: new Set(),
     normal: new Set(),
@@ -40,6 +36,11 @@
     return booking.size + normal.size + lookup.size;
   }
 
+  get lengths(): QueueLengths {
+    const {booking, normal, lookup} = this.entries;
+    return {booking: booking.size, normal: normal.size, lookup: lookup.size};
+  }
+
   add(entry: E): void {
     this.entries[entry.priority].add(entry);
   }
@@ -48,11 +49,18 @@
     this.entries[entry.priority].delete(entry);
   }
 
+  serve(entry: E): void {
+    this.remove(entry);
+  }
+
+  /** Does nothing, because the order does not depend on the work. */
+  correctWork(): void {}
+
   /**
-   * Returns the newest entry of the lowest priority below `priority`, or null
-   * if there is none.
+   * Returns the newest entry of the lowest priority below that of `arrival`, or
+   * null if there is none.
    */
-  findDisplaceable(priority: RequestPriority): E | null {
+  findDisplaceable({priority}: Pick<QueuedEntry, 'priority'>): E | null {
     for (let rank = PRIORITY_ORDER.length - 1; rank >= 0; rank--) {
       const lower = PRIORITY_ORDER[rank];
       if (lower === undefined || lower === priority) {
@@ -78,6 +86,26 @@
     return count;
   }
 
+  /**
+   * Returns the entries of the same and more urgent priorities. For a queued
+   * entry, only the older ones of its own priority.
+   */
+  getAhead(entry: QueuedEntry): readonly E[] {
+    const ahead: E[] = [];
+    for (const priority of PRIORITY_ORDER) {
+      for (const other of this.entries[priority]) {
+        if (other === entry) {
+          return ahead;
+        }
+        ahead.push(other);
+      }
+      if (priority === entry.priority) {
+        break;
+      }
+    }
+    return ahead;
+  }
+
   /** Returns all entries in the order of service. */
   getAll(): readonly E[] {
     const all: E[] = [];
