Pool: apply changed limits before the queue of a new order is reviewed

setLimits moved the entries to the new queue and reviewed them before the concurrency limit had its new bounds, so a change of both could grant a slot that no longer existed. The review now follows the new bounds.

--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -199,7 +199,8 @@
   setLimits(limits: Partial<PoolLimits>): void {
     const {queueing} = this.limits;
     this.limits = {...this.limits, ...limits};
-    if (this.limits.queueing !== queueing) {
+    const isReordered = this.limits.queueing !== queueing;
+    if (isReordered) {
       this.replaceQueue();
     }
     this.concurrency.setBounds(
@@ -209,7 +210,11 @@
     this.idle.setLimits(this.limits);
     this.idle.close(this.openConnections - this.limits.maxConnections);
     this.dispatch();
-    this.reviewIfDue();
+    if (isReordered && this.isFair) {
+      this.rejectLateEntries();
+    } else {
+      this.reviewIfDue();
+    }
   }
 
   /** Removes a connection that was closed while it was idle. */
@@ -447,9 +452,6 @@
     for (const entry of entries) {
       this.queue.add(entry);
     }
-    if (this.isFair) {
-      this.rejectLateEntries();
-    }
   }
 
   /** Sheds less urgent entries that are now expected to miss their deadline. */
