--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -13,7 +13,8 @@
   reviewQueue,
 } from './fair_admission.js';
 import {FairQueue} from './fair_queue.js';
-import {IdleConnections} from './idle_connections.js';
+import {IdentityUse} from './identity_use.js';
+import {IdleConnections, type ConnectionValue} from './idle_connections.js';
 import {
   LeasedConnection,
   type LeaseEnd,
@@ -94,6 +95,7 @@
   private readonly estimates = WorkEstimates.create();
   private readonly rejections = RejectionCounter.create();
   private readonly tracker: LeaseTracker;
+  private readonly identityUse: IdentityUse;
   private readonly reviewSchedule: ReviewSchedule;
   private readonly serviceTime = ServiceTimeEstimator.create();
   private readonly concurrency: ConcurrencyLimit;
@@ -116,6 +118,7 @@
       getNowMs: () => clock.nowMs(),
       handleMeasured: (entry, workMs) => this.queue.correctWork(entry, workMs),
     });
+    this.identityUse = IdentityUse.create(clock);
     this.reviewSchedule = ReviewSchedule.create(clock, () =>
       this.rejectLateEntries(),
     );
@@ -160,13 +163,14 @@
    */
   acquire(request: AcquireRequest<C>): Promise<LeaseResult<C>> {
     const arrival = this.describe(request);
-    const refusal = this.findRefusal(request, arrival);
+    const waitMs = this.estimateWaitMs(arrival);
+    const refusal = this.findRefusal(request, arrival, waitMs);
     if (refusal !== null) {
       this.rejections.add(refusal.reason);
       return Promise.resolve(failure(refusal.error));
     }
     return new Promise(resolve => {
-      this.enqueue(request, arrival, resolve);
+      this.enqueue(request, {arrival, waitMs, resolve});
       this.dispatch();
     });
   }
@@ -208,7 +212,7 @@
       this.limits.maxConnections,
     );
     this.idle.setLimits(this.limits);
-    this.idle.close(this.openConnections - this.limits.maxConnections);
+    this.closeIdle(this.openConnections - this.limits.maxConnections);
     this.dispatch();
     if (isReordered && this.isFair) {
       this.rejectLateEntries();
@@ -274,6 +278,7 @@
   private findRefusal(
     request: AcquireRequest<C>,
     arrival: MeasuredEntry,
+    waitMs: number,
   ): Refusal | null {
     if (this.state === 'disposed') {
       return {reason: 'disposed', error: {kind: 'disposed'}};
@@ -285,7 +290,6 @@
     if (request.signal?.aborted === true) {
       return {reason: 'cancelled', error: {kind: 'cancelled'}};
     }
-    const waitMs = this.estimateWaitMs(arrival);
     const remainingMs = request.deadlineMs - this.clock.nowMs();
     const isInTime = this.isFair
       ? isExpectedInTime(waitMs, remainingMs)
@@ -369,6 +373,7 @@
       suspendedLeases: this.suspended,
       holdMs: this.tracker.getHoldMs(),
       handshakeMs: this.estimates.handshakeMs,
+      ownHandshakeMs: this.estimates.unloadedHandshakeMs,
       connectIntervalMs,
       connectDelayMs: this.opener.getDelayMs(),
       connectedIdentities: new Set([
@@ -394,9 +399,13 @@
 
   private enqueue(
     request: AcquireRequest<C>,
-    arrival: MeasuredEntry,
-    resolve: (result: LeaseResult<C>) => void,
+    admitted: {
+      readonly arrival: MeasuredEntry;
+      readonly waitMs: number;
+      readonly resolve: (result: LeaseResult<C>) => void;
+    },
   ): void {
+    const {arrival, waitMs, resolve} = admitted;
     const {deadlineMs, signal} = request;
     const handleAbort = () => {
       this.rejections.add('cancelled');
@@ -418,7 +427,7 @@
     signal?.addEventListener('abort', handleAbort);
     this.queue.add(entry);
     if (this.isFair) {
-      this.reviewSchedule.addEntry(entry, this.usableSlots);
+      this.reviewSchedule.addEntry(entry, waitMs, this.usableSlots);
       this.reviewIfDue();
     } else {
       this.shedLateEntries(entry);
@@ -485,6 +494,7 @@
       return;
     }
     const attempts = this.opener.getAttempts();
+    const awaiting = new Set<ConnectionIdentity>();
     let waitingForConnection = 0;
     for (const entry of this.queue.getAll()) {
       const usedSlots = this.active + waitingForConnection;
@@ -495,7 +505,8 @@
         this.reject(entry, 'deadline', this.estimateWaitMs(entry));
         continue;
       }
-      if (usedSlots >= this.countSlotsFor(entry)) {
+      const hasSlot = usedSlots < this.countSlotsFor(entry);
+      if (!hasSlot || awaiting.has(entry.identity)) {
         continue;
       }
       const {identity} = entry;
@@ -505,8 +516,12 @@
         entry.settle(success(this.createLease(connection, entry)));
         continue;
       }
-      waitingForConnection++;
       const opening = attempts.get(identity) ?? 0;
+      if (opening === 0 && this.shouldAwaitRelease(identity)) {
+        awaiting.add(identity);
+        continue;
+      }
+      waitingForConnection++;
       if (opening > 0) {
         attempts.set(identity, opening - 1);
       } else {
@@ -517,7 +532,7 @@
 
   /**
    * Starts a connection attempt if one may start now. At the connection limit,
-   * it replaces the connection that has been idle for longest.
+   * it replaces an idle connection.
    */
   private openConnection(identity: ConnectionIdentity): void {
     const excess =
@@ -531,12 +546,49 @@
     if (replaced > this.idle.size || !this.opener.mayStart()) {
       return;
     }
-    this.idle.close(replaced);
+    this.closeIdle(replaced);
     this.opener.requestAttempt(identity);
   }
 
+  /** Closes idle connections to make room for others. */
+  private closeIdle(count: number): void {
+    if (!this.isFair) {
+      this.idle.close(count);
+      return;
+    }
+    this.idle.closeLeastValuable(count, this.createConnectionValue());
+  }
+
+  private createConnectionValue(): ConnectionValue {
+    const {meanWorkMs} = this.estimates;
+    const leased = this.tracker.countLeases();
+    return (identity, otherIdle) => {
+      const others = otherIdle + (leased.get(identity) ?? 0);
+      return this.identityUse.getValue(identity, others, meanWorkMs);
+    };
+  }
+
+  /**
+   * Whether an identity without an idle connection waits for one that it uses
+   * now, because another one would replace a connection of more value. Otherwise
+   * an identity with many requests takes turns with others on all connections,
+   * with a handshake for each request.
+   */
+  private shouldAwaitRelease(identity: ConnectionIdentity): boolean {
+    const total = this.openConnections + this.opener.attemptCount;
+    if (!this.isFair || total < this.limits.maxConnections) {
+      return false;
+    }
+    const getValue = this.createConnectionValue();
+    return (
+      this.tracker.getActiveIdentities().includes(identity) &&
+      this.idle.getLeastValue(getValue) >= getValue(identity, 0)
+    );
+  }
+
   private createLease(connection: C, entry: WaitingEntry<C>): PoolLease<C> {
     this.active++;
+    this.identityUse.record(entry.identity);
     return LeasedConnection.create(
       connection,
       entry.identity,
--- a/packages/pool/src/expected_wait.ts
+++ b/packages/pool/src/expected_wait.ts
@@ -21,7 +21,14 @@
   readonly suspendedLeases: number;
   /** Expected time for which a suspended lease holds its connection. */
   readonly holdMs: number;
+  /** Expected time for which a handshake of an entry ahead occupies a slot. */
   readonly handshakeMs: number;
+  /**
+   * Expected handshake of the request itself. It does not include the load of
+   * the server: even if the connection is ready too late for the request, it
+   * serves the caller's next attempt, which otherwise would be rejected too.
+   */
+  readonly ownHandshakeMs: number;
   /** Shortest time between the starts of two connection attempts. */
   readonly connectIntervalMs: number;
   /** Time until the next connection attempt may start. */
@@ -96,7 +103,7 @@
   }
   const attemptWaitMs =
     load.connectDelayMs + ahead.handshakes * load.connectIntervalMs;
-  return Math.max(waitMs, attemptWaitMs) + load.handshakeMs;
+  return Math.max(waitMs, attemptWaitMs) + load.ownHandshakeMs;
 }
 
 /** Expected wait until one of `slots` is free for the request. */
--- a/packages/pool/src/expected_wait_test.ts
+++ b/packages/pool/src/expected_wait_test.ts
@@ -12,6 +12,7 @@
   suspendedLeases: 0,
   holdMs: 200,
   handshakeMs: 12,
+  ownHandshakeMs: 12,
   connectIntervalMs: 10,
   connectDelayMs: 0,
   connectedIdentities: new Set(['a']),
--- a/packages/pool/src/fair_admission.ts
+++ b/packages/pool/src/fair_admission.ts
@@ -8,12 +8,6 @@
  * entries it rejects, because they are not expected to be sent in time.
  */
 
-/**
- * Part of the time to its deadline that the expected wait of an arriving
- * request may take. The remainder allows for estimates that are too low.
- */
-const MAX_EXPECTED_WAIT_SHARE = 0.7;
-
 /** Shortest time between two reviews of the queue by the timer. */
 const MIN_REVIEW_INTERVAL_MS = 1;
 
@@ -58,7 +52,7 @@
 
 /** Whether an arriving request is expected to be sent in time. @internal */
 export function isExpectedInTime(waitMs: number, remainingMs: number): boolean {
-  return remainingMs > 0 && waitMs < remainingMs * MAX_EXPECTED_WAIT_SHARE;
+  return waitMs < remainingMs;
 }
 
 /**
@@ -92,9 +86,8 @@
 }
 
 /**
- * Returns the retry delay of a rejected request: a random time from the expected
- * wait to twice the expected wait. By then the queue has drained, and requests
- * rejected at the same time do not return together.
+ * Returns the retry delay of a rejected request: a random time around the
+ * expected wait, so that requests rejected together do not return together.
  *
  * @internal
  */
@@ -106,7 +99,7 @@
     MAX_RETRY_AFTER_MS,
     Math.max(MIN_RETRY_AFTER_MS, waitMs),
   );
-  return boundedMs * (1 + random.nextFloat());
+  return boundedMs * (0.5 + random.nextFloat());
 }
 
 /**
@@ -135,9 +128,8 @@
   }
 
   /** Accounts for a new entry, whose work may be ahead of others. */
-  addEntry(entry: QueuedEntry, slots: number): void {
-    const remainingMs = entry.deadlineMs - this.clock.nowMs();
-    const slackMs = remainingMs * (1 - MAX_EXPECTED_WAIT_SHARE);
+  addEntry(entry: QueuedEntry, waitMs: number, slots: number): void {
+    const slackMs = entry.deadlineMs - this.clock.nowMs() - waitMs;
     this.dueMs -= entry.workMs / Math.max(1, slots);
     this.reviewedSlots = Math.max(this.reviewedSlots, slots);
     this.setDue(slackMs);
--- a/packages/pool/src/idle_connections.ts
+++ b/packages/pool/src/idle_connections.ts
@@ -11,6 +11,12 @@
   readonly idleSinceMs: number;
 }
 
+/** Value of keeping an idle connection. @internal */
+export type ConnectionValue = (
+  identity: ConnectionIdentity,
+  otherIdle: number,
+) => number;
+
 /**
  * Clean connections that no session uses, ordered by the time at which they
  * became idle. The most recent one is used first, so that the others reach the
@@ -115,6 +121,43 @@
     }
   }
 
+  /**
+   * Closes up to `count` connections of the lowest value, among equals those
+   * idle for longest. `getValue` gets the identity and the number of its other
+   * idle connections.
+   */
+  closeLeastValuable(count: number, getValue: ConnectionValue): void {
+    for (let closed = 0; closed < count; closed++) {
+      const {index} = this.findLeastValuable(getValue);
+      for (const {connection} of this.entries.splice(index, 1)) {
+        this.connector.close(connection);
+      }
+    }
+  }
+
+  /** Returns the lowest value of an idle connection, Infinity without one. */
+  getLeastValue(getValue: ConnectionValue): number {
+    return this.findLeastValuable(getValue).value;
+  }
+
+  private findLeastValuable(getValue: ConnectionValue): {
+    readonly index: number;
+    readonly value: number;
+  } {
+    const idle = new Map<ConnectionIdentity, number>();
+    for (const {identity} of this.entries) {
+      idle.set(identity, (idle.get(identity) ?? 0) + 1);
+    }
+    let least = {index: 0, value: Infinity};
+    for (const [index, {identity}] of this.entries.entries()) {
+      const value = getValue(identity, (idle.get(identity) ?? 1) - 1);
+      if (value < least.value) {
+        least = {index, value};
+      }
+    }
+    return least;
+  }
+
   dispose(): void {
     this.pruneTimer?.cancel();
     this.close(this.size);
--- a/packages/pool/src/lease_tracker.ts
+++ b/packages/pool/src/lease_tracker.ts
@@ -85,6 +85,15 @@
     return identities;
   }
 
+  /** Number of leases by identity. */
+  countLeases(): ReadonlyMap<ConnectionIdentity, number> {
+    const counts = new Map<ConnectionIdentity, number>();
+    for (const {entry} of this.leases) {
+      counts.set(entry.identity, (counts.get(entry.identity) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /**
    * Returns the expected work of the active lease that ends next, 0 without an
    * active lease. A lease that already runs for longer than expected counts
--- a/packages/pool/src/work_estimates.ts
+++ b/packages/pool/src/work_estimates.ts
@@ -35,6 +35,14 @@
     return this.handshake.value;
   }
 
+  /**
+   * Expected time of a handshake that finds a free slot. Measured handshakes
+   * that are longer than the default have waited for one.
+   */
+  get unloadedHandshakeMs(): number {
+    return Math.min(DEFAULT_HANDSHAKE_MS, this.handshake.value);
+  }
+
   /** Expected time for which a suspended lease holds its connection. */
   get holdMs(): number {
     return this.hold.value;
