Pool: less urgent entries don't take the slot of a waiting identity

The slots of a dispatch are now counted in a class of their own, which keeps the slot from less urgent entries.

--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -4,6 +4,7 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {ConcurrencyLimit} from './concurrency_limit.js';
 import {ConnectionOpener} from './connection_opener.js';
+import {DispatchSlots} from './dispatch_slots.js';
 import type {PoolLoad} from './expected_wait.js';
 import {
   chooseRetryAfterMs,
@@ -494,19 +495,20 @@
       return;
     }
     const attempts = this.opener.getAttempts();
-    const awaiting = new Set<ConnectionIdentity>();
-    let waitingForConnection = 0;
+    const slots = DispatchSlots.create({
+      slots: this.concurrency.value,
+      reservedSlots: this.limits.reservedSlots,
+      getActiveLeases: () => this.active,
+    });
     for (const entry of this.queue.getAll()) {
-      const usedSlots = this.active + waitingForConnection;
-      if (usedSlots >= this.concurrency.value) {
+      if (!slots.advance(entry)) {
         return;
       }
       if (entry.deadlineMs <= this.clock.nowMs()) {
         this.reject(entry, 'deadline', this.estimateWaitMs(entry));
         continue;
       }
-      const hasSlot = usedSlots < this.countSlotsFor(entry);
-      if (!hasSlot || awaiting.has(entry.identity)) {
+      if (!slots.mayUse(entry)) {
         continue;
       }
       const {identity} = entry;
@@ -518,10 +520,10 @@
       }
       const opening = attempts.get(identity) ?? 0;
       if (opening === 0 && this.shouldAwaitRelease(identity)) {
-        awaiting.add(identity);
+        slots.awaitRelease(entry);
         continue;
       }
-      waitingForConnection++;
+      slots.claim();
       if (opening > 0) {
         attempts.set(identity, opening - 1);
       } else {
--- a/packages/pool/src/fair_queueing_replay_test.ts
+++ b/packages/pool/src/fair_queueing_replay_test.ts
@@ -171,8 +171,7 @@
     expect(after.valueOfOthers).toBeGreaterThan(before.valueOfOthers + 0.05);
     expect(after.valueByKind.get('checkout')).toBeGreaterThan(0.99);
     expect(after.lateRejections).toBeLessThan(before.lateRejections / 10);
-    // The gain of the others is the loss of the large customer.
-    expect(after.total).toBeGreaterThan(before.total - 0.02);
+    expect(after.total).toBeGreaterThan(before.total);
   });
 
   it('slows other customers by less than a tenth when one sends 7.5 times as much', async () => {
