--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -1,20 +1,33 @@
 import type {Clock} from '@filbertrun/base/clock.js';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
-import type {RequestPriority} from '@filbertrun/model/configuration.js';
 import type {
   ConcurrencyControl,
   ConcurrencyOptions,
 } from './concurrency_control.js';
 import {ConcurrencyLimit} from './concurrency_limit.js';
 import {ConnectionOpener} from './connection_opener.js';
-import {IdleConnections} from './idle_connections.js';
+import {DispatchSlots} from './dispatch_slots.js';
+import type {PoolLoad} from './expected_wait.js';
+import {
+  chooseRetryAfterMs,
+  estimateArrivalWaitMs,
+  isExpectedInTime,
+  ReviewSchedule,
+  reviewQueue,
+} from './fair_admission.js';
+import {FairQueue} from './fair_queue.js';
+import {IdentityUse} from './identity_use.js';
+import {IdleConnections, type ConnectionValue} from './idle_connections.js';
 import {LatencyGradient} from './latency_gradient.js';
 import {
   LeasedConnection,
   type LeaseEnd,
   type LeaseEvents,
 } from './leased_connection.js';
+import {LeaseTracker, type MeasuredEntry} from './lease_tracker.js';
+import {measureHandshakes} from './measure_handshakes.js';
 import {
   DEFAULT_POOL_LIMITS,
   type AcquireRequest,
@@ -25,9 +38,13 @@
   type PoolLease,
   type PoolLimits,
   type PoolStatus,
+  type Queueing,
 } from './pool_types.js';
+import {RejectionCounter, type RejectionReason} from './rejection_counts.js';
+import type {RequestQueue} from './request_queue.js';
 import {ServiceTimeEstimator} from './service_time_estimator.js';
 import {WaitQueue} from './wait_queue.js';
+import {WorkEstimates} from './work_estimates.js';
 
 /** Options of a `BackendPool`. @public */
 export interface BackendPoolOptions<C> {
@@ -58,23 +75,27 @@
  */
 const MAX_EXPECTED_WAIT_SHARE = 0.5;
 
+/** Retry delay reported to a request that has no slot to wait for. */
+const NO_SLOT_RETRY_AFTER_MS = 1_000;
+
 /** Largest number of queued entries that one arriving request can shed. */
 const MAX_SHED_PER_ARRIVAL = 2;
 
-type LeaseResult<C> = Result<PoolLease<C>, PoolError>;
-
 /** Work kind of requests that name none. */
 const DEFAULT_WORK_KIND = '';
 
-interface WaitingEntry<C> {
-  readonly priority: RequestPriority;
-  readonly identity: ConnectionIdentity;
-  readonly workKind: string;
+type LeaseResult<C> = Result<PoolLease<C>, PoolError>;
+
+interface WaitingEntry<C> extends MeasuredEntry {
   readonly isPreferred: ((connection: C) => boolean) | null;
-  readonly deadlineMs: number;
   readonly settle: (result: LeaseResult<C>) => void;
 }
 
+interface Refusal {
+  readonly reason: RejectionReason;
+  readonly error: PoolError;
+}
+
 type PoolState = 'open' | 'draining' | 'disposed';
 
 /**
@@ -87,31 +108,48 @@
  */
 export class BackendPool<C> {
   private state: PoolState = 'open';
-  private readonly queue = WaitQueue.create<WaitingEntry<C>>();
+  private queue: RequestQueue<WaitingEntry<C>>;
+  private readonly estimates = WorkEstimates.create();
+  private readonly rejections = RejectionCounter.create();
+  private readonly tracker: LeaseTracker;
+  private readonly identityUse: IdentityUse;
+  private readonly reviewSchedule: ReviewSchedule;
   private readonly serviceTime = ServiceTimeEstimator.create();
   private concurrency: ConcurrencyControl;
   private readonly idle: IdleConnections<C>;
   private readonly opener: ConnectionOpener<C>;
   private readonly leaseEvents: LeaseEvents<C>;
   private readonly drainWaiters: (() => void)[] = [];
-  /** Time of the last restart of the adaptive concurrency. */
-  private paceStartMs = Number.NEGATIVE_INFINITY;
   private active = 0;
   private suspended = 0;
+  /** Time of the last restart of the adaptive concurrency. */
+  private paceStartMs = Number.NEGATIVE_INFINITY;
 
   private constructor(
     private readonly connector: BackendConnector<C>,
     private readonly clock: Clock,
-    random: RandomSource,
+    private readonly random: RandomSource,
     private limits: PoolLimits,
     private readonly createAdaptiveControl: (
       options: ConcurrencyOptions,
     ) => ConcurrencyControl,
   ) {
+    this.queue = createQueue(limits.queueing);
+    this.tracker = LeaseTracker.create({
+      estimates: this.estimates,
+      getNowMs: () => clock.nowMs(),
+      handleMeasured: (entry, workMs) => this.queue.correctWork(entry, workMs),
+    });
+    this.identityUse = IdentityUse.create(clock);
+    this.reviewSchedule = ReviewSchedule.create(clock, () =>
+      this.rejectLateEntries(),
+    );
     this.concurrency = this.createControl();
     this.idle = IdleConnections.create(connector, clock, limits);
     this.opener = ConnectionOpener.create({
-      connector,
+      connector: measureHandshakes(connector, clock, durationMs =>
+        this.estimates.recordHandshake(durationMs),
+      ),
       clock,
       random,
       limits,
@@ -148,12 +186,15 @@
    * reaches its deadline.
    */
   acquire(request: AcquireRequest<C>): Promise<LeaseResult<C>> {
-    const refusal = this.findRefusal(request);
+    const arrival = this.describe(request);
+    const waitMs = this.estimateWaitMs(arrival);
+    const refusal = this.findRefusal(request, arrival, waitMs);
     if (refusal !== null) {
-      return Promise.resolve(failure(refusal));
+      this.rejections.add(refusal.reason);
+      return Promise.resolve(failure(refusal.error));
     }
     return new Promise(resolve => {
-      this.enqueue(request, resolve);
+      this.enqueue(request, {arrival, waitMs, resolve});
       this.dispatch();
     });
   }
@@ -172,6 +213,8 @@
       activeLeases: this.active,
       suspendedLeases: this.suspended,
       queueLength: this.queue.length,
+      queueLengths: this.queue.lengths,
+      rejectionCounts: this.rejections.counts,
       concurrencyLimit: this.concurrency.value,
       isConnectionLimitReached:
         this.openConnections === 0 && this.opener.lastError?.kind === 'refused',
@@ -187,18 +230,27 @@
 
   /** Changes limits at run time, such as when a connection share changes. */
   setLimits(limits: Partial<PoolLimits>): void {
-    const {pacing} = this.limits;
+    const {queueing, pacing} = this.limits;
     this.limits = {...this.limits, ...limits};
     if (this.limits.pacing !== pacing) {
       this.concurrency = this.createControl();
     }
+    const isReordered = this.limits.queueing !== queueing;
+    if (isReordered) {
+      this.replaceQueue();
+    }
     this.concurrency.setBounds(
       Math.min(this.limits.minConcurrency, this.limits.slots),
       this.limits.maxConnections,
     );
     this.idle.setLimits(this.limits);
-    this.idle.close(this.openConnections - this.limits.maxConnections);
+    this.closeIdle(this.openConnections - this.limits.maxConnections);
     this.dispatch();
+    if (isReordered && this.isFair) {
+      this.rejectLateEntries();
+    } else {
+      this.reviewIfDue();
+    }
   }
 
   /**
@@ -225,7 +277,7 @@
     if (this.state === 'open') {
       this.state = 'draining';
     }
-    this.refuseAll({
+    this.refuseAll('draining', {
       kind: 'draining',
       retryAfterMs: DRAINING_RETRY_AFTER_MS,
     });
@@ -248,7 +300,8 @@
     this.state = 'disposed';
     this.opener.dispose();
     this.idle.dispose();
-    this.refuseAll({kind: 'disposed'});
+    this.reviewSchedule.clear();
+    this.refuseAll('disposed', {kind: 'disposed'});
   }
 
   private get openConnections(): number {
@@ -263,23 +316,46 @@
       : this.createAdaptiveControl({minimum, maximum, slots});
   }
 
-  /** Returns the error that refuses a request on arrival, or null. */
-  private findRefusal(request: AcquireRequest<C>): PoolError | null {
+  private get isFair(): boolean {
+    return this.limits.queueing === 'fair';
+  }
+
+  /** Slots for which connections are available. */
+  private get usableSlots(): number {
+    const connections = this.limits.maxConnections - this.suspended;
+    return Math.min(this.concurrency.value, connections);
+  }
+
+  /** Returns why a request is refused on arrival, or null. */
+  private findRefusal(
+    request: AcquireRequest<C>,
+    arrival: MeasuredEntry,
+    waitMs: number,
+  ): Refusal | null {
     if (this.state === 'disposed') {
-      return {kind: 'disposed'};
+      return {reason: 'disposed', error: {kind: 'disposed'}};
     }
     if (this.state === 'draining') {
-      return {kind: 'draining', retryAfterMs: DRAINING_RETRY_AFTER_MS};
+      const retryAfterMs = DRAINING_RETRY_AFTER_MS;
+      return {reason: 'draining', error: {kind: 'draining', retryAfterMs}};
     }
     if (request.signal?.aborted === true) {
-      return {kind: 'cancelled'};
+      return {reason: 'cancelled', error: {kind: 'cancelled'}};
     }
-    const waitMs = this.estimateWaitMs(request.priority);
     const remainingMs = request.deadlineMs - this.clock.nowMs();
-    if (waitMs >= remainingMs * MAX_EXPECTED_WAIT_SHARE) {
-      return createOverloadedError(waitMs);
+    const isInTime = this.isFair
+      ? isExpectedInTime(waitMs, remainingMs)
+      : waitMs < remainingMs * MAX_EXPECTED_WAIT_SHARE;
+    if (!isInTime) {
+      const error = this.createOverloadedError(waitMs);
+      return {reason: 'expectedLate', error};
+    }
+    const connectError = this.findConnectRefusal(request);
+    if (connectError !== null) {
+      return {reason: 'noConnection', error: connectError};
     }
-    return this.findConnectRefusal(request) ?? this.displace(request, waitMs);
+    const queueError = this.displace(arrival, waitMs);
+    return queueError && {reason: 'queueFull', error: queueError};
   }
 
   /** Returns an error if there is no connection and none can be opened soon. */
@@ -296,53 +372,102 @@
       return {kind: 'unreachable', reason: error.reason, retryAfterMs};
     }
     const isInTime = this.clock.nowMs() + retryAfterMs < request.deadlineMs;
-    return isInTime ? null : createOverloadedError(retryAfterMs);
+    return isInTime ? null : this.createOverloadedError(retryAfterMs);
   }
 
   /**
-   * Makes room in a full queue: removes the newest entry of the lowest priority
-   * below that of the request, or returns an error if there is none.
+   * Makes room in a full queue: removes the entry that the queue gives up for
+   * the arriving one, or returns an error if there is none.
    */
-  private displace(
-    request: AcquireRequest<C>,
-    waitMs: number,
-  ): PoolError | null {
+  private displace(arrival: MeasuredEntry, waitMs: number): PoolError | null {
     if (this.queue.length < this.limits.maxQueueLength) {
       return null;
     }
-    const displaced = this.queue.findDisplaceable(request.priority);
+    const displaced = this.queue.findDisplaceable(arrival);
     if (displaced === null) {
-      return createOverloadedError(waitMs);
+      return this.createOverloadedError(waitMs);
     }
-    displaced.settle(failure(createOverloadedError(waitMs)));
+    this.reject(displaced, 'queueFull', waitMs);
     return null;
   }
 
-  private estimateWaitMs(priority: RequestPriority): number {
-    const isBusy =
-      this.queue.length > 0 || this.active >= this.concurrency.value;
+  /** Expected wait of an entry that is queued or about to arrive. */
+  private estimateWaitMs(entry: MeasuredEntry): number {
+    if (this.isFair) {
+      return estimateArrivalWaitMs(entry, this.queue, this.createLoad());
+    }
+    const slots = this.countSlotsFor(entry);
+    const isBusy = this.queue.length > 0 || this.active >= slots;
     if (!isBusy) {
       return 0;
     }
-    const ahead = this.queue.countAhead(priority);
-    return this.serviceTime.estimateWaitMs(ahead, this.concurrency.value);
+    const ahead = this.queue.countAhead(entry.priority);
+    return slots <= 0
+      ? Infinity
+      : this.serviceTime.estimateWaitMs(ahead, slots);
+  }
+
+  /** Number of slots that an entry may use. */
+  private countSlotsFor({isReplaceable}: MeasuredEntry): number {
+    const reserved = isReplaceable ? this.limits.reservedSlots : 0;
+    return this.concurrency.value - reserved;
+  }
+
+  private createLoad(): PoolLoad {
+    const {maxConnections, reservedSlots, connectIntervalMs} = this.limits;
+    return {
+      slots: this.concurrency.value,
+      reservedSlots,
+      activeLeases: this.active,
+      nextReleaseMs: this.tracker.getNextReleaseMs(),
+      meanWorkMs: this.estimates.meanWorkMs,
+      maxConnections,
+      suspendedLeases: this.suspended,
+      holdMs: this.tracker.getHoldMs(),
+      handshakeMs: this.estimates.handshakeMs,
+      ownHandshakeMs: this.estimates.unloadedHandshakeMs,
+      connectIntervalMs,
+      connectDelayMs: this.opener.getDelayMs(),
+      connectedIdentities: new Set([
+        ...this.idle.getIdentities(),
+        ...this.opener.getAttempts().keys(),
+        ...this.tracker.getActiveIdentities(),
+      ]),
+    };
+  }
+
+  private describe(request: AcquireRequest<C>): MeasuredEntry {
+    const {priority, identity, deadlineMs} = request;
+    const workKind = request.workKind ?? null;
+    return {
+      priority,
+      identity,
+      deadlineMs,
+      workKind,
+      workMs: this.estimates.getWorkMs(workKind),
+      isReplaceable: request.isReplaceable ?? false,
+    };
   }
 
   private enqueue(
     request: AcquireRequest<C>,
-    resolve: (result: LeaseResult<C>) => void,
+    admitted: {
+      readonly arrival: MeasuredEntry;
+      readonly waitMs: number;
+      readonly resolve: (result: LeaseResult<C>) => void;
+    },
   ): void {
-    const {priority, identity, deadlineMs, signal} = request;
-    const handleAbort = () => entry.settle(failure({kind: 'cancelled'}));
-    const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () => {
-      const waitMs = this.estimateWaitMs(priority);
-      entry.settle(failure(createOverloadedError(waitMs)));
-    });
+    const {arrival, waitMs, resolve} = admitted;
+    const {deadlineMs, signal} = request;
+    const handleAbort = () => {
+      this.rejections.add('cancelled');
+      entry.settle(failure({kind: 'cancelled'}));
+    };
+    const timer = this.clock.startTimer(deadlineMs - this.clock.nowMs(), () =>
+      this.reject(entry, 'deadline', this.estimateWaitMs(entry)),
+    );
     const entry: WaitingEntry<C> = {
-      priority,
-      identity,
-      workKind: request.workKind ?? DEFAULT_WORK_KIND,
-      deadlineMs,
+      ...arrival,
       isPreferred: request.isPreferred ?? null,
       settle: result => {
         timer.cancel();
@@ -353,13 +478,47 @@
     };
     signal?.addEventListener('abort', handleAbort);
     this.queue.add(entry);
-    this.shedLateEntries(priority);
+    if (this.isFair) {
+      this.reviewSchedule.addEntry(entry, waitMs, this.usableSlots);
+      this.reviewIfDue();
+    } else {
+      this.shedLateEntries(entry);
+    }
+  }
+
+  private reviewIfDue(): void {
+    if (this.isFair && this.reviewSchedule.isDue(this.usableSlots)) {
+      this.rejectLateEntries();
+    }
+  }
+
+  /** Rejects the queued entries that can no longer be sent in time. */
+  private rejectLateEntries(): void {
+    const nowMs = this.clock.nowMs();
+    const review = reviewQueue(this.queue, this.createLoad(), nowMs);
+    for (const {entry, waitMs} of review.late) {
+      this.reject(entry, 'becameLate', waitMs);
+    }
+    this.reviewSchedule.plan(review.minSlackMs, this.usableSlots);
+    if (review.late.length > 0) {
+      this.dispatch();
+    }
+  }
+
+  /** Moves the queued entries to a queue of the present order. */
+  private replaceQueue(): void {
+    const entries = [...this.queue.getAll()];
+    this.queue = createQueue(this.limits.queueing);
+    this.reviewSchedule.clear();
+    for (const entry of entries) {
+      this.queue.add(entry);
+    }
   }
 
   /** Sheds less urgent entries that are now expected to miss their deadline. */
-  private shedLateEntries(priority: RequestPriority): void {
+  private shedLateEntries(arrival: MeasuredEntry): void {
     for (let count = 0; count < MAX_SHED_PER_ARRIVAL; count++) {
-      const latest = this.queue.findDisplaceable(priority);
+      const latest = this.queue.findDisplaceable(arrival);
       if (latest === null) {
         return;
       }
@@ -372,7 +531,7 @@
       if (this.clock.nowMs() + waitMs < latest.deadlineMs) {
         return;
       }
-      latest.settle(failure(createOverloadedError(waitMs)));
+      this.reject(latest, 'becameLate', waitMs);
     }
   }
 
@@ -387,24 +546,35 @@
       return;
     }
     const attempts = this.opener.getAttempts();
-    let waitingForConnection = 0;
+    const slots = DispatchSlots.create({
+      slots: this.concurrency.value,
+      reservedSlots: this.limits.reservedSlots,
+      getActiveLeases: () => this.active,
+    });
     for (const entry of this.queue.getAll()) {
-      if (this.active + waitingForConnection >= this.concurrency.value) {
+      if (!slots.advance(entry)) {
         return;
       }
       if (entry.deadlineMs <= this.clock.nowMs()) {
-        const waitMs = this.estimateWaitMs(entry.priority);
-        entry.settle(failure(createOverloadedError(waitMs)));
+        this.reject(entry, 'deadline', this.estimateWaitMs(entry));
+        continue;
+      }
+      if (!slots.mayUse(entry)) {
         continue;
       }
       const {identity} = entry;
       const connection = this.idle.take(identity, entry.isPreferred);
       if (connection !== null) {
+        this.queue.serve(entry);
         entry.settle(success(this.createLease(connection, entry)));
         continue;
       }
-      waitingForConnection++;
       const opening = attempts.get(identity) ?? 0;
+      if (opening === 0 && this.shouldAwaitRelease(identity)) {
+        slots.awaitRelease(entry);
+        continue;
+      }
+      slots.claim();
       if (opening > 0) {
         attempts.set(identity, opening - 1);
       } else {
@@ -415,32 +585,69 @@
 
   /**
    * Starts a connection attempt if one may start now. At the connection limit,
-   * it replaces the connection that has been idle for longest.
+   * it replaces an idle connection.
    */
   private openConnection(identity: ConnectionIdentity): void {
-    const isFull =
-      this.openConnections + this.opener.attemptCount >=
+    const excess =
+      this.openConnections +
+      this.opener.attemptCount +
+      1 -
       this.limits.maxConnections;
-    if ((isFull && this.idle.size === 0) || !this.opener.mayStart()) {
+    // Attempts that began before the limit was lowered can exceed it. The
+    // priority order replaces one connection regardless.
+    const replaced = this.isFair ? excess : Math.min(excess, 1);
+    if (replaced > this.idle.size || !this.opener.mayStart()) {
       return;
     }
-    if (isFull) {
-      this.idle.close(1);
-    }
+    this.closeIdle(replaced);
     this.opener.requestAttempt(identity);
   }
 
-  private createLease(
-    connection: C,
-    {identity, workKind}: WaitingEntry<C>,
-  ): PoolLease<C> {
+  /** Closes idle connections to make room for others. */
+  private closeIdle(count: number): void {
+    if (!this.isFair) {
+      this.idle.close(count);
+      return;
+    }
+    this.idle.closeLeastValuable(count, this.createConnectionValue());
+  }
+
+  private createConnectionValue(): ConnectionValue {
+    const {meanWorkMs} = this.estimates;
+    const leased = this.tracker.countLeases();
+    return (identity, otherIdle) => {
+      const others = otherIdle + (leased.get(identity) ?? 0);
+      return this.identityUse.getValue(identity, others, meanWorkMs);
+    };
+  }
+
+  /**
+   * Whether an identity without an idle connection waits for one that it uses
+   * now, because another one would replace a connection of more value. Otherwise
+   * an identity with many requests takes turns with others on all connections,
+   * with a handshake for each request.
+   */
+  private shouldAwaitRelease(identity: ConnectionIdentity): boolean {
+    const total = this.openConnections + this.opener.attemptCount;
+    if (!this.isFair || total < this.limits.maxConnections) {
+      return false;
+    }
+    const getValue = this.createConnectionValue();
+    return (
+      this.tracker.getActiveIdentities().includes(identity) &&
+      this.idle.getLeastValue(getValue) >= getValue(identity, 0)
+    );
+  }
+
+  private createLease(connection: C, entry: WaitingEntry<C>): PoolLease<C> {
     this.active++;
+    this.identityUse.record(entry.identity);
     return LeasedConnection.create(
       connection,
-      identity,
-      workKind,
+      entry.identity,
+      entry.workKind ?? DEFAULT_WORK_KIND,
       this.active,
-      this.leaseEvents,
+      this.tracker.track(entry, this.leaseEvents),
     );
   }
 
@@ -448,6 +655,7 @@
     this.active--;
     this.suspended++;
     this.dispatch();
+    this.reviewIfDue();
   }
 
   private handleResumed(): void {
@@ -475,6 +683,7 @@
     }
     const isClean = end.condition === 'clean';
     this.returnConnection(end.connection, end.identity, isClean);
+    this.reviewIfDue();
     this.resolveDrainIfDone();
   }
 
@@ -504,23 +713,44 @@
   private refuseWithoutConnection(error: ConnectError): void {
     const retryAfterMs = this.opener.getDelayMs();
     if (error.kind === 'unreachable') {
-      this.refuseAll({kind: 'unreachable', reason: error.reason, retryAfterMs});
+      const {kind, reason} = error;
+      this.refuseAll('noConnection', {kind, reason, retryAfterMs});
       return;
     }
     const nextAttemptMs = this.clock.nowMs() + retryAfterMs;
     for (const entry of this.queue.getAll()) {
       if (entry.deadlineMs <= nextAttemptMs) {
-        entry.settle(failure(createOverloadedError(retryAfterMs)));
+        this.reject(entry, 'noConnection', retryAfterMs);
       }
     }
   }
 
-  private refuseAll(error: PoolError): void {
+  private refuseAll(reason: RejectionReason, error: PoolError): void {
     for (const entry of this.queue.getAll()) {
+      this.rejections.add(reason);
       entry.settle(failure(error));
     }
   }
 
+  private reject(
+    entry: WaitingEntry<C>,
+    reason: RejectionReason,
+    waitMs: number,
+  ): void {
+    this.rejections.add(reason);
+    entry.settle(failure(this.createOverloadedError(waitMs)));
+  }
+
+  private createOverloadedError(waitMs: number): PoolError {
+    if (this.isFair) {
+      const retryAfterMs = chooseRetryAfterMs(waitMs, this.random);
+      return {kind: 'overloaded', retryAfterMs};
+    }
+    const boundedMs = waitMs === Infinity ? NO_SLOT_RETRY_AFTER_MS : waitMs;
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, boundedMs);
+    return {kind: 'overloaded', retryAfterMs};
+  }
+
   private resolveDrainIfDone(): void {
     if (this.state === 'open' || this.active + this.suspended > 0) {
       return;
@@ -531,9 +761,13 @@
   }
 }
 
-function createOverloadedError(waitMs: number): PoolError {
-  return {
-    kind: 'overloaded',
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
-  };
+function createQueue<C>(queueing: Queueing): RequestQueue<WaitingEntry<C>> {
+  switch (queueing) {
+    case 'priority':
+      return WaitQueue.create();
+    case 'fair':
+      return FairQueue.create();
+    default:
+      return exhaustiveSwitchError(queueing);
+  }
 }
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -1,5 +1,7 @@
 import type {Result} from '@filbertrun/base/result.js';
 import type {RequestPriority} from '@filbertrun/model/configuration.js';
+import type {RejectionCounts} from './rejection_counts.js';
+import type {QueueLengths} from './request_queue.js';
 
 /** Types of the connection pool for one backend server. */
 
@@ -54,6 +56,11 @@
   readonly workKind?: string;
   /** Selects the idle connections to use first. */
   readonly isPreferred?: (connection: C) => boolean;
+  /**
+   * Whether another backend server could run the request. Such a request leaves
+   * `reservedSlots` free.
+   */
+  readonly isReplaceable?: boolean;
 }
 
 /** State of a connection when it is returned to the pool. @public */
@@ -112,6 +119,15 @@
  */
 export type Pacing = 'fixedStart' | 'adaptive';
 
+/**
+ * Order and admission of waiting requests: `priority` is FIFO within three
+ * priorities, `fair` also shares the server among identities and rejects a
+ * request as soon as it is not expected to be sent in time.
+ *
+ * @public
+ */
+export type Queueing = 'priority' | 'fair';
+
 /** Limits of a pool. @public */
 export interface PoolLimits {
   /** This proxy's share of the backend server's connections. */
@@ -133,6 +149,9 @@
   /** Idle connections that are kept beyond `idleTimeoutMs`. */
   readonly minIdleConnections: number;
   readonly pacing: Pacing;
+  readonly queueing: Queueing;
+  /** Slots that replaceable requests leave free. */
+  readonly reservedSlots: number;
 }
 
 /** Default limits, suitable for current instance sizes. @public */
@@ -147,6 +166,8 @@
   idleTimeoutMs: 60_000,
   minIdleConnections: 1,
   pacing: 'fixedStart',
+  queueing: 'priority',
+  reservedSlots: 0,
 };
 
 /** Current state of a pool. @public */
@@ -158,6 +179,9 @@
   readonly activeLeases: number;
   readonly suspendedLeases: number;
   readonly queueLength: number;
+  readonly queueLengths: QueueLengths;
+  /** Rejected requests since the pool was created, by reason. */
+  readonly rejectionCounts: RejectionCounts;
   readonly concurrencyLimit: number;
   /** Whether no connection is open and the last attempt was refused. */
   readonly isConnectionLimitReached: boolean;
