Groups: fair queueing and adaptive concurrency with shared access

The pool of a holder is the only queue of its zone for an instance, so order, admission and concurrency are decided there: reads, writes and BEGIN name their kind of work, and reads that a replica could run leave one slot of the primary free. With direct access the limits stay those of before. The tests of the idle timeout now say which role they mean: a holder keeps idle connections for 30 s, another proxy for 0.5 s, which is checked as well.

--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -13,7 +13,10 @@
   getLaterPosition,
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
-import type {ConnectionIdentity} from '@filbertrun/pool/pool_types.js';
+import {
+  DEFAULT_POOL_LIMITS,
+  type ConnectionIdentity,
+} from '@filbertrun/pool/pool_types.js';
 import type {BackendConnector} from '../backend/backend_connection.js';
 import type {ContactStatus} from '../control/contact_tracker.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
@@ -94,6 +97,17 @@
   readonly highestAcknowledged: LogPosition | null;
 }
 
+/**
+ * Limits of the pools with shared access, where the pool of the holder is the
+ * only queue of its zone for an instance. One slot of the primary is left to
+ * statements that only the primary can run.
+ */
+const SHARED_ACCESS_LIMITS: AccessLimits = {
+  queueing: 'fair',
+  pacing: 'adaptive',
+  reservedSlots: 1,
+};
+
 /** Re-checks whether the awaited primary is available. */
 type PrimaryWaiter = () => void;
 
@@ -249,7 +263,13 @@
 
   /** Limits of the pools that depend on whether access is shared. */
   private getAccessLimits(): AccessLimits {
-    return {};
+    return this.isShared
+      ? SHARED_ACCESS_LIMITS
+      : {
+          queueing: DEFAULT_POOL_LIMITS.queueing,
+          pacing: DEFAULT_POOL_LIMITS.pacing,
+          reservedSlots: DEFAULT_POOL_LIMITS.reservedSlots,
+        };
   }
 
   /** Policy that chooses the servers of reads. */
--- a/packages/gateway/src/group/shared_access_test.ts
+++ b/packages/gateway/src/group/shared_access_test.ts
@@ -105,8 +105,9 @@
 
   // Guards against 12 ms of a slot for each connection that is opened again
   // after the short timeouts of direct access.
-  it('keeps idle connections to all instances for 30 s', async () => {
+  it('keeps idle connections of a holder to all instances for 30 s', async () => {
     harness.group.setSharedAccess(true);
+    harness.group.setHolder(true);
     moveServer('r2', 1.8);
     await openIdle('r2', 'proxy');
     await advanceClock(harness.clock, 29_000);
@@ -115,6 +116,14 @@
     expect(getIdleCount('r2')).toBe(0);
   });
 
+  // Guards against one idle connection for each proxy after all have restarted.
+  it('closes the idle connections of a proxy that is no holder early', async () => {
+    harness.group.setSharedAccess(true);
+    await openIdle('r2', 'proxy');
+    await advanceClock(harness.clock, 700);
+    expect(getIdleCount('r2')).toBe(0);
+  });
+
   it('closes idle connections to distant replicas early with direct access', async () => {
     moveServer('r2', 1.8);
     await openIdle('r2', 'proxy');
@@ -124,6 +133,7 @@
 
   it('applies to servers that are listed later', async () => {
     harness.group.setSharedAccess(true);
+    harness.group.setHolder(true);
     harness.group.updateServer(createEntry('r3', 'replica'));
     await openIdle('r3', 'proxy');
     await advanceClock(harness.clock, 20_000);
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -64,3 +64,20 @@
   const availableMs = context.deadlineMs - nowMs;
   return nowMs + chooseQueueWaitMs({targetLatencyMs, availableMs});
 }
+
+/** Work of a statement at a backend server, apart from its consistency. @public */
+export type StatementWork = 'read' | 'write' | 'begin';
+
+/**
+ * Kind of work by which a connection pool compares latencies. Routes of the same
+ * consistency have similar statements, and a configuration may have thousands of
+ * routes.
+ *
+ * @public
+ */
+export function getWorkKind(
+  {route}: StatementContext,
+  work: StatementWork,
+): string {
+  return `${route.consistency} ${work}`;
+}
--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -15,6 +15,7 @@
 import {
   getQueueDeadlineMs,
   getRemainingMs,
+  getWorkKind,
   type StatementContext,
 } from './gateway_context.js';
 import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
@@ -251,6 +252,11 @@
       identity: this.context.identity,
       deadlineMs: getQueueDeadlineMs(this.context),
       signal: this.context.signal,
+      workKind: getWorkKind(
+        this.context,
+        this.read.statement.kind === 'begin' ? 'begin' : 'read',
+      ),
+      isReplaceable: this.isReplaceable(plan),
       isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
     if (!leased.ok) {
@@ -284,6 +290,19 @@
     return this.classifyResult(plan, lease, result, {sentAtMs, leasedPrimary});
   }
 
+  /**
+   * Whether the read runs on the primary although a replica could run it, so that
+   * it must leave room for the statements that only the primary can run.
+   */
+  private isReplaceable({server, requiredPosition}: ReadPlan): boolean {
+    const primary = this.context.group.lease.getLastKnownPrimary()?.primary;
+    return (
+      requiredPosition !== null &&
+      !this.read.needsPrimary &&
+      primary === server.entry.backendServer
+    );
+  }
+
   /** Returns the leased primary if `server` is that primary, else null. */
   private findLeasedPrimary(server: BackendServerRuntime): TermPrimary | null {
     const leased = this.context.group.lease.getPrimary();
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -11,6 +11,7 @@
 import {
   getQueueDeadlineMs,
   getRemainingMs,
+  getWorkKind,
   type StatementContext,
 } from './gateway_context.js';
 import {
@@ -121,6 +122,7 @@
       identity: context.identity,
       deadlineMs: getQueueDeadlineMs(context),
       signal: context.signal,
+      workKind: getWorkKind(context, 'write'),
       isPreferred: pooled => pooled.isPreparedFor(this.write.session),
     });
     if (!leased.ok) {
