Groups: a server that refuses connections counts as full

Cause: a pool without connections whose last attempt was refused has no queue and all slots free, so selection by expected completion time sent reads there first.

Direct access does not use either value.

--- a/packages/gateway/src/group/backend_server_runtime.ts
+++ b/packages/gateway/src/group/backend_server_runtime.ts
@@ -270,9 +270,19 @@
     return isSameStart;
   }
 
+  /** Leases that the pool could grant without waiting for a release. */
+  get freeCapacity(): number {
+    const status = this.pool.getStatus();
+    return status.isConnectionLimitReached ? 0 : status.freeSlots;
+  }
+
   /** Expected wait of a new statement for a lease of the pool. */
   estimateQueueWaitMs(): number {
     const status = this.pool.getStatus();
+    if (status.isConnectionLimitReached) {
+      // Connections that a power loss left behind fill the server for seconds.
+      return MAX_CONNECT_BACK_OFF_MS;
+    }
     return estimateQueueWaitMs({
       ...status,
       maxConnections: this.maxConnections,
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -613,7 +613,7 @@
         expectedLagMs: server.expectedLagMs,
         roundTripMs: server.roundTripMs,
         expectedWaitMs: server.estimateQueueWaitMs(),
-        freeCapacity: server.pool.getStatus().freeSlots,
+        freeCapacity: server.freeCapacity,
         hasIdleConnection: server.pool.hasIdleConnection(identity),
         slowdown: this.estimateSlowdown(server),
       });
--- a/packages/gateway/src/group/shared_access_test.ts
+++ b/packages/gateway/src/group/shared_access_test.ts
@@ -189,6 +189,26 @@
     expect(harness.backend.openConnections.size).toBe(1);
   });
 
+  // Guards against reads sent to a server that refuses connections, which has
+  // no queue and so looked idle.
+  it('avoids a local server whose connection limit is reached', async () => {
+    harness.group.setSharedAccess(true);
+    moveServer('p', 1.8);
+    moveServer('r2', 1.8);
+    harness.backend.atConnectionLimit.add('r1');
+    await read();
+    expect(getCandidate('r1').freeCapacity).toBe(0);
+    expect(getCandidate('r1').expectedWaitMs).toBeGreaterThan(100);
+    harness.events.events.length = 0;
+    for (let count = 0; count < 5; count++) {
+      expect(await read()).toBe('r2');
+    }
+    const retried = harness.events.events.filter(
+      ({kind}) => kind === 'statementRetried',
+    );
+    expect(retried).toEqual([]);
+  });
+
   // Guards against reads that stay with a local server that answers 30 times
   // more slowly than one 0.9 ms away, and that return too late or never.
   it('leaves a local server while it is slow and returns afterwards', async () => {
