--- a/packages/pool/src/adaptive_control_test.ts
+++ b/packages/pool/src/adaptive_control_test.ts
@@ -2,7 +2,7 @@
 import type {ConcurrencyControl} from './concurrency_control.js';
 import {LatencyGradient} from './latency_gradient.js';
 import type {LeaseOutcome} from './pool_types.js';
-import {SlowStartLimit} from './slow_start_limit.js';
+import {SlowStartLimit} from './testing/slow_start_limit.js';
 
 const OPTIONS = {minimum: 1, maximum: 20, slots: 5};
 
@@ -123,6 +123,15 @@
 });
 
 describe('LatencyGradient', () => {
+  it('returns to the slots within 10 good responses after congestion', () => {
+    const control = LatencyGradient.create(OPTIONS);
+    record(control, 100);
+    record(control, 40, 60);
+    expect(control.value).toBeLessThan(3);
+    record(control, 10);
+    expect(control.value).toBeGreaterThanOrEqual(5);
+  });
+
   it('does not take a change of the mix of work for congestion', () => {
     const control = LatencyGradient.create(OPTIONS);
     for (const [workKind, latencyMs] of [
--- a/packages/pool/src/latency_baselines.ts
+++ b/packages/pool/src/latency_baselines.ts
@@ -1,23 +1,53 @@
-/** Weight of a latency in the long-term mean. */
-const LONG_TERM_WEIGHT = 0.02;
+/**
+ * Long-term mean latencies of one server. Each kind of work has a mean of its
+ * own, and all kinds share a factor by which the server is slower or faster
+ * than these means. A server that has restarted may be several times slower for
+ * some seconds, in which a pool gets only a few responses of each kind; the
+ * factor is known after the first few responses of any kind.
+ */
+
+/** Weight of a response in the short-term mean of the relative latency. */
+const SHORT_TERM_WEIGHT = 0.1;
+
+/**
+ * Weight of a latency in the long-term means. A latency changes two of them, and
+ * at 0.02 they followed a doubled latency before the short-term mean showed it.
+ */
+const LONG_TERM_WEIGHT = 0.005;
 
 /**
- * Weight of a latency of at least `HIGH_RATIO` times the mean. It is lower, so
- * that a queue does not soon count as normal.
+ * Weight in the long-term means while the server is unusually slow. It is
+ * lower, so that a queue does not soon count as normal. The weight depends on
+ * the short-term mean: chosen by single latencies, it biased the baseline to
+ * short statements, and with exponentially distributed durations a healthy
+ * server counted as congested.
  */
-const HIGH_LATENCY_WEIGHT = 0.005;
+const SLOW_WEIGHT = 0.002;
 
 /**
- * Weight of a latency of at most 1 / `HIGH_RATIO` times the mean. It is higher,
- * because only a server that became faster responds so early.
+ * Weight in the long-term means while the server is unusually fast. It is
+ * higher, because only a server that became faster responds so early.
  */
-const LOW_LATENCY_WEIGHT = 0.2;
+const FAST_WEIGHT = 0.05;
 
-/** First latencies of a kind, which count alike. */
-const WARM_UP_SAMPLES = 10;
+/** Ratio of the short-term to the long-term mean, or inverse, that is unusual. */
+const UNUSUAL_RATIO = 1.5;
 
-/** Ratio of a latency to the mean, or of the mean to it, that is unusual. */
-const HIGH_RATIO = 2;
+/**
+ * Responses in a row without an unusual latency after which a slow server counts
+ * as normal. The short-term mean alone needed about 16, which take 0.5 to 1.5 s
+ * at the request rates of a pool.
+ */
+const RECOVERY_RESPONSES = 4;
+
+/** Largest ratio of a latency that counts in the short-term mean. */
+const MAX_SINGLE_RATIO = 4;
+
+/** First latencies of a mean, which count alike. */
+const WARM_UP_SAMPLES = 5;
+
+/** Lower bound of means, so that a latency of 0 leads to no division by 0. */
+const MIN_MEAN = 0.001;
 
 /** Kinds of work with a mean of their own; further kinds share one. */
 const MAX_KINDS = 64;
@@ -25,14 +55,18 @@
 /** Key of the mean that further kinds share. */
 const SHARED_KIND = '';
 
-interface Baseline {
-  meanMs: number;
+interface Mean {
+  value: number;
   samples: number;
 }
 
-/** Long-term mean latencies by kind of work. @internal */
+/** Baselines of the latency by kind of work. @internal */
 export class LatencyBaselines {
-  private readonly baselines = new Map<string, Baseline>();
+  private readonly kinds = new Map<string, Mean>();
+  private factor: Mean = createNeutralFactor();
+  private shortTerm = 1;
+  /** Latest responses in a row without an unusual latency. */
+  private normalResponses = 0;
 
   private constructor() {}
 
@@ -40,40 +74,73 @@
     return new LatencyBaselines();
   }
 
+  /** Short-term mean of the latency relative to the long-term means. */
+  get shortTermRatio(): number {
+    return this.shortTerm;
+  }
+
+  record(workKind: string, latencyMs: number): void {
+    const kind = this.getKind(workKind);
+    const relative = latencyMs / this.factor.value;
+    if (kind.value <= 0) {
+      kind.value = relative;
+      kind.samples = 1;
+      return;
+    }
+    const ratioToKind = latencyMs / kind.value;
+    const ratio = Math.min(ratioToKind / this.factor.value, MAX_SINGLE_RATIO);
+    this.updateShortTerm(ratio);
+    const weight = chooseWeight(this.shortTerm);
+    addSample(kind, relative, weight);
+    addSample(this.factor, ratioToKind, weight);
+  }
+
   /**
-   * Records a latency and returns its ratio to the earlier mean of its kind, or
-   * 1 for the first of a kind.
+   * Learns the server's factor anew from the next responses; the kinds' means
+   * remain.
    */
-  record(workKind: string, latencyMs: number): number {
-    const kind = this.chooseKind(workKind);
-    const baseline = this.baselines.get(kind);
-    if (baseline === undefined) {
-      this.baselines.set(kind, {meanMs: latencyMs, samples: 1});
-      return 1;
-    }
-    const ratio = baseline.meanMs > 0 ? latencyMs / baseline.meanMs : 1;
-    baseline.samples++;
-    const weight =
-      baseline.samples <= WARM_UP_SAMPLES
-        ? 1 / baseline.samples
-        : chooseWeight(ratio);
-    baseline.meanMs += (latencyMs - baseline.meanMs) * weight;
-    return ratio;
+  restart(): void {
+    this.factor = {value: this.factor.value, samples: 0};
+    this.shortTerm = 1;
   }
 
-  clear(): void {
-    this.baselines.clear();
+  private updateShortTerm(ratio: number): void {
+    this.shortTerm += (ratio - this.shortTerm) * SHORT_TERM_WEIGHT;
+    this.normalResponses =
+      ratio <= UNUSUAL_RATIO ? this.normalResponses + 1 : 0;
+    if (this.normalResponses >= RECOVERY_RESPONSES) {
+      this.shortTerm = Math.min(this.shortTerm, 1);
+    }
   }
 
-  private chooseKind(workKind: string): string {
-    const isKnown = this.baselines.has(workKind);
-    return isKnown || this.baselines.size < MAX_KINDS ? workKind : SHARED_KIND;
+  private getKind(workKind: string): Mean {
+    const isShared = !this.kinds.has(workKind) && this.kinds.size >= MAX_KINDS;
+    const key = isShared ? SHARED_KIND : workKind;
+    const known = this.kinds.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const kind = {value: 0, samples: 0};
+    this.kinds.set(key, kind);
+    return kind;
   }
 }
 
-function chooseWeight(ratio: number): number {
-  if (ratio >= HIGH_RATIO) {
-    return HIGH_LATENCY_WEIGHT;
+/** A factor that has not been observed counts as 1 with full confidence. */
+function createNeutralFactor(): Mean {
+  return {value: 1, samples: WARM_UP_SAMPLES};
+}
+
+function addSample(mean: Mean, sample: number, weight: number): void {
+  mean.samples++;
+  const isWarmUp = mean.samples <= WARM_UP_SAMPLES;
+  const change = (sample - mean.value) * (isWarmUp ? 1 / mean.samples : weight);
+  mean.value = Math.max(mean.value + change, MIN_MEAN);
+}
+
+function chooseWeight(shortTermRatio: number): number {
+  if (shortTermRatio >= UNUSUAL_RATIO) {
+    return SLOW_WEIGHT;
   }
-  return ratio <= 1 / HIGH_RATIO ? LOW_LATENCY_WEIGHT : LONG_TERM_WEIGHT;
+  return shortTermRatio <= 1 / UNUSUAL_RATIO ? FAST_WEIGHT : LONG_TERM_WEIGHT;
 }
--- a/packages/pool/src/latency_gradient.ts
+++ b/packages/pool/src/latency_gradient.ts
@@ -9,14 +9,12 @@
 /** Factor of the limit at a rejection, failure or timeout. */
 const REDUCTION_FACTOR = 0.5;
 
-/** Weight of a response in the short-term mean of the relative latency. */
-const SHORT_TERM_WEIGHT = 0.2;
-
 /**
- * Relative latency up to which a server does not count as congested. Twice the
- * long-term mean is a queue as long as the work in progress.
+ * Relative latency up to which a server does not count as congested. At 1.5,
+ * exponentially distributed durations looked like congestion (2.2 standard
+ * deviations of the short-term mean); at 2, the queue at the server was longer.
  */
-const TOLERATED_RATIO = 2;
+const TOLERATED_RATIO = 1.75;
 
 /** Smallest factor by which the gradient reduces the limit per round trip. */
 const MIN_GRADIENT = 0.5;
@@ -34,7 +32,6 @@
   private readonly streak = ResponseStreak.create();
   private readonly baselines = LatencyBaselines.create();
   private limit: number;
-  private shortTermRatio = 1;
 
   private constructor(private options: ConcurrencyOptions) {
     this.limit = this.clamp(options.slots);
@@ -64,10 +61,9 @@
       return;
     }
     if (latencyMs !== null) {
-      const ratio = this.baselines.record(workKind, latencyMs);
-      this.shortTermRatio += (ratio - this.shortTermRatio) * SHORT_TERM_WEIGHT;
+      this.baselines.record(workKind, latencyMs);
     }
-    if (this.shortTermRatio > TOLERATED_RATIO) {
+    if (this.baselines.shortTermRatio > TOLERATED_RATIO) {
       this.followGradient();
     } else if (verdict === 'grow' && sample.activeAtStart >= this.value) {
       this.grow();
@@ -76,8 +72,7 @@
 
   restart(): void {
     this.streak.restart();
-    this.baselines.clear();
-    this.shortTermRatio = 1;
+    this.baselines.restart();
     this.limit = this.clamp(1);
   }
 
@@ -85,7 +80,7 @@
   private followGradient(): void {
     const gradient = Math.max(
       MIN_GRADIENT,
-      TOLERATED_RATIO / this.shortTermRatio,
+      TOLERATED_RATIO / this.baselines.shortTermRatio,
     );
     this.limit = this.clamp(this.limit - (1 - gradient));
   }
--- a/packages/pool/src/response_streak.ts
+++ b/packages/pool/src/response_streak.ts
@@ -1,7 +1,7 @@
 import type {LeaseOutcome} from './pool_types.js';
 
 /**
- * Good responses in a row from which a limit may grow. With 30% failures it
+ * Good responses in a row after a bad one from which a limit may grow. With 30% failures it
  * admits about a third of the good responses, so that reductions outweigh
  * growth; a recovered server needs two responses more.
  */
@@ -19,7 +19,7 @@
  * @internal
  */
 export class ResponseStreak {
-  private goodResponses = 0;
+  private goodResponses = GROWTH_STREAK;
   /** Responses to come from before the last reduction. */
   private outdatedResponses = 0;
 
@@ -48,8 +48,9 @@
     return 'reduce';
   }
 
+  /** Forgets earlier responses; the next good one may cause growth. */
   restart(): void {
-    this.goodResponses = 0;
+    this.goodResponses = GROWTH_STREAK;
     this.outdatedResponses = 0;
   }
 }
--- a/packages/pool/src/slow_start_limit.ts
+++ b/packages/pool/src/testing/slow_start_limit.ts
@@ -2,9 +2,9 @@
   ConcurrencyControl,
   ConcurrencyOptions,
   ConcurrencySample,
-} from './concurrency_control.js';
-import {ConcurrencyLimit} from './concurrency_limit.js';
-import {ResponseStreak} from './response_streak.js';
+} from '../concurrency_control.js';
+import {ConcurrencyLimit} from '../concurrency_limit.js';
+import {ResponseStreak} from '../response_streak.js';
 
 /** Factor of the limit at a rejection, failure or timeout. */
 const REDUCTION_FACTOR = 0.5;
@@ -12,7 +12,8 @@
 /**
  * Additive increase and multiplicative decrease with a slow start: the limit
  * grows with each good response up to the configured slots, and by the windows
- * of `ConcurrencyLimit` above them.
+ * of `ConcurrencyLimit` above them. No pool uses it; it is the alternative to
+ * which `adaptive_pacing_replay_test.ts` compares `LatencyGradient`.
  *
  * @internal
  */
