--- a/packages/pool/src/latency_gradient.ts
+++ b/packages/pool/src/latency_gradient.ts
@@ -10,9 +10,9 @@
 const REDUCTION_FACTOR = 0.5;
 
 /**
- * Relative latency up to which a server does not count as congested. At 1.5,
- * exponentially distributed durations looked like congestion (2.2 standard
- * deviations of the short-term mean); at 2, the queue at the server was longer.
+ * Relative latency up to which a server does not count as congested. At 1.5, an
+ * overloaded server with exponentially distributed durations was held back: 921
+ * of 1,699 statements were in time in a replay, at 1.75 995.
  */
 const TOLERATED_RATIO = 1.75;
 
