Pool: sort the entries of a priority once for a pass over the fair queue

The linear search for the next identity took about 0.5 ms for a review of 256 entries of 88 identities, and overload reviews up to 250 times a second.

--- a/packages/pool/src/fair_lane.ts
+++ b/packages/pool/src/fair_lane.ts
@@ -15,16 +15,15 @@
 
 /** Queued entries of an identity and the work that it has used. */
 interface Flow<E> {
-  /** By deadline. Replaced on each change, so iterations keep their state. */
+  /** By deadline. */
   entries: readonly E[];
   /** Start tag of the next entry; the finish tag of the last served one. */
   startTag: number;
 }
 
-interface Cursor<E> {
-  readonly entries: readonly E[];
-  index: number;
-  tag: number;
+interface TaggedEntry<E> {
+  readonly entry: E;
+  readonly tag: number;
 }
 
 /** Number of identities without entries at which expired ones are removed. */
@@ -99,27 +98,18 @@
     flow.startTag = Math.max(correctedTag, this.virtualTime);
   }
 
-  /** Yields the entries in the order of service, without changing the tags. */
-  *iterate(): Generator<E, void, undefined> {
-    let cursors: Cursor<E>[] = [];
+  /** Returns the entries in the order of service. */
+  getAll(): readonly E[] {
+    const tagged: TaggedEntry<E>[] = [];
     for (const {entries, startTag} of this.flows.values()) {
-      if (entries.length > 0) {
-        cursors.push({entries, index: 0, tag: startTag});
-      }
-    }
-    while (cursors.length > 0) {
-      const next = findFirst(cursors);
-      const entry = next?.entries[next.index];
-      if (next === null || entry === undefined) {
-        return;
-      }
-      yield entry;
-      next.index++;
-      next.tag += entry.workMs;
-      if (next.index === next.entries.length) {
-        cursors = cursors.filter(cursor => cursor !== next);
+      let tag = startTag;
+      for (const entry of entries) {
+        tagged.push({entry, tag});
+        tag += entry.workMs;
       }
     }
+    tagged.sort(compareTagged);
+    return tagged.map(({entry}) => entry);
   }
 
   /** Returns the entries served before `entry`, which may be queued or not. */
@@ -145,8 +135,8 @@
   }
 
   /** Returns the entry with the highest start tag and that tag. */
-  findLast(): {readonly entry: E; readonly tag: number} | null {
-    let last: {readonly entry: E; readonly tag: number} | null = null;
+  findLast(): TaggedEntry<E> | null {
+    let last: TaggedEntry<E> | null = null;
     for (const {entries, startTag} of this.flows.values()) {
       let tag = startTag;
       for (const entry of entries) {
@@ -209,27 +199,10 @@
   return index < 0 ? entries.length : index;
 }
 
-/** Returns the cursor of the lowest tag, among equals the earliest deadline. */
-function findFirst<E extends QueuedEntry>(
-  cursors: readonly Cursor<E>[],
-): Cursor<E> | null {
-  let first: Cursor<E> | null = null;
-  for (const cursor of cursors) {
-    if (first === null || isBefore(cursor, first)) {
-      first = cursor;
-    }
-  }
-  return first;
-}
-
-function isBefore<E extends QueuedEntry>(
-  left: Cursor<E>,
-  right: Cursor<E>,
-): boolean {
-  if (left.tag !== right.tag) {
-    return left.tag < right.tag;
-  }
-  const leftMs = left.entries[left.index]?.deadlineMs ?? Infinity;
-  const rightMs = right.entries[right.index]?.deadlineMs ?? Infinity;
-  return leftMs < rightMs;
+/** Orders by tag, entries of the same tag by deadline. */
+function compareTagged<E extends QueuedEntry>(
+  left: TaggedEntry<E>,
+  right: TaggedEntry<E>,
+): number {
+  return left.tag - right.tag || left.entry.deadlineMs - right.entry.deadlineMs;
 }
--- a/packages/pool/src/fair_queue.ts
+++ b/packages/pool/src/fair_queue.ts
@@ -56,7 +56,7 @@
 
   *getAll(): Generator<E, void, undefined> {
     for (const priority of PRIORITY_ORDER) {
-      yield* this.lanes[priority].iterate();
+      yield* this.lanes[priority].getAll();
     }
   }
 
