--- a/packages/gateway/src/session/operation_executor.ts
+++ b/packages/gateway/src/session/operation_executor.ts
@@ -7,6 +7,7 @@
   StatementReply,
 } from '../statement/statement_answer.js';
 import type {StatementContext} from './gateway_context.js';
+import {getResponseOutcome} from './lease_outcome.js';
 import type {OpenTransaction} from './open_transaction.js';
 import {ReadExecutor, type AnsweredRead} from './read_executor.js';
 import {createErrorReply} from './refusal.js';
@@ -71,7 +72,8 @@
       return createErrorResult(result);
     }
     const {answer, lease} = result;
-    lease.release(answer.transactionState === 'idle' ? 'clean' : 'dirty');
+    const condition = answer.transactionState === 'idle' ? 'clean' : 'dirty';
+    lease.release(condition, getResponseOutcome(answer.result));
     return createResult(answer);
   }
 
@@ -104,7 +106,7 @@
     }
     const {answer, lease} = result;
     if (answer.transactionState === 'idle') {
-      lease.release('clean');
+      lease.release('clean', getResponseOutcome(answer.result));
       return createResult(answer);
     }
     const transaction = SessionTransaction.create(
