Forwarding: a holder frees what a follower no longer waits for

Callers could see three faults. A planned shutdown of a holder ended the streams while forwarded single statements were running, because only open transactions were counted, so that writes had an unknown outcome. A BEGIN whose reply crossed the follower's timeout kept its connection until the idle timeout, because a holder ignores the cancel of an exchange that it has answered. The statement of a caller that had left stayed in the holder's queue until its deadline, because the follower did not cancel it.

The holder counts single statements, the follower abandons a BEGIN that it has given up, and an exchange is cancelled when the caller leaves; a write is then reported as of unknown outcome.

--- a/packages/gateway/src/forwarding/describe_forward_error.ts
+++ b/packages/gateway/src/forwarding/describe_forward_error.ts
@@ -9,6 +9,8 @@
       return `stream lost: ${error.reason}`;
     case 'timedOut':
       return 'timed out';
+    case 'cancelled':
+      return 'cancelled';
     case 'declined':
       return `declined: ${error.reason}`;
   }
--- a/packages/gateway/src/forwarding/forward_client_stream.ts
+++ b/packages/gateway/src/forwarding/forward_client_stream.ts
@@ -25,6 +25,8 @@
   /** The stream ended after the message was sent. */
   | {readonly kind: 'connectionLost'; readonly reason: string}
   | {readonly kind: 'timedOut'}
+  /** The exchange was given up; its statement may have run. */
+  | {readonly kind: 'cancelled'}
   /** The holder did not take the exchange; nothing was executed. */
   | {readonly kind: 'declined'; readonly reason: DeclineReason};
 
@@ -133,6 +135,14 @@
     };
   }
 
+  /**
+   * Gives up a pending exchange. The holder removes its statement from the queue
+   * if it was not sent to a backend server yet.
+   */
+  cancel(exchangeId: number): void {
+    this.giveUp(exchangeId, {kind: 'cancelled'});
+  }
+
   /** Has the holder roll back a transaction. */
   abandon(transactionId: number): void {
     this.sendControl({kind: 'abandon', transactionId});
@@ -171,7 +181,7 @@
     return new Promise(settle => {
       const timer = this.options.clock.startTimer(
         Math.min(timeoutMs, MAX_TIMEOUT_MS),
-        () => this.handleTimeout(exchangeId),
+        () => this.giveUp(exchangeId, {kind: 'timedOut'}),
       );
       this.pending.set(exchangeId, {timer, settle});
       if (this.pending.size === 1) {
@@ -197,11 +207,9 @@
     return null;
   }
 
-  private handleTimeout(exchangeId: number): void {
-    const exchange = this.pending.get(exchangeId);
-    if (exchange !== undefined) {
-      this.removePending(exchangeId);
-      exchange.settle(failure({kind: 'timedOut'}));
+  private giveUp(exchangeId: number, error: ForwardError): void {
+    if (this.pending.has(exchangeId)) {
+      this.settle(exchangeId, failure(error));
       this.sendControl({kind: 'cancel', exchangeId});
     }
   }
--- a/packages/gateway/src/forwarding/forwarded_operation_host.ts
+++ b/packages/gateway/src/forwarding/forwarded_operation_host.ts
@@ -52,9 +52,9 @@
     return new ForwardedOperationHost(options);
   }
 
-  /** Number of open transactions. */
+  /** Number of transactions under way; a single statement counts as one. */
   get transactionCount(): number {
-    return this.transactions.size;
+    return this.pending.size + this.transactions.size;
   }
 
   async handleOperation(
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -81,7 +81,10 @@
     return new Forwarding(options);
   }
 
-  /** Number of open transactions of followers. */
+  /**
+   * Number of transactions of followers that are under way; a single statement
+   * counts as one.
+   */
   get transactionCount(): number {
     let count = 0;
     for (const {host} of this.accepted) {
@@ -161,7 +164,7 @@
     );
     metrics.setGauge(
       'filbertrun_forwarded_transactions_open',
-      'Open transactions of followers.',
+      'Transactions of followers under way, single statements included.',
       this.transactionCount,
     );
   }
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -17,6 +17,8 @@
 import type {
   ForwardClientStream,
   ForwardError,
+  ForwardExchange,
+  ForwardResult,
 } from './forward_client_stream.js';
 import {describeForwardError} from './describe_forward_error.js';
 import {
@@ -87,8 +89,11 @@
       if (stream === null) {
         continue;
       }
-      const remainingMs = getRemainingMs(context);
-      if (remainingMs <= 0) {
+      if (context.signal?.aborted === true) {
+        recordRefused(context, {kind: 'cancelled'}, 'the caller has left');
+        return createErrorResult({kind: 'cancelled'});
+      }
+      if (getRemainingMs(context) <= 0) {
         recordRefused(context, SERVER_UNAVAILABLE, 'no holder answered');
         return createErrorResult(SERVER_UNAVAILABLE);
       }
@@ -124,7 +129,7 @@
       databaseGroup: group.databaseGroup,
       holder: holder.entryVm,
     });
-    const result = await exchange.result;
+    const result = await this.awaitResult(context, stream, exchange);
     if (!result.ok) {
       events.record({
         kind: 'forwardingFailed',
@@ -136,6 +141,12 @@
       if (result.error.kind === 'declined') {
         streams.avoid(holder);
       }
+      const isGivenUp =
+        result.error.kind === 'timedOut' || result.error.kind === 'cancelled';
+      if (isGivenUp && message.statement.kind === 'begin') {
+        // The holder ignores the cancel of an exchange that it has answered.
+        stream.abandon(exchange.exchangeId);
+      }
       return this.classifyError(context, message, result.error);
     }
     streams.recordAnswer(holder);
@@ -155,6 +166,21 @@
     return {kind: 'answered', result: {reply, committedPosition, transaction}};
   }
 
+  /** Waits for the result of an exchange until the caller leaves. */
+  private async awaitResult(
+    {signal}: StatementContext,
+    stream: ForwardClientStream,
+    {exchangeId, result}: ForwardExchange,
+  ): Promise<ForwardResult> {
+    const cancel = () => stream.cancel(exchangeId);
+    signal?.addEventListener('abort', cancel);
+    try {
+      return await result;
+    } finally {
+      signal?.removeEventListener('abort', cancel);
+    }
+  }
+
   private classifyError(
     context: StatementContext,
     {isWrite}: ForwardedOperation,
@@ -171,6 +197,14 @@
         return isWrite || error.kind === 'timedOut'
           ? {kind: 'outcomeUnknown', reason: `holder: ${error.kind}`}
           : {kind: 'tryNext'};
+      case 'cancelled':
+        context.permit.markSent();
+        return isWrite
+          ? {kind: 'outcomeUnknown', reason: 'the caller has left'}
+          : {
+              kind: 'answered',
+              result: createErrorResult({kind: 'cancelled'}),
+            };
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -586,7 +586,10 @@
     this.forwarding.accept(channel);
   }
 
-  /** Number of open transactions that other proxies have forwarded. */
+  /**
+   * Number of forwarded transactions under way on this proxy; a single statement
+   * counts as one.
+   */
   get forwardedTransactionCount(): number {
     return this.forwarding.transactionCount;
   }
