Connection shares: single restarts do not change the access of a group

Operators could see a group alternate between direct and shared access when a proxy was restarted in a deployment at the threshold (27 proxies before 82 connections, or 3 proxies for each zone): each change replaced the order of all queues and closed the holder's connections. The cause was one threshold for both directions. Shared access now ends only at a direct share of 3, or with less than 2 proxies for each zone. Groups with direct access start to share where they did before.

--- a/packages/gateway/src/control/compute_zone_share.ts
+++ b/packages/gateway/src/control/compute_zone_share.ts
@@ -10,13 +10,31 @@
  * to an instance, and callers of different customers would take turns on it.
  */
 
-/** Smallest direct share with which a proxy uses its own connections. */
-const MIN_DIRECT_SHARE = 2;
+/** Thresholds between direct and shared access. */
+interface AccessThresholds {
+  /** Smallest direct share with which a proxy uses its own connections. */
+  readonly minDirectShare: number;
+  /**
+   * Smallest mean number of proxies in a zone with which sharing saves
+   * connections.
+   */
+  readonly minProxiesPerZone: number;
+}
+
+const START_THRESHOLDS: AccessThresholds = {
+  minDirectShare: 2,
+  minProxiesPerZone: 3,
+};
 
 /**
- * Smallest mean number of proxies in a zone with which sharing saves connections.
+ * Thresholds while access is shared. The difference keeps the access when single
+ * proxies are restarted: each change empties the pools of connections that the
+ * other access does not use.
  */
-const MIN_PROXIES_PER_ZONE = 3;
+const KEEP_THRESHOLDS: AccessThresholds = {
+  minDirectShare: 3,
+  minProxiesPerZone: 2,
+};
 
 /**
  * Fraction of the holder's share that a restarted proxy may open while an
@@ -38,17 +56,28 @@
   readonly mayHaveOrphans: boolean;
 }
 
-/** Whether operations are forwarded to the holder of a zone. @public */
-export function isAccessShared(inputs: ZoneShareInputs): boolean {
+/**
+ * Whether operations are forwarded to the holder of a zone. `wasShared` tells
+ * whether they have been until now.
+ *
+ * @public
+ */
+export function isAccessShared(
+  inputs: ZoneShareInputs,
+  wasShared = false,
+): boolean {
   const {maxConnections, entryVmCount, zoneCount} = inputs;
+  const {minDirectShare, minProxiesPerZone} = wasShared
+    ? KEEP_THRESHOLDS
+    : START_THRESHOLDS;
   const directShare = computeConnectionShare({
     maxConnections,
     entryVmCount,
     mayHaveOrphans: false,
   });
   return (
-    directShare < MIN_DIRECT_SHARE &&
-    entryVmCount >= MIN_PROXIES_PER_ZONE * zoneCount
+    directShare < minDirectShare &&
+    entryVmCount >= minProxiesPerZone * zoneCount
   );
 }
 
--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -14,7 +14,10 @@
 export interface ConnectionSharesOptions {
   readonly clock: Clock;
   readonly events: GatewayEventRecorder;
-  readonly registration: EntryVmRegistration;
+  readonly registration: Pick<
+    EntryVmRegistration,
+    'getEntryVms' | 'getOtherEntryVms' | 'hasPredecessor'
+  >;
   readonly groups: ReadonlyMap<string, GroupRuntime>;
   /** Whether this proxy can forward operations to others. */
   readonly canForward: boolean;
@@ -99,7 +102,8 @@
       zoneCount: countZones(registration.getEntryVms()),
       mayHaveOrphans,
     };
-    if (!canForward || !isAccessShared(inputs)) {
+    const wasShared = this.accesses.get(databaseGroup)?.isShared ?? false;
+    if (!canForward || !isAccessShared(inputs, wasShared)) {
       return {
         isShared: false,
         isHolder: false,
--- /dev/null
+++ b/packages/gateway/src/control/connection_shares_test.ts
@@ -0,0 +1,98 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {GroupRuntime} from '../group/group_runtime.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
+import {SessionTestHarness} from '../testing/session_test_harness.js';
+import {ConnectionShares} from './connection_shares.js';
+import type {EntryVmRecord} from './control_record.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+const FORWARD_PORT = 1;
+
+/**
+ * Connection limit with which 20 proxies have a direct share of 3, 26 one of 2
+ * and 27 one of 1.
+ */
+const MAX_CONNECTIONS = 82;
+
+function createRecords(count: number): readonly EntryVmRecord[] {
+  const records: EntryVmRecord[] = [];
+  for (let index = 0; index < count; index++) {
+    const zone = ZONES[index % ZONES.length] ?? '';
+    records.push(
+      createEntryVmRecord(`vm-${index}`, zone, {forwardPort: FORWARD_PORT}),
+    );
+  }
+  return records;
+}
+
+describe('ConnectionShares', () => {
+  let harness: SessionTestHarness;
+  let group: GroupRuntime;
+  let records: readonly EntryVmRecord[];
+  let maxConnections: number;
+  let shares: ConnectionShares;
+
+  beforeEach(() => {
+    harness = SessionTestHarness.create();
+    ({group} = harness);
+    records = [];
+    maxConnections = MAX_CONNECTIONS;
+    shares = ConnectionShares.create({
+      clock: harness.clock,
+      events: harness.events,
+      registration: {
+        getEntryVms: () => records,
+        getOtherEntryVms: () => records.slice(1),
+        hasPredecessor: false,
+      },
+      groups: new Map([['group', group]]),
+      canForward: true,
+      getConfiguration: () => ({
+        ...harness.getConfiguration(),
+        databaseGroups: new Map([
+          [
+            'group',
+            {
+              databaseGroup: 'group',
+              maxConnections,
+              synchronousReplicaCount: 1,
+            },
+          ],
+        ]),
+      }),
+      hasRegistrations: () => true,
+      isHolder: () => false,
+    });
+  });
+
+  function apply(entryVmCount: number): boolean {
+    records = createRecords(entryVmCount);
+    shares.apply();
+    return group.hasSharedAccess;
+  }
+
+  // Guards against pools that change their order and their connections each time
+  // a proxy is restarted.
+  it('keeps shared access while single proxies come and go', () => {
+    expect(apply(26)).toBe(false);
+    expect(apply(27)).toBe(true);
+    expect(apply(26)).toBe(true);
+    expect(apply(27)).toBe(true);
+  });
+
+  // Guards against the same where zones have just enough proxies to share.
+  it('keeps shared access while a proxy of a small zone is restarted', () => {
+    maxConnections = 16;
+    expect(apply(8)).toBe(false);
+    expect(apply(9)).toBe(true);
+    expect(apply(8)).toBe(true);
+    expect(apply(5)).toBe(false);
+  });
+
+  // Guards against shared access where proxies have always had 3 connections.
+  it('returns to direct access when each proxy may open three connections', () => {
+    expect(apply(27)).toBe(true);
+    expect(apply(20)).toBe(false);
+  });
+});
