Forwarding: a follower looks for a holder for a limited time

Callers of a proxy that was cut off from its zone waited for one connection timeout (250 ms) for each proxy of the zone before its own connection was used, and often reached their deadline. An operation now waits for connections to holders for 400 ms at most, besides the attempt that is under way.

A holder that declined 5 operations at once, for instance just after its start, was avoided for 8 s, because each of them counted as a failure of its own. Operations that are under way together now count as one.

--- a/packages/gateway/src/forwarding/forward_streams.ts
+++ b/packages/gateway/src/forwarding/forward_streams.ts
@@ -77,15 +77,22 @@
     return null;
   }
 
-  /** Records that a holder declined or failed, so that others are used. */
+  /**
+   * Records that a holder declined or failed, so that others are used. Operations
+   * that were under way together count as one failure.
+   */
   avoid(holder: Holder): void {
     const state = this.getState(holder);
+    const nowMs = this.options.clock.nowMs();
+    if (nowMs < state.avoidedUntilMs) {
+      return;
+    }
     const delayMs = Math.min(
       MAX_RETRY_DELAY_MS,
       MIN_RETRY_DELAY_MS * 2 ** state.failureCount,
     );
     state.failureCount++;
-    state.avoidedUntilMs = this.options.clock.nowMs() + delayMs;
+    state.avoidedUntilMs = nowMs + delayMs;
   }
 
   /** Records that a holder has answered. */
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -44,6 +44,12 @@
 /** Number of holders that one operation is sent to. */
 const MAX_HOLDERS = 3;
 
+/**
+ * Time that one operation waits for connections to holders. A proxy that is cut
+ * off from its zone would wait for one connection timeout for each holder.
+ */
+const MAX_CONNECT_WAIT_MS = 400;
+
 /**
  * Time beyond the deadline of a statement for which a follower waits for the
  * holder, which reports the timeout itself.
@@ -80,12 +86,18 @@
     if (!context.group.hasSharedAccess || statement === null) {
       return local.execute(context, operation);
     }
+    const {clock} = context.gateway;
     let attempts = 0;
+    let connectWaitMs = 0;
     for (const holder of holders.rank(context.group.databaseGroup)) {
-      if (holder.entryVm === entryVm || attempts >= MAX_HOLDERS) {
+      const isOver =
+        attempts >= MAX_HOLDERS || connectWaitMs >= MAX_CONNECT_WAIT_MS;
+      if (holder.entryVm === entryVm || isOver) {
         break;
       }
+      const startedAtMs = clock.nowMs();
       const stream = await streams.get(holder);
+      connectWaitMs += clock.nowMs() - startedAtMs;
       if (stream === null) {
         continue;
       }
--- a/packages/gateway/src/testing/forwarding_test_harness.ts
+++ b/packages/gateway/src/testing/forwarding_test_harness.ts
@@ -1,4 +1,5 @@
 import {failure, success} from '@filbertrun/base/result.js';
+import {sleep} from '@filbertrun/base/sleep.js';
 import type {ForwardConnector} from '../forwarding/forward_streams.js';
 import {Forwarding} from '../forwarding/forwarding.js';
 import type {DeclineReason} from '../forwarding/forward_message.js';
@@ -42,6 +43,8 @@
   readonly sessions = SessionTestHarness.create();
   readonly holders: readonly HarnessHolder[];
   readonly follower: Forwarding;
+  /** Duration of a connection attempt to a holder. */
+  connectTimeMs = 0;
   private readonly context: GatewayContext;
 
   private constructor(holderCount: number) {
@@ -52,7 +55,12 @@
       created.push(this.createHolder(`holder-${index}`));
     }
     this.follower = this.createForwarding(FOLLOWER, {
-      connect: ({entryVm}) => Promise.resolve(this.connect(entryVm)),
+      connect: async ({entryVm}) => {
+        if (this.connectTimeMs > 0) {
+          await sleep(this.sessions.clock, this.connectTimeMs);
+        }
+        return this.connect(entryVm);
+      },
     });
     const records = created.map(({entryVm}) =>
       createEntryVmRecord(entryVm, 'zone-a', {forwardPort: FORWARD_PORT}),
