--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -17,6 +17,8 @@
 import type {
   ForwardClientStream,
   ForwardError,
+  ForwardExchange,
+  ForwardResult,
 } from './forward_client_stream.js';
 import {describeForwardError} from './describe_forward_error.js';
 import {
@@ -42,6 +44,12 @@
 /** Number of holders that one operation is sent to. */
 const MAX_HOLDERS = 3;
 
+/**
+ * Time that one operation waits for connections to holders. A proxy that is cut
+ * off from its zone would wait for one connection timeout for each holder.
+ */
+const MAX_CONNECT_WAIT_MS = 400;
+
 /**
  * Time beyond the deadline of a statement for which a follower waits for the
  * holder, which reports the timeout itself.
@@ -78,17 +86,26 @@
     if (!context.group.hasSharedAccess || statement === null) {
       return local.execute(context, operation);
     }
+    const {clock} = context.gateway;
     let attempts = 0;
+    let connectWaitMs = 0;
     for (const holder of holders.rank(context.group.databaseGroup)) {
-      if (holder.entryVm === entryVm || attempts >= MAX_HOLDERS) {
+      const isOver =
+        attempts >= MAX_HOLDERS || connectWaitMs >= MAX_CONNECT_WAIT_MS;
+      if (holder.entryVm === entryVm || isOver) {
         break;
       }
+      const startedAtMs = clock.nowMs();
       const stream = await streams.get(holder);
+      connectWaitMs += clock.nowMs() - startedAtMs;
       if (stream === null) {
         continue;
       }
-      const remainingMs = getRemainingMs(context);
-      if (remainingMs <= 0) {
+      if (context.signal?.aborted === true) {
+        recordRefused(context, {kind: 'cancelled'}, 'the caller has left');
+        return createErrorResult({kind: 'cancelled'});
+      }
+      if (getRemainingMs(context) <= 0) {
         recordRefused(context, SERVER_UNAVAILABLE, 'no holder answered');
         return createErrorResult(SERVER_UNAVAILABLE);
       }
@@ -124,7 +141,7 @@
       databaseGroup: group.databaseGroup,
       holder: holder.entryVm,
     });
-    const result = await exchange.result;
+    const result = await this.awaitResult(context, stream, exchange);
     if (!result.ok) {
       events.record({
         kind: 'forwardingFailed',
@@ -136,6 +153,12 @@
       if (result.error.kind === 'declined') {
         streams.avoid(holder);
       }
+      const isGivenUp =
+        result.error.kind === 'timedOut' || result.error.kind === 'cancelled';
+      if (isGivenUp && message.statement.kind === 'begin') {
+        // The holder ignores the cancel of an exchange that it has answered.
+        stream.abandon(exchange.exchangeId);
+      }
       return this.classifyError(context, message, result.error);
     }
     streams.recordAnswer(holder);
@@ -155,6 +178,21 @@
     return {kind: 'answered', result: {reply, committedPosition, transaction}};
   }
 
+  /** Waits for the result of an exchange until the caller leaves. */
+  private async awaitResult(
+    {signal}: StatementContext,
+    stream: ForwardClientStream,
+    {exchangeId, result}: ForwardExchange,
+  ): Promise<ForwardResult> {
+    const cancel = () => stream.cancel(exchangeId);
+    signal?.addEventListener('abort', cancel);
+    try {
+      return await result;
+    } finally {
+      signal?.removeEventListener('abort', cancel);
+    }
+  }
+
   private classifyError(
     context: StatementContext,
     {isWrite}: ForwardedOperation,
@@ -171,6 +209,14 @@
         return isWrite || error.kind === 'timedOut'
           ? {kind: 'outcomeUnknown', reason: `holder: ${error.kind}`}
           : {kind: 'tryNext'};
+      case 'cancelled':
+        context.permit.markSent();
+        return isWrite
+          ? {kind: 'outcomeUnknown', reason: 'the caller has left'}
+          : {
+              kind: 'answered',
+              result: createErrorResult({kind: 'cancelled'}),
+            };
     }
   }
 }
