Session: a response that arrives as its transaction is abandoned is no exception

Cause: SessionTransaction.handle used the connection after the await, though abandon() may have given it back meanwhile. Change: such a response counts as a lost connection.

--- a/packages/gateway/src/session/caller_session_test.ts
+++ b/packages/gateway/src/session/caller_session_test.ts
@@ -182,6 +182,23 @@
     expect(harness.backend.runs.at(-1)?.isInTransaction).toBe(false);
   });
 
+  // Guards against an exception when a response arrives as the caller leaves,
+  // which at a holder ended the stream of all callers of a follower.
+  it('handles a response that arrives after the session was closed', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, BEGIN);
+    const reply = session.handle({
+      requestId: 'w',
+      statement: WRITE,
+      receivedAtMs: harness.clock.nowMs(),
+    });
+    await settlePromises();
+    session.close();
+    await advanceClock(harness.clock, 10);
+    expect(errorKind(await reply)).toBe('transactionLost');
+    expect(harness.backend.committedWrites).toEqual([]);
+  });
+
   it('rolls back a transaction that exceeds the idle timeout and reports it as lost', async () => {
     const session = harness.open('strict');
     await harness.run(session, BEGIN);
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -129,6 +129,13 @@
     if (!result.ok) {
       return this.handleRunError(context, statement, result.error);
     }
+    if (this.isAbandoned()) {
+      // The transaction was abandoned as the response arrived.
+      return this.handleRunError(context, statement, {
+        kind: 'connectionLost',
+        reason: 'abandoned',
+      });
+    }
     const {
       rows,
       result: statementResult,
@@ -178,6 +185,11 @@
     this.startRollback();
   }
 
+  /** Whether the connection was given back while a statement was under way. */
+  private isAbandoned(): boolean {
+    return this.heldConnection === null;
+  }
+
   /**
    * Returns the reply to a completed commit. If this proxy has released the
    * primary in the meantime, its successor may lack the writes, so their outcome
