Forwarding: roll back a transaction whose BEGIN was answered too late

Cause: a follower that stops waiting for BEGIN sends a cancel, which the holder ignores if its answer is under way. Change: the follower abandons the transaction as well.

--- a/packages/gateway/src/forwarding/forwarding_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_test.ts
@@ -262,6 +262,26 @@
     expect(pool?.getStatus().suspendedLeases).toBe(0);
   });
 
+  // Guards against a transaction that nobody ends: the holder ignores the cancel
+  // of an exchange that it has answered.
+  it('rolls back a transaction whose BEGIN was answered too late', async () => {
+    const {backend, clock} = harness.sessions;
+    // The answer leaves the holder just before the follower's cancel arrives.
+    backend.answerTimesMs.set('p', 1_049);
+    const session = harness.open('strict');
+    const reply = session.handle({
+      requestId: 'b',
+      statement: BEGIN,
+      receivedAtMs: clock.nowMs(),
+    });
+    for (let elapsedMs = 0; elapsedMs < 1_100; elapsedMs++) {
+      await advanceClock(clock, 1);
+    }
+    expect(errorKind(await reply)).toBe('outcomeUnknown');
+    expect(backend.runs.map(({text}) => text)).toEqual(['begin']);
+    expect(first.forwarding.transactionCount).toBe(0);
+  });
+
   it('rolls back when the caller leaves', async () => {
     const session = harness.open('strict');
     await harness.run(session, BEGIN);
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -136,6 +136,11 @@
       if (result.error.kind === 'declined') {
         streams.avoid(holder);
       }
+      if (result.error.kind === 'timedOut') {
+        // The answer to a `begin` may be under way, and the holder ignores the
+        // cancel of an exchange that it has answered.
+        stream.abandon(exchange.exchangeId);
+      }
       return this.classifyError(context, message, result.error);
     }
     streams.recordAnswer(holder);
