Forwarding histories: short deadlines, latency, replication lag, shared identity

Cause: the first histories did not reach deadlines that pass while a reply is under way, nor callers without a customer. Change: each history draws its deadline, latency, connections and identities; replicas lag; sessions must see their own commits; each follower must serve a write after the quiet time; six more mutants.

--- a/packages/gateway/src/forwarding/forwarding_history_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_history_test.ts
@@ -19,7 +19,7 @@
 const CONTROL_HISTORIES = 30;
 
 /** Histories within which each mutant must be detected. */
-const MUTANT_HISTORIES = 100;
+const MUTANT_HISTORIES = 150;
 
 const TIMEOUT_MS = 600_000;
 
@@ -63,10 +63,10 @@
   );
 
   // Guards against histories or rules that overlook a fault.
-  it.each(HISTORY_MUTANTS)(
-    'detect that $name',
-    async mutant => {
-      const {name, rule} = mutant;
+  it.each(HISTORY_MUTANTS.map(mutant => [mutant.name, mutant] as const))(
+    'detect that %s',
+    async (name, mutant) => {
+      const {rule} = mutant;
       for (let count = 1; count <= MUTANT_HISTORIES; count++) {
         const seed = FIRST_SEED + count - 1;
         const {violations} = await runForwardingHistory(seed, mutant);
--- a/packages/gateway/src/testing/forwarding_history.ts
+++ b/packages/gateway/src/testing/forwarding_history.ts
@@ -6,15 +6,20 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {digestApiKey} from '../customer/api_key_digest.js';
 import {CustomerDirectory} from '../customer/customer_directory.js';
+import type {DatabaseRoute} from '../configuration/service_configuration.js';
 import type {ByteChannel} from '../forwarding/byte_channel.js';
 import type {DeclineReason} from '../forwarding/forward_message.js';
 import type {OperationExecutor} from '../session/operation_executor.js';
 import {createEntryVmRecord} from './create_entry_vm_record.js';
 import {FakeByteChannel} from './fake_byte_channel.js';
-import {HistoryCaller} from './history_caller.js';
+import {HistoryCaller, type HistoryCallerOptions} from './history_caller.js';
 import {HistoryInstances, type HistoryBehavior} from './history_instances.js';
 import {findViolations, type HistoryAttempt} from './history_oracle.js';
-import {HistoryProxy, type MutantStream} from './history_proxy.js';
+import {
+  createHistoryRoutes,
+  HistoryProxy,
+  type MutantStream,
+} from './history_proxy.js';
 import {StallableChannel} from './stallable_channel.js';
 
 /**
@@ -28,6 +33,8 @@
   readonly name: string;
   /** Beginning of the violation by which it must be detected. */
   readonly rule: string;
+  /** Connections that each proxy opens above its limit. */
+  readonly excessConnections?: number;
   /** Replaces the executor of the followers' sessions. */
   readonly wrapExecutor?: (executor: OperationExecutor) => OperationExecutor;
   /** Replaces how a holder serves a stream. */
@@ -48,12 +55,26 @@
 /** Time after the last caller has ended; longer than all timeouts. */
 const QUIET_MS = 3_000;
 
-/** One-way latency between proxies. */
-const DELAY_MS = 1;
+const MAX_FAULTS = 14;
+
+/** Share of the failures of holders that concern the one in use. */
+const FIRST_HOLDER_SHARE = 0.6;
 
 const CUSTOMERS = ['acme', 'birch', 'cedar'];
 
-const HOLDER_CONNECTIONS = 4;
+/** Time for one write after the quiet time; longer than any deadline. */
+const SERVICE_CHECK_MS = 1_200;
+
+/** Share of the histories in which all connections have a shared identity. */
+const SHARED_IDENTITY_SHARE = 0.3;
+
+const MAX_HOLDER_CONNECTIONS = 4;
+
+/** One-way latencies between proxies; 30 ms is that between two regions. */
+const DELAYS_MS = [1, 1, 5, 30];
+
+/** Short timeouts make deadlines pass while a reply is under way. */
+const STATEMENT_TIMEOUTS_MS = [80, 250, 1_000, 1_000];
 
 const FOLLOWER_CONNECTIONS = 1;
 
@@ -107,13 +128,10 @@
   private readonly clock = VirtualClock.create();
   private readonly random: RandomSource;
   private readonly instances: HistoryInstances;
-  private readonly customers = CustomerDirectory.create(
-    CUSTOMERS.map(name => ({
-      name,
-      keyDigests: [digestApiKey(name)],
-      limit: null,
-    })),
-  );
+  private readonly customers: CustomerDirectory | null;
+  private readonly routes: ReadonlyMap<string, DatabaseRoute>;
+  private readonly delayMs: number;
+  private readonly holderConnections: number;
   private readonly violations: string[] = [];
   private readonly attempts = new Map<string, HistoryAttempt>();
   private readonly counts = new Map<string, number>();
@@ -134,6 +152,13 @@
   ) {
     this.random = SeededRandom.create(seed);
     this.instances = HistoryInstances.create(this.clock, this.random);
+    this.customers =
+      this.random.nextFloat() < SHARED_IDENTITY_SHARE
+        ? null
+        : createCustomers();
+    this.routes = createHistoryRoutes(this.pick(STATEMENT_TIMEOUTS_MS));
+    this.delayMs = this.pick(DELAYS_MS);
+    this.holderConnections = this.random.nextInteger(1, MAX_HOLDER_CONNECTIONS);
     this.instances.chooseBehavior = () => this.chooseBehavior();
   }
 
@@ -154,7 +179,7 @@
     }
     this.announceHolders();
     this.startCallers(random.nextInteger(3, 8));
-    this.scheduleFaults(random.nextInteger(0, 10));
+    this.scheduleFaults(random.nextInteger(0, MAX_FAULTS));
     await this.advance(ACTIVE_MS);
     this.endFaults();
     const running = Promise.all(this.callers.map(caller => caller.stop()));
@@ -166,6 +191,7 @@
     if (!isEnded) {
       this.violations.push('no reply: a statement was not answered in time');
     }
+    await this.checkService();
     this.violations.push(...findViolations(this.attempts, this.instances));
     this.checkEnd();
     this.countReplies();
@@ -174,19 +200,23 @@
   }
 
   private createProxy(entryVm: string, isFollower: boolean): HistoryProxy {
-    const {clock, instances, customers, mutant} = this;
+    const {clock, instances, customers, routes, mutant} = this;
     const proxy: HistoryProxy = HistoryProxy.create({
       entryVm,
       incarnation: `incarnation-${this.nextIncarnation++}`,
       clock,
       instances,
       customers,
+      routes,
       connector: isFollower
         ? {
             connect: holder => Promise.resolve(this.connect(proxy, holder)),
           }
         : null,
-      maxConnections: isFollower ? FOLLOWER_CONNECTIONS : HOLDER_CONNECTIONS,
+      maxConnections: isFollower
+        ? FOLLOWER_CONNECTIONS
+        : this.holderConnections,
+      excessConnections: mutant?.excessConnections ?? 0,
       seed: this.random.nextInteger(0, 1_000_000),
       reportViolation: description => this.violations.push(description),
       wrapExecutor: executor =>
@@ -207,7 +237,7 @@
     }
     const ends = FakeByteChannel.createPair({
       clock: this.clock,
-      delayMs: DELAY_MS,
+      delayMs: this.delayMs,
     });
     const stallable = [
       StallableChannel.create(ends[0]),
@@ -233,22 +263,31 @@
 
   private startCallers(count: number): void {
     for (let index = 0; index < count; index++) {
-      const customer = CUSTOMERS[index % CUSTOMERS.length] ?? '';
-      const caller = HistoryCaller.create({
-        name: `c${index}`,
-        customer,
-        clock: this.clock,
-        random: this.random,
-        attempts: this.attempts,
-        chooseProxy: () => this.pick(this.followers),
-        createSessionId: () => this.nextSession++,
-        reportViolation: description => this.violations.push(description),
-      });
+      const caller = HistoryCaller.create(
+        this.createCallerOptions(`c${index}`, index),
+      );
       this.callers.push(caller);
       caller.start();
     }
   }
 
+  private createCallerOptions(
+    name: string,
+    index: number,
+  ): HistoryCallerOptions {
+    const customer = CUSTOMERS[index % CUSTOMERS.length] ?? null;
+    return {
+      name,
+      customer: this.customers === null ? null : customer,
+      clock: this.clock,
+      random: this.random,
+      attempts: this.attempts,
+      chooseProxy: () => this.pick(this.followers),
+      createSessionId: () => this.nextSession++,
+      reportViolation: description => this.violations.push(description),
+    };
+  }
+
   private scheduleFaults(count: number): void {
     for (let index = 0; index < count; index++) {
       const fault = this.pick(FAULTS);
@@ -314,6 +353,14 @@
     }
   }
 
+  private pickHolder(): HistoryProxy {
+    const [first] = this.followers[0]?.forwarding.rankHolders('group') ?? [];
+    const holder = this.holders.find(({entryVm}) => entryVm === first?.entryVm);
+    return holder !== undefined && this.random.nextFloat() < FIRST_HOLDER_SHARE
+      ? holder
+      : this.pick(this.holders);
+  }
+
   private pickStream(): HistoryStream | null {
     const open = this.streams.filter(({ends}) => ends[0].isOpen);
     return open.length === 0 ? null : this.pick(open);
@@ -348,7 +395,7 @@
   }
 
   private makeUnreachable(durationMs: number): void {
-    const holder = this.pick(this.holders);
+    const holder = this.pickHolder();
     holder.isReachable = false;
     this.clock.startTimer(durationMs, () => {
       holder.isReachable = this.holders.includes(holder);
@@ -356,7 +403,7 @@
   }
 
   private decline(durationMs: number): void {
-    const holder = this.pick(this.holders);
+    const holder = this.pickHolder();
     const reasons: readonly DeclineReason[] = ['stopping', 'notServing'];
     holder.declineReason = this.pick(reasons);
     this.clock.startTimer(durationMs, () => {
@@ -374,11 +421,8 @@
 
   /** Ends the process of a holder; a new one takes its place at once. */
   private replaceHolder(isKill: boolean, announceAfterMs: number): void {
-    const index = this.random.nextInteger(0, this.holders.length - 1);
-    const old = this.holders[index];
-    if (old === undefined) {
-      return;
-    }
+    const old = this.pickHolder();
+    const index = this.holders.indexOf(old);
     this.holders[index] = this.createProxy(old.entryVm, false);
     this.end(old, isKill);
     this.clock.startTimer(announceAfterMs, () => this.announceHolders());
@@ -453,6 +497,24 @@
     }
   }
 
+  /** Each follower must serve a write again after the quiet time. */
+  private async checkService(): Promise<void> {
+    for (const follower of this.followers) {
+      const caller = HistoryCaller.create({
+        ...this.createCallerOptions(`last-${follower.entryVm}`, 0),
+        chooseProxy: () => follower,
+      });
+      let isServed = false;
+      void caller.runWrite().then(reply => {
+        isServed = reply?.result.kind === 'complete';
+      });
+      await this.advance(SERVICE_CHECK_MS);
+      if (!isServed) {
+        this.violations.push(`no service: a write at ${follower.entryVm}`);
+      }
+    }
+  }
+
   /** Nothing may be left after the quiet time. */
   private checkEnd(): void {
     for (const proxy of this.proxies) {
@@ -523,6 +585,16 @@
   }
 }
 
+function createCustomers(): CustomerDirectory {
+  return CustomerDirectory.create(
+    CUSTOMERS.map(name => ({
+      name,
+      keyDigests: [digestApiKey(name)],
+      limit: null,
+    })),
+  );
+}
+
 /** Runs the continuations of all resolved promises. */
 function settleAll(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
--- a/packages/gateway/src/testing/history_caller.ts
+++ b/packages/gateway/src/testing/history_caller.ts
@@ -13,7 +13,8 @@
 /** Options of a {@link HistoryCaller}. @internal */
 export interface HistoryCallerOptions {
   readonly name: string;
-  readonly customer: string;
+  /** Null for a caller without a customer. */
+  readonly customer: string | null;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Receives each statement that is sent. */
@@ -41,6 +42,8 @@
   readonly route: string;
   readonly values: Map<string, string>;
   readonly prepared: Map<string, PreparedStatement>;
+  /** Position of the last commit that was acknowledged. */
+  floor: number;
   /** Resolves when the caller has left. */
   readonly left: Promise<null>;
   leave(): void;
@@ -87,6 +90,16 @@
     return this.running;
   }
 
+  /** Runs one write in a session of its own. */
+  async runWrite(): Promise<StatementReply | null> {
+    const state = this.open();
+    const requestId = this.peekRequestId();
+    await this.send(state, {kind: 'write', text: 'WRITE a x'}, null);
+    const {reply} = this.options.attempts.get(requestId) ?? {reply: null};
+    state.leave();
+    return reply;
+  }
+
   private async run(): Promise<void> {
     while (!this.isStopping) {
       const state = this.open();
@@ -105,7 +118,7 @@
     const route = this.pick(ROUTES);
     const opened = CallerSession.open(proxy, {
       databaseName: route,
-      apiKey: customer,
+      apiKey: customer ?? '',
     });
     if (!opened.ok) {
       throw new Error(`The session was refused: ${opened.error.kind}.`);
@@ -122,6 +135,7 @@
       route,
       values: new Map(),
       prepared: new Map(),
+      floor: 0,
       left,
       hasLeft: false,
       leave: () => {
@@ -246,11 +260,29 @@
       customer,
       values: new Map(state.values),
       prepared,
+      floor: state.floor,
       transaction,
       reply: null,
     };
     attempts.set(requestId, attempt);
     attempt.reply = await this.handle(state, statement, requestId);
+    const isCommit =
+      statement.kind === 'commit'
+        ? this.hasWritten(transaction)
+        : attempt.isWrite && transaction === null;
+    if (isCommit && attempt.reply?.result.kind === 'complete') {
+      const {position} = attempt.reply;
+      state.floor = Math.max(state.floor, position?.position ?? 0);
+    }
+  }
+
+  private hasWritten(transaction: HistoryTransaction | null): boolean {
+    for (const attempt of this.options.attempts.values()) {
+      if (attempt.isWrite && attempt.transaction === transaction) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns null if the caller leaves before the reply. */
--- a/packages/gateway/src/testing/history_instances.ts
+++ b/packages/gateway/src/testing/history_instances.ts
@@ -48,6 +48,8 @@
   readonly kind: string;
   readonly values: ReadonlyMap<string, string>;
   readonly prepared: PreparedStatement | null;
+  /** End of the instance's log before the run. */
+  readonly position: number;
   /** Whether the proxy held a lease when it sent the statement. */
   readonly hadLease: boolean;
 }
@@ -61,6 +63,8 @@
 /** One-way latency between a proxy and an instance. */
 const DELAY_MS = 1;
 
+const MAX_REPLICATION_LAG_MS = 150;
+
 /** Service time of a statement. */
 const SERVICE_MS = 2;
 
@@ -119,14 +123,20 @@
     return {term: 1, position: this.positions.get(backendServer) ?? 0};
   }
 
-  /** Commits writes; replicas have them at once. */
+  /** Commits writes on the primary; replicas receive them later. */
   commit(requestIds: readonly string[]): void {
-    if (requestIds.length > 0) {
-      this.commits.push(...requestIds);
-      for (const backendServer of ['p', 'r1', 'r2']) {
-        const {position} = this.getPosition(backendServer);
-        this.positions.set(backendServer, position + 1);
-      }
+    if (requestIds.length === 0) {
+      return;
+    }
+    this.commits.push(...requestIds);
+    const {clock, random} = this;
+    const position = this.getPosition('p').position + 1;
+    this.positions.set('p', position);
+    for (const replica of ['r1', 'r2']) {
+      clock.startTimer(random.nextInteger(0, MAX_REPLICATION_LAG_MS), () => {
+        const reached = this.getPosition(replica).position;
+        this.positions.set(replica, Math.max(reached, position));
+      });
     }
   }
 }
@@ -312,9 +322,14 @@
     {
       requestId,
       statement,
+      requiredPosition,
     }: Extract<BackendCommand, {readonly kind: 'callerStatement'}>,
     hadLease: boolean,
   ): BackendAnswer {
+    const {position} = this.getState().position;
+    if (requiredPosition !== null && position < requiredPosition.position) {
+      return createRejectedAnswer('positionNotReached', this.getState());
+    }
     const prepared =
       statement.kind === 'execute'
         ? (this.prepared.get(statement.name) ?? null)
@@ -336,6 +351,7 @@
       kind: statement.kind,
       values: new Map(this.values),
       prepared,
+      position,
       hadLease,
     });
     if (statement.kind === 'write' || prepared?.access === 'write') {
--- a/packages/gateway/src/testing/history_mutants.ts
+++ b/packages/gateway/src/testing/history_mutants.ts
@@ -10,7 +10,10 @@
   type OperationExecutor,
   type OperationResult,
 } from '../session/operation_executor.js';
-import type {OpenTransaction} from '../session/open_transaction.js';
+import {
+  endsTransaction,
+  type OpenTransaction,
+} from '../session/open_transaction.js';
 import {createErrorReply, TRANSACTION_LOST} from '../session/refusal.js';
 import type {StatementReply} from '../statement/statement_answer.js';
 import type {HistoryMutant} from './forwarding_history.js';
@@ -59,6 +62,39 @@
     rule: 'committed, reported as not run',
     wrapExecutor: createLostCommitExecutor,
   },
+  {
+    name: 'an operation has the session values of another session',
+    rule: 'session values',
+    wrapExecutor: createValuesExecutor,
+  },
+  {
+    name: 'a strict read runs where no lease is held',
+    rule: 'strict read without lease',
+    wrapExecutor: createWeakReadExecutor,
+  },
+  {
+    name: 'a read misses the commits of its session',
+    rule: 'session floor',
+    wrapExecutor: inner => ({
+      execute: (context, operation) =>
+        inner.execute(context, {...operation, sessionFloor: null}),
+    }),
+  },
+  {
+    name: 'a write of unknown outcome is reported as complete',
+    rule: 'acknowledged, not committed',
+    wrapExecutor: createAcknowledgingExecutor,
+  },
+  {
+    name: 'a statement of a lost transaction runs on its own',
+    rule: 'statement outside its transaction',
+    wrapExecutor: createContinuingExecutor,
+  },
+  {
+    name: 'a proxy opens more connections than its limit',
+    rule: 'connection limit',
+    excessConnections: 1,
+  },
   {
     name: 'a declined operation was run',
     rule: 'write run twice',
@@ -111,18 +147,127 @@
   };
 }
 
+/** Runs an operation with the session of the one before it. */
+function createValuesExecutor(inner: OperationExecutor): OperationExecutor {
+  let previous: Operation['session']['values'] | null = null;
+  return {
+    execute(context, operation) {
+      const {session} = operation;
+      const values = previous ?? session.values;
+      previous = new Map(session.values);
+      return inner.execute(context, {
+        ...operation,
+        session: {...session, values},
+      });
+    },
+  };
+}
+
+/** Treats strict reads as reads that any server may answer. */
+function createWeakReadExecutor(inner: OperationExecutor): OperationExecutor {
+  return {
+    execute(context, operation) {
+      const route = {
+        ...context.route,
+        consistency: 'age',
+        maxAgeMs: 1_500,
+      } as const;
+      return inner.execute({...context, route}, operation);
+    },
+  };
+}
+
+function createAcknowledgingExecutor(
+  inner: OperationExecutor,
+): OperationExecutor {
+  return {
+    async execute(context, operation) {
+      const result = await inner.execute(context, operation);
+      if (!operation.isWrite || !isOutcomeUnknown(result.reply)) {
+        return result;
+      }
+      const signature = `sig-${context.requestId}`;
+      const reply: StatementReply = {
+        ...result.reply,
+        result: {kind: 'complete', signature},
+      };
+      return {...result, reply};
+    },
+  };
+}
+
 function createLostCommitExecutor(inner: OperationExecutor): OperationExecutor {
+  return wrapTransactions(inner, transaction => ({
+    async handle(context, statement, session, isWrite) {
+      const reply = await transaction.handle(
+        context,
+        statement,
+        session,
+        isWrite,
+      );
+      return isOutcomeUnknown(reply)
+        ? createErrorReply(TRANSACTION_LOST, 'idle')
+        : reply;
+    },
+  }));
+}
+
+/** Runs a statement as an operation if its transaction was lost. */
+function createContinuingExecutor(inner: OperationExecutor): OperationExecutor {
+  return wrapTransactions(inner, (transaction, {sessionFloor}) => ({
+    async handle(context, statement, session, isWrite) {
+      const reply = await transaction.handle(
+        context,
+        statement,
+        session,
+        isWrite,
+      );
+      if (!isTransactionLost(reply) || endsTransaction(statement)) {
+        return reply;
+      }
+      const operation = {statement, isWrite, session, sessionFloor};
+      const result = await inner.execute(context, {
+        ...operation,
+        idleTimeoutMs: 0,
+      });
+      return result.reply;
+    },
+  }));
+}
+
+function isTransactionLost({result}: StatementReply): boolean {
+  return result.kind === 'error' && result.error.kind === 'transactionLost';
+}
+
+/** Replaces how the statements of a transaction are handled. */
+function wrapTransactions(
+  inner: OperationExecutor,
+  wrap: (
+    transaction: OpenTransaction,
+    operation: Operation,
+  ) => Pick<OpenTransaction, 'handle'>,
+): OperationExecutor {
   return {
     async execute(context, operation) {
       const result = await inner.execute(context, operation);
-      return result.transaction === null
+      const {transaction} = result;
+      return transaction === null
         ? result
-        : {...result, transaction: hideUnknownOutcome(result.transaction)};
+        : {
+            ...result,
+            transaction: replaceHandle(
+              transaction,
+              wrap(transaction, operation),
+            ),
+          };
     },
   };
 }
 
-function hideUnknownOutcome(inner: OpenTransaction): OpenTransaction {
+function replaceHandle(
+  inner: OpenTransaction,
+  {handle}: Pick<OpenTransaction, 'handle'>,
+): OpenTransaction {
   return {
     get transactionState() {
       return inner.transactionState;
@@ -134,12 +279,7 @@
       return inner.committedPosition;
     },
     createContext: request => inner.createContext(request),
-    async handle(context, statement, session, isWrite) {
-      const reply = await inner.handle(context, statement, session, isWrite);
-      return isOutcomeUnknown(reply)
-        ? createErrorReply(TRANSACTION_LOST, 'idle')
-        : reply;
-    },
+    handle,
     refuse: (statement, error) => inner.refuse(statement, error),
     abandon: () => inner.abandon(),
   };
--- a/packages/gateway/src/testing/history_oracle.ts
+++ b/packages/gateway/src/testing/history_oracle.ts
@@ -16,10 +16,13 @@
   readonly kind: string;
   readonly isWrite: boolean;
   readonly route: string;
-  readonly customer: string;
+  /** Null for a caller without a customer. */
+  readonly customer: string | null;
   /** Session values and prepared statement when it was sent. */
   readonly values: ReadonlyMap<string, string>;
   readonly prepared: PreparedStatement | null;
+  /** Position of the last commit of the session that was acknowledged. */
+  readonly floor: number;
   /** The transaction to which it belongs, also for `begin`; null for none. */
   readonly transaction: HistoryTransaction | null;
   /** Null while it is pending, and if the caller has left. */
@@ -96,10 +99,12 @@
       this.report('unknown request', run.requestId);
       return;
     }
-    if (run.identity !== attempt.customer) {
+    // The shared identity of a proxy is its name.
+    const identity = attempt.customer ?? run.proxy;
+    if (run.identity !== identity) {
       this.report(
         'identity',
-        `${run.requestId} of ${attempt.customer} on a connection of ${run.identity}`,
+        `${run.requestId} of ${identity} on a connection of ${run.identity}`,
       );
     }
     if (!areEqualMaps(run.values, attempt.values)) {
@@ -108,6 +113,7 @@
     if (!isSamePrepared(run.prepared, attempt.prepared)) {
       this.report('prepared statement', run.requestId);
     }
+    this.checkFloor(run, attempt);
     // Reads in a transaction follow the lease under which it began.
     const isStrictRead =
       attempt.route === 'strict' &&
@@ -121,17 +127,30 @@
     }
   }
 
+  /** A session sees its own commits, unless its route is one of data age. */
+  private checkFloor(run: HistoryRun, attempt: HistoryAttempt): void {
+    const isChecked =
+      attempt.route !== 'age' && !attempt.isWrite && !isInside(attempt);
+    if (isChecked && run.position < attempt.floor) {
+      this.report(
+        'session floor',
+        `${run.requestId} at ${run.position}, below ${attempt.floor}`,
+      );
+    }
+  }
+
   private checkConnections(): void {
     const owners = new Map<string, string>();
-    const customers = new Map<number, string>();
+    const customers = new Map<number, string | null>();
     for (const {connectionId, transaction, requestId} of this.instances.runs) {
       const attempt = this.attempts.get(requestId);
       if (attempt === undefined) {
         continue;
       }
-      const customer = customers.get(connectionId) ?? attempt.customer;
+      const {customer} = attempt;
+      const previous = customers.get(connectionId);
       customers.set(connectionId, customer);
-      if (customer !== attempt.customer) {
+      if (previous !== undefined && previous !== customer) {
         this.report('connection of two customers', requestId);
       }
       if (transaction !== null) {
--- a/packages/gateway/src/testing/history_proxy.ts
+++ b/packages/gateway/src/testing/history_proxy.ts
@@ -34,22 +34,25 @@
 
 const LEASE_MS = 3_600_000;
 
-/** Routes of a history, by consistency. @internal */
-export const HISTORY_ROUTES: ReadonlyMap<string, DatabaseRoute> = new Map(
-  (['strict', 'session', 'age'] as const).map(consistency => [
-    consistency,
-    {
+/** Creates the routes of a history, by consistency. @internal */
+export function createHistoryRoutes(
+  statementTimeoutMs: number,
+): ReadonlyMap<string, DatabaseRoute> {
+  const routes = new Map<string, DatabaseRoute>();
+  for (const consistency of ['strict', 'session', 'age'] as const) {
+    routes.set(consistency, {
       databaseName: consistency,
       databaseGroup: 'group',
       consistency,
       maxAgeMs: consistency === 'strict' ? null : 1_500,
-      statementTimeoutMs: 1_000,
+      statementTimeoutMs,
       targetLatencyMs: 200,
       priority: 'normal',
       isPublic: false,
-    },
-  ]),
-);
+    });
+  }
+  return routes;
+}
 
 /** A stream that a mutant serves instead of {@link Forwarding}. @internal */
 export interface MutantStream {
@@ -63,11 +66,15 @@
   readonly incarnation: string;
   readonly clock: VirtualClock;
   readonly instances: HistoryInstances;
-  readonly customers: CustomerDirectory;
+  /** Null if all connections have the shared identity of their proxy. */
+  readonly customers: CustomerDirectory | null;
+  readonly routes: ReadonlyMap<string, DatabaseRoute>;
   /** Null for a proxy that is no follower. */
   readonly connector: ForwardConnector | null;
   /** Connections to each instance. */
   readonly maxConnections: number;
+  /** Connections that it opens above that, for mutants. */
+  readonly excessConnections: number;
   readonly seed: number;
   /** Reports a rule that was broken. */
   reportViolation(description: string): void;
@@ -114,7 +121,9 @@
       connector: this,
       events: this.events,
     });
-    this.group.setMaxConnections(options.maxConnections);
+    this.group.setMaxConnections(
+      options.maxConnections + options.excessConnections,
+    );
     this.group.updateServer(createEntry('p', 'primary'));
     this.group.updateServer(createEntry('r1', 'replica'));
     this.group.updateServer(createEntry('r2', 'replica'));
@@ -179,7 +188,7 @@
   getConfiguration(): ServiceConfiguration {
     return {
       version: 1,
-      routes: HISTORY_ROUTES,
+      routes: this.options.routes,
       databaseGroups: new Map(),
       customers: this.options.customers,
       transactionIdleTimeoutMs: HISTORY_IDLE_TIMEOUT_MS,
@@ -213,7 +222,7 @@
     const count = instances.countConnections(this, name);
     if (count > maxConnections) {
       this.options.reportViolation(
-        `${this.entryVm} has ${count} connections to ${name}, more than ${maxConnections}`,
+        `connection limit: ${this.entryVm} has ${count} connections to ${name}, more than ${maxConnections}`,
       );
     }
     return success(connection);
