--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -156,7 +156,8 @@
       const isGivenUp =
         result.error.kind === 'timedOut' || result.error.kind === 'cancelled';
       if (isGivenUp && message.statement.kind === 'begin') {
-        // The holder ignores the cancel of an exchange that it has answered.
+        // The answer may be under way, and the holder ignores the cancel of an
+        // exchange that it has answered.
         stream.abandon(exchange.exchangeId);
       }
       return this.classifyError(context, message, result.error);
