Pool: the fair order leases an idle connection at once when nothing is queued

Cause: 7.7% of the processor time of the data path went into estimates, the review schedule and two timers of requests that never waited (profile of 12 proxies at 707 operations a second). Change: without a queue, with a free slot and an idle connection of the identity, the lease is granted directly; the used work counts as before. Tests of the pool: 143 passed, property tests included.

--- a/packages/pool/src/backend_pool.ts
+++ b/packages/pool/src/backend_pool.ts
@@ -187,6 +187,10 @@
    */
   acquire(request: AcquireRequest<C>): Promise<LeaseResult<C>> {
     const arrival = this.describe(request);
+    const lease = this.isFair ? this.leaseAtOnce(request, arrival) : null;
+    if (lease !== null) {
+      return Promise.resolve(success(lease));
+    }
     const waitMs = this.estimateWaitMs(arrival);
     const refusal = this.findRefusal(request, arrival, waitMs);
     if (refusal !== null) {
@@ -449,6 +453,37 @@
     };
   }
 
+  /**
+   * Leases an idle connection of the identity if nothing is queued and a slot is
+   * free; else null. It spares the usual request the estimates and timers of one
+   * that waits.
+   */
+  private leaseAtOnce(
+    request: AcquireRequest<C>,
+    arrival: MeasuredEntry,
+  ): PoolLease<C> | null {
+    const mayLease =
+      this.state === 'open' &&
+      this.queue.length === 0 &&
+      this.active < this.countSlotsFor(arrival) &&
+      request.signal?.aborted !== true &&
+      request.deadlineMs > this.clock.nowMs();
+    const connection = mayLease
+      ? this.idle.take(arrival.identity, request.isPreferred)
+      : null;
+    if (connection === null) {
+      return null;
+    }
+    const entry: WaitingEntry<C> = {
+      ...arrival,
+      isPreferred: null,
+      settle: () => {},
+    };
+    this.queue.add(entry);
+    this.queue.serve(entry);
+    return this.createLease(connection, entry);
+  }
+
   private enqueue(
     request: AcquireRequest<C>,
     admitted: {
