Sessions: a read that only the primary can run uses its reserved slot

With shared access, callers of reads with a bounded age or of a session got "overloaded" from a primary with a free slot while all replicas were lost or lagging, if its pool had one slot: a proxy that can use no holder, or a primary that has just recovered. Each read on the primary counted as replaceable, whether or not another server could run it. It now counts as replaceable only if a replica that is neither suspect nor excluded is expected to have the required position. Groups with direct access reserve no slots.

--- a/packages/gateway/src/session/read_executor.ts
+++ b/packages/gateway/src/session/read_executor.ts
@@ -10,6 +10,11 @@
 } from '../backend/pooled_connection.js';
 import type {BackendServerRuntime} from '../group/backend_server_runtime.js';
 import type {TermPrimary} from '../group/primary_lease.js';
+import {isExpectedToCoverPosition} from '../routing/choose_backend_server.js';
+import type {
+  SelectionCandidate,
+  SelectionRequirements,
+} from '../routing/server_selection_policy.js';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {BackendAnswer} from '../statement/statement_answer.js';
 import {
@@ -77,6 +82,12 @@
    */
   readonly requiredPosition: LogPosition | null;
   readonly requiredPositionAgeMs: number | null;
+  /**
+   * Whether the server is the primary although a replica is expected to be able
+   * to run the read, which then leaves room for the statements that only the
+   * primary can run.
+   */
+  readonly isReplaceable: boolean;
 }
 
 /**
@@ -138,13 +149,14 @@
       return this.planPrimary(requirement);
     }
     const candidates = group.listCandidates(this.context.identity);
-    const candidate = group.serverSelection.choose(candidates, {
+    const requirements: SelectionRequirements = {
       requiredPosition: requirement.position,
       requiredPositionAgeMs: requirement.ageMs,
       availabilityZone: this.context.gateway.availabilityZone,
       excluded: this.excluded,
       expectedWorkMs: group.getExpectedWorkMs(this.context.route.databaseName),
-    });
+    };
+    const candidate = group.serverSelection.choose(candidates, requirements);
     const server =
       candidate === null ? null : group.getServer(candidate.backendServer);
     return server === null
@@ -153,6 +165,9 @@
           server,
           requiredPosition: requirement.position,
           requiredPositionAgeMs: requirement.ageMs,
+          isReplaceable:
+            candidate?.isPrimary === true &&
+            hasSuitableReplica(candidates, requirements),
         };
   }
 
@@ -169,7 +184,12 @@
     if (this.excluded.has(server.entry.backendServer)) {
       return null;
     }
-    return {server, requiredPosition, requiredPositionAgeMs: null};
+    return {
+      server,
+      requiredPosition,
+      requiredPositionAgeMs: null,
+      isReplaceable: false,
+    };
   }
 
   /**
@@ -256,7 +276,7 @@
         this.context,
         this.read.statement.kind === 'begin' ? 'begin' : 'read',
       ),
-      isReplaceable: this.isReplaceable(plan),
+      isReplaceable: plan.isReplaceable,
       isPreferred: pooled => pooled.isPreparedFor(this.read.session),
     });
     if (!leased.ok) {
@@ -290,19 +310,6 @@
     return this.classifyResult(plan, lease, result, {sentAtMs, leasedPrimary});
   }
 
-  /**
-   * Whether the read runs on the primary although a replica could run it, so that
-   * it must leave room for the statements that only the primary can run.
-   */
-  private isReplaceable({server, requiredPosition}: ReadPlan): boolean {
-    const primary = this.context.group.lease.getLastKnownPrimary()?.primary;
-    return (
-      requiredPosition !== null &&
-      !this.read.needsPrimary &&
-      primary === server.entry.backendServer
-    );
-  }
-
   /** Returns the leased primary if `server` is that primary, else null. */
   private findLeasedPrimary(server: BackendServerRuntime): TermPrimary | null {
     const leased = this.context.group.lease.getPrimary();
@@ -487,3 +494,17 @@
     });
   }
 }
+
+/** Whether a replica is expected to be able to run a read now. */
+function hasSuitableReplica(
+  candidates: readonly SelectionCandidate[],
+  requirements: SelectionRequirements,
+): boolean {
+  return candidates.some(
+    candidate =>
+      !candidate.isPrimary &&
+      !candidate.isSuspect &&
+      !requirements.excluded.has(candidate.backendServer) &&
+      isExpectedToCoverPosition(candidate, requirements),
+  );
+}
