Forwarding: streams outlive a missing registration of their holder

Callers lost open transactions and the outcomes of writes under way when a listing lacked a running holder, as after a restore of the store from a backup: the follower closed its streams to holders that were not registered. It now only stops choosing them; an open stream ends when its holder does.

--- a/packages/gateway/src/forwarding/forward_streams.ts
+++ b/packages/gateway/src/forwarding/forward_streams.ts
@@ -100,13 +100,16 @@
     this.getState(holder).failureCount = 0;
   }
 
-  /** Closes the streams to holders that are no longer registered. */
-  retain(holders: readonly Holder[]): void {
-    const known = new Set(holders.map(({entryVm}) => entryVm));
-    for (const [entryVm, state] of [...this.states]) {
-      if (!known.has(entryVm)) {
+  /**
+   * Forgets the holders that are no longer registered and have no open stream.
+   * An open stream may carry transactions: a store that is restored from a backup
+   * lacks the registrations of running proxies for some time.
+   */
+  forgetUnregistered(registered: readonly Holder[]): void {
+    const known = new Set(registered.map(({entryVm}) => entryVm));
+    for (const [entryVm, {stream}] of [...this.states]) {
+      if (!known.has(entryVm) && stream?.isOpen !== true) {
         this.states.delete(entryVm);
-        state.stream?.close('the holder is no longer registered');
       }
     }
   }
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -96,7 +96,7 @@
   /** Applies the registrations of all proxies. */
   updateHolders(entryVms: readonly EntryVmRecord[]): void {
     if (this.holders.update(entryVms)) {
-      this.streams?.retain(this.holders.getAll());
+      this.streams?.forgetUnregistered(this.holders.getAll());
     }
   }
 
