Forwarding: one reply timeout, and the report of a failed attempt by itself

Nothing changes for callers. REPLY_SLACK_MS stood in two modules; it is now part of compute_reply_timeout.ts. OperationForwarder.attempt reported, avoided and abandoned within one branch; that is now handleError.

--- a/packages/gateway/src/forwarding/forwarded_transaction.ts
+++ b/packages/gateway/src/forwarding/forwarded_transaction.ts
@@ -25,6 +25,7 @@
   StatementReply,
   TransactionState,
 } from '../statement/statement_answer.js';
+import {computeReplyTimeoutMs} from './compute_reply_timeout.js';
 import {describeForwardError} from './describe_forward_error.js';
 import type {
   ForwardClientStream,
@@ -42,9 +43,6 @@
   readonly beginContext: StatementContext;
 }
 
-/** Time beyond a deadline for which the holder's own report is awaited. */
-const REPLY_SLACK_MS = 50;
-
 /**
  * An open transaction on a connection of the holder. If the stream to the holder
  * is lost, so is the transaction: the holder rolls it back.
@@ -87,7 +85,6 @@
       return this.createLostReply(statement);
     }
     this.hasWritten ||= isWrite;
-    const remainingMs = Math.max(0, getRemainingMs(context));
     const {stream, transactionId} = this.options;
     const exchange = stream.sendStatement(
       transactionId,
@@ -97,9 +94,9 @@
         isWrite,
         values: [...session.values],
         prepared: session.prepared,
-        remainingMs,
+        remainingMs: Math.max(0, getRemainingMs(context)),
       },
-      remainingMs + REPLY_SLACK_MS,
+      computeReplyTimeoutMs(context),
     );
     const result = await exchange.result;
     return result.ok
--- a/packages/gateway/src/forwarding/forwarding_release_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_release_test.ts
@@ -7,7 +7,7 @@
 } from '../testing/forwarding_test_harness.js';
 import {advanceClock} from '../testing/settle.js';
 
-/** What a holder keeps for a follower, and when it lets go of it. */
+/** What a holder keeps for a follower, and when it releases it. */
 
 const WRITE: CallerStatement = {kind: 'write', text: 'WRITE a x'};
 const BEGIN: CallerStatement = {kind: 'begin', isReadOnly: false};
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -20,6 +20,7 @@
   ForwardExchange,
   ForwardResult,
 } from './forward_client_stream.js';
+import {computeReplyTimeoutMs} from './compute_reply_timeout.js';
 import {describeForwardError} from './describe_forward_error.js';
 import {
   toForwardable,
@@ -50,11 +51,11 @@
  */
 const MAX_CONNECT_WAIT_MS = 400;
 
-/**
- * Time beyond the deadline of a statement for which a follower waits for the
- * holder, which reports the timeout itself.
- */
-const REPLY_SLACK_MS = 50;
+/** A holder and the open stream to it. */
+interface Target {
+  readonly holder: Holder;
+  readonly stream: ForwardClientStream;
+}
 
 /** Outcome of one attempt at a holder. */
 type AttemptResult =
@@ -126,14 +127,14 @@
   private async attempt(
     context: StatementContext,
     message: ForwardedOperation,
-    target: {readonly holder: Holder; readonly stream: ForwardClientStream},
+    target: Target,
   ): Promise<AttemptResult> {
     const {holder, stream} = target;
     const {events, streams} = this.options;
     const {requestId, group} = context;
     const exchange = stream.sendOperation(
       message,
-      getRemainingMs(context) + REPLY_SLACK_MS,
+      computeReplyTimeoutMs(context),
     );
     events.record({
       kind: 'statementForwarded',
@@ -143,22 +144,10 @@
     });
     const result = await this.awaitResult(context, stream, exchange);
     if (!result.ok) {
-      events.record({
-        kind: 'forwardingFailed',
-        requestId,
-        databaseGroup: group.databaseGroup,
-        holder: holder.entryVm,
-        reason: describeForwardError(result.error),
+      this.handleError(context, message, target, {
+        exchangeId: exchange.exchangeId,
+        error: result.error,
       });
-      if (result.error.kind === 'declined') {
-        streams.avoid(holder);
-      }
-      const isGivenUp =
-        result.error.kind === 'timedOut' || result.error.kind === 'cancelled';
-      if (isGivenUp && message.statement.kind === 'begin') {
-        // The holder ignores the cancel of an exchange that it has answered.
-        stream.abandon(exchange.exchangeId);
-      }
       return this.classifyError(context, message, result.error);
     }
     streams.recordAnswer(holder);
@@ -193,6 +182,34 @@
     }
   }
 
+  /** Reports that a holder gave no reply and ends what it may have begun. */
+  private handleError(
+    {requestId, group}: StatementContext,
+    {statement}: ForwardedOperation,
+    {holder, stream}: Target,
+    {
+      exchangeId,
+      error,
+    }: {readonly exchangeId: number; readonly error: ForwardError},
+  ): void {
+    const {events, streams} = this.options;
+    events.record({
+      kind: 'forwardingFailed',
+      requestId,
+      databaseGroup: group.databaseGroup,
+      holder: holder.entryVm,
+      reason: describeForwardError(error),
+    });
+    if (error.kind === 'declined') {
+      streams.avoid(holder);
+    }
+    const isGivenUp = error.kind === 'timedOut' || error.kind === 'cancelled';
+    if (isGivenUp && statement.kind === 'begin') {
+      // The holder ignores the cancel of an exchange that it has answered.
+      stream.abandon(exchangeId);
+    }
+  }
+
   private classifyError(
     context: StatementContext,
     {isWrite}: ForwardedOperation,
--- a/packages/gateway/src/testing/forwarding_test_harness.ts
+++ b/packages/gateway/src/testing/forwarding_test_harness.ts
@@ -34,7 +34,7 @@
 
 /**
  * A follower and its holders before the same fake database group. Connections of
- * all of them are those of one group runtime; what differs is the road of a
+ * all of them are those of one group runtime; what differs is the path of a
  * statement.
  *
  * @internal
