Connection shares: report a change of the holder that leaves the share as it is

Operators could not see in the log which proxy holds a group while the share of a zone is one connection, as beside many proxies of the previous build: accessChanged was recorded only when the number of connections changed. It is now also recorded when isHolder changes.

The test in connection_shares_test.ts failed before.

--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -134,7 +134,9 @@
     const wasShared = known?.isShared ?? false;
     const hasChanged =
       access.isShared !== wasShared ||
-      (access.isShared && access.maxConnections !== known?.maxConnections);
+      (access.isShared &&
+        (access.isHolder !== known?.isHolder ||
+          access.maxConnections !== known.maxConnections));
     if (hasChanged) {
       this.options.events.record({
         kind: 'accessChanged',
--- a/packages/gateway/src/control/connection_shares_test.ts
+++ b/packages/gateway/src/control/connection_shares_test.ts
@@ -31,6 +31,7 @@
   let group: GroupRuntime;
   let records: readonly EntryVmRecord[];
   let maxConnections: number;
+  let isHolder: boolean;
   let shares: ConnectionShares;
 
   beforeEach(() => {
@@ -38,6 +39,7 @@
     ({group} = harness);
     records = [];
     maxConnections = MAX_CONNECTIONS;
+    isHolder = false;
     shares = ConnectionShares.create({
       clock: harness.clock,
       events: harness.events,
@@ -62,7 +64,7 @@
         ]),
       }),
       hasRegistrations: () => true,
-      isHolder: () => false,
+      isHolder: () => isHolder,
     });
   });
 
@@ -95,4 +97,20 @@
     expect(apply(27)).toBe(true);
     expect(apply(20)).toBe(false);
   });
+
+  // Guards against a log that names no holder while the share of a zone is one
+  // connection, as beside many proxies of an older build.
+  it('reports a change of the holder that does not change the share', () => {
+    maxConnections = 6;
+    apply(27);
+    isHolder = true;
+    apply(27);
+    const changes = harness.events.events.filter(
+      ({kind}) => kind === 'accessChanged',
+    );
+    expect(changes).toMatchObject([
+      {isShared: true, isHolder: false, maxConnections: 1},
+      {isShared: true, isHolder: true, maxConnections: 1},
+    ]);
+  });
 });
