Routing: handshake time and reserved slots of the primary stand once

Nothing changes for callers. The time of a handshake (12 ms) and the number of slots that the primary keeps for writes stood in two modules each, so that one could be changed without the other.

--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -21,7 +21,10 @@
 import type {ContactStatus} from '../control/contact_tracker.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import {CompletionTimeSelection} from '../routing/completion_time_selection.js';
+import {
+  CompletionTimeSelection,
+  RESERVED_PRIMARY_SLOTS,
+} from '../routing/completion_time_selection.js';
 import {ExpectedWork} from '../routing/expected_work.js';
 import {FixedCostSelection} from '../routing/fixed_cost_selection.js';
 import type {
@@ -99,13 +102,12 @@
 
 /**
  * Limits of the pools with shared access, where the pool of the holder is the
- * only queue of its zone for an instance. One slot of the primary is left to
- * statements that only the primary can run.
+ * only queue of its zone for an instance.
  */
 const SHARED_ACCESS_LIMITS: AccessLimits = {
   queueing: 'fair',
   pacing: 'adaptive',
-  reservedSlots: 1,
+  reservedSlots: RESERVED_PRIMARY_SLOTS,
 };
 
 /** Re-checks whether the awaited primary is available. */
--- a/packages/gateway/src/routing/completion_time_selection.ts
+++ b/packages/gateway/src/routing/completion_time_selection.ts
@@ -1,4 +1,5 @@
 import type {RandomSource} from '@filbertrun/base/random_source.js';
+import {DEFAULT_HANDSHAKE_MS} from '@filbertrun/pool/work_estimates.js';
 import {isExpectedToCoverPosition} from './choose_backend_server.js';
 import type {
   SelectionCandidate,
@@ -25,9 +26,6 @@
  */
 const UNKNOWN_REMOTE_ROUND_TRIP_MS = 2;
 
-/** Time for which a connection handshake occupies a slot of the server. */
-const HANDSHAKE_WORK_MS = 12;
-
 /** Round trips of a new connection: TCP connect and handshake. */
 const HANDSHAKE_ROUND_TRIPS = 2;
 
@@ -43,8 +41,12 @@
  */
 const INTER_REGION_TRANSFER_MS = 4;
 
-/** Slots of the primary that are left to strict reads and writes. */
-const RESERVED_PRIMARY_SLOTS = 1;
+/**
+ * Slots of the primary that are left to strict reads and writes.
+ *
+ * @public
+ */
+export const RESERVED_PRIMARY_SLOTS = 1;
 
 /**
  * Cost of reading from the primary, whose slots are needed for writes. At 20 ms,
@@ -195,7 +197,7 @@
     roundTripMs +
     serviceMs * (1 + getContention(candidate));
   if (!candidate.hasIdleConnection) {
-    completionMs += HANDSHAKE_WORK_MS + HANDSHAKE_ROUND_TRIPS * roundTripMs;
+    completionMs += DEFAULT_HANDSHAKE_MS + HANDSHAKE_ROUND_TRIPS * roundTripMs;
   }
   if (roundTripMs >= INTER_REGION_ROUND_TRIP_MS) {
     completionMs += INTER_REGION_TRANSFER_MS;
--- a/packages/pool/src/response_streak.ts
+++ b/packages/pool/src/response_streak.ts
@@ -1,9 +1,9 @@
 import type {LeaseOutcome} from './pool_types.js';
 
 /**
- * Good responses in a row after a bad one from which a limit may grow. With 30% failures it
- * admits about a third of the good responses, so that reductions outweigh
- * growth; a recovered server needs two responses more.
+ * Good responses in a row after a bad one from which a limit may grow. With 30%
+ * failures it admits about a third of the good responses, so that reductions
+ * outweigh growth; a recovered server needs two responses more.
  */
 const GROWTH_STREAK = 3;
 
--- a/packages/pool/src/work_estimates.ts
+++ b/packages/pool/src/work_estimates.ts
@@ -8,8 +8,13 @@
 /** Shortest work, so that each entry advances the virtual time of its queue. */
 const MIN_WORK_MS = 0.1;
 
-/** Time for which a new connection occupies a slot, until it is measured. */
-const DEFAULT_HANDSHAKE_MS = 12;
+/**
+ * Time for which a new connection occupies a slot of the backend server, until it
+ * is measured.
+ *
+ * @public
+ */
+export const DEFAULT_HANDSHAKE_MS = 12;
 
 /** Time that a transaction holds its connection, until it is measured. */
 const DEFAULT_HOLD_MS = 100;
