Shares: a zone of another region than the instance gets twice the connections of a near one

Change: shares are weighted by the region of the instance, 8 and 4 of 44 in place of 6; the regions come from the settings. With one region nothing changes.

--- a/packages/gateway/src/control/compute_zone_share.ts
+++ b/packages/gateway/src/control/compute_zone_share.ts
@@ -81,17 +81,40 @@
   );
 }
 
+/** The zones of a deployment relative to an instance. @public */
+export interface ZoneDistance {
+  /** Zones in other regions than the instance. */
+  readonly farZoneCount: number;
+  /** Whether the zone of the holder is one of them. */
+  readonly isFar: boolean;
+}
+
+const ONE_REGION: ZoneDistance = {farZoneCount: 0, isFar: false};
+
+/**
+ * Share of a zone in another region than the instance, relative to one in its
+ * region. A statement, and each pause between two of a transaction, holds the
+ * connection for a round trip between the regions as well.
+ */
+const FAR_WEIGHT = 2;
+
 /**
  * Returns how many connections the holder of a zone may open to an instance (at
  * least 1).
  *
  * @public
  */
-export function computeZoneShare(inputs: ZoneShareInputs): number {
+export function computeZoneShare(
+  inputs: ZoneShareInputs,
+  {farZoneCount, isFar}: ZoneDistance = ONE_REGION,
+): number {
   const {maxConnections, directEntryVmCount, zoneCount} = inputs;
   const available = maxConnections - RESERVED_CONNECTIONS - directEntryVmCount;
+  const nearZoneCount = Math.max(1, zoneCount) - farZoneCount;
   // One share is left for a second holder while the holder of a zone changes.
-  const share = available / (Math.max(1, zoneCount) + 1);
+  const spareWeight = farZoneCount > 0 ? FAR_WEIGHT : 1;
+  const totalWeight = nearZoneCount + FAR_WEIGHT * farZoneCount + spareWeight;
+  const share = (available / totalWeight) * (isFar ? FAR_WEIGHT : 1);
   const fraction = inputs.mayHaveOrphans ? RESTART_FRACTION : 1;
   return Math.max(1, Math.floor(share * fraction));
 }
--- a/packages/gateway/src/control/compute_zone_share_test.ts
+++ b/packages/gateway/src/control/compute_zone_share_test.ts
@@ -49,6 +49,20 @@
     expect(computeZoneShare(DEPLOYMENT)).toBe(20);
   });
 
+  // Guards against connections that are all held for round trips between regions.
+  it('gives a zone of another region twice the share of a near one', () => {
+    const inputs = {
+      ...DEPLOYMENT,
+      maxConnections: 46,
+      entryVmCount: 83,
+      zoneCount: 6,
+    };
+    const near = computeZoneShare(inputs, {farZoneCount: 3, isFar: false});
+    const far = computeZoneShare(inputs, {farZoneCount: 3, isFar: true});
+    expect([near, far]).toEqual([4, 8]);
+    expect(3 * near + 3 * far + far).toBeLessThanOrEqual(44);
+  });
+
   it('halves the share while the previous process may be counted', () => {
     expect(computeZoneShare({...DEPLOYMENT, mayHaveOrphans: true})).toBe(10);
   });
--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -1,4 +1,5 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import type {AvailabilityZone} from '@filbertrun/model/identifiers.js';
 import type {ServiceConfiguration} from '../configuration/service_configuration.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
@@ -6,13 +7,20 @@
   computeConnectionShare,
   ORPHANED_CONNECTIONS_MS,
 } from './compute_connection_share.js';
-import {computeZoneShare, isAccessShared} from './compute_zone_share.js';
+import {
+  computeZoneShare,
+  isAccessShared,
+  type ZoneDistance,
+} from './compute_zone_share.js';
 import type {EntryVmRecord} from './control_record.js';
 import type {EntryVmRegistration} from './entry_vm_registration.js';
+import type {ZoneRegions} from './zone_regions.js';
 
 /** Dependencies of {@link ConnectionShares}. @public */
 export interface ConnectionSharesOptions {
   readonly clock: Clock;
+  readonly availabilityZone: AvailabilityZone;
+  readonly zoneRegions: ZoneRegions;
   readonly events: GatewayEventRecorder;
   readonly registration: Pick<
     EntryVmRegistration,
@@ -35,7 +43,10 @@
 interface Access {
   readonly isShared: boolean;
   readonly isHolder: boolean;
+  /** Connections to an instance in this proxy's availability zone. */
   readonly maxConnections: number;
+  /** Connections to an instance by its zone. */
+  readonly getMaxConnections: (instanceZone: AvailabilityZone) => number;
 }
 
 /** Limits this proxy's connections to each instance to its share. @public */
@@ -95,32 +106,48 @@
     const {registration, canForward, isHolder} = this.options;
     const entryVmCount = others.length + 1;
     const mayHaveOrphans = this.mayHaveOrphans();
+    const zones = listZones(registration.getEntryVms());
     const inputs = {
       maxConnections,
       entryVmCount,
       directEntryVmCount: countDirect(others),
-      zoneCount: countZones(registration.getEntryVms()),
+      zoneCount: Math.max(1, zones.size),
       mayHaveOrphans,
     };
     const wasShared = this.accesses.get(databaseGroup)?.isShared ?? false;
     if (!canForward || !isAccessShared(inputs, wasShared)) {
-      return {
-        isShared: false,
-        isHolder: false,
-        maxConnections: computeConnectionShare({
-          maxConnections,
-          entryVmCount,
-          mayHaveOrphans,
-        }),
-      };
+      const share = computeConnectionShare({
+        maxConnections,
+        entryVmCount,
+        mayHaveOrphans,
+      });
+      return this.createAccess(false, false, () => share);
     }
-    const isConnectionHolder = isHolder(databaseGroup);
+    return isHolder(databaseGroup)
+      ? this.createAccess(true, true, instanceZone =>
+          computeZoneShare(inputs, this.getDistance(instanceZone, zones)),
+        )
+      : this.createAccess(true, false, () => FOLLOWER_CONNECTIONS);
+  }
+
+  private createAccess(
+    isShared: boolean,
+    isHolder: boolean,
+    getMaxConnections: Access['getMaxConnections'],
+  ): Access {
+    const maxConnections = getMaxConnections(this.options.availabilityZone);
+    return {isShared, isHolder, maxConnections, getMaxConnections};
+  }
+
+  /** Returns where this proxy's zone is relative to an instance. */
+  private getDistance(
+    instanceZone: AvailabilityZone,
+    zones: ReadonlySet<AvailabilityZone>,
+  ): ZoneDistance {
+    const {zoneRegions, availabilityZone} = this.options;
     return {
-      isShared: true,
-      isHolder: isConnectionHolder,
-      maxConnections: isConnectionHolder
-        ? computeZoneShare(inputs)
-        : FOLLOWER_CONNECTIONS,
+      farZoneCount: zoneRegions.countApart(instanceZone, zones),
+      isFar: zoneRegions.areApart(instanceZone, availabilityZone),
     };
   }
 
@@ -129,7 +156,7 @@
     const known = this.accesses.get(databaseGroup);
     group.setSharedAccess(access.isShared);
     group.setHolder(access.isHolder);
-    group.setMaxConnections(access.maxConnections);
+    group.setConnectionLimits(access.getMaxConnections);
     this.accesses.set(databaseGroup, access);
     const wasShared = known?.isShared ?? false;
     const hasChanged =
@@ -141,7 +168,9 @@
       this.options.events.record({
         kind: 'accessChanged',
         databaseGroup,
-        ...access,
+        isShared: access.isShared,
+        isHolder: access.isHolder,
+        maxConnections: access.maxConnections,
       });
     }
   }
@@ -162,7 +191,8 @@
   return entryVms.filter(({forwardPort}) => forwardPort === undefined).length;
 }
 
-function countZones(entryVms: readonly EntryVmRecord[]): number {
-  const zones = new Set(entryVms.map(({availabilityZone}) => availabilityZone));
-  return Math.max(1, zones.size);
+function listZones(
+  entryVms: readonly EntryVmRecord[],
+): ReadonlySet<AvailabilityZone> {
+  return new Set(entryVms.map(({availabilityZone}) => availabilityZone));
 }
--- a/packages/gateway/src/control/connection_shares_test.ts
+++ b/packages/gateway/src/control/connection_shares_test.ts
@@ -1,9 +1,11 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {GroupRuntime} from '../group/group_runtime.js';
+import {createEntry} from '../testing/fake_instances.js';
 import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {SessionTestHarness} from '../testing/session_test_harness.js';
 import {ConnectionShares} from './connection_shares.js';
 import type {EntryVmRecord} from './control_record.js';
+import {ZoneRegions} from './zone_regions.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
@@ -42,6 +44,14 @@
     isHolder = false;
     shares = ConnectionShares.create({
       clock: harness.clock,
+      availabilityZone: 'zone-a',
+      zoneRegions: ZoneRegions.create(
+        new Map([
+          ['zone-a', 'east'],
+          ['zone-b', 'east'],
+          ['zone-c', 'west'],
+        ]),
+      ),
       events: harness.events,
       registration: {
         getEntryVms: () => records,
@@ -113,4 +123,17 @@
       {isShared: true, isHolder: true, maxConnections: 1},
     ]);
   });
+
+  it('gives the holder more connections to an instance in another region', () => {
+    records = createRecords(37);
+    isHolder = true;
+    group.updateServer({
+      ...createEntry('r2', 'replica'),
+      availabilityZone: 'zone-c',
+    });
+    shares.apply();
+    // 80 connections: two near zones of 1, one far of 2 and its spare of 2.
+    expect(group.getConnectionLimit('zone-a')).toBe(13);
+    expect(group.getConnectionLimit('zone-c')).toBe(22);
+  });
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 } from './control/entry_vm_registration.js';
 import {FailoverLeaderLease} from './control/failover_leader_lease.js';
 import {RecordRestorer} from './control/record_restorer.js';
+import {ZoneRegions} from './control/zone_regions.js';
 import {StoreEraTracker} from './control/store_era_tracker.js';
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
@@ -107,6 +108,8 @@
   readonly quotaRules: QuotaRules | null;
   /** All availability zones of the deployment. */
   readonly availabilityZones: readonly string[];
+  /** Regions of the availability zones, as far as they are known. */
+  readonly zoneRegions: ReadonlyMap<string, string>;
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
   /** Time after the last contact during which a primary lease is valid. */
@@ -461,6 +464,8 @@
     this.operations = this.forwarding.executor;
     this.connectionShares = ConnectionShares.create({
       clock,
+      availabilityZone: self.availabilityZone,
+      zoneRegions: ZoneRegions.create(options.zoneRegions),
       events,
       canForward: options.forwardConnector !== null,
       isHolder: databaseGroup => this.forwarding.isHolder(databaseGroup),
--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -110,6 +110,9 @@
   reservedSlots: RESERVED_PRIMARY_SLOTS,
 };
 
+/** Returns how many connections this proxy may open to an instance of a zone. */
+type ConnectionLimits = (instanceZone: AvailabilityZone) => number;
+
 /** Re-checks whether the awaited primary is available. */
 type PrimaryWaiter = () => void;
 
@@ -142,7 +145,7 @@
   private writeTimer: Timer | null = null;
   private changeStartedAtMs: number | null = null;
   private expectedChangeMs = INITIAL_EXPECTED_CHANGE_MS;
-  private maxConnections = 1;
+  private getMaxConnections: ConnectionLimits = () => 1;
   private isShared = false;
   private isHolder = false;
   private readonly expectedWork = ExpectedWork.create();
@@ -196,7 +199,7 @@
         random,
         connector,
         events,
-        maxConnections: this.maxConnections,
+        maxConnections: this.getMaxConnections(entry.availabilityZone),
         drainDurationMs,
         drainTracker: this.drainTracker,
       });
@@ -225,10 +228,22 @@
     this.updateIdleTimeouts();
   }
 
+  /** Sets the same limit of connections for all instances. */
   setMaxConnections(maxConnections: number): void {
-    this.maxConnections = maxConnections;
+    this.setConnectionLimits(() => maxConnections);
+  }
+
+  /** Connections that this proxy may open to an instance of a zone. */
+  getConnectionLimit(instanceZone: AvailabilityZone): number {
+    return this.getMaxConnections(instanceZone);
+  }
+
+  /** Sets the limits of connections by the availability zone of an instance. */
+  setConnectionLimits(getMaxConnections: ConnectionLimits): void {
+    this.getMaxConnections = getMaxConnections;
     for (const server of this.servers.values()) {
-      server.setMaxConnections(maxConnections);
+      const {availabilityZone} = server.entry;
+      server.setMaxConnections(getMaxConnections(availabilityZone));
     }
   }
 
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -128,6 +128,7 @@
         configurationApplyMs: CONFIGURATION_APPLY_MS,
         quotaRules: null,
         availabilityZones: [],
+        zoneRegions: new Map(),
         isFirstStart: false,
       }),
     );
