Sessions: a transaction survives a result that follows its abandonment

A follower could lose its stream, and with it the operations of all its callers, when a caller left during a statement of a transaction: the result was applied to a connection that had been given back, and the error ended the stream. Connections usually report themselves as lost at that point; the result arrives if it was received in the same turn. The result now uses the server of the transaction and starts no idle timeout without a connection.

The test "keeps the stream when a caller leaves during a statement of a transaction" failed before. The test of a stream that ends during BEGIN passed before and is kept as a guard.

--- a/packages/gateway/src/forwarding/forwarding_release_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_release_test.ts
@@ -112,4 +112,40 @@
     expect(getPoolStatus()?.suspendedLeases).toBe(0);
     expect(first.forwarding.transactionCount).toBe(0);
   });
+
+  // Guards against a transaction that is opened for a stream that has ended.
+  it('rolls back a transaction whose stream ends during its BEGIN', async () => {
+    setAnswerTime(40);
+    const session = harness.open('strict');
+    const reply = start(BEGIN, session);
+    await advance(20);
+    first.channels[0]?.holder.reset();
+    await advance(200);
+    expect((await reply).result.kind).toBe('complete');
+    expect(first.forwarding.transactionCount).toBe(0);
+    // The transaction that was begun at the next holder.
+    expect(getPoolStatus()?.suspendedLeases).toBe(1);
+    session.close();
+    await advance(200);
+    expect(getPoolStatus()?.suspendedLeases).toBe(0);
+  });
+
+  // Guards against an abandoned statement whose result ends the stream with the
+  // operations of other callers.
+  it('keeps the stream when a caller leaves during a statement of a transaction', async () => {
+    const session = harness.open('strict');
+    const begun = start(BEGIN, session);
+    await advance(20);
+    await begun;
+    setAnswerTime(40);
+    const reply = start(WRITE, session);
+    await advance(20);
+    session.close();
+    await advance(200);
+    await reply;
+    expect(first.channels).toHaveLength(1);
+    expect(first.channels[0]?.follower.isOpen).toBe(true);
+    expect(getPoolStatus()?.activeLeases).toBe(0);
+    expect(harness.sessions.backend.committedWrites).toEqual([]);
+  });
 });
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -135,7 +135,7 @@
       transactionState,
       position,
     } = result.value;
-    this.heldConnection.server.recordPosition(position);
+    this.beginResult.server.recordPosition(position);
     const outcome = getResponseOutcome(statementResult);
     if (outcome !== 'served' && outcome !== 'unused') {
       this.outcome = outcome;
@@ -148,7 +148,9 @@
       position,
     };
     if (transactionState !== 'idle') {
-      this.suspend();
+      if (this.holdsConnection()) {
+        this.suspend();
+      }
       return reply;
     }
     this.end('clean', this.outcome);
@@ -309,6 +311,11 @@
     }
   }
 
+  /** Whether the transaction was not abandoned, also during a statement. */
+  private holdsConnection(): boolean {
+    return this.heldConnection !== null;
+  }
+
   /** Returns the connection to the pool, which closes it if it is dirty. */
   private end(condition: 'clean' | 'dirty', outcome: LeaseOutcome): void {
     this.heldConnection?.lease.release(condition, outcome);
