Sessions: with shared access, no connection and no server is lost to one caller

With shared access, a holder kept one of its few connections until the caller disconnected, if the caller sent a statement in a failed transaction and then nothing: that statement cancelled the idle timeout. And a caller that left during a statement of a transaction made the holder suspect the server, so that reads of the whole zone avoided it. A failed transaction now restarts its idle timeout, and the loss of an abandoned connection is no evidence against the server. Groups with direct access behave as before.

FakeBackend can now reject a statement in a way that fails its transaction.

--- a/packages/gateway/src/forwarding/forwarding_release_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_release_test.ts
@@ -148,4 +148,34 @@
     expect(getPoolStatus()?.activeLeases).toBe(0);
     expect(harness.sessions.backend.committedWrites).toEqual([]);
   });
+
+  // Guards against one of the few connections that is kept until a silent caller
+  // disconnects.
+  it('rolls back a failed transaction after the idle timeout', async () => {
+    const {backend} = harness.sessions;
+    const session = harness.open('strict');
+    await harness.run(session, BEGIN);
+    const rejection = 'invalidStatement';
+    backend.plan('p', {kind: 'reject', rejection, failsTransaction: true});
+    await harness.run(session, WRITE);
+    await harness.run(session, WRITE);
+    expect(session.transactionState).toBe('failed');
+    expect(getPoolStatus()?.suspendedLeases).toBe(1);
+    await advance(4_000);
+    expect(getPoolStatus()?.suspendedLeases).toBe(0);
+  });
+
+  // Guards against reads of a whole zone that avoid a server because one caller
+  // has left.
+  it('does not suspect the server of a statement whose caller has left', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, BEGIN);
+    harness.sessions.backend.plan('p', {kind: 'silence'});
+    const reply = start(WRITE, session);
+    await advance(20);
+    session.close();
+    await advance(1_100);
+    await reply;
+    expect(harness.sessions.group.getServer('p')?.isSuspect).toBe(false);
+  });
 });
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -95,6 +95,10 @@
       return this.handleWithoutConnection(statement);
     }
     if (this.state === 'failed' && !endsTransaction(statement)) {
+      if (context.group.hasSharedAccess) {
+        // Direct access has no idle timeout here: its behavior is kept as it was.
+        this.suspend();
+      }
       return createErrorReply({kind: 'transactionFailed'}, 'failed');
     }
     const {lease} = this.heldConnection;
@@ -214,10 +218,14 @@
     error: RunError,
   ): StatementReply {
     const server = this.beginResult.server;
+    // An abandoned statement loses its connection whatever the server does.
+    // Direct access suspects the server all the same, as it always has.
+    const isServerLost =
+      this.holdsConnection() || !context.group.hasSharedAccess;
     this.end('dirty', getRunErrorOutcome(error));
     const wasSent =
       error.kind === 'timedOut' || error.kind === 'connectionLost';
-    if (wasSent) {
+    if (wasSent && isServerLost) {
       server.markSuspect();
     }
     const isOutcomeUnknown =
--- a/packages/gateway/src/testing/fake_backend.ts
+++ b/packages/gateway/src/testing/fake_backend.ts
@@ -29,7 +29,12 @@
 /** How a fake server handles the next caller statement. @internal */
 export type StatementBehavior =
   | {readonly kind: 'answer'}
-  | {readonly kind: 'reject'; readonly rejection: BackendRejection}
+  | {
+      readonly kind: 'reject';
+      readonly rejection: BackendRejection;
+      /** Whether the open transaction accepts only its end from then on. */
+      readonly failsTransaction?: boolean;
+    }
   /** The server runs the statement and closes the connection. */
   | {readonly kind: 'runAndLose'}
   /** The server closes the connection before it runs the statement. */
@@ -178,6 +183,9 @@
     };
     switch (behavior.kind) {
       case 'reject':
+        if (behavior.failsTransaction === true) {
+          this.transactionState = 'failed';
+        }
         return success(
           createRejectedAnswer(behavior.rejection, this.getAnswerState()),
         );
