Forwarding: only a BEGIN opens a forwarded transaction

A caller whose plain read left its connection in a transaction saw its session in a transaction that the holder did not have; its next statement failed as transactionLost. As with direct access, only the reply to a BEGIN opens one.

The test in forwarding_release_test.ts failed before.

--- a/packages/gateway/src/forwarding/forwarding_release_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_release_test.ts
@@ -9,6 +9,7 @@
 
 /** What a holder keeps for a follower, and when it releases it. */
 
+const READ: CallerStatement = {kind: 'read', text: 'READ a'};
 const WRITE: CallerStatement = {kind: 'write', text: 'WRITE a x'};
 const BEGIN: CallerStatement = {kind: 'begin', isReadOnly: false};
 
@@ -178,4 +179,20 @@
     await reply;
     expect(harness.sessions.group.getServer('p')?.isSuspect).toBe(false);
   });
+
+  // Guards against a session that waits for the end of a transaction which the
+  // holder does not have.
+  it('opens no transaction for a read that leaves its connection in one', async () => {
+    const session = harness.open('strict');
+    const rejection = 'invalidStatement';
+    harness.sessions.backend.plan('p', {
+      kind: 'reject',
+      rejection,
+      failsTransaction: true,
+    });
+    await harness.run(session, READ);
+    expect(session.transactionState).toBe('idle');
+    const reply = await harness.run(session, READ);
+    expect(reply.result.kind).toBe('complete');
+  });
 });
--- a/packages/gateway/src/forwarding/operation_forwarder.ts
+++ b/packages/gateway/src/forwarding/operation_forwarder.ts
@@ -156,14 +156,14 @@
     }
     const {reply, committedPosition} = result.value;
     const transaction =
-      reply.transactionState === 'idle'
-        ? null
-        : ForwardedTransaction.create({
+      message.statement.kind === 'begin' && reply.transactionState !== 'idle'
+        ? ForwardedTransaction.create({
             stream,
             transactionId: exchange.exchangeId,
             holder: holder.entryVm,
             beginContext: context,
-          });
+          })
+        : null;
     return {kind: 'answered', result: {reply, committedPosition, transaction}};
   }
 
