--- a/packages/gateway/src/forwarding/forwarding_release_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_release_test.ts
@@ -9,6 +9,7 @@
 
 /** What a holder keeps for a follower, and when it releases it. */
 
+const READ: CallerStatement = {kind: 'read', text: 'READ a'};
 const WRITE: CallerStatement = {kind: 'write', text: 'WRITE a x'};
 const BEGIN: CallerStatement = {kind: 'begin', isReadOnly: false};
 
@@ -112,4 +113,86 @@
     expect(getPoolStatus()?.suspendedLeases).toBe(0);
     expect(first.forwarding.transactionCount).toBe(0);
   });
+
+  // Guards against a transaction that is opened for a stream that has ended.
+  it('rolls back a transaction whose stream ends during its BEGIN', async () => {
+    setAnswerTime(40);
+    const session = harness.open('strict');
+    const reply = start(BEGIN, session);
+    await advance(20);
+    first.channels[0]?.holder.reset();
+    await advance(200);
+    expect((await reply).result.kind).toBe('complete');
+    expect(first.forwarding.transactionCount).toBe(0);
+    // The transaction that was begun at the next holder.
+    expect(getPoolStatus()?.suspendedLeases).toBe(1);
+    session.close();
+    await advance(200);
+    expect(getPoolStatus()?.suspendedLeases).toBe(0);
+  });
+
+  // Guards against an abandoned statement whose result ends the stream with the
+  // operations of other callers.
+  it('keeps the stream when a caller leaves during a statement of a transaction', async () => {
+    const session = harness.open('strict');
+    const begun = start(BEGIN, session);
+    await advance(20);
+    await begun;
+    setAnswerTime(40);
+    const reply = start(WRITE, session);
+    await advance(20);
+    session.close();
+    await advance(200);
+    await reply;
+    expect(first.channels).toHaveLength(1);
+    expect(first.channels[0]?.follower.isOpen).toBe(true);
+    expect(getPoolStatus()?.activeLeases).toBe(0);
+    expect(harness.sessions.backend.committedWrites).toEqual([]);
+  });
+
+  // Guards against one of the few connections that is kept until a silent caller
+  // disconnects.
+  it('rolls back a failed transaction after the idle timeout', async () => {
+    const {backend} = harness.sessions;
+    const session = harness.open('strict');
+    await harness.run(session, BEGIN);
+    const rejection = 'invalidStatement';
+    backend.plan('p', {kind: 'reject', rejection, failsTransaction: true});
+    await harness.run(session, WRITE);
+    await harness.run(session, WRITE);
+    expect(session.transactionState).toBe('failed');
+    expect(getPoolStatus()?.suspendedLeases).toBe(1);
+    await advance(4_000);
+    expect(getPoolStatus()?.suspendedLeases).toBe(0);
+  });
+
+  // Guards against reads of a whole zone that avoid a server because one caller
+  // has left.
+  it('does not suspect the server of a statement whose caller has left', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, BEGIN);
+    harness.sessions.backend.plan('p', {kind: 'silence'});
+    const reply = start(WRITE, session);
+    await advance(20);
+    session.close();
+    await advance(1_100);
+    await reply;
+    expect(harness.sessions.group.getServer('p')?.isSuspect).toBe(false);
+  });
+
+  // Guards against a session that waits for the end of a transaction which the
+  // holder does not have.
+  it('opens no transaction for a read that leaves its connection in one', async () => {
+    const session = harness.open('strict');
+    const rejection = 'invalidStatement';
+    harness.sessions.backend.plan('p', {
+      kind: 'reject',
+      rejection,
+      failsTransaction: true,
+    });
+    await harness.run(session, READ);
+    expect(session.transactionState).toBe('idle');
+    const reply = await harness.run(session, READ);
+    expect(reply.result.kind).toBe('complete');
+  });
 });
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -95,6 +95,10 @@
       return this.handleWithoutConnection(statement);
     }
     if (this.state === 'failed' && !endsTransaction(statement)) {
+      if (context.group.hasSharedAccess) {
+        // Direct access has no idle timeout here: its behavior is kept as it was.
+        this.suspend();
+      }
       return createErrorReply({kind: 'transactionFailed'}, 'failed');
     }
     const {lease} = this.heldConnection;
@@ -142,7 +146,7 @@
       transactionState,
       position,
     } = result.value;
-    this.heldConnection.server.recordPosition(position);
+    this.beginResult.server.recordPosition(position);
     const outcome = getResponseOutcome(statementResult);
     if (outcome !== 'served' && outcome !== 'unused') {
       this.outcome = outcome;
@@ -155,7 +159,9 @@
       position,
     };
     if (transactionState !== 'idle') {
-      this.suspend();
+      if (this.holdsConnection()) {
+        this.suspend();
+      }
       return reply;
     }
     this.end('clean', this.outcome);
@@ -224,10 +230,14 @@
     error: RunError,
   ): StatementReply {
     const server = this.beginResult.server;
+    // An abandoned statement loses its connection whatever the server does.
+    // Direct access suspects the server all the same, as it always has.
+    const isServerLost =
+      this.holdsConnection() || !context.group.hasSharedAccess;
     this.end('dirty', getRunErrorOutcome(error));
     const wasSent =
       error.kind === 'timedOut' || error.kind === 'connectionLost';
-    if (wasSent) {
+    if (wasSent && isServerLost) {
       server.markSuspect();
     }
     const isOutcomeUnknown =
@@ -321,6 +331,11 @@
     }
   }
 
+  /** Whether the transaction was not abandoned, also during a statement. */
+  private holdsConnection(): boolean {
+    return this.heldConnection !== null;
+  }
+
   /** Returns the connection to the pool, which closes it if it is dirty. */
   private end(condition: 'clean' | 'dirty', outcome: LeaseOutcome): void {
     this.heldConnection?.lease.release(condition, outcome);
