Routing: among equals, a read goes to the server of its own zone

Change: among candidates within the tolerance, an idle connection counts first, then the local zone. The new test fails without it.

--- a/packages/gateway/src/routing/completion_time_selection.ts
+++ b/packages/gateway/src/routing/completion_time_selection.ts
@@ -94,7 +94,8 @@
 /**
  * Chooses among the candidates whose expected completion time is within a
  * tolerance of the earliest: one with an idle connection of the identity if any
- * has one, at random in proportion to the free capacity. A choice of the very
+ * has one, in the local zone if one is there, at random in proportion to the free
+ * capacity. A choice of the very
  * best would send the reads of all proxies to one server at once.
  *
  * @public
@@ -116,7 +117,13 @@
     );
     const near = findNearBest(estimated);
     const withIdle = near.filter(({candidate}) => candidate.hasIdleConnection);
-    return this.draw(withIdle.length > 0 ? withIdle : near);
+    const connected = withIdle.length > 0 ? withIdle : near;
+    // Among equals, a local server spares the bytes between zones.
+    const local = connected.filter(
+      ({candidate}) =>
+        candidate.availabilityZone === requirements.availabilityZone,
+    );
+    return this.draw(local.length > 0 ? local : connected);
   }
 
   /** Draws a candidate in proportion to its usable capacity. */
--- a/packages/gateway/src/routing/completion_time_selection_test.ts
+++ b/packages/gateway/src/routing/completion_time_selection_test.ts
@@ -69,6 +69,13 @@
     );
   });
 
+  // Guards against reads that go to another zone, whose bytes are billed, although
+  // the local server completes them about as early.
+  it('prefers the local server among equals', () => {
+    const candidates = [createOtherZone('far'), createCandidate('near')];
+    expect(choose(candidates, {expectedWorkMs: 40})).toBe('near');
+  });
+
   // Guards against the fixed cost of 30 ms, which kept reads in the queue of a
   // busy local server while a server 0.9 ms away was idle.
   it('prefers an idle server of another zone to a busy local one', () => {
