--- a/packages/pool/src/fair_queueing_replay_test.ts
+++ b/packages/pool/src/fair_queueing_replay_test.ts
@@ -1,6 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import type {Queueing} from './pool_types.js';
-import {createFolioLoad, FOLIO_SLOTS} from './testing/folio_load.js';
+import {
+  createCustomerMixLoad,
+  CUSTOMER_MIX_SLOTS,
+} from './testing/customer_mix_load.js';
 import {
   replayLoad,
   type ReplayLoad,
@@ -130,14 +133,16 @@
     'a third of the slots lost',
     {
       getSlots: nowMs =>
-        isBetween(nowMs, 5_000, 15_000) ? FOLIO_SLOTS - 2 : FOLIO_SLOTS,
+        isBetween(nowMs, 5_000, 15_000)
+          ? CUSTOMER_MIX_SLOTS - 2
+          : CUSTOMER_MIX_SLOTS,
     },
   ],
 ];
 
 describe('queue orders under the loads of docs/HARD_LOAD.md', () => {
   it.each(LOADS)('loses no value under: %s', async (name, changes) => {
-    const load = createFolioLoad(changes);
+    const load = createCustomerMixLoad(changes);
     const before = await summarize(load, 'priority');
     const after = await summarize(load, 'fair');
     console.log(
@@ -153,7 +158,7 @@
   });
 
   it('protects other customers when all of this happens at once', async () => {
-    const load = createFolioLoad({
+    const load = createCustomerMixLoad({
       getRateFactor: (nowMs, kind, customer) => {
         const isLarge =
           customer === LARGE_CUSTOMER && isBetween(nowMs, 4_000, 15_000);
@@ -168,7 +173,9 @@
         );
       },
       getSlots: nowMs =>
-        isBetween(nowMs, 5_000, 12_000) ? FOLIO_SLOTS - 2 : FOLIO_SLOTS,
+        isBetween(nowMs, 5_000, 12_000)
+          ? CUSTOMER_MIX_SLOTS - 2
+          : CUSTOMER_MIX_SLOTS,
     });
     const before = await summarize(load, 'priority');
     const after = await summarize(load, 'fair');
@@ -200,14 +207,14 @@
 
 /**
  * Mean response time of the other customers. The load keeps about a fifth of the
- * slots busy, as Folio's usual load does over all instances, and 55% during the
+ * slots busy, as the usual load does over all instances, and 55% during the
  * surge. The pool has 12 connections for 8 customers.
  */
 async function measureOthersMs(
   queueing: Queueing,
   surge: number,
 ): Promise<number> {
-  const usual = createFolioLoad({});
+  const usual = createCustomerMixLoad({});
   const load: ReplayLoad = {
     ...usual,
     durationMs: 30_000,
--- a/packages/pool/src/testing/folio_load.ts
+++ b/packages/pool/src/testing/customer_mix_load.ts
@@ -1,11 +1,11 @@
 import type {ReplayKind, ReplayLoad} from './load_replay.js';
 
 /**
- * Load of the customer Folio (docs/HARD_LOAD.md), scaled to one instance: its
+ * Load of many customers and three kinds of operation (docs/HARD_LOAD.md), scaled to one instance: its
  * mix of kinds keeps about 3.2 of 6 slots busy.
  */
 
-/** Part of Folio's total rates that one instance gets. */
+/** Part of the total rates that one instance gets. */
 const RATE_SHARE = 0.19;
 
 /** Number of customers and the exponent of their sizes: the first has 12%. */
@@ -13,7 +13,7 @@
 const SIZE_EXPONENT = 0.8;
 
 /** Slots of the instance. @internal */
-export const FOLIO_SLOTS = 6;
+export const CUSTOMER_MIX_SLOTS = 6;
 
 const KINDS: readonly ReplayKind[] = [
   {
@@ -54,8 +54,10 @@
   },
 ];
 
-/** Returns Folio's usual load with changes. @internal */
-export function createFolioLoad(changes: Partial<ReplayLoad>): ReplayLoad {
+/** Returns the usual load with changes. @internal */
+export function createCustomerMixLoad(
+  changes: Partial<ReplayLoad>,
+): ReplayLoad {
   return {
     kinds: KINDS,
     customerWeights: Array.from(
@@ -65,13 +67,13 @@
     durationMs: 20_000,
     limits: {
       maxConnections: 20,
-      slots: FOLIO_SLOTS,
+      slots: CUSTOMER_MIX_SLOTS,
       minConcurrency: 1,
       idleTimeoutMs: 60_000,
       minIdleConnections: 20,
     },
     getRateFactor: () => 1,
-    getSlots: () => FOLIO_SLOTS,
+    getSlots: () => CUSTOMER_MIX_SLOTS,
     ...changes,
   };
 }
--- a/packages/pool/src/testing/pacing_replay.ts
+++ b/packages/pool/src/testing/pacing_replay.ts
@@ -16,7 +16,7 @@
 } from './replayed_instance.js';
 
 /**
- * Replays the load of one instance of the Folio deployment (docs/HARD_LOAD.md)
+ * Replays the load of one instance (docs/HARD_LOAD.md)
  * on the pools of its three availability zones, in virtual time.
  */
 
