--- a/packages/pool/src/testing/customer_mix_load.ts
+++ b/packages/pool/src/testing/customer_mix_load.ts
@@ -1,8 +1,8 @@
 import type {ReplayKind, ReplayLoad} from './load_replay.js';
 
 /**
- * Load of many customers and three kinds of operation (docs/HARD_LOAD.md), scaled to one instance: its
- * mix of kinds keeps about 3.2 of 6 slots busy.
+ * Load of many customers and three kinds of operation (docs/HARD_LOAD.md), scaled
+ * to one instance: its mix of kinds keeps about 3.2 of 6 slots busy.
  */
 
 /** Part of the total rates that one instance gets. */
--- a/packages/pool/src/testing/pacing_replay.ts
+++ b/packages/pool/src/testing/pacing_replay.ts
@@ -16,8 +16,8 @@
 } from './replayed_instance.js';
 
 /**
- * Replays the load of one instance (docs/HARD_LOAD.md)
- * on the pools of its three availability zones, in virtual time.
+ * Replays the load of one instance (docs/HARD_LOAD.md) on the pools of its three
+ * availability zones, in virtual time.
  */
 
 interface Route {
