Shares: without customers, access is shared only where connections are fewer than proxies

Change: the threshold of two connections for a proxy holds where a connection belongs to a customer; without customers it is one. The new test fails without it.

--- a/packages/gateway/src/control/compute_zone_share.ts
+++ b/packages/gateway/src/control/compute_zone_share.ts
@@ -12,8 +12,16 @@
 
 /** Thresholds between direct and shared access. */
 interface AccessThresholds {
-  /** Smallest direct share with which a proxy uses its own connections. */
-  readonly minDirectShare: number;
+  /**
+   * Smallest direct share with which a proxy uses its own connections, where a
+   * connection belongs to one customer.
+   */
+  readonly minShareWithCustomers: number;
+  /**
+   * The same where all callers use one identity. One connection for each proxy
+   * is then enough, so access is shared only where there are fewer.
+   */
+  readonly minShareWithoutCustomers: number;
   /**
    * Smallest mean number of proxies in a zone with which sharing saves
    * connections.
@@ -22,7 +30,8 @@
 }
 
 const START_THRESHOLDS: AccessThresholds = {
-  minDirectShare: 2,
+  minShareWithCustomers: 2,
+  minShareWithoutCustomers: 1,
   minProxiesPerZone: 3,
 };
 
@@ -32,7 +41,8 @@
  * other access does not use.
  */
 const KEEP_THRESHOLDS: AccessThresholds = {
-  minDirectShare: 3,
+  minShareWithCustomers: 3,
+  minShareWithoutCustomers: 1.5,
   minProxiesPerZone: 2,
 };
 
@@ -50,6 +60,8 @@
   readonly entryVmCount: number;
   /** Those among them that do not accept forwarded operations. */
   readonly directEntryVmCount: number;
+  /** Whether a connection belongs to one customer. */
+  readonly hasCustomers: boolean;
   /** Availability zones with registered entry VMs. */
   readonly zoneCount: number;
   /** Whether orphaned connections may still count against the limit. */
@@ -66,21 +78,30 @@
   inputs: ZoneShareInputs,
   wasShared = false,
 ): boolean {
-  const {maxConnections, entryVmCount, zoneCount} = inputs;
-  const {minDirectShare, minProxiesPerZone} = wasShared
-    ? KEEP_THRESHOLDS
-    : START_THRESHOLDS;
-  const directShare = computeConnectionShare({
-    maxConnections,
-    entryVmCount,
-    mayHaveOrphans: false,
-  });
+  const {entryVmCount, zoneCount} = inputs;
+  const thresholds = wasShared ? KEEP_THRESHOLDS : START_THRESHOLDS;
   return (
-    directShare < minDirectShare &&
-    entryVmCount >= minProxiesPerZone * zoneCount
+    isShareScarce(inputs, thresholds) &&
+    entryVmCount >= thresholds.minProxiesPerZone * zoneCount
   );
 }
 
+function isShareScarce(
+  {maxConnections, entryVmCount, hasCustomers}: ZoneShareInputs,
+  thresholds: AccessThresholds,
+): boolean {
+  if (hasCustomers) {
+    const share = computeConnectionShare({
+      maxConnections,
+      entryVmCount,
+      mayHaveOrphans: false,
+    });
+    return share < thresholds.minShareWithCustomers;
+  }
+  const available = maxConnections - RESERVED_CONNECTIONS;
+  return available / entryVmCount < thresholds.minShareWithoutCustomers;
+}
+
 /** The zones of a deployment relative to an instance. @public */
 export interface ZoneDistance {
   /** Zones in other regions than the instance. */
--- a/packages/gateway/src/control/compute_zone_share_test.ts
+++ b/packages/gateway/src/control/compute_zone_share_test.ts
@@ -6,6 +6,7 @@
   maxConnections: 82,
   entryVmCount: 37,
   directEntryVmCount: 0,
+  hasCustomers: true,
   zoneCount: 3,
   mayHaveOrphans: false,
 };
@@ -78,6 +79,7 @@
             maxConnections,
             entryVmCount: 100,
             directEntryVmCount,
+            hasCustomers: true,
             zoneCount,
             mayHaveOrphans: false,
           });
--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -11,6 +11,7 @@
   computeZoneShare,
   isAccessShared,
   type ZoneDistance,
+  type ZoneShareInputs,
 } from './compute_zone_share.js';
 import type {EntryVmRecord} from './control_record.js';
 import type {EntryVmRegistration} from './entry_vm_registration.js';
@@ -90,7 +91,7 @@
         const {maxConnections} = settings;
         const access = this.computeAccess(
           databaseGroup,
-          maxConnections,
+          {maxConnections, hasCustomers: configuration?.customers != null},
           others,
         );
         this.applyAccess(group, access);
@@ -100,7 +101,10 @@
 
   private computeAccess(
     databaseGroup: string,
-    maxConnections: number,
+    {
+      maxConnections,
+      hasCustomers,
+    }: Pick<ZoneShareInputs, 'maxConnections' | 'hasCustomers'>,
     others: readonly EntryVmRecord[],
   ): Access {
     const {registration, canForward, isHolder} = this.options;
@@ -111,6 +115,7 @@
       maxConnections,
       entryVmCount,
       directEntryVmCount: countDirect(others),
+      hasCustomers,
       zoneCount: Math.max(1, zones.size),
       mayHaveOrphans,
     };
--- a/packages/gateway/src/control/connection_shares_test.ts
+++ b/packages/gateway/src/control/connection_shares_test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, describe, expect, it} from 'vitest';
+import {CustomerDirectory} from '../customer/customer_directory.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
 import {createEntry} from '../testing/fake_instances.js';
 import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
@@ -34,6 +35,7 @@
   let records: readonly EntryVmRecord[];
   let maxConnections: number;
   let isHolder: boolean;
+  let customers: CustomerDirectory | null;
   let shares: ConnectionShares;
 
   beforeEach(() => {
@@ -42,6 +44,7 @@
     records = [];
     maxConnections = MAX_CONNECTIONS;
     isHolder = false;
+    customers = CustomerDirectory.create([]);
     shares = ConnectionShares.create({
       clock: harness.clock,
       availabilityZone: 'zone-a',
@@ -62,6 +65,7 @@
       canForward: true,
       getConfiguration: () => ({
         ...harness.getConfiguration(),
+        customers,
         databaseGroups: new Map([
           [
             'group',
@@ -93,6 +97,15 @@
     expect(apply(27)).toBe(true);
   });
 
+  // Guards against hops where one connection for each proxy serves all its callers.
+  it('shares access without customers only where connections are fewer than proxies', () => {
+    customers = null;
+    maxConnections = 66;
+    expect(apply(36)).toBe(false);
+    maxConnections = 46;
+    expect(apply(83)).toBe(true);
+  });
+
   // Guards against the same where zones have just enough proxies to share.
   it('keeps shared access while a proxy of a small zone is restarted', () => {
     maxConnections = 16;
