--- a/packages/gateway/src/control/connection_shares.ts
+++ b/packages/gateway/src/control/connection_shares.ts
@@ -91,7 +91,10 @@
         const {maxConnections} = settings;
         const access = this.computeAccess(
           databaseGroup,
-          {maxConnections, hasCustomers: configuration?.customers != null},
+          {
+            maxConnections,
+            hasCustomers: (configuration?.customers ?? null) !== null,
+          },
           others,
         );
         this.applyAccess(group, access);
