--- a/packages/pool/src/fair_admission.ts
+++ b/packages/pool/src/fair_admission.ts
@@ -27,10 +27,10 @@
   readonly waitMs: number;
 }
 
-/** Late entries of a queue, and how long the others certainly are not late. @internal */
+/** Late entries of a queue and the slack of the others. @internal */
 export interface QueueReview<E> {
   readonly late: readonly LateEntry<E>[];
-  /** Least time between an expected start and its deadline. */
+  /** Least time between the expected start of an entry and its deadline. */
   readonly minSlackMs: number;
 }
 
