--- a/packages/pool/src/lease_tracker_test.ts
+++ b/packages/pool/src/lease_tracker_test.ts
@@ -36,7 +36,7 @@
     handleResumed: () => undefined,
     handleReleased: () => undefined,
   });
-  return LeasedConnection.create(null, 'a', 1, events);
+  return LeasedConnection.create(null, 'a', 'read', 1, events);
 }
 
 describe('LeaseTracker', () => {
