Sessions: one reply to a statement of a lost transaction

The local and the forwarded transaction wrote the same reply by themselves: a rollback succeeds, COMMIT ends the transaction and any other statement fails it. createTransactionLostReply in open_transaction.ts serves both; behavior is unchanged.

--- a/packages/gateway/src/forwarding/forwarded_transaction.ts
+++ b/packages/gateway/src/forwarding/forwarded_transaction.ts
@@ -8,14 +8,11 @@
 } from '../session/gateway_context.js';
 import {
   createLaterContext,
+  createTransactionLostReply,
   endsTransaction,
   type OpenTransaction,
 } from '../session/open_transaction.js';
-import {
-  createErrorReply,
-  createLocalReply,
-  TRANSACTION_LOST,
-} from '../session/refusal.js';
+import {createErrorReply} from '../session/refusal.js';
 import {recordOutcomeUnknown} from '../session/statement_events.js';
 import type {
   CallerStatement,
@@ -151,9 +148,8 @@
 
   /** Reports to the caller that the transaction was not committed. */
   private createLostReply(statement: CallerStatement): StatementReply {
-    this.state = endsTransaction(statement) ? 'idle' : 'failed';
-    return statement.kind === 'rollback'
-      ? createLocalReply('idle')
-      : createErrorReply(TRANSACTION_LOST, this.state);
+    const reply = createTransactionLostReply(statement);
+    this.state = reply.transactionState;
+    return reply;
   }
 }
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -11,6 +11,11 @@
   TransactionState,
 } from '../statement/statement_answer.js';
 import type {StatementContext} from './gateway_context.js';
+import {
+  createErrorReply,
+  createLocalReply,
+  TRANSACTION_LOST,
+} from './refusal.js';
 
 /**
  * The open transaction of a session, on a connection of this proxy or of the
@@ -62,3 +67,20 @@
 export function endsTransaction({kind}: CallerStatement): boolean {
   return kind === 'commit' || kind === 'rollback';
 }
+
+/**
+ * Creates the reply to a statement of a transaction that was lost, and so not
+ * committed. A rollback has nothing left to do.
+ *
+ * @public
+ */
+export function createTransactionLostReply(
+  statement: CallerStatement,
+): StatementReply {
+  return statement.kind === 'rollback'
+    ? createLocalReply('idle')
+    : createErrorReply(
+        TRANSACTION_LOST,
+        endsTransaction(statement) ? 'idle' : 'failed',
+      );
+}
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -18,13 +18,10 @@
 import type {StatementContext} from './gateway_context.js';
 import {getResponseOutcome, getRunErrorOutcome} from './lease_outcome.js';
 import type {AnsweredRead} from './read_executor.js';
-import {
-  createErrorReply,
-  createLocalReply,
-  TRANSACTION_LOST,
-} from './refusal.js';
+import {createErrorReply, createLocalReply} from './refusal.js';
 import {
   createLaterContext,
+  createTransactionLostReply,
   endsTransaction,
   type OpenTransaction,
 } from './open_transaction.js';
@@ -254,7 +251,7 @@
       backendServer: server.entry.backendServer,
       reason,
     });
-    return this.createTransactionLostReply(statement);
+    return this.createLostReply(statement);
   }
 
   private handleWithoutConnection(statement: CallerStatement): StatementReply {
@@ -263,20 +260,16 @@
       return createLocalReply('idle');
     }
     if (statement.kind === 'commit') {
-      return this.createTransactionLostReply(statement);
+      return this.createLostReply(statement);
     }
     return createErrorReply({kind: 'transactionFailed'}, 'failed');
   }
 
   /** Reports to the caller that the transaction was not committed. */
-  private createTransactionLostReply(
-    statement: CallerStatement,
-  ): StatementReply {
-    this.state = endsTransaction(statement) ? 'idle' : 'failed';
-    if (statement.kind === 'rollback') {
-      return createLocalReply('idle');
-    }
-    return createErrorReply(TRANSACTION_LOST, this.state);
+  private createLostReply(statement: CallerStatement): StatementReply {
+    const reply = createTransactionLostReply(statement);
+    this.state = reply.transactionState;
+    return reply;
   }
 
   private recordUnknownOutcome(
