Failover: log what a promotion rested on, and each acknowledged write

After a promotion that lacked acknowledged commits, only logs are left, and they could not tell whose logs the choice had counted, how old the choice was when the order took effect, or which fence had ended meanwhile.

- promotionTargetChosen, once per choice: every instance with its state, fence and source, the ones left out with the reason, every proxy with its release, the required position and what set it.
- promotionOrdered has the age of the choice; promotionAnswered the duration of the call and when its first byte left; promotionSeen is the effect, also of an earlier leader's order.
- fenceChanged: a fence that expired or was lost, or was renewed with another start or end of log.
- leaseReleased tells whether the process knew the group and held a lease, its age and its pending writes, and is logged for an unknown group as well.
- writeAcknowledged names instance and position by request id.
A commit has a request id of its own, for which no line named the instance, and none did for a commit that a holder runs.
These lines have a budget of 20 a second, since that of successes (2 a second) would leave most of them out.

No decision, time, message or record changes.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -72,6 +72,13 @@
     );
   }
 
+  /** Time for which the table has been watched; null if it never was. */
+  getHistoryAgeMs(): number | null {
+    return this.listedAtMs === null
+      ? null
+      : this.options.clock.nowMs() - this.listedAtMs;
+  }
+
   getEntry(backendServer: BackendServerId): BackendServerEntry | null {
     return this.entries.get(backendServer) ?? null;
   }
--- a/packages/gateway/src/directory/known_instances.ts
+++ b/packages/gateway/src/directory/known_instances.ts
@@ -1,6 +1,10 @@
 import type {Clock} from '@filbertrun/base/clock.js';
-import type {DatabaseGroupName} from '@filbertrun/model/identifiers.js';
+import type {
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
 import type {ListableTable} from '@filbertrun/platform/platform_service.js';
+import type {InstanceSource} from '../observability/promotion_event.js';
 import type {BackendDirectory} from './backend_directory.js';
 import type {BackendServerEntry} from './backend_server_entry.js';
 import {GroupRoster} from './group_roster.js';
@@ -14,6 +18,24 @@
   readonly rosterTable: ListableTable;
 }
 
+/** What the last listing of a group's instances rested on. @public */
+export interface ListingDescription {
+  readonly sources: ReadonlyMap<BackendServerId, InstanceSource>;
+  /** Whether recently removed instances were known without the roster. */
+  readonly hasCompleteHistory: boolean;
+  /** Time for which this process has watched the directory; null if never. */
+  readonly historyAgeMs: number | null;
+  /** Age of the listing. */
+  readonly listingAgeMs: number;
+}
+
+/** Sources of the entries of one listing. */
+interface DescribedListing {
+  readonly sources: ReadonlyMap<BackendServerId, InstanceSource>;
+  readonly hasCompleteHistory: boolean;
+  readonly listedAtMs: number;
+}
+
 /**
  * Lists the instances of a group that may still be running. A primary change
  * must consider all of them.
@@ -22,6 +44,10 @@
  */
 export class KnownInstances {
   readonly roster: GroupRoster;
+  private readonly lastListings = new Map<
+    DatabaseGroupName,
+    DescribedListing
+  >();
 
   private constructor(private readonly options: KnownInstancesOptions) {
     const {clock, directory, rosterTable} = options;
@@ -71,16 +97,22 @@
     if (!listing.ok) {
       return null;
     }
-    const rosterEntries = directory.hasCompleteHistory
+    const {hasCompleteHistory} = directory;
+    const rosterEntries = hasCompleteHistory
       ? []
       : await this.roster.read(databaseGroup);
     if (rosterEntries === null) {
       return null;
     }
     const instances = new Map<string, BackendServerEntry>();
-    const known = this.listKnown(databaseGroup);
-    for (const entry of [...rosterEntries, ...known]) {
+    const sources = new Map<BackendServerId, InstanceSource>();
+    for (const entry of rosterEntries) {
+      instances.set(entry.backendServer, entry);
+      sources.set(entry.backendServer, 'roster');
+    }
+    for (const entry of this.listKnown(databaseGroup)) {
       instances.set(entry.backendServer, entry);
+      sources.set(entry.backendServer, 'remembered');
     }
     for (const change of listing.value.changes) {
       if (
@@ -88,8 +120,32 @@
         change.value.databaseGroup === databaseGroup
       ) {
         instances.set(change.value.backendServer, change.value);
+        sources.set(change.value.backendServer, 'listed');
       }
     }
+    this.lastListings.set(databaseGroup, {
+      sources,
+      hasCompleteHistory,
+      listedAtMs: this.options.clock.nowMs(),
+    });
     return [...instances.values()];
   }
+
+  /** What the last `listFromStore` of a group rested on; null before one. */
+  describeLastListing(
+    databaseGroup: DatabaseGroupName,
+  ): ListingDescription | null {
+    const listing = this.lastListings.get(databaseGroup);
+    if (listing === undefined) {
+      return null;
+    }
+    const {clock, directory} = this.options;
+    const {sources, hasCompleteHistory, listedAtMs} = listing;
+    return {
+      sources,
+      hasCompleteHistory,
+      historyAgeMs: directory.getHistoryAgeMs(),
+      listingAgeMs: clock.nowMs() - listedAtMs,
+    };
+  }
 }
--- a/packages/gateway/src/failover/choose_promotion_target.ts
+++ b/packages/gateway/src/failover/choose_promotion_target.ts
@@ -5,6 +5,7 @@
   type LogPosition,
 } from '@filbertrun/model/log_position.js';
 import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {RequirementSource} from '../observability/promotion_event.js';
 
 /**
  * Chooses the instance to promote so that no acknowledged commit is lost. A
@@ -43,20 +44,30 @@
     }
   | {readonly kind: 'wait'; readonly waitingFor: string};
 
+/**
+ * Position that a target has to hold, and what set it, or the condition that
+ * has to be met before it is known.
+ *
+ * @public
+ */
+export type Requirement =
+  | {
+      readonly kind: 'known';
+      readonly position: LogPosition;
+      readonly source: RequirementSource;
+    }
+  | {readonly kind: 'wait'; readonly waitingFor: string};
+
 /** Chooses the instance to promote. @public */
 export function choosePromotionTarget(
   instances: readonly FencedInstance[],
   highestAcknowledged: LogPosition | null,
 ): PromotionChoice {
-  const required = findRequiredPosition(instances);
+  const required = findRequirement(instances, highestAcknowledged);
   if (required.kind === 'wait') {
     return required;
   }
-  const minimumPosition =
-    highestAcknowledged === null
-      ? required.position
-      : getLaterPosition(required.position, highestAcknowledged);
-  const best = findBestCandidate(instances, minimumPosition);
+  const best = findBestCandidate(instances, required.position);
   if (best === null || best.receivedPosition === null) {
     return {
       kind: 'wait',
@@ -70,14 +81,31 @@
   };
 }
 
-type RequiredPosition =
-  | {readonly kind: 'known'; readonly position: LogPosition}
-  | {readonly kind: 'wait'; readonly waitingFor: string};
+/**
+ * Finds the position that a target has to hold: an upper bound of the position
+ * of every acknowledged commit.
+ *
+ * @public
+ */
+export function findRequirement(
+  instances: readonly FencedInstance[],
+  highestAcknowledged: LogPosition | null,
+): Requirement {
+  const fromLogs = findRequiredPosition(instances);
+  if (
+    fromLogs.kind === 'wait' ||
+    highestAcknowledged === null ||
+    isCovered(highestAcknowledged, fromLogs.position)
+  ) {
+    return fromLogs;
+  }
+  return {kind: 'known', position: highestAcknowledged, source: 'proxies'};
+}
 
-/** An upper bound of the position of every acknowledged commit. */
+/** The requirement that follows from the instances' logs alone. */
 function findRequiredPosition(
   instances: readonly FencedInstance[],
-): RequiredPosition {
+): Requirement {
   const unfenced: BackendServerId[] = [];
   let longestReplicaEnd: LogPosition | null = null;
   let oldPrimaryEnd: LogPosition | null = null;
@@ -97,10 +125,14 @@
         : getLaterPosition(longestReplicaEnd, receivedPosition);
   }
   if (unfenced.length === 0 && longestReplicaEnd !== null) {
-    return {kind: 'known', position: longestReplicaEnd};
+    return {
+      kind: 'known',
+      position: longestReplicaEnd,
+      source: 'pausedReplicas',
+    };
   }
   if (oldPrimaryEnd !== null) {
-    return {kind: 'known', position: oldPrimaryEnd};
+    return {kind: 'known', position: oldPrimaryEnd, source: 'oldPrimary'};
   }
   return {
     kind: 'wait',
--- a/packages/gateway/src/failover/choose_promotion_target_test.ts
+++ b/packages/gateway/src/failover/choose_promotion_target_test.ts
@@ -3,6 +3,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   choosePromotionTarget,
+  findRequirement,
   type FencedInstance,
 } from './choose_promotion_target.js';
 
@@ -117,3 +118,25 @@
     );
   });
 });
+
+describe('findRequirement', () => {
+  const paused = [replica('a', 5), replica('b', 9)];
+  const withOldPrimary = [
+    replica('old', 9, {isOldPrimary: true}),
+    replica('a', 9, {isFenced: false, receivedPosition: null}),
+  ];
+
+  // Guards against a log that names the wrong reason for a choice.
+  it.each([
+    ['pausedReplicas', paused, null, 9],
+    ['pausedReplicas', paused, at(9), 9],
+    ['proxies', paused, at(10), 10],
+    ['oldPrimary', withOldPrimary, at(8), 9],
+  ] as const)('names %s', (source, instances, acknowledged, position) => {
+    expect(findRequirement(instances, acknowledged)).toEqual({
+      kind: 'known',
+      position: at(position),
+      source,
+    });
+  });
+});
--- a/packages/gateway/src/failover/failover_coordinator_test.ts
+++ b/packages/gateway/src/failover/failover_coordinator_test.ts
@@ -94,6 +94,7 @@
       getOtherEntryVms: () => [OTHER],
       isTableRead: () => true,
       listInstances: () => Promise.resolve(instances.listEntries()),
+      describeLastListing: () => null,
       findLeaseHolders: () => ({
         known: [{record: OTHER, leaseEndMs: LEASE_END_MS}],
         unlistedUntilMs: null,
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -1,6 +1,9 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import type {Result} from '@filbertrun/base/result.js';
-import type {BackendServerId} from '@filbertrun/model/identifiers.js';
+import type {
+  BackendServerId,
+  DatabaseGroupName,
+} from '@filbertrun/model/identifiers.js';
 import type {
   InstanceControl,
   InstanceControlError,
@@ -10,13 +13,17 @@
 import type {TermPrimary} from '../group/primary_lease.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
+import type {ChoiceInstance} from '../observability/promotion_event.js';
 import type {FencedInstance} from './choose_promotion_target.js';
+import {FenceLog, type LoggedFence} from './fence_log.js';
 
 /** Options of the fences of one change. @public */
 export interface InstanceFencesOptions {
   readonly clock: Clock;
   readonly events: GatewayEventRecorder;
   readonly instances: InstanceControl;
+  readonly databaseGroup: DatabaseGroupName;
+  readonly changeId: string;
   readonly oldPrimary: BackendServerId;
   readonly oldTerm: number;
   /** Availability zone of the failover leader, which is this proxy. */
@@ -53,8 +60,11 @@
   private readonly pending = new Set<BackendServerId>();
   /** Instances at whose address a different instance now responds. */
   private readonly replaced = new Set<BackendServerId>();
+  private readonly log: FenceLog;
 
-  private constructor(private readonly options: InstanceFencesOptions) {}
+  private constructor(private readonly options: InstanceFencesOptions) {
+    this.log = FenceLog.create(options);
+  }
 
   static create(options: InstanceFencesOptions): InstanceFences {
     return new InstanceFences(options);
@@ -66,6 +76,7 @@
    */
   request(entries: readonly BackendServerEntry[]): void {
     const nowMs = this.options.clock.nowMs();
+    this.recordExpired(nowMs);
     for (const entry of entries) {
       const fence = this.fences.get(entry.backendServer);
       const isRecent =
@@ -89,6 +100,31 @@
       .map(entry => this.describeInstance(entry));
   }
 
+  /** Describes each instance for the log, with those that were left out. */
+  describeForLog(
+    entries: readonly BackendServerEntry[],
+  ): readonly Omit<ChoiceInstance, 'source'>[] {
+    const nowMs = this.options.clock.nowMs();
+    return entries.map(entry => {
+      const {backendServer, state, startedAtEpochMs} = entry;
+      const fence = this.fences.get(backendServer);
+      return {
+        backendServer,
+        state,
+        startedAtEpochMs,
+        isOldPrimary: this.describeInstance(entry).isOldPrimary,
+        reported: fence === undefined ? null : this.toLogged(fence).reported,
+        fenceAgeMs: fence === undefined ? null : nowMs - fence.confirmedAtMs,
+        exclusion: this.findExclusion(entry),
+      };
+    });
+  }
+
+  /** Last status that an instance returned; null if it returned none. */
+  getLastStatus(backendServer: BackendServerId): InstanceStatus | null {
+    return this.fences.get(backendServer)?.status ?? null;
+  }
+
   /**
    * Instance that an earlier promotion order has made primary, or null. If
    * several report a later term, all but the one of the highest term have been
@@ -131,6 +167,53 @@
     return isSameStart && ageMs < FENCE_VALID_MS ? fence : null;
   }
 
+  /** Why the log of an instance does not count; null if it does. */
+  private findExclusion(entry: BackendServerEntry): string | null {
+    const {backendServer} = entry;
+    if (this.replaced.has(backendServer)) {
+      return 'another instance responds at its address';
+    }
+    const fence = this.findValidFence(entry);
+    if (fence !== null) {
+      return this.isFenced(fence) ? null : 'it responds and is not fenced';
+    }
+    const lastError = this.log.getLastError(backendServer);
+    if (lastError !== null) {
+      return `not fenced: ${lastError}`;
+    }
+    return this.fences.has(backendServer)
+      ? 'its fence is not confirmed again yet'
+      : 'no response yet';
+  }
+
+  private recordExpired(nowMs: number): void {
+    for (const [backendServer, fence] of this.fences) {
+      if (nowMs - fence.confirmedAtMs >= FENCE_VALID_MS) {
+        this.log.recordExpired(backendServer, this.toLogged(fence));
+      }
+    }
+  }
+
+  private setFence(backendServer: BackendServerId, fence: Fence): void {
+    const previous = this.fences.get(backendServer);
+    this.fences.set(backendServer, fence);
+    this.log.recordResponse(
+      backendServer,
+      previous === undefined ? null : this.toLogged(previous),
+      this.toLogged(fence),
+    );
+  }
+
+  private toLogged(fence: Fence): LoggedFence {
+    const {status, startedAtEpochMs, confirmedAtMs} = fence;
+    const {role, term, receivedPosition, pausedTerm} = status;
+    return {
+      reported: {role, term, receivedPosition, pausedTerm, startedAtEpochMs},
+      isFenced: this.isFenced(fence),
+      confirmedAtMs,
+    };
+  }
+
   private isFenced({status, wasPrimary}: Fence): boolean {
     if (status.role !== 'replica') {
       return false;
@@ -159,14 +242,16 @@
     if (!result.ok && result.error.kind === 'wrongServer') {
       this.replaced.add(backendServer);
     }
-    if (result.ok) {
-      this.fences.set(backendServer, {
-        wasPrimary,
-        status: result.value,
-        confirmedAtMs: this.options.clock.nowMs(),
-        startedAtEpochMs,
-      });
+    if (!result.ok) {
+      this.log.recordError(backendServer, result.error);
+      return;
     }
+    this.setFence(backendServer, {
+      wasPrimary,
+      status: result.value,
+      confirmedAtMs: this.options.clock.nowMs(),
+      startedAtEpochMs,
+    });
   }
 
   /**
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -15,6 +15,7 @@
   type FailoverLeaderLease,
 } from '../control/failover_leader_lease.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import type {ListingDescription} from '../directory/known_instances.js';
 import type {
   PrimaryRecord,
   RevisedPrimaryRecord,
@@ -29,6 +30,7 @@
 import {InstanceFences} from './instance_fences.js';
 import type {LeaseHolders} from './find_lease_holders.js';
 import type {OrdersInFlight} from './orders_in_flight.js';
+import {PromotionLog} from './promotion_log.js';
 import {
   MAX_TABLE_ATTEMPTS,
   PrimaryRecordWriter,
@@ -55,6 +57,10 @@
   listInstances(
     databaseGroup: string,
   ): Promise<readonly BackendServerEntry[] | null>;
+  /** What the last listing of the group rested on, for the log. */
+  readonly describeLastListing: (
+    databaseGroup: string,
+  ) => ListingDescription | null;
   /** Finds the lease holders in a listing that was read just now. */
   readonly findLeaseHolders: (listing: TableListing) => LeaseHolders;
   /** Newest era of the store that this process has observed. */
@@ -138,6 +144,7 @@
   private lastWaitLogMs = Number.NEGATIVE_INFINITY;
 
   private readonly records: PrimaryRecordWriter;
+  private readonly promotionLog: PromotionLog;
 
   private constructor(
     private readonly dependencies: PrimaryChangeDependencies,
@@ -147,6 +154,11 @@
     private readonly reason: string,
   ) {
     this.startedAtMs = dependencies.clock.nowMs();
+    this.promotionLog = PromotionLog.create({
+      clock: dependencies.clock,
+      events: dependencies.events,
+      recordAgeMs: currentAgeMs,
+    });
     this.records = PrimaryRecordWriter.create(
       {
         clock: dependencies.clock,
@@ -306,6 +318,8 @@
       events,
       instances,
       availabilityZone,
+      databaseGroup: intent.databaseGroup,
+      changeId: intent.changeId,
       oldPrimary: intent.oldPrimary,
       oldTerm: intent.oldTerm,
     });
@@ -316,6 +330,8 @@
       const newPrimary = fences.findNewPrimary();
       if (newPrimary !== null) {
         const {primary, term} = newPrimary;
+        const status = fences.getLastStatus(primary);
+        this.promotionLog.recordSeen(intent, primary, status);
         return this.complete(intent, releases, primary, term);
       }
       const choice = choosePromotionTarget(
@@ -326,6 +342,10 @@
         this.recordWaiting(intent, choice.waitingFor);
         continue;
       }
+      const {describeLastListing} = this.dependencies;
+      const listing = describeLastListing(intent.databaseGroup);
+      const inputs = {entries, fences, releases, listing, ...choice};
+      this.promotionLog.recordChoice(intent, inputs);
       const outcome = await this.promote(intent, releases, choice);
       if (outcome !== null) {
         return outcome;
@@ -437,28 +457,21 @@
     if (token === null) {
       return 'leadershipLost';
     }
-    const {events, promotions, entryVm} = this.dependencies;
-    const {databaseGroup, changeId} = intent;
-    events.record({
-      kind: 'promotionOrdered',
-      databaseGroup,
-      changeId,
-      target,
-      position,
-      fencingToken: token,
-    });
+    const {promotions, entryVm} = this.dependencies;
+    const {databaseGroup} = intent;
+    this.promotionLog.recordOrdered(intent, target, position, token);
     const result = await promotions.promote(
       {databaseGroup, target, failoverLeader: entryVm, fencingToken: token},
-      () => this.token === token,
+      () => {
+        const maySend = this.token === token;
+        if (maySend) {
+          this.promotionLog.recordSent();
+        }
+        return maySend;
+      },
     );
     const outcome = result.ok ? 'accepted' : result.error.kind;
-    events.record({
-      kind: 'promotionAnswered',
-      databaseGroup,
-      changeId,
-      target,
-      outcome,
-    });
+    this.promotionLog.recordAnswered(intent, target, outcome);
     if (result.ok) {
       return 'accepted';
     }
@@ -546,7 +559,11 @@
     if (!status.ok || status.value.role !== 'primary') {
       return null;
     }
-    return status.value.term > intent.oldTerm ? status.value.term : null;
+    if (status.value.term <= intent.oldTerm) {
+      return null;
+    }
+    this.promotionLog.recordSeen(intent, target, status.value);
+    return status.value.term;
   }
 
   /**
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -1,4 +1,5 @@
 import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {sleep} from '@filbertrun/base/sleep.js';
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {EntryVmRecord} from '../control/control_record.js';
@@ -8,6 +9,7 @@
   getPrimaryRecordKey,
   type PrimaryRecord,
 } from '../group/primary_record.js';
+import type {GatewayEvent} from '../observability/gateway_event.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeInstances} from '../testing/fake_instances.js';
@@ -113,6 +115,7 @@
           listCount++;
           return Promise.resolve(instances.listEntries());
         },
+        describeLastListing: () => null,
         findLeaseHolders: () => ({
           known: holders.map(entryVm => ({
             record: createEntryVm(entryVm),
@@ -343,6 +346,116 @@
       {failoverLeader: 'entry-1', fencingToken: 1},
     ]);
   });
+
+  function findEvents(kind: GatewayEvent['kind']): readonly GatewayEvent[] {
+    return events.events.filter(event => event.kind === kind);
+  }
+
+  // Guards against a promotion whose inputs, order and effect cannot be put in
+  // order of time from the log.
+  it('logs the choice once, and the times from it to the order and its effect', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').position = {term: 1, position: 7};
+    start();
+    await advance(1_000);
+    const kinds = events.events.map(({kind}) => kind);
+    const firstChoice = kinds.indexOf('promotionTargetChosen');
+    expect(firstChoice).toBeGreaterThan(0);
+    expect(firstChoice).toBeLessThan(kinds.indexOf('promotionOrdered'));
+    expect(findEvents('promotionTargetChosen')).toMatchObject([
+      {
+        changeId: 'entry-1-1-2',
+        oldPrimary: 'p',
+        oldTerm: 1,
+        target: 'r2',
+        position: {term: 1, position: 10},
+        instanceCount: 3,
+        proxies: [{entryVm: 'entry-1', isReleased: true}],
+      },
+    ]);
+    expect(findEvents('promotionOrdered')).toMatchObject([{choiceAgeMs: 0}]);
+    expect(findEvents('promotionAnswered')).toMatchObject([
+      {outcome: 'accepted', durationMs: 0, sentAfterMs: 0},
+    ]);
+    const [seen] = findEvents('promotionSeen');
+    expect(seen).toMatchObject({
+      target: 'r2',
+      term: 2,
+      receivedPosition: {term: 1, position: 10},
+      orderedBy: 'thisLeader',
+    });
+    const sinceOrderMs = seen?.kind === 'promotionSeen' ? seen.sinceOrderMs : 0;
+    expect(sinceOrderMs).toBeGreaterThanOrEqual(300);
+    expect(sinceOrderMs).toBeLessThan(450);
+  });
+
+  // Guards against an order that was old when it left, which looks like one that
+  // took effect slowly.
+  it('logs how long the call took and when its first byte left', async () => {
+    instances.get('p').isRunning = false;
+    instances.beforeSending = () => sleep(clock, 130);
+    start();
+    await advance(1_000);
+    expect(findEvents('promotionAnswered')).toMatchObject([
+      {durationMs: 130, sentAfterMs: 130},
+    ]);
+  });
+
+  it('logs that nothing of a declined order left the process', async () => {
+    instances.get('p').isRunning = false;
+    instances.beforeSending = async () => {
+      leaderLease.stopActing('test');
+    };
+    start();
+    await advanceClock(clock, 500);
+    expect(findEvents('promotionAnswered')).toMatchObject([
+      {outcome: 'unavailable', sentAfterMs: null},
+    ]);
+  });
+
+  it('logs the effect of the order of an earlier leader', async () => {
+    instances.get('p').isRunning = false;
+    instances.takeEffectAfter(1_000, 'r1');
+    start(['entry-1'], EARLIER_ORDER, 200);
+    await advance(2_000);
+    expect(findEvents('promotionSeen')).toMatchObject([
+      {
+        changeId: 'entry-2-1-1',
+        target: 'r1',
+        orderedBy: 'earlierLeader',
+        sinceOrderMs: null,
+      },
+    ]);
+  });
+
+  it('logs an instance that was promoted without a known order', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r1').role = 'primary';
+    instances.get('r1').term = 2;
+    start();
+    await advance(1_000);
+    expect(findEvents('promotionSeen')).toMatchObject([
+      {target: 'r1', term: 2, orderedBy: 'unknown', sinceOrderMs: null},
+    ]);
+  });
+
+  // Guards against a replica that follows the old primary again unnoticed.
+  it('logs a paused replica that has received more since its pause', async () => {
+    instances.get('p').isRunning = false;
+    instances.get('r2').isRunning = false;
+    start();
+    await advance(600);
+    instances.get('r1').position = {term: 1, position: 11};
+    await advance(600);
+    expect(findEvents('fenceChanged')).toMatchObject([
+      {
+        backendServer: 'r1',
+        change: 'longerLog',
+        previous: {receivedPosition: {term: 1, position: 10}},
+        current: {receivedPosition: {term: 1, position: 11}},
+      },
+    ]);
+  });
 });
 
 function createEntryVm(entryVm: string): EntryVmRecord {
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -8,7 +8,12 @@
 import type {EntryVmRecord} from '../control/control_record.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {PeerClient, ReleaseRequest} from '../peer/peer_client.js';
+import type {AskedProxy} from '../observability/promotion_event.js';
+import type {
+  PeerClient,
+  ReleaseAnswer,
+  ReleaseRequest,
+} from '../peer/peer_client.js';
 
 /** Options of a collector. @public */
 export interface ReleaseCollectorOptions {
@@ -44,6 +49,7 @@
   readonly canBeAsked: boolean;
   /** Time at which the response arrived; null while it is outstanding. */
   releasedAtMs: number | null;
+  answer: ReleaseAnswer | null;
 }
 
 /**
@@ -81,6 +87,7 @@
         holder,
         canBeAsked: true,
         releasedAtMs: null,
+        answer: null,
       };
       this.pending.push(release);
       runInBackground(
@@ -100,6 +107,7 @@
       holder: {record: createUnlistedRecord(endStoreMs), leaseEndMs: endMs},
       canBeAsked: false,
       releasedAtMs: null,
+      answer: null,
     });
   }
 
@@ -121,6 +129,19 @@
     );
   }
 
+  /** Number of proxies that were asked or are waited for. */
+  get proxyCount(): number {
+    return this.pending.length;
+  }
+
+  /** Describes the first `limit` proxies for the log. */
+  describe(limit: number): readonly AskedProxy[] {
+    const nowMs = this.options.clock.nowMs();
+    return this.pending
+      .slice(0, limit)
+      .map(release => describeProxy(release, nowMs));
+  }
+
   /** Proxies that may still rely on the old primary. */
   getOutstanding(): readonly string[] {
     return this.findOutstanding().map(({holder}) => holder.record.entryVm);
@@ -190,6 +211,7 @@
       const response = await peers.release(release.holder.record, request);
       if (response.ok) {
         release.releasedAtMs = clock.nowMs();
+        release.answer = response.value;
         this.updateHighest(response.value.highestAcknowledged);
         return;
       }
@@ -208,6 +230,22 @@
   }
 }
 
+function describeProxy(
+  {holder, releasedAtMs, answer}: PendingRelease,
+  nowMs: number,
+): AskedProxy {
+  const {entryVm, incarnation} = holder.record;
+  return {
+    entryVm,
+    isReleased: releasedAtMs !== null,
+    releaseAgeMs: releasedAtMs === null ? null : nowMs - releasedAtMs,
+    isRegisteredProcess:
+      answer === null ? null : answer.incarnation === incarnation,
+    highestAcknowledged: answer?.highestAcknowledged ?? null,
+    leaseEndInMs: holder.leaseEndMs - nowMs,
+  };
+}
+
 /** Placeholder for the proxies that a restored store no longer lists. */
 function createUnlistedRecord(leaseEndStoreMs: number): EntryVmRecord {
   return {
--- a/packages/gateway/src/forwarding/forwarding_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_test.ts
@@ -59,6 +59,37 @@
     return reply;
   }
 
+  // Guards against an acknowledged write whose instance no log names, because it
+  // ran on the connection of a holder.
+  it('logs the instance and the position of a forwarded write and commit by request id', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, WRITE, 'write');
+    await harness.run(session, BEGIN, 'begin');
+    await harness.run(session, WRITE, 'inside');
+    await harness.run(session, COMMIT, 'commit');
+    const {events} = harness.sessions.events;
+    for (const [requestId, position] of [
+      ['write', {term: 1, position: 1}],
+      ['commit', {term: 1, position: 2}],
+    ] as const) {
+      expect(events).toContainEqual({
+        kind: 'writeAcknowledged',
+        requestId,
+        databaseGroup: 'group',
+        backendServer: 'p',
+        position,
+      });
+      expect(events).toContainEqual(
+        expect.objectContaining({
+          kind: 'statementAnswered',
+          requestId,
+          position,
+        }),
+      );
+    }
+    expect(harness.listForwarded()).toHaveLength(2);
+  });
+
   it('relays reads and writes with their signatures through the first holder', async () => {
     const session = harness.open('strict');
     const read = await harness.run(session, READ, 'id-1');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -397,6 +397,8 @@
       isTableRead: () => this.controlPoller.hasRead,
       listInstances: databaseGroup =>
         this.instances.listFromStore(databaseGroup),
+      describeLastListing: databaseGroup =>
+        this.instances.describeLastListing(databaseGroup),
       findLeaseHolders: listing =>
         findLeaseHolders({
           listing,
--- a/packages/gateway/src/observability/event_budget.ts
+++ b/packages/gateway/src/observability/event_budget.ts
@@ -14,6 +14,7 @@
 const BUDGETS: Readonly<Record<EventClass, ClassBudget>> = {
   belief: {linesPerSecond: 50, burstLines: 400},
   failure: {linesPerSecond: 40, burstLines: 150},
+  write: {linesPerSecond: 20, burstLines: 100},
   success: {linesPerSecond: 2, burstLines: 10},
 };
 
@@ -24,6 +25,7 @@
   private readonly tokens: Record<EventClass, number> = {
     belief: BUDGETS.belief.burstLines,
     failure: BUDGETS.failure.burstLines,
+    write: BUDGETS.write.burstLines,
     success: BUDGETS.success.burstLines,
   };
   private refilledAtMs: number;
@@ -50,7 +52,12 @@
     const nowMs = this.clock.nowMs();
     const elapsedS = (nowMs - this.refilledAtMs) / MS_PER_SECOND;
     this.refilledAtMs = nowMs;
-    for (const eventClass of ['belief', 'failure', 'success'] as const) {
+    for (const eventClass of [
+      'belief',
+      'failure',
+      'write',
+      'success',
+    ] as const) {
       const {linesPerSecond, burstLines} = BUDGETS[eventClass];
       this.tokens[eventClass] = Math.min(
         burstLines,
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -61,9 +61,13 @@
     this.write(event, eventClass);
   }
 
-  /** Buffers a success event in case its request fails later; drops others. */
+  /**
+   * Buffers an event of a request that succeeds so far, in case the request
+   * fails later; drops others.
+   */
   private bufferOrDrop(event: GatewayEvent, eventClass: EventClass): void {
-    if (eventClass === 'success' && 'requestId' in event) {
+    const isSuccess = eventClass === 'success' || eventClass === 'write';
+    if (isSuccess && 'requestId' in event) {
       this.recentEvents.add(event.requestId, event);
       return;
     }
--- a/packages/gateway/src/observability/event_log_test.ts
+++ b/packages/gateway/src/observability/event_log_test.ts
@@ -23,6 +23,14 @@
   position: null,
 };
 
+const ACKNOWLEDGED: GatewayEvent = {
+  kind: 'writeAcknowledged',
+  requestId: 'r2',
+  databaseGroup: 'group',
+  backendServer: 'a',
+  position: {term: 1, position: 5},
+};
+
 const STATE_CHANGE: GatewayEvent = {
   kind: 'backendServerRestarted',
   backendServer: 'a',
@@ -75,6 +83,23 @@
     expect(lines).toContain('backendServerRestarted');
   });
 
+  // Guards against a log that shows none of the writes which a promotion lacked,
+  // because answered reads have used up the budget of successes.
+  it('writes acknowledged writes under a budget of their own', () => {
+    for (let count = 0; count < 10_000; count++) {
+      log.record(SUCCESS);
+    }
+    lines.length = 0;
+    for (let count = 0; count < 10_000; count++) {
+      log.record(ACKNOWLEDGED);
+    }
+    expect(lines).toHaveLength(100);
+    expect(new Set(lines)).toEqual(new Set(['writeAcknowledged']));
+    clock.advance(1_000);
+    log.record(STATE_CHANGE);
+    expect(lines).not.toContain('logLinesDropped');
+  });
+
   it('measures the duration of statements by consistency and outcome', () => {
     log.record(SUCCESS);
     const text = metrics.formatPrometheusText();
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -1,4 +1,5 @@
 import type {LogPosition} from '@filbertrun/model/log_position.js';
+import type {PromotionEvent} from './promotion_event.js';
 
 /**
  * The log events of the gateway. There is one kind for each decision that
@@ -23,6 +24,7 @@
 
 /** A log event. @public */
 export type GatewayEvent =
+  | PromotionEvent
   | {
       readonly kind: 'started';
       readonly entryVm: string;
@@ -143,6 +145,19 @@
       readonly changeId: string;
       readonly revision: number;
       readonly highestAcknowledged: LogPosition | null;
+      /** False for a process that has not read the configuration yet. */
+      readonly isGroupKnown: boolean;
+      /** Whether it held an unexpired lease when the request arrived. */
+      readonly hadLease: boolean;
+      /**
+       * Newest revision of the group's record that it had read, heard of or
+       * released when the request arrived; 0 for none.
+       */
+      readonly knownRevision: number;
+      /** Writes sent to the old primary that were still without a response. */
+      readonly pendingWrites: number;
+      /** Time since the process started. */
+      readonly processAgeMs: number;
     }
   /** This proxy has acquired failover leadership. */
   | {
@@ -177,21 +192,6 @@
       readonly changeId: string;
       readonly waitingFor: string;
     }
-  | {
-      readonly kind: 'promotionOrdered';
-      readonly databaseGroup: string;
-      readonly changeId: string;
-      readonly target: string;
-      readonly position: LogPosition;
-      readonly fencingToken: number;
-    }
-  | {
-      readonly kind: 'promotionAnswered';
-      readonly databaseGroup: string;
-      readonly changeId: string;
-      readonly target: string;
-      readonly outcome: string;
-    }
   | {
       readonly kind: 'changeCompleted';
       readonly databaseGroup: string;
@@ -323,6 +323,17 @@
       readonly durationMs: number;
       readonly position: LogPosition | null;
     }
+  /**
+   * A write outside a transaction or a commit of writes was acknowledged.
+   * Recorded by the proxy whose connection it ran on.
+   */
+  | {
+      readonly kind: 'writeAcknowledged';
+      readonly requestId: string;
+      readonly databaseGroup: string;
+      readonly backendServer: string;
+      readonly position: LogPosition;
+    }
   | {
       readonly kind: 'outcomeUnknown';
       readonly requestId: string;
@@ -346,15 +357,16 @@
 
 /**
  * The budget of log lines that an event counts against. `belief` stands for a
- * change of the process's view of the cluster.
+ * change of the process's view of the cluster. Acknowledged writes have a budget of
+ * their own, since the log has to show which ones a promotion lacked.
  *
  * @public
  */
-export type EventClass = 'belief' | 'failure' | 'success';
+export type EventClass = 'belief' | 'failure' | 'write' | 'success';
 
 /**
  * Returns the class of an event. Under load, `belief` events are kept longest,
- * then `failure`, then `success`.
+ * then `failure`, then `write`, then `success`.
  *
  * @public
  */
@@ -365,6 +377,8 @@
     case 'statementRetried':
     case 'statementAnswered':
       return 'success';
+    case 'writeAcknowledged':
+      return 'write';
     case 'statementRefused':
     case 'statementDenied':
     case 'statementRejected':
--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -6,6 +6,7 @@
 import type {GroupRuntime} from '../group/group_runtime.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
 import {computeRecordDigest} from '../group/record_digest.js';
+import type {GatewayEvent} from '../observability/gateway_event.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PermitExchange, PermitGrants} from '../quota/permit_exchange.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from '../zone/zone_update.js';
@@ -29,7 +30,7 @@
   readonly incarnation: string;
   readonly groups: ReadonlyMap<string, GroupRuntime>;
   readonly leaderLease: FailoverLeaderLease;
-  readonly directory: BackendDirectory;
+  readonly directory: Pick<BackendDirectory, 'getEntry'>;
   readonly connector: BackendConnector;
   /** Whether this proxy is about to remove its registration. */
   isStopping(): boolean;
@@ -56,33 +57,74 @@
 /** Timeout of the connection attempt of a reachability check. */
 const REACHABILITY_TIMEOUT_MS = 200;
 
+/** State of this proxy that the log line of a release shows. */
+type ReleaseState = Pick<
+  Extract<GatewayEvent, {readonly kind: 'leaseReleased'}>,
+  | 'highestAcknowledged'
+  | 'isGroupKnown'
+  | 'hadLease'
+  | 'knownRevision'
+  | 'pendingWrites'
+>;
+
+/** Release by a process that does not know the group yet. */
+const UNKNOWN_GROUP_RELEASE: ReleaseState = {
+  highestAcknowledged: null,
+  isGroupKnown: false,
+  hadLease: false,
+  knownRevision: 0,
+  pendingWrites: 0,
+};
+
 /** Handles the requests of other proxies. @public */
 export class PeerRequestHandler implements PeerHandler {
-  private constructor(private readonly options: PeerRequestHandlerOptions) {}
+  private readonly createdAtMs: number;
+
+  private constructor(private readonly options: PeerRequestHandlerOptions) {
+    this.createdAtMs = options.clock.nowMs();
+  }
 
   static create(options: PeerRequestHandlerOptions): PeerRequestHandler {
     return new PeerRequestHandler(options);
   }
 
   async release(request: ReleaseRequest): Promise<ReleaseAnswer> {
-    const {groups, incarnation, events} = this.options;
+    const {groups, incarnation} = this.options;
     const group = groups.get(request.databaseGroup);
     if (group === undefined) {
+      this.recordReleased(request, UNKNOWN_GROUP_RELEASE);
       return {incarnation, highestAcknowledged: null};
     }
+    const hadLease = group.lease.isHeld();
+    const knownRevision = group.lease.newestRevision;
     group.releaseForChange(request, request.revision);
     await this.waitForPendingWrites(group);
     const {highestAcknowledged} = group.createReleaseReport();
-    events.record({
-      kind: 'leaseReleased',
-      databaseGroup: request.databaseGroup,
-      changeId: request.changeId,
-      revision: request.revision,
+    this.recordReleased(request, {
       highestAcknowledged,
+      isGroupKnown: true,
+      hadLease,
+      knownRevision,
+      pendingWrites: group.writeStallDetector.pendingCount,
     });
     return {incarnation, highestAcknowledged};
   }
 
+  private recordReleased(
+    {databaseGroup, changeId, revision}: ReleaseRequest,
+    state: ReleaseState,
+  ): void {
+    const {events, clock} = this.options;
+    events.record({
+      kind: 'leaseReleased',
+      databaseGroup,
+      changeId,
+      revision,
+      ...state,
+      processAgeMs: clock.nowMs() - this.createdAtMs,
+    });
+  }
+
   announce(record: RevisedPrimaryRecord): void {
     const group = this.options.groups.get(record.record.databaseGroup);
     if (group === undefined || record.revision <= group.lease.revision) {
--- a/packages/gateway/src/session/caller_session_test.ts
+++ b/packages/gateway/src/session/caller_session_test.ts
@@ -128,6 +128,63 @@
     expect(new Set(listRunServers())).toEqual(new Set(['p']));
   });
 
+  // Guards against an acknowledged write of which no line tells the instance: a
+  // commit has a request id of its own, which no routed statement carries.
+  it('logs the instance and the position of a write and of a commit by request id', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, WRITE, 'write');
+    await harness.run(session, BEGIN, 'begin');
+    await harness.run(session, WRITE, 'inside');
+    await harness.run(session, COMMIT, 'commit');
+    const acknowledged = harness.events.events.filter(
+      ({kind}) => kind === 'writeAcknowledged',
+    );
+    const databaseGroup = 'group';
+    const backendServer = 'p';
+    expect(acknowledged).toEqual([
+      {
+        kind: 'writeAcknowledged',
+        requestId: 'write',
+        databaseGroup,
+        backendServer,
+        position: {term: 1, position: 1},
+      },
+      {
+        kind: 'writeAcknowledged',
+        requestId: 'commit',
+        databaseGroup,
+        backendServer,
+        position: {term: 1, position: 2},
+      },
+    ]);
+    expect(harness.events.events).toContainEqual(
+      expect.objectContaining({
+        kind: 'statementAnswered',
+        requestId: 'commit',
+        position: {term: 1, position: 2},
+      }),
+    );
+  });
+
+  it('logs no acknowledgement of a read, a rollback or a released term', async () => {
+    const session = harness.open('strict');
+    await harness.run(session, READ);
+    await harness.run(session, BEGIN);
+    await harness.run(session, WRITE);
+    await harness.run(session, ROLLBACK);
+    const reply = session.handle({
+      requestId: 'w',
+      statement: WRITE,
+      receivedAtMs: harness.clock.nowMs(),
+    });
+    await settlePromises();
+    harness.group.release(2, 1);
+    await advanceClock(harness.clock, 100);
+    await reply;
+    const kinds = harness.events.events.map(({kind}) => kind);
+    expect(kinds).not.toContain('writeAcknowledged');
+  });
+
   it('runs a read-only transaction of bounded staleness on a replica', async () => {
     const session = harness.open('age');
     await harness.run(session, READ);
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -26,7 +26,10 @@
   type OpenTransaction,
 } from './open_transaction.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
-import {recordOutcomeUnknown} from './statement_events.js';
+import {
+  recordOutcomeUnknown,
+  recordWriteAcknowledged,
+} from './statement_events.js';
 
 /** Timeout of the rollback of an abandoned or idle transaction. */
 const ROLLBACK_TIMEOUT_MS = 500;
@@ -217,6 +220,8 @@
     if (reply.position !== null) {
       group.recordAcknowledged(sentAtMs, reply.position);
       this.committedPosition = reply.position;
+      const {backendServer} = this.beginResult.server.entry;
+      recordWriteAcknowledged(context, backendServer, reply.position);
     }
     return reply;
   }
--- a/packages/gateway/src/session/statement_events.ts
+++ b/packages/gateway/src/session/statement_events.ts
@@ -52,6 +52,26 @@
   });
 }
 
+/**
+ * Records that a write was acknowledged at a position. A commit has a request id
+ * of its own, which no `statementRouted` names.
+ *
+ * @public
+ */
+export function recordWriteAcknowledged(
+  {gateway, group, requestId}: StatementContext,
+  backendServer: BackendServerId,
+  position: LogPosition,
+): void {
+  gateway.events.record({
+    kind: 'writeAcknowledged',
+    requestId,
+    databaseGroup: group.databaseGroup,
+    backendServer,
+    position,
+  });
+}
+
 /** Records that a statement may have run but was not acknowledged. @public */
 export function recordOutcomeUnknown(
   context: StatementContext,
--- a/packages/gateway/src/session/write_executor.ts
+++ b/packages/gateway/src/session/write_executor.ts
@@ -26,6 +26,7 @@
   recordOutcomeUnknown,
   recordRefused,
   recordRouted,
+  recordWriteAcknowledged,
 } from './statement_events.js';
 import {runOnConnection, type RunError} from './run_on_connection.js';
 
@@ -188,6 +189,8 @@
       }
       if (answer.position !== null) {
         group.recordAcknowledged(sentAtMs, answer.position);
+        const {backendServer} = server.entry;
+        recordWriteAcknowledged(this.context, backendServer, answer.position);
       }
       return {kind: 'answered', answer};
     }
