--- a/apps/explain/src/explain_request.ts
+++ b/apps/explain/src/explain_request.ts
@@ -1,4 +1,5 @@
 import type {LogRecord} from '@filbertrun/observability/log_record.js';
+import {byTime, formatRecord} from './format_record.js';
 
 /** How long before the first record of a request others are included. */
 const CONTEXT_BEFORE_MS = 10_000;
@@ -107,10 +108,6 @@
   return `${lines.join('\n')}\n`;
 }
 
-function byTime(left: LogRecord, right: LogRecord): number {
-  return left.timeMs - right.timeMs;
-}
-
 /**
  * Returns the latest choice of a zone reader by each proxy that handled the
  * request, up to its last record of the request.
@@ -168,17 +165,3 @@
     return typeof value === 'string' && names.has(value);
   });
 }
-
-function formatRecord(record: LogRecord, startMs: number): string {
-  const offsetMs = record.timeMs - startMs;
-  const sign = offsetMs < 0 ? '-' : '+';
-  const offset = `${sign}${Math.abs(offsetMs)} ms`.padStart(10);
-  const fields = Object.entries(record.fields)
-    .filter(([name]) => name !== 'requestId')
-    .map(([name, value]) => `${name}=${formatValue(value)}`);
-  return `${offset}  ${record.entryVm}  ${record.event}  ${fields.join(' ')}`;
-}
-
-function formatValue(value: unknown): string {
-  return typeof value === 'string' ? value : JSON.stringify(value);
-}
