--- a/packages/gateway/src/testing/fake_instances.ts
+++ b/packages/gateway/src/testing/fake_instances.ts
@@ -22,6 +22,12 @@
   position: LogPosition;
   pausedTerm: number;
   isRunning: boolean;
+  /** Whether the failover leader reaches it; other proxies may. */
+  isReachable: boolean;
+  /** Whether another instance responds at its address. */
+  isReplaced: boolean;
+  /** Whether it receives what the primary commits. */
+  isReceiving: boolean;
   /** Whether the directory lists it. */
   isListed: boolean;
 }
@@ -58,6 +64,9 @@
       position: {term: 1, position},
       pausedTerm: 0,
       isRunning: true,
+      isReachable: true,
+      isReplaced: false,
+      isReceiving: true,
       isListed: true,
     };
     this.instances.set(backendServer, instance);
@@ -103,6 +112,11 @@
     return isAcknowledged;
   }
 
+  /** Restarts a replica, which ends its pause. */
+  restart(backendServer: string): void {
+    this.get(backendServer).pausedTerm = 0;
+  }
+
   getStatus(server: BackendServerEntry): Promise<ControlResult> {
     return this.control(server, () => {});
   }
@@ -183,7 +197,10 @@
   ): Promise<ControlResult> {
     await Promise.resolve();
     const instance = this.instances.get(server.backendServer);
-    if (instance === undefined || !instance.isRunning) {
+    if (instance?.isReplaced === true) {
+      return failure({kind: 'wrongServer'});
+    }
+    if (instance?.isRunning !== true || !instance.isReachable) {
       return failure({kind: 'unreachable', reason: 'not running'});
     }
     change(instance);
@@ -201,6 +218,7 @@
   return (
     instance !== primary &&
     instance.isRunning &&
+    instance.isReceiving &&
     instance.role === 'replica' &&
     instance.pausedTerm <= primary.term
   );
