Simulation: instances with successors, late platforms and faults in phase with a change

A drained instance hands its log to a successor at its address that is listed later; entries are listed late after a restart or an outage; logs arrive late; calls to the store and to instances are late or lost although done; a frozen proxy handles no message. Faults strike some time after an event of a change.

--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -10,7 +10,11 @@
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {settlePromises} from '../testing/settle.js';
 import {SafetyOracle, type Violation} from './safety_oracle.js';
-import {PROMOTION_MS, SimulatedGroup} from './simulated_group.js';
+import {
+  PROMOTION_MS,
+  PROMPT_PLATFORM,
+  SimulatedGroup,
+} from './simulated_group.js';
 import {SimulatedConnector} from './simulated_connector.js';
 import {FaultInjector} from './fault_injector.js';
 import {getLastEndMs, type HistoryPlan} from './history_fault.js';
@@ -19,6 +23,8 @@
   LeaderDisturbances,
   type LeaderFaultHandler,
 } from './leader_disturbances.js';
+import {CallLatency} from './call_latency.js';
+import {PhaseDisturbances} from './phase_disturbances.js';
 import {RecoveryChecker, RESTART_MS} from './recovery_checker.js';
 import {SimulatedNetwork, STORE} from './simulated_network.js';
 import {
@@ -56,6 +62,9 @@
 /** Duration of a history after the warm-up. */
 export const HISTORY_MS = 18_000;
 
+/** Time on the clock at the start of a history. */
+const START_MS = 100_000;
+
 const STEP_MS = 5;
 
 /** Interval at which the optional route of each proxy is probed. */
@@ -67,12 +76,20 @@
 /** Interval of replication and heartbeats. */
 const REPLICATION_INTERVAL_MS = 20;
 
+/** Receives the events of a history, with the time from the end of warm-up. */
+export type HistoryTrace = (
+  atMs: number,
+  node: string,
+  event: object | string,
+) => void;
+
 /** Runs one history and returns its outcome with all violations. @internal */
 export async function runHistory(
   plan: HistoryPlan,
   mutate: GatewayMutation = options => options,
+  trace: HistoryTrace = () => undefined,
 ): Promise<HistoryOutcome> {
-  const runner = new HistoryRunner(plan, mutate);
+  const runner = new HistoryRunner(plan, mutate, trace);
   return runner.run();
 }
 
@@ -86,6 +103,7 @@
   private readonly random: RandomSource;
   private readonly deployment: SimulatedDeployment;
   private readonly leaderDisturbances: LeaderDisturbances;
+  private readonly phaseDisturbances: PhaseDisturbances;
   private readonly injector: FaultInjector;
   /** Writes that each read must see, fixed when the read starts. */
   private readonly requiredWrites = new Map<string, readonly string[]>();
@@ -100,6 +118,7 @@
   constructor(
     private readonly plan: HistoryPlan,
     private readonly mutate: GatewayMutation,
+    private readonly trace: HistoryTrace,
   ) {
     this.random = SeededRandom.create(plan.seed);
     const zones = SimulatedZones.create(plan.layout ?? 'apart');
@@ -110,6 +129,7 @@
       this.oracle,
       zones,
     );
+    group.times = plan.platformTimes ?? PROMPT_PLATFORM;
     group.promotionMs = plan.promotionMs ?? PROMOTION_MS;
     const store = FakeControlTable.create(clock);
     const rosters = FakeControlTable.create(clock);
@@ -128,6 +148,7 @@
         operator,
         tables: [store, rosters],
       }),
+      storeLatency: CallLatency.create(plan.seed),
       storeCalls: {control: 0, directory: 0, configuration: 0},
       proxies: new Map(),
     };
@@ -140,14 +161,27 @@
       this.clock,
       this.createLeaderFaultHandler(),
     );
+    this.phaseDisturbances = PhaseDisturbances.create({
+      deployment: this.deployment,
+      killProxy: name => this.killProxy(name),
+      isolateProxy: (name, forMs) => this.injector.isolateProxy(name, forMs),
+      trace: (node, event) => this.trace(this.getElapsedMs(), node, event),
+    });
+    group.observer = {
+      handleGroupEvent: (kind, backendServer) => {
+        this.trace(this.getElapsedMs(), backendServer, kind);
+        this.phaseDisturbances.handleGroupEvent(kind, backendServer);
+      },
+    };
     this.injector = FaultInjector.create({
       deployment: this.deployment,
       disturbances: this.disturbances,
       proxies: this.deployment.zones.proxies,
       killProxy: name => this.killProxy(name),
       leaderDisturbances: this.leaderDisturbances,
+      phaseDisturbances: this.phaseDisturbances,
     });
-    this.clock.advance(100_000);
+    this.clock.advance(START_MS);
     this.recovery = RecoveryChecker.create(
       this.clock.nowMs() + WARM_UP_MS + getLastEndMs(plan.faults),
     );
@@ -195,19 +229,25 @@
     };
   }
 
+  private getElapsedMs(): number {
+    return this.clock.nowMs() - START_MS - WARM_UP_MS;
+  }
+
   private startProxy(name: string): void {
     const {clock, network, oracle} = this;
+    let process: SimulatedProxy | null = null;
     const connector = SimulatedConnector.create({
       proxy: name,
       clock,
       network,
       oracle,
       group: this.deployment.group,
+      isFrozen: () => process?.isFrozen === true,
       getRequiredWrites: id => this.requiredWrites.get(id) ?? null,
     });
     const incarnation = this.nextIncarnation++;
     this.incarnations.set(name, incarnation);
-    SimulatedProxy.start(
+    process = SimulatedProxy.start(
       name,
       incarnation,
       this.deployment,
@@ -223,7 +263,9 @@
         if (event.kind === 'changeIntended') {
           this.intendedAtMs.push(this.clock.nowMs());
         }
+        this.trace(this.getElapsedMs(), name, event);
         this.leaderDisturbances.handleEvent(name, event.kind);
+        this.phaseDisturbances.handleProxyEvent(name, event.kind);
         options.events.record(event);
       },
     };
@@ -236,7 +278,9 @@
       const route = (['strict', 'session', 'age'] as const)[
         this.random.nextInteger(0, 2)
       ];
-      if (route !== undefined) {
+      // A frozen process handles no request.
+      const isFrozen = this.deployment.proxies.get(name)?.isFrozen === true;
+      if (route !== undefined && !isFrozen) {
         void this.write(name, route);
         void this.read(name, route);
       }
@@ -313,6 +357,8 @@
     this.recovery.recordRequest(startedAtMs, reply.result.kind === 'complete');
     if (reply.result.kind === 'complete') {
       this.oracle.recordAcknowledged(requestId, this.clock.nowMs());
+      this.trace(this.getElapsedMs(), name, `acknowledged ${requestId}`);
+      this.phaseDisturbances.handleAcknowledgement();
       const key = `${name}/${route}`;
       const writes = this.sessionWrites.get(key) ?? [];
       this.sessionWrites.set(key, [...writes, requestId]);
@@ -349,8 +395,8 @@
     return {
       beginStop: name => proxies.get(name)?.gateway.beginStop(),
       kill: name => this.killProxy(name),
-      freeze: name => proxies.get(name)?.controlClock.pause(),
-      thaw: name => proxies.get(name)?.controlClock.resume(),
+      freeze: name => proxies.get(name)?.freeze(),
+      thaw: name => proxies.get(name)?.thaw(),
       isolate: (name, forMs) => this.injector.isolateProxy(name, forMs),
     };
   }
--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -1,5 +1,6 @@
 import type {HistoryFault} from './history_fault.js';
 import type {LeaderDisturbances} from './leader_disturbances.js';
+import type {PhaseDisturbances} from './phase_disturbances.js';
 import {STORE} from './simulated_network.js';
 import type {SimulatedDeployment} from './simulated_proxy.js';
 import type {DisturbanceTracker} from './disturbance_tracker.js';
@@ -12,6 +13,7 @@
   readonly proxies: readonly string[];
   killProxy(name: string): void;
   readonly leaderDisturbances: LeaderDisturbances;
+  readonly phaseDisturbances: PhaseDisturbances;
 }
 
 /** Injects the faults of a history. @internal */
@@ -145,6 +147,19 @@
         }
         return;
       }
+      case 'inPhase':
+        this.options.phaseDisturbances.arm(fault);
+        return;
+      case 'delayReplication': {
+        const replica = this.pickReplica(fault.replica);
+        if (replica !== null) {
+          replica.replicationDelayMs = fault.delayMs;
+          this.after(fault.forMs, () => {
+            replica.replicationDelayMs = 0;
+          });
+        }
+        return;
+      }
       case 'disturbLeader':
         this.options.leaderDisturbances.arm(fault);
         return;
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -1,3 +1,6 @@
+import {PHASE_ARMED_MS} from './phase_disturbances.js';
+import {getPhaseFaultMs, type PhaseFault} from './phase_fault.js';
+import type {PlatformTimes} from './simulated_group.js';
 import {ARMED_MS, DISTURBED_MS} from './leader_disturbances.js';
 
 /** Faults and plans of simulated histories. */
@@ -8,6 +11,15 @@
  * @internal
  */
 export type HistoryFault =
+  | PhaseFault
+  /** The log of a replica arrives this much later than it is sent. */
+  | {
+      readonly kind: 'delayReplication';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly replica: number;
+      readonly delayMs: number;
+    }
   | {
       readonly kind: 'crashPrimary';
       readonly atMs: number;
@@ -167,6 +179,8 @@
   readonly layout?: HistoryLayout;
   /** Time from an accepted order to its effect. Default: `PROMOTION_MS`. */
   readonly promotionMs?: number;
+  /** Times that the platform's protocol leaves open. Default: prompt. */
+  readonly platformTimes?: PlatformTimes;
   readonly faults: readonly HistoryFault[];
 }
 
@@ -177,9 +191,11 @@
     const forMs =
       fault.kind === 'disturbLeader'
         ? ARMED_MS + DISTURBED_MS
-        : 'forMs' in fault
-          ? fault.forMs
-          : 0;
+        : fault.kind === 'inPhase'
+          ? PHASE_ARMED_MS + getPhaseFaultMs(fault)
+          : 'forMs' in fault
+            ? fault.forMs
+            : 0;
     lastMs = Math.max(lastMs, fault.atMs + forMs);
   }
   return lastMs;
--- a/packages/gateway/src/simulation/network_path.ts
+++ b/packages/gateway/src/simulation/network_path.ts
@@ -30,6 +30,11 @@
     return sleep(this.clock, delayMs);
   }
 
+  /** Whether messages reach a node now. */
+  canReach(node: string): boolean {
+    return this.isConnected(node);
+  }
+
   private isConnected(node: string): boolean {
     return this.network.isConnected(this.name, node);
   }
--- a/packages/gateway/src/simulation/safety_oracle.ts
+++ b/packages/gateway/src/simulation/safety_oracle.ts
@@ -129,14 +129,23 @@
     this.highestToken = Math.max(this.highestToken, fencingToken);
   }
 
-  /** Checks that a promoted instance holds every acknowledged commit. */
-  checkPromotion(target: SimulatedInstance): void {
+  /**
+   * Checks that a promoted instance holds every acknowledged commit; `others` are
+   * named if they hold the first one that is lost.
+   */
+  checkPromotion(
+    target: SimulatedInstance,
+    others: readonly SimulatedInstance[],
+  ): void {
     const held = new Set(target.log.map(({writeId}) => writeId));
     for (const {writeId} of this.acknowledged) {
       if (!held.has(writeId)) {
+        const holders = others
+          .filter(({log}) => log.some(record => record.writeId === writeId))
+          .map(({entry}) => entry.backendServer);
         this.report(
           'lostCommit',
-          `${target.entry.backendServer} lacks ${writeId}`,
+          `${target.entry.backendServer} lacks ${writeId}, held by ${holders.join(' and ') || 'none'}`,
         );
         return;
       }
--- a/packages/gateway/src/simulation/simulated_connector.ts
+++ b/packages/gateway/src/simulation/simulated_connector.ts
@@ -37,6 +37,8 @@
   readonly oracle: SafetyOracle;
   /** Writes that a read must see; null if the request is not a checked read. */
   getRequiredWrites(requestId: string): readonly string[] | null;
+  /** Whether the process is suspended, so that it handles no response. */
+  isFrozen(): boolean;
 }
 
 /** Name in a handshake that accepts any instance at the address. @internal */
@@ -48,6 +50,9 @@
 /** Interval at which an unacknowledged commit is checked again. */
 const ACKNOWLEDGE_INTERVAL_MS = 20;
 
+/** Interval at which a response to a frozen process is tried again. */
+const FROZEN_POLL_MS = 5;
+
 /** Connects one proxy to the instances of the simulated group. @internal */
 export class SimulatedConnector implements BackendConnector {
   private constructor(private readonly options: SimulatedConnectorOptions) {}
@@ -143,6 +148,9 @@
       : null;
     await sleep(clock, MESSAGE_MS);
     const isDelivered = response !== null && this.canDeliver();
+    while (this.options.isFrozen()) {
+      await sleep(clock, FROZEN_POLL_MS);
+    }
     this.pendingCount--;
     if (isDelivered) {
       this.sentAtMs = null;
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -7,6 +7,8 @@
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {createEntry} from '../testing/fake_instances.js';
 import type {SafetyOracle} from './safety_oracle.js';
+import {CallLatency} from './call_latency.js';
+import {getMachine, SUCCESSOR_MARK} from './machine_name.js';
 import {STORE, type SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedZones} from './simulated_zones.js';
 
@@ -17,9 +19,56 @@
   readonly writeId: string;
 }
 
+/** The log that a primary has sent to a replica. */
+interface LogInTransit {
+  readonly primary: SimulatedInstance;
+  readonly log: readonly LogRecord[];
+  readonly term: number;
+  readonly arrivesAtMs: number;
+}
+
+/** Receives what happens at the instances and at the platform. @internal */
+export interface GroupObserver {
+  handleGroupEvent(kind: GroupEventKind, backendServer: string): void;
+}
+
+/** An event at an instance or at the platform. @internal */
+export type GroupEventKind =
+  | 'pauseArrived'
+  | 'stepDownArrived'
+  | 'promotionArrived'
+  | 'promotionEffective';
+
+/** Times of the platform that the protocol leaves open. @internal */
+export interface PlatformTimes {
+  /** Time from the start of a successor until its first entry is listed. */
+  readonly successorListedMs: number;
+  /** Time from the restart of an instance until its new entry is listed. */
+  readonly restartListedMs: number;
+  /** Time from the return of the store until an expired entry is listed. */
+  readonly relistedMs: number;
+  /**
+   * Time from the end of a drained instance to the start of its successor; null
+   * if it has none.
+   */
+  readonly drainedDownMs: number | null;
+}
+
+/** Times of a platform that lists each entry at once. @internal */
+export const PROMPT_PLATFORM: PlatformTimes = {
+  successorListedMs: 0,
+  restartListedMs: 0,
+  relistedMs: 0,
+  drainedDownMs: null,
+};
+
 /** One instance of the simulated group. @internal */
 export interface SimulatedInstance {
   entry: BackendServerEntry;
+  /** The entry that the store holds; null until the first heartbeat arrives. */
+  listedEntry: BackendServerEntry | null;
+  /** Time before which no heartbeat with the current entry reaches the store. */
+  listedFromMs: number;
   role: 'primary' | 'replica';
   term: number;
   pausedTerm: number;
@@ -27,6 +76,12 @@
   isRunning: boolean;
   /** Whether it receives nothing from its primary although it is reachable. */
   isReplicationStalled: boolean;
+  /** Time from a commit until it is received. */
+  replicationDelayMs: number;
+  /** Commits that are on their way to it, oldest first. */
+  inTransit: readonly LogInTransit[];
+  /** Whether it has left for good, so that it never starts again. */
+  hasLeft: boolean;
   /** When its last heartbeat reached the store. */
   heartbeatAtMs: number;
   /** When its draining state first reached the store; null before. */
@@ -61,6 +116,11 @@
   acceptDelayMs = 0;
   /** Time from an accepted order to its effect. */
   promotionMs = PROMOTION_MS;
+  times = PROMPT_PLATFORM;
+  /** Latency of status calls and control commands, as they are sent. */
+  readonly controlLatency = CallLatency.create();
+  observer: GroupObserver | null = null;
+  private successorCount = 0;
   private readonly foreignHosts = new Set<string>();
 
   private constructor(
@@ -96,7 +156,7 @@
     let leader: SimulatedInstance | null = null;
     for (const instance of this.instances.values()) {
       const isLater = leader === null || instance.term > leader.term;
-      if (instance.role === 'primary' && isLater) {
+      if (instance.role === 'primary' && !instance.hasLeft && isLater) {
         leader = instance;
       }
     }
@@ -141,15 +201,21 @@
 
   /** The unexpired directory entries. */
   listEntries(): readonly BackendServerEntry[] {
-    return [...this.instances.values()]
-      .filter(instance => !this.isExpired(instance))
-      .map(({entry}) => entry);
+    const entries: BackendServerEntry[] = [];
+    for (const instance of this.instances.values()) {
+      if (instance.listedEntry !== null && !this.isExpired(instance)) {
+        entries.push(instance.listedEntry);
+      }
+    }
+    return entries;
   }
 
   /** Instances whose directory entries have expired. */
   listExpired(): readonly string[] {
     return [...this.instances.values()]
-      .filter(instance => this.isExpired(instance))
+      .filter(
+        instance => instance.listedEntry === null || this.isExpired(instance),
+      )
       .map(({entry}) => entry.backendServer);
   }
 
@@ -169,7 +235,69 @@
   /** Makes an instance announce that it is draining and stop a while later. */
   drain(instance: SimulatedInstance): void {
     instance.entry = {...instance.entry, state: 'draining'};
-    this.clock.startTimer(DRAIN_STOP_DELAY_MS, () => this.crash(instance));
+    this.clock.startTimer(DRAIN_STOP_DELAY_MS, () => {
+      const {drainedDownMs} = this.times;
+      if (drainedDownMs === null) {
+        this.crash(instance);
+      } else {
+        this.replace(instance, drainedDownMs);
+      }
+    });
+  }
+
+  /** Stops an instance for good; its log is gone with it. */
+  leave(instance: SimulatedInstance): void {
+    this.crash(instance);
+    instance.hasLeft = true;
+    instance.log = [];
+  }
+
+  /**
+   * Ends an instance and hands its log to a new one at its address, which
+   * receives at once but is listed only some time later.
+   */
+  replace(instance: SimulatedInstance, downMs: number): void {
+    if (instance.hasLeft || this.foreignHosts.has(instance.entry.host)) {
+      return;
+    }
+    const {log, role, term} = instance;
+    this.leave(instance);
+    this.clock.startTimer(downMs, () => {
+      const successor = this.createSuccessor(instance);
+      successor.log = log;
+      successor.term = term;
+      const isLeader = role === 'primary' && !this.hasLaterPrimary(term);
+      this.setRole(successor, isLeader ? 'primary' : 'replica');
+      this.instances.set(successor.entry.backendServer, successor);
+    });
+  }
+
+  private createSuccessor({entry}: SimulatedInstance): SimulatedInstance {
+    this.successorCount++;
+    const machine = getMachine(entry.backendServer);
+    const backendServer = `${machine}${SUCCESSOR_MARK}${this.successorCount}`;
+    const nowMs = this.clock.nowMs();
+    const successor = createInstance(
+      backendServer,
+      'replica',
+      false,
+      nowMs,
+      entry.availabilityZone,
+    );
+    successor.entry = {
+      ...successor.entry,
+      host: entry.host,
+      startedAtEpochMs: nowMs,
+    };
+    successor.listedEntry = null;
+    successor.listedFromMs = nowMs + this.times.successorListedMs;
+    return successor;
+  }
+
+  private hasLaterPrimary(term: number): boolean {
+    return [...this.instances.values()].some(
+      other => other.role === 'primary' && other.term > term,
+    );
   }
 
   /** Stops an instance for good; another service takes over its address. */
@@ -189,12 +317,14 @@
   }
 
   pause(instance: SimulatedInstance, term: number): void {
+    this.notify('pauseArrived', instance.entry.backendServer);
     if (instance.role === 'replica' && term > instance.term) {
       instance.pausedTerm = Math.max(instance.pausedTerm, term);
     }
   }
 
   stepDown(instance: SimulatedInstance, term: number): void {
+    this.notify('stepDownArrived', instance.entry.backendServer);
     if (instance.role === 'primary' && instance.term < term) {
       this.setRole(instance, 'replica');
     }
@@ -204,6 +334,7 @@
   order(order: PromotionOrder): boolean {
     this.oracle.checkOrder(order);
     this.orders.push(order);
+    this.notify('promotionArrived', order.target);
     const target = this.instances.get(order.target);
     if (target === undefined || !target.isRunning) {
       return false;
@@ -218,15 +349,19 @@
 
   crash(instance: SimulatedInstance): void {
     instance.isRunning = false;
+    instance.inTransit = [];
   }
 
   /** Starts an instance again; its log is kept, a replication pause is not. */
   restart(instance: SimulatedInstance): void {
-    if (this.foreignHosts.has(instance.entry.host)) {
+    const isAbsent =
+      instance.hasLeft || this.foreignHosts.has(instance.entry.host);
+    if (isAbsent || instance.isRunning) {
       return;
     }
     instance.isRunning = true;
     instance.pausedTerm = 0;
+    instance.listedFromMs = this.clock.nowMs() + this.times.restartListedMs;
     const hasSuccessor = this.findLeader().term > instance.term;
     if (hasSuccessor) {
       this.setRole(instance, 'replica');
@@ -258,10 +393,20 @@
     for (const instance of this.instances.values()) {
       const {backendServer, state} = instance.entry;
       if (
-        instance.isRunning &&
-        this.network.isConnected(backendServer, STORE)
+        !instance.isRunning ||
+        !this.network.isConnected(backendServer, STORE)
       ) {
-        instance.heartbeatAtMs = this.clock.nowMs();
+        continue;
+      }
+      const nowMs = this.clock.nowMs();
+      if (this.isExpired(instance) && nowMs >= instance.listedFromMs) {
+        instance.listedFromMs = nowMs + this.times.relistedMs;
+        instance.heartbeatAtMs = nowMs;
+        instance.listedEntry = null;
+      }
+      if (nowMs >= instance.listedFromMs) {
+        instance.heartbeatAtMs = nowMs;
+        instance.listedEntry = instance.entry;
         if (state === 'draining') {
           instance.drainedAtMs ??= this.clock.nowMs();
         }
@@ -277,25 +422,49 @@
     instance.entry = {...instance.entry, reportedRole: role};
   }
 
-  /** Copies the log to every replica that follows; true if there is one. */
+  /** Sends the log to every replica that follows; true if one holds it. */
   private replicate(primary: SimulatedInstance): boolean {
     let isReplicated = false;
     for (const replica of this.instances.values()) {
       if (this.follows(replica, primary)) {
-        replica.log = primary.log;
-        replica.term = primary.term;
-        isReplicated = true;
+        this.send(primary, replica);
+        isReplicated ||= replica.log === primary.log;
       }
     }
     return isReplicated;
   }
 
+  private send(primary: SimulatedInstance, replica: SimulatedInstance): void {
+    const nowMs = this.clock.nowMs();
+    const {log, term} = primary;
+    const arrivesAtMs = nowMs + replica.replicationDelayMs;
+    replica.inTransit = [
+      ...replica.inTransit.filter(sent => sent.primary === primary),
+      {primary, log, term, arrivesAtMs},
+    ];
+    const arrived = replica.inTransit.findLast(
+      sent => sent.arrivesAtMs <= nowMs,
+    );
+    if (arrived !== undefined) {
+      replica.log = arrived.log;
+      replica.term = arrived.term;
+      replica.inTransit = replica.inTransit.filter(
+        sent => sent.arrivesAtMs > nowMs,
+      );
+    }
+  }
+
+  private notify(kind: GroupEventKind, backendServer: string): void {
+    this.observer?.handleGroupEvent(kind, backendServer);
+  }
+
   private follows(
     replica: SimulatedInstance,
     primary: SimulatedInstance,
   ): boolean {
     return (
       replica !== primary &&
+      !replica.hasLeft &&
       replica.role === 'replica' &&
       replica.isRunning &&
       !replica.isReplicationStalled &&
@@ -310,7 +479,7 @@
 
   /** Makes an instance the primary of the next term. */
   promote(target: SimulatedInstance): void {
-    this.oracle.checkPromotion(target);
+    this.oracle.checkPromotion(target, [...this.instances.values()]);
     let newestTerm = 0;
     for (const {term} of this.instances.values()) {
       newestTerm = Math.max(newestTerm, term);
@@ -321,6 +490,7 @@
       instance.pausedTerm = 0;
     }
     this.oracle.recordPromotion(target);
+    this.notify('promotionEffective', target.entry.backendServer);
     this.tick();
   }
 
@@ -352,18 +522,24 @@
   nowMs: number,
   availabilityZone = `zone-${backendServer}`,
 ): SimulatedInstance {
+  const entry = {
+    ...createEntry(backendServer, role),
+    availabilityZone,
+    host: `host-${backendServer}`,
+  };
   return {
-    entry: {
-      ...createEntry(backendServer, role),
-      availabilityZone,
-      host: `host-${backendServer}`,
-    },
+    entry,
+    listedEntry: entry,
+    listedFromMs: nowMs,
     role,
     term: 1,
     pausedTerm: 0,
     log: [],
     isRunning: true,
     isReplicationStalled: false,
+    replicationDelayMs: 0,
+    inTransit: [],
+    hasLeft: false,
     heartbeatAtMs: nowMs,
     drainedAtMs: null,
     isForeign,
--- a/packages/gateway/src/simulation/simulated_network.ts
+++ b/packages/gateway/src/simulation/simulated_network.ts
@@ -1,3 +1,5 @@
+import {getMachine} from './machine_name.js';
+
 /** Name of the store in the network. @internal */
 export const STORE = 'store';
 
@@ -17,7 +19,10 @@
 
   /** Whether messages pass between two nodes. */
   isConnected(left: string, right: string): boolean {
-    return left === right || !this.disconnectCounts.has(toKey(left, right));
+    return (
+      getMachine(left) === getMachine(right) ||
+      !this.disconnectCounts.has(toKey(left, right))
+    );
   }
 
   cut(left: string, right: string): void {
@@ -38,5 +43,5 @@
 }
 
 function toKey(left: string, right: string): string {
-  return [left, right].sort().join('|');
+  return [getMachine(left), getMachine(right)].sort().join('|');
 }
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {SeededRandom} from '@filbertrun/base/random_source.js';
+import {sleep} from '@filbertrun/base/sleep.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {BackendConnector} from '../backend/backend_connection.js';
 import type {
@@ -21,7 +22,9 @@
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {CONFIGURATION_APPLY_MS} from './configuration_oracle.js';
 import {PausableClock} from '@filbertrun/base/pausable_clock.js';
-import {NetworkPath} from './network_path.js';
+import type {CallLatency} from './call_latency.js';
+import {StoreCaller} from './store_call.js';
+import {CALL_TIMEOUT_MS, NetworkPath} from './network_path.js';
 import {
   DRAIN_MS,
   type SimulatedGroup,
@@ -52,6 +55,8 @@
   readonly operator: SimulatedOperator;
   readonly restore: SimulatedRestore;
   readonly storeCalls: StoreCallCounts;
+  /** Latency of calls to the store. */
+  readonly storeLatency: CallLatency;
   /** Running proxies by name. */
   readonly proxies: Map<string, SimulatedProxy>;
 }
@@ -66,6 +71,7 @@
   readonly gateway: Gateway;
   /** Timers of the process; statements under way go on while it is paused. */
   readonly controlClock: PausableClock;
+  private isPaused = false;
 
   private constructor(
     readonly name: string,
@@ -79,6 +85,7 @@
     this.controlClock = PausableClock.create(clock);
     const path = new NetworkPath(name, this.controlClock, deployment.network);
     const era = LatestStoreEra.create();
+    const caller = new StoreCaller(path, clock, deployment.storeLatency);
     this.gateway = Gateway.create(
       mutate({
         self: {
@@ -93,28 +100,32 @@
         random: SeededRandom.create(incarnation),
         events: this.events,
         connector,
-        instances: new SimulatedInstanceControl(path, deployment.group),
+        instances: new SimulatedInstanceControl(path, clock, deployment.group),
         promotions: createPromotions(path, clock, deployment.group),
         controlTable: new SimulatedControlTable(
           path,
+          caller,
           deployment.store,
           deployment.storeCalls,
           era,
         ),
         rosterTable: new SimulatedControlTable(
           path,
+          caller,
           deployment.rosters,
           deployment.storeCalls,
           era,
         ),
         directoryTable: new SimulatedDirectory(
           path,
+          caller,
           deployment.group,
           deployment.restore,
           deployment.storeCalls,
         ),
         configurationTable: new SimulatedConfiguration(
           path,
+          caller,
           deployment.operator,
           deployment.restore,
           deployment.storeCalls,
@@ -134,6 +145,23 @@
     );
   }
 
+  /** Whether the process is suspended. */
+  get isFrozen(): boolean {
+    return this.isPaused;
+  }
+
+  /** Suspends the process: no timer runs, and no message is handled. */
+  freeze(): void {
+    this.isPaused = true;
+    this.controlClock.pause();
+  }
+
+  /** Resumes the process, which first runs the timers that have expired. */
+  thaw(): void {
+    this.isPaused = false;
+    this.controlClock.resume();
+  }
+
   static start(
     name: string,
     incarnation: number,
@@ -154,11 +182,20 @@
   }
 }
 
+/** Time after which a proxy gives up a status call or a control command. */
+const CONTROL_TIMEOUT_MS = 800;
+
+const NO_CONTROL_RESPONSE: InstanceControlError = {
+  kind: 'unreachable',
+  reason: 'simulated',
+};
+
 type ControlResult = Result<InstanceStatus, InstanceControlError>;
 
 class SimulatedInstanceControl implements InstanceControl {
   constructor(
     private readonly path: NetworkPath,
+    private readonly clock: Clock,
     private readonly group: SimulatedGroup,
   ) {}
 
@@ -181,9 +218,35 @@
     server: BackendServerEntry,
     change: (instance: SimulatedInstance) => void,
   ): Promise<ControlResult> {
-    const instance = this.group.get(server.backendServer);
-    if (!(await this.path.reach(server.backendServer)) || !instance.isRunning) {
-      return failure({kind: 'unreachable', reason: 'simulated'});
+    const {requestMs, responseMs} = this.group.controlLatency.draw();
+    if (!(await this.path.reach(server.backendServer))) {
+      return failure(NO_CONTROL_RESPONSE);
+    }
+    const status = this.perform(server, change, requestMs);
+    await this.path.pause(Math.min(requestMs + responseMs, CONTROL_TIMEOUT_MS));
+    if (requestMs + responseMs > CONTROL_TIMEOUT_MS) {
+      return failure(NO_CONTROL_RESPONSE);
+    }
+    return this.path.canReach(server.backendServer)
+      ? status
+      : failure(NO_CONTROL_RESPONSE);
+  }
+
+  /** Performs a command once it arrives, also if its caller has given up. */
+  private async perform(
+    server: BackendServerEntry,
+    change: (instance: SimulatedInstance) => void,
+    requestMs: number,
+  ): Promise<ControlResult> {
+    if (requestMs > 0) {
+      await sleep(this.clock, requestMs);
+    }
+    const instance = this.group.findAt(server.host);
+    if (instance === null || !this.path.canReach(server.backendServer)) {
+      return failure(NO_CONTROL_RESPONSE);
+    }
+    if (instance.entry.backendServer !== server.backendServer) {
+      return failure({kind: 'wrongServer'});
     }
     change(instance);
     return success(this.group.describe(instance));
@@ -229,6 +292,20 @@
     : failure({kind: 'rejected', status: 409});
 }
 
+/** Interval at which a message to a frozen process is tried again. */
+const FROZEN_POLL_MS = 5;
+
+async function handleWhenThawed<T>(
+  proxy: SimulatedProxy,
+  clock: Clock,
+  run: (handler: PeerHandler) => T | Promise<T>,
+): Promise<void> {
+  while (proxy.isFrozen) {
+    await sleep(clock, FROZEN_POLL_MS);
+  }
+  await run(proxy.gateway.peerHandler);
+}
+
 function createPeers(
   path: NetworkPath,
   deployment: SimulatedDeployment,
@@ -243,7 +320,17 @@
     if (proxy === undefined) {
       return failure({kind: 'unreachable', reason: 'simulated'});
     }
+    if (proxy.isFrozen) {
+      // The request is handled once the process resumes; its caller has given up.
+      void handleWhenThawed(proxy, deployment.clock, run);
+      await path.pause(CALL_TIMEOUT_MS);
+      return failure({kind: 'unreachable', reason: 'simulated'});
+    }
     const response = await run(proxy.gateway.peerHandler);
+    if (proxy.isFrozen) {
+      await path.pause(CALL_TIMEOUT_MS);
+      return failure({kind: 'unreachable', reason: 'simulated'});
+    }
     return (await path.reach(peer.entryVm))
       ? success(response)
       : failure({kind: 'unreachable', reason: 'simulated'});
--- a/packages/gateway/src/simulation/simulated_tables.ts
+++ b/packages/gateway/src/simulation/simulated_tables.ts
@@ -22,11 +22,12 @@
 import {CALL_MS, CALL_TIMEOUT_MS, type NetworkPath} from './network_path.js';
 import type {SimulatedGroup} from './simulated_group.js';
 import {STORE} from './simulated_network.js';
+import type {StoreCaller} from './store_call.js';
 import type {SimulatedOperator} from './simulated_operator.js';
 
 /** One proxy's clients of the tables in the simulated store. */
 
-const UNAVAILABLE: PlatformError = {kind: 'unavailable', reason: 'simulated'};
+const UNAVAILABLE = {kind: 'unavailable', reason: 'simulated'} as const;
 
 /** Number of calls to the store by purpose. @internal */
 export interface StoreCallCounts {
@@ -35,10 +36,16 @@
   configuration: number;
 }
 
+const OUTCOME_UNKNOWN = {
+  kind: 'outcomeUnknown',
+  reason: 'simulated',
+} as const;
+
 /** Client of the control table or the roster table. @internal */
 export class SimulatedControlTable implements ListableTable {
   constructor(
     private readonly path: NetworkPath,
+    private readonly caller: StoreCaller,
     private readonly store: FakeControlTable,
     private readonly calls: StoreCallCounts,
     /** Latest store era that this client has seen. */
@@ -47,21 +54,20 @@
 
   async listEntries(): Promise<Result<TableListing, PlatformError>> {
     this.calls.control++;
-    if (!(await this.path.reach(STORE))) {
+    const outcome = await this.caller.call(() => this.store.listEntries());
+    if (outcome.kind !== 'answered') {
       return failure(UNAVAILABLE);
     }
-    const listing = await this.store.listEntries();
     this.era.record(this.store.era);
     await this.path.pause(CALL_MS);
-    return listing;
+    return outcome.value;
   }
 
   async getEntry(
     key: string,
   ): Promise<Result<TableEntry | null, PlatformError>> {
-    return (await this.path.reach(STORE))
-      ? this.store.getEntry(key)
-      : failure(UNAVAILABLE);
+    const outcome = await this.caller.call(() => this.store.getEntry(key));
+    return outcome.kind === 'answered' ? outcome.value : failure(UNAVAILABLE);
   }
 
   async putEntry(
@@ -71,14 +77,14 @@
     if (this.era.isOutdated(write.expectedRevision)) {
       return failure({kind: 'conflict', current: null});
     }
-    if (!(await this.path.reach(STORE))) {
-      return failure(UNAVAILABLE);
+    const outcome = await this.caller.call(() => this.store.putEntry(write));
+    if (outcome.kind !== 'answered') {
+      return failure(convertFailure(outcome.kind));
     }
-    const result = await this.store.putEntry(write);
     this.era.record(this.store.era);
-    return result.ok && this.era.isOutdated(write.expectedRevision)
-      ? failure({kind: 'outcomeUnknown', reason: 'simulated'})
-      : result;
+    return outcome.value.ok && this.era.isOutdated(write.expectedRevision)
+      ? failure(OUTCOME_UNKNOWN)
+      : outcome.value;
   }
 
   async putEntries(
@@ -92,14 +98,14 @@
     if (isOutdated()) {
       return failure({kind: 'conflicts', current: new Map()});
     }
-    if (!(await this.path.reach(STORE))) {
-      return failure({kind: 'unavailable', reason: 'simulated'});
+    const outcome = await this.caller.call(() => this.store.putEntries(writes));
+    if (outcome.kind !== 'answered') {
+      return failure(convertFailure(outcome.kind));
     }
-    const result = await this.store.putEntries(writes);
     this.era.record(this.store.era);
-    return result.ok && isOutdated()
-      ? failure({kind: 'outcomeUnknown', reason: 'simulated'})
-      : result;
+    return outcome.value.ok && isOutdated()
+      ? failure(OUTCOME_UNKNOWN)
+      : outcome.value;
   }
 
   async removeEntry(
@@ -109,16 +115,26 @@
     if (this.era.isOutdated(expectedRevision)) {
       return failure({kind: 'conflict', current: null});
     }
-    return (await this.path.reach(STORE))
-      ? this.store.removeEntry(key, expectedRevision)
-      : failure(UNAVAILABLE);
+    const outcome = await this.caller.call(() =>
+      this.store.removeEntry(key, expectedRevision),
+    );
+    return outcome.kind === 'answered'
+      ? outcome.value
+      : failure(convertFailure(outcome.kind));
   }
 }
 
+function convertFailure(
+  kind: 'unreachable' | 'timedOut',
+): typeof UNAVAILABLE | typeof OUTCOME_UNKNOWN {
+  return kind === 'unreachable' ? UNAVAILABLE : OUTCOME_UNKNOWN;
+}
+
 /** Client of the directory, which lists instances by heartbeat. @internal */
 export class SimulatedDirectory implements WatchableTable<BackendServerEntry> {
   constructor(
     private readonly path: NetworkPath,
+    private readonly caller: StoreCaller,
     private readonly group: SimulatedGroup,
     private readonly restore: SimulatedRestore,
     private readonly calls: StoreCallCounts,
@@ -128,10 +144,12 @@
     Result<TableChanges<BackendServerEntry>, PlatformError>
   > {
     this.calls.directory++;
-    if (!(await this.path.reach(STORE))) {
-      return failure(UNAVAILABLE);
-    }
-    return success(this.describe());
+    const outcome = await this.caller.call(() =>
+      Promise.resolve(this.describe()),
+    );
+    return outcome.kind === 'answered'
+      ? success(outcome.value)
+      : failure(UNAVAILABLE);
   }
 
   async watch(
@@ -177,6 +195,7 @@
 export class SimulatedConfiguration implements WatchableTable<ServiceConfiguration> {
   constructor(
     private readonly path: NetworkPath,
+    private readonly caller: StoreCaller,
     private readonly operator: SimulatedOperator,
     private readonly restore: SimulatedRestore,
     private readonly calls: StoreCallCounts,
@@ -186,8 +205,11 @@
     Result<TableChanges<ServiceConfiguration>, PlatformError>
   > {
     this.calls.configuration++;
-    return (await this.path.reach(STORE))
-      ? success(this.describe())
+    const outcome = await this.caller.call(() =>
+      Promise.resolve(this.describe()),
+    );
+    return outcome.kind === 'answered'
+      ? success(outcome.value)
       : failure(UNAVAILABLE);
   }
 
--- a/packages/gateway/src/simulation/simulated_zones.ts
+++ b/packages/gateway/src/simulation/simulated_zones.ts
@@ -1,4 +1,5 @@
 import type {HistoryLayout} from './history_fault.js';
+import {getMachine} from './machine_name.js';
 
 /**
  * Zones of the nodes with the layout `shared`: the primary `p`, the replicas
@@ -34,8 +35,9 @@
 
   /** Availability zone of a proxy or an instance. */
   getZone(node: string): string {
-    const shared = this.layout === 'shared' ? SHARED_ZONES[node] : undefined;
-    return shared ?? `zone-${node}`;
+    const machine = getMachine(node);
+    const shared = this.layout === 'shared' ? SHARED_ZONES[machine] : undefined;
+    return shared ?? `zone-${machine}`;
   }
 
   /** Nodes in the same zone as a node; with `apart`, only the node itself. */
