--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -107,6 +107,7 @@
         orders: OrdersInFlight.create(),
         events,
         listInstances,
+        describeLastListing: () => null,
         findLeaseHolders: () => ({
           known: holders.map(record => ({
             record,
--- a/packages/gateway/src/peer/release_before_configuration_test.ts
+++ b/packages/gateway/src/peer/release_before_configuration_test.ts
@@ -137,7 +137,16 @@
     registry.applyConfiguration({
       version: 1,
       routes: new Map(),
-      databaseGroups: new Map([[GROUP, {synchronousReplicaCount: 1}]]),
+      databaseGroups: new Map([
+        [
+          GROUP,
+          {
+            databaseGroup: GROUP,
+            maxConnections: 30,
+            synchronousReplicaCount: 1,
+          },
+        ],
+      ]),
       customers: null,
       transactionIdleTimeoutMs: 3_000,
     });
