Failover: a process that does not know the group yet remembers its release

Cause: PeerRequestHandler.release answered for a group that was not configured yet and kept nothing. When the configuration came, the last listing, read before the intent, was replayed, and the proxy used the old primary under it. The failover leader takes each answer for a promise and publishes the end of the old term. The same happened to a group that left the configuration and came back.

The registry of groups now keeps the newest release of each group by name for as long as the process runs, and a group that is added starts with it. A record newer than the release ends it, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -480,7 +480,7 @@
       clock,
       events,
       incarnation: self.incarnation,
-      groups: this.groups,
+      registry: this.registry,
       leaderLease: this.leaderLease,
       directory: this.directory,
       connector: options.connector,
--- a/packages/gateway/src/group/group_registry.ts
+++ b/packages/gateway/src/group/group_registry.ts
@@ -2,6 +2,8 @@
 import type {BackendDirectory} from '../directory/backend_directory.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {GroupRuntime, type GroupRuntimeOptions} from './group_runtime.js';
+import type {AnnouncedChange} from './primary_record_cache.js';
+import {ReleaseMemory} from './release_memory.js';
 
 /** Dependencies of a {@link GroupRegistry}. @public */
 export interface GroupRegistryOptions {
@@ -17,6 +19,7 @@
 /** Database groups of the active configuration. @public */
 export class GroupRegistry {
   readonly groups = new Map<string, GroupRuntime>();
+  private readonly releases = ReleaseMemory.create();
 
   private constructor(private readonly options: GroupRegistryOptions) {}
 
@@ -47,6 +50,19 @@
     return hasAdded;
   }
 
+  /**
+   * Releases the primary of a group for a change that was recorded at `revision`.
+   * The release also holds for a group that is added later.
+   */
+  releaseForChange(
+    databaseGroup: string,
+    change: AnnouncedChange,
+    revision: number,
+  ): void {
+    this.releases.record(databaseGroup, {change, revision});
+    this.groups.get(databaseGroup)?.releaseForChange(change, revision);
+  }
+
   updateServer(entry: BackendServerEntry): void {
     this.groups.get(entry.databaseGroup)?.updateServer(entry);
   }
@@ -65,6 +81,10 @@
   private add(databaseGroup: string): void {
     const group = GroupRuntime.create({...this.options.shared, databaseGroup});
     this.groups.set(databaseGroup, group);
+    const released = this.releases.get(databaseGroup);
+    if (released !== null) {
+      group.releaseForChange(released.change, released.revision);
+    }
     for (const entry of this.options.getDirectory().getEntries()) {
       if (entry.databaseGroup === databaseGroup) {
         group.updateServer(entry);
--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -5,6 +5,7 @@
 import type {BackendDirectory} from '../directory/backend_directory.js';
 import type {GroupRuntime} from '../group/group_runtime.js';
 import type {RevisedPrimaryRecord} from '../group/primary_record.js';
+import type {AnnouncedChange} from '../group/primary_record_cache.js';
 import {computeRecordDigest} from '../group/record_digest.js';
 import type {GatewayEvent} from '../observability/gateway_event.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
@@ -23,12 +24,24 @@
   SuspicionReport,
 } from './peer_client.js';
 
+/** The database groups of this proxy. @public */
+export interface ReleasableGroups {
+  /** Groups of the configuration; empty before there is one. */
+  readonly groups: ReadonlyMap<string, GroupRuntime>;
+  /** Releases the primary of a group, also of one that is not known yet. */
+  releaseForChange(
+    databaseGroup: string,
+    change: AnnouncedChange,
+    revision: number,
+  ): void;
+}
+
 /** Dependencies of a peer request handler. @public */
 export interface PeerRequestHandlerOptions {
   readonly clock: Clock;
   readonly events: GatewayEventRecorder;
   readonly incarnation: string;
-  readonly groups: ReadonlyMap<string, GroupRuntime>;
+  readonly registry: ReleasableGroups;
   readonly leaderLease: FailoverLeaderLease;
   readonly directory: Pick<BackendDirectory, 'getEntry'>;
   readonly connector: BackendConnector;
@@ -89,15 +102,17 @@
   }
 
   async release(request: ReleaseRequest): Promise<ReleaseAnswer> {
-    const {groups, incarnation} = this.options;
-    const group = groups.get(request.databaseGroup);
+    const {registry, incarnation} = this.options;
+    const {databaseGroup, revision} = request;
+    const group = registry.groups.get(databaseGroup);
     if (group === undefined) {
+      registry.releaseForChange(databaseGroup, request, revision);
       this.recordReleased(request, UNKNOWN_GROUP_RELEASE);
       return {incarnation, highestAcknowledged: null};
     }
     const hadLease = group.lease.isHeld();
     const knownRevision = group.lease.newestRevision;
-    group.releaseForChange(request, request.revision);
+    registry.releaseForChange(databaseGroup, request, revision);
     await this.waitForPendingWrites(group);
     const {highestAcknowledged} = group.createReleaseReport();
     this.recordReleased(request, {
@@ -126,7 +141,7 @@
   }
 
   announce(record: RevisedPrimaryRecord): void {
-    const group = this.options.groups.get(record.record.databaseGroup);
+    const group = this.options.registry.groups.get(record.record.databaseGroup);
     if (group === undefined || record.revision <= group.lease.revision) {
       return;
     }
@@ -166,7 +181,9 @@
   }
 
   tellPosition({databaseGroup}: PositionRequest): PositionAnswer | null {
-    const bound = this.options.groups.get(databaseGroup)?.getNewestBound();
+    const bound = this.options.registry.groups
+      .get(databaseGroup)
+      ?.getNewestBound();
     if (bound === undefined || bound === null) {
       return null;
     }
@@ -181,7 +198,7 @@
     if (this.options.isStopping()) {
       return null;
     }
-    for (const {lease} of this.options.groups.values()) {
+    for (const {lease} of this.options.registry.groups.values()) {
       if (!lease.isHeld()) {
         return null;
       }
@@ -204,7 +221,7 @@
   /** Digest of the primary records that this proxy knows. */
   computeDigest(): string {
     const revisions = new Map<string, number>();
-    for (const [databaseGroup, {lease}] of this.options.groups) {
+    for (const [databaseGroup, {lease}] of this.options.registry.groups) {
       revisions.set(databaseGroup, lease.newestRevision);
     }
     return computeRecordDigest(revisions);
--- a/packages/gateway/src/peer/peer_request_handler_test.ts
+++ b/packages/gateway/src/peer/peer_request_handler_test.ts
@@ -33,7 +33,11 @@
       clock,
       events,
       incarnation: 'one',
-      groups,
+      registry: {
+        groups,
+        releaseForChange: (databaseGroup, change, revision) =>
+          groups.get(databaseGroup)?.releaseForChange(change, revision),
+      },
       leaderLease: FailoverLeaderLease.create({
         entryVm: 'entry-1',
         incarnation: 'one',
--- a/packages/gateway/src/peer/release_before_configuration_test.ts
+++ b/packages/gateway/src/peer/release_before_configuration_test.ts
@@ -104,7 +104,7 @@
       clock,
       events,
       incarnation: 'two',
-      groups: registry.groups,
+      registry,
       leaderLease: FailoverLeaderLease.create({
         entryVm: 'entry-1',
         incarnation: 'two',
