Contact: a process without a configuration confirms no primary records

Callers can get writes acknowledged by a proxy whose view of the primary is older than the contact window.

Cause: the digest of no groups is not null, and equal for all processes that have no configuration yet. After a start of all proxies they confirmed each other without any read of the store, for as long as the configuration was missing. When it came, the contact was fresh and the records as old as the first listing.

Such a process now answers without a digest, so the asker reads the store.

Evidence: two tests of peer/release_before_configuration_test.ts failed on (contact after 4 s without a read) and pass now.

--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -193,12 +193,16 @@
       : {position: bound.position, leadMs: Math.max(0, leadMs)};
   }
 
-  /** Digest of the primary records; null unless all of them are leased. */
+  /**
+   * Digest of the primary records; null unless all of them are leased. A process
+   * that knows no group has none to confirm.
+   */
   computeLeasedDigest(): string | null {
-    if (this.options.isStopping()) {
+    const {groups} = this.options.registry;
+    if (this.options.isStopping() || groups.size === 0) {
       return null;
     }
-    for (const {lease} of this.options.registry.groups.values()) {
+    for (const {lease} of groups.values()) {
       if (!lease.isHeld()) {
         return null;
       }
