Writes: nothing is acknowledged by a process that is not registered

Callers got a write acknowledged by a proxy that nobody asks to release the primary.

Cause: writes needed contact alone, and a listing counts as contact even if it lacks the registration of the process that reads it. The failover leader asks the proxies that are registered; after a start of all proxies each one passes through this time, up to the contact window of 1.4 s, and a registration that has expired is no longer waited for.

Writes and their acknowledgements now need a registration that was listed and has not expired, besides contact. An announced record ends the lease on the primary, not the registration, so writes at a new primary still begin with the announcement.

Two tests change. 'runs writes without a lease, since fencing makes them safe' assumed contact after a suspension, which the real tracker denies, and stated what does not hold: a fence ends with a restart of its replica. In its place stands that no write runs until the registration was read again. The test of an earlier process's drain waits longer than its lease and renews it now; what it checks is unchanged.

--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -426,14 +426,16 @@
 
   /**
    * Whether a commit at `position` may still be acknowledged to its caller. A
-   * proxy without contact may have missed a change of primary: when an instance
-   * is promoted, replication resumes on all others, and one that was cut off
-   * together with the old primary confirms its commits again.
+   * proxy without contact may have missed a change of primary, and one that is not
+   * registered is not asked for a release. A promotion or a restart ends the pause
+   * of a replica, which then confirms commits of the old primary again.
    */
   mayAcknowledge(position: LogPosition | null): boolean {
     return (
       position === null ||
-      (position.term > this.releasedTerm && this.options.contact.isInContact())
+      (position.term > this.releasedTerm &&
+        this.lease.isRegistered() &&
+        this.options.contact.isInContact())
     );
   }
 
@@ -454,7 +456,11 @@
   getWritablePrimary(): BackendServerRuntime | null {
     const {clock, contact} = this.options;
     const areWritesBlocked = clock.nowMs() < this.writesBlockedUntilMs;
-    if (areWritesBlocked || !contact.isInContact()) {
+    if (
+      areWritesBlocked ||
+      !this.lease.isRegistered() ||
+      !contact.isInContact()
+    ) {
       return null;
     }
     const known = this.lease.getLastKnownPrimary();
--- a/packages/gateway/src/group/group_runtime_test.ts
+++ b/packages/gateway/src/group/group_runtime_test.ts
@@ -149,6 +149,7 @@
       startedAtEpochMs: 77,
     });
     harness.clock.advance(60_000);
+    harness.grantLease();
     expect(getWritable()).toBe('p');
   });
 
--- a/packages/gateway/src/group/primary_lease.ts
+++ b/packages/gateway/src/group/primary_lease.ts
@@ -35,6 +35,8 @@
   /** Time at which the current revision was first seen. */
   private seenAt: ClockReading | null = null;
   private grant: LeaseGrant | null = null;
+  /** The grant that expires last, of any revision. */
+  private registration: LeaseGrant | null = null;
   private releasedRevision = 0;
 
   private constructor(
@@ -69,9 +71,12 @@
       return;
     }
     const isSameRevision = revised.revision === this.revision;
-    if (!isSameRevision || !this.expiresAfter(grant)) {
+    if (!isSameRevision || !expiresAfter(this.grant, grant)) {
       this.grant = grant;
     }
+    if (!expiresAfter(this.registration, grant)) {
+      this.registration = grant;
+    }
     this.setCurrent(revised);
   }
 
@@ -124,11 +129,16 @@
    * before it changes the primary.
    */
   isHeld(): boolean {
-    if (this.grant === null) {
-      return false;
-    }
-    const ageMs = this.clockJumpDetector.getElapsedMs(this.grant.readAt);
-    return ageMs !== null && ageMs < this.grant.durationMs;
+    return this.isUnexpired(this.grant);
+  }
+
+  /**
+   * Whether the registration of this process was listed and has not expired. Only
+   * then does the failover leader ask it for a release. An announced record ends
+   * the lease, but not the registration.
+   */
+  isRegistered(): boolean {
+    return this.isUnexpired(this.registration);
   }
 
   /** The primary of the newest record, with or without a valid lease. */
@@ -143,13 +153,20 @@
     return {primary: record.primary, term: record.term};
   }
 
-  /** Whether the current grant expires later than another one. */
-  private expiresAfter(other: LeaseGrant): boolean {
-    const {grant} = this;
-    if (grant === null || grant.readAt.epoch !== other.readAt.epoch) {
+  private isUnexpired(grant: LeaseGrant | null): boolean {
+    if (grant === null) {
       return false;
     }
-    const endMs = grant.readAt.timeMs + grant.durationMs;
-    return endMs > other.readAt.timeMs + other.durationMs;
+    const ageMs = this.clockJumpDetector.getElapsedMs(grant.readAt);
+    return ageMs !== null && ageMs < grant.durationMs;
+  }
+}
+
+/** Whether a grant expires later than another one of the same clock epoch. */
+function expiresAfter(grant: LeaseGrant | null, other: LeaseGrant): boolean {
+  if (grant === null || grant.readAt.epoch !== other.readAt.epoch) {
+    return false;
   }
+  const endMs = grant.readAt.timeMs + grant.durationMs;
+  return endMs > other.readAt.timeMs + other.durationMs;
 }
--- a/packages/gateway/src/session/caller_session_test.ts
+++ b/packages/gateway/src/session/caller_session_test.ts
@@ -43,9 +43,14 @@
     expect(harness.backend.runs).toEqual([]);
   });
 
-  it('runs writes without a lease, since fencing makes them safe', async () => {
+  // The failover leader asks only registered proxies for a release.
+  it('runs no write after a suspension until its registration was read again', async () => {
     const session = harness.open('strict');
     harness.wallClock.step(5_000);
+    const refused = await harness.run(session, WRITE);
+    expect(refused.result.kind).toBe('error');
+    expect(harness.backend.runs).toEqual([]);
+    harness.grantLease();
     expect((await harness.run(session, WRITE)).result.kind).toBe('complete');
   });
 
