Failover: no target is chosen while a proxy may still acknowledge

A paused replica restarted between its pause and the effect of the order, received again and confirmed what a proxy that had not released went on to acknowledge at the old primary. The target lacked it.

Cause: the choice rested on fences, and a fence lasts only as long as its instance remembers it. A pause ends with a restart, a promotion or RESUME; a primary that has stepped down and restarts before anyone is promoted leads again. The same holds for an instance that is not listed yet: with all others paused, it alone confirmed.

A target is now chosen only once no proxy can acknowledge a write of the old term: each has released, or its registration or contact window has passed. Only fences requested after that count. Before it, instances are asked for their status alone, so replicas go on receiving. The record of the target always has the last position of the old term, since nothing can be acknowledged beyond it.

'blocks writes until the lease of an unresponsive proxy has expired' stated the earlier order of things; it is replaced by 'orders nothing until the lease of an unresponsive proxy has expired', which allows less. The test of an old primary that restarts no longer expects the step-down that came before the release; it expects a promotion in exchange.

--- a/packages/gateway/src/failover/describe_choice_test.ts
+++ b/packages/gateway/src/failover/describe_choice_test.ts
@@ -36,6 +36,7 @@
       oldTerm: 1,
       availabilityZone: 'zone-a',
     });
+    fences.countFrom(clock.nowMs());
     releases = ReleaseCollector.create({
       clock,
       events,
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -210,9 +210,10 @@
       createEntryVm('entry-2', 'zone-b'),
     ]);
     await advance(250);
-    expect(instances.get('p').role).toBe('replica');
     instances.get('p').role = 'primary';
     await commitFor(800);
+    await advance(1_500);
+    expect(findPromoted()).not.toBeNull();
     expect(countLostCommits()).toBe(0);
   });
 
@@ -237,7 +238,7 @@
     instances.get('p').isRunning = false;
     instances.get('r1').position = {term: 1, position: 7};
     instances.get('r2').isReplaced = true;
-    instances.add('r2-successor', 'replica', 10).isListed = false;
+    instances.add('r2-successor', 'replica', 10, 'host-r2').isListed = false;
     start([createEntryVm('entry-1', 'zone-a')]);
     await advance(450);
     instances.get('r2-successor').isListed = true;
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -37,6 +37,8 @@
    */
   readonly wasPrimary: boolean;
   readonly status: InstanceStatus;
+  /** Null if the request could not count. */
+  readonly requestedAtMs: number | null;
   readonly confirmedAtMs: number;
   readonly startedAtEpochMs: number | null;
 }
@@ -60,6 +62,8 @@
   private readonly pending = new Set<BackendServerId>();
   /** Instances at whose address a different instance now responds. */
   private readonly replaced = new Set<BackendServerId>();
+  /** Time of the earliest request that counts; null while none does. */
+  private countsFromMs: number | null = null;
   private readonly log: FenceLog;
 
   private constructor(private readonly options: InstanceFencesOptions) {
@@ -70,9 +74,18 @@
     return new InstanceFences(options);
   }
 
+  /**
+   * Lets those fences count that are requested from a time on. Before it, the logs
+   * may still gain acknowledged commits.
+   */
+  countFrom(timeMs: number): void {
+    this.countsFromMs = Math.max(this.countsFromMs ?? timeMs, timeMs);
+  }
+
   /**
    * Sends a request to each instance that is not fenced or whose fence has to be
-   * confirmed again.
+   * confirmed again. While no fence counts, it only asks for the status: a pause
+   * would leave the commits until then to instances that are not known yet.
    */
   request(entries: readonly BackendServerEntry[]): void {
     const nowMs = this.options.clock.nowMs();
@@ -81,7 +94,7 @@
       const fence = this.fences.get(entry.backendServer);
       const isRecent =
         fence !== undefined &&
-        this.isFenced(fence) &&
+        this.isSufficient(fence) &&
         nowMs - fence.confirmedAtMs < CONFIRM_AFTER_MS;
       if (!isRecent && !this.pending.has(entry.backendServer)) {
         runInBackground(
@@ -159,7 +172,7 @@
 
   private findValidFence(entry: BackendServerEntry): Fence | null {
     const fence = this.fences.get(entry.backendServer);
-    if (fence === undefined) {
+    if (fence === undefined || !this.counts(fence)) {
       return null;
     }
     const ageMs = this.options.clock.nowMs() - fence.confirmedAtMs;
@@ -214,6 +227,22 @@
     };
   }
 
+  /** Whether a fence was requested late enough. */
+  private counts({requestedAtMs}: Fence): boolean {
+    return (
+      this.countsFromMs !== null &&
+      requestedAtMs !== null &&
+      requestedAtMs >= this.countsFromMs
+    );
+  }
+
+  /** Whether an instance need not be asked again yet. */
+  private isSufficient(fence: Fence): boolean {
+    return (
+      this.countsFromMs === null || (this.counts(fence) && this.isFenced(fence))
+    );
+  }
+
   private isFenced({status, wasPrimary}: Fence): boolean {
     if (status.role !== 'replica') {
       return false;
@@ -223,20 +252,30 @@
 
   private async fence(entry: BackendServerEntry): Promise<void> {
     this.pending.add(entry.backendServer);
+    const requestedAtMs =
+      this.countsFromMs === null ? null : this.options.clock.nowMs();
     try {
       const wasPrimary = await this.checkWasPrimary(entry);
-      const result = wasPrimary
-        ? await this.stepDown(entry)
-        : await this.pause(entry);
-      this.applyResult(entry, wasPrimary, result);
+      const result = await this.sendRequest(entry, wasPrimary);
+      this.applyResult(entry, {wasPrimary, requestedAtMs}, result);
     } finally {
       this.pending.delete(entry.backendServer);
     }
   }
 
+  private sendRequest(
+    entry: BackendServerEntry,
+    wasPrimary: boolean,
+  ): Promise<ControlResult> {
+    if (this.countsFromMs === null) {
+      return this.options.instances.getStatus(entry);
+    }
+    return wasPrimary ? this.stepDown(entry) : this.pause(entry);
+  }
+
   private applyResult(
     {backendServer, startedAtEpochMs}: BackendServerEntry,
-    wasPrimary: boolean,
+    request: Pick<Fence, 'wasPrimary' | 'requestedAtMs'>,
     result: ControlResult,
   ): void {
     if (!result.ok && result.error.kind === 'wrongServer') {
@@ -247,7 +286,7 @@
       return;
     }
     this.setFence(backendServer, {
-      wasPrimary,
+      ...request,
       status: result.value,
       confirmedAtMs: this.options.clock.nowMs(),
       startedAtEpochMs,
--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -324,6 +324,10 @@
       oldTerm: intent.oldTerm,
     });
     while (this.token !== null) {
+      const releasedSinceMs = releases.getReleasedSinceMs();
+      if (releasedSinceMs !== null) {
+        fences.countFrom(releasedSinceMs);
+      }
       const entries = (await this.findInstances(intent.databaseGroup)) ?? [];
       fences.request(entries);
       await sleep(this.dependencies.clock, STEP_INTERVAL_MS);
@@ -334,6 +338,10 @@
         this.promotionLog.recordSeen(intent, primary, status);
         return this.complete(intent, releases, primary, term);
       }
+      if (releasedSinceMs === null) {
+        this.recordOutstanding(intent, releases);
+        continue;
+      }
       const choice = choosePromotionTarget(
         fences.describe(entries),
         releases.highestAcknowledged,
@@ -354,6 +362,19 @@
     return this.abandon('the failover leadership was lost');
   }
 
+  /**
+   * Logs that a proxy may still acknowledge a write of the old term. Until then no
+   * log proves anything: a fence ends with a restart of its instance, which then
+   * confirms further commits.
+   */
+  private recordOutstanding(
+    intent: ChangingRecord,
+    releases: ReleaseCollector,
+  ): void {
+    const outstanding = releases.getOutstanding().join(', ');
+    this.recordWaiting(intent, `the release of ${outstanding}`);
+  }
+
   private async waitForReleases(
     releases: ReleaseCollector,
     timeoutMs: number,
@@ -442,16 +463,13 @@
     releases: ReleaseCollector,
     {target, position}: ChosenTarget,
   ): Promise<OrderOutcome> {
-    // While a proxy can still write to the old primary, a restarted replica may
-    // acknowledge commits beyond the positions seen during fencing.
-    const lastOldPosition = releases.haveAllReleased ? position : null;
-    if (!(await this.records.write({...intent, target, lastOldPosition}))) {
+    const record = {...intent, target, lastOldPosition: position};
+    if (!(await this.records.write(record))) {
       return 'unrecorded';
     }
-    // Makes the proxies read the record before the promotion. If it contains
-    // `lastOldPosition`, fenced replicas that hold this position can serve reads,
-    // since every commit of the old term that can be acknowledged is at or before
-    // it.
+    // Makes the proxies read the record before the promotion. Replicas that hold
+    // `lastOldPosition` can serve reads: no proxy can acknowledge a commit of the old
+    // term any more, and all acknowledged ones are at or before it.
     this.runInBackground('announce', this.announce());
     const {token} = this;
     if (token === null) {
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -165,22 +165,24 @@
     expect(instances.get('p-again').role).toBe('replica');
   });
 
-  it('blocks writes until the lease of an unresponsive proxy has expired', async () => {
+  // A restarted replica confirmed what the proxy went on to acknowledge.
+  it('orders nothing until the lease of an unresponsive proxy has expired', async () => {
     instances.get('p').isRunning = false;
     start(['entry-1', 'entry-2']);
     await advance(1_500);
+    expect(table.getValue(KEY)).toMatchObject({
+      phase: 'changing',
+      target: null,
+    });
+    await advance(LEASE_END_MS + 300 - clock.nowMs());
+    expect(instances.orders).toEqual([]);
+    await advance(1_500);
     expect(outcome).toBe('completed');
     expect(table.getValue(KEY)).toMatchObject({
       phase: 'stable',
       term: 2,
-      writesFromStoreMs: LEASE_END_MS + 300,
-    });
-    await advance(LEASE_END_MS - clock.nowMs());
-    expect(table.getValue(KEY)).toMatchObject({
-      writesFromStoreMs: LEASE_END_MS + 300,
+      writesFromStoreMs: null,
     });
-    await advance(500);
-    expect(table.getValue(KEY)).toMatchObject({writesFromStoreMs: null});
   });
 
   it('opens writes as soon as the outstanding proxy responds', async () => {
--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -45,8 +45,6 @@
 /** State of the release request to one proxy. */
 interface PendingRelease {
   readonly holder: LeaseHolder;
-  /** False for the placeholder of unlisted proxies, whose address is unknown. */
-  readonly canBeAsked: boolean;
   /** Time at which the response arrived; null while it is outstanding. */
   releasedAtMs: number | null;
   answer: ReleaseAnswer | null;
@@ -85,7 +83,6 @@
     for (const holder of holders) {
       const release: PendingRelease = {
         holder,
-        canBeAsked: true,
         releasedAtMs: null,
         answer: null,
       };
@@ -105,7 +102,6 @@
   waitForUnlisted(endMs: number, endStoreMs: number): void {
     this.pending.push({
       holder: {record: createUnlistedRecord(endStoreMs), leaseEndMs: endMs},
-      canBeAsked: false,
       releasedAtMs: null,
       answer: null,
     });
@@ -116,17 +112,21 @@
   }
 
   /**
-   * Whether every proxy has confirmed that it acknowledges no more writes of the
-   * old term. The expiry of a lease is not sufficient: the proxy no longer serves
-   * reads then, but may still acknowledge a write. Only unlisted proxies, which
-   * cannot be asked, count as released once their leases have expired.
+   * Time since which no proxy can acknowledge a write of the old term, on the
+   * local clock; null while one still may. A proxy acknowledges only while it is
+   * registered, in contact and has not released.
    */
-  get haveAllReleased(): boolean {
+  getReleasedSinceMs(): number | null {
     const nowMs = this.options.clock.nowMs();
-    return this.pending.every(
-      ({releasedAtMs, canBeAsked, holder}) =>
-        releasedAtMs !== null || (!canBeAsked && nowMs >= holder.leaseEndMs),
-    );
+    let sinceMs = this.startedAtMs;
+    for (const release of this.pending) {
+      const endMs = release.releasedAtMs ?? this.getLatestUseMs(release);
+      if (endMs > nowMs) {
+        return null;
+      }
+      sinceMs = Math.max(sinceMs, endMs);
+    }
+    return sinceMs;
   }
 
   /** Number of proxies that were asked or are waited for. */
