Failover: the log of a successor at a known address counts before it is listed

Callers saw (simulation): commits lost after a replica had drained. Its log goes to a new instance at its address, which receives and confirms before its entry is listed. All proxies were killed, the primary was lost, the other replica had received nothing for a while and was promoted.

Cause: an instance at whose address another one responds was left out of the choice for the whole change, so the replica that was behind counted as 'every replica is paused'. No process remembered an acknowledged position that would have held the change back.

Such an address is now asked without an id. If an instance of the group responds, it is fenced and the end of its log counts; it can be promoted once it is listed under its own id, and then stands in place of the old entry. Only if another service has the address is the instance left out.

--- a/packages/gateway/src/directory/backend_server_entry.ts
+++ b/packages/gateway/src/directory/backend_server_entry.ts
@@ -25,6 +25,14 @@
   readonly startedAtEpochMs: number | null;
 }
 
+/**
+ * Id in a handshake that any instance of the named group accepts. A response then
+ * comes from whichever instance of the group has the address now.
+ *
+ * @public
+ */
+export const UNNAMED_BACKEND_SERVER: BackendServerId = '';
+
 const MAX_PORT = 65_535;
 
 /** Whether a connection can be opened to a port of this number. @public */
@@ -32,6 +40,14 @@
   return Number.isInteger(port) && port >= 1 && port <= MAX_PORT;
 }
 
+/** Whether two entries have the same address. @public */
+export function hasSameAddress(
+  left: BackendServerEntry,
+  right: BackendServerEntry,
+): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
 /** Validates a serialized {@link BackendServerEntry}. @public */
 export const backendServerEntrySchema: z.ZodType<BackendServerEntry> = z.object(
   {
--- a/packages/gateway/src/failover/choose_promotion_target.ts
+++ b/packages/gateway/src/failover/choose_promotion_target.ts
@@ -29,6 +29,11 @@
    */
   readonly isFenced: boolean;
   readonly isDraining: boolean;
+  /**
+   * Whether it can be promoted. The log of an instance that is not listed yet
+   * counts, but its id is unknown.
+   */
+  readonly isPromotable: boolean;
   /** Whether it is in the availability zone of the failover leader. */
   readonly isInLeaderZone: boolean;
   /** End of its log when it was fenced; null while unknown. */
@@ -148,7 +153,7 @@
   let best: FencedInstance | null = null;
   for (const instance of instances) {
     const {receivedPosition, isFenced} = instance;
-    if (!isFenced || receivedPosition === null) {
+    if (!instance.isPromotable || !isFenced || receivedPosition === null) {
       continue;
     }
     if (!isCovered(minimumPosition, receivedPosition)) {
--- a/packages/gateway/src/failover/choose_promotion_target_test.ts
+++ b/packages/gateway/src/failover/choose_promotion_target_test.ts
@@ -21,6 +21,7 @@
     isOldPrimary: false,
     isFenced: true,
     isDraining: false,
+    isPromotable: true,
     isInLeaderZone: false,
     receivedPosition: at(position),
     ...changes,
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -388,6 +388,7 @@
     isOldPrimary: false,
     isFenced: true,
     isDraining: false,
+    isPromotable: true,
     isInLeaderZone: false,
     receivedPosition: {term: 1, position},
     ...flags,
--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -9,7 +9,11 @@
   InstanceControlError,
   InstanceStatus,
 } from '../backend/instance_control.js';
-import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {
+  hasSameAddress,
+  UNNAMED_BACKEND_SERVER,
+  type BackendServerEntry,
+} from '../directory/backend_server_entry.js';
 import type {TermPrimary} from '../group/primary_lease.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
@@ -36,6 +40,8 @@
    * under a new id, so the id alone is not sufficient.
    */
   readonly wasPrimary: boolean;
+  /** Whether another instance of the group has responded at its address. */
+  readonly isSuccessor: boolean;
   readonly status: InstanceStatus;
   /** Null if the request could not count. */
   readonly requestedAtMs: number | null;
@@ -60,7 +66,9 @@
 export class InstanceFences {
   private readonly fences = new Map<BackendServerId, Fence>();
   private readonly pending = new Set<BackendServerId>();
-  /** Instances at whose address a different instance now responds. */
+  /** Instances whose address belongs to another service now. */
+  private readonly gone = new Set<BackendServerId>();
+  /** Instances at whose address another instance of the group responds. */
   private readonly replaced = new Set<BackendServerId>();
   /** Time of the earliest request that counts; null while none does. */
   private countsFromMs: number | null = null;
@@ -109,10 +117,33 @@
   /** Current state of each instance. */
   describe(entries: readonly BackendServerEntry[]): readonly FencedInstance[] {
     return entries
-      .filter(({backendServer}) => !this.replaced.has(backendServer))
+      .filter(entry => !this.isLeftOut(entry, entries))
       .map(entry => this.describeInstance(entry));
   }
 
+  /**
+   * Whether an instance is gone, or its successor at the same address is listed
+   * and counts in its place.
+   */
+  private isLeftOut(
+    entry: BackendServerEntry,
+    entries: readonly BackendServerEntry[],
+  ): boolean {
+    const {backendServer} = entry;
+    if (this.gone.has(backendServer)) {
+      return true;
+    }
+    return (
+      this.replaced.has(backendServer) &&
+      entries.some(
+        other =>
+          other.backendServer !== backendServer &&
+          !this.replaced.has(other.backendServer) &&
+          hasSameAddress(other, entry),
+      )
+    );
+  }
+
   /** Describes each instance for the log, with those that were left out. */
   describeForLog(
     entries: readonly BackendServerEntry[],
@@ -145,10 +176,10 @@
    */
   findNewPrimary(): TermPrimary | null {
     let newest: TermPrimary | null = null;
-    for (const [primary, {status}] of this.fences) {
+    for (const [primary, {status, isSuccessor}] of this.fences) {
       const {role, term} = status;
       const isNewer = term > (newest?.term ?? this.options.oldTerm);
-      if (role === 'primary' && isNewer) {
+      if (!isSuccessor && role === 'primary' && isNewer) {
         newest = {primary, term};
       }
     }
@@ -165,6 +196,7 @@
       isOldPrimary,
       isFenced: fence !== null && this.isFenced(fence),
       isDraining: entry.state === 'draining',
+      isPromotable: !this.replaced.has(entry.backendServer),
       isInLeaderZone: entry.availabilityZone === availabilityZone,
       receivedPosition: fence?.status.receivedPosition ?? null,
     };
@@ -175,6 +207,9 @@
     if (fence === undefined || !this.counts(fence)) {
       return null;
     }
+    if (fence.isSuccessor !== this.replaced.has(entry.backendServer)) {
+      return null;
+    }
     const ageMs = this.options.clock.nowMs() - fence.confirmedAtMs;
     const isSameStart = fence.startedAtEpochMs === entry.startedAtEpochMs;
     return isSameStart && ageMs < FENCE_VALID_MS ? fence : null;
@@ -183,13 +218,16 @@
   /** Why the log of an instance does not count; null if it does. */
   private findExclusion(entry: BackendServerEntry): string | null {
     const {backendServer} = entry;
-    if (this.replaced.has(backendServer)) {
-      return 'another instance responds at its address';
+    if (this.gone.has(backendServer)) {
+      return 'another service responds at its address';
     }
     const fence = this.findValidFence(entry);
     if (fence !== null) {
       return this.isFenced(fence) ? null : 'it responds and is not fenced';
     }
+    if (this.replaced.has(backendServer)) {
+      return 'another instance responds at its address';
+    }
     const lastError = this.log.getLastError(backendServer);
     if (lastError !== null) {
       return `not fenced: ${lastError}`;
@@ -255,9 +293,13 @@
     const requestedAtMs =
       this.countsFromMs === null ? null : this.options.clock.nowMs();
     try {
-      const wasPrimary = await this.checkWasPrimary(entry);
-      const result = await this.sendRequest(entry, wasPrimary);
-      this.applyResult(entry, {wasPrimary, requestedAtMs}, result);
+      const isSuccessor = this.replaced.has(entry.backendServer);
+      const asked = isSuccessor
+        ? {...entry, backendServer: UNNAMED_BACKEND_SERVER}
+        : entry;
+      const wasPrimary = await this.checkWasPrimary(asked);
+      const result = await this.sendRequest(asked, wasPrimary);
+      this.applyResult(entry, {wasPrimary, isSuccessor, requestedAtMs}, result);
     } finally {
       this.pending.delete(entry.backendServer);
     }
@@ -275,11 +317,12 @@
 
   private applyResult(
     {backendServer, startedAtEpochMs}: BackendServerEntry,
-    request: Pick<Fence, 'wasPrimary' | 'requestedAtMs'>,
+    request: Pick<Fence, 'wasPrimary' | 'isSuccessor' | 'requestedAtMs'>,
     result: ControlResult,
   ): void {
     if (!result.ok && result.error.kind === 'wrongServer') {
-      this.replaced.add(backendServer);
+      const refusedBy = request.isSuccessor ? this.gone : this.replaced;
+      refusedBy.add(backendServer);
     }
     if (!result.ok) {
       this.log.recordError(backendServer, result.error);
--- a/packages/gateway/src/simulation/deployment_mutants.ts
+++ b/packages/gateway/src/simulation/deployment_mutants.ts
@@ -1,3 +1,4 @@
+import {UNNAMED_BACKEND_SERVER} from '../directory/backend_server_entry.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {
   PlatformCallError,
@@ -16,7 +17,6 @@
 } from '../directory/watchable_table.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
 import {bindTable, PEER_UNREACHABLE} from './mutant_wrappers.js';
-import {ANY_INSTANCE} from './simulated_connector.js';
 
 /** Mutants of the directory, configuration, addresses and recovery. */
 
@@ -37,7 +37,7 @@
           options.connector.checkReachable(server, timeoutMs),
         connect: (server, identity, timeoutMs) =>
           options.connector.connect(
-            {...server, backendServer: ANY_INSTANCE},
+            {...server, backendServer: UNNAMED_BACKEND_SERVER},
             identity,
             timeoutMs,
           ),
--- a/packages/gateway/src/simulation/simulated_connector.ts
+++ b/packages/gateway/src/simulation/simulated_connector.ts
@@ -13,7 +13,10 @@
   BackendConnectionError,
   ReachabilityResult,
 } from '../backend/backend_connection.js';
-import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {
+  UNNAMED_BACKEND_SERVER,
+  type BackendServerEntry,
+} from '../directory/backend_server_entry.js';
 import type {
   BackendAnswer,
   BackendRejection,
@@ -41,9 +44,6 @@
   isFrozen(): boolean;
 }
 
-/** Name in a handshake that accepts any instance at the address. @internal */
-export const ANY_INSTANCE = '';
-
 /** One-way latency of a message. */
 const MESSAGE_MS = 1;
 
@@ -76,7 +76,7 @@
     await sleep(this.options.clock, MESSAGE_MS);
     const expected = backendServer.backendServer;
     if (
-      expected !== ANY_INSTANCE &&
+      expected !== UNNAMED_BACKEND_SERVER &&
       expected !== instance.entry.backendServer
     ) {
       return failure({kind: 'wrongServer'});
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -12,7 +12,10 @@
 } from '../backend/instance_control.js';
 import {CONTACT_WINDOW_MS} from '../control/contact_tracker.js';
 import type {EntryVmRecord} from '../control/control_record.js';
-import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {
+  UNNAMED_BACKEND_SERVER,
+  type BackendServerEntry,
+} from '../directory/backend_server_entry.js';
 import {Gateway, type GatewayOptions} from '../gateway.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {ControlRelay} from '../peer/control_relay.js';
@@ -242,10 +245,15 @@
       await sleep(this.clock, requestMs);
     }
     const instance = this.group.findAt(server.host);
-    if (instance === null || !this.path.canReach(server.backendServer)) {
+    const id = instance?.entry.backendServer ?? server.backendServer;
+    if (instance === null || !this.path.canReach(id)) {
       return failure(NO_CONTROL_RESPONSE);
     }
-    if (instance.entry.backendServer !== server.backendServer) {
+    const isExpected =
+      server.backendServer === UNNAMED_BACKEND_SERVER
+        ? !instance.isForeign
+        : id === server.backendServer;
+    if (!isExpected) {
       return failure({kind: 'wrongServer'});
     }
     change(instance);
--- a/packages/gateway/src/testing/fake_instances.ts
+++ b/packages/gateway/src/testing/fake_instances.ts
@@ -12,7 +12,10 @@
   PromotionOrder,
   PromotionService,
 } from '../backend/instance_control.js';
-import type {BackendServerEntry} from '../directory/backend_server_entry.js';
+import {
+  UNNAMED_BACKEND_SERVER,
+  type BackendServerEntry,
+} from '../directory/backend_server_entry.js';
 
 /** An instance of a fake database group. @internal */
 export interface FakeInstance {
@@ -56,9 +59,10 @@
     backendServer: string,
     role: 'primary' | 'replica',
     position: number,
+    host = `host-${backendServer}`,
   ): FakeInstance {
     const instance: FakeInstance = {
-      entry: createEntry(backendServer, role),
+      entry: {...createEntry(backendServer, role), host},
       role,
       term: 1,
       position: {term: 1, position},
@@ -191,12 +195,25 @@
     return newest;
   }
 
+  /** The instance that responds at an address. */
+  private findAt(host: string): FakeInstance | undefined {
+    for (const instance of this.instances.values()) {
+      if (instance.entry.host === host && !instance.isReplaced) {
+        return instance;
+      }
+    }
+    return undefined;
+  }
+
   private async control(
     server: BackendServerEntry,
     change: (instance: FakeInstance) => void,
   ): Promise<ControlResult> {
     await Promise.resolve();
-    const instance = this.instances.get(server.backendServer);
+    const instance =
+      server.backendServer === UNNAMED_BACKEND_SERVER
+        ? this.findAt(server.host)
+        : this.instances.get(server.backendServer);
     if (instance?.isReplaced === true) {
       return failure({kind: 'wrongServer'});
     }
