Directory: an instance whose entry names another group is still remembered in its own

A change of primary left out an instance that was running: a row of another writer over its entry named another group. The directory removed it from its group and, in the same step, forgot the removal, so it was not among the recently removed instances, which a choice has to count for 12 s.

The removal is now recorded after the one of the entry that is applied was cleared.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -153,12 +153,12 @@
     const {backendServer} = entry;
     this.expiryTimers.get(backendServer)?.cancel();
     this.expiryTimers.delete(backendServer);
+    this.removals.delete(backendServer);
     const known = this.entries.get(backendServer);
     if (known !== undefined && known.databaseGroup !== entry.databaseGroup) {
       this.remove(backendServer, 'it moved to another database group');
     }
     this.entries.set(backendServer, entry);
-    this.removals.delete(backendServer);
     if (
       known?.state !== entry.state ||
       known.reportedRole !== entry.reportedRole
