Failover: the longest log seen is required, also beside the old primary's

With a replica that does not respond, the end of the old primary's log alone was the bound of what had been acknowledged, even if a paused replica held more, and a shorter log that is not draining was preferred. No sequence of events is known that shortens the log of an old primary; the bound now needs none to be impossible.

--- a/packages/gateway/src/failover/choose_promotion_target.ts
+++ b/packages/gateway/src/failover/choose_promotion_target.ts
@@ -137,7 +137,12 @@
     };
   }
   if (oldPrimaryEnd !== null) {
-    return {kind: 'known', position: oldPrimaryEnd, source: 'oldPrimary'};
+    // A replica holds more if the old primary has lost a part of its log.
+    const position =
+      longestReplicaEnd === null
+        ? oldPrimaryEnd
+        : getLaterPosition(oldPrimaryEnd, longestReplicaEnd);
+    return {kind: 'known', position, source: 'oldPrimary'};
   }
   return {
     kind: 'wait',
