Directory: a listing starts the history anew; a new leadership reads the rosters anew

A change of primary left out a replica that was running. Two causes of one kind:

- The time for which a process has watched the directory counted from its first listing, also across an interruption after which it had to list again.
A listing does not show an instance that came and expired meanwhile, and the roster was not read, since the history counted as complete.
Every listing now starts that time again; the positions of replicas prove nothing about freshness meanwhile either.
- The cached rosters outlived leadership.
A process that led, lost leadership and led again compared its instances with what it had written itself and kept silent, though another leader had dropped an instance and had been killed before it returned.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -63,7 +63,9 @@
 
   /**
    * Whether the table has been watched for as long as a removed server may
-   * still be running, so that the list of removed servers is complete.
+   * still be running, so that the list of removed servers is complete. A listing
+   * starts this time again: it does not show servers that came and expired since
+   * the last change that was seen.
    */
   get hasCompleteHistory(): boolean {
     return (
@@ -102,7 +104,7 @@
   }
 
   handleListing(listing: TableChanges<BackendServerEntry>): void {
-    this.listedAtMs ??= this.options.clock.nowMs();
+    this.listedAtMs = this.options.clock.nowMs();
     const listedServers = new Set<BackendServerId>();
     for (const change of listing.changes) {
       this.apply(change);
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -73,6 +73,8 @@
   private readonly stored = new Map<DatabaseGroupName, StoredRoster>();
   private lastMaintainedAtMs = Number.NEGATIVE_INFINITY;
   private isWriting = false;
+  /** Token of the leadership in which the cached rosters were read. */
+  private fencingToken: number | null = null;
 
   private constructor(private readonly options: GroupRosterOptions) {}
 
@@ -96,9 +98,20 @@
     return result.ok ? this.store(databaseGroup, result.value) : null;
   }
 
-  /** Writes the rosters that differ from the known instances. */
-  async maintain(groups: readonly DatabaseGroupName[]): Promise<void> {
+  /**
+   * Writes the rosters that differ from the known instances, as the failover
+   * leader with the given token. Another leader may have written since an earlier
+   * token, so the rosters are read again.
+   */
+  async maintain(
+    groups: readonly DatabaseGroupName[],
+    fencingToken: number,
+  ): Promise<void> {
     const nowMs = this.options.clock.nowMs();
+    if (fencingToken !== this.fencingToken) {
+      this.fencingToken = fencingToken;
+      this.clearCache();
+    }
     if (
       this.isWriting ||
       nowMs - this.lastMaintainedAtMs < MAINTAIN_INTERVAL_MS
--- a/packages/gateway/src/directory/group_roster_test.ts
+++ b/packages/gateway/src/directory/group_roster_test.ts
@@ -27,9 +27,12 @@
     });
   }
 
-  async function maintain(roster: GroupRoster): Promise<void> {
+  async function maintain(
+    roster: GroupRoster,
+    fencingToken = 1,
+  ): Promise<void> {
     clock.advance(1_000);
-    await roster.maintain(['group']);
+    await roster.maintain(['group'], fencingToken);
   }
 
   async function readNames(): Promise<readonly string[] | null> {
@@ -65,6 +68,17 @@
     expect(await readNames()).toEqual(['p']);
   });
 
+  // Guards against a roster that lacks an instance: its last writer was killed, and
+  // this process compared its instances with the roster of its earlier leadership.
+  it('writes a roster that another leader has changed meanwhile', async () => {
+    const known = [createEntry('p', 'primary'), createEntry('r', 'replica')];
+    const roster = create(known, true);
+    await maintain(roster, 1);
+    await maintain(create([createEntry('p', 'primary')], true), 2);
+    await maintain(roster, 3);
+    expect(await readNames()).toEqual(['p', 'r']);
+  });
+
   it('is null while the store is unavailable and empty if there is no record', async () => {
     expect(await readNames()).toEqual([]);
     table.isReadable = false;
@@ -96,7 +110,7 @@
       hasCompleteHistory: () => true,
     });
     clock.advance(1_000);
-    await roster.maintain(names);
+    await roster.maintain(names, 1);
     expect(listingCount).toBe(1);
     expect(table.writeCount).toBe(1);
     expect(await roster.read('g39')).toHaveLength(1);
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -253,11 +253,11 @@
     const before = createKnown(rosterTable);
     before.directory.handleListing(listInstances());
     await advance(REMOVED_RETENTION_MS);
-    await before.known.roster.maintain([GROUP]);
+    await before.known.roster.maintain([GROUP], 1);
     instances.get('r2').isListed = false;
     before.directory.handleListing(listInstances());
     await advance(EXPIRY_GRACE_MS + REMOVED_RETENTION_MS + 1_000);
-    await before.known.roster.maintain([GROUP]);
+    await before.known.roster.maintain([GROUP], 1);
     instances.get('r1').isReceiving = false;
     await commitFor(1_000);
     expect(acknowledgedPosition).toBeGreaterThan(10);
@@ -283,7 +283,7 @@
     const other = createKnown(rosterTable);
     other.directory.handleListing(listInstances());
     await advance(REMOVED_RETENTION_MS);
-    await other.known.roster.maintain([GROUP]);
+    await other.known.roster.maintain([GROUP], 1);
     instances.get('r2').isListed = false;
     instances.get('r1').isReceiving = false;
     await commitFor(1_000);
@@ -305,7 +305,7 @@
     const before = createKnown(rosterTable);
     before.directory.handleListing(listInstances());
     await advance(REMOVED_RETENTION_MS);
-    await before.known.roster.maintain([GROUP]);
+    await before.known.roster.maintain([GROUP], 1);
     before.directory.handleChanges({
       revision: 2,
       changes: [
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -803,13 +803,11 @@
       this.readControlTable();
     }
     await this.leaderLease.maintain();
-    if (
-      this.leaderLease.getFencingToken() !== null &&
-      this.directory.isListed
-    ) {
+    const fencingToken = this.leaderLease.getFencingToken();
+    if (fencingToken !== null && this.directory.isListed) {
       this.runInBackground(
         'rosters',
-        this.instances.roster.maintain([...this.groups.keys()]),
+        this.instances.roster.maintain([...this.groups.keys()], fencingToken),
       );
     }
     const nowMs = this.clock.nowMs();
