Releases: the time for which a proxy waits for pending writes is no contact

The proxy confirms no records of the old primary from the release on, so the contact window of a proxy that is cut off ends that much sooner than was assumed.

Tests: 'does not count the time for which a proxy waited for pending writes as a contact' and 'tells since when no proxy can acknowledge a write'.

--- a/packages/gateway/src/failover/release_collector.ts
+++ b/packages/gateway/src/failover/release_collector.ts
@@ -194,12 +194,14 @@
    */
   private findLastContactMs(record: EntryVmRecord): number | null {
     let lastMs: number | null = null;
-    for (const {holder, releasedAtMs} of this.pending) {
+    for (const {holder, releasedAtMs, answer} of this.pending) {
       if (holder.record.availabilityZone === record.availabilityZone) {
         continue;
       }
       const confirmsUntilMs =
-        releasedAtMs ?? holder.leaseEndMs + LEASE_MARGIN_MS;
+        releasedAtMs === null
+          ? holder.leaseEndMs + LEASE_MARGIN_MS
+          : releasedAtMs - (answer?.drainedForMs ?? 0);
       lastMs = Math.max(lastMs ?? this.startedAtMs, confirmsUntilMs);
     }
     return lastMs;
--- a/packages/gateway/src/failover/release_collector_test.ts
+++ b/packages/gateway/src/failover/release_collector_test.ts
@@ -169,6 +169,38 @@
     collector.stop();
   });
 
+  it('does not count the time for which a proxy waited for pending writes as a contact', async () => {
+    const drainedForMs = 100;
+    peers.drainedForMs = drainedForMs;
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('e2', 'zone-b'),
+      createHolder('isolated', 'zone-c'),
+    ];
+    await advanceClock(clock, drainedForMs);
+    const collector = await collect(holders, ['e1', 'e2']);
+    const startedMs = clock.nowMs() - 10;
+    expect(collector.getLastLeaseEndStoreMs()).toBe(
+      startedMs + WINDOW_MS + MARGIN_MS,
+    );
+    collector.stop();
+  });
+
+  it('tells since when no proxy can acknowledge a write', async () => {
+    const holders = [
+      createHolder('e1', 'zone-a'),
+      createHolder('e2', 'zone-b'),
+      createHolder('isolated', 'zone-c'),
+    ];
+    const collector = await collect(holders, ['e1', 'e2']);
+    const endMs = collector.getLastLeaseEndStoreMs() ?? 0;
+    await advanceClock(clock, endMs - 1 - clock.nowMs());
+    expect(collector.getReleasedSinceMs()).toBeNull();
+    await advanceClock(clock, 1_000);
+    expect(collector.getReleasedSinceMs()).toBe(endMs);
+    collector.stop();
+  });
+
   it('starts the contact window at the last release from another zone', async () => {
     const holders = [
       createHolder('e1', 'zone-a'),
--- a/packages/gateway/src/peer/malformed_peer_message_test.ts
+++ b/packages/gateway/src/peer/malformed_peer_message_test.ts
@@ -12,7 +12,11 @@
 
 const HANDLER: PeerHandler = {
   release: () =>
-    Promise.resolve({incarnation: 'one', highestAcknowledged: null}),
+    Promise.resolve({
+      incarnation: 'one',
+      highestAcknowledged: null,
+      drainedForMs: 0,
+    }),
   announce: () => {},
   reportSuspicion: () => {},
   askReach: () => Promise.resolve({isReachable: true}),
--- a/packages/gateway/src/peer/peer_client.ts
+++ b/packages/gateway/src/peer/peer_client.ts
@@ -29,6 +29,12 @@
 export interface ReleaseAnswer {
   readonly incarnation: string;
   readonly highestAcknowledged: LogPosition | null;
+  /**
+   * Time from the release to the answer, during which pending writes could end.
+   * The proxy has confirmed no records of the old primary since the release. 0 in
+   * answers of builds that do not state it.
+   */
+  readonly drainedForMs: number;
 }
 
 /** Reports that a primary is suspected to have failed. @public */
--- a/packages/gateway/src/peer/peer_request_handler.ts
+++ b/packages/gateway/src/peer/peer_request_handler.ts
@@ -108,8 +108,9 @@
     if (group === undefined) {
       registry.releaseForChange(databaseGroup, request, revision);
       this.recordReleased(request, UNKNOWN_GROUP_RELEASE);
-      return {incarnation, highestAcknowledged: null};
+      return {incarnation, highestAcknowledged: null, drainedForMs: 0};
     }
+    const releasedAtMs = this.options.clock.nowMs();
     const hadLease = group.lease.isHeld();
     const knownRevision = group.lease.newestRevision;
     registry.releaseForChange(databaseGroup, request, revision);
@@ -122,7 +123,8 @@
       knownRevision,
       pendingWrites: group.writeStallDetector.pendingCount,
     });
-    return {incarnation, highestAcknowledged};
+    const drainedForMs = this.options.clock.nowMs() - releasedAtMs;
+    return {incarnation, highestAcknowledged, drainedForMs};
   }
 
   private recordReleased(
--- a/packages/gateway/src/peer/peer_router.ts
+++ b/packages/gateway/src/peer/peer_router.ts
@@ -26,6 +26,7 @@
 export const releaseAnswerSchema = z.object({
   incarnation: z.string(),
   highestAcknowledged: logPositionSchema.nullable(),
+  drainedForMs: z.number().nonnegative().default(0),
 });
 
 const revisedRecordSchema = z.object({
--- a/packages/gateway/src/simulation/leader_mutants.ts
+++ b/packages/gateway/src/simulation/leader_mutants.ts
@@ -148,7 +148,9 @@
       peers: {
         ...bindPeers(options.peers),
         release: ({incarnation}) =>
-          Promise.resolve(success({incarnation, highestAcknowledged: null})),
+          Promise.resolve(
+            success({incarnation, highestAcknowledged: null, drainedForMs: 0}),
+          ),
         announce: () => Promise.resolve(failure(PEER_UNREACHABLE)),
       },
     }),
--- a/packages/gateway/src/testing/fake_peers.ts
+++ b/packages/gateway/src/testing/fake_peers.ts
@@ -21,6 +21,8 @@
    * unreachable for `release`.
    */
   readonly acknowledged = new Map<string, LogPosition | null>();
+  /** Time that each proxy states to have waited for pending writes. */
+  drainedForMs = 0;
   readonly released: string[] = [];
   /** Freshness bounds that peers return, by entry VM. */
   readonly positions = new Map<string, PositionAnswer>();
@@ -43,7 +45,11 @@
       return failure({kind: 'unreachable', reason: 'silent'});
     }
     this.released.push(`${peer.entryVm} ${request.changeId}`);
-    return success({incarnation: peer.incarnation, highestAcknowledged});
+    return success({
+      incarnation: peer.incarnation,
+      highestAcknowledged,
+      drainedForMs: this.drainedForMs,
+    });
   }
 
   async announce(
