Writes: a stable record of a later term ends the acknowledgements of the old one

Callers can get a commit acknowledged that the new primary lacks: a proxy that was cut off during a whole change of primary never read its intent. When the cut ended it read the stable record of the new term, was in contact and registered again, and acknowledged a COMMIT that the old primary, which goes on for up to a second, still confirmed.

Cause: only a release or a record in progress ended the acknowledgements of a term. The promise not to acknowledge was kept by the contact window alone, and contact returned with the very read that showed the later term.

A stable record, read or announced, now ends the acknowledgements of every earlier term.

--- a/packages/gateway/src/group/group_runtime.ts
+++ b/packages/gateway/src/group/group_runtime.ts
@@ -709,6 +709,9 @@
     }
     if (record.phase === 'changing') {
       this.release(revision, record.oldTerm);
+    } else {
+      // This proxy may have missed the whole change.
+      this.releasedTerm = Math.max(this.releasedTerm, record.term - 1);
     }
     if (
       record.phase === 'stable' &&
