Directory: removals are remembered by group

The memory of an instance whose entry was overwritten lasted for one write of the foreign row: the second one cleared it, and the end of the foreign row put the foreign entry in its place. Removals are now kept by group and id.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -47,7 +47,8 @@
 export class BackendDirectory implements TableListener<BackendServerEntry> {
   private readonly entries = new Map<BackendServerId, BackendServerEntry>();
   private readonly expiryTimers = new Map<BackendServerId, Timer>();
-  private readonly removals = new Map<BackendServerId, Removal>();
+  /** Removed servers by database group and id. */
+  private readonly removals = new Map<string, Removal>();
   private listedAtMs: number | null = null;
 
   private constructor(private readonly options: BackendDirectoryOptions) {}
@@ -93,11 +94,11 @@
   getRecentlyRemoved(): readonly BackendServerEntry[] {
     const oldestMs = this.options.clock.nowMs() - REMOVED_RETENTION_MS;
     const removed: BackendServerEntry[] = [];
-    for (const [backendServer, {entry, removedAtMs}] of this.removals) {
+    for (const [key, {entry, removedAtMs}] of this.removals) {
       if (removedAtMs >= oldestMs) {
         removed.push(entry);
       } else {
-        this.removals.delete(backendServer);
+        this.removals.delete(key);
       }
     }
     return removed;
@@ -155,7 +156,7 @@
     const {backendServer} = entry;
     this.expiryTimers.get(backendServer)?.cancel();
     this.expiryTimers.delete(backendServer);
-    this.removals.delete(backendServer);
+    this.removals.delete(getRemovalKey(entry));
     const known = this.entries.get(backendServer);
     if (known !== undefined && known.databaseGroup !== entry.databaseGroup) {
       this.remove(backendServer, 'it moved to another database group');
@@ -208,7 +209,7 @@
       return;
     }
     this.entries.delete(backendServer);
-    this.removals.set(backendServer, {
+    this.removals.set(getRemovalKey(entry), {
       entry,
       removedAtMs: this.options.clock.nowMs(),
     });
@@ -221,3 +222,14 @@
     this.options.listener.handleServerRemoved(entry, reason);
   }
 }
+
+/**
+ * Key of a removal. A row that names another group does not tell that the instance
+ * of the first group is running or gone.
+ */
+function getRemovalKey({
+  databaseGroup,
+  backendServer,
+}: BackendServerEntry): string {
+  return `${databaseGroup} ${backendServer}`;
+}
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -306,17 +306,24 @@
     before.directory.handleListing(listInstances());
     await advance(REMOVED_RETENTION_MS);
     await before.known.roster.maintain([GROUP], 1);
+    for (const revision of [2, 3]) {
+      before.directory.handleChanges({
+        revision,
+        changes: [
+          {
+            kind: 'put',
+            key: 'r2',
+            revision,
+            value: {...createEntry('r2', 'replica'), databaseGroup: 'unknown'},
+          },
+        ],
+      });
+    }
     before.directory.handleChanges({
-      revision: 2,
-      changes: [
-        {
-          kind: 'put',
-          key: 'r2',
-          revision: 2,
-          value: {...createEntry('r2', 'replica'), databaseGroup: 'unknown'},
-        },
-      ],
+      revision: 4,
+      changes: [{kind: 'removed', key: 'r2', revision: 4}],
     });
+    await advance(EXPIRY_GRACE_MS);
     const names = before.known
       .listKnown(GROUP)
       .map(({backendServer}) => backendServer);
