Failover: instances are fenced above every term that was seen

A change of primary could wait for ever: an order of an earlier leader took effect, the instance that it had promoted was lost before the record was completed, and a replica had followed it. The next leader paused for the term after the recorded one, which is not above the newest, so the replica never counted as fenced.

The term of pauses and step-downs is now above every term that an instance has reported, and a pause counts only above the instance's own term.

Evidence: 'fences a replica that has followed a primary of a later term' failed before.

--- a/packages/gateway/src/failover/instance_fences.ts
+++ b/packages/gateway/src/failover/instance_fences.ts
@@ -285,7 +285,10 @@
     if (status.role !== 'replica') {
       return false;
     }
-    return wasPrimary || status.pausedTerm > this.options.oldTerm;
+    return (
+      wasPrimary ||
+      status.pausedTerm > Math.max(this.options.oldTerm, status.term)
+    );
   }
 
   private async fence(entry: BackendServerEntry): Promise<void> {
@@ -361,15 +364,26 @@
     );
   }
 
+  /**
+   * Term to fence for. It is above every term seen: an instance that an earlier
+   * order made primary may be gone, and a pause needs a term above the newest.
+   */
+  private get nextTerm(): number {
+    let newestTerm = this.options.oldTerm;
+    for (const {status} of this.fences.values()) {
+      newestTerm = Math.max(newestTerm, status.term);
+    }
+    return newestTerm + 1;
+  }
+
   private stepDown(entry: BackendServerEntry): Promise<ControlResult> {
-    const {instances, oldTerm} = this.options;
-    return instances.stepDown(entry, oldTerm + 1);
+    return this.options.instances.stepDown(entry, this.nextTerm);
   }
 
   /** Pauses replication; a primary of an earlier term steps down first. */
   private async pause(entry: BackendServerEntry): Promise<ControlResult> {
     const {instances, oldTerm} = this.options;
-    const result = await instances.pauseReplication(entry, oldTerm + 1);
+    const result = await instances.pauseReplication(entry, this.nextTerm);
     const isEarlierPrimary =
       result.ok &&
       result.value.role === 'primary' &&
@@ -379,7 +393,7 @@
     }
     const steppedDown = await instances.stepDown(entry, oldTerm);
     return steppedDown.ok
-      ? instances.pauseReplication(entry, oldTerm + 1)
+      ? instances.pauseReplication(entry, this.nextTerm)
       : steppedDown;
   }
 }
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -240,6 +240,20 @@
     expect(table.getValue(KEY)).toMatchObject({primary: 'r1', term: 2});
   });
 
+  // Guards against a change that waits for ever: a pause needs a term above the
+  // newest, and the instance that an earlier order made primary was lost.
+  it('fences a replica that has followed a primary of a later term', async () => {
+    for (const lost of ['p', 'r1']) {
+      instances.get(lost).isRunning = false;
+      instances.get(lost).isListed = false;
+    }
+    instances.get('r2').term = 2;
+    start();
+    await advance(2_000);
+    expect(outcome).toBe('completed');
+    expect(table.getValue(KEY)).toMatchObject({primary: 'r2'});
+  });
+
   it('abandons the change when the failover leadership is lost', async () => {
     instances.get('p').isRunning = false;
     instances.get('r1').isRunning = false;
