Directory: an instance without the store counts for as long as it responds

All five proxies had started again, another replica of the group had the commits, nothing was replaced.

Trace: the replica i-a21ae374eb cannot reach the store from 1.0 s on and loses its entry; at 6.2 s all proxies consider it gone, at 18 s it leaves memory and roster. It goes on receiving and confirming. At 33.0 s the other replica receives nothing for a while; at 36.0 s all proxies are killed, at 36.2 s the primary crashes. The new leader lists the old primary and the deaf replica, no process remembers a position, and the pause of that replica makes it 'every replica is paused'. It is promoted with 2.409; the lost commits begin at 2.410.

Cause: the memory of an instance ended 12 s after its entry, whether or not it responded.

A process takes over what it reads in a roster as removed instances, and a choice always reads the roster, so that the memory outlives the leader and all processes. An instance that does not respond is dropped after 12 s as before.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -25,9 +25,9 @@
 const EXPIRY_GRACE_MS = 2_500;
 
 /**
- * Time for which a server that was removed from the table may still be running.
- * A replica that is partitioned together with its primary keeps acknowledging
- * commits.
+ * Time for which a server that was removed from the table and does not respond may
+ * still be running. A replica that is partitioned together with its primary keeps
+ * acknowledging commits.
  *
  * @public
  */
@@ -104,6 +104,31 @@
     return removed;
   }
 
+  /**
+   * Records a server that another process knew and that is not listed; it counts
+   * as removed now.
+   */
+  recordRemoved(entry: BackendServerEntry): void {
+    const known = this.entries.get(entry.backendServer);
+    const key = getRemovalKey(entry);
+    if (
+      known?.databaseGroup !== entry.databaseGroup &&
+      !this.removals.has(key)
+    ) {
+      this.removals.set(key, {entry, removedAtMs: this.options.clock.nowMs()});
+    }
+  }
+
+  /** Records that a removed server has responded, so it is still running. */
+  renewRemoved(entry: BackendServerEntry): void {
+    const key = getRemovalKey(entry);
+    const removal = this.removals.get(key);
+    if (removal !== undefined) {
+      const removedAtMs = this.options.clock.nowMs();
+      this.removals.set(key, {entry: removal.entry, removedAtMs});
+    }
+  }
+
   handleListing(listing: TableChanges<BackendServerEntry>): void {
     this.listedAtMs = this.options.clock.nowMs();
     const listedServers = new Set<BackendServerId>();
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -39,6 +39,8 @@
    * recently removed ones.
    */
   listKnown(databaseGroup: DatabaseGroupName): readonly BackendServerEntry[];
+  /** Handles the entries of a roster that was read. */
+  handleRead(entries: readonly BackendServerEntry[]): void;
   /**
    * Whether this process has watched the directory for long enough to know all
    * recently removed instances.
@@ -200,6 +202,7 @@
     const entries =
       entry === null ? [] : (parseRecord(rosterSchema, entry.value) ?? []);
     this.stored.set(databaseGroup, {entries, revision: entry?.revision ?? 0});
+    this.options.handleRead(entries);
     return entries;
   }
 
--- a/packages/gateway/src/directory/group_roster_test.ts
+++ b/packages/gateway/src/directory/group_roster_test.ts
@@ -23,6 +23,7 @@
       clock,
       table,
       listKnown: () => [...known],
+      handleRead: () => {},
       hasCompleteHistory: () => hasCompleteHistory,
     });
   }
@@ -107,6 +108,7 @@
         },
       },
       listKnown: group => [createEntry(`${group}-p`, 'primary')],
+      handleRead: () => {},
       hasCompleteHistory: () => true,
     });
     clock.advance(1_000);
--- a/packages/gateway/src/directory/known_instances.ts
+++ b/packages/gateway/src/directory/known_instances.ts
@@ -55,6 +55,7 @@
       clock,
       table: rosterTable,
       listKnown: databaseGroup => this.listKnown(databaseGroup),
+      handleRead: entries => this.adopt(entries),
       hasCompleteHistory: () => directory.hasCompleteHistory,
     });
   }
@@ -63,6 +64,16 @@
     return new KnownInstances(options);
   }
 
+  /**
+   * Takes over what another failover leader knew: an instance whose entry expired
+   * long ago may still be running and confirm commits.
+   */
+  private adopt(entries: readonly BackendServerEntry[]): void {
+    for (const entry of entries) {
+      this.options.directory.recordRemoved(entry);
+    }
+  }
+
   /** Returns listed and recently removed instances known to this process. */
   listKnown(databaseGroup: DatabaseGroupName): readonly BackendServerEntry[] {
     const {directory} = this.options;
@@ -86,8 +97,8 @@
   }
 
   /**
-   * Like `listKnown`, but also lists the directory table and, while the history
-   * is incomplete, reads the roster; null when the store is unavailable.
+   * Like `listKnown`, but also lists the directory table and reads the roster;
+   * null when the store is unavailable.
    */
   async listFromStore(
     databaseGroup: DatabaseGroupName,
@@ -98,22 +109,25 @@
       return null;
     }
     const {hasCompleteHistory} = directory;
-    const rosterEntries = hasCompleteHistory
-      ? []
-      : await this.roster.read(databaseGroup);
+    const knownBefore = new Set(
+      this.listKnown(databaseGroup).map(({backendServer}) => backendServer),
+    );
+    const rosterEntries = await this.roster.read(databaseGroup);
     if (rosterEntries === null) {
       return null;
     }
     const instances = new Map<string, BackendServerEntry>();
     const sources = new Map<BackendServerId, InstanceSource>();
-    for (const entry of rosterEntries) {
-      instances.set(entry.backendServer, entry);
-      sources.set(entry.backendServer, 'roster');
-    }
     for (const entry of this.listKnown(databaseGroup)) {
       instances.set(entry.backendServer, entry);
       sources.set(entry.backendServer, 'remembered');
     }
+    for (const entry of rosterEntries) {
+      if (!knownBefore.has(entry.backendServer)) {
+        instances.set(entry.backendServer, entry);
+        sources.set(entry.backendServer, 'roster');
+      }
+    }
     for (const change of listing.value.changes) {
       if (
         change.kind === 'put' &&
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -10,6 +10,7 @@
 } from '../directory/backend_directory.js';
 import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import {KnownInstances} from '../directory/known_instances.js';
+import {RemovedInstanceProber} from '../directory/removed_instance_prober.js';
 import type {
   TableChanges,
   WatchableTable,
@@ -256,8 +257,20 @@
     await before.known.roster.maintain([GROUP], 1);
     instances.get('r2').isListed = false;
     before.directory.handleListing(listInstances());
-    await advance(EXPIRY_GRACE_MS + REMOVED_RETENTION_MS + 1_000);
-    await before.known.roster.maintain([GROUP], 1);
+    const prober = RemovedInstanceProber.create({
+      clock,
+      instances,
+      directory: before.directory,
+    });
+    for (
+      let elapsedMs = 0;
+      elapsedMs < EXPIRY_GRACE_MS + 2 * REMOVED_RETENTION_MS;
+      elapsedMs += 1_000
+    ) {
+      await advance(1_000);
+      await prober.maintain();
+      await before.known.roster.maintain([GROUP], 1);
+    }
     instances.get('r1').isReceiving = false;
     await commitFor(1_000);
     expect(acknowledgedPosition).toBeGreaterThan(10);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import {BackendDirectory} from './directory/backend_directory.js';
 import type {BackendServerEntry} from './directory/backend_server_entry.js';
 import {KnownInstances} from './directory/known_instances.js';
+import {RemovedInstanceProber} from './directory/removed_instance_prober.js';
 import {TableWatcher} from './directory/table_watcher.js';
 import type {WatchableTable} from './directory/watchable_table.js';
 import {chooseTakeoverCandidates} from './failover/choose_leader_successor.js';
@@ -187,6 +188,7 @@
   private readonly configuration: ConfigurationHolder;
   /** Instances that may still run, from the directory and the rosters. */
   private readonly instances: KnownInstances;
+  private readonly removedInstanceProber: RemovedInstanceProber;
   private readonly connectionShares: ConnectionShares;
   private readonly peerRequestHandler: PeerRequestHandler;
   private readonly replicaFreshness: ReplicaFreshnessSource;
@@ -260,6 +262,11 @@
       directoryTable: options.directoryTable,
       rosterTable: options.rosterTable,
     });
+    this.removedInstanceProber = RemovedInstanceProber.create({
+      clock,
+      instances: options.instances,
+      directory: this.directory,
+    });
     this.replicaFreshness = ReplicaFreshnessSource.create({
       clock,
       events,
@@ -805,6 +812,10 @@
     await this.leaderLease.maintain();
     const fencingToken = this.leaderLease.getFencingToken();
     if (fencingToken !== null && this.directory.isListed) {
+      this.runInBackground(
+        'probes of removed instances',
+        this.removedInstanceProber.maintain(),
+      );
       this.runInBackground(
         'rosters',
         this.instances.roster.maintain([...this.groups.keys()], fencingToken),
