Failover: the instances of a change are listed by a module of their own, and after the releases

A listing up to 500 ms old could be from before the last possible acknowledgement and lack an instance that was listed since. A choice now uses no listing from before it. The listing and its cache move from primary_change.ts to group_instances.ts.

--- a/packages/gateway/src/failover/primary_change.ts
+++ b/packages/gateway/src/failover/primary_change.ts
@@ -27,6 +27,7 @@
   choosePromotionTarget,
   type PromotionChoice,
 } from './choose_promotion_target.js';
+import {GroupInstances} from './group_instances.js';
 import {InstanceFences} from './instance_fences.js';
 import type {LeaseHolders} from './find_lease_holders.js';
 import type {OrdersInFlight} from './orders_in_flight.js';
@@ -80,9 +81,6 @@
 /** Interval at which the change rechecks the conditions it waits for. */
 const STEP_INTERVAL_MS = 25;
 
-/** Interval at which the group's instances are listed again. */
-const RELIST_INTERVAL_MS = 500;
-
 /**
  * Maximum wait for releases before instances are fenced. A proxy waits for its
  * pending writes before it confirms a release.
@@ -139,10 +137,9 @@
  */
 export class PrimaryChange {
   private readonly startedAtMs: number;
-  private listedInstances: readonly BackendServerEntry[] | null = null;
-  private instancesListedAtMs = Number.NEGATIVE_INFINITY;
   private lastWaitLogMs = Number.NEGATIVE_INFINITY;
 
+  private readonly groupInstances: GroupInstances;
   private readonly records: PrimaryRecordWriter;
   private readonly promotionLog: PromotionLog;
 
@@ -154,6 +151,11 @@
     private readonly reason: string,
   ) {
     this.startedAtMs = dependencies.clock.nowMs();
+    this.groupInstances = GroupInstances.create({
+      clock: dependencies.clock,
+      databaseGroup: current.record.databaseGroup,
+      listInstances: databaseGroup => dependencies.listInstances(databaseGroup),
+    });
     this.promotionLog = PromotionLog.create({
       clock: dependencies.clock,
       events: dependencies.events,
@@ -328,7 +330,10 @@
       if (releasedSinceMs !== null) {
         fences.countFrom(releasedSinceMs);
       }
-      const entries = (await this.findInstances(intent.databaseGroup)) ?? [];
+      const listed = await this.groupInstances.list(
+        releasedSinceMs ?? undefined,
+      );
+      const entries = listed ?? [];
       fences.request(entries);
       await sleep(this.dependencies.clock, STEP_INTERVAL_MS);
       const newPrimary = fences.findNewPrimary();
@@ -388,28 +393,6 @@
     }
   }
 
-  /**
-   * The group's instances: those that are listed, and those whose entry expired
-   * recently. Null if the platform is unreachable.
-   */
-  private async findInstances(
-    databaseGroup: string,
-  ): Promise<readonly BackendServerEntry[] | null> {
-    const nowMs = this.dependencies.clock.nowMs();
-    if (
-      this.listedInstances === null ||
-      nowMs - this.instancesListedAtMs >= RELIST_INTERVAL_MS
-    ) {
-      const listed = await this.dependencies.listInstances(databaseGroup);
-      if (listed === null) {
-        return null;
-      }
-      this.listedInstances = listed;
-      this.instancesListedAtMs = nowMs;
-    }
-    return this.listedInstances;
-  }
-
   /** Promotes the choice; null if the target has to be chosen again. */
   private async promote(
     intent: ChangingRecord,
@@ -569,7 +552,7 @@
     intent: ChangingRecord,
     target: string,
   ): Promise<number | null> {
-    const entry = await this.findEntry(intent.databaseGroup, target);
+    const entry = await this.groupInstances.find(target);
     if (entry === null) {
       return null;
     }
@@ -584,24 +567,6 @@
     return status.value.term;
   }
 
-  /**
-   * The target's entry. An entry that was listed once is used on, so that a slow
-   * store does not delay the questions to the target.
-   */
-  private async findEntry(
-    databaseGroup: string,
-    target: string,
-  ): Promise<BackendServerEntry | null> {
-    const isTarget = ({backendServer}: BackendServerEntry) =>
-      backendServer === target;
-    const known = this.listedInstances?.find(isTarget);
-    if (known !== undefined) {
-      return known;
-    }
-    const listed = await this.findInstances(databaseGroup);
-    return listed?.find(isTarget) ?? null;
-  }
-
   /**
    * Records the new primary. It serves reads immediately; writes wait until the
    * leases of proxies that did not respond have expired.
@@ -656,7 +621,7 @@
     intent: ChangingRecord,
     term: number,
   ): Promise<void> {
-    for (const entry of this.listedInstances ?? []) {
+    for (const entry of this.groupInstances.known) {
       if (entry.backendServer === intent.oldPrimary) {
         await this.dependencies.instances.stepDown(entry, term);
       }
