--- /dev/null
+++ b/apps/soak/src/soak_plan.ts
@@ -0,0 +1,248 @@
+import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {CutMode} from './links.js';
+import type {SoakEventKind} from './trace.js';
+
+/** The rounds of a run, drawn from its seed. */
+
+/** Which part of a group an event concerns. @internal */
+export type InstanceChoice = 'primary' | 'replica' | 'otherReplica';
+
+/** A fault and its parameters. @internal */
+export type Fault =
+  | {readonly kind: 'killLeader' | 'killAll' | 'killAllButLeader' | 'stopLeader'}
+  | {
+      readonly kind: 'stopLeaders';
+      readonly count: number;
+      readonly gapMs: number;
+    }
+  | {
+      readonly kind: 'freezeLeader' | 'freezeAny' | 'slowStore' | 'storeDown';
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'lostStoreAnswers' | 'lostPromotionAnswer';
+      readonly durationMs: number;
+    }
+  | {readonly kind: 'latePromotion'; readonly acceptMs: number}
+  | {
+      readonly kind: 'cutLink';
+      readonly mode: CutMode;
+      readonly instance: InstanceChoice;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'cutZone';
+      readonly withStore: boolean;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'deafen';
+      readonly instance: InstanceChoice;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'restart';
+      readonly instance: InstanceChoice;
+      readonly downMs: number;
+      readonly listedAfterMs: number;
+      readonly hasNewId: boolean;
+    }
+  | {
+      readonly kind: 'drain';
+      readonly instance: InstanceChoice;
+      readonly drainMs: number;
+      readonly downMs: number;
+      readonly listedAfterMs: number;
+    };
+
+/** A fault that follows an event. @internal */
+export interface TriggeredFault {
+  readonly event: SoakEventKind;
+  readonly delayMs: number;
+  readonly fault: Fault;
+}
+
+/** One round: a cause of a change of primary, and faults in phase with it. */
+export interface Round {
+  readonly calmMs: number;
+  /** Time between the kills of all proxies; null if they are not killed. */
+  readonly killGapMs: number | null;
+  /** Time from the start of all proxies, or from the calm, to the cause. */
+  readonly causeAfterMs: number;
+  /** Deafness, relative to the cause; null for none. */
+  readonly deafFromMs: number | null;
+  readonly deafForMs: number;
+  readonly cause: Fault;
+  readonly promotionMs: number;
+  readonly acceptMs: number;
+  readonly faults: readonly TriggeredFault[];
+}
+
+const EVENTS = [
+  'intentRecorded',
+  'targetRecorded',
+  'pauseReceived',
+  'stepDownReceived',
+  'promoteArrived',
+  'promoteArrived',
+  'promoteEffective',
+  'commitAcknowledged',
+] as const;
+
+/** Draws one round. @internal */
+export function drawRound(random: RandomSource): Round {
+  const killsAll = random.nextFloat() < 0.45;
+  const isDeaf = random.nextFloat() < 0.7;
+  const faults: TriggeredFault[] = [];
+  const count = pick(random, [1, 1, 2, 2, 3]);
+  while (faults.length < count) {
+    faults.push({
+      event: pick(random, killsAll ? [...EVENTS, 'proxiesStarted'] : EVENTS),
+      delayMs: drawDelayMs(random),
+      fault: drawFault(random),
+    });
+  }
+  return {
+    calmMs: random.nextInteger(200, 1_500),
+    killGapMs: killsAll ? random.nextInteger(0, 60) : null,
+    causeAfterMs: killsAll ? random.nextInteger(0, 3_500) : 0,
+    deafFromMs: isDeaf ? random.nextInteger(-1_500, 1_500) : null,
+    deafForMs: random.nextInteger(2_000, 6_500),
+    cause: drawCause(random),
+    promotionMs: random.nextInteger(300, 1_000),
+    acceptMs: pick(random, [0, 0, 20, 200, 600, 1_500]),
+    faults,
+  };
+}
+
+/** Faults in phase mostly follow at once, and at times a while later. */
+function drawDelayMs(random: RandomSource): number {
+  return random.nextFloat() < 0.6
+    ? random.nextInteger(0, 200)
+    : random.nextInteger(200, 1_500);
+}
+
+function drawCause(random: RandomSource): Fault {
+  const draw = random.nextFloat();
+  if (draw < 0.4) {
+    return drawDrain(random, 'primary');
+  }
+  if (draw < 0.75) {
+    return drawRestart(random, 'primary', random.nextInteger(300, 5_000));
+  }
+  return drawCutZone(random);
+}
+
+function drawFault(random: RandomSource): Fault {
+  const kind = pick(random, [
+    'killLeader',
+    'killLeader',
+    'killAll',
+    'killAllButLeader',
+    'stopLeader',
+    'stopLeaders',
+    'stopLeaders',
+    'stopLeaders',
+    'freezeLeader',
+    'freezeAny',
+    'slowStore',
+    'storeDown',
+    'lostStoreAnswers',
+    'lostPromotionAnswer',
+    'latePromotion',
+    'cutLink',
+    'cutZone',
+    'deafen',
+    'restart',
+    'restart',
+  ] as const);
+  switch (kind) {
+    case 'killLeader':
+    case 'killAll':
+    case 'killAllButLeader':
+    case 'stopLeader':
+      return {kind};
+    case 'stopLeaders':
+      return {
+        kind,
+        count: random.nextInteger(2, 3),
+        gapMs: random.nextInteger(300, 600),
+      };
+    case 'freezeLeader':
+    case 'freezeAny':
+      return {kind, durationMs: random.nextInteger(1_000, 4_000)};
+    case 'slowStore':
+    case 'storeDown':
+    case 'lostStoreAnswers':
+    case 'lostPromotionAnswer':
+      return {kind, durationMs: random.nextInteger(300, 2_500)};
+    case 'latePromotion':
+      return {kind, acceptMs: random.nextInteger(200, 2_000)};
+    case 'cutLink':
+      return {
+        kind,
+        mode: pick(random, [
+          'silent',
+          'silentRequests',
+          'silentResponses',
+          'reset',
+        ]),
+        instance: pick(random, ['primary', 'replica', 'otherReplica']),
+        durationMs: random.nextInteger(300, 4_000),
+      };
+    case 'cutZone':
+      return drawCutZone(random);
+    case 'deafen':
+      return {
+        kind,
+        instance: pick(random, ['replica', 'otherReplica']),
+        durationMs: random.nextInteger(500, 5_000),
+      };
+    case 'restart':
+      return drawRestart(
+        random,
+        pick(random, ['primary', 'replica', 'otherReplica']),
+        random.nextInteger(100, 1_500),
+      );
+  }
+}
+
+function drawDrain(random: RandomSource, instance: InstanceChoice): Fault {
+  return {
+    kind: 'drain',
+    instance,
+    drainMs: random.nextInteger(2_500, 8_000),
+    downMs: random.nextInteger(100, 500),
+    listedAfterMs: random.nextInteger(0, 3_000),
+  };
+}
+
+function drawRestart(
+  random: RandomSource,
+  instance: InstanceChoice,
+  downMs: number,
+): Fault {
+  return {
+    kind: 'restart',
+    instance,
+    downMs,
+    listedAfterMs: pick(random, [0, 100, 800, 3_000]),
+    hasNewId: random.nextFloat() < 0.5,
+  };
+}
+
+function drawCutZone(random: RandomSource): Fault {
+  return {
+    kind: 'cutZone',
+    withStore: random.nextFloat() < 0.7,
+    durationMs: random.nextInteger(2_500, 6_000),
+  };
+}
+
+function pick<T>(random: RandomSource, choices: readonly T[]): T {
+  const choice = choices[random.nextInteger(0, choices.length - 1)];
+  if (choice === undefined) {
+    throw new Error('nothing to choose from');
+  }
+  return choice;
+}
