--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -91,27 +91,85 @@
 
 /** Draws one round. @internal */
 export function drawRound(random: RandomSource): Round {
-  const killsAll = random.nextFloat() < 0.45;
-  const isDeaf = random.nextFloat() < 0.7;
-  const faults: TriggeredFault[] = [];
-  const count = pick(random, [1, 1, 2, 2, 3]);
-  while (faults.length < count) {
-    faults.push({
-      event: pick(random, killsAll ? [...EVENTS, 'proxiesStarted'] : EVENTS),
-      delayMs: drawDelayMs(random),
-      fault: drawFault(random),
-    });
-  }
+  const killsAll = random.nextFloat() < 0.35;
+  const isDeaf = random.nextFloat() < 0.4;
   return {
     calmMs: random.nextInteger(200, 1_500),
     killGapMs: killsAll ? random.nextInteger(0, 60) : null,
     causeAfterMs: killsAll ? random.nextInteger(0, 3_500) : 0,
-    deafFromMs: isDeaf ? random.nextInteger(-1_500, 1_500) : null,
+    deafFromMs: isDeaf ? random.nextInteger(-1_500, 300) : null,
     deafForMs: random.nextInteger(2_000, 6_500),
     cause: drawCause(random),
     promotionMs: random.nextInteger(300, 1_000),
     acceptMs: pick(random, [0, 0, 20, 200, 600, 1_500]),
-    faults,
+    faults:
+      random.nextFloat() < 0.5
+        ? drawSeries(random)
+        : drawIndependent(random, killsAll),
+  };
+}
+
+function drawIndependent(
+  random: RandomSource,
+  killsAll: boolean,
+): readonly TriggeredFault[] {
+  const events = killsAll ? [...EVENTS, 'proxiesStarted' as const] : EVENTS;
+  const count = pick(random, [1, 1, 2, 2, 3]);
+  return Array.from({length: count}, () => ({
+    event: pick(random, events),
+    delayMs: drawDelayMs(random),
+    fault: drawFault(random),
+  }));
+}
+
+/**
+ * One replica lacks what is written from the choice of a target on, and the
+ * proxies that know of the order go away: a successor that gives an order of its
+ * own, or a choice that rests on too few logs, then undoes acknowledged writes.
+ */
+function drawSeries(random: RandomSource): readonly TriggeredFault[] {
+  const deafness: TriggeredFault = {
+    event: pick(random, ['stepDownReceived', 'targetRecorded']),
+    delayMs: random.nextInteger(0, 300),
+    fault: {
+      kind: 'deafen',
+      instance: pick(random, ['replica', 'otherReplica']),
+      durationMs: random.nextInteger(2_000, 6_500),
+    },
+  };
+  const loss: TriggeredFault = {
+    event: pick(random, ['intentRecorded', 'targetRecorded', 'promoteArrived']),
+    delayMs: drawDelayMs(random),
+    fault: drawProxyLoss(random),
+  };
+  return random.nextFloat() < 0.5
+    ? [deafness, loss]
+    : [deafness, loss, ...drawIndependent(random, false).slice(0, 1)];
+}
+
+function drawProxyLoss(random: RandomSource): Fault {
+  const kind = pick(random, [
+    'stopLeaders',
+    'stopLeaders',
+    'killLeader',
+    'killAll',
+    'freezeLeader',
+  ] as const);
+  switch (kind) {
+    case 'stopLeaders':
+      return drawStops(random);
+    case 'freezeLeader':
+      return {kind, durationMs: random.nextInteger(1_000, 4_000)};
+    default:
+      return {kind};
+  }
+}
+
+function drawStops(random: RandomSource): Fault {
+  return {
+    kind: 'stopLeaders',
+    count: random.nextInteger(2, 3),
+    gapMs: random.nextInteger(300, 600),
   };
 }
 
@@ -163,11 +221,7 @@
     case 'stopLeader':
       return {kind};
     case 'stopLeaders':
-      return {
-        kind,
-        count: random.nextInteger(2, 3),
-        gapMs: random.nextInteger(300, 600),
-      };
+      return drawStops(random);
     case 'freezeLeader':
     case 'freezeAny':
       return {kind, durationMs: random.nextInteger(1_000, 4_000)};
