--- a/apps/soak/src/fault_injector.ts
+++ b/apps/soak/src/fault_injector.ts
@@ -151,10 +151,7 @@
       leader.terminate();
       if (count > 1) {
         const nowStopped = new Set([...stopped, leader]);
-        setTimeout(
-          () => this.stopLeaders(count - 1, gapMs, nowStopped),
-          gapMs,
-        );
+        setTimeout(() => this.stopLeaders(count - 1, gapMs, nowStopped), gapMs);
       }
     }
   }
@@ -200,13 +197,24 @@
   }
 
   private find(choice: InstanceChoice): Instance | null {
-    const [first, second] = this.replicas;
-    const instance =
-      choice === 'primary'
-        ? this.primary
-        : choice === 'replica'
-          ? first
-          : second;
+    const instance = this.findAny(choice);
     return instance?.isAlive === true ? instance : null;
   }
+
+  private findAny(choice: InstanceChoice): Instance | undefined {
+    const [first, second] = this.replicas;
+    const target = this.deployment.findTarget(this.group.name);
+    switch (choice) {
+      case 'primary':
+        return this.primary ?? undefined;
+      case 'replica':
+        return first;
+      case 'otherReplica':
+        return second;
+      case 'target':
+        return this.replicas.find(({id}) => id === target);
+      case 'notTarget':
+        return this.replicas.find(({id}) => id !== target);
+    }
+  }
 }
--- a/apps/soak/src/instance.ts
+++ b/apps/soak/src/instance.ts
@@ -89,9 +89,7 @@
   /** Whether reads see a position. */
   covers(term: number, count: number): boolean {
     const seen = this.visibleCount;
-    return (
-      this.getLogTerm(seen) > term || (seen >= count && this.term >= term)
-    );
+    return this.getLogTerm(seen) > term || (seen >= count && this.term >= term);
   }
 
   read(item: string): number | null {
--- a/apps/soak/src/instance_group.ts
+++ b/apps/soak/src/instance_group.ts
@@ -262,11 +262,7 @@
   }
 
   /** Announces the end of an instance, then replaces it. */
-  async drain(
-    instance: Instance,
-    drainMs: number,
-    how: Return,
-  ): Promise<void> {
+  async drain(instance: Instance, drainMs: number, how: Return): Promise<void> {
     this.options.trace.note(`${describe(instance)} is draining`);
     instance.isDraining = true;
     this.register(instance);
--- a/apps/soak/src/instance_server.ts
+++ b/apps/soak/src/instance_server.ts
@@ -93,10 +93,7 @@
     });
   }
 
-  private dropWhenCut(
-    socket: net.Socket,
-    gate: GatedSocket,
-  ): NodeJS.Timeout {
+  private dropWhenCut(socket: net.Socket, gate: GatedSocket): NodeJS.Timeout {
     const {group} = this.instance;
     let cutAtMs: number | null = null;
     return setInterval(() => {
--- a/apps/soak/src/links.ts
+++ b/apps/soak/src/links.ts
@@ -146,9 +146,7 @@
   }
 
   get isCut(): boolean {
-    return (
-      this.opener !== null && this.links.isCut(this.opener, this.acceptor)
-    );
+    return this.opener !== null && this.links.isCut(this.opener, this.acceptor);
   }
 
   /** States who has opened the connection. */
--- a/apps/soak/src/proxy_process.ts
+++ b/apps/soak/src/proxy_process.ts
@@ -86,7 +86,11 @@
   async stop(): Promise<void> {
     this.isWanted = false;
     const {child} = this;
-    if (child !== null && child.exitCode === null && child.signalCode === null) {
+    if (
+      child !== null &&
+      child.exitCode === null &&
+      child.signalCode === null
+    ) {
       const ended = new Promise(resolve => child.once('exit', resolve));
       child.kill('SIGKILL');
       await ended;
--- a/apps/soak/src/run_soak.ts
+++ b/apps/soak/src/run_soak.ts
@@ -1,6 +1,9 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
-import {SeededRandom, type RandomSource} from '@filbertrun/base/random_source.js';
+import {
+  SeededRandom,
+  type RandomSource,
+} from '@filbertrun/base/random_source.js';
 import {FaultInjector} from './fault_injector.js';
 import type {InstanceGroup} from './instance_group.js';
 import type {Violation} from './ledger.js';
@@ -112,8 +115,7 @@
   injector.inject(round.cause);
   await waitUntil(
     () =>
-      group.effectiveAtMs.size > before &&
-      !deployment.isChanging(group.name),
+      group.effectiveAtMs.size > before && !deployment.isChanging(group.name),
     CHANGE_TIMEOUT_MS,
   );
   await pause(1_000);
--- a/apps/soak/src/soak_deployment.ts
+++ b/apps/soak/src/soak_deployment.ts
@@ -90,7 +90,9 @@
         deployment.trace.emit('promoteArrived');
       },
       accept: call => {
-        const status = deployment.findGroup(call.databaseGroup).promote(call.target);
+        const status = deployment
+          .findGroup(call.databaseGroup)
+          .promote(call.target);
         deployment.trace.note(
           `promote ${call.target} by ${call.holder}, token ${call.fencingToken}: ${status}`,
         );
@@ -113,6 +115,11 @@
     return this.changing.has(databaseGroup);
   }
 
+  /** The target in the record of a group; null if there is none. */
+  findTarget(databaseGroup: string): string | null {
+    return this.changing.get(databaseGroup) || null;
+  }
+
   async areAllReady(): Promise<boolean> {
     const ready = await Promise.all(this.proxies.map(proxy => proxy.isReady()));
     return ready.every(isReady => isReady);
--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -4,12 +4,19 @@
 
 /** The rounds of a run, drawn from its seed. */
 
-/** Which part of a group an event concerns. @internal */
-export type InstanceChoice = 'primary' | 'replica' | 'otherReplica';
+/**
+ * The instance that a fault affects; `notTarget` is a replica other than the
+ * one that the record names as the target. @internal
+ */
+export type InstanceChoice =
+  'primary' | 'replica' | 'otherReplica' | 'target' | 'notTarget';
 
 /** A fault and its parameters. @internal */
 export type Fault =
-  | {readonly kind: 'killLeader' | 'killAll' | 'killAllButLeader' | 'stopLeader'}
+  | {
+      readonly kind:
+        'killLeader' | 'killAll' | 'killAllButLeader' | 'stopLeader';
+    }
   | {
       readonly kind: 'stopLeaders';
       readonly count: number;
@@ -91,21 +98,19 @@
 
 /** Draws one round. @internal */
 export function drawRound(random: RandomSource): Round {
+  const isSeries = random.nextFloat() < 0.6;
   const killsAll = random.nextFloat() < 0.35;
-  const isDeaf = random.nextFloat() < 0.4;
+  const isDeaf = random.nextFloat() < (isSeries ? 0.15 : 0.5);
   return {
     calmMs: random.nextInteger(200, 1_500),
     killGapMs: killsAll ? random.nextInteger(0, 60) : null,
     causeAfterMs: killsAll ? random.nextInteger(0, 3_500) : 0,
     deafFromMs: isDeaf ? random.nextInteger(-1_500, 300) : null,
     deafForMs: random.nextInteger(2_000, 6_500),
-    cause: drawCause(random),
-    promotionMs: random.nextInteger(300, 1_000),
+    cause: drawCause(random, isSeries ? 0.7 : 0.4),
+    promotionMs: random.nextInteger(isSeries ? 600 : 300, 1_000),
     acceptMs: pick(random, [0, 0, 20, 200, 600, 1_500]),
-    faults:
-      random.nextFloat() < 0.5
-        ? drawSeries(random)
-        : drawIndependent(random, killsAll),
+    faults: isSeries ? drawSeries(random) : drawIndependent(random, killsAll),
   };
 }
 
@@ -129,11 +134,11 @@
  */
 function drawSeries(random: RandomSource): readonly TriggeredFault[] {
   const deafness: TriggeredFault = {
-    event: pick(random, ['stepDownReceived', 'targetRecorded']),
+    event: 'targetRecorded',
     delayMs: random.nextInteger(0, 300),
     fault: {
       kind: 'deafen',
-      instance: pick(random, ['replica', 'otherReplica']),
+      instance: 'notTarget',
       durationMs: random.nextInteger(2_000, 6_500),
     },
   };
@@ -180,12 +185,11 @@
     : random.nextInteger(200, 1_500);
 }
 
-function drawCause(random: RandomSource): Fault {
-  const draw = random.nextFloat();
-  if (draw < 0.4) {
+function drawCause(random: RandomSource, drainShare: number): Fault {
+  if (random.nextFloat() < drainShare) {
     return drawDrain(random, 'primary');
   }
-  if (draw < 0.75) {
+  if (random.nextFloat() < 0.6) {
     return drawRestart(random, 'primary', random.nextInteger(300, 5_000));
   }
   return drawCutZone(random);
@@ -241,7 +245,13 @@
           'silentResponses',
           'reset',
         ]),
-        instance: pick(random, ['primary', 'replica', 'otherReplica']),
+        instance: pick(random, [
+          'primary',
+          'replica',
+          'otherReplica',
+          'target',
+          'notTarget',
+        ]),
         durationMs: random.nextInteger(300, 4_000),
       };
     case 'cutZone':
@@ -249,13 +259,19 @@
     case 'deafen':
       return {
         kind,
-        instance: pick(random, ['replica', 'otherReplica']),
+        instance: pick(random, ['replica', 'otherReplica', 'notTarget']),
         durationMs: random.nextInteger(500, 5_000),
       };
     case 'restart':
       return drawRestart(
         random,
-        pick(random, ['primary', 'replica', 'otherReplica']),
+        pick(random, [
+          'primary',
+          'replica',
+          'otherReplica',
+          'target',
+          'notTarget',
+        ]),
         random.nextInteger(100, 1_500),
       );
   }
@@ -265,7 +281,7 @@
   return {
     kind: 'drain',
     instance,
-    drainMs: random.nextInteger(2_500, 8_000),
+    drainMs: random.nextInteger(2_000, 5_000),
     downMs: random.nextInteger(100, 500),
     listedAfterMs: random.nextInteger(0, 3_000),
   };
