--- a/apps/soak/src/caller.ts
+++ b/apps/soak/src/caller.ts
@@ -2,6 +2,7 @@
 import {formatRead, formatWrite, PROMISE_CODES} from './caller_codec.js';
 import {CallerSession} from './caller_session.js';
 import type {AcknowledgedWrite, Ledger} from './ledger.js';
+import {pause} from './pause.js';
 import type {Trace} from './trace.js';
 
 /** Options of a caller. @internal */
@@ -142,9 +143,3 @@
     }
   }
 }
-
-function pause(delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/apps/soak/src/fault_injector.ts
+++ b/apps/soak/src/fault_injector.ts
@@ -2,6 +2,7 @@
 import type {Instance} from './instance.js';
 import {describe, type InstanceGroup} from './instance_group.js';
 import {cutLink, cutZone, type Cut} from './links.js';
+import {pause} from './pause.js';
 import type {ProxyProcess} from './proxy_process.js';
 import type {SoakDeployment} from './soak_deployment.js';
 import type {Fault, InstanceChoice} from './soak_plan.js';
@@ -42,6 +43,9 @@
     for (const end of [...this.endings]) {
       end();
     }
+    for (const instance of this.group.liveInstances) {
+      instance.deafUntilMs = 0;
+    }
   }
 
   inject(fault: Fault): void {
@@ -53,10 +57,14 @@
         leader?.signal('SIGKILL');
         return;
       case 'killAll':
-        this.kill(deployment.proxies);
+        void this.killAll(fault.gapMs);
         return;
       case 'killAllButLeader':
-        this.kill(deployment.proxies.filter(proxy => proxy !== leader));
+        for (const proxy of deployment.proxies) {
+          if (proxy !== leader) {
+            proxy.signal('SIGKILL');
+          }
+        }
         return;
       case 'stopLeader':
         leader?.terminate();
@@ -123,7 +131,7 @@
   }
 
   /** Lets a replica receive nothing for a while. */
-  deafen(choice: InstanceChoice, durationMs: number): void {
+  private deafen(choice: InstanceChoice, durationMs: number): void {
     const instance = this.find(choice);
     if (instance === null) {
       return;
@@ -134,10 +142,23 @@
     instance.deafUntilMs = this.deployment.trace.nowMs() + durationMs;
   }
 
-  private kill(proxies: readonly ProxyProcess[]): void {
+  /** Ends all processes and tells when all of them have started again. */
+  private async killAll(gapMs: number): Promise<void> {
+    const {proxies, trace} = this.deployment;
+    const ended = proxies.map(({startCount}) => startCount);
     for (const proxy of proxies) {
       proxy.signal('SIGKILL');
+      await pause(gapMs);
     }
+    const timer = setInterval(() => {
+      const isBack = proxies.every(
+        ({startCount}, index) => startCount > (ended[index] ?? 0),
+      );
+      if (isBack) {
+        clearInterval(timer);
+        trace.emit('proxiesStarted');
+      }
+    }, 10);
   }
 
   /** Stops the leader and then, in turn, the proxies that lead after it. */
--- a/apps/soak/src/instance.ts
+++ b/apps/soak/src/instance.ts
@@ -44,6 +44,7 @@
   upstream: Instance | null = null;
   sequence = 0;
   private appliedCount: number;
+  private confirmedCount = 0;
   private pending: PendingCommit[] = [];
 
   private constructor(
@@ -81,6 +82,11 @@
     return this.role === 'primary' ? this.log.length : this.appliedCount;
   }
 
+  /** Number of commits that a response names: without those in doubt. */
+  get statedCount(): number {
+    return this.role === 'primary' ? this.confirmedCount : this.appliedCount;
+  }
+
   /** Term of the log's entry at a count. */
   getLogTerm(count: number): number {
     return this.log[count - 1]?.term ?? 1;
@@ -162,6 +168,7 @@
       if (!this.isAlive || this.role !== 'primary' || this.term !== term) {
         return;
       }
+      this.confirmedCount = Math.max(this.confirmedCount, count);
       const confirmed = this.pending.filter(commit => commit.count <= count);
       this.pending = this.pending.filter(commit => commit.count > count);
       for (const commit of confirmed) {
@@ -182,6 +189,7 @@
     this.term = term;
     this.pausedTerm = 0;
     this.upstream = null;
+    this.confirmedCount = this.log.length;
     this.group.register(this);
   }
 
--- a/apps/soak/src/instance_group.ts
+++ b/apps/soak/src/instance_group.ts
@@ -1,5 +1,6 @@
 import {Instance, type Commit} from './instance.js';
 import {InstanceServer, type InstanceServerOptions} from './instance_server.js';
+import {pause} from './pause.js';
 import type {RowTable} from './row_table.js';
 import {formatInstanceEntry, INSTANCE_TABLE} from './store_codec.js';
 import type {Trace} from './trace.js';
@@ -373,9 +374,3 @@
   const {id, role, term, log, zone} = instance;
   return `${id} (${role} of term ${term}, ${log.length} commits, ${zone})`;
 }
-
-function pause(delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/apps/soak/src/instance_server.ts
+++ b/apps/soak/src/instance_server.ts
@@ -144,10 +144,10 @@
     }
   }
 
-  /** Position that reads see. */
+  /** Position in responses. */
   private get position(): string {
     const {instance} = this;
-    const count = instance.visibleCount;
+    const count = instance.statedCount;
     return formatPosition(instance.getLogTerm(count), count);
   }
 
--- a/apps/soak/src/ledger.ts
+++ b/apps/soak/src/ledger.ts
@@ -110,16 +110,7 @@
   /** Checks the log of an instance whose promotion takes effect now. */
   checkPromotion(target: Instance): void {
     const kept = new Set(target.log.map(({statementId}) => statementId));
-    const lost = this.listMissing(target.group.name, kept);
-    for (const write of lost.slice(0, MAX_EXAMPLES)) {
-      this.report('LOST', `${target.id} lacks ${this.explain(target, write)}`);
-    }
-    if (lost.length > MAX_EXAMPLES) {
-      this.report('LOST', `${target.id} lacks ${lost.length} in all`);
-    }
-    for (const {statementId} of lost) {
-      this.reportedIds.add(statementId);
-    }
+    this.reportMissing(target.group, target.id, kept);
   }
 
   /** Checks a group at the end, when nothing is disturbed any more. */
@@ -128,7 +119,7 @@
     for (const {statementId} of group.newestLog) {
       counts.set(statementId, (counts.get(statementId) ?? 0) + 1);
     }
-    this.checkRest(group, counts);
+    this.reportMissing(group, 'the last primary', counts);
     for (const [statementId, count] of counts) {
       const code = this.refused.get(statementId);
       if (code !== undefined) {
@@ -145,22 +136,29 @@
     }
   }
 
-  /** Checks writes that were acknowledged after the promotion without them. */
-  private checkRest(
+  /** Reports acknowledged writes that a log lacks, each of them once. */
+  private reportMissing(
     group: InstanceGroup,
-    kept: ReadonlyMap<string, number>,
+    holder: string,
+    kept: {has(statementId: string): boolean},
   ): void {
+    const counts = new Map<Rule, number>();
     for (const write of this.listMissing(group.name, kept)) {
+      this.reportedIds.add(write.statementId);
       const commit = group.findCommit(write.statementId);
       const isLate = commit !== null && isAfterPromotion(group, commit);
       if (isLate && write.isHeldUp) {
         continue;
       }
       const rule = isLate ? 'ONE' : 'LOST';
-      this.report(
-        rule,
-        `${write.statementId} of term ${commit?.term}, confirmed at ${commit?.confirmedAtMs?.toFixed(0)}, acknowledged at ${write.atMs.toFixed(0)} by ${write.entryVm}, is not kept`,
-      );
+      const count = (counts.get(rule) ?? 0) + 1;
+      counts.set(rule, count);
+      if (count <= MAX_EXAMPLES) {
+        this.report(rule, `${holder} lacks ${explain(group, write)}`);
+      }
+    }
+    for (const [rule, count] of counts) {
+      this.trace.note(`${rule}: ${count} writes that ${holder} lacks`);
     }
   }
 
@@ -182,17 +180,6 @@
     return missing;
   }
 
-  private explain(target: Instance, write: AcknowledgedWrite): string {
-    const {group} = target;
-    const commit = group.findCommit(write.statementId);
-    const holders = group.instances
-      .filter(({log}) =>
-        log.some(({statementId}) => statementId === write.statementId),
-      )
-      .map(({id}) => id);
-    return `${write.statementId} of term ${commit?.term}, acknowledged at ${(write.atMs / 1_000).toFixed(3)} by ${write.entryVm}, run at ${commit?.instance.id}, held by ${holders.join(', ')}`;
-  }
-
   private report(rule: Rule, text: string): void {
     this.violations.push({rule, text});
     this.trace.note(`VIOLATION ${rule}: ${text}`);
@@ -207,3 +194,23 @@
     nextAtMs !== undefined && confirmedAtMs !== null && confirmedAtMs > nextAtMs
   );
 }
+
+/** Says where and when a write was committed and acknowledged. */
+function explain(group: InstanceGroup, write: AcknowledgedWrite): string {
+  const commit = group.findCommit(write.statementId);
+  const holders = group.instances
+    .filter(({log}) =>
+      log.some(({statementId}) => statementId === write.statementId),
+    )
+    .map(({id}) => id);
+  return [
+    `${write.statementId}, run at ${commit?.instance.id} in term ${commit?.term}`,
+    `confirmed at ${formatSeconds(commit?.confirmedAtMs ?? null)}`,
+    `acknowledged at ${formatSeconds(write.atMs)} by ${write.entryVm}`,
+    `held by ${holders.join(', ') || 'none'}`,
+  ].join(', ');
+}
+
+function formatSeconds(timeMs: number | null): string {
+  return timeMs === null ? '-' : (timeMs / 1_000).toFixed(3);
+}
--- a/apps/soak/src/run_soak.ts
+++ b/apps/soak/src/run_soak.ts
@@ -7,6 +7,7 @@
 import {FaultInjector} from './fault_injector.js';
 import type {InstanceGroup} from './instance_group.js';
 import type {Violation} from './ledger.js';
+import {pause, waitUntil} from './pause.js';
 import {SoakDeployment} from './soak_deployment.js';
 import {drawRound, type Round} from './soak_plan.js';
 
@@ -36,8 +37,6 @@
 /** Time after the last round before the last checks. */
 const SETTLE_MS = 1_500;
 
-const POLL_MS = 25;
-
 /** Runs rounds of faults against one deployment. @internal */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = SeededRandom.create(options.seed);
@@ -56,7 +55,8 @@
       const index = random.nextInteger(0, groupCount - 1);
       const group = deployment.groups[index];
       if (group !== undefined) {
-        await playRound(deployment, group, round, random);
+        const roundRandom = SeededRandom.create(random.nextInteger(1, 2 ** 31));
+        await playRound(deployment, group, round, roundRandom);
       }
       roundCount++;
     }
@@ -97,71 +97,44 @@
   injector.startRound();
   group.promotionMs = round.promotionMs;
   promotion.conduct.acceptMs = round.acceptMs;
-  if (round.killGapMs !== null) {
-    await killAll(deployment, round.killGapMs);
-  }
-  const timers = armFaults(deployment, injector, round);
-  if (round.killGapMs !== null) {
-    trace.emit('proxiesStarted');
-  }
-  const {deafFromMs, deafForMs, causeAfterMs} = round;
-  const deafen = () => injector.deafen('replica', deafForMs);
-  if (deafFromMs !== null) {
-    timers.push(setTimeout(deafen, Math.max(0, causeAfterMs + deafFromMs)));
+  const disarms = armFaults(deployment, injector, round);
+  for (const {atMs, fault} of round.timed) {
+    const timer = setTimeout(() => injector.inject(fault), atMs);
+    disarms.push(() => clearTimeout(timer));
   }
-  const leadMs = Math.max(0, -(deafFromMs ?? 0) - causeAfterMs);
-  await pause(causeAfterMs + leadMs);
   const before = group.effectiveAtMs.size;
-  injector.inject(round.cause);
   await waitUntil(
     () =>
       group.effectiveAtMs.size > before && !deployment.isChanging(group.name),
     CHANGE_TIMEOUT_MS,
   );
   await pause(1_000);
-  for (const timer of timers) {
-    clearTimeout(timer);
+  for (const disarm of disarms) {
+    disarm();
   }
   injector.endRound();
 }
 
-async function killAll(
-  deployment: SoakDeployment,
-  gapMs: number,
-): Promise<void> {
-  const startCounts = deployment.proxies.map(({startCount}) => startCount);
-  for (const proxy of deployment.proxies) {
-    proxy.signal('SIGKILL');
-    await pause(gapMs);
-  }
-  await waitUntil(
-    () =>
-      deployment.proxies.every(
-        ({startCount}, index) => startCount > (startCounts[index] ?? 0),
-      ),
-    5_000,
-  );
-}
-
 /** Lets each fault of a round follow the first event that it names. */
 function armFaults(
   deployment: SoakDeployment,
   injector: FaultInjector,
-  {faults}: Round,
-): NodeJS.Timeout[] {
-  const timers: NodeJS.Timeout[] = [];
+  {triggered}: Round,
+): (() => void)[] {
+  const disarms: (() => void)[] = [];
   const {trace} = deployment;
-  for (const {event, delayMs, fault} of faults) {
+  for (const {event, delayMs, fault} of triggered) {
     const stop = trace.listen(kind => {
       if (kind === event) {
         stop();
         trace.note(`${event}, ${delayMs} ms before ${fault.kind}`);
-        timers.push(setTimeout(() => injector.inject(fault), delayMs));
+        const timer = setTimeout(() => injector.inject(fault), delayMs);
+        disarms.push(() => clearTimeout(timer));
       }
     });
-    timers.push(setTimeout(stop, CHANGE_TIMEOUT_MS));
+    disarms.push(stop);
   }
-  return timers;
+  return disarms;
 }
 
 /** Whether a group has all instances and writes are acknowledged. */
@@ -182,23 +155,3 @@
     (await deployment.areAllReady())
   );
 }
-
-async function waitUntil(
-  isMet: () => boolean | Promise<boolean>,
-  timeoutMs: number,
-): Promise<boolean> {
-  const endMs = Date.now() + timeoutMs;
-  while (Date.now() < endMs) {
-    if (await isMet()) {
-      return true;
-    }
-    await pause(POLL_MS);
-  }
-  return false;
-}
-
-function pause(delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -13,10 +13,8 @@
 
 /** A fault and its parameters. @internal */
 export type Fault =
-  | {
-      readonly kind:
-        'killLeader' | 'killAll' | 'killAllButLeader' | 'stopLeader';
-    }
+  | {readonly kind: 'killLeader' | 'killAllButLeader' | 'stopLeader'}
+  | {readonly kind: 'killAll'; readonly gapMs: number}
   | {
       readonly kind: 'stopLeaders';
       readonly count: number;
@@ -69,20 +67,22 @@
   readonly fault: Fault;
 }
 
-/** One round: a cause of a change of primary, and faults in phase with it. */
+/** A fault at a time of its round. @internal */
+export interface TimedFault {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+/** One round: faults that change the primary, and faults in phase with it. */
 export interface Round {
   readonly calmMs: number;
-  /** Time between the kills of all proxies; null if they are not killed. */
-  readonly killGapMs: number | null;
-  /** Time from the start of all proxies, or from the calm, to the cause. */
-  readonly causeAfterMs: number;
-  /** Deafness, relative to the cause; null for none. */
-  readonly deafFromMs: number | null;
-  readonly deafForMs: number;
-  readonly cause: Fault;
+  /** Time from the acceptance of an order to its effect. */
   readonly promotionMs: number;
+  /** Time until an order is accepted. */
   readonly acceptMs: number;
-  readonly faults: readonly TriggeredFault[];
+  readonly timed: readonly TimedFault[];
+  /** Each follows the first event of its kind. */
+  readonly triggered: readonly TriggeredFault[];
 }
 
 const EVENTS = [
@@ -98,27 +98,63 @@
 
 /** Draws one round. @internal */
 export function drawRound(random: RandomSource): Round {
-  const isSeries = random.nextFloat() < 0.6;
-  const killsAll = random.nextFloat() < 0.35;
-  const isDeaf = random.nextFloat() < (isSeries ? 0.15 : 0.5);
+  const draw = random.nextFloat();
+  if (draw < 0.3) {
+    return drawAmnesia(random);
+  }
+  const isSeries = draw < 0.7;
+  const triggered = isSeries
+    ? drawSeries(random)
+    : drawIndependent(random, EVENTS);
+  const round = drawPlatform(random, isSeries ? 600 : 300);
+  const cause = drawCause(random, isSeries ? 0.7 : 0.4);
+  const timed = isSeries ? [] : drawDeafness(random);
+  if (random.nextFloat() < 0.65) {
+    const atMs = random.nextInteger(0, 1_500);
+    return {...round, timed: [...timed, {atMs, fault: cause}], triggered};
+  }
+  const start: TriggeredFault = {
+    event: 'proxiesStarted',
+    delayMs: random.nextInteger(0, 3_500),
+    fault: cause,
+  };
   return {
-    calmMs: random.nextInteger(200, 1_500),
-    killGapMs: killsAll ? random.nextInteger(0, 60) : null,
-    causeAfterMs: killsAll ? random.nextInteger(0, 3_500) : 0,
-    deafFromMs: isDeaf ? random.nextInteger(-1_500, 300) : null,
-    deafForMs: random.nextInteger(2_000, 6_500),
-    cause: drawCause(random, isSeries ? 0.7 : 0.4),
-    promotionMs: random.nextInteger(isSeries ? 600 : 300, 1_000),
+    ...round,
+    timed: [...timed, {atMs: 0, fault: drawKillAll(random)}],
+    triggered: [start, ...triggered],
+  };
+}
+
+function drawPlatform(
+  random: RandomSource,
+  minimumMs: number,
+): Pick<Round, 'calmMs' | 'promotionMs' | 'acceptMs'> {
+  return {
+    calmMs: random.nextInteger(200, 1_000),
+    promotionMs: random.nextInteger(minimumMs, 1_000),
     acceptMs: pick(random, [0, 0, 20, 200, 600, 1_500]),
-    faults: isSeries ? drawSeries(random) : drawIndependent(random, killsAll),
   };
 }
 
+function drawDeafness(random: RandomSource): readonly TimedFault[] {
+  const fault: Fault = {
+    kind: 'deafen',
+    instance: 'replica',
+    durationMs: random.nextInteger(2_000, 6_500),
+  };
+  return random.nextFloat() < 0.5
+    ? [{atMs: random.nextInteger(0, 1_500), fault}]
+    : [];
+}
+
+function drawKillAll(random: RandomSource): Fault {
+  return {kind: 'killAll', gapMs: random.nextInteger(0, 60)};
+}
+
 function drawIndependent(
   random: RandomSource,
-  killsAll: boolean,
+  events: readonly SoakEventKind[],
 ): readonly TriggeredFault[] {
-  const events = killsAll ? [...EVENTS, 'proxiesStarted' as const] : EVENTS;
   const count = pick(random, [1, 1, 2, 2, 3]);
   return Array.from({length: count}, () => ({
     event: pick(random, events),
@@ -127,6 +163,41 @@
   }));
 }
 
+/**
+ * One replica receives nothing, the other one has just come back and is not
+ * listed yet or about to, the primary is lost, and all proxies start again, so
+ * that none of them remembers a position.
+ */
+function drawAmnesia(random: RandomSource): Round {
+  const backAtMs = random.nextInteger(200, 1_000);
+  const returns: Fault = {
+    kind: 'restart',
+    instance: 'otherReplica',
+    downMs: random.nextInteger(100, 400),
+    listedAfterMs: pick(random, [0, 500, 1_500, 3_000]),
+    hasNewId: random.nextFloat() < 0.7,
+  };
+  const leaves = {...drawDrain(random, 'otherReplica'), drainMs: 600};
+  const timed: TimedFault[] = [
+    {
+      atMs: 0,
+      fault: {kind: 'deafen', instance: 'replica', durationMs: 10_000},
+    },
+    {atMs: backAtMs, fault: random.nextFloat() < 0.6 ? returns : leaves},
+  ];
+  const causeAtMs = backAtMs + random.nextInteger(300, 2_000);
+  timed.push({atMs: causeAtMs, fault: drawCause(random, 0.2)});
+  const kill = drawKillAll(random);
+  const triggered: TriggeredFault[] = [];
+  if (random.nextFloat() < 0.4) {
+    timed.push({atMs: causeAtMs + random.nextInteger(-100, 100), fault: kill});
+  } else {
+    const event = pick(random, EVENTS.slice(0, EVENTS.length - 2));
+    triggered.push({event, delayMs: drawDelayMs(random), fault: kill});
+  }
+  return {...drawPlatform(random, 300), timed, triggered};
+}
+
 /**
  * One replica lacks what is written from the choice of a target on, and the
  * proxies that know of the order go away: a successor that gives an order of its
@@ -149,7 +220,7 @@
   };
   return random.nextFloat() < 0.5
     ? [deafness, loss]
-    : [deafness, loss, ...drawIndependent(random, false).slice(0, 1)];
+    : [deafness, loss, ...drawIndependent(random, EVENTS).slice(0, 1)];
 }
 
 function drawProxyLoss(random: RandomSource): Fault {
@@ -165,7 +236,9 @@
       return drawStops(random);
     case 'freezeLeader':
       return {kind, durationMs: random.nextInteger(1_000, 4_000)};
-    default:
+    case 'killAll':
+      return drawKillAll(random);
+    case 'killLeader':
       return {kind};
   }
 }
@@ -219,8 +292,9 @@
     'restart',
   ] as const);
   switch (kind) {
-    case 'killLeader':
     case 'killAll':
+      return drawKillAll(random);
+    case 'killLeader':
     case 'killAllButLeader':
     case 'stopLeader':
       return {kind};
@@ -277,7 +351,10 @@
   }
 }
 
-function drawDrain(random: RandomSource, instance: InstanceChoice): Fault {
+function drawDrain(
+  random: RandomSource,
+  instance: InstanceChoice,
+): Extract<Fault, {readonly kind: 'drain'}> {
   return {
     kind: 'drain',
     instance,
--- a/apps/soak/src/store_standin.ts
+++ b/apps/soak/src/store_standin.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {pause} from './pause.js';
 import type {RowChange, RowTable} from './row_table.js';
 import {
   formatRow,
@@ -168,9 +169,3 @@
   }
   return Buffer.concat(chunks).toString('utf8');
 }
-
-function pause(delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, delayMs);
-  });
-}
