--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {runSoak} from './run_soak.js';
+import {ROUND_KINDS} from './soak_plan.js';
 
 /**
  * `filbertrun-soak`: runs proxy processes against stand-ins of the platform and
@@ -32,6 +33,12 @@
       describe: 'Time after which no round begins.',
     })
     .option('groups', {type: 'number', default: 1, describe: 'Groups, 1 or 2.'})
+    .option('kinds', {
+      choices: ROUND_KINDS,
+      array: true,
+      default: ROUND_KINDS,
+      describe: 'Kinds of rounds to draw from.',
+    })
     .option('logs', {
       type: 'string',
       default: 'scratch/soak',
@@ -52,6 +59,7 @@
       seed,
       durationMs: flags.durationMs,
       groupCount: flags.groups,
+      kinds: flags.kinds,
     });
     const {violations, acknowledgedCount, promotionCount, roundCount} = result;
     const verdict = violations.length === 0 ? 'held' : 'BROKEN';
--- a/apps/soak/src/run_soak.ts
+++ b/apps/soak/src/run_soak.ts
@@ -9,7 +9,7 @@
 import type {Violation} from './ledger.js';
 import {pause, waitUntil} from './pause.js';
 import {SoakDeployment} from './soak_deployment.js';
-import {drawRound, type Round} from './soak_plan.js';
+import {drawRound, type Round, type RoundKind} from './soak_plan.js';
 
 /** Options of a run. @internal */
 export interface SoakOptions {
@@ -18,6 +18,8 @@
   readonly seed: number;
   readonly durationMs: number;
   readonly groupCount: number;
+  /** Kinds of rounds to draw from. */
+  readonly kinds: readonly RoundKind[];
 }
 
 /** Result of a run. @internal */
@@ -51,7 +53,7 @@
     }
     await pause(2_000);
     while (trace.nowMs() < options.durationMs) {
-      const round = drawRound(random);
+      const round = drawRound(random, options.kinds);
       const index = random.nextInteger(0, groupCount - 1);
       const group = deployment.groups[index];
       if (group !== undefined) {
--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -96,13 +96,22 @@
   'commitAcknowledged',
 ] as const;
 
-/** Draws one round. @internal */
-export function drawRound(random: RandomSource): Round {
-  const draw = random.nextFloat();
-  if (draw < 0.3) {
+/** Kinds of rounds. @internal */
+export const ROUND_KINDS = ['independent', 'series', 'amnesia'] as const;
+
+/** A kind of round. @internal */
+export type RoundKind = (typeof ROUND_KINDS)[number];
+
+/** Draws one round of one of the given kinds. @internal */
+export function drawRound(
+  random: RandomSource,
+  kinds: readonly RoundKind[],
+): Round {
+  const kind = pick(random, kinds);
+  if (kind === 'amnesia') {
     return drawAmnesia(random);
   }
-  const isSeries = draw < 0.7;
+  const isSeries = kind === 'series';
   const triggered = isSeries
     ? drawSeries(random)
     : drawIndependent(random, EVENTS);
