--- a/apps/soak/src/relay.ts
+++ b/apps/soak/src/relay.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
+import {createSystemRandom} from '@filbertrun/base/random_source.js';
 import {GatedSocket, type LinkEnd, type Links} from './links.js';
-import {HOST, listen} from './ports.js';
+import {findFreePorts, HOST} from './ports.js';
 
 /** Options of a relay. @internal */
 export interface RelayOptions {
@@ -10,34 +11,52 @@
   readonly targetPort: number;
 }
 
-/** Forwards connections over a link that can be cut. @internal */
+/**
+ * Forwards connections over a link that can be cut. While it is cut, open
+ * connections are silent and new ones are refused.
+ *
+ * @internal
+ */
 export class Relay {
   private readonly sockets = new Set<net.Socket>();
+  private server: net.Server | null = null;
+  private isStopped = false;
 
   private constructor(
     private readonly options: RelayOptions,
-    private readonly server: net.Server,
     readonly port: number,
-  ) {
-    server.on('connection', socket => this.serve(socket));
-  }
+  ) {}
 
   static async start(options: RelayOptions): Promise<Relay> {
-    const server = net.createServer();
-    const port = await listen(server, 0);
-    if (port === null) {
-      throw new Error('no port for a relay');
-    }
-    return new Relay(options, server, port);
+    const port = await findFreePorts(createSystemRandom(), 1);
+    const relay = new Relay(options, port);
+    relay.update();
+    options.links.watch(() => relay.update());
+    return relay;
   }
 
   stop(): void {
-    this.server.close();
+    this.isStopped = true;
+    this.update();
     for (const socket of this.sockets) {
       socket.destroy();
     }
   }
 
+  /** Listens while the link is open. */
+  private update(): void {
+    const {links, from, to} = this.options;
+    const isOpen = !this.isStopped && !links.isCut(from, to);
+    if (isOpen && this.server === null) {
+      this.server = net.createServer(socket => this.serve(socket));
+      this.server.listen(this.port, HOST);
+    }
+    if (!isOpen) {
+      this.server?.close();
+      this.server = null;
+    }
+  }
+
   private serve(socket: net.Socket): void {
     const {links, from, to, targetPort} = this.options;
     const upstream = net.connect({host: HOST, port: targetPort, noDelay: true});
--- a/apps/soak/src/soak_deployment.ts
+++ b/apps/soak/src/soak_deployment.ts
@@ -47,12 +47,6 @@
 
 const CALLERS_PER_ROUTE = 2;
 
-/** The relays to one proxy, for each zone that calls it. */
-interface PeerRelays {
-  readonly realPort: number;
-  readonly ports: ReadonlyMap<string, number>;
-}
-
 /** Proxies, groups, store and API of one run. @internal */
 export class SoakDeployment {
   readonly trace = Trace.create();
@@ -65,7 +59,8 @@
   readonly promotion: PromotionStandin;
   private readonly rows = RowTable.create(row => this.observe(row));
   private readonly changing = new Map<string, string>();
-  private readonly peerRelays = new Map<string, PeerRelays[]>();
+  /** For each port of a process, the ports of its relays by zone. */
+  private readonly relayPorts = new Map<number, ReadonlyMap<string, number>>();
   private readonly relays: Relay[] = [];
   private readonly callers: Caller[] = [];
   private readonly callersDone: Promise<void>[] = [];
@@ -178,7 +173,10 @@
     const random = createSystemRandom();
     const places = [];
     for (const zone of ZONES) {
-      places.push({zone, port: await findFreePorts(random, 1)});
+      const port = await findFreePorts(random, 1);
+      const end = {name: `instances of ${zone}`, zone};
+      await this.startZoneRelays(end, port);
+      places.push({zone, port});
     }
     const {rows, trace, links, ledger} = this;
     this.groups.push(
@@ -201,22 +199,14 @@
     const end: LinkEnd = {name: entryVm, zone};
     const firstPort = await findFreePorts(createSystemRandom(), PORT_COUNT);
     const peerPort = firstPort + PEER_OFFSET;
-    const peerRelays: PeerRelays[] = [];
     for (let port = peerPort; port <= firstPort + LAST_OFFSET; port++) {
-      const ports = new Map<string, number>();
-      for (const from of ZONES) {
-        const source = {name: `proxies of ${from}`, zone: from};
-        ports.set(from, await this.startRelay(source, end, port));
-      }
-      peerRelays.push({realPort: port, ports});
+      await this.startZoneRelays(end, port);
     }
-    this.peerRelays.set(entryVm, peerRelays);
     const store = await StoreStandin.start({
       rows: this.rows,
       trace,
-      entryVm,
-      toRelayPort: (target, port) => this.toRelayPort(zone, target, port),
-      toRealPort: (target, port) => this.toRealPort(target, port),
+      toRelayPort: port => this.relayPorts.get(port)?.get(zone) ?? port,
+      toRealPort: port => this.toRealPort(port),
     });
     this.stores.set(entryVm, store);
     const storePort = await this.startRelay(end, STORE_END, store.port);
@@ -256,14 +246,18 @@
     return relay.port;
   }
 
-  private toRelayPort(zone: string, target: string, port: number): number {
-    const relays = this.peerRelays.get(target) ?? [];
-    const relay = relays.find(({realPort}) => realPort === port);
-    return relay?.ports.get(zone) ?? port;
+  /** Starts a relay to a port of a process for each zone that calls it. */
+  private async startZoneRelays(to: LinkEnd, port: number): Promise<void> {
+    const ports = new Map<string, number>();
+    for (const zone of ZONES) {
+      const from = {name: `proxies of ${zone}`, zone};
+      ports.set(zone, await this.startRelay(from, to, port));
+    }
+    this.relayPorts.set(port, ports);
   }
 
-  private toRealPort(target: string, port: number): number {
-    for (const {realPort, ports} of this.peerRelays.get(target) ?? []) {
+  private toRealPort(port: number): number {
+    for (const [realPort, ports] of this.relayPorts) {
       if ([...ports.values()].includes(port)) {
         return realPort;
       }
--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -183,8 +183,8 @@
     kind: 'restart',
     instance: 'otherReplica',
     downMs: random.nextInteger(100, 400),
-    listedAfterMs: pick(random, [0, 500, 1_500, 3_000]),
-    hasNewId: random.nextFloat() < 0.7,
+    listedAfterMs: pick(random, [0, 500, 3_000, 3_000]),
+    hasNewId: random.nextFloat() < 0.8,
   };
   const leaves = {...drawDrain(random, 'otherReplica'), drainMs: 600};
   const timed: TimedFault[] = [
@@ -194,8 +194,8 @@
     },
     {atMs: backAtMs, fault: random.nextFloat() < 0.6 ? returns : leaves},
   ];
-  const causeAtMs = backAtMs + random.nextInteger(300, 2_000);
-  timed.push({atMs: causeAtMs, fault: drawCause(random, 0.2)});
+  const causeAtMs = backAtMs + random.nextInteger(300, 1_500);
+  timed.push({atMs: causeAtMs, fault: drawCause(random, 0.1)});
   const kill = drawKillAll(random);
   const triggered: TriggeredFault[] = [];
   if (random.nextFloat() < 0.4) {
@@ -271,7 +271,7 @@
   if (random.nextFloat() < drainShare) {
     return drawDrain(random, 'primary');
   }
-  if (random.nextFloat() < 0.6) {
+  if (random.nextFloat() < 0.7) {
     return drawRestart(random, 'primary', random.nextInteger(300, 5_000));
   }
   return drawCutZone(random);
--- a/apps/soak/src/store_codec.ts
+++ b/apps/soak/src/store_codec.ts
@@ -12,6 +12,7 @@
 /** Table of the proxies' records. @internal */
 export const CONTROL_TABLE = 'filbertrun';
 
+const ROSTER_TABLE = 'filbertrunRosters';
 const REGISTRATION_PREFIX = 'entryVm/';
 const PRIMARY_PREFIX = 'primary/';
 const LEADER_KEY = 'duty/failover';
@@ -219,31 +220,48 @@
   return typeof holder === 'string' ? holder : null;
 }
 
-/** Maps the port of a proxy's peer interface. @internal */
-export type MapPort = (entryVm: string, port: number) => number;
+/** Maps a port; ports that it does not know stay as they are. @internal */
+export type MapPort = (port: number) => number;
 
 /**
- * Maps the ports in the registration of a proxy, so that proxies reach each
+ * Maps the ports in registrations and rosters, so that processes reach each
  * other through relays; other rows stay as they are. @internal
  */
-export function mapRegistration(
+export function mapPorts(
   {table, key, text}: RowChange,
   mapPort: MapPort,
 ): string | null {
-  if (
-    table !== CONTROL_TABLE ||
-    text === null ||
-    !key.startsWith(REGISTRATION_PREFIX)
-  ) {
-    return text;
+  if (text === null) {
+    return null;
   }
-  const entryVm = key.slice(REGISTRATION_PREFIX.length);
-  const record = JSON.parse(text) as Record<string, unknown>;
-  for (const name of ['peerPort', 'forwardPort']) {
-    const port = record[name];
-    if (typeof port === 'number') {
-      record[name] = mapPort(entryVm, port);
-    }
+  switch (table) {
+    case INSTANCE_TABLE:
+      return text.replace(
+        /(?<="address":"[^":]*:)\d+/,
+        port => `${mapPort(Number(port))}`,
+      );
+    case ROSTER_TABLE:
+      return replacePorts(text, ['port'], mapPort);
+    case CONTROL_TABLE:
+      return key.startsWith(REGISTRATION_PREFIX)
+        ? replacePorts(text, ['peerPort', 'forwardPort'], mapPort)
+        : text;
+    default:
+      return text;
   }
-  return JSON.stringify(record);
+}
+
+/** Maps the ports in fields of a document. */
+function replacePorts(
+  text: string,
+  names: readonly string[],
+  mapPort: MapPort,
+): string {
+  return JSON.stringify(
+    JSON.parse(text, (name, value: unknown) =>
+      names.includes(name) && typeof value === 'number'
+        ? mapPort(value)
+        : value,
+    ),
+  );
 }
