--- a/apps/soak/src/caller.ts
+++ b/apps/soak/src/caller.ts
@@ -21,8 +21,8 @@
   isHeldUp(): boolean;
 }
 
-const MIN_PAUSE_MS = 15;
-const MAX_PAUSE_MS = 45;
+const MIN_PAUSE_MS = 30;
+const MAX_PAUSE_MS = 90;
 const RECONNECT_MS = 60;
 
 /** Every so many statements is a read. */
--- a/apps/soak/src/instance_group.ts
+++ b/apps/soak/src/instance_group.ts
@@ -236,6 +236,7 @@
     instance.isAlive = false;
     this.servers.get(instance)?.stop();
     this.servers.delete(instance);
+    this.options.links.refresh();
   }
 
   /** Ends an instance and brings it back with its log. */
@@ -365,6 +366,7 @@
     await server.start();
     this.servers.set(instance, server);
     this.instances.push(instance);
+    this.options.links.refresh();
     return instance;
   }
 }
--- a/apps/soak/src/links.ts
+++ b/apps/soak/src/links.ts
@@ -68,10 +68,10 @@
   /** Applies a cut; the returned function ends it. */
   apply(cut: Cut): () => void {
     this.cuts.add(cut);
-    this.notify();
+    this.refresh();
     return () => {
       this.cuts.delete(cut);
-      this.notify();
+      this.refresh();
     };
   }
 
@@ -101,7 +101,8 @@
     return () => this.watchers.delete(watcher);
   }
 
-  private notify(): void {
+  /** Tells all watchers to look again, also when a process starts or ends. */
+  refresh(): void {
     for (const watcher of [...this.watchers]) {
       watcher();
     }
--- a/apps/soak/src/relay.ts
+++ b/apps/soak/src/relay.ts
@@ -9,11 +9,14 @@
   readonly from: LinkEnd;
   readonly to: LinkEnd;
   readonly targetPort: number;
+  /** Whether a process listens on the target port. */
+  isTargetUp(): boolean;
 }
 
 /**
  * Forwards connections over a link that can be cut. While it is cut, open
- * connections are silent and new ones are refused.
+ * connections are silent and new ones are refused, as they are while the target
+ * does not run.
  *
  * @internal
  */
@@ -43,10 +46,10 @@
     }
   }
 
-  /** Listens while the link is open. */
+  /** Listens while the link is open and the target runs. */
   private update(): void {
-    const {links, from, to} = this.options;
-    const isOpen = !this.isStopped && !links.isCut(from, to);
+    const {links, from, to, isTargetUp} = this.options;
+    const isOpen = !this.isStopped && isTargetUp() && !links.isCut(from, to);
     if (isOpen && this.server === null) {
       this.server = net.createServer(socket => this.serve(socket));
       this.server.listen(this.port, HOST);
--- a/apps/soak/src/soak_deployment.ts
+++ b/apps/soak/src/soak_deployment.ts
@@ -175,7 +175,7 @@
     for (const zone of ZONES) {
       const port = await findFreePorts(random, 1);
       const end = {name: `instances of ${zone}`, zone};
-      await this.startZoneRelays(end, port);
+      await this.startZoneRelays(end, port, () => this.isInstanceUp(port));
       places.push({zone, port});
     }
     const {rows, trace, links, ledger} = this;
@@ -192,6 +192,7 @@
         places,
       ),
     );
+    links.refresh();
   }
 
   private async startProxy(entryVm: string, zone: string): Promise<void> {
@@ -200,7 +201,7 @@
     const firstPort = await findFreePorts(createSystemRandom(), PORT_COUNT);
     const peerPort = firstPort + PEER_OFFSET;
     for (let port = peerPort; port <= firstPort + LAST_OFFSET; port++) {
-      await this.startZoneRelays(end, port);
+      await this.startZoneRelays(end, port, () => true);
     }
     const store = await StoreStandin.start({
       rows: this.rows,
@@ -239,23 +240,40 @@
     from: LinkEnd,
     to: LinkEnd,
     targetPort: number,
+    isTargetUp = () => true,
   ): Promise<number> {
     const {links} = this;
-    const relay = await Relay.start({links, from, to, targetPort});
+    const relay = await Relay.start({
+      links,
+      from,
+      to,
+      targetPort,
+      isTargetUp,
+    });
     this.relays.push(relay);
     return relay.port;
   }
 
   /** Starts a relay to a port of a process for each zone that calls it. */
-  private async startZoneRelays(to: LinkEnd, port: number): Promise<void> {
+  private async startZoneRelays(
+    to: LinkEnd,
+    port: number,
+    isTargetUp: () => boolean,
+  ): Promise<void> {
     const ports = new Map<string, number>();
     for (const zone of ZONES) {
       const from = {name: `proxies of ${zone}`, zone};
-      ports.set(zone, await this.startRelay(from, to, port));
+      ports.set(zone, await this.startRelay(from, to, port, isTargetUp));
     }
     this.relayPorts.set(port, ports);
   }
 
+  private isInstanceUp(port: number): boolean {
+    return this.groups.some(({liveInstances}) =>
+      liveInstances.some(({identity}) => identity.port === port),
+    );
+  }
+
   private toRealPort(port: number): number {
     for (const [realPort, ports] of this.relayPorts) {
       if ([...ports.values()].includes(port)) {
