Contact: a window of 1,200 ms in place of 1,400 ms

A change of primary waits for the contact window of a proxy that does not release, and the promotion now comes after this wait. With 1,400 ms the first write of a zone that is cut off came 1,975 ms after the intent (1,800 allowed), and two recoveries from a restored store took 2,835 and 2,895 ms (2,800 allowed). The window is stated in each registration, so both builds wait for what the other states.

--- a/packages/gateway/src/control/contact_tracker.ts
+++ b/packages/gateway/src/control/contact_tracker.ts
@@ -11,7 +11,7 @@
  *
  * @public
  */
-export const CONTACT_WINDOW_MS = 1_400;
+export const CONTACT_WINDOW_MS = 1_200;
 
 /** Tells whether the primary records of a proxy may be used. @public */
 export interface ContactStatus {
