Soak: the stand-ins of the store and of the promotion API share one HTTP server

Both had the same code for listening, reading a body and stopping. Their unused address is gone, and a comment that named a removed parameter is corrected.

--- a/apps/soak/src/instance_group.ts
+++ b/apps/soak/src/instance_group.ts
@@ -231,7 +231,7 @@
     this.options.trace.emit('promoteEffective');
   }
 
-  /** Ends an instance without notice; `isExpected` removes its entry at once. */
+  /** Ends an instance without notice; its entry stays until it expires. */
   end(instance: Instance): void {
     instance.isAlive = false;
     this.servers.get(instance)?.stop();
--- a/apps/soak/src/promotion_standin.ts
+++ b/apps/soak/src/promotion_standin.ts
@@ -1,6 +1,6 @@
-import http from 'node:http';
-import {HOST, listen} from './ports.js';
-import {readBody} from './store_standin.js';
+import type http from 'node:http';
+import {LoopbackServer} from './loopback_server.js';
+import {pause} from './pause.js';
 
 /** A call that orders a promotion. @internal */
 export interface PromoteCall {
@@ -28,45 +28,32 @@
 /** Stand-in of the platform's API that orders promotions. @internal */
 export class PromotionStandin {
   readonly conduct: PromotionConduct = {acceptMs: 0, losesAnswers: false};
-  private listeningPort = 0;
-  private readonly server: http.Server;
+  private readonly server = LoopbackServer.create(
+    (request, bodyText, response) => this.respond(request, bodyText, response),
+  );
 
-  private constructor(private readonly handler: PromotionHandler) {
-    this.server = http.createServer((request, response) => {
-      // A request that its sender breaks off is not carried out.
-      this.respond(request, response).catch(() => response.destroy());
-    });
-  }
+  private constructor(private readonly handler: PromotionHandler) {}
 
   static async start(handler: PromotionHandler): Promise<PromotionStandin> {
     const standin = new PromotionStandin(handler);
-    const port = await listen(standin.server, 0);
-    if (port === null) {
-      throw new Error('no port for the promotion API');
-    }
-    standin.listeningPort = port;
+    await standin.server.start();
     return standin;
   }
 
   get port(): number {
-    return this.listeningPort;
-  }
-
-  get address(): string {
-    return `${HOST}:${this.listeningPort}`;
+    return this.server.port;
   }
 
   stop(): void {
-    this.server.closeAllConnections();
-    this.server.close();
+    this.server.stop();
   }
 
   /** A call takes effect whether or not its sender still waits for it. */
   private async respond(
     request: http.IncomingMessage,
+    bodyText: string,
     response: http.ServerResponse,
   ): Promise<void> {
-    const bodyText = await readBody(request);
     if (request.url !== '/promote') {
       response.writeHead(404).end('{}');
       return;
@@ -84,7 +71,7 @@
     this.handler.handleArrival(call);
     const {acceptMs, losesAnswers} = this.conduct;
     if (acceptMs > 0) {
-      await new Promise(resolve => setTimeout(resolve, acceptMs));
+      await pause(acceptMs);
     }
     const status = this.handler.accept(call);
     if (losesAnswers) {
--- a/apps/soak/src/store_standin.ts
+++ b/apps/soak/src/store_standin.ts
@@ -1,4 +1,5 @@
-import http from 'node:http';
+import type http from 'node:http';
+import {LoopbackServer} from './loopback_server.js';
 import {pause} from './pause.js';
 import type {RowChange, RowTable} from './row_table.js';
 import {
@@ -9,7 +10,6 @@
   type MapPort,
   type StoreCall,
 } from './store_codec.js';
-import {HOST, listen} from './ports.js';
 import type {Trace} from './trace.js';
 
 /** Options of a store endpoint. @internal */
@@ -41,44 +41,31 @@
     isDown: false,
     losesAnswers: false,
   };
-  private listeningPort = 0;
-  private readonly server: http.Server;
+  private readonly server = LoopbackServer.create(
+    (request, bodyText, response) => this.respond(request, bodyText, response),
+  );
 
-  private constructor(private readonly options: StoreStandinOptions) {
-    this.server = http.createServer((request, response) => {
-      // A request that its sender breaks off is not carried out.
-      this.respond(request, response).catch(() => response.destroy());
-    });
-  }
+  private constructor(private readonly options: StoreStandinOptions) {}
 
   static async start(options: StoreStandinOptions): Promise<StoreStandin> {
     const standin = new StoreStandin(options);
-    const port = await listen(standin.server, 0);
-    if (port === null) {
-      throw new Error('no port for the store');
-    }
-    standin.listeningPort = port;
+    await standin.server.start();
     return standin;
   }
 
   get port(): number {
-    return this.listeningPort;
-  }
-
-  get address(): string {
-    return `${HOST}:${this.listeningPort}`;
+    return this.server.port;
   }
 
   stop(): void {
-    this.server.closeAllConnections();
-    this.server.close();
+    this.server.stop();
   }
 
   private async respond(
     request: http.IncomingMessage,
+    bodyText: string,
     response: http.ServerResponse,
   ): Promise<void> {
-    const bodyText = await readBody(request);
     const {delayMs, isDown} = this.conduct;
     if (isDown) {
       response.writeHead(503).end('{}');
@@ -158,12 +145,3 @@
     return formatStoreResponse(table.version, trace.nowMs(), rows);
   }
 }
-
-/** Reads the body of a request. @internal */
-export async function readBody(request: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
