--- a/apps/soak/src/soak_plan.ts
+++ b/apps/soak/src/soak_plan.ts
@@ -4,12 +4,19 @@
 
 /** The rounds of a run, drawn from its seed. */
 
+const INSTANCE_CHOICES = [
+  'primary',
+  'replica',
+  'otherReplica',
+  'target',
+  'notTarget',
+] as const;
+
 /**
  * The instance that a fault affects; `notTarget` is a replica other than the
  * one that the record names as the target. @internal
  */
-export type InstanceChoice =
-  'primary' | 'replica' | 'otherReplica' | 'target' | 'notTarget';
+export type InstanceChoice = (typeof INSTANCE_CHOICES)[number];
 
 /** A fault and its parameters. @internal */
 export type Fault =
@@ -240,16 +247,7 @@
     'killAll',
     'freezeLeader',
   ] as const);
-  switch (kind) {
-    case 'stopLeaders':
-      return drawStops(random);
-    case 'freezeLeader':
-      return {kind, durationMs: random.nextInteger(1_000, 4_000)};
-    case 'killAll':
-      return drawKillAll(random);
-    case 'killLeader':
-      return {kind};
-  }
+  return drawFaultOfKind(random, kind);
 }
 
 function drawStops(random: RandomSource): Fault {
@@ -300,6 +298,13 @@
     'restart',
     'restart',
   ] as const);
+  return drawFaultOfKind(random, kind);
+}
+
+function drawFaultOfKind(
+  random: RandomSource,
+  kind: Exclude<Fault['kind'], 'drain'>,
+): Fault {
   switch (kind) {
     case 'killAll':
       return drawKillAll(random);
@@ -328,13 +333,7 @@
           'silentResponses',
           'reset',
         ]),
-        instance: pick(random, [
-          'primary',
-          'replica',
-          'otherReplica',
-          'target',
-          'notTarget',
-        ]),
+        instance: pick(random, INSTANCE_CHOICES),
         durationMs: random.nextInteger(300, 4_000),
       };
     case 'cutZone':
@@ -348,13 +347,7 @@
     case 'restart':
       return drawRestart(
         random,
-        pick(random, [
-          'primary',
-          'replica',
-          'otherReplica',
-          'target',
-          'notTarget',
-        ]),
+        pick(random, INSTANCE_CHOICES),
         random.nextInteger(100, 1_500),
       );
   }
