--- a/apps/soak/src/caller.ts
+++ b/apps/soak/src/caller.ts
@@ -1,8 +1,8 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import {formatRead, formatWrite, PROMISE_CODES} from './caller_codec.js';
 import {CallerSession} from './caller_session.js';
 import type {AcknowledgedWrite, Ledger} from './ledger.js';
-import {pause} from './pause.js';
 import type {Trace} from './trace.js';
 
 /** Options of a caller. @internal */
--- a/apps/soak/src/fault_injector.ts
+++ b/apps/soak/src/fault_injector.ts
@@ -1,8 +1,8 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
 import type {Instance} from './instance.js';
 import {describe, type InstanceGroup} from './instance_group.js';
 import {cutLink, cutZone, type Cut} from './links.js';
-import {pause} from './pause.js';
 import type {ProxyProcess} from './proxy_process.js';
 import type {SoakDeployment} from './soak_deployment.js';
 import type {Fault, InstanceChoice} from './soak_plan.js';
--- a/apps/soak/src/instance_group.ts
+++ b/apps/soak/src/instance_group.ts
@@ -1,6 +1,6 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {Instance, type Commit} from './instance.js';
 import {InstanceServer, type InstanceServerOptions} from './instance_server.js';
-import {pause} from './pause.js';
 import type {RowTable} from './row_table.js';
 import {formatInstanceEntry, INSTANCE_TABLE} from './store_codec.js';
 import type {Trace} from './trace.js';
--- a/apps/soak/src/promotion_standin.ts
+++ b/apps/soak/src/promotion_standin.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
-import {LoopbackServer} from './loopback_server.js';
-import {pause} from './pause.js';
+import {setTimeout as pause} from 'node:timers/promises';
+import {HttpStandin} from './http_standin.js';
 
 /** A call that orders a promotion. @internal */
 export interface PromoteCall {
@@ -26,30 +26,20 @@
 }
 
 /** Stand-in of the platform's API that orders promotions. @internal */
-export class PromotionStandin {
+export class PromotionStandin extends HttpStandin {
   readonly conduct: PromotionConduct = {acceptMs: 0, losesAnswers: false};
-  private readonly server = LoopbackServer.create(
-    (request, bodyText, response) => this.respond(request, bodyText, response),
-  );
-
-  private constructor(private readonly handler: PromotionHandler) {}
+  private constructor(private readonly handler: PromotionHandler) {
+    super();
+  }
 
   static async start(handler: PromotionHandler): Promise<PromotionStandin> {
     const standin = new PromotionStandin(handler);
-    await standin.server.start();
+    await standin.listen();
     return standin;
   }
 
-  get port(): number {
-    return this.server.port;
-  }
-
-  stop(): void {
-    this.server.stop();
-  }
-
   /** A call takes effect whether or not its sender still waits for it. */
-  private async respond(
+  protected async respond(
     request: http.IncomingMessage,
     bodyText: string,
     response: http.ServerResponse,
--- a/apps/soak/src/run_soak.ts
+++ b/apps/soak/src/run_soak.ts
@@ -1,5 +1,6 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
   SeededRandom,
   type RandomSource,
@@ -7,7 +8,7 @@
 import {FaultInjector} from './fault_injector.js';
 import type {InstanceGroup} from './instance_group.js';
 import type {Violation} from './ledger.js';
-import {pause, waitUntil} from './pause.js';
+import {waitUntil} from './wait_until.js';
 import {SoakDeployment} from './soak_deployment.js';
 import {drawRound, type Round, type RoundKind} from './soak_plan.js';
 
--- a/apps/soak/src/store_standin.ts
+++ b/apps/soak/src/store_standin.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
-import {LoopbackServer} from './loopback_server.js';
-import {pause} from './pause.js';
+import {setTimeout as pause} from 'node:timers/promises';
+import {HttpStandin} from './http_standin.js';
 import type {RowChange, RowTable} from './row_table.js';
 import {
   formatRow,
@@ -35,33 +35,23 @@
 const TRANSACTION_MS = 5;
 
 /** Stand-in of the platform's store, as one proxy sees it. @internal */
-export class StoreStandin {
+export class StoreStandin extends HttpStandin {
   readonly conduct: StoreConduct = {
     delayMs: 0,
     isDown: false,
     losesAnswers: false,
   };
-  private readonly server = LoopbackServer.create(
-    (request, bodyText, response) => this.respond(request, bodyText, response),
-  );
-
-  private constructor(private readonly options: StoreStandinOptions) {}
+  private constructor(private readonly options: StoreStandinOptions) {
+    super();
+  }
 
   static async start(options: StoreStandinOptions): Promise<StoreStandin> {
     const standin = new StoreStandin(options);
-    await standin.server.start();
+    await standin.listen();
     return standin;
   }
 
-  get port(): number {
-    return this.server.port;
-  }
-
-  stop(): void {
-    this.server.stop();
-  }
-
-  private async respond(
+  protected async respond(
     request: http.IncomingMessage,
     bodyText: string,
     response: http.ServerResponse,
--- a/apps/soak/src/pause.ts
+++ b/apps/soak/src/wait_until.ts
@@ -1,9 +1,4 @@
-/** Resolves after a time. @internal */
-export function pause(delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, delayMs);
-  });
-}
+import {setTimeout as pause} from 'node:timers/promises';
 
 const POLL_MS = 25;
 
