Simulation: a fault that delays the configuration of some proxies

The store answers the listings of the configuration late for chosen proxies. Plans of mutants need it: so far a test could only delay it by wrapping the gateway's options, which the histories of the mutants on the unchanged code don't have.

--- a/packages/gateway/src/simulation/fault_injector.ts
+++ b/packages/gateway/src/simulation/fault_injector.ts
@@ -126,6 +126,14 @@
       case 'changeConfiguration':
         this.options.deployment.operator.toggleOptionalRoute();
         return;
+      case 'delayConfiguration': {
+        const {operator, clock} = this.options.deployment;
+        const untilMs = clock.nowMs() + fault.forMs;
+        for (const index of fault.proxies) {
+          operator.delayListings(this.getProxy(index), untilMs);
+        }
+        return;
+      }
       case 'killAllProxies':
         for (const name of this.options.proxies) {
           this.options.killProxy(name);
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -123,6 +123,13 @@
       readonly replica: number;
     }
   | {readonly kind: 'changeConfiguration'; readonly atMs: number}
+  /** The store answers listings of the configuration late for some proxies. */
+  | {
+      readonly kind: 'delayConfiguration';
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly proxies: readonly number[];
+    }
   /** All proxies are killed at once. */
   | {readonly kind: 'killAllProxies'; readonly atMs: number}
   /** An order whose leader is long gone promotes a replica. */
--- a/packages/gateway/src/simulation/simulated_operator.ts
+++ b/packages/gateway/src/simulation/simulated_operator.ts
@@ -20,6 +20,8 @@
 export class SimulatedOperator {
   /** All versions, oldest first. */
   readonly accepted: AcceptedConfiguration[] = [];
+  /** Times until which proxies get no listing. */
+  private readonly listedFromMs = new Map<string, number>();
 
   private constructor(private readonly clock: Clock) {
     this.accept(true);
@@ -37,6 +39,17 @@
     return newest.configuration;
   }
 
+  /** Answers the listings of a proxy no sooner than at a time. */
+  delayListings(proxy: string, untilMs: number): void {
+    this.listedFromMs.set(proxy, untilMs);
+  }
+
+  /** Time by which a listing for a proxy has to be delayed. */
+  getListingDelayMs(proxy: string): number {
+    const fromMs = this.listedFromMs.get(proxy) ?? 0;
+    return Math.max(0, fromMs - this.clock.nowMs());
+  }
+
   /** Accepts a version that removes the optional route or adds it again. */
   toggleOptionalRoute(): void {
     this.accept(!this.current.routes.has(OPTIONAL_ROUTE));
--- a/packages/gateway/src/simulation/simulated_tables.ts
+++ b/packages/gateway/src/simulation/simulated_tables.ts
@@ -205,6 +205,10 @@
     Result<TableChanges<ServiceConfiguration>, PlatformError>
   > {
     this.calls.configuration++;
+    const delayMs = this.operator.getListingDelayMs(this.path.name);
+    if (delayMs > 0) {
+      await this.path.pause(delayMs);
+    }
     const outcome = await this.caller.call(() =>
       Promise.resolve(this.describe()),
     );
