Mutant of tokens without the store era: plans for the new order of a change

The mutant is still a fault, but its plans showed nothing (0 of 6). The second change of primary waited for the leases that the restored store lacks, up to 12 s after the restore, past the end of the history.

The restore now comes at 3.3 s, so the next change takes place within the history. The mutant is noticed in 6 of 6 plans, with the same rules; the unchanged code violates none.

--- a/packages/gateway/src/simulation/restore_mutants.ts
+++ b/packages/gateway/src/simulation/restore_mutants.ts
@@ -13,7 +13,7 @@
 import {FAILOVER_LEADER_KEY} from '../control/control_record.js';
 import type {TableChanges} from '../directory/watchable_table.js';
 import {PRIMARY_RECORD_PREFIX} from '../group/primary_record.js';
-import type {HistoryFault} from './history_fault.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
 import {bindTable, mapListedValues} from './mutant_wrappers.js';
 
@@ -68,19 +68,24 @@
 ];
 
 /**
- * A proxy acquires failover leadership and promotes an instance in the interval
- * that the restored store lacks, and is killed. Another proxy then acquires
- * leadership.
+ * Another proxy acquires failover leadership and replaces a primary in the
+ * interval that the restored store lacks. The next change of primary begins once
+ * the leases that the store lacks have expired.
  */
-const LOST_LEADERS = [1, 2].flatMap(leader =>
-  planWithSeeds([
-    {kind: 'isolateProxy', atMs: 500, forMs: 16_000, proxy: 0},
-    {kind: 'crashPrimary', atMs: 4_500, forMs: 1_500},
-    {kind: 'storeRestored', atMs: 7_500, forMs: 60, ageMs: 7_100},
-    {kind: 'killProxy', atMs: 7_480, proxy: leader},
-    {kind: 'crashPrimary', atMs: 11_000, forMs: 3_000},
+const LOST_LEADERS: readonly HistoryPlan[] = [
+  ...planWithSeeds([
+    {kind: 'killProxy', atMs: 996, proxy: 0},
+    {kind: 'crashPrimary', atMs: 1_305, forMs: 1_000},
+    {kind: 'storeRestored', atMs: 3_292, forMs: 60, ageMs: 2_505},
+    {kind: 'crashPrimary', atMs: 12_282, forMs: 3_000},
   ]),
-);
+  ...planWithSeeds([
+    {kind: 'stopProxy', atMs: 106, proxy: 0},
+    {kind: 'crashPrimary', atMs: 1_113, forMs: 1_000},
+    {kind: 'storeRestored', atMs: 3_398, forMs: 60, ageMs: 3_502},
+    {kind: 'crashPrimary', atMs: 12_387, forMs: 3_000},
+  ]),
+];
 
 /** All mutants of this file. @internal */
 export const RESTORE_MUTANTS: readonly Mutant[] = [
