Mutants of a change that waits until no proxy can acknowledge a write

Four mutants were no longer noticed, since a target is now chosen only once no proxy can acknowledge a write of the old term.

- 'writes do not wait until unreleased leases have expired' is still a fault where an order that no living leader gave promotes a replica before any proxy was asked.
- 'a proxy without contact acknowledges writes' also registered its longer window, so the change now waits for its whole lease.
The paused replica joins the primary and the proxy once the promotion was ordered.

--- a/packages/gateway/src/simulation/failover_fuzz_test.ts
+++ b/packages/gateway/src/simulation/failover_fuzz_test.ts
@@ -7,6 +7,7 @@
   UNRECORDED_PRIMARY,
 } from './leader_mutants.js';
 import {MUTANTS} from './mutants.js';
+import {OVERSTAYING_PROXY} from './promotion_mutants.js';
 import {PROMOTION_MS} from './simulated_group.js';
 
 const atMs = fc.integer({min: 0, max: 9_000});
@@ -420,6 +421,19 @@
     }
   });
 
+  // Guards against a pause that comes too late or ends early: it is what keeps the
+  // commits if a proxy acknowledges for longer than the change has waited.
+  it('loses no commit of a proxy that uses a paused primary for too long', async () => {
+    const {plans, mutate, rules} = OVERSTAYING_PROXY;
+    for (const overstayingPlan of plans) {
+      const {violations} = await runHistory(overstayingPlan, mutate);
+      const found = violations.filter(({rule}) =>
+        rules.some(checked => checked === rule),
+      );
+      expect(found).toEqual([]);
+    }
+  });
+
   it.each(MUTANTS)(
     'detects the mutant: $name',
     async ({mutate, plans, rules}) => {
--- /dev/null
+++ b/packages/gateway/src/simulation/promotion_plans.ts
@@ -0,0 +1,311 @@
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import {planWithSeeds} from './mutant.js';
+import {PROMPT_PLATFORM} from './simulated_group.js';
+
+/** Histories in which the mutants of promotions must be detected. */
+
+/** The proxies with the layout `apart`. */
+const PROXIES = [0, 1, 2] as const;
+
+function findOthers(proxy: number): readonly number[] {
+  return PROXIES.filter(other => other !== proxy);
+}
+
+/** Disconnects the primary from all proxies but one, which is cut off itself. */
+function isolateWithPrimary(
+  proxy: number,
+  atMs: number,
+  isFromReplicas: boolean,
+): readonly HistoryFault[] {
+  const forMs = 8_000;
+  const proxies = findOthers(proxy);
+  return [
+    {kind: 'isolatePrimary', atMs, forMs, proxies, isFromReplicas},
+    {kind: 'isolateProxy', atMs, forMs, proxy},
+  ];
+}
+
+/**
+ * A draining primary is cut off with one proxy, which may still read there.
+ *
+ * @internal
+ */
+export const CUT_OFF_DRAINING: readonly HistoryPlan[] = [
+  {drainMs: 1_561, cutMs: 1_889, proxy: 2},
+  {drainMs: 1_561, cutMs: 1_838, proxy: 1},
+  {drainMs: 2_826, cutMs: 3_321, proxy: 1},
+].flatMap(({drainMs, cutMs, proxy}) =>
+  planWithSeeds([
+    {kind: 'drainPrimary', atMs: drainMs},
+    ...isolateWithPrimary(proxy, cutMs, true),
+  ]),
+);
+
+/**
+ * The primary is cut off with one proxy, and a paused replica joins them once
+ * the promotion was ordered. The promotion ends its pause, so it confirms what
+ * the proxy writes.
+ *
+ * @internal
+ */
+export const CUT_OFF_WITH_PAUSED_REPLICA: readonly HistoryPlan[] = [
+  {drainMs: 2_044, cutMs: 2_095, proxy: 2, promotionMs: 1_000},
+  {drainMs: 3_029, cutMs: 3_242, proxy: 2, promotionMs: 300},
+  {drainMs: 3_711, cutMs: 3_915, proxy: 1, promotionMs: 1_000},
+  {drainMs: 4_012, cutMs: 4_122, proxy: 1, promotionMs: 1_000},
+].map(({drainMs, cutMs, proxy, promotionMs}) => ({
+  seed: 1,
+  promotionMs,
+  faults: [
+    {kind: 'drainPrimary', atMs: drainMs},
+    ...isolateWithPrimary(proxy, cutMs, false),
+    {
+      kind: 'inPhase',
+      atMs: cutMs,
+      trigger: 'promotionArrived',
+      skip: 0,
+      afterMs: 50,
+      action: {
+        kind: 'cutZone',
+        instance: 'primary',
+        with: 'secondReplica',
+        proxy,
+        forMs: 3_000,
+      },
+    },
+  ],
+}));
+
+/**
+ * A replica restarts after its pause and confirms what a cut-off proxy writes.
+ *
+ * @internal
+ */
+export const RESTARTED_REPLICA: readonly HistoryPlan[] = [
+  {seed: 998, drainMs: 2_495, cutMs: 2_895, proxy: 1, restartMs: [3_041]},
+  {
+    seed: 823,
+    drainMs: 1_963,
+    cutMs: 2_231,
+    proxy: 1,
+    restartMs: [3_194, 3_494],
+  },
+  {seed: 993, drainMs: 1_983, cutMs: 2_362, proxy: 2, restartMs: [3_036]},
+].map(({seed, drainMs, cutMs, proxy, restartMs}) => ({
+  seed,
+  promotionMs: 1_000,
+  faults: [
+    {kind: 'drainReplica', atMs: 1_000, replica: 0},
+    {kind: 'drainPrimary', atMs: drainMs},
+    ...isolateWithPrimary(proxy, cutMs, false),
+    ...restartMs.map(
+      atMs => ({kind: 'crashReplica', atMs, forMs: 20}) as const,
+    ),
+  ],
+}));
+
+/**
+ * One proxy reaches the primary, and goes on writing without contact. The
+ * replica that confirms its writes changes while the promotion takes place;
+ * the times of the change are 40 ms apart.
+ *
+ * @internal
+ */
+export const WRITES_DURING_PROMOTION: readonly HistoryPlan[] = Array.from(
+  {length: 20},
+  (_unused, index) => 6_700 + index * 40,
+).map(switchMs => ({
+  seed: 1,
+  faults: [
+    {
+      kind: 'isolatePrimary',
+      atMs: 1_200,
+      forMs: 9_000,
+      proxies: [1, 2],
+      isFromReplicas: false,
+    },
+    {kind: 'isolateProxy', atMs: 1_200, forMs: 9_000, proxy: 0},
+    {
+      kind: 'stallReplication',
+      atMs: 1_200,
+      forMs: switchMs - 1_200,
+      replica: 0,
+    },
+    {kind: 'stallReplication', atMs: switchMs, forMs: 3_000, replica: 1},
+  ],
+}));
+
+/** Time at which the proxies of some histories are killed. */
+const KILLED_MS = 2_000;
+
+/** Time at which the killed proxies run again. */
+const STARTED_MS = 3_000;
+
+/**
+ * After a start of all proxies, one gets its configuration only once the primary
+ * has been replaced, and does not reach the store before.
+ *
+ * @internal
+ */
+export const LATE_CONFIGURATION: readonly HistoryPlan[] = [
+  {
+    seed: 7,
+    late: 1,
+    delayMs: 905,
+    drainMs: 2_499,
+    cutMs: 3_508,
+    storeMs: 3_030,
+  },
+  {
+    seed: 347,
+    late: 1,
+    delayMs: 1_019,
+    drainMs: 2_497,
+    cutMs: 3_564,
+    storeMs: 3_038,
+  },
+  {
+    seed: 994,
+    late: 2,
+    delayMs: 1_139,
+    drainMs: 2_455,
+    cutMs: 3_505,
+    storeMs: 3_021,
+  },
+  {
+    seed: 9,
+    late: 1,
+    delayMs: 908,
+    drainMs: 2_407,
+    cutMs: 3_259,
+    storeMs: 3_060,
+  },
+].map(({seed, late, delayMs, drainMs, cutMs, storeMs}) => ({
+  seed,
+  faults: [
+    {kind: 'killAllProxies', atMs: KILLED_MS},
+    delayConfiguration(delayMs, [late]),
+    {kind: 'drainPrimary', atMs: drainMs},
+    hidePrimary(late, cutMs),
+    {
+      kind: 'disconnectStore',
+      atMs: storeMs,
+      forMs: STARTED_MS + delayMs - 10 - storeMs,
+      proxy: late,
+    },
+  ],
+}));
+
+/**
+ * After a start of all proxies, two get their configuration late, and only one of
+ * them can be asked to release the primary.
+ *
+ * @internal
+ */
+export const CONFIRMED_WITHOUT_CONFIGURATION: readonly HistoryPlan[] = [
+  {seed: 704, delayMs: 2_912, cutMs: 2_600, storeMs: 3_021, backMs: 6},
+  {seed: 998, delayMs: 3_595, cutMs: 3_057, storeMs: 3_492, backMs: 26},
+  {seed: 565, delayMs: 2_902, cutMs: 2_696, storeMs: 3_150, backMs: 5},
+].map(({seed, delayMs, cutMs, storeMs, backMs}) => ({
+  seed,
+  faults: [
+    {kind: 'killAllProxies', atMs: KILLED_MS},
+    delayConfiguration(delayMs, [1, 2]),
+    hidePrimary(1, cutMs),
+    {kind: 'disconnectPeers', atMs: storeMs, forMs: 7_000, proxies: [0, 1]},
+    {
+      kind: 'disconnectStore',
+      atMs: storeMs,
+      forMs: STARTED_MS + delayMs - backMs - storeMs,
+      proxy: 1,
+    },
+  ],
+}));
+
+function delayConfiguration(
+  delayMs: number,
+  proxies: readonly number[],
+): HistoryFault {
+  const forMs = STARTED_MS - KILLED_MS + delayMs;
+  return {kind: 'delayConfiguration', atMs: KILLED_MS, forMs, proxies};
+}
+
+/** Disconnects the primary from the replicas and all proxies but one. */
+function hidePrimary(proxy: number, atMs: number): HistoryFault {
+  return {
+    kind: 'isolatePrimary',
+    atMs,
+    forMs: 8_000,
+    proxies: findOthers(proxy),
+    isFromReplicas: true,
+  };
+}
+
+/**
+ * All proxies start while the store is slow, so they register late.
+ *
+ * @internal
+ */
+export const REGISTERED_LATE: readonly HistoryPlan[] = [
+  {
+    seed: 647,
+    killedMs: 306,
+    slowAfterMs: 1_303,
+    maxMs: 57,
+    cutMs: 2_399,
+    proxy: 1,
+  },
+  {
+    seed: 897,
+    killedMs: 804,
+    slowAfterMs: 1_809,
+    maxMs: 55,
+    cutMs: 2_794,
+    proxy: 2,
+  },
+].map(({seed, killedMs, slowAfterMs, maxMs, cutMs, proxy}) => ({
+  seed,
+  faults: [
+    {kind: 'killAllProxies', atMs: killedMs},
+    {
+      kind: 'inPhase',
+      atMs: 0,
+      trigger: 'commitAcknowledged',
+      skip: 0,
+      afterMs: slowAfterMs,
+      action: {
+        kind: 'slowStore',
+        forMs: 3_000,
+        latency: {minMs: 0, maxMs, lostPercent: 0},
+      },
+    },
+    {
+      kind: 'isolatePrimary',
+      atMs: cutMs,
+      forMs: 6_000,
+      proxies: findOthers(proxy),
+      isFromReplicas: true,
+    },
+  ],
+}));
+
+/**
+ * The log of a drained replica goes to an instance that is listed later. The
+ * other replica receives nothing, and the primary and all proxies are lost.
+ *
+ * @internal
+ */
+export const UNLISTED_SUCCESSOR: readonly HistoryPlan[] = planWithSeeds([
+  {kind: 'drainReplica', atMs: 0, replica: 1},
+  {kind: 'stallReplication', atMs: 7_000, forMs: 11_000, replica: 0},
+  {kind: 'killAllProxies', atMs: 9_100},
+  {kind: 'crashPrimary', atMs: 9_100, forMs: 8_000},
+]).map(plan => ({
+  ...plan,
+  layout: 'shared',
+  platformTimes: {
+    ...PROMPT_PLATFORM,
+    drainedDownMs: 50,
+    successorListedMs: 2_500,
+  },
+}));
