--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -25,9 +25,9 @@
 const EXPIRY_GRACE_MS = 2_500;
 
 /**
- * Time for which a server that was removed from the table may still be running.
- * A replica that is partitioned together with its primary keeps acknowledging
- * commits.
+ * Time for which a server that was removed from the table and does not respond may
+ * still be running. A replica that is partitioned together with its primary keeps
+ * acknowledging commits.
  *
  * @public
  */
@@ -47,7 +47,8 @@
 export class BackendDirectory implements TableListener<BackendServerEntry> {
   private readonly entries = new Map<BackendServerId, BackendServerEntry>();
   private readonly expiryTimers = new Map<BackendServerId, Timer>();
-  private readonly removals = new Map<BackendServerId, Removal>();
+  /** Removed servers by database group and id. */
+  private readonly removals = new Map<string, Removal>();
   private listedAtMs: number | null = null;
 
   private constructor(private readonly options: BackendDirectoryOptions) {}
@@ -93,16 +94,41 @@
   getRecentlyRemoved(): readonly BackendServerEntry[] {
     const oldestMs = this.options.clock.nowMs() - REMOVED_RETENTION_MS;
     const removed: BackendServerEntry[] = [];
-    for (const [backendServer, {entry, removedAtMs}] of this.removals) {
+    for (const [key, {entry, removedAtMs}] of this.removals) {
       if (removedAtMs >= oldestMs) {
         removed.push(entry);
       } else {
-        this.removals.delete(backendServer);
+        this.removals.delete(key);
       }
     }
     return removed;
   }
 
+  /**
+   * Records a server that another process knew and that is not listed; it counts
+   * as removed now.
+   */
+  recordRemoved(entry: BackendServerEntry): void {
+    const known = this.entries.get(entry.backendServer);
+    const key = getRemovalKey(entry);
+    if (
+      known?.databaseGroup !== entry.databaseGroup &&
+      !this.removals.has(key)
+    ) {
+      this.removals.set(key, {entry, removedAtMs: this.options.clock.nowMs()});
+    }
+  }
+
+  /** Records that a removed server has responded, so it is still running. */
+  renewRemoved(entry: BackendServerEntry): void {
+    const key = getRemovalKey(entry);
+    const removal = this.removals.get(key);
+    if (removal !== undefined) {
+      const removedAtMs = this.options.clock.nowMs();
+      this.removals.set(key, {entry: removal.entry, removedAtMs});
+    }
+  }
+
   handleListing(listing: TableChanges<BackendServerEntry>): void {
     this.listedAtMs = this.options.clock.nowMs();
     const listedServers = new Set<BackendServerId>();
@@ -155,7 +181,7 @@
     const {backendServer} = entry;
     this.expiryTimers.get(backendServer)?.cancel();
     this.expiryTimers.delete(backendServer);
-    this.removals.delete(backendServer);
+    this.removals.delete(getRemovalKey(entry));
     const known = this.entries.get(backendServer);
     if (known !== undefined && known.databaseGroup !== entry.databaseGroup) {
       this.remove(backendServer, 'it moved to another database group');
@@ -208,7 +234,7 @@
       return;
     }
     this.entries.delete(backendServer);
-    this.removals.set(backendServer, {
+    this.removals.set(getRemovalKey(entry), {
       entry,
       removedAtMs: this.options.clock.nowMs(),
     });
@@ -221,3 +247,14 @@
     this.options.listener.handleServerRemoved(entry, reason);
   }
 }
+
+/**
+ * Key of a removal. A row that names another group does not tell that the instance
+ * of the first group is running or gone.
+ */
+function getRemovalKey({
+  databaseGroup,
+  backendServer,
+}: BackendServerEntry): string {
+  return `${databaseGroup} ${backendServer}`;
+}
