--- a/packages/gateway/src/simulation/promotion_mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/promotion_mutant_wrappers.ts
@@ -29,7 +29,7 @@
       const {incarnation} = peer;
       return response.ok
         ? response
-        : success({incarnation, highestAcknowledged: null});
+        : success({incarnation, highestAcknowledged: null, drainedForMs: 0});
     },
   };
 }
@@ -137,7 +137,7 @@
 }
 
 /** Adds the registration of the process to each listing that lacks it. */
-export function assumeRegistration(options: GatewayOptions): ListableTable {
+function assumeRegistration(options: GatewayOptions): ListableTable {
   const {controlTable, self} = options;
   return {
     ...bindTable(controlTable),
