Simulation: histories with faults in phase with a change of primary

Generators for five families (restarted proxies, restarted replicas, lost leaders, replaced instances, anything), whose faults wait for a step of the change. Plans may set a shorter duration, since a change that begins in the first seconds needs no 18 s.

--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -59,7 +59,7 @@
 /** Time before the first fault, for all nodes to become ready. */
 export const WARM_UP_MS = 2_000;
 
-/** Duration of a history after the warm-up. */
+/** Duration of a history after the warm-up, by default. */
 export const HISTORY_MS = 18_000;
 
 /** Time on the clock at the start of a history. */
@@ -193,7 +193,7 @@
     }
     this.scheduleFaults();
     const startMs = this.clock.nowMs() + WARM_UP_MS;
-    const endMs = startMs + HISTORY_MS;
+    const endMs = startMs + (this.plan.durationMs ?? HISTORY_MS);
     let elapsedMs = 0;
     while (this.clock.nowMs() < endMs) {
       this.clock.advance(STEP_MS);
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -181,6 +181,8 @@
   readonly promotionMs?: number;
   /** Times that the platform's protocol leaves open. Default: prompt. */
   readonly platformTimes?: PlatformTimes;
+  /** Duration after the warm-up. Default: `HISTORY_MS`. */
+  readonly durationMs?: number;
   readonly faults: readonly HistoryFault[];
 }
 
--- /dev/null
+++ b/packages/gateway/src/simulation/phase_plans.ts
@@ -0,0 +1,398 @@
+import fc from 'fast-check';
+import type {LatencyRange} from './call_latency.js';
+import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import type {
+  InstanceRole,
+  PhaseAction,
+  PhaseFault,
+  PhaseTrigger,
+} from './phase_fault.js';
+import {PROMPT_PLATFORM, type PlatformTimes} from './simulated_group.js';
+
+/**
+ * Generators of histories in which faults strike in phase with a change of
+ * primary, alone or several at once.
+ */
+
+/** Histories of one kind. @internal */
+export interface PhaseFamily {
+  readonly name: string;
+  readonly plans: fc.Arbitrary<HistoryPlan>;
+}
+
+/**
+ * Duration of a history without drains. A change that a fault of this module
+ * begins is over by then.
+ */
+const SHORT_HISTORY_MS = 12_000;
+
+/** Duration of a history in which a drained instance ends after 9 s. */
+const DRAIN_HISTORY_MS = 18_000;
+
+/** Latest start of a change of primary. */
+const LAST_START_MS = 3_000;
+
+const proxy = fc.nat(4);
+
+const replica = fc.nat(1);
+
+const forMs = fc.integer({min: 100, max: 6_000});
+
+/** Mostly within the few hundred milliseconds that a step takes. */
+const afterMs = fc.oneof(
+  fc.constant(0),
+  fc.integer({min: 0, max: 80}),
+  fc.integer({min: 0, max: 600}),
+  fc.integer({min: 0, max: 3_000}),
+);
+
+/** A restart of an instance, mostly so short that its entry stays listed. */
+const downMs = fc.oneof(
+  fc.integer({min: 5, max: 100}),
+  fc.integer({min: 100, max: 800}),
+  fc.integer({min: 800, max: 5_000}),
+);
+
+const role: fc.Arbitrary<InstanceRole> = fc.constantFrom(
+  'primary',
+  'target',
+  'paused',
+  'firstReplica',
+  'secondReplica',
+);
+
+const replicaRole: fc.Arbitrary<InstanceRole> = fc.constantFrom(
+  'target',
+  'paused',
+  'firstReplica',
+  'secondReplica',
+);
+
+const trigger: fc.Arbitrary<PhaseTrigger> = fc.constantFrom(
+  'changeIntended',
+  'promotionOrdered',
+  'promotionAnswered',
+  'changeCompleted',
+  'pauseArrived',
+  'stepDownArrived',
+  'promotionArrived',
+  'promotionEffective',
+  'commitAcknowledged',
+);
+
+const latency: fc.Arbitrary<LatencyRange> = fc
+  .record({
+    minMs: fc.integer({min: 0, max: 800}),
+    extraMs: fc.integer({min: 0, max: 1_500}),
+    lostPercent: fc.constantFrom(0, 0, 20, 60),
+  })
+  .map(({minMs, extraMs, lostPercent}) => ({
+    minMs,
+    maxMs: minMs + extraMs,
+    lostPercent,
+  }));
+
+const killAction: fc.Arbitrary<PhaseAction> = fc.oneof(
+  fc.record({kind: fc.constant('killLeader' as const)}),
+  fc.record({kind: fc.constant('killAllProxies' as const)}),
+  fc.record({kind: fc.constant('killOtherProxies' as const), proxy}),
+);
+
+const freezeAction: fc.Arbitrary<PhaseAction> = fc.oneof(
+  fc.record({kind: fc.constant('freezeLeader' as const), forMs}),
+  fc.record({kind: fc.constant('freezeProxy' as const), proxy, forMs}),
+);
+
+const slowAction: fc.Arbitrary<PhaseAction> = fc.record({
+  kind: fc.constantFrom('slowStore' as const, 'slowControl' as const),
+  forMs,
+  latency,
+});
+
+const linkAction: fc.Arbitrary<PhaseAction> = fc.oneof(
+  fc.record({kind: fc.constant('isolateProxy' as const), proxy, forMs}),
+  fc.record({
+    kind: fc.constant('cutLink' as const),
+    proxy,
+    instance: role,
+    forMs,
+  }),
+  fc.record({
+    kind: fc.constant('cutZone' as const),
+    instance: role,
+    with: role,
+    proxy,
+    forMs,
+  }),
+  fc.record({
+    kind: fc.constant('hideInstance' as const),
+    instance: role,
+    proxy,
+    forMs,
+  }),
+  fc.record({
+    kind: fc.constant('silenceInstance' as const),
+    instance: role,
+    forMs,
+  }),
+);
+
+const stallAction: fc.Arbitrary<PhaseAction> = fc.record({
+  kind: fc.constant('stallReplica' as const),
+  instance: fc.constantFrom('firstReplica' as const, 'secondReplica' as const),
+  forMs,
+});
+
+const restartReplicaAction: fc.Arbitrary<PhaseAction> = fc.record({
+  kind: fc.constant('restartInstance' as const),
+  instance: replicaRole,
+  downMs,
+});
+
+const restartAction: fc.Arbitrary<PhaseAction> = fc.record({
+  kind: fc.constant('restartInstance' as const),
+  instance: role,
+  downMs,
+});
+
+const drainAction: fc.Arbitrary<PhaseAction> = fc.record({
+  kind: fc.constant('drainInstance' as const),
+  instance: role,
+});
+
+const anyAction: fc.Arbitrary<PhaseAction> = fc.oneof(
+  killAction,
+  freezeAction,
+  slowAction,
+  linkAction,
+  stallAction,
+  restartAction,
+  drainAction,
+);
+
+/** Faults in phase that wait for their trigger from the start of a change. */
+function inPhase(
+  action: fc.Arbitrary<PhaseAction>,
+): fc.Arbitrary<Omit<PhaseFault, 'atMs'>> {
+  return fc.record({
+    kind: fc.constant('inPhase' as const),
+    trigger,
+    skip: fc.oneof(fc.constant(0), fc.integer({min: 0, max: 4})),
+    afterMs,
+    action,
+  });
+}
+
+/** Faults that begin a change of primary, or most of one. */
+function startChange(atMs: number): fc.Arbitrary<readonly HistoryFault[]> {
+  return fc
+    .oneof(
+      fc.record({kind: fc.constant('crashPrimary' as const), forMs}),
+      fc.record({kind: fc.constant('drainPrimary' as const)}),
+      fc.record({
+        kind: fc.constant('isolatePrimary' as const),
+        forMs,
+        proxies: fc.subarray([0, 1, 2, 3, 4], {minLength: 1}),
+        isFromReplicas: fc.boolean(),
+      }),
+      fc.record({
+        kind: fc.constant('isolateZone' as const),
+        forMs,
+        replica,
+        proxy,
+      }),
+    )
+    .map(fault => [{...fault, atMs}]);
+}
+
+/** A proxy that is out of reach of the others, so that it can't release. */
+function isolateProxy(atMs: number): fc.Arbitrary<HistoryFault> {
+  return fc.record({
+    kind: fc.constant('isolateProxy' as const),
+    atMs: fc.integer({min: atMs - 300, max: atMs + 300}),
+    forMs,
+    proxy,
+  });
+}
+
+/** A replica that receives nothing, or late, from before or during the change. */
+function disturbReplication(atMs: number): fc.Arbitrary<HistoryFault> {
+  const fromMs = fc.integer({min: atMs - 400, max: atMs + 600});
+  return fc.oneof(
+    fc.record({
+      kind: fc.constant('stallReplication' as const),
+      atMs: fromMs,
+      forMs,
+      replica,
+    }),
+    fc.record({
+      kind: fc.constant('delayReplication' as const),
+      atMs: fromMs,
+      forMs,
+      replica,
+      delayMs: fc.integer({min: 10, max: 120}),
+    }),
+  );
+}
+
+/** Orders that the platform accepts late. */
+function slowPromotions(atMs: number): fc.Arbitrary<HistoryFault> {
+  return fc.record({
+    kind: fc.constant('slowPromotions' as const),
+    atMs: fc.constant(atMs),
+    forMs,
+    delayMs: fc.integer({min: 0, max: 2_000}),
+  });
+}
+
+/** Kills of all proxies that are up to 400 ms apart. */
+function killAllClose(atMs: number): fc.Arbitrary<readonly HistoryFault[]> {
+  const delayMs = fc.nat(400);
+  return fc
+    .record({
+      fromMs: fc.integer({min: atMs - 400, max: atMs + 1_500}),
+      delaysMs: fc.tuple(delayMs, delayMs, delayMs, delayMs, delayMs),
+    })
+    .map(({fromMs, delaysMs}) =>
+      delaysMs.map((killDelayMs, index) => ({
+        kind: 'killProxy' as const,
+        atMs: fromMs + killDelayMs,
+        proxy: index,
+      })),
+    );
+}
+
+/** A leader that goes away at a step of the change, maybe successors too. */
+function disturbLeader(atMs: number): fc.Arbitrary<HistoryFault> {
+  return fc.record({
+    kind: fc.constant('disturbLeader' as const),
+    atMs: fc.constant(atMs),
+    step: fc.constantFrom(
+      'changeIntended' as const,
+      'promotionOrdered' as const,
+      'promotionAnswered' as const,
+      'changeCompleted' as const,
+    ),
+    afterMs: fc.integer({min: 0, max: 600}),
+    how: fc.constantFrom(
+      'stop' as const,
+      'kill' as const,
+      'freeze' as const,
+      'isolate' as const,
+    ),
+    count: fc.constantFrom(1 as const, 2 as const, 3 as const),
+  });
+}
+
+type FaultLists = fc.Arbitrary<readonly HistoryFault[]>;
+
+/** None to `maxLength` of a fault. */
+function some(
+  fault: fc.Arbitrary<HistoryFault>,
+  maxLength = 1,
+  minLength = 0,
+): FaultLists {
+  return fc.array(fault, {minLength, maxLength});
+}
+
+function somePhase(
+  action: fc.Arbitrary<PhaseAction>,
+  atMs: number,
+  minLength: number,
+  maxLength: number,
+): FaultLists {
+  const fault = inPhase(action).map(drawn => ({...drawn, atMs}));
+  return fc.array(fault, {minLength, maxLength});
+}
+
+/** Histories with the faults that are drawn around the start of a change. */
+function createPlans(
+  drawFaults: (atMs: number) => readonly FaultLists[],
+  times: fc.Arbitrary<PlatformTimes> = fc.constant(PROMPT_PLATFORM),
+  durationMs = SHORT_HISTORY_MS,
+): fc.Arbitrary<HistoryPlan> {
+  return fc.integer({min: 500, max: LAST_START_MS}).chain(atMs =>
+    fc
+      .record({
+        seed: fc.nat(1_000_000),
+        layout: fc.constantFrom('apart' as const, 'shared' as const),
+        promotionMs: fc.constantFrom(300, 600, 1_000),
+        platformTimes: times,
+        faults: fc
+          .tuple(startChange(atMs), ...drawFaults(atMs))
+          .map(lists => lists.flat()),
+      })
+      .map(drawn => ({...drawn, durationMs})),
+  );
+}
+
+/** Proxies that start again around a change, also with a slow store. */
+const restartedProxies = createPlans(atMs => [
+  fc.oneof(killAllClose(atMs), somePhase(killAction, atMs, 1, 2)),
+  somePhase(fc.oneof(slowAction, linkAction, stallAction), atMs, 0, 2),
+  some(disturbReplication(atMs)),
+  some(isolateProxy(atMs)),
+]);
+
+/** Replicas whose pause ends with a restart, beside a proxy out of reach. */
+const restartedReplicas = createPlans(atMs => [
+  somePhase(restartReplicaAction, atMs, 1, 2),
+  somePhase(fc.oneof(linkAction, stallAction, slowAction), atMs, 0, 1),
+  some(disturbReplication(atMs)),
+  some(isolateProxy(atMs), 2),
+]);
+
+/** Leaders that go away, with orders that are accepted late. */
+const lostLeaders = createPlans(atMs => [
+  some(slowPromotions(atMs)),
+  some(disturbLeader(atMs), 2, 1),
+  somePhase(fc.oneof(killAction, freezeAction), atMs, 0, 2),
+  some(disturbReplication(atMs)),
+]);
+
+const successorTimes: fc.Arbitrary<PlatformTimes> = fc.record({
+  successorListedMs: fc.integer({min: 0, max: 2_500}),
+  restartListedMs: fc.integer({min: 0, max: 1_500}),
+  relistedMs: fc.integer({min: 0, max: 2_000}),
+  drainedDownMs: fc.constantFrom(null, 50, 500, 1_500),
+});
+
+/** Drained instances whose log goes to a successor, around other faults. */
+const replacedInstances = createPlans(
+  atMs => [
+    fc
+      .record({kind: fc.constant('drainReplica' as const), replica})
+      .map(fault => [{...fault, atMs: 0}]),
+    fc
+      .integer({min: 8_500, max: 9_500})
+      .chain(endMs => fc.oneof(killAllClose(endMs), startChange(endMs))),
+    somePhase(anyAction, atMs + 6_000, 0, 2),
+    some(disturbReplication(9_000)),
+  ],
+  successorTimes,
+  DRAIN_HISTORY_MS,
+);
+
+/** Any faults in phase, at least two at once. */
+const anything = createPlans(
+  atMs => [
+    somePhase(anyAction, atMs, 2, 3),
+    some(disturbReplication(atMs)),
+    some(isolateProxy(atMs)),
+    some(slowPromotions(atMs)),
+  ],
+  successorTimes.map(times => ({
+    ...times,
+    drainedDownMs: null,
+    successorListedMs: 0,
+  })),
+);
+
+/** The families; replaced instances are apart since they have a known fault. @internal */
+export const PHASE_FAMILIES: readonly PhaseFamily[] = [
+  {name: 'restarted proxies', plans: restartedProxies},
+  {name: 'restarted replicas', plans: restartedReplicas},
+  {name: 'lost leaders', plans: lostLeaders},
+  {name: 'replaced instances', plans: replacedInstances},
+  {name: 'anything', plans: anything},
+];
