--- a/packages/gateway/src/simulation/phase_plans.ts
+++ b/packages/gateway/src/simulation/phase_plans.ts
@@ -205,6 +205,49 @@
     .map(fault => [{...fault, atMs}]);
 }
 
+/**
+ * A draining primary that goes on serving a proxy that is out of reach of the
+ * other proxies, which can't order it to step down.
+ */
+function keepOldPrimary(atMs: number): fc.Arbitrary<readonly HistoryFault[]> {
+  return fc
+    .record({
+      spared: fc.nat(4),
+      cutAfterMs: fc.integer({min: 0, max: 400}),
+      isolatedAfterMs: fc.integer({min: 0, max: 800}),
+      cutForMs: fc.integer({min: 2_000, max: 7_000}),
+      isFromReplicas: fc.constantFrom(false, false, true),
+      drained: fc.option(replica),
+    })
+    .map(drawn => {
+      const {spared, cutAfterMs, isolatedAfterMs, cutForMs} = drawn;
+      const faults: HistoryFault[] = [
+        {kind: 'drainPrimary', atMs},
+        {
+          kind: 'isolatePrimary',
+          atMs: atMs + cutAfterMs,
+          forMs: cutForMs,
+          proxies: [0, 1, 2, 3, 4].filter(index => index !== spared),
+          isFromReplicas: drawn.isFromReplicas,
+        },
+        {
+          kind: 'isolateProxy',
+          atMs: atMs + isolatedAfterMs,
+          forMs: cutForMs,
+          proxy: spared,
+        },
+      ];
+      if (drawn.drained !== null) {
+        faults.push({
+          kind: 'drainReplica',
+          atMs: atMs - 400,
+          replica: drawn.drained,
+        });
+      }
+      return faults;
+    });
+}
+
 /** A proxy that is out of reach of the others, so that it can't release. */
 function isolateProxy(atMs: number): fc.Arbitrary<HistoryFault> {
   return fc.record({
@@ -319,7 +362,10 @@
         promotionMs: fc.constantFrom(300, 600, 1_000),
         platformTimes: times,
         faults: fc
-          .tuple(startChange(atMs), ...drawFaults(atMs))
+          .tuple(
+            fc.oneof(startChange(atMs), keepOldPrimary(atMs)),
+            ...drawFaults(atMs),
+          )
           .map(lists => lists.flat()),
       })
       .map(drawn => ({...drawn, durationMs})),
