Simulation: a slow store and a suspension count as disturbances

The bound of a drain holds for proxies in touch with a stable store only. More of the drawn faults strike between a pause and the effect of the order.

--- a/packages/gateway/src/simulation/disturbance_tracker.ts
+++ b/packages/gateway/src/simulation/disturbance_tracker.ts
@@ -5,8 +5,8 @@
 const UNDISTURBED_MS = 4_000;
 
 /**
- * Records when each proxy was last disturbed by a fault: not running, without
- * the store, or with a stepped clock.
+ * Records when each proxy was last disturbed by a fault: not running, suspended,
+ * without the store or with a slow one, or with a stepped clock.
  *
  * @internal
  */
