--- a/packages/gateway/src/simulation/phase_plans.ts
+++ b/packages/gateway/src/simulation/phase_plans.ts
@@ -1,6 +1,10 @@
 import fc from 'fast-check';
 import type {LatencyRange} from './call_latency.js';
-import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import type {
+  HistoryFault,
+  HistoryLayout,
+  HistoryPlan,
+} from './history_fault.js';
 import type {
   InstanceRole,
   PhaseAction,
@@ -32,6 +36,12 @@
 /** Latest start of a change of primary. */
 const LAST_START_MS = 3_000;
 
+/** Proxies that are not the failover leader when a history begins. */
+const FOLLOWERS: Readonly<Record<HistoryLayout, readonly number[]>> = {
+  apart: [1, 2],
+  shared: [0, 3, 4],
+};
+
 const proxy = fc.nat(4);
 
 const replica = fc.nat(1);
@@ -48,7 +58,7 @@
 
 /** A restart of an instance, mostly so short that its entry stays listed. */
 const downMs = fc.oneof(
-  {arbitrary: fc.integer({min: 5, max: 100}), weight: 3},
+  {arbitrary: fc.integer({min: 5, max: 60}), weight: 6},
   {arbitrary: fc.integer({min: 100, max: 800}), weight: 1},
   {arbitrary: fc.integer({min: 800, max: 5_000}), weight: 1},
 );
@@ -155,7 +165,10 @@
 
 const restartReplicaAction: fc.Arbitrary<PhaseAction> = fc.record({
   kind: fc.constant('restartInstance' as const),
-  instance: replicaRole,
+  instance: fc.oneof(
+    replicaRole,
+    fc.constantFrom('firstReplica' as const, 'secondReplica' as const),
+  ),
   downMs,
 });
 
@@ -187,7 +200,10 @@
   return fc.record({
     kind: fc.constant('inPhase' as const),
     trigger: fc.oneof(trigger, earlyTrigger),
-    skip: fc.oneof(fc.constant(0), fc.integer({min: 0, max: 4})),
+    skip: fc.oneof(
+      {arbitrary: fc.constant(0), weight: 3},
+      {arbitrary: fc.integer({min: 0, max: 4}), weight: 1},
+    ),
     afterMs,
     action,
   });
@@ -219,15 +235,22 @@
  * A draining primary that goes on serving a proxy that is out of reach of the
  * other proxies, which can't order it to step down.
  */
-function keepOldPrimary(atMs: number): fc.Arbitrary<readonly HistoryFault[]> {
+function keepOldPrimary(
+  atMs: number,
+  layout: HistoryLayout,
+): fc.Arbitrary<readonly HistoryFault[]> {
   return fc
     .record({
-      // Proxies of either layout that do not lead at the start come first.
-      spared: fc.constantFrom(1, 2, 1, 2, 0, 3, 4),
-      cutAfterMs: fc.integer({min: 0, max: 400}),
-      isolatedAfterMs: fc.integer({min: 0, max: 800}),
+      spared: fc.oneof(
+        {arbitrary: fc.constantFrom(...FOLLOWERS[layout]), weight: 5},
+        {arbitrary: proxy, weight: 1},
+      ),
+      // A proxy that is cut off later has released, and a leader that is cut off
+      // later has ordered the primary to step down.
+      cutAfterMs: fc.integer({min: -100, max: 300}),
+      isolatedAfterMs: fc.integer({min: 0, max: 650}),
       cutForMs: fc.integer({min: 2_000, max: 7_000}),
-      isFromReplicas: fc.constantFrom(false, false, true),
+      isFromReplicas: fc.constantFrom(false, false, false, false, true),
       drained: fc.option(replica),
     })
     .map(drawn => {
@@ -365,18 +388,22 @@
   times: fc.Arbitrary<PlatformTimes> = fc.constant(PROMPT_PLATFORM),
   durationMs = SHORT_HISTORY_MS,
 ): fc.Arbitrary<HistoryPlan> {
-  return fc.integer({min: 500, max: LAST_START_MS}).chain(atMs =>
+  const start = fc.record({
+    atMs: fc.integer({min: 500, max: LAST_START_MS}),
+    layout: fc.constantFrom('apart' as const, 'shared' as const),
+  });
+  return start.chain(({atMs, layout}) =>
     fc
       .record({
         seed: fc.nat(1_000_000),
-        layout: fc.constantFrom('apart' as const, 'shared' as const),
+        layout: fc.constant(layout),
         promotionMs: fc.constantFrom(300, 600, 1_000),
         platformTimes: times,
         faults: fc
           .tuple(
             fc.oneof(
               {arbitrary: startChange(atMs), weight: 1},
-              {arbitrary: keepOldPrimary(atMs), weight: 2},
+              {arbitrary: keepOldPrimary(atMs, layout), weight: 2},
             ),
             ...drawFaults(atMs),
           )
@@ -401,10 +428,9 @@
 
 /** Replicas whose pause ends with a restart, beside a proxy out of reach. */
 const restartedReplicas = createPlans(atMs => [
-  somePhase(restartReplicaAction, atMs, 1, 2),
+  somePhase(restartReplicaAction, atMs, 1, 3),
   somePhase(fc.oneof(linkAction, stallAction, slowAction), atMs, 0, 1),
   some(disturbReplication(atMs)),
-  some(isolateProxy(atMs), 2),
 ]);
 
 /** Leaders that go away, with orders that are accepted late. */
