Simulation: a replaced primary may go on for a second

The protocol allows it to serve for up to a second after it can reach the new primary. A replica that reaches a primary of a later term follows that one.

--- a/packages/gateway/src/simulation/phase_plans.ts
+++ b/packages/gateway/src/simulation/phase_plans.ts
@@ -382,10 +382,16 @@
   return fc.array(fault, {minLength, maxLength});
 }
 
+/** Entries are listed at once; a replaced primary may go on for a while. */
+const promptTimes: fc.Arbitrary<PlatformTimes> = fc.constantFrom(
+  PROMPT_PLATFORM,
+  {...PROMPT_PLATFORM, stepDownAfterMs: 1_000},
+);
+
 /** Histories with the faults that are drawn around the start of a change. */
 function createPlans(
   drawFaults: (atMs: number) => readonly FaultLists[],
-  times: fc.Arbitrary<PlatformTimes> = fc.constant(PROMPT_PLATFORM),
+  times: fc.Arbitrary<PlatformTimes> = promptTimes,
   durationMs = SHORT_HISTORY_MS,
 ): fc.Arbitrary<HistoryPlan> {
   const start = fc.record({
@@ -446,6 +452,7 @@
   restartListedMs: fc.integer({min: 0, max: 1_500}),
   relistedMs: fc.integer({min: 0, max: 2_000}),
   drainedDownMs: fc.constantFrom(null, 50, 500, 1_500),
+  stepDownAfterMs: fc.constantFrom(0, 0, 400, 1_000),
 });
 
 /** Drained instances whose log goes to a successor, around other faults. */
--- a/packages/gateway/src/simulation/simulated_group.ts
+++ b/packages/gateway/src/simulation/simulated_group.ts
@@ -52,6 +52,8 @@
    * if it has none.
    */
   readonly drainedDownMs: number | null;
+  /** Time for which a replaced primary goes on after it can reach the new one. */
+  readonly stepDownAfterMs: number;
 }
 
 /** Times of a platform that lists each entry at once. @internal */
@@ -60,6 +62,7 @@
   restartListedMs: 0,
   relistedMs: 0,
   drainedDownMs: null,
+  stepDownAfterMs: 0,
 };
 
 /** One instance of the simulated group. @internal */
@@ -86,6 +89,8 @@
   heartbeatAtMs: number;
   /** When its draining state first reached the store; null before. */
   drainedAtMs: number | null;
+  /** Time since which, as a replaced primary, it has reached the new one. */
+  reachesLeaderSinceMs: number | null;
   /** Whether it belongs to another service that took over an address. */
   readonly isForeign: boolean;
 }
@@ -473,6 +478,23 @@
       this.network.isConnected(
         replica.entry.backendServer,
         primary.entry.backendServer,
+      ) &&
+      !this.reachesLaterPrimary(replica, primary)
+    );
+  }
+
+  /** Whether a replica reaches a primary of a later term. */
+  private reachesLaterPrimary(
+    replica: SimulatedInstance,
+    primary: SimulatedInstance,
+  ): boolean {
+    const leader = this.findLeader();
+    return (
+      leader.term > primary.term &&
+      leader.isRunning &&
+      this.network.isConnected(
+        replica.entry.backendServer,
+        leader.entry.backendServer,
       )
     );
   }
@@ -504,11 +526,16 @@
           instance.entry.backendServer,
           leader.entry.backendServer,
         );
-      if (
-        instance.role === 'primary' &&
-        instance.term < leader.term &&
-        canReachLeader
-      ) {
+      const isReplaced =
+        instance.role === 'primary' && instance.term < leader.term;
+      if (!isReplaced || !canReachLeader) {
+        instance.reachesLeaderSinceMs = null;
+        continue;
+      }
+      const nowMs = this.clock.nowMs();
+      instance.reachesLeaderSinceMs ??= nowMs;
+      const reachedMs = nowMs - instance.reachesLeaderSinceMs;
+      if (reachedMs >= this.times.stepDownAfterMs) {
         this.setRole(instance, 'replica');
       }
     }
@@ -542,6 +569,7 @@
     hasLeft: false,
     heartbeatAtMs: nowMs,
     drainedAtMs: null,
+    reachesLeaderSinceMs: null,
     isForeign,
   };
 }
