--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -8,6 +8,7 @@
 import type {HistoryPlan} from './history_fault.js';
 import {LEADER_MUTANTS} from './leader_mutants.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
+import {PROMOTION_MUTANTS} from './promotion_mutants.js';
 import {RESTORE_MUTANTS} from './restore_mutants.js';
 import {ZONE_MUTANTS} from './zone_mutants.js';
 import {
@@ -323,6 +324,7 @@
   ...FAILOVER_MUTANTS,
   ...DEPLOYMENT_MUTANTS,
   ...LEADER_MUTANTS,
+  ...PROMOTION_MUTANTS,
   ...ZONE_MUTANTS,
   ...RESTORE_MUTANTS,
 ];
