Simulation: mutants of releases, contact and configuration during a change

Each is noticed as a lost commit: a release that a process without a configuration forgets, records that such a process confirms, an order that does not wait for a proxy that has not released, writes that are acknowledged after the registered contact window, and an unlisted successor that does not count.

Three mutants broke rules that no longer stand alone, since no target is chosen before every proxy has released or cannot acknowledge any more.

--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -62,8 +62,8 @@
 /** Duration of a history after the warm-up, by default. */
 export const HISTORY_MS = 18_000;
 
-/** Time on the clock at the start of a history. */
-const START_MS = 100_000;
+/** Time on the clock at the start of a history. @internal */
+export const START_MS = 100_000;
 
 const STEP_MS = 5;
 
--- a/packages/gateway/src/simulation/late_configuration_test.ts
+++ b/packages/gateway/src/simulation/late_configuration_test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import type {GatewayOptions} from '../gateway.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import {runHistory, WARM_UP_MS} from './failover_history.js';
+import {runHistory, START_MS, WARM_UP_MS} from './failover_history.js';
 import type {HistoryFault} from './history_fault.js';
 import {RESTART_MS} from './recovery_checker.js';
 
@@ -12,9 +12,6 @@
  * meanwhile.
  */
 
-/** Time on the simulation's clock at which a history begins. */
-const BEGIN_MS = 100_000;
-
 const KILLED_AT_MS = 2_000;
 
 const STARTED_AT_MS = KILLED_AT_MS + RESTART_MS;
@@ -45,7 +42,7 @@
   if (self.entryVm === 'e1' || incarnation <= PROXY_COUNT) {
     return options;
   }
-  const untilMs = BEGIN_MS + WARM_UP_MS + STARTED_AT_MS + delayMs;
+  const untilMs = START_MS + WARM_UP_MS + STARTED_AT_MS + delayMs;
   return {
     ...options,
     configurationTable: {
--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -4,9 +4,14 @@
   BackendConnection,
   BackendConnector,
 } from '../backend/backend_connection.js';
+import type {EntryVmRecord} from '../control/control_record.js';
 import type {InstanceControl} from '../backend/instance_control.js';
 import type {TableChanges} from '../directory/watchable_table.js';
-import type {PeerClient, PeerError} from '../peer/peer_client.js';
+import type {
+  PeerClient,
+  PeerError,
+  ReleaseAnswer,
+} from '../peer/peer_client.js';
 
 /** Wrappers that break one dependency of a gateway, for mutants. */
 
@@ -40,6 +45,24 @@
   };
 }
 
+/** Takes each proxy that does not answer a release for released. @internal */
+export function assumeReleased(peers: PeerClient): PeerClient {
+  return {
+    ...bindPeers(peers),
+    release: async (peer, request) => {
+      const response = await peers.release(peer, request);
+      return response.ok ? response : success(createEmptyRelease(peer));
+    },
+  };
+}
+
+/** The answer of a proxy that has acknowledged nothing. @internal */
+export function createEmptyRelease({
+  incarnation,
+}: EntryVmRecord): ReleaseAnswer {
+  return {incarnation, highestAcknowledged: null, drainedForMs: 0};
+}
+
 /** Responds to each comparison with the first digest that any peer returned. */
 export function repeatFirstDigest(peers: PeerClient): PeerClient {
   let first: string | null = null;
--- a/packages/gateway/src/simulation/mutants.ts
+++ b/packages/gateway/src/simulation/mutants.ts
@@ -18,6 +18,7 @@
   mapListedValues,
   omitKey,
   PEER_UNREACHABLE,
+  assumeReleased,
   reportAllPaused,
   repeatFirstDigest,
   WITHOUT_CONTACT_RULE,
@@ -67,20 +68,6 @@
   ]),
 );
 
-/**
- * A proxy and the primary are cut off, and just before the promotion a replica
- * that was paused joins them. The promotion resumes its replication, so it
- * confirms commits of the old primary again.
- */
-const CUT_OFF_WITH_PAUSED_REPLICA: HistoryPlan = {
-  seed: 0,
-  faults: [
-    {kind: 'stallReplication', atMs: 6_900, forMs: 2_414, replica: 1},
-    {kind: 'isolateZone', atMs: 1_786, forMs: 4_461, replica: 1, proxy: 2},
-    {kind: 'isolateZone', atMs: 6_132, forMs: 6_642, replica: 0, proxy: 2},
-  ],
-};
-
 /**
  * A proxy that its peers can't reach keeps writing to a primary that they have
  * lost. The last commits are acknowledged by a replica other than the promotion
@@ -161,17 +148,14 @@
     }),
   },
   {
-    name: 'writes do not wait until unreleased leases have expired',
+    name: 'unreleased leases are not waited for',
     plans: PRIMARY_ISOLATED_WITH_PROXY,
     rules: ['staleRead'],
+    // Neither the order nor the first write waits.
     mutate: options => ({
       ...options,
       ...WITHOUT_CONTACT_RULE,
-      controlTable: mapListedValues(options.controlTable, (key, value) =>
-        key.startsWith('primary/')
-          ? {...value, writesFromStoreMs: null}
-          : value,
-      ),
+      peers: assumeReleased(options.peers),
     }),
   },
   {
@@ -227,20 +211,15 @@
     name: 'replication is not paused before a promotion',
     plans: WRITES_DURING_CHANGE,
     rules: ['lostCommit', 'acknowledgedByReplaced'],
-    // With the contact rule, a proxy that was not asked for a release
-    // acknowledges nothing any more.
+    // Nothing is lost without the pause alone, since no target is chosen before
+    // every proxy has released. So the proxies are not waited for either.
     mutate: options => ({
       ...options,
       ...WITHOUT_CONTACT_RULE,
+      peers: assumeReleased(options.peers),
       instances: reportAllPaused(options.instances),
     }),
   },
-  {
-    name: 'a proxy without contact acknowledges writes',
-    plans: [CUT_OFF_WITH_PAUSED_REPLICA],
-    rules: ['acknowledgedByReplaced'],
-    mutate: options => ({...options, ...WITHOUT_CONTACT_RULE}),
-  },
   {
     name: 'an instance is left out, and the acknowledged positions are not collected',
     plans: CRASH_AFTER_STALL,
--- a/packages/gateway/src/simulation/promotion_mutants.ts
+++ b/packages/gateway/src/simulation/promotion_mutants.ts
@@ -1,10 +1,25 @@
 import {failure, success} from '@filbertrun/base/result.js';
-import {UNNAMED_BACKEND_SERVER} from '../directory/backend_server_entry.js';
-import type {BackendServerEntry} from '../directory/backend_server_entry.js';
 import type {InstanceControl} from '../backend/instance_control.js';
+import {CONTACT_WINDOW_MS} from '../control/contact_tracker.js';
+import {ENTRY_VM_PREFIX} from '../control/control_record.js';
+import {
+  UNNAMED_BACKEND_SERVER,
+  type BackendServerEntry,
+} from '../directory/backend_server_entry.js';
+import type {GatewayOptions} from '../gateway.js';
+import {computeRecordDigest} from '../group/record_digest.js';
+import {START_MS, WARM_UP_MS} from './failover_history.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import {LateConfiguration} from './late_configuration.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
-import {bindPeers} from './mutant_wrappers.js';
+import {
+  assumeReleased,
+  bindPeers,
+  createEmptyRelease,
+  mapListedValues,
+  WITHOUT_CONTACT_RULE,
+} from './mutant_wrappers.js';
+import {RESTART_MS} from './recovery_checker.js';
 import {PROMPT_PLATFORM} from './simulated_group.js';
 
 /** Mutants of what the choice of a promotion target rests on. */
@@ -40,6 +55,101 @@
   },
 ]);
 
+/** The primary drains while all proxies start again. */
+const RESTARTED_AT_MS = DRAIN_AT_MS;
+
+/** The listing of the restarted proxies is over, and the change not yet begun. */
+const CUT_AT_MS = RESTARTED_AT_MS + 200;
+
+/** The releases of the change are answered, and nothing is recorded yet. */
+const RELEASED_AT_MS = RESTARTED_AT_MS + 650;
+
+/** Proxies out of reach are so for the rest of a history. */
+const CUT_FOR_MS = 6_000;
+
+/**
+ * All proxies start again, and `e2` loses the store. The leader does not reach
+ * the old primary, and a replica that is not the target restarts after its pause.
+ */
+const CHANGE_AFTER_RESTART: readonly HistoryFault[] = [
+  {kind: 'killAllProxies', atMs: RESTARTED_AT_MS - RESTART_MS},
+  {kind: 'drainPrimary', atMs: RESTARTED_AT_MS - 500},
+  {
+    kind: 'isolatePrimary',
+    atMs: RESTARTED_AT_MS + 8,
+    forMs: CUT_FOR_MS,
+    proxies: [0],
+    isFromReplicas: false,
+  },
+  {kind: 'disconnectStore', atMs: CUT_AT_MS, forMs: CUT_FOR_MS, proxy: 1},
+  {
+    kind: 'inPhase',
+    atMs: RESTARTED_AT_MS - 500,
+    trigger: 'promotionOrdered',
+    skip: 0,
+    afterMs: 0,
+    action: {
+      kind: 'restartInstance',
+      instance: 'secondReplica',
+      downMs: 20,
+    },
+  },
+];
+
+/** Only the leader reaches `e2`, and only until it has asked for the release. */
+const RELEASED_BEFORE_CONFIGURATION: HistoryPlan = {
+  seed: 1,
+  promotionMs: 1_000,
+  faults: [
+    ...CHANGE_AFTER_RESTART,
+    {
+      kind: 'disconnectPeers',
+      atMs: CUT_AT_MS,
+      forMs: CUT_FOR_MS,
+      proxies: [1, 2],
+    },
+    {
+      kind: 'disconnectPeers',
+      atMs: RELEASED_AT_MS,
+      forMs: CUT_FOR_MS,
+      proxies: [0, 1],
+    },
+  ],
+};
+
+/** Only `e3`, which has released, reaches `e2`, which has not. */
+const CONFIRMED_WITHOUT_CONFIGURATION: HistoryPlan = {
+  seed: 1,
+  promotionMs: 1_000,
+  faults: [
+    ...CHANGE_AFTER_RESTART,
+    {
+      kind: 'disconnectPeers',
+      atMs: CUT_AT_MS,
+      forMs: CUT_FOR_MS,
+      proxies: [0, 1],
+    },
+  ],
+};
+
+/** Time on the clock for a time from the end of the warm-up. */
+function getClockMs(atMs: number): number {
+  return START_MS + WARM_UP_MS + atMs;
+}
+
+/** `e2` gets its configuration just after the release. */
+const LATE_CONFIGURATION = LateConfiguration.create(
+  new Map([['e2-5', getClockMs(RESTARTED_AT_MS + 700)]]),
+);
+
+/** `e2` gets its configuration after the order, and `e3` still later. */
+const LATER_CONFIGURATION = LateConfiguration.create(
+  new Map([
+    ['e2-5', getClockMs(RESTARTED_AT_MS + 2_500)],
+    ['e3-6', getClockMs(RESTARTED_AT_MS + 4_000)],
+  ]),
+);
+
 /** End of the drain of a replica that begins to drain at the start. */
 const DRAINED_AT_MS = 9_000;
 
@@ -82,28 +192,59 @@
   };
 }
 
+/** Lets a process without a configuration forget each release. */
+function withForgottenReleases(options: GatewayOptions): GatewayOptions {
+  const {peers} = options;
+  return {
+    ...LATE_CONFIGURATION.delay(options),
+    peers: {
+      ...bindPeers(peers),
+      release: (peer, request) =>
+        LATE_CONFIGURATION.hasConfiguration(peer.entryVm)
+          ? peers.release(peer, request)
+          : Promise.resolve(success(createEmptyRelease(peer))),
+    },
+  };
+}
+
+/** Lets a process without a configuration confirm that there is no record. */
+function withEmptyConfirmations(options: GatewayOptions): GatewayOptions {
+  const {peers} = options;
+  return {
+    ...LATER_CONFIGURATION.delay(options),
+    peers: {
+      ...bindPeers(peers),
+      compareRecords: async peer => {
+        const response = await peers.compareRecords(peer);
+        return response.ok &&
+          !LATER_CONFIGURATION.hasConfiguration(peer.entryVm)
+          ? success({digest: computeRecordDigest(new Map())})
+          : response;
+      },
+    },
+  };
+}
+
 /** The mutants. @internal */
 export const PROMOTION_MUTANTS: readonly Mutant[] = [
   {
     name: 'a target is ordered while a proxy that has not released may acknowledge',
     plans: WRITES_BESIDE_ORDER,
     rules: ['lostCommit'],
+    mutate: options => ({...options, peers: assumeReleased(options.peers)}),
+  },
+  {
+    name: 'a proxy acknowledges writes for longer after the last contact than it registered',
+    plans: WRITES_BESIDE_ORDER,
+    rules: ['lostCommit'],
     mutate: options => ({
       ...options,
-      peers: {
-        ...bindPeers(options.peers),
-        release: async (peer, request) => {
-          const response = await options.peers.release(peer, request);
-          const {incarnation} = peer;
-          return response.ok
-            ? response
-            : success({
-                incarnation,
-                highestAcknowledged: null,
-                drainedForMs: 0,
-              });
-        },
-      },
+      ...WITHOUT_CONTACT_RULE,
+      controlTable: mapListedValues(options.controlTable, (key, value) =>
+        key.startsWith(ENTRY_VM_PREFIX)
+          ? {...value, contactWindowMs: CONTACT_WINDOW_MS}
+          : value,
+      ),
     }),
   },
   {
@@ -115,4 +256,16 @@
       instances: withoutUnnamed(options.instances),
     }),
   },
+  {
+    name: 'a process forgets a release before it has a configuration',
+    plans: [RELEASED_BEFORE_CONFIGURATION],
+    rules: ['lostCommit'],
+    mutate: withForgottenReleases,
+  },
+  {
+    name: 'a process without a configuration confirms records',
+    plans: [CONFIRMED_WITHOUT_CONFIGURATION],
+    rules: ['lostCommit'],
+    mutate: withEmptyConfirmations,
+  },
 ];
