Simulation: the second leader after a restored store is waited for

No target is chosen until the leases of unlisted proxies have expired, 12 s after the restore, so the histories of the mutant ended before its order.

--- a/packages/gateway/src/simulation/restore_mutants.ts
+++ b/packages/gateway/src/simulation/restore_mutants.ts
@@ -67,6 +67,12 @@
   {kind: 'storeRestored', atMs: 5_000, forMs: 100, ageMs: 4_800},
 ];
 
+/**
+ * The second leader gives its order once the leases of proxies that the restored
+ * store may not list have expired, 12 s after the restore.
+ */
+const LOST_LEADERS_MS = 26_000;
+
 /**
  * A proxy acquires failover leadership and promotes an instance in the interval
  * that the restored store lacks, and is killed. Another proxy then acquires
@@ -78,8 +84,8 @@
     {kind: 'crashPrimary', atMs: 4_500, forMs: 1_500},
     {kind: 'storeRestored', atMs: 7_500, forMs: 60, ageMs: 7_100},
     {kind: 'killProxy', atMs: 7_480, proxy: leader},
-    {kind: 'crashPrimary', atMs: 11_000, forMs: 3_000},
-  ]),
+    {kind: 'crashPrimary', atMs: 11_000, forMs: 12_000},
+  ]).map(plan => ({...plan, durationMs: LOST_LEADERS_MS})),
 );
 
 /** All mutants of this file. @internal */
