--- a/packages/gateway/src/simulation/restore_mutants.ts
+++ b/packages/gateway/src/simulation/restore_mutants.ts
@@ -15,7 +15,11 @@
 import {PRIMARY_RECORD_PREFIX} from '../group/primary_record.js';
 import type {HistoryFault} from './history_fault.js';
 import {planWithSeeds, type Mutant} from './mutant.js';
-import {bindTable, mapListedValues} from './mutant_wrappers.js';
+import {
+  bindTable,
+  mapListedValues,
+  WITHOUT_CONTACT_RULE,
+} from './mutant_wrappers.js';
 
 /**
  * Mutants of the handling of a store that was restored from a backup. Each
@@ -96,6 +100,7 @@
     rules: ['staleRead', 'acknowledgedByReplaced'],
     mutate: options => ({
       ...options,
+      ...WITHOUT_CONTACT_RULE,
       controlTable: withOldStoreEra(options.controlTable),
     }),
   },
