--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -59,11 +59,11 @@
 /** Time before the first fault, for all nodes to become ready. */
 export const WARM_UP_MS = 2_000;
 
-/** Duration of a history after the warm-up. */
+/** Duration of a history after the warm-up, by default. */
 export const HISTORY_MS = 18_000;
 
-/** Time on the clock at the start of a history. */
-const START_MS = 100_000;
+/** Time on the clock at the start of a history. @internal */
+export const START_MS = 100_000;
 
 const STEP_MS = 5;
 
@@ -193,7 +193,7 @@
     }
     this.scheduleFaults();
     const startMs = this.clock.nowMs() + WARM_UP_MS;
-    const endMs = startMs + HISTORY_MS;
+    const endMs = startMs + (this.plan.durationMs ?? HISTORY_MS);
     let elapsedMs = 0;
     while (this.clock.nowMs() < endMs) {
       this.clock.advance(STEP_MS);
@@ -313,9 +313,12 @@
 
   private recordDisturbances(): void {
     const nowMs = this.clock.nowMs();
+    const isStoreSlow = this.deployment.storeLatency.range !== null;
     for (const name of this.deployment.zones.proxies) {
       const isDisconnected = !this.network.isConnected(name, STORE);
-      if (isDisconnected || !this.deployment.proxies.has(name)) {
+      const process = this.deployment.proxies.get(name);
+      const isSuspended = process === undefined || process.isFrozen;
+      if (isStoreSlow || isDisconnected || isSuspended) {
         this.disturbances.recordDisturbance(name, nowMs);
       }
     }
