--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -4,13 +4,11 @@
   BackendConnection,
   BackendConnector,
 } from '../backend/backend_connection.js';
-import type {EntryVmRecord} from '../control/control_record.js';
 import type {InstanceControl} from '../backend/instance_control.js';
 import type {TableChanges} from '../directory/watchable_table.js';
 import type {
   PeerClient,
   PeerError,
-  ReleaseAnswer,
 } from '../peer/peer_client.js';
 
 /** Wrappers that break one dependency of a gateway, for mutants. */
