--- a/packages/gateway/src/simulation/mutant_wrappers.ts
+++ b/packages/gateway/src/simulation/mutant_wrappers.ts
@@ -6,10 +6,7 @@
 } from '../backend/backend_connection.js';
 import type {InstanceControl} from '../backend/instance_control.js';
 import type {TableChanges} from '../directory/watchable_table.js';
-import type {
-  PeerClient,
-  PeerError,
-} from '../peer/peer_client.js';
+import type {PeerClient, PeerError} from '../peer/peer_client.js';
 
 /** Wrappers that break one dependency of a gateway, for mutants. */
 
