--- a/packages/gateway/src/failover/failover_coordinator_test.ts
+++ b/packages/gateway/src/failover/failover_coordinator_test.ts
@@ -7,12 +7,12 @@
   type PrimaryRecord,
 } from '../group/primary_record.js';
 import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
+import {createChangeDependencies} from '../testing/create_change_dependencies.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeInstances} from '../testing/fake_instances.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {SessionTestHarness} from '../testing/session_test_harness.js';
 import {advanceClock} from '../testing/settle.js';
-import {OrdersInFlight} from './orders_in_flight.js';
 import {FailoverCoordinator} from './failover_coordinator.js';
 
 const KEY = getPrimaryRecordKey('group');
@@ -72,16 +72,15 @@
   function createCoordinator(): FailoverCoordinator {
     const {clock, group, backend, events} = harness;
     return FailoverCoordinator.create({
-      clock,
-      availabilityZone: 'zone-a',
-      entryVm: 'entry-1',
-      table,
-      peers,
-      instances,
-      promotions: instances,
-      leaderLease,
-      orders: OrdersInFlight.create(),
-      events,
+      ...createChangeDependencies({
+        clock,
+        table,
+        peers,
+        instances,
+        leaderLease,
+        events,
+        holders: [{record: OTHER, leaseEndMs: LEASE_END_MS}],
+      }),
       connector: backend,
       directory: {
         isListed: true,
@@ -93,13 +92,6 @@
       getGroups: () => [group],
       getOtherEntryVms: () => [OTHER],
       isTableRead: () => true,
-      listInstances: () => Promise.resolve(instances.listEntries()),
-      describeLastListing: () => null,
-      findLeaseHolders: () => ({
-        known: [{record: OTHER, leaseEndMs: LEASE_END_MS}],
-        unlistedUntilMs: null,
-      }),
-      getStoreEra: () => 0,
       handleRecord: revised => {
         records.push(revised.record);
         group.applyAnnouncedRecord(revised);
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -21,13 +21,14 @@
   type PrimaryRecord,
 } from '../group/primary_record.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
+import {createChangeDependencies} from '../testing/create_change_dependencies.js';
+import {createEntryVmRecord} from '../testing/create_entry_vm_record.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {createEntry, FakeInstances} from '../testing/fake_instances.js';
 import {FakePeers} from '../testing/fake_peers.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {advanceClock} from '../testing/settle.js';
 import {choosePromotionTarget} from './choose_promotion_target.js';
-import {OrdersInFlight} from './orders_in_flight.js';
 import {PrimaryChange} from './primary_change.js';
 
 /** Choices of a promotion target that lack an acknowledged commit. */
@@ -97,27 +98,19 @@
     const revision = table.seed(KEY, STABLE);
     const change = PrimaryChange.create(
       {
-        clock,
-        availabilityZone: 'zone-a',
-        entryVm: 'entry-1',
-        table,
-        peers,
-        instances,
-        promotions: instances,
-        leaderLease,
-        orders: OrdersInFlight.create(),
-        events,
-        listInstances,
-        describeLastListing: () => null,
-        findLeaseHolders: () => ({
-          known: holders.map(record => ({
+        ...createChangeDependencies({
+          clock,
+          table,
+          peers,
+          instances,
+          leaderLease,
+          events,
+          holders: holders.map(record => ({
             record,
             leaseEndMs: clock.nowMs() + LEASE_END_MS,
           })),
-          unlistedUntilMs: null,
         }),
-        getStoreEra: () => 0,
-        handleRecord: () => {},
+        listInstances,
       },
       {record: STABLE, revision},
       0,
@@ -419,14 +412,8 @@
   entryVm: string,
   availabilityZone: string,
 ): EntryVmRecord {
-  return {
-    entryVm,
-    availabilityZone,
-    peerHost: '127.0.0.1',
-    peerPort: 1,
-    incarnation: 'one',
+  return createEntryVmRecord(entryVm, availabilityZone, {
     leaseEndStoreMs: LEASE_END_MS,
     contactWindowMs: CONTACT_WINDOW_MS,
-    registeredSinceStoreMs: null,
-  };
+  });
 }
--- a/packages/gateway/src/failover/primary_change_test.ts
+++ b/packages/gateway/src/failover/primary_change_test.ts
@@ -11,6 +11,7 @@
 } from '../group/primary_record.js';
 import type {GatewayEvent} from '../observability/gateway_event.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
+import {createChangeDependencies} from '../testing/create_change_dependencies.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {FakeInstances} from '../testing/fake_instances.js';
 import {FakePeers} from '../testing/fake_peers.js';
@@ -101,30 +102,23 @@
     const revision = table.seed(KEY, record);
     const change = PrimaryChange.create(
       {
-        clock,
-        availabilityZone: 'zone-a',
-        entryVm: 'entry-1',
-        table,
-        peers,
-        instances,
-        promotions: instances,
-        leaderLease,
+        ...createChangeDependencies({
+          clock,
+          table,
+          peers,
+          instances,
+          leaderLease,
+          events,
+          holders: holders.map(entryVm => ({
+            record: createEntryVm(entryVm),
+            leaseEndMs: LEASE_END_MS,
+          })),
+        }),
         orders,
-        events,
         listInstances: () => {
           listCount++;
           return Promise.resolve(instances.listEntries());
         },
-        describeLastListing: () => null,
-        findLeaseHolders: () => ({
-          known: holders.map(entryVm => ({
-            record: createEntryVm(entryVm),
-            leaseEndMs: LEASE_END_MS,
-          })),
-          unlistedUntilMs: null,
-        }),
-        getStoreEra: () => 0,
-        handleRecord: () => {},
       },
       {record, revision},
       recordAgeMs,
