--- a/packages/gateway/src/simulation/promotion_plans.ts
+++ b/packages/gateway/src/simulation/promotion_plans.ts
@@ -31,12 +31,12 @@
  * @internal
  */
 export const CUT_OFF_DRAINING: readonly HistoryPlan[] = [
-  {drainMs: 1_561, cutMs: 1_889, proxy: 2},
-  {drainMs: 1_561, cutMs: 1_838, proxy: 1},
-  {drainMs: 2_826, cutMs: 3_321, proxy: 1},
-].flatMap(({drainMs, cutMs, proxy}) =>
+  {drainAtMs: 1_561, cutMs: 1_889, proxy: 2},
+  {drainAtMs: 1_561, cutMs: 1_838, proxy: 1},
+  {drainAtMs: 2_826, cutMs: 3_321, proxy: 1},
+].flatMap(({drainAtMs, cutMs, proxy}) =>
   planWithSeeds([
-    {kind: 'drainPrimary', atMs: drainMs},
+    {kind: 'drainPrimary', atMs: drainAtMs},
     ...isolateWithPrimary(proxy, cutMs, true),
   ]),
 );
@@ -51,7 +51,7 @@
 export const CUT_OFF_WITH_PAUSED_REPLICA: readonly HistoryPlan[] = [
   {
     seed: 1,
-    drainMs: 3_029,
+    drainAtMs: 3_029,
     cutMs: 3_242,
     proxy: 2,
     promotionMs: 300,
@@ -59,7 +59,7 @@
   },
   {
     seed: 55,
-    drainMs: 1_147,
+    drainAtMs: 1_147,
     cutMs: 1_202,
     proxy: 1,
     promotionMs: 300,
@@ -67,7 +67,7 @@
   },
   {
     seed: 670,
-    drainMs: 1_396,
+    drainAtMs: 1_396,
     cutMs: 1_790,
     proxy: 2,
     promotionMs: 300,
@@ -75,7 +75,7 @@
   },
   {
     seed: 106,
-    drainMs: 1_026,
+    drainAtMs: 1_026,
     cutMs: 1_210,
     proxy: 2,
     promotionMs: 1_000,
@@ -83,17 +83,17 @@
   },
   {
     seed: 815,
-    drainMs: 3_356,
+    drainAtMs: 3_356,
     cutMs: 3_850,
     proxy: 2,
     promotionMs: 300,
     afterMs: 183,
   },
-].map(({seed, drainMs, cutMs, proxy, promotionMs, afterMs}) => ({
+].map(({seed, drainAtMs, cutMs, proxy, promotionMs, afterMs}) => ({
   seed,
   promotionMs,
   faults: [
-    {kind: 'drainPrimary', atMs: drainMs},
+    {kind: 'drainPrimary', atMs: drainAtMs},
     ...isolateWithPrimary(proxy, cutMs, false),
     {
       kind: 'inPhase',
@@ -118,21 +118,21 @@
  * @internal
  */
 export const RESTARTED_REPLICA: readonly HistoryPlan[] = [
-  {seed: 998, drainMs: 2_495, cutMs: 2_895, proxy: 1, restartMs: [3_041]},
+  {seed: 998, drainAtMs: 2_495, cutMs: 2_895, proxy: 1, restartMs: [3_041]},
   {
     seed: 823,
-    drainMs: 1_963,
+    drainAtMs: 1_963,
     cutMs: 2_231,
     proxy: 1,
     restartMs: [3_194, 3_494],
   },
-  {seed: 993, drainMs: 1_983, cutMs: 2_362, proxy: 2, restartMs: [3_036]},
-].map(({seed, drainMs, cutMs, proxy, restartMs}) => ({
+  {seed: 993, drainAtMs: 1_983, cutMs: 2_362, proxy: 2, restartMs: [3_036]},
+].map(({seed, drainAtMs, cutMs, proxy, restartMs}) => ({
   seed,
   promotionMs: 1_000,
   faults: [
     {kind: 'drainReplica', atMs: 1_000, replica: 0},
-    {kind: 'drainPrimary', atMs: drainMs},
+    {kind: 'drainPrimary', atMs: drainAtMs},
     ...isolateWithPrimary(proxy, cutMs, false),
     ...restartMs.map(
       atMs => ({kind: 'crashReplica', atMs, forMs: 20}) as const,
@@ -187,7 +187,7 @@
   {
     seed: 46,
     delayMs: 785,
-    drainMs: 2_557,
+    drainAtMs: 2_557,
     cutMs: 3_429,
     storeMs: 3_034,
     backMs: 39,
@@ -195,7 +195,7 @@
   {
     seed: 427,
     delayMs: 845,
-    drainMs: 2_554,
+    drainAtMs: 2_554,
     cutMs: 3_450,
     storeMs: 3_036,
     backMs: 35,
@@ -203,7 +203,7 @@
   {
     seed: 5,
     delayMs: 1_015,
-    drainMs: 2_402,
+    drainAtMs: 2_402,
     cutMs: 3_383,
     storeMs: 3_138,
     backMs: 6,
@@ -211,17 +211,17 @@
   {
     seed: 507,
     delayMs: 780,
-    drainMs: 2_414,
+    drainAtMs: 2_414,
     cutMs: 3_540,
     storeMs: 3_055,
     backMs: 6,
   },
-].map(({seed, delayMs, drainMs, cutMs, storeMs, backMs}) => ({
+].map(({seed, delayMs, drainAtMs, cutMs, storeMs, backMs}) => ({
   seed,
   faults: [
     {kind: 'killAllProxies', atMs: KILLED_MS},
     delayConfiguration(delayMs, [2]),
-    {kind: 'drainPrimary', atMs: drainMs},
+    {kind: 'drainPrimary', atMs: drainAtMs},
     hidePrimary(2, cutMs),
     {
       kind: 'disconnectStore',
