Logs tell how a version of the configuration reached each proxy, and what was tried before

`configurationTaken` names the zone reader that sent a version (it said "store" for both), the bytes and the time in flight; failed reads tell the known revision, the timeout and the bytes that had arrived; reads that are discarded because another proxy responds, and requests to zone readers that failed, leave a record. A refused session tells the version and its age. The zone reader's update carries as of when its configuration was current; nothing decides by it yet, and builds without the field are understood. ContactTracker and the table watcher share LatestClockReading.

--- a/apps/explain/src/main.ts
+++ b/apps/explain/src/main.ts
@@ -4,6 +4,10 @@
 import {createInterface} from 'node:readline';
 import type {Readable} from 'node:stream';
 import yargs from 'yargs';
+import {
+  explainConfiguration,
+  formatConfigurationHistory,
+} from './explain_configuration.js';
 import {explainPromotions} from './explain_promotion.js';
 import {explainRequest, formatRequestHistory} from './explain_request.js';
 import {formatPromotion} from './format_promotion.js';
@@ -13,10 +17,10 @@
 } from '@filbertrun/observability/log_record.js';
 
 /**
- * `filbertrun-explain`: prints the event history of one request, or of the
- * changes of primary of one group, from the logs of all proxies. Exit codes:
- * 0 history printed, 1 no record of it, 2 invalid arguments, 3 a file can't be
- * read.
+ * `filbertrun-explain`: prints the event history of one request, of the changes
+ * of primary of one group, or of one version of the configuration, from the logs
+ * of all proxies. Exit codes: 0 history printed, 1 no record of it, 2 invalid
+ * arguments, 3 a file can't be read.
  */
 
 const PROGRAM_NAME = 'filbertrun-explain';
@@ -82,15 +86,31 @@
     : histories.map(formatPromotion).join('\n');
 }
 
+/** Returns the text to print, or null if no version from this one is logged. */
+function printConfiguration(
+  records: readonly LogRecord[],
+  version: number,
+  isJson: boolean,
+): string | null {
+  const history = explainConfiguration(records, version);
+  if (history === null) {
+    return null;
+  }
+  return isJson
+    ? `${JSON.stringify(history)}\n`
+    : formatConfigurationHistory(history);
+}
+
 async function main(): Promise<number> {
   const {
     _: operands,
     json,
     promotion,
+    configuration,
   } = await yargs(process.argv.slice(2))
     .scriptName(PROGRAM_NAME)
     .usage(
-      '$0 REQUEST_ID [FILE..]\n$0 --promotion GROUP [FILE..]\n\nReads logs from files or standard input.',
+      '$0 REQUEST_ID [FILE..]\n$0 --promotion GROUP [FILE..]\n$0 --configuration VERSION [FILE..]\n\nReads logs from files or standard input.',
     )
     .option('json', {
       type: 'boolean',
@@ -102,8 +122,15 @@
       requiresArg: true,
       describe: 'Print the changes of primary of this database group.',
     })
-    .check(({_: given, promotion: group}) => {
-      if (group === undefined && given.length === 0) {
+    .option('configuration', {
+      type: 'number',
+      requiresArg: true,
+      conflicts: 'promotion',
+      describe: 'Print when each proxy had this version or a newer one.',
+    })
+    .check(({_: given, promotion: group, configuration: version}) => {
+      const hasSubject = group !== undefined || version !== undefined;
+      if (!hasSubject && given.length === 0) {
         throw new Error('A request id is needed.');
       }
       return true;
@@ -118,20 +145,25 @@
   const [requestId = ''] = names;
   let records: readonly LogRecord[];
   try {
-    records = await readAll(promotion === undefined ? names.slice(1) : names);
+    const isRequest = promotion === undefined && configuration === undefined;
+    records = await readAll(isRequest ? names.slice(1) : names);
   } catch (error) {
     process.stderr.write(`${PROGRAM_NAME}: ${String(error)}\n`);
     return EXIT_CODE_FILE;
   }
-  const text =
-    promotion === undefined
-      ? printRequest(records, requestId, json)
-      : printPromotions(records, promotion, json);
+  let text: string | null;
+  let subject: string;
+  if (configuration !== undefined) {
+    text = printConfiguration(records, configuration, json);
+    subject = `version ${configuration} of the configuration`;
+  } else if (promotion !== undefined) {
+    text = printPromotions(records, promotion, json);
+    subject = `a change of primary of ${promotion}`;
+  } else {
+    text = printRequest(records, requestId, json);
+    subject = `request ${requestId}`;
+  }
   if (text === null) {
-    const subject =
-      promotion === undefined
-        ? `request ${requestId}`
-        : `a change of primary of ${promotion}`;
     process.stderr.write(
       `${PROGRAM_NAME}: no record of ${subject} among ${records.length} log records\n`,
     );
--- a/packages/base/src/http_request.ts
+++ b/packages/base/src/http_request.ts
@@ -51,14 +51,20 @@
 ): Promise<Result<HttpResponse, HttpFailure>> {
   return new Promise(resolve => {
     let wasConnected = false;
+    let receivedBytes = 0;
     const fail = (reason: string): void => {
       clearTimeout(timer);
       resolve(failure({reason, wasConnected}));
     };
     const created = createRequest(request, incoming =>
-      readResponse(incoming, request, response => {
-        clearTimeout(timer);
-        resolve(success(response));
+      readResponse(incoming, request, {
+        handleChunk: size => {
+          receivedBytes += size;
+        },
+        handleResponse: response => {
+          clearTimeout(timer);
+          resolve(success(response));
+        },
       }),
     );
     if (!created.ok) {
@@ -70,7 +76,11 @@
       if (request.maySend !== undefined) {
         resetConnection(outgoing);
       }
-      outgoing.destroy(new Error(`no response within ${request.timeoutMs} ms`));
+      const received =
+        receivedBytes === 0 ? '' : `, ${receivedBytes} bytes of it received`;
+      outgoing.destroy(
+        new Error(`no response within ${request.timeoutMs} ms${received}`),
+      );
     }, request.timeoutMs);
     const handleConnected = (): void => {
       if (request.maySend?.() === false) {
@@ -127,10 +137,16 @@
   }
 }
 
+interface ResponseHandler {
+  /** Called with the size of each piece of the body. */
+  handleChunk(bytes: number): void;
+  handleResponse(response: HttpResponse): void;
+}
+
 function readResponse(
   incoming: http.IncomingMessage,
   request: HttpRequest,
-  handleResponse: (response: HttpResponse) => void,
+  handler: ResponseHandler,
 ): void {
   const maxBytes = request.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
   const chunks: Buffer[] = [];
@@ -138,6 +154,7 @@
   incoming.on('data', (chunk: Buffer) => {
     chunks.push(chunk);
     size += chunk.length;
+    handler.handleChunk(chunk.length);
     if (size > maxBytes) {
       incoming.destroy(new Error('response too large'));
     }
@@ -147,6 +164,6 @@
   incoming.on('end', () => {
     const body = Buffer.concat(chunks).toString('utf8');
     const {headers, statusCode} = incoming;
-    handleResponse({status: statusCode ?? 0, headers, body});
+    handler.handleResponse({status: statusCode ?? 0, headers, body});
   });
 }
--- a/packages/gateway/src/configuration/configuration_holder.ts
+++ b/packages/gateway/src/configuration/configuration_holder.ts
@@ -1,5 +1,9 @@
 import type {TableListener} from '../directory/table_watcher.js';
-import type {TableChange, TableChanges} from '../directory/watchable_table.js';
+import type {
+  TableChange,
+  TableChanges,
+  TableRead,
+} from '../directory/watchable_table.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {ServiceConfiguration} from './service_configuration.js';
 
@@ -16,6 +20,8 @@
   readonly listener: ConfigurationListener;
 }
 
+const UNKNOWN_READ: TableRead = {source: 'unknown', durationMs: 0};
+
 /** Holds the newest configuration; an older version is ignored. @public */
 export class ConfigurationHolder implements TableListener<ServiceConfiguration> {
   private newest: ServiceConfiguration | null = null;
@@ -36,12 +42,15 @@
 
   handleChanges(changes: TableChanges<ServiceConfiguration>): void {
     for (const change of changes.changes) {
-      this.apply(change);
+      this.apply(change, changes);
     }
   }
 
   /** Applies a configuration if it is newer than the current one. */
-  applyIfNewer(configuration: ServiceConfiguration, source: string): void {
+  private applyIfNewer(
+    configuration: ServiceConfiguration,
+    {read = UNKNOWN_READ, responseBytes}: TableChanges<ServiceConfiguration>,
+  ): void {
     const previousVersion = this.newest?.version ?? 0;
     if (configuration.version <= previousVersion) {
       return;
@@ -52,17 +61,21 @@
       version: configuration.version,
       previousVersion,
       routeCount: configuration.routes.size,
-      source,
+      ...read,
+      responseBytes: responseBytes ?? null,
     });
     this.options.listener(configuration);
   }
 
-  private apply(change: TableChange<ServiceConfiguration>): void {
+  private apply(
+    change: TableChange<ServiceConfiguration>,
+    changes: TableChanges<ServiceConfiguration>,
+  ): void {
     if (change.key !== this.options.key) {
       return;
     }
     if (change.kind === 'put') {
-      this.applyIfNewer(change.value, 'store');
+      this.applyIfNewer(change.value, changes);
       return;
     }
     const reason =
--- a/packages/gateway/src/configuration/newest_configuration_filter.ts
+++ b/packages/gateway/src/configuration/newest_configuration_filter.ts
@@ -39,7 +39,7 @@
         ? []
         : [{kind: 'put', key, revision, value: current}];
     const changes = [...listing.changes, ...missing];
-    listener.handleListing(this.replaceOlder({changes, revision}));
+    listener.handleListing(this.replaceOlder({...listing, changes}));
   }
 
   handleChanges(changes: TableChanges<ServiceConfiguration>): void {
@@ -47,13 +47,12 @@
   }
 
   /** Replaces an older configuration by the one in force. */
-  private replaceOlder({
-    changes,
-    revision,
-  }: TableChanges<ServiceConfiguration>): TableChanges<ServiceConfiguration> {
+  private replaceOlder(
+    update: TableChanges<ServiceConfiguration>,
+  ): TableChanges<ServiceConfiguration> {
     const {key, getCurrent} = this.options;
     const current = getCurrent();
-    const replaced = changes.map(change =>
+    const changes = update.changes.map(change =>
       change.key === key &&
       change.kind === 'put' &&
       current !== null &&
@@ -61,6 +60,6 @@
         ? {...change, value: current}
         : change,
     );
-    return {changes: replaced, revision};
+    return {...update, changes};
   }
 }
--- a/packages/gateway/src/control/contact_tracker.ts
+++ b/packages/gateway/src/control/contact_tracker.ts
@@ -2,6 +2,7 @@
   ClockReading,
   ClockJumpDetector,
 } from '../group/clock_jump_detector.js';
+import {LatestClockReading} from '../group/latest_clock_reading.js';
 
 /**
  * Default time after its last contact for which a proxy keeps using a primary.
@@ -26,12 +27,14 @@
  * @public
  */
 export class ContactTracker implements ContactStatus {
-  private contactAt: ClockReading | null = null;
+  private readonly contactAt: LatestClockReading;
 
   private constructor(
-    private readonly clockJumpDetector: ClockJumpDetector,
+    clockJumpDetector: ClockJumpDetector,
     readonly windowMs: number,
-  ) {}
+  ) {
+    this.contactAt = LatestClockReading.create(clockJumpDetector);
+  }
 
   static create(
     clockJumpDetector: ClockJumpDetector,
@@ -45,20 +48,14 @@
    * were current at some time between the request and the response.
    */
   recordContact(startedAt: ClockReading): void {
-    const isLater =
-      this.contactAt === null ||
-      this.contactAt.epoch !== startedAt.epoch ||
-      this.contactAt.timeMs < startedAt.timeMs;
-    if (isLater) {
-      this.contactAt = startedAt;
-    }
+    this.contactAt.record(startedAt);
   }
 
   /**
    * Returns the start of the last contact, or null if the window has passed.
    */
   getContactStart(): ClockReading | null {
-    return this.isInContact() ? this.contactAt : null;
+    return this.isInContact() ? this.contactAt.value : null;
   }
 
   /**
@@ -66,9 +63,7 @@
    * clock jump was detected since then.
    */
   getAgeMs(): number | null {
-    return this.contactAt === null
-      ? null
-      : this.clockJumpDetector.getElapsedMs(this.contactAt);
+    return this.contactAt.getAgeMs();
   }
 
   isInContact(): boolean {
--- a/packages/gateway/src/customer/customer_history.ts
+++ b/packages/gateway/src/customer/customer_history.ts
@@ -77,6 +77,7 @@
       operations: harness.operations,
       getConfiguration: (): ServiceConfiguration | null =>
         this.hasConfiguration ? harness.getConfiguration() : null,
+      getConfigurationAgeMs: () => null,
       getGroup: () => harness.getGroup(),
       requestFreshnessBound: () => Promise.resolve(),
     };
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -1,12 +1,22 @@
 import type {Clock, Timer} from '@filbertrun/base/clock.js';
+import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
 import type {RandomSource} from '@filbertrun/base/random_source.js';
+import type {
+  ClockJumpDetector,
+  ClockReading,
+} from '../group/clock_jump_detector.js';
+import {LatestClockReading} from '../group/latest_clock_reading.js';
 import {
   recordTaskFailure,
   runInBackground,
 } from '../observability/background_task.js';
 import {DependencyTracker} from '../observability/dependency_tracker.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
-import type {TableChanges, WatchableTable} from './watchable_table.js';
+import type {
+  TableChanges,
+  WatchableTable,
+  WatchError,
+} from './watchable_table.js';
 
 /** Receives the contents and changes of a watched table. @public */
 export interface TableListener<T> {
@@ -32,6 +42,7 @@
   readonly table: WatchableTable<T>;
   readonly listener: TableListener<T>;
   readonly clock: Clock;
+  readonly clockJumpDetector: ClockJumpDetector;
   readonly random: RandomSource;
   readonly events: GatewayEventRecorder;
 }
@@ -48,6 +59,9 @@
  */
 const UPDATE_INTERVAL_MS = 1_500;
 
+/** Source of the reads that this process makes itself. */
+const STORE_SOURCE = 'store';
+
 const MIN_RETRY_DELAY_MS = 80;
 const MAX_RETRY_DELAY_MS = 600;
 
@@ -67,13 +81,19 @@
   /** Incremented by `pause` to discard responses to earlier calls. */
   private generation = 0;
 
+  /** Start of the call that is in flight; null if there is none. */
+  private callStartedAtMs: number | null = null;
+  /** Time as of which the known contents were confirmed to be current. */
+  private readonly current: LatestClockReading;
+
   /** Time of the last successful call or update from another proxy. */
   private watchedUntilMs: number | null = null;
   private lastUnwatchedMs = 0;
   private readonly dependency: DependencyTracker;
 
   private constructor(private readonly options: TableWatcherOptions<T>) {
-    const {name, clock, events} = options;
+    const {name, clock, clockJumpDetector, events} = options;
+    this.current = LatestClockReading.create(clockJumpDetector);
     this.dependency = DependencyTracker.create({
       dependency: `table ${name}`,
       clock,
@@ -93,6 +113,22 @@
     return this.lastUnwatchedMs;
   }
 
+  /**
+   * Time as of which the known contents are known to have been current; null
+   * before the first listing.
+   */
+  get currentAsOf(): ClockReading | null {
+    return this.current.value;
+  }
+
+  /**
+   * Time since the known contents were confirmed to be current; null if they were
+   * not since the start or since a clock jump.
+   */
+  getAgeMs(): number | null {
+    return this.current.getAgeMs();
+  }
+
   /** Whether the last call succeeded. */
   get isAvailable(): boolean {
     return this.failureCount === 0;
@@ -106,6 +142,7 @@
    * Stops polling until `resume`; responses to calls in flight are discarded.
    */
   pause(): void {
+    this.recordDiscarded();
     this.isPaused = true;
     this.generation++;
     this.timer?.cancel();
@@ -121,13 +158,20 @@
 
   /**
    * Applies an update from another proxy. `isListing` is true if it contains
-   * all keys.
+   * all keys; `currentAsOf` is the time as of which it was current.
    */
-  applyUpdate(update: TableChanges<T>, isListing: boolean): void {
+  applyUpdate(
+    update: TableChanges<T>,
+    isListing: boolean,
+    currentAsOf: ClockReading | null = null,
+  ): void {
     if (update.revision < (this.revision ?? 0)) {
       return;
     }
     this.revision = update.revision;
+    if (currentAsOf !== null) {
+      this.current.record(currentAsOf);
+    }
     this.recordWatched(this.options.clock.nowMs() - UPDATE_INTERVAL_MS);
     if (isListing) {
       this.mustList = false;
@@ -207,12 +251,15 @@
 
   /** Lists the table; returns the reason of a failure, or null on success. */
   private async list(generation: number): Promise<string | null> {
-    const startedAtMs = this.options.clock.nowMs();
+    const startedAt = this.startCall();
+    const startedAtMs = startedAt.timeMs;
     const result = await this.options.table.list();
     if (this.isStale(generation)) {
       return null;
     }
+    this.callStartedAtMs = null;
     if (!result.ok) {
+      this.recordReadFailure('listing', startedAtMs, result.error);
       return result.error.kind;
     }
     const listing = result.value;
@@ -222,21 +269,23 @@
     this.revision = listing.revision;
     this.mustList = false;
     this.recordWatched(startedAtMs);
-    this.options.listener.handleListing(listing);
+    this.current.record(startedAt);
+    this.options.listener.handleListing(this.describe(listing, startedAtMs));
     return null;
   }
 
   private async watch(generation: number): Promise<string | null> {
     const afterRevision = this.revision ?? 0;
-    const startedAtMs = this.options.clock.nowMs();
-    const result = await this.options.table.watch(
-      afterRevision,
-      this.options.getWaitMs(),
-    );
+    const waitMs = this.options.getWaitMs();
+    const startedAt = this.startCall();
+    const startedAtMs = startedAt.timeMs;
+    const result = await this.options.table.watch(afterRevision, waitMs);
     if (this.isStale(generation)) {
       return null;
     }
+    this.callStartedAtMs = null;
     if (!result.ok) {
+      this.recordReadFailure('watch', startedAtMs, result.error);
       if (result.error.kind === 'historyLost') {
         this.mustList = true;
         return null;
@@ -244,13 +293,76 @@
       return result.error.kind;
     }
     this.recordWatched(startedAtMs);
+    this.recordCurrentAfterWatch(result.value, startedAt, waitMs);
     if (result.value.changes.length > 0) {
-      this.options.listener.handleChanges(result.value);
+      this.options.listener.handleChanges(
+        this.describe(result.value, startedAtMs),
+      );
     }
     this.revision = Math.max(afterRevision, result.value.revision);
     return null;
   }
 
+  private startCall(): ClockReading {
+    const startedAt = this.options.clockJumpDetector.read();
+    this.callStartedAtMs = startedAt.timeMs;
+    return startedAt;
+  }
+
+  /**
+   * The store ends a watch without changes no earlier than after its wait, so the
+   * contents were current then. One with changes may have been answered at once.
+   */
+  private recordCurrentAfterWatch(
+    {changes}: TableChanges<T>,
+    startedAt: ClockReading,
+    waitMs: number,
+  ): void {
+    const elapsedMs = this.options.clock.nowMs() - startedAt.timeMs;
+    const wasHeld = changes.length === 0 && elapsedMs >= waitMs;
+    const timeMs = startedAt.timeMs + (wasHeld ? waitMs : 0);
+    this.current.record({timeMs, epoch: startedAt.epoch});
+  }
+
+  private describe(
+    changes: TableChanges<T>,
+    startedAtMs: number,
+  ): TableChanges<T> {
+    const durationMs = this.options.clock.nowMs() - startedAtMs;
+    return {...changes, read: {source: STORE_SOURCE, durationMs}};
+  }
+
+  private recordReadFailure(
+    operation: 'listing' | 'watch',
+    startedAtMs: number,
+    error: WatchError,
+  ): void {
+    const {name, clock, events} = this.options;
+    events.record({
+      kind: 'tableReadFailed',
+      table: name,
+      operation,
+      knownRevision: this.revision,
+      durationMs: clock.nowMs() - startedAtMs,
+      reason: describeWatchError(error),
+    });
+  }
+
+  /** Records that the response of a call in flight will not be used. */
+  private recordDiscarded(): void {
+    const {name, clock, events} = this.options;
+    if (this.callStartedAtMs === null) {
+      return;
+    }
+    events.record({
+      kind: 'tableReadDiscarded',
+      table: name,
+      knownRevision: this.revision,
+      inFlightMs: clock.nowMs() - this.callStartedAtMs,
+    });
+    this.callStartedAtMs = null;
+  }
+
   private recordSuccess(): void {
     this.failureCount = 0;
     this.dependency.markAvailable();
@@ -267,3 +379,17 @@
     return boundedMs * (0.5 + this.options.random.nextFloat() / 2);
   }
 }
+
+function describeWatchError(error: WatchError): string {
+  switch (error.kind) {
+    case 'unavailable':
+    case 'outcomeUnknown':
+    case 'malformed':
+      return `${error.kind}: ${error.reason}`;
+    case 'conflict':
+    case 'historyLost':
+      return error.kind;
+    default:
+      return exhaustiveSwitchError(error);
+  }
+}
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -4,7 +4,9 @@
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import type {PlatformError} from '@filbertrun/platform/platform_service.js';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
+import {FakeWallClock} from '../testing/fake_wall_clock.js';
 import {advanceClock} from '../testing/settle.js';
 import {TableWatcher} from './table_watcher.js';
 import type {
@@ -68,6 +70,10 @@
       minIntervalMs: CALL_INTERVAL_MS,
       table,
       clock,
+      clockJumpDetector: ClockJumpDetector.create(
+        clock,
+        FakeWallClock.create(clock),
+      ),
       random: SeededRandom.create(1),
       events,
       listener: {
--- a/packages/gateway/src/directory/watchable_table.ts
+++ b/packages/gateway/src/directory/watchable_table.ts
@@ -24,6 +24,18 @@
 export interface TableChanges<T> {
   readonly changes: readonly TableChange<T>[];
   readonly revision: number;
+  /** Size of the response that they came in, if it is known. */
+  readonly responseBytes?: number;
+  /** The read that returned them, for logs. */
+  readonly read?: TableRead;
+}
+
+/** A read of a table. @public */
+export interface TableRead {
+  /** `store`, or the entry VM of the proxy that has read the store. */
+  readonly source: string;
+  /** Time from the request to its response, including the time held open. */
+  readonly durationMs: number;
 }
 
 /** Reason why a watch failed. @public */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -329,6 +329,7 @@
         publisher.withDirectoryCache(this.directory),
       ),
       clock,
+      clockJumpDetector,
       random,
       events,
     });
@@ -349,6 +350,7 @@
         }),
       ),
       clock,
+      clockJumpDetector,
       random,
       events,
     });
@@ -640,6 +642,7 @@
     collectGatewayGauges(
       {
         configurationVersion: this.configuration.current?.version ?? 0,
+        configurationAgeMs: this.configurationWatcher.getAgeMs(),
         controlTableAgeMs:
           this.clock.nowMs() - this.controlPoller.lastResponseMs,
         isInContact: this.contact.isInContact(),
@@ -657,6 +660,10 @@
     return this.configuration.current;
   }
 
+  getConfigurationAgeMs(): number | null {
+    return this.configurationWatcher.getAgeMs();
+  }
+
   requestFreshnessBound(group: GroupRuntime): Promise<void> {
     return this.peerFreshness.fetch(group);
   }
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -22,6 +22,16 @@
   readonly requiredPositionAgeMs: number | null;
 }
 
+/** Inputs of the decision to deny a caller. @public */
+export interface DenialInputs {
+  readonly databaseName: string;
+  /** Null without a configuration. */
+  readonly configurationVersion: number | null;
+  /** Time since the configuration was confirmed to be current, if known. */
+  readonly configurationAgeMs: number | null;
+  readonly reason: string;
+}
+
 /** A log event. @public */
 export type GatewayEvent =
   | PromotionEvent
@@ -86,7 +96,39 @@
       readonly version: number;
       readonly previousVersion: number;
       readonly routeCount: number;
+      /** `store`, or the entry VM of the zone reader that sent it. */
       readonly source: string;
+      /** Size of the response that it came in; null if unknown. */
+      readonly responseBytes: number | null;
+      /** Time from the request for it to its response. */
+      readonly durationMs: number;
+    }
+  /** A read of a table by this process failed. */
+  | {
+      readonly kind: 'tableReadFailed';
+      readonly table: string;
+      readonly operation: 'listing' | 'watch';
+      /** Revision after which a watch asks for changes; null before a listing. */
+      readonly knownRevision: number | null;
+      readonly durationMs: number;
+      /** Includes the timeout and the bytes that had arrived. */
+      readonly reason: string;
+    }
+  /** A read in flight was discarded, since another proxy forwards the table. */
+  | {
+      readonly kind: 'tableReadDiscarded';
+      readonly table: string;
+      readonly knownRevision: number | null;
+      readonly inFlightMs: number;
+    }
+  /** A request to a zone reader was refused or got no complete response. */
+  | {
+      readonly kind: 'zoneUpdateFailed';
+      readonly reader: string;
+      /** Time for which the reader was allowed to hold the response. */
+      readonly waitMs: number;
+      readonly durationMs: number;
+      readonly reason: string;
     }
   | {readonly kind: 'configurationRejected'; readonly reason: string}
   | {
@@ -255,14 +297,12 @@
       readonly viewAgeMs: number | null;
     }
   /** A statement was refused because of its database or its caller. */
-  | {
+  | ({
       readonly kind: 'statementDenied';
       readonly requestId: string;
-      readonly databaseName: string;
-      /** Null without a configuration. */
-      readonly configurationVersion: number | null;
-      readonly reason: string;
-    }
+    } & DenialInputs)
+  /** A session was refused because of its database or its caller. */
+  | ({readonly kind: 'sessionDenied'} & DenialInputs)
   | {
       readonly kind: 'statementRetried';
       readonly requestId: string;
@@ -381,6 +421,7 @@
       return 'write';
     case 'statementRefused':
     case 'statementDenied':
+    case 'sessionDenied':
     case 'statementRejected':
     case 'forwardingFailed':
     case 'outcomeUnknown':
--- a/packages/gateway/src/observability/gateway_gauges.ts
+++ b/packages/gateway/src/observability/gateway_gauges.ts
@@ -6,6 +6,8 @@
 export interface GatewayState {
   /** Version of the configuration in force; 0 without one. */
   readonly configurationVersion: number;
+  /** Time since it was confirmed to be current; null if it never was. */
+  readonly configurationAgeMs: number | null;
   readonly controlTableAgeMs: number;
   readonly isInContact: boolean;
   readonly storeEra: number;
@@ -17,6 +19,8 @@
 
 const MS_PER_SECOND = 1_000;
 
+const UNKNOWN_AGE_SECONDS = -1;
+
 /** Sets the gauges that describe the current state. @public */
 export function collectGatewayGauges(
   state: GatewayState,
@@ -27,6 +31,13 @@
     'Version of the configuration in force.',
     state.configurationVersion,
   );
+  metrics.setGauge(
+    'filbertrun_configuration_age_seconds',
+    'Time since the configuration was confirmed to be current; -1 if it was not since the start or a clock jump.',
+    state.configurationAgeMs === null
+      ? UNKNOWN_AGE_SECONDS
+      : state.configurationAgeMs / MS_PER_SECOND,
+  );
   metrics.setGauge(
     'filbertrun_control_table_age_seconds',
     'Time since the control table was last read.',
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -1,4 +1,5 @@
 import {exhaustiveSwitchError} from '@filbertrun/base/exhaustive_switch.js';
+import type {DenialInputs} from '../observability/gateway_event.js';
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import type {CallerError} from '@filbertrun/model/outcome.js';
 import type {SessionContext} from '../backend/pooled_connection.js';
@@ -61,13 +62,37 @@
       databaseName,
       digestApiKey(apiKey),
     );
-    const route = gateway.getConfiguration()?.routes.get(databaseName);
+    const denial = session.findDenial();
+    if (denial === null) {
+      return success(session);
+    }
+    gateway.events.record({
+      kind: 'sessionDenied',
+      ...session.describeDenial(denial),
+    });
+    return failure(denial);
+  }
+
+  /** Returns why the session may not be opened, or null. */
+  private findDenial(): CallerError | null {
+    const configuration = this.gateway.getConfiguration();
+    const route = configuration?.routes.get(this.databaseName);
     if (route === undefined) {
-      return failure(session.createUnknownDatabaseError());
+      return this.createUnknownDatabaseError();
     }
-    return session.resolveCaller(route)?.kind === 'denied'
-      ? failure({kind: 'accessDenied'})
-      : success(session);
+    return this.resolveCaller(route)?.kind === 'denied'
+      ? {kind: 'accessDenied'}
+      : null;
+  }
+
+  /** The inputs of a decision to deny a caller, for logs. */
+  private describeDenial(error: CallerError): DenialInputs {
+    return {
+      databaseName: this.databaseName,
+      configurationVersion: this.gateway.getConfiguration()?.version ?? null,
+      configurationAgeMs: this.gateway.getConfigurationAgeMs(),
+      reason: describeRefusal(error),
+    };
   }
 
   get transactionState(): TransactionState {
@@ -274,9 +299,7 @@
     this.gateway.events.record({
       kind: 'statementDenied',
       requestId: request.requestId,
-      databaseName: this.databaseName,
-      configurationVersion: this.gateway.getConfiguration()?.version ?? null,
-      reason: describeRefusal(error),
+      ...this.describeDenial(error),
     });
     return createErrorReply(error, 'idle');
   }
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -23,6 +23,8 @@
   readonly limiter: OperationLimiter;
   readonly operations: OperationExecutor;
   getConfiguration(): ServiceConfiguration | null;
+  /** Time since the configuration was confirmed to be current, if known. */
+  getConfigurationAgeMs(): number | null;
   getGroup(databaseGroup: string): GroupRuntime | null;
   /**
    * Requests a freshness bound from other proxies, with a short timeout: a log
--- a/packages/gateway/src/testing/forwarding_test_harness.ts
+++ b/packages/gateway/src/testing/forwarding_test_harness.ts
@@ -76,6 +76,7 @@
       limiter: sessions.limiter,
       operations: this.follower.executor,
       getConfiguration: () => sessions.getConfiguration(),
+      getConfigurationAgeMs: () => null,
       getGroup: () => sessions.getGroup(),
       requestFreshnessBound: () => Promise.resolve(),
     };
--- a/packages/gateway/src/testing/history_proxy.ts
+++ b/packages/gateway/src/testing/history_proxy.ts
@@ -185,6 +185,10 @@
     return this.group.lease.getPrimary() !== null;
   }
 
+  getConfigurationAgeMs(): number | null {
+    return null;
+  }
+
   getConfiguration(): ServiceConfiguration {
     return {
       version: 1,
--- a/packages/gateway/src/testing/session_test_harness.ts
+++ b/packages/gateway/src/testing/session_test_harness.ts
@@ -137,6 +137,10 @@
     throw new Error('The statement got no reply in time.');
   }
 
+  getConfigurationAgeMs(): number | null {
+    return null;
+  }
+
   getConfiguration(): ServiceConfiguration {
     return {
       version: 1,
--- a/packages/gateway/src/zone/apply_zone_update.ts
+++ b/packages/gateway/src/zone/apply_zone_update.ts
@@ -20,15 +20,33 @@
   computeDigest(): string;
 }
 
-/** Applies an update that was requested at `requestedAt`. @public */
+/** The request that an update answers. @public */
+export interface RequestedUpdate {
+  /** Entry VM of the zone reader. */
+  readonly reader: string;
+  /** When the request was sent. */
+  readonly requestedAt: ClockReading;
+  /** Time until the response arrived. */
+  readonly durationMs: number;
+}
+
+/** Applies an update from the zone reader. @public */
 export function applyZoneUpdate(
   update: ZoneUpdate,
-  requestedAt: ClockReading,
+  {reader, requestedAt, durationMs}: RequestedUpdate,
   targets: ZoneUpdateTargets,
 ): void {
-  const {configuration, directory, control, contact} = update;
+  const {configuration, configurationLeadMs, directory, control, contact} =
+    update;
   const {configurationWatcher, directoryWatcher, controlPoller} = targets;
-  configurationWatcher.applyUpdate(configuration, configuration.isListing);
+  const read = {source: reader, durationMs};
+  configurationWatcher.applyUpdate(
+    {...configuration, read},
+    configuration.isListing,
+    configurationLeadMs === null
+      ? null
+      : subtractLead(requestedAt, configurationLeadMs),
+  );
   directoryWatcher.applyUpdate(directory, directory.isListing);
   applyControl(control, requestedAt, controlPoller);
   // A contact confirms the primary records of the reader. It confirms those of
--- a/packages/gateway/src/zone/zone_follower.ts
+++ b/packages/gateway/src/zone/zone_follower.ts
@@ -1,13 +1,11 @@
 import type {Clock} from '@filbertrun/base/clock.js';
 import {sleep} from '@filbertrun/base/sleep.js';
 import type {EntryVmRecord} from '../control/control_record.js';
-import type {
-  ClockReading,
-  ClockJumpDetector,
-} from '../group/clock_jump_detector.js';
+import type {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {runInBackground} from '../observability/background_task.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
+import type {RequestedUpdate} from './apply_zone_update.js';
 import {chooseZoneReader} from './choose_zone_reader.js';
 import type {ZoneUpdate, ZoneUpdateRequest} from './zone_update.js';
 
@@ -40,8 +38,7 @@
   getKnownRevisions(): KnownRevisions;
   /** Whether the control table should be read more often. */
   isUrgent(): boolean;
-  /** Applies an update; `requestedAt` is when the request was sent. */
-  applyUpdate(update: ZoneUpdate, requestedAt: ClockReading): void;
+  applyUpdate(update: ZoneUpdate, requested: RequestedUpdate): void;
   /** Pauses or resumes the reads of the store by this process. */
   setReading(isReading: boolean): void;
 }
@@ -74,6 +71,12 @@
   readonly durationMs: number;
 }
 
+interface FailedRequest {
+  readonly reader: string;
+  readonly waitMs: number;
+  readonly durationMs: number;
+}
+
 /** Outcome of a request to a zone reader. */
 type RequestOutcome = 'answered' | 'refused' | 'unresponsive';
 
@@ -193,7 +196,7 @@
     reader: EntryVmRecord,
     waitMs: number,
   ): Promise<RequestOutcome> {
-    const {self, peers, clockJumpDetector} = this.options;
+    const {self, peers, clock, clockJumpDetector} = this.options;
     const requestedAt = clockJumpDetector.read();
     const response = await peers.followZone(reader, {
       entryVm: self.entryVm,
@@ -202,18 +205,30 @@
       isUrgent: this.options.isUrgent(),
       waitMs,
     });
+    const durationMs = clock.nowMs() - requestedAt.timeMs;
+    const request = {reader: reader.entryVm, waitMs, durationMs};
     if (!response.ok) {
+      this.recordFailure(request, response.error.reason);
       return 'unresponsive';
     }
     if (response.value === null) {
+      this.recordFailure(request, 'it does not read the store');
       return 'refused';
     }
     if (!this.isDisposed) {
-      this.options.applyUpdate(response.value, requestedAt);
+      this.options.applyUpdate(response.value, {
+        reader: reader.entryVm,
+        requestedAt,
+        durationMs,
+      });
     }
     return 'answered';
   }
 
+  private recordFailure(request: FailedRequest, reason: string): void {
+    this.options.events.record({kind: 'zoneUpdateFailed', ...request, reason});
+  }
+
   private backOff(
     {entryVm, incarnation}: EntryVmRecord,
     outcome: RequestOutcome,
--- a/packages/gateway/src/zone/zone_publisher.ts
+++ b/packages/gateway/src/zone/zone_publisher.ts
@@ -27,6 +27,8 @@
    * confirmed the primary records of this process; null if it is too old.
    */
   getContactStart(): ClockReading | null;
+  /** Time as of which the configuration of this process was current. */
+  getConfigurationCurrentAsOf(): ClockReading | null;
   /** Digest of the primary records; null unless a lease is held on each. */
   computeLeasedDigest(): string | null;
   /** Polls the control table early if a follower needs an update. */
@@ -207,10 +209,16 @@
       configuration: this.configuration.getUpdateSince(
         request.configurationRevision,
       ),
+      configurationLeadMs: this.getConfigurationLeadMs(arrivedAt),
       contact: this.createContact(arrivedAt),
     };
   }
 
+  private getConfigurationLeadMs(arrivedAt: ClockReading): number | null {
+    const currentAsOf = this.options.getConfigurationCurrentAsOf();
+    return currentAsOf === null ? null : this.getLeadMs(currentAsOf, arrivedAt);
+  }
+
   private createContact(arrivedAt: ClockReading): ZoneContact | null {
     const start = this.options.getContactStart();
     const digest = this.options.computeLeasedDigest();
--- a/packages/gateway/src/zone/zone_publisher_test.ts
+++ b/packages/gateway/src/zone/zone_publisher_test.ts
@@ -33,6 +33,7 @@
       clockJumpDetector: jumpDetector,
       isReading: () => isReading,
       getContactStart: () => contactStart,
+      getConfigurationCurrentAsOf: () => null,
       computeLeasedDigest: () => 'digest',
       pollIfUrgent: () => urgentPollCount++,
     });
--- a/packages/gateway/src/zone/zone_reading.ts
+++ b/packages/gateway/src/zone/zone_reading.ts
@@ -5,13 +5,14 @@
   EntryVmRegistration,
 } from '../control/entry_vm_registration.js';
 import type {RelayingControlTable} from '../control/relaying_control_table.js';
-import type {
-  ClockReading,
-  ClockJumpDetector,
-} from '../group/clock_jump_detector.js';
+import type {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import type {GatewayEventRecorder} from '../observability/gateway_event_recorder.js';
 import type {PeerClient} from '../peer/peer_client.js';
-import {applyZoneUpdate, type ZoneUpdateTargets} from './apply_zone_update.js';
+import {
+  applyZoneUpdate,
+  type RequestedUpdate,
+  type ZoneUpdateTargets,
+} from './apply_zone_update.js';
 import {ZoneFollower} from './zone_follower.js';
 import type {ZoneUpdate} from './zone_update.js';
 import {ZonePublisher} from './zone_publisher.js';
@@ -58,6 +59,8 @@
       isReading: () => this.isReadingForZone(),
       getContactStart: () =>
         options.getUpdateTargets().contact.getContactStart(),
+      getConfigurationCurrentAsOf: () =>
+        options.getUpdateTargets().configurationWatcher.currentAsOf,
       computeLeasedDigest: () => options.computeLeasedDigest(),
       pollIfUrgent: () =>
         options.getUpdateTargets().controlPoller.pollIfUrgent(),
@@ -73,8 +76,7 @@
       isStoreAvailable: () => this.isStoreAvailable(),
       getKnownRevisions: () => this.publisher.getKnownRevisions(),
       isUrgent: () => options.isUrgent(),
-      applyUpdate: (update, requestedAt) =>
-        this.applyUpdate(update, requestedAt),
+      applyUpdate: (update, requested) => this.applyUpdate(update, requested),
       setReading: isReading => this.setReading(isReading),
     });
   }
@@ -157,7 +159,7 @@
     this.publisher.wake();
   }
 
-  private applyUpdate(update: ZoneUpdate, requestedAt: ClockReading): void {
-    applyZoneUpdate(update, requestedAt, this.options.getUpdateTargets());
+  private applyUpdate(update: ZoneUpdate, requested: RequestedUpdate): void {
+    applyZoneUpdate(update, requested, this.options.getUpdateTargets());
   }
 }
--- a/packages/gateway/src/zone/zone_update.ts
+++ b/packages/gateway/src/zone/zone_update.ts
@@ -52,6 +52,11 @@
   readonly control: ControlUpdate;
   readonly directory: TableUpdate<BackendServerEntry>;
   readonly configuration: TableUpdate<ServiceConfiguration>;
+  /**
+   * Lead of the time as of which the reader knows that its configuration was
+   * current; null if it does not know, or is of a build that does not tell.
+   */
+  readonly configurationLeadMs: number | null;
   /** Null while the reader is not in contact or holds no lease. */
   readonly contact: ZoneContact | null;
 }
--- a/packages/gateway/src/zone/zone_update_codec.ts
+++ b/packages/gateway/src/zone/zone_update_codec.ts
@@ -80,6 +80,7 @@
   }),
   directory: createTableUpdateSchema(backendServerEntrySchema),
   configuration: createTableUpdateSchema(configurationSchema),
+  configurationLeadMs: z.number().nullable().default(null),
   contact: z.object({digest: z.string(), startLeadMs: z.number()}).nullable(),
 });
 
--- a/packages/gateway/src/zone/zone_update_codec_test.ts
+++ b/packages/gateway/src/zone/zone_update_codec_test.ts
@@ -19,6 +19,7 @@
     storeTimeMs: 1_000,
     readLeadMs: -25,
   },
+  configurationLeadMs: 40,
   directory: {
     isListing: false,
     revision: 13,
