--- a/packages/gateway/src/simulation/configuration_oracle.ts
+++ b/packages/gateway/src/simulation/configuration_oracle.ts
@@ -65,6 +65,27 @@
     }
   }
 
+  /**
+   * Checks the version in force on a proxy, null for none, by which it decides
+   * also what no probe asks for.
+   */
+  checkVersion(proxy: string, version: number | null, nowMs: number): void {
+    const index = this.operator.accepted.findIndex(
+      ({configuration}) => configuration.version === version,
+    );
+    const lateMs = this.getSupersededMs(index, nowMs);
+    if (
+      this.disturbances.isUndisturbed(proxy, nowMs) &&
+      lateMs >= CONFIGURATION_APPLY_MS
+    ) {
+      const {length} = this.operator.accepted;
+      this.oracle.report(
+        'lateConfiguration',
+        `${proxy} has version ${version} of ${length}`,
+      );
+    }
+  }
+
   /** Indexes from `from` upwards of the versions consistent with a probe. */
   private findCandidates(probe: RouteProbe, from: number): readonly number[] {
     const candidates: number[] = [];
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -34,6 +34,7 @@
 } from './simulated_operator.js';
 import {SimulatedRestore} from './simulated_restore.js';
 import type {StoreCallCounts} from './simulated_tables.js';
+import {SimulatedTransfers} from './simulated_transfers.js';
 import {SimulatedZones} from './simulated_zones.js';
 import {DisturbanceTracker} from './disturbance_tracker.js';
 import {
@@ -148,6 +149,7 @@
         operator,
         tables: [store, rosters],
       }),
+      transfers: SimulatedTransfers.create(clock, plan.transfers ?? null),
       storeLatency: CallLatency.create(plan.seed),
       storeCalls: {control: 0, directory: 0, configuration: 0},
       proxies: new Map(),
@@ -209,6 +211,7 @@
       }
       if (elapsedMs % PROBE_INTERVAL_MS === 0) {
         this.probeRoutes();
+        this.checkConfigurations();
       }
     }
     this.oracle.checkFinalLog(this.deployment.group.findLeader());
@@ -247,6 +250,7 @@
     });
     const incarnation = this.nextIncarnation++;
     this.incarnations.set(name, incarnation);
+    this.disturbances.recordDisturbance(name, clock.nowMs());
     process = SimulatedProxy.start(
       name,
       incarnation,
@@ -311,6 +315,14 @@
     }
   }
 
+  /** Checks the version in force on each proxy, also on one without any. */
+  private checkConfigurations(): void {
+    for (const [name, {gateway}] of this.deployment.proxies) {
+      const version = gateway.getConfiguration()?.version ?? null;
+      this.configurationOracle.checkVersion(name, version, this.clock.nowMs());
+    }
+  }
+
   private recordDisturbances(): void {
     const nowMs = this.clock.nowMs();
     const isStoreSlow = this.deployment.storeLatency.range !== null;
--- a/packages/gateway/src/simulation/history_fault.ts
+++ b/packages/gateway/src/simulation/history_fault.ts
@@ -1,6 +1,7 @@
 import {PHASE_ARMED_MS} from './phase_disturbances.js';
 import {getPhaseFaultMs, type PhaseFault} from './phase_fault.js';
 import type {PlatformTimes} from './simulated_group.js';
+import type {TransferPlan} from './simulated_transfers.js';
 import {ARMED_MS, DISTURBED_MS} from './leader_disturbances.js';
 
 /** Faults and plans of simulated histories. */
@@ -173,11 +174,11 @@
 /**
  * Placement of the nodes: with `apart`, each proxy and each instance is in an
  * availability zone of its own. With `shared`, there are three zones with an
- * instance each, and one of them has three proxies.
+ * instance each, and one of them has three proxies; with `crowded`, seven.
  *
  * @internal
  */
-export type HistoryLayout = 'apart' | 'shared';
+export type HistoryLayout = 'apart' | 'shared' | 'crowded';
 
 /** Seed, layout and faults of one history. @internal */
 export interface HistoryPlan {
@@ -190,6 +191,8 @@
   readonly platformTimes?: PlatformTimes;
   /** Duration after the warm-up. Default: `HISTORY_MS`. */
   readonly durationMs?: number;
+  /** Sizes of configurations and links. Default: transfers take no time. */
+  readonly transfers?: TransferPlan;
   readonly faults: readonly HistoryFault[];
 }
 
--- a/packages/gateway/src/simulation/phase_plans.ts
+++ b/packages/gateway/src/simulation/phase_plans.ts
@@ -40,6 +40,7 @@
 const FOLLOWERS: Readonly<Record<HistoryLayout, readonly number[]>> = {
   apart: [1, 2],
   shared: [0, 3, 4],
+  crowded: [0, 3, 4, 5, 6, 7, 8],
 };
 
 const proxy = fc.nat(4);
--- a/packages/gateway/src/simulation/simulated_operator.ts
+++ b/packages/gateway/src/simulation/simulated_operator.ts
@@ -31,6 +31,10 @@
     return new SimulatedOperator(clock);
   }
 
+  get nowMs(): number {
+    return this.clock.nowMs();
+  }
+
   get current(): ServiceConfiguration {
     const newest = this.accepted.at(-1);
     if (newest === undefined) {
--- a/packages/gateway/src/simulation/simulated_proxy.ts
+++ b/packages/gateway/src/simulation/simulated_proxy.ts
@@ -36,6 +36,7 @@
 import type {SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedOperator} from './simulated_operator.js';
 import type {SimulatedRestore} from './simulated_restore.js';
+import type {SimulatedTransfers} from './simulated_transfers.js';
 import type {SimulatedZones} from './simulated_zones.js';
 import {
   SimulatedConfiguration,
@@ -57,6 +58,7 @@
   readonly rosters: FakeControlTable;
   readonly operator: SimulatedOperator;
   readonly restore: SimulatedRestore;
+  readonly transfers: SimulatedTransfers;
   readonly storeCalls: StoreCallCounts;
   /** Latency of calls to the store. */
   readonly storeLatency: CallLatency;
@@ -132,6 +134,7 @@
           deployment.operator,
           deployment.restore,
           deployment.storeCalls,
+          deployment.transfers,
         ),
         configurationKey: 'config',
         peers: createPeers(path, deployment),
@@ -343,6 +346,24 @@
       ? success(response)
       : failure({kind: 'unreachable', reason: 'simulated'});
   };
+  const followZone: PeerClient['followZone'] = async (peer, request) => {
+    const startedAtMs = deployment.clock.nowMs();
+    const timeoutMs = request.waitMs + CALL_TIMEOUT_MS;
+    const response = await call(peer, handler => handler.followZone(request));
+    if (!response.ok || response.value === null) {
+      return response;
+    }
+    const remainingMs = startedAtMs + timeoutMs - deployment.clock.nowMs();
+    const isComplete = await deployment.transfers.send(
+      peer.entryVm,
+      path.name,
+      response.value,
+      remainingMs,
+    );
+    return isComplete
+      ? response
+      : failure({kind: 'unreachable', reason: 'simulated timeout'});
+  };
   return {
     release: (peer, request) => call(peer, handler => handler.release(request)),
     announce: (peer, record) => call(peer, handler => handler.announce(record)),
@@ -355,8 +376,7 @@
     compareRecords: peer => call(peer, handler => handler.compareRecords()),
     askPosition: (peer, request) =>
       call(peer, handler => handler.tellPosition(request)),
-    followZone: (peer, request) =>
-      call(peer, handler => handler.followZone(request)),
+    followZone: (peer, request) => followZone(peer, request),
     exchangePermits: (peer, exchange) =>
       call(peer, handler => handler.exchangePermits(exchange)),
   };
--- a/packages/gateway/src/simulation/simulated_tables.ts
+++ b/packages/gateway/src/simulation/simulated_tables.ts
@@ -24,6 +24,7 @@
 import {STORE} from './simulated_network.js';
 import type {StoreCaller} from './store_call.js';
 import type {SimulatedOperator} from './simulated_operator.js';
+import type {SimulatedTransfers} from './simulated_transfers.js';
 
 /** One proxy's clients of the tables in the simulated store. */
 
@@ -191,7 +192,25 @@
 /** Interval at which a watch checks for a newer configuration. */
 const WATCH_STEP_MS = 50;
 
-/** Client of the operator's configuration. @internal */
+/** Timeout of a listing, as in the client of the store. */
+const LISTING_TIMEOUT_MS = 1_500;
+
+/** Timeout of a watch beyond its wait, as in the client of the store. */
+const WATCH_MARGIN_MS = 450;
+
+/** Time for which the store keeps earlier versions. */
+const HISTORY_MS = 20_000;
+
+/** Size of a response without a version. */
+const EMPTY_RESPONSE_BYTES = 100;
+
+/**
+ * Client of the operator's configuration. A watch returns each version since the
+ * known one in full. A call that gets no response lasts until its timeout, and one
+ * whose response was lost fails although the store is reachable again.
+ *
+ * @internal
+ */
 export class SimulatedConfiguration implements WatchableTable<ServiceConfiguration> {
   constructor(
     private readonly path: NetworkPath,
@@ -199,6 +218,7 @@
     private readonly operator: SimulatedOperator,
     private readonly restore: SimulatedRestore,
     private readonly calls: StoreCallCounts,
+    private readonly transfers: SimulatedTransfers,
   ) {}
 
   async list(): Promise<
@@ -209,44 +229,110 @@
     if (delayMs > 0) {
       await this.path.pause(delayMs);
     }
+    if (!this.path.canReach(STORE)) {
+      await this.path.pause(LISTING_TIMEOUT_MS);
+      return failure(UNAVAILABLE);
+    }
     const outcome = await this.caller.call(() =>
       Promise.resolve(this.describe()),
     );
-    return outcome.kind === 'answered'
-      ? success(outcome.value)
-      : failure(UNAVAILABLE);
+    if (outcome.kind !== 'answered') {
+      return failure(UNAVAILABLE);
+    }
+    return this.receive(outcome.value, LISTING_TIMEOUT_MS);
   }
 
   async watch(
     afterRevision: number,
     waitMs: number,
   ): Promise<Result<TableChanges<ServiceConfiguration>, WatchError>> {
-    for (let waitedMs = 0; waitedMs < waitMs; waitedMs += WATCH_STEP_MS) {
-      if (this.restore.era > getEra(afterRevision)) {
+    this.calls.configuration++;
+    if (!this.path.canReach(STORE)) {
+      await this.path.pause(waitMs + WATCH_MARGIN_MS);
+      return failure(UNAVAILABLE);
+    }
+    let waitedMs = 0;
+    while (waitedMs < waitMs && this.getRevision() <= afterRevision) {
+      if (this.hasLostHistory(afterRevision)) {
         await this.path.pause(CALL_MS);
         return failure({kind: 'historyLost'});
       }
-      if (this.getRevision() > afterRevision) {
-        return this.list();
-      }
       await this.path.pause(WATCH_STEP_MS);
+      waitedMs += WATCH_STEP_MS;
     }
-    this.calls.configuration++;
-    return (await this.path.reach(STORE))
-      ? success({changes: [], revision: afterRevision})
+    if (this.hasLostHistory(afterRevision)) {
+      return failure({kind: 'historyLost'});
+    }
+    const changes = this.describeSince(afterRevision);
+    return this.receive(changes, waitMs + WATCH_MARGIN_MS - waitedMs);
+  }
+
+  /** Receives a response within the rest of the call's timeout. */
+  private async receive(
+    changes: TableChanges<ServiceConfiguration>,
+    maxMs: number,
+  ): Promise<Result<TableChanges<ServiceConfiguration>, PlatformError>> {
+    if (!this.path.canReach(STORE)) {
+      await this.path.pause(maxMs);
+      return failure(UNAVAILABLE);
+    }
+    const bytes =
+      EMPTY_RESPONSE_BYTES +
+      changes.changes.length * this.transfers.versionBytes;
+    const isComplete = await this.transfers.receive(
+      this.path.name,
+      bytes,
+      maxMs,
+    );
+    return isComplete && this.path.canReach(STORE)
+      ? success({...changes, responseBytes: bytes})
       : failure(UNAVAILABLE);
   }
 
   private describe(): TableChanges<ServiceConfiguration> {
     const value = this.getStored();
     const revision = this.getRevision();
-    return {changes: [{kind: 'put', key: 'config', revision, value}], revision};
+    return {changes: [this.describeVersion(value)], revision};
   }
 
-  private getRevision(): number {
+  /** All versions after a revision, oldest first. */
+  private describeSince(
+    afterRevision: number,
+  ): TableChanges<ServiceConfiguration> {
+    const {restoredConfiguration} = this.restore;
+    const stored =
+      restoredConfiguration === null
+        ? this.operator.accepted.map(({configuration}) => configuration)
+        : [restoredConfiguration];
+    const changes = stored
+      .map(configuration => this.describeVersion(configuration))
+      .filter(({revision}) => revision > afterRevision);
+    return {changes, revision: this.getRevision()};
+  }
+
+  private describeVersion(
+    value: ServiceConfiguration,
+  ): TableChange<ServiceConfiguration> {
     const {era} = this.restore;
-    const {version} = this.getStored();
-    return createRevision({era, change: version}) ?? 0;
+    const revision = createRevision({era, change: value.version}) ?? 0;
+    return {kind: 'put', key: 'config', revision, value};
+  }
+
+  /** Whether the store no longer has the versions after a revision. */
+  private hasLostHistory(afterRevision: number): boolean {
+    if (this.restore.era > getEra(afterRevision)) {
+      return true;
+    }
+    const oldestMs = this.operator.nowMs - HISTORY_MS;
+    return this.operator.accepted.some(
+      ({configuration, acceptedAtMs}) =>
+        acceptedAtMs < oldestMs &&
+        this.describeVersion(configuration).revision > afterRevision,
+    );
+  }
+
+  private getRevision(): number {
+    return this.describeVersion(this.getStored()).revision;
   }
 
   /** Stored configuration; for a while after a restore, that of the backup. */
