A response that keeps arriving is awaited to its end

Cause: the timeout of a call counted from its start to the last byte, so a response larger than the link carries in that time could never be received, and each attempt began anew.

Calls that read tables and requests to zone readers now limit the time to the first byte, and then the pause between two pieces (1 s). So an unresponsive store is found as early as before, and a large response costs time, not all that had arrived. The simulation's client has the same limits. The tests of large_configuration_test still fail: a process still asks for each version that it missed, and a reader's link still carries a version for each follower.

--- a/packages/base/src/http_request.ts
+++ b/packages/base/src/http_request.ts
@@ -10,8 +10,16 @@
   readonly agent: http.Agent;
   /** Local IP address to connect from. */
   readonly sourceAddress?: string;
-  /** Timeout from sending the request to the end of the response. */
+  /**
+   * Timeout from sending the request to the end of the response; with
+   * `stallTimeoutMs`, to the first byte of its body.
+   */
   readonly timeoutMs: number;
+  /**
+   * Longest time between two pieces of the body. With it, a response that keeps
+   * arriving is awaited to its end, however large it is.
+   */
+  readonly stallTimeoutMs?: number;
   /**
    * Asked once the connection is open, right before the request is sent. If it
    * denies, nothing is sent. With it, a request that times out also resets its
@@ -60,6 +68,10 @@
       readResponse(incoming, request, {
         handleChunk: size => {
           receivedBytes += size;
+          if (request.stallTimeoutMs !== undefined) {
+            clearTimeout(timer);
+            timer = startTimeout(request.stallTimeoutMs);
+          }
         },
         handleResponse: response => {
           clearTimeout(timer);
@@ -72,16 +84,19 @@
       return;
     }
     const outgoing = created.value;
-    const timer = setTimeout(() => {
+    const giveUp = (afterMs: number): void => {
       if (request.maySend !== undefined) {
         resetConnection(outgoing);
       }
       const received =
         receivedBytes === 0 ? '' : `, ${receivedBytes} bytes of it received`;
       outgoing.destroy(
-        new Error(`no response within ${request.timeoutMs} ms${received}`),
+        new Error(`no response within ${afterMs} ms${received}`),
       );
-    }, request.timeoutMs);
+    };
+    const startTimeout = (afterMs: number) =>
+      setTimeout(() => giveUp(afterMs), afterMs);
+    let timer = startTimeout(request.timeoutMs);
     const handleConnected = (): void => {
       if (request.maySend?.() === false) {
         outgoing.destroy(new Error('the request may not be sent any more'));
--- a/packages/base/src/http_request_test.ts
+++ b/packages/base/src/http_request_test.ts
@@ -41,6 +41,30 @@
     });
   }
 
+  /** Sends a piece of the body at once and another after a pause. */
+  function respondInTwoPieces(pauseMs: number): http.RequestListener {
+    return (_request, response) => {
+      response.write('one');
+      setTimeout(() => response.end(' two'), pauseMs);
+    };
+  }
+
+  it('awaits the rest of a response that keeps arriving after the timeout', async () => {
+    handle = respondInTwoPieces(300);
+    expect(await send({timeoutMs: 200, stallTimeoutMs: 5_000})).toMatchObject({
+      ok: true,
+      value: {body: 'one two'},
+    });
+  });
+
+  it('gives up a response that stops arriving, and tells how much arrived', async () => {
+    handle = respondInTwoPieces(5_000);
+    expect(await send({timeoutMs: 1_000, stallTimeoutMs: 100})).toMatchObject({
+      ok: false,
+      error: {reason: 'no response within 100 ms, 3 bytes of it received'},
+    });
+  });
+
   it('returns the status, headers and body of a response', async () => {
     handle = (request, response) => {
       response.statusCode = 412;
--- a/packages/gateway/src/peer/http_fetch.ts
+++ b/packages/gateway/src/peer/http_fetch.ts
@@ -1,10 +1,16 @@
 import http from 'node:http';
-import {sendHttpRequest} from '@filbertrun/base/http_request.js';
+import {
+  sendHttpRequest,
+  type HttpRequest,
+} from '@filbertrun/base/http_request.js';
 import type {httpLink} from '@trpc/client';
 
 /** The function with which a tRPC link sends requests. @public */
 export type HttpFetch = NonNullable<Parameters<typeof httpLink>[0]['fetch']>;
 
+/** Timeouts of a call; see `HttpRequest`. @public */
+export type HttpTimeouts = Pick<HttpRequest, 'timeoutMs' | 'stallTimeoutMs'>;
+
 const FIRST_ERROR_STATUS = 400;
 
 /**
@@ -15,7 +21,7 @@
  * @public
  */
 export function createHttpFetch(
-  timeoutMs: number,
+  timeouts: HttpTimeouts,
   countBytes: (url: string, bytes: number) => void,
 ): HttpFetch {
   const agent = new http.Agent({keepAlive: true});
@@ -26,7 +32,7 @@
       headers: typeof init?.body === 'string' ? JSON_HEADERS : {},
       body: typeof init?.body === 'string' ? init.body : null,
       agent,
-      timeoutMs,
+      ...timeouts,
     });
     if (!response.ok) {
       throw new Error(response.error.reason);
--- a/packages/gateway/src/peer/trpc_peer_client.ts
+++ b/packages/gateway/src/peer/trpc_peer_client.ts
@@ -1,6 +1,6 @@
 import {failure, success, type Result} from '@filbertrun/base/result.js';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {createHttpFetch} from './http_fetch.js';
+import {createHttpFetch, type HttpTimeouts} from './http_fetch.js';
 import {
   getTrafficLocality,
   type TrafficMeter,
@@ -36,6 +36,23 @@
 /** Timeout of a call, after which the other proxy counts as unreachable. */
 const CALL_TIMEOUT_MS = 400;
 
+/** Longest time between two pieces of an update from a zone reader. */
+const STALL_TIMEOUT_MS = 1_000;
+
+const CALL_TIMEOUTS: HttpTimeouts = {timeoutMs: CALL_TIMEOUT_MS};
+
+/** For a request to a zone reader that is answered at once. */
+const UPDATE_TIMEOUTS: HttpTimeouts = {
+  timeoutMs: CALL_TIMEOUT_MS,
+  stallTimeoutMs: STALL_TIMEOUT_MS,
+};
+
+/** For a long poll of a zone reader. */
+const FOLLOW_TIMEOUTS: HttpTimeouts = {
+  timeoutMs: FOLLOW_WAIT_MS + CALL_TIMEOUT_MS,
+  stallTimeoutMs: STALL_TIMEOUT_MS,
+};
+
 const STORE_UNREACHABLE_VIA_PEER: PlatformError = {
   kind: 'unavailable',
   reason: 'the other proxy cannot reach the store either',
@@ -52,9 +69,8 @@
 
 /** Sends requests to other proxies with tRPC over HTTP. @public */
 export class TrpcPeerClient implements PeerClient, ControlRelay {
-  private readonly clients = new Map<string, TrpcClient>();
-  /** Clients with a longer timeout, for long polls. */
-  private readonly followClients = new Map<string, TrpcClient>();
+  /** Clients by their timeouts, then by the URL of the other proxy. */
+  private readonly clients = new Map<HttpTimeouts, Map<string, TrpcClient>>();
 
   private constructor(private readonly options: TrpcPeerClientOptions) {}
 
@@ -123,11 +139,10 @@
     peer: EntryVmRecord,
     request: ZoneUpdateRequest,
   ): Promise<Result<ZoneUpdate | null, PeerError>> {
-    const follow =
-      request.waitMs === 0
-        ? this.getClient(peer).followZone
-        : this.getFollowClient(peer).followZone;
-    const response = await this.call(() => follow.query(request));
+    const timeouts = request.waitMs === 0 ? UPDATE_TIMEOUTS : FOLLOW_TIMEOUTS;
+    const response = await this.call(() =>
+      this.getClient(peer, timeouts).followZone.query(request),
+    );
     if (!response.ok || response.value === null) {
       return response.ok ? success(null) : response;
     }
@@ -171,25 +186,16 @@
   }
 
   /** The HTTP client enforces the timeout, so calls need no abort signal. */
-  private getClient(peer: EntryVmRecord): TrpcClient {
-    return this.findClient(this.clients, peer, CALL_TIMEOUT_MS);
-  }
-
-  /** Client for long polls of the zone reader. */
-  private getFollowClient(peer: EntryVmRecord): TrpcClient {
-    const timeoutMs = FOLLOW_WAIT_MS + CALL_TIMEOUT_MS;
-    return this.findClient(this.followClients, peer, timeoutMs);
-  }
-
-  private findClient(
-    clients: Map<string, TrpcClient>,
+  private getClient(
     peer: EntryVmRecord,
-    timeoutMs: number,
+    timeouts: HttpTimeouts = CALL_TIMEOUTS,
   ): TrpcClient {
+    const clients = this.clients.get(timeouts) ?? new Map<string, TrpcClient>();
+    this.clients.set(timeouts, clients);
     const url = `http://${peer.peerHost}:${peer.peerPort}`;
     let client = clients.get(url);
     if (client === undefined) {
-      const fetch = createHttpFetch(timeoutMs, (calledUrl, bytes) =>
+      const fetch = createHttpFetch(timeouts, (calledUrl, bytes) =>
         this.countBytes(peer, calledUrl, bytes),
       );
       client = createTRPCClient<PeerRouter>({links: [httpLink({url, fetch})]});
--- a/packages/gateway/src/simulation/simulated_transfers.ts
+++ b/packages/gateway/src/simulation/simulated_transfers.ts
@@ -40,31 +40,28 @@
     return this.plan !== null;
   }
 
-  /**
-   * Transfers a response of the store to a proxy; false if it takes too long.
-   */
-  receive(proxy: string, bytes: number, maxMs: number): Promise<boolean> {
-    return this.plan === null
-      ? Promise.resolve(true)
-      : this.getLink(proxy, this.plan).transfer(bytes, maxMs);
+  /** Transfers a response of the store to a proxy. */
+  async receive(proxy: string, bytes: number): Promise<void> {
+    if (this.plan !== null) {
+      await this.getLink(proxy, this.plan).transfer(bytes);
+    }
   }
 
-  /** Transfers an update of a zone reader; false if it takes too long. */
+  /** Transfers an update of a zone reader. */
   async send(
     reader: string,
     follower: string,
     update: ZoneUpdate,
-    maxMs: number,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const {plan} = this;
     if (plan === null) {
-      return true;
+      return;
     }
     const bytes = UPDATE_BYTES + this.getConfigurationBytes(update);
     const sent = [reader, follower].map(name =>
-      this.getLink(name, plan).transfer(bytes, maxMs),
+      this.getLink(name, plan).transfer(bytes),
     );
-    return (await Promise.all(sent)).every(isComplete => isComplete);
+    await Promise.all(sent);
   }
 
   private getConfigurationBytes({configuration}: ZoneUpdate): number {
