A process that has missed versions of the configuration lists the newest instead of asking for each

Cause: a watch that fails is followed by a watch after the same revision, and the store returns each version since then in full. The further a process is behind, the larger the response, so it falls behind further; only the loss of the store's history ended it, by a listing of one version. The class: recovery whose cost grows with the time that it has not succeeded.

The delay before a watch, meant for a start, no longer follows other listings.

--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -39,6 +39,12 @@
    * when they follow each other closely.
    */
   readonly minIntervalMs: number;
+  /**
+   * Whether the listener has to see each change, also of rows that were removed
+   * again. If not, a failed watch is followed by a listing, whose size does not
+   * grow with the changes that were missed.
+   */
+  readonly needsEachChange: boolean;
   readonly table: WatchableTable<T>;
   readonly listener: TableListener<T>;
   readonly clock: Clock;
@@ -48,8 +54,8 @@
 }
 
 /**
- * Delay between a listing and the first watch. In this time, a process that has
- * just started may find a zone reader that forwards the table to it.
+ * Delay between the first listing and the first watch. In this time, a process
+ * that has just started may find a zone reader that forwards the table to it.
  */
 const FIRST_WATCH_DELAY_MS = 800;
 
@@ -73,7 +79,10 @@
  */
 export class TableWatcher<T> {
   private revision: number | null = null;
+  /** Whether the known contents may be incomplete. */
   private mustList = true;
+  /** Whether a watch has failed since the last response or update. */
+  private hasMissedChanges = false;
   private failureCount = 0;
   private timer: Timer | null = null;
   private isDisposed = false;
@@ -169,6 +178,7 @@
       return;
     }
     this.revision = update.revision;
+    this.hasMissedChanges = false;
     if (currentAsOf !== null) {
       this.current.record(currentAsOf);
     }
@@ -193,7 +203,8 @@
 
   private async runOnce(generation: number): Promise<void> {
     const startedAtMs = this.options.clock.nowMs();
-    const isListing = this.mustList;
+    const isFirst = this.revision === null;
+    const isListing = this.mustList || this.hasMissedChanges;
     const failureReason = await this.readSafely(generation, isListing);
     if (this.isStale(generation)) {
       return;
@@ -201,7 +212,7 @@
     if (failureReason === null) {
       this.recordSuccess();
       const elapsedMs = this.options.clock.nowMs() - startedAtMs;
-      const intervalMs = isListing
+      const intervalMs = isFirst
         ? FIRST_WATCH_DELAY_MS
         : this.options.minIntervalMs;
       this.schedule(generation, intervalMs - elapsedMs);
@@ -365,11 +376,13 @@
 
   private recordSuccess(): void {
     this.failureCount = 0;
+    this.hasMissedChanges = false;
     this.dependency.markAvailable();
   }
 
   private recordFailure(reason: string): void {
     this.failureCount++;
+    this.hasMissedChanges = !this.options.needsEachChange;
     this.dependency.markLost(reason);
   }
 
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -58,16 +58,12 @@
   let events: InMemoryEventRecorder;
   let handleListing: () => void;
 
-  beforeEach(() => {
-    clock = VirtualClock.create();
-    table = new ScriptedTable();
-    seen = [];
-    handleListing = () => {};
-    events = InMemoryEventRecorder.create();
-    watcher = TableWatcher.create({
+  function createWatcher(needsEachChange: boolean): TableWatcher<string> {
+    return TableWatcher.create({
       name: 'test',
       getWaitMs: () => 1_000,
       minIntervalMs: CALL_INTERVAL_MS,
+      needsEachChange,
       table,
       clock,
       clockJumpDetector: ClockJumpDetector.create(
@@ -84,6 +80,15 @@
         handleChanges: ({revision}) => seen.push(`changes ${revision}`),
       },
     });
+  }
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    table = new ScriptedTable();
+    seen = [];
+    handleListing = () => {};
+    events = InMemoryEventRecorder.create();
+    watcher = createWatcher(true);
   });
 
   it('lists the table once, then watches from the newest revision', async () => {
@@ -150,6 +155,37 @@
     expect(table.watchedAfter).toEqual([5, 8]);
   });
 
+  // A watch returned each version that a process had missed, in full.
+  it('lists after a failed watch if the newest contents are enough', async () => {
+    watcher = createWatcher(false);
+    table.listings = [success(changes(5, 'a')), success(changes(9, 'd'))];
+    table.watches = [failure({kind: 'unavailable', reason: 'test'})];
+    watcher.start();
+    await advanceClock(clock, 3_000);
+    expect(seen).toEqual(['list 5', 'list 9']);
+    expect(table.watchedAfter).toEqual([5, 9]);
+  });
+
+  it('watches again after a failed watch if each change is needed', async () => {
+    table.listings = [success(changes(5, 'a'))];
+    table.watches = [
+      failure({kind: 'unavailable', reason: 'test'}),
+      success(changes(9, 'd')),
+    ];
+    watcher.start();
+    await advanceClock(clock, 3_000);
+    expect(seen).toEqual(['list 5', 'changes 9']);
+  });
+
+  it('waits before a watch only after the first listing', async () => {
+    watcher = createWatcher(false);
+    table.listings = [success(changes(5, 'a')), success(changes(6, 'b'))];
+    table.watches = [failure({kind: 'unavailable', reason: 'test'})];
+    watcher.start();
+    await advanceClock(clock, FIRST_WATCH_MS + 160 + CALL_INTERVAL_MS);
+    expect(table.watchedAfter).toEqual([5, 6]);
+  });
+
   it('ignores updates that are older than the known revision', async () => {
     table.listings.push(success(changes(5, 'a')));
     watcher.start();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -324,6 +324,7 @@
       name: 'backend servers',
       getWaitMs: () => DIRECTORY_WAIT_MS,
       minIntervalMs: DIRECTORY_INTERVAL_MS,
+      needsEachChange: true,
       table: options.directoryTable,
       listener: this.storeEraTracker.wrapListener(
         publisher.withDirectoryCache(this.directory),
@@ -341,6 +342,7 @@
           ? CONFIGURATION_WAIT_RATIO
           : ZONE_READER_CONFIGURATION_WAIT_RATIO),
       minIntervalMs: CONFIGURATION_INTERVAL_MS,
+      needsEachChange: false,
       table: options.configurationTable,
       listener: this.storeEraTracker.wrapListener(
         NewestConfigurationFilter.create({
