A proxy reads the configuration itself unless a zone reader proves that it is current

Cause: that another proxy responds was taken for a proof that it is current. A follower ended its own read of the store, often after 1 to 1.6 s and with most of a version received, as soon as a proxy responded that had become a reader in the same moment and had nothing newer; when that one choked, the next began. The limits of several readers added up, and none was about the configuration.

So the bound holds for the whole, not for each reader. The reader's watch is 0.3 instead of 0.4 of that time, and a new proof is sent at once, so that a calm follower never reaches the limit. An older build as reader proves nothing: its followers of this build then read for themselves.

--- a/apps/explain/src/explain_configuration.ts
+++ b/apps/explain/src/explain_configuration.ts
@@ -13,7 +13,6 @@
   'configurationTaken',
   'configurationRejected',
   'tableReadFailed',
-  'tableReadDiscarded',
   'zoneReaderChosen',
   'zoneUpdateFailed',
   'dependencyLost',
@@ -131,7 +130,7 @@
     'source',
     'bytes',
     'in flight',
-    'failed or discarded reads',
+    'failed reads',
   ];
   const lines = [
     `version ${version} of the configuration`,
@@ -149,7 +148,6 @@
 
 const FAILED_EVENTS: ReadonlySet<string> = new Set([
   'tableReadFailed',
-  'tableReadDiscarded',
   'zoneUpdateFailed',
 ]);
 
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -87,11 +87,8 @@
   private timer: Timer | null = null;
   private isDisposed = false;
   private isPaused = false;
-  /** Incremented by `pause` to discard responses to earlier calls. */
-  private generation = 0;
-
-  /** Start of the call that is in flight; null if there is none. */
-  private callStartedAtMs: number | null = null;
+  /** Whether a call is in flight. */
+  private isCalling = false;
   /** Time as of which the known contents were confirmed to be current. */
   private readonly current: LatestClockReading;
 
@@ -144,23 +141,25 @@
   }
 
   start(): void {
-    this.startRun(this.generation);
+    this.startRun();
   }
 
-  /**
-   * Stops polling until `resume`; responses to calls in flight are discarded.
-   */
+  /** Starts no further calls until `resume`. */
   pause(): void {
-    this.recordDiscarded();
     this.isPaused = true;
-    this.generation++;
     this.timer?.cancel();
   }
 
-  /** Continues after the newest known revision. */
+  /**
+   * Continues after the newest known revision. A call that was in flight at the
+   * pause and still is counts as the next one.
+   */
   resume(): void {
-    if (this.isPaused && !this.isDisposed) {
-      this.isPaused = false;
+    if (!this.isPaused || this.isDisposed) {
+      return;
+    }
+    this.isPaused = false;
+    if (!this.isCalling) {
       this.start();
     }
   }
@@ -191,22 +190,32 @@
     }
   }
 
+  /**
+   * Whether this process has to read the table itself although another proxy
+   * forwards it: the contents were not confirmed to be current for `maxAgeMs`.
+   */
+  isReadDue(maxAgeMs: number): boolean {
+    const ageMs = this.getAgeMs();
+    return this.mustList || ageMs === null || ageMs > maxAgeMs;
+  }
+
   dispose(): void {
     this.isDisposed = true;
     this.timer?.cancel();
   }
 
-  private startRun(generation: number): void {
+  private startRun(): void {
     const {events, name} = this.options;
-    runInBackground(events, `watch of ${name}`, this.runOnce(generation));
+    runInBackground(events, `watch of ${name}`, this.runOnce());
   }
 
-  private async runOnce(generation: number): Promise<void> {
+  private async runOnce(): Promise<void> {
     const startedAtMs = this.options.clock.nowMs();
     const isFirst = this.revision === null;
-    const isListing = this.mustList || this.hasMissedChanges;
-    const failureReason = await this.readSafely(generation, isListing);
-    if (this.isStale(generation)) {
+    this.isCalling = true;
+    const failureReason = await this.readSafely();
+    this.isCalling = false;
+    if (this.isDisposed || this.isPaused) {
       return;
     }
     if (failureReason === null) {
@@ -215,20 +224,19 @@
       const intervalMs = isFirst
         ? FIRST_WATCH_DELAY_MS
         : this.options.minIntervalMs;
-      this.schedule(generation, intervalMs - elapsedMs);
+      this.schedule(intervalMs - elapsedMs);
       return;
     }
     this.recordFailure(failureReason);
-    this.schedule(generation, this.getRetryDelayMs());
+    this.schedule(this.getRetryDelayMs());
   }
 
   /** Lists or watches; an unexpected failure must not end the watching. */
-  private async readSafely(
-    generation: number,
-    isListing: boolean,
-  ): Promise<string | null> {
+  private async readSafely(): Promise<string | null> {
     try {
-      return await (isListing ? this.list(generation) : this.watch(generation));
+      return await (this.mustList || this.hasMissedChanges
+        ? this.list()
+        : this.watch());
     } catch (error) {
       const {events, name} = this.options;
       recordTaskFailure(events, `watch of ${name}`, error);
@@ -238,13 +246,13 @@
     }
   }
 
-  private schedule(generation: number, delayMs: number): void {
+  private schedule(delayMs: number): void {
     if (delayMs <= 0) {
-      this.startRun(generation);
+      this.startRun();
       return;
     }
     this.timer = this.options.clock.startTimer(delayMs, () => {
-      this.startRun(generation);
+      this.startRun();
     });
   }
 
@@ -256,27 +264,27 @@
     this.watchedUntilMs = this.options.clock.nowMs();
   }
 
-  private isStale(generation: number): boolean {
-    return this.isDisposed || generation !== this.generation;
-  }
-
   /** Lists the table; returns the reason of a failure, or null on success. */
-  private async list(generation: number): Promise<string | null> {
-    const startedAt = this.startCall();
+  private async list(): Promise<string | null> {
+    const knownRevision = this.revision ?? 0;
+    const startedAt = this.options.clockJumpDetector.read();
     const startedAtMs = startedAt.timeMs;
     const result = await this.options.table.list();
-    if (this.isStale(generation)) {
+    if (this.isDisposed) {
       return null;
     }
-    this.callStartedAtMs = null;
     if (!result.ok) {
       this.recordReadFailure('listing', startedAtMs, result.error);
       return result.error.kind;
     }
     const listing = result.value;
-    if (this.revision !== null && listing.revision < this.revision) {
+    if (listing.revision < knownRevision) {
       return 'the listing is older than the known revision';
     }
+    if (listing.revision < (this.revision ?? 0)) {
+      // Another proxy has sent a newer update meanwhile.
+      return null;
+    }
     this.revision = listing.revision;
     this.mustList = false;
     this.recordWatched(startedAtMs);
@@ -285,16 +293,15 @@
     return null;
   }
 
-  private async watch(generation: number): Promise<string | null> {
+  private async watch(): Promise<string | null> {
     const afterRevision = this.revision ?? 0;
     const waitMs = this.options.getWaitMs();
-    const startedAt = this.startCall();
+    const startedAt = this.options.clockJumpDetector.read();
     const startedAtMs = startedAt.timeMs;
     const result = await this.options.table.watch(afterRevision, waitMs);
-    if (this.isStale(generation)) {
+    if (this.isDisposed) {
       return null;
     }
-    this.callStartedAtMs = null;
     if (!result.ok) {
       this.recordReadFailure('watch', startedAtMs, result.error);
       if (result.error.kind === 'historyLost') {
@@ -303,21 +310,23 @@
       }
       return result.error.kind;
     }
+    const update = this.selectNewer(result.value);
     this.recordWatched(startedAtMs);
     this.recordCurrentAfterWatch(result.value, startedAt, waitMs);
-    if (result.value.changes.length > 0) {
-      this.options.listener.handleChanges(
-        this.describe(result.value, startedAtMs),
-      );
+    if (update.changes.length > 0) {
+      this.options.listener.handleChanges(this.describe(update, startedAtMs));
     }
-    this.revision = Math.max(afterRevision, result.value.revision);
+    this.revision = Math.max(this.revision ?? 0, update.revision);
     return null;
   }
 
-  private startCall(): ClockReading {
-    const startedAt = this.options.clockJumpDetector.read();
-    this.callStartedAtMs = startedAt.timeMs;
-    return startedAt;
+  /** Leaves out what another proxy has sent since the call began. */
+  private selectNewer(update: TableChanges<T>): TableChanges<T> {
+    const knownRevision = this.revision ?? 0;
+    const changes = update.changes.filter(
+      ({revision}) => revision > knownRevision,
+    );
+    return {...update, changes};
   }
 
   /**
@@ -359,21 +368,6 @@
     });
   }
 
-  /** Records that the response of a call in flight will not be used. */
-  private recordDiscarded(): void {
-    const {name, clock, events} = this.options;
-    if (this.callStartedAtMs === null) {
-      return;
-    }
-    events.record({
-      kind: 'tableReadDiscarded',
-      table: name,
-      knownRevision: this.revision,
-      inFlightMs: clock.nowMs() - this.callStartedAtMs,
-    });
-    this.callStartedAtMs = null;
-  }
-
   private recordSuccess(): void {
     this.failureCount = 0;
     this.hasMissedChanges = false;
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -91,6 +91,24 @@
     watcher = createWatcher(true);
   });
 
+  /** Starts the watcher and its first watch; returns how to answer that. */
+  async function startHeldWatch() {
+    table.listings = [success(changes(5, 'a'))];
+    let resolveWatch: (
+      value: (typeof table.watches)[number],
+    ) => void = () => {};
+    const watch = table.watch.bind(table);
+    table.watch = afterRevision => {
+      void watch(afterRevision);
+      return new Promise(resolve => {
+        resolveWatch = resolve;
+      });
+    };
+    watcher.start();
+    await advanceClock(clock, FIRST_WATCH_MS);
+    return resolveWatch;
+  }
+
   it('lists the table once, then watches from the newest revision', async () => {
     table.listings = [success(changes(5, 'a'))];
     table.watches = [success(changes(7, 'b')), success(changes(9))];
@@ -130,7 +148,7 @@
     expect(table.listCount).toBe(4);
   });
 
-  it('discards responses to calls from before a pause and resumes from the revision of the newest update', async () => {
+  it('discards an older response to a call from before a pause and resumes from the revision of the newest update', async () => {
     let resolveWatch: (
       result: Result<TableChanges<string>, WatchError>,
     ) => void = () => {};
@@ -186,6 +204,80 @@
     expect(table.watchedAfter).toEqual([5, 6]);
   });
 
+  // A process gave up its own read whenever another proxy responded.
+  it('applies the response to a call that was in flight when it was paused', async () => {
+    const resolveWatch = await startHeldWatch();
+    watcher.pause();
+    await advanceClock(clock, 3_000);
+    resolveWatch(success(changes(7, 'b')));
+    await advanceClock(clock, 1_000);
+    expect(seen).toEqual(['list 5', 'changes 7']);
+    expect(table.watchedAfter).toEqual([5]);
+  });
+
+  it('makes no second call when it resumes during a call', async () => {
+    const resolveWatch = await startHeldWatch();
+    watcher.pause();
+    watcher.resume();
+    await advanceClock(clock, 1_000);
+    expect(table.watchedAfter).toEqual([5]);
+    resolveWatch(success(changes(7, 'b')));
+    await advanceClock(clock, CALL_INTERVAL_MS);
+    expect(table.watchedAfter).toEqual([5, 7]);
+  });
+
+  it('applies only what is newer than an update that came during a call', async () => {
+    const resolveWatch = await startHeldWatch();
+    watcher.pause();
+    watcher.applyUpdate(changes(6, 'b'), false);
+    seen.length = 0;
+    resolveWatch(
+      success({
+        revision: 8,
+        changes: [...changes(6, 'b').changes, ...changes(8, 'c').changes],
+      }),
+    );
+    await advanceClock(clock, 10);
+    expect(seen).toEqual(['changes 8']);
+  });
+
+  it('ignores a listing that began before a newer update came', async () => {
+    watcher = createWatcher(false);
+    table.listings = [success(changes(5, 'a'))];
+    table.watches = [failure({kind: 'unavailable', reason: 'test'})];
+    watcher.start();
+    await advanceClock(clock, FIRST_WATCH_MS);
+    let resolveListing: (
+      value: (typeof table.listings)[number],
+    ) => void = () => {};
+    table.list = () =>
+      new Promise(resolve => {
+        resolveListing = resolve;
+      });
+    await advanceClock(clock, 200);
+    watcher.pause();
+    watcher.applyUpdate(changes(9, 'd'), false);
+    resolveListing(success(changes(8, 'c')));
+    await advanceClock(clock, 10);
+    expect(seen).toEqual(['list 5', 'changes 9']);
+  });
+
+  it('has to read a table that was not confirmed to be current for too long', async () => {
+    expect(watcher.isReadDue(1_000)).toBe(true);
+    table.listings = [success(changes(5, 'a'))];
+    watcher.start();
+    await advanceClock(clock, 10);
+    watcher.pause();
+    expect(watcher.isReadDue(1_000)).toBe(false);
+    // An update whose reader has read nothing since proves nothing new.
+    const oldReading = {timeMs: 0, epoch: 0};
+    await advanceClock(clock, 1_000);
+    watcher.applyUpdate(changes(5), false, oldReading);
+    expect(watcher.isReadDue(1_000)).toBe(true);
+    watcher.applyUpdate(changes(5), false, {timeMs: clock.nowMs(), epoch: 0});
+    expect(watcher.isReadDue(1_000)).toBe(false);
+  });
+
   it('ignores updates that are older than the known revision', async () => {
     table.listings.push(success(changes(5, 'a')));
     watcher.start();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -137,7 +137,14 @@
  * smaller because followers detect an unresponsive watch only after the reader
  * does.
  */
-const ZONE_READER_CONFIGURATION_WAIT_RATIO = 0.4;
+const ZONE_READER_CONFIGURATION_WAIT_RATIO = 0.3;
+
+/**
+ * Age of the configuration above which a follower reads it itself, as a fraction
+ * of the same time. It exceeds the wait of the zone reader by the time to transfer
+ * a large version, and leaves as much for the follower's own read.
+ */
+const MAX_CONFIGURATION_AGE_RATIO = 0.65;
 
 /** Minimum interval between two calls of the configuration watch. */
 const CONFIGURATION_INTERVAL_MS = 250;
@@ -308,6 +315,8 @@
       getControlTable: () => this.relayedTable,
       mayFollow: () => this.mayFollow(),
       isStopping: () => this.isStopping,
+      maxConfigurationAgeMs:
+        options.configurationApplyMs * MAX_CONFIGURATION_AGE_RATIO,
       isUrgent: () => this.isControlUrgent(),
       computeLeasedDigest: () => this.peerRequestHandler.computeLeasedDigest(),
     });
--- a/packages/gateway/src/observability/gateway_event.ts
+++ b/packages/gateway/src/observability/gateway_event.ts
@@ -114,13 +114,6 @@
       /** Includes the timeout and the bytes that had arrived. */
       readonly reason: string;
     }
-  /** A read in flight was discarded, since another proxy forwards the table. */
-  | {
-      readonly kind: 'tableReadDiscarded';
-      readonly table: string;
-      readonly knownRevision: number | null;
-      readonly inFlightMs: number;
-    }
   /** A request to a zone reader was refused or got no complete response. */
   | {
       readonly kind: 'zoneUpdateFailed';
--- a/packages/gateway/src/zone/zone_publisher.ts
+++ b/packages/gateway/src/zone/zone_publisher.ts
@@ -139,11 +139,15 @@
     this.recordFollower(request);
     const untilMs = clock.nowMs() + request.waitMs;
     const contactBefore = this.options.getContactStart();
+    const currentBefore = this.options.getConfigurationCurrentAsOf();
     while (isReading() && clock.nowMs() < untilMs) {
-      const contact = this.options.getContactStart();
       // A new contact is sent immediately, because it extends the time for which
-      // the follower may use its primary records.
-      if (this.hasChanges(request) || contact !== contactBefore) {
+      // the follower may use its primary records, and so is a new proof that the
+      // configuration is current, without which the follower reads it itself.
+      const hasProof =
+        this.options.getContactStart() !== contactBefore ||
+        this.options.getConfigurationCurrentAsOf() !== currentBefore;
+      if (hasProof || this.hasChanges(request)) {
         break;
       }
       await this.waitUntil(untilMs);
--- a/packages/gateway/src/zone/zone_publisher_test.ts
+++ b/packages/gateway/src/zone/zone_publisher_test.ts
@@ -19,6 +19,7 @@
   let isReading: boolean;
   let contactStart: ClockReading | null;
   let urgentPollCount: number;
+  let configurationCurrentAsOf: ClockReading | null;
 
   beforeEach(() => {
     clock = VirtualClock.create();
@@ -28,12 +29,13 @@
     isReading = true;
     contactStart = null;
     urgentPollCount = 0;
+    configurationCurrentAsOf = null;
     publisher = ZonePublisher.create({
       clock,
       clockJumpDetector: jumpDetector,
       isReading: () => isReading,
       getContactStart: () => contactStart,
-      getConfigurationCurrentAsOf: () => null,
+      getConfigurationCurrentAsOf: () => configurationCurrentAsOf,
       computeLeasedDigest: () => 'digest',
       pollIfUrgent: () => urgentPollCount++,
     });
@@ -88,6 +90,15 @@
     expect((await response)?.control.revision).toBe(9);
   });
 
+  it('responds immediately when the configuration is proven to be current', async () => {
+    const response = requestUpdate();
+    await advanceClock(clock, 300);
+    configurationCurrentAsOf = jumpDetector.read();
+    publisher.wake();
+    expect(await isSettled(response)).toBe(true);
+    expect((await response)?.configurationLeadMs).toBe(-300);
+  });
+
   it('responds without changes when the wait has ended', async () => {
     const response = requestUpdate();
     await advanceClock(clock, WAIT_MS);
--- a/packages/gateway/src/zone/zone_reading.ts
+++ b/packages/gateway/src/zone/zone_reading.ts
@@ -35,6 +35,11 @@
    */
   mayFollow(): boolean;
   isStopping(): boolean;
+  /**
+   * Age of the configuration above which this process reads it itself, also
+   * while it follows a zone reader.
+   */
+  readonly maxConfigurationAgeMs: number;
   /** Whether the control table should be read more often. */
   isUrgent(): boolean;
   /** Digest of the primary records; null unless a lease is held on each. */
@@ -93,6 +98,7 @@
   /** Chooses the zone reader and rechecks held requests. */
   maintain(): void {
     this.follower.maintain();
+    this.maintainConfiguration();
     this.publisher.wake();
   }
 
@@ -143,22 +149,35 @@
   }
 
   private setReading(isReading: boolean): void {
-    const {configurationWatcher, directoryWatcher, controlPoller} =
-      this.options.getUpdateTargets();
-    for (const source of [
-      configurationWatcher,
-      directoryWatcher,
-      controlPoller,
-    ]) {
+    const {directoryWatcher, controlPoller} = this.options.getUpdateTargets();
+    for (const source of [directoryWatcher, controlPoller]) {
       if (isReading) {
         source.resume();
       } else {
         source.pause();
       }
     }
+    this.maintainConfiguration();
     this.publisher.wake();
   }
 
+  /**
+   * Reads the configuration, unless a zone reader proves that it is current. That
+   * a zone reader responds does not prove it: its own read may be old.
+   */
+  private maintainConfiguration(): void {
+    const {configurationWatcher} = this.options.getUpdateTargets();
+    const {maxConfigurationAgeMs} = this.options;
+    if (
+      this.isReading ||
+      configurationWatcher.isReadDue(maxConfigurationAgeMs)
+    ) {
+      configurationWatcher.resume();
+    } else {
+      configurationWatcher.pause();
+    }
+  }
+
   private applyUpdate(update: ZoneUpdate, requested: RequestedUpdate): void {
     applyZoneUpdate(update, requested, this.options.getUpdateTargets());
   }
