A proxy denies that a database or key exists only by a configuration known to be current

Cause: the absence of a route was decided without regard to the age of what it is absent from.

If the configuration was not confirmed to be current within the time in which a newer one must be in force, what it lacks is refused as unavailable: at once, not run, to be repeated after 200 ms, when the load balancer may choose another proxy. Routes that it has are served as before, so a zone that is cut off goes on serving. Two new tests fail without the change.

--- a/packages/gateway/src/customer/customer_history.ts
+++ b/packages/gateway/src/customer/customer_history.ts
@@ -78,6 +78,7 @@
       getConfiguration: (): ServiceConfiguration | null =>
         this.hasConfiguration ? harness.getConfiguration() : null,
       getConfigurationAgeMs: () => null,
+      isConfigurationCurrent: () => this.hasConfiguration,
       getGroup: () => harness.getGroup(),
       requestFreshnessBound: () => Promise.resolve(),
     };
--- a/packages/gateway/src/customer/customer_session_test.ts
+++ b/packages/gateway/src/customer/customer_session_test.ts
@@ -48,6 +48,16 @@
     expect(opened).toEqual(failure({kind: 'accessDenied'}));
   });
 
+  // A key that was added since the configuration was read was denied.
+  it('does not deny a key while the configuration may be out of date', () => {
+    harness.hasCurrentConfiguration = false;
+    const opened = CallerSession.open(harness, {
+      databaseName: 'strict',
+      apiKey: 'added',
+    });
+    expect(opened).toEqual(failure({kind: 'unavailable', retryAfterMs: 200}));
+  });
+
   it('runs statements only on connections of their customer', async () => {
     const sessions = [
       harness.open('strict', 'k1'),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -676,6 +676,11 @@
     return this.configurationWatcher.getAgeMs();
   }
 
+  isConfigurationCurrent(): boolean {
+    const ageMs = this.getConfigurationAgeMs();
+    return ageMs !== null && ageMs <= this.options.configurationApplyMs;
+  }
+
   requestFreshnessBound(group: GroupRuntime): Promise<void> {
     return this.peerFreshness.fetch(group);
   }
--- a/packages/gateway/src/session/caller_session.ts
+++ b/packages/gateway/src/session/caller_session.ts
@@ -22,6 +22,7 @@
 import type {GatewayContext, StatementContext} from './gateway_context.js';
 import type {OpenTransaction} from './open_transaction.js';
 import {
+  CONFIGURATION_UNAVAILABLE,
   createErrorReply,
   createLocalReply,
   TRANSACTION_LOST,
@@ -81,10 +82,20 @@
       return this.createUnknownDatabaseError();
     }
     return this.resolveCaller(route)?.kind === 'denied'
-      ? {kind: 'accessDenied'}
+      ? this.denyUnknown({kind: 'accessDenied'})
       : null;
   }
 
+  /**
+   * Refuses a caller because of something that the configuration lacks. What an
+   * old configuration lacks may exist, and another proxy may know it.
+   */
+  private denyUnknown(error: CallerError): CallerError {
+    return this.gateway.isConfigurationCurrent()
+      ? error
+      : CONFIGURATION_UNAVAILABLE;
+  }
+
   /** The inputs of a decision to deny a caller, for logs. */
   private describeDenial(error: CallerError): DenialInputs {
     return {
@@ -225,7 +236,7 @@
     }
     const caller = this.resolveCaller(route);
     if (caller === null || caller.kind === 'denied') {
-      return {kind: 'accessDenied'};
+      return this.denyUnknown({kind: 'accessDenied'});
     }
     return {
       customer: caller.customer,
@@ -306,7 +317,10 @@
 
   /** The group is unknown, so the error holds the name of the database. */
   private createUnknownDatabaseError(): CallerError {
-    return {kind: 'unknownDatabase', databaseGroup: this.databaseName};
+    return this.denyUnknown({
+      kind: 'unknownDatabase',
+      databaseGroup: this.databaseName,
+    });
   }
 
   private async handleInTransaction(
@@ -433,6 +447,8 @@
       return 'no route for the database';
     case 'accessDenied':
       return 'no customer holds the key';
+    case 'unavailable':
+      return 'not in a configuration that may be out of date';
     default:
       return 'the key was moved to another customer';
   }
--- a/packages/gateway/src/session/caller_session_test.ts
+++ b/packages/gateway/src/session/caller_session_test.ts
@@ -1,6 +1,8 @@
+import {failure} from '@filbertrun/base/result.js';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {CallerStatement} from '../statement/caller_statement.js';
 import type {StatementReply} from '../statement/statement_answer.js';
+import {CallerSession} from './caller_session.js';
 import {SessionTestHarness} from '../testing/session_test_harness.js';
 import {advanceClock, settlePromises} from '../testing/settle.js';
 
@@ -280,6 +282,23 @@
     expect(errorKind(await harness.run(session, READ))).toBe('unknownDatabase');
   });
 
+  // A process with an old or no configuration refused what had been added since.
+  it('does not deny that a database exists while its configuration may be out of date', async () => {
+    const session = harness.open('strict');
+    harness.removeRoute('strict');
+    harness.hasCurrentConfiguration = false;
+    const reply = await harness.run(session, READ);
+    expect(reply.result).toMatchObject({
+      kind: 'error',
+      error: {kind: 'unavailable', retryAfterMs: 200},
+    });
+    expect(
+      CallerSession.open(harness, {databaseName: 'added', apiKey: ''}),
+    ).toEqual(failure({kind: 'unavailable', retryAfterMs: 200}));
+    harness.hasCurrentConfiguration = true;
+    expect(errorKind(await harness.run(session, READ))).toBe('unknownDatabase');
+  });
+
   it('executes the statement that the same session has prepared under a name', async () => {
     const one = harness.open('strict');
     const two = harness.open('strict');
--- a/packages/gateway/src/session/gateway_context.ts
+++ b/packages/gateway/src/session/gateway_context.ts
@@ -25,6 +25,11 @@
   getConfiguration(): ServiceConfiguration | null;
   /** Time since the configuration was confirmed to be current, if known. */
   getConfigurationAgeMs(): number | null;
+  /**
+   * Whether that time is at most the one within which a newer configuration must
+   * be in force. If not, a database that is not known may have been added.
+   */
+  isConfigurationCurrent(): boolean;
   getGroup(databaseGroup: string): GroupRuntime | null;
   /**
    * Requests a freshness bound from other proxies, with a short timeout: a log
--- a/packages/gateway/src/session/refusal.ts
+++ b/packages/gateway/src/session/refusal.ts
@@ -23,6 +23,19 @@
   retryAfterMs: NO_SERVER_RETRY_AFTER_MS,
 };
 
+/** Retry delay suggested while the configuration may be out of date. */
+const NO_CONFIGURATION_RETRY_AFTER_MS = 200;
+
+/**
+ * The configuration of this proxy may be out of date; the statement was not run.
+ *
+ * @public
+ */
+export const CONFIGURATION_UNAVAILABLE: CallerError = {
+  kind: 'unavailable',
+  retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
+};
+
 /** Retry delay suggested to a caller whose transaction was lost. */
 const LOST_RETRY_AFTER_MS = 50;
 
--- a/packages/gateway/src/simulation/failover_history.ts
+++ b/packages/gateway/src/simulation/failover_history.ts
@@ -303,6 +303,10 @@
         databaseName: OPTIONAL_ROUTE,
         apiKey: '',
       });
+      if (!opened.ok && opened.error.kind !== 'unknownDatabase') {
+        // The proxy does not decide by a configuration that may be out of date.
+        continue;
+      }
       this.configurationOracle.checkProbe(
         {
           proxy: name,
--- a/packages/gateway/src/testing/forwarding_test_harness.ts
+++ b/packages/gateway/src/testing/forwarding_test_harness.ts
@@ -77,6 +77,7 @@
       operations: this.follower.executor,
       getConfiguration: () => sessions.getConfiguration(),
       getConfigurationAgeMs: () => null,
+      isConfigurationCurrent: () => true,
       getGroup: () => sessions.getGroup(),
       requestFreshnessBound: () => Promise.resolve(),
     };
--- a/packages/gateway/src/testing/history_proxy.ts
+++ b/packages/gateway/src/testing/history_proxy.ts
@@ -189,6 +189,10 @@
     return null;
   }
 
+  isConfigurationCurrent(): boolean {
+    return true;
+  }
+
   getConfiguration(): ServiceConfiguration {
     return {
       version: 1,
--- a/packages/gateway/src/testing/session_test_harness.ts
+++ b/packages/gateway/src/testing/session_test_harness.ts
@@ -44,6 +44,8 @@
   operations: OperationExecutor = LocalOperationExecutor.create();
   /** Customers of the configuration in force. */
   customers: CustomerDirectory | null = null;
+  /** Whether the configuration is known to be current. */
+  hasCurrentConfiguration = true;
   readonly backend = FakeBackend.create(this.clock);
   readonly wallClock = FakeWallClock.create(this.clock);
   readonly group: GroupRuntime;
@@ -141,6 +143,10 @@
     return null;
   }
 
+  isConfigurationCurrent(): boolean {
+    return this.hasCurrentConfiguration;
+  }
+
   getConfiguration(): ServiceConfiguration {
     return {
       version: 1,
