What a failed listener has not applied of a table is applied when the table is listed again

The holder of the configuration set the version before its listener ran, so a listener that threw left the groups, shares and limits of that version unapplied: the repeated listing was not newer. An update from a zone reader whose listener threw was not listed again at all, since the reader had sent it.

A version counts as applied once its listener has returned, and a table whose update could not be applied is read by the process itself, also while it follows.

--- a/packages/gateway/src/configuration/configuration_holder.ts
+++ b/packages/gateway/src/configuration/configuration_holder.ts
@@ -25,6 +25,8 @@
 /** Holds the newest configuration; an older version is ignored. @public */
 export class ConfigurationHolder implements TableListener<ServiceConfiguration> {
   private newest: ServiceConfiguration | null = null;
+  /** Whether the listener has applied all of the newest configuration. */
+  private isApplied = true;
 
   private constructor(private readonly options: ConfigurationHolderOptions) {}
 
@@ -52,10 +54,14 @@
     {read = UNKNOWN_READ, responseBytes}: TableChanges<ServiceConfiguration>,
   ): void {
     const previousVersion = this.newest?.version ?? 0;
-    if (configuration.version <= previousVersion) {
+    const isNewer = configuration.version > previousVersion;
+    const mustRepeat =
+      configuration.version === previousVersion && !this.isApplied;
+    if (!isNewer && !mustRepeat) {
       return;
     }
     this.newest = configuration;
+    this.isApplied = false;
     this.options.events.record({
       kind: 'configurationTaken',
       version: configuration.version,
@@ -65,6 +71,7 @@
       responseBytes: responseBytes ?? null,
     });
     this.options.listener(configuration);
+    this.isApplied = true;
   }
 
   private apply(
--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -182,21 +182,37 @@
       this.current.record(currentAsOf);
     }
     this.recordWatched(this.options.clock.nowMs() - UPDATE_INTERVAL_MS);
+    try {
+      this.passOn(update, isListing);
+    } catch (error) {
+      // Its changes may have been applied in part.
+      this.mustList = true;
+      throw error;
+    }
+  }
+
+  private passOn(update: TableChanges<T>, isListing: boolean): void {
+    const {listener} = this.options;
     if (isListing) {
       this.mustList = false;
-      this.options.listener.handleListing(update);
+      listener.handleListing(update);
     } else if (update.changes.length > 0) {
-      this.options.listener.handleChanges(update);
+      listener.handleChanges(update);
     }
   }
 
+  /** Whether the known contents may lack changes that another proxy has sent. */
+  get isIncomplete(): boolean {
+    return this.mustList;
+  }
+
   /**
    * Whether this process has to read the table itself although another proxy
    * forwards it: the contents were not confirmed to be current for `maxAgeMs`.
    */
   isReadDue(maxAgeMs: number): boolean {
     const ageMs = this.getAgeMs();
-    return this.mustList || ageMs === null || ageMs > maxAgeMs;
+    return this.isIncomplete || ageMs === null || ageMs > maxAgeMs;
   }
 
   dispose(): void {
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -287,6 +287,26 @@
     expect(seen).toEqual([]);
   });
 
+  // What a failed listener had not applied was never sent again.
+  it('has to read the table after it could not apply an update', async () => {
+    table.listings = [success(changes(5, 'a')), success(changes(5, 'a'))];
+    watcher.start();
+    await advanceClock(clock, 10);
+    watcher.pause();
+    handleListing = () => {
+      handleListing = () => {};
+      throw new Error('test');
+    };
+    expect(() => watcher.applyUpdate(changes(6, 'b'), true)).toThrow('test');
+    expect(watcher.isIncomplete).toBe(true);
+    expect(watcher.isReadDue(60_000)).toBe(true);
+    table.listings = [success(changes(6, 'a', 'b'))];
+    watcher.resume();
+    await advanceClock(clock, 10);
+    expect(watcher.isIncomplete).toBe(false);
+    expect(seen.at(-1)).toBe('list 6');
+  });
+
   it('fetches changes in quick succession with few calls', async () => {
     let revision = 5;
     table.listings.push(success(changes(revision)));
--- a/packages/gateway/src/zone/zone_reading.ts
+++ b/packages/gateway/src/zone/zone_reading.ts
@@ -104,7 +104,7 @@
   /** Chooses the zone reader and rechecks held requests. */
   maintain(): void {
     this.follower.maintain();
-    this.maintainConfiguration();
+    this.maintainWatchers();
     this.publisher.wake();
   }
 
@@ -155,33 +155,25 @@
   }
 
   private setReading(isReading: boolean): void {
-    const {directoryWatcher, controlPoller} = this.options.getUpdateTargets();
-    for (const source of [directoryWatcher, controlPoller]) {
-      if (isReading) {
-        source.resume();
-      } else {
-        source.pause();
-      }
-    }
-    this.maintainConfiguration();
+    setActive(this.options.getUpdateTargets().controlPoller, isReading);
+    this.maintainWatchers();
     this.publisher.wake();
   }
 
   /**
    * Reads the configuration, unless a zone reader proves that it is current. That
-   * a zone reader responds does not prove it: its own read may be old.
+   * a zone reader responds does not prove it: its own read may be old. Reads the
+   * directory also if an update of it could not be applied.
    */
-  private maintainConfiguration(): void {
-    const {configurationWatcher} = this.options.getUpdateTargets();
-    const {maxConfigurationAgeMs} = this.options;
-    if (
-      this.isReading ||
-      configurationWatcher.isReadDue(maxConfigurationAgeMs)
-    ) {
-      configurationWatcher.resume();
-    } else {
-      configurationWatcher.pause();
-    }
+  private maintainWatchers(): void {
+    const {isReading, options} = this;
+    const {configurationWatcher, directoryWatcher} = options.getUpdateTargets();
+    setActive(
+      configurationWatcher,
+      isReading ||
+        configurationWatcher.isReadDue(options.maxConfigurationAgeMs),
+    );
+    setActive(directoryWatcher, isReading || directoryWatcher.isIncomplete);
   }
 
   private applyUpdate(update: ZoneUpdate, requested: RequestedUpdate): void {
@@ -192,3 +184,15 @@
     });
   }
 }
+
+/** Resumes or pauses a source of the store's data. */
+function setActive(
+  source: {resume(): void; pause(): void},
+  isActive: boolean,
+): void {
+  if (isActive) {
+    source.resume();
+  } else {
+    source.pause();
+  }
+}
