A process that has no configuration yet may follow a zone reader

It now follows once it is registered and has listed the directory, and the zone reader sends it all of the configuration; its own reads of it go on until then. It confirms no primary records to others before it knows the groups (computeLeasedDigest), as before. Failing before: 'reaches a process that has just started and gets none from the store'.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -749,7 +749,6 @@
     return (
       !this.isStopping &&
       this.directory.isListed &&
-      this.configuration.current !== null &&
       // The failover leader needs the newest records, so it reads the store.
       this.leaderLease.getFencingToken() === null
     );
--- a/packages/gateway/src/simulation/large_configuration_test.ts
+++ b/packages/gateway/src/simulation/large_configuration_test.ts
@@ -77,6 +77,22 @@
     ).toEqual([]);
   });
 
+  // A process without a configuration could not follow, though its neighbours had it.
+  it('reaches a process that has just started and gets none from the store', async () => {
+    const [, , proxy] = CROWDED_PROXIES;
+    expect(
+      await findViolations([
+        {kind: 'killProxy', atMs: 1_000, proxy},
+        {
+          kind: 'delayConfiguration',
+          atMs: 1_000,
+          forMs: 12_000,
+          proxies: [proxy],
+        },
+      ]),
+    ).toEqual([]);
+  });
+
   it('of the usual size arrives in the same histories', async () => {
     expect(
       await findViolations(
--- a/packages/gateway/src/zone/zone_follower.ts
+++ b/packages/gateway/src/zone/zone_follower.ts
@@ -33,7 +33,8 @@
   getEntryVms(): readonly EntryVmRecord[];
   /**
    * Whether this process may rely on a zone reader: it is registered and has read
-   * all tables once.
+   * the directory once. A zone reader also sends the configuration to a process
+   * that has none.
    */
   canFollow(): boolean;
   /** Whether the latest reads of the store by this process succeeded. */
--- a/packages/gateway/src/zone/zone_reading.ts
+++ b/packages/gateway/src/zone/zone_reading.ts
@@ -35,8 +35,7 @@
   getControlTable(): RelayingControlTable;
   /**
    * Whether this process may follow a zone reader: it is not stopping, has read
-   * the directory and the configuration, and is not the failover leader, which
-   * needs the newest records.
+   * the directory, and is not the failover leader, which needs the newest records.
    */
   mayFollow(): boolean;
   isStopping(): boolean;
