Freshness is proven by the replicas only after the process has read the roster

Cause: with the primary unreachable, reads are proven fresh by the ends of all other instances, and a process other than the failover leader took those that it had listed in the last 12 s for all. A replica whose entry had expired before the process started went on confirming commits, and one that received nothing was taken for the latest.

Without the roster nothing is proven. One call a process more at its start.

--- a/packages/gateway/src/directory/backend_directory.ts
+++ b/packages/gateway/src/directory/backend_directory.ts
@@ -57,6 +57,11 @@
     return new BackendDirectory(options);
   }
 
+  /** When the table was last listed; null if it never was. */
+  get lastListedAtMs(): number | null {
+    return this.listedAtMs;
+  }
+
   /** Whether the table has been listed since process start. */
   get isListed(): boolean {
     return this.listedAtMs !== null;
--- a/packages/gateway/src/directory/group_roster.ts
+++ b/packages/gateway/src/directory/group_roster.ts
@@ -144,9 +144,7 @@
   /**
    * Reads all rosters with one listing; false when the store is unavailable.
    */
-  private async readAll(
-    groups: readonly DatabaseGroupName[],
-  ): Promise<boolean> {
+  async readAll(groups: readonly DatabaseGroupName[]): Promise<boolean> {
     const listing = await this.options.table.listEntries();
     if (!listing.ok) {
       return false;
--- a/packages/gateway/src/directory/known_instances.ts
+++ b/packages/gateway/src/directory/known_instances.ts
@@ -29,6 +29,9 @@
   readonly listingAgeMs: number;
 }
 
+/** Minimum time between two attempts to read the rosters. */
+const READ_INTERVAL_MS = 1_000;
+
 /** Sources of the entries of one listing. */
 interface DescribedListing {
   readonly sources: ReadonlyMap<BackendServerId, InstanceSource>;
@@ -49,6 +52,12 @@
     DescribedListing
   >();
 
+  /** Groups whose roster was read since the directory was listed. */
+  private readonly readGroups = new Set<DatabaseGroupName>();
+  /** Listing of the directory after which they were read. */
+  private readAfterListingMs: number | null = null;
+  private readAtMs = Number.NEGATIVE_INFINITY;
+
   private constructor(private readonly options: KnownInstancesOptions) {
     const {clock, directory, rosterTable} = options;
     this.roster = GroupRoster.create({
@@ -84,6 +93,38 @@
     return known.filter(entry => entry.databaseGroup === databaseGroup);
   }
 
+  /**
+   * Reads the rosters of groups for which that was not done since the directory
+   * was listed. A listing does not show an instance whose entry expired before it,
+   * though the instance may still be running.
+   */
+  async maintain(groups: readonly DatabaseGroupName[]): Promise<void> {
+    const nowMs = this.options.clock.nowMs();
+    this.forgetReadsBeforeListing();
+    const unread = groups.filter(group => !this.readGroups.has(group));
+    const isDue = nowMs - this.readAtMs >= READ_INTERVAL_MS;
+    if (unread.length === 0 || !isDue || !this.options.directory.isListed) {
+      return;
+    }
+    this.readAtMs = nowMs;
+    const listingMs = this.readAfterListingMs;
+    const isRead = await this.roster.readAll(unread);
+    if (!isRead || listingMs !== this.options.directory.lastListedAtMs) {
+      return;
+    }
+    for (const group of unread) {
+      this.readGroups.add(group);
+    }
+  }
+
+  private forgetReadsBeforeListing(): void {
+    const {lastListedAtMs} = this.options.directory;
+    if (this.readAfterListingMs !== lastListedAtMs) {
+      this.readAfterListingMs = lastListedAtMs;
+      this.readGroups.clear();
+    }
+  }
+
   /**
    * Like `listKnown`, but null while this process may not know all
    * recently removed instances.
@@ -91,9 +132,11 @@
   listIfComplete(
     databaseGroup: DatabaseGroupName,
   ): readonly BackendServerEntry[] | null {
-    return this.options.directory.hasCompleteHistory
-      ? this.listKnown(databaseGroup)
-      : null;
+    this.forgetReadsBeforeListing();
+    const isComplete =
+      this.options.directory.hasCompleteHistory &&
+      this.readGroups.has(databaseGroup);
+    return isComplete ? this.listKnown(databaseGroup) : null;
   }
 
   /**
--- a/packages/gateway/src/directory/known_instances_test.ts
+++ b/packages/gateway/src/directory/known_instances_test.ts
@@ -4,7 +4,7 @@
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {createEntry} from '../testing/fake_instances.js';
-import {BackendDirectory} from './backend_directory.js';
+import {BackendDirectory, REMOVED_RETENTION_MS} from './backend_directory.js';
 import type {BackendServerEntry} from './backend_server_entry.js';
 import {KnownInstances} from './known_instances.js';
 import type {TableChanges} from './watchable_table.js';
@@ -77,6 +77,41 @@
     });
   });
 
+  // A read was proven fresh by a replica that lacked what another one, whose entry
+  // had expired before the process started, had confirmed.
+  it('is not complete before the roster was read', async () => {
+    rosterTable.seed('roster/group', [createEntry('r2', 'replica')]);
+    directory.handleListing(createListing([createEntry('r1', 'replica')]));
+    clock.advance(REMOVED_RETENTION_MS);
+    expect(known.listIfComplete('group')).toBeNull();
+    await known.maintain(['group']);
+    const names = known
+      .listIfComplete('group')
+      ?.map(({backendServer}) => backendServer);
+    expect(names?.sort()).toEqual(['r1', 'r2']);
+  });
+
+  it('reads the roster again after the directory was listed again', async () => {
+    directory.handleListing(createListing([createEntry('r1', 'replica')]));
+    await known.maintain(['group']);
+    clock.advance(5_000);
+    directory.handleListing(createListing([createEntry('r1', 'replica')]));
+    clock.advance(REMOVED_RETENTION_MS);
+    expect(known.listIfComplete('group')).toBeNull();
+    await known.maintain(['group']);
+    expect(known.listIfComplete('group')).toHaveLength(1);
+  });
+
+  it('reads the roster of a group that is added later', async () => {
+    directory.handleListing(createListing([createEntry('r1', 'replica')]));
+    clock.advance(REMOVED_RETENTION_MS);
+    await known.maintain(['other']);
+    expect(known.listIfComplete('group')).toBeNull();
+    clock.advance(1_000);
+    await known.maintain(['other', 'group']);
+    expect(known.listIfComplete('group')).toHaveLength(1);
+  });
+
   it('describes no listing of a group that was not listed', () => {
     expect(known.describeLastListing('group')).toBeNull();
   });
--- a/packages/gateway/src/directory/removed_instance_prober.ts
+++ b/packages/gateway/src/directory/removed_instance_prober.ts
@@ -20,7 +20,7 @@
  * Asks the instances that were removed from the directory whether they are still
  * running. An instance without a path to the store loses its entry but goes on
  * confirming commits, so a choice of a primary has to count it for as long as it
- * responds.
+ * responds, and so does a proof of freshness by the replicas.
  *
  * @public
  */
@@ -33,15 +33,20 @@
     return new RemovedInstanceProber(options);
   }
 
-  /** Probes the removed instances if the last probes are old enough. */
-  async maintain(): Promise<void> {
+  /**
+   * Probes the removed instances if the last probes are old enough; without
+   * `withDrained`, only those that were not drained before.
+   */
+  async maintain(withDrained: boolean): Promise<void> {
     const {clock, directory} = this.options;
     const nowMs = clock.nowMs();
     if (nowMs - this.probedAtMs < PROBE_INTERVAL_MS) {
       return;
     }
     this.probedAtMs = nowMs;
-    const removed = directory.getRecentlyRemoved();
+    const removed = directory
+      .getRecentlyRemoved()
+      .filter(({state}) => withDrained || state !== 'draining');
     await Promise.all(removed.map(entry => this.probe(entry)));
   }
 
--- a/packages/gateway/src/directory/removed_instance_prober_test.ts
+++ b/packages/gateway/src/directory/removed_instance_prober_test.ts
@@ -26,9 +26,12 @@
     prober = RemovedInstanceProber.create({clock, instances, directory});
   });
 
-  async function probeFor(durationMs: number): Promise<readonly string[]> {
+  async function probeFor(
+    durationMs: number,
+    withDrained = false,
+  ): Promise<readonly string[]> {
     for (let elapsedMs = 0; elapsedMs <= durationMs; elapsedMs += STEP_MS) {
-      await prober.maintain();
+      await prober.maintain(withDrained);
       clock.advance(STEP_MS);
     }
     return directory
@@ -44,6 +47,15 @@
     expect(await probeFor(REMOVED_RETENTION_MS)).toEqual([]);
   });
 
+  it('probes an instance that was drained only where its log may be needed', async () => {
+    directory.recordRemoved({
+      ...createEntry('p', 'primary'),
+      state: 'draining',
+    });
+    expect(await probeFor(REMOVED_RETENTION_MS / 2, true)).toEqual(['r', 'p']);
+    expect(await probeFor(3 * REMOVED_RETENTION_MS)).toEqual(['r']);
+  });
+
   it('does not keep an instance at whose address another one responds', async () => {
     instances.get('r').isReplaced = true;
     expect(await probeFor(REMOVED_RETENTION_MS)).toEqual([]);
--- a/packages/gateway/src/failover/incomplete_choice_test.ts
+++ b/packages/gateway/src/failover/incomplete_choice_test.ts
@@ -261,7 +261,7 @@
       elapsedMs += 1_000
     ) {
       await advance(1_000);
-      await prober.maintain();
+      await prober.maintain(true);
       await before.known.roster.maintain([GROUP], 1);
     }
     instances.get('r1').isReceiving = false;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -818,11 +818,25 @@
       return;
     }
     this.recordRestorer.maintain();
+    this.maintainKnownInstances();
     this.runInBackground('contact', this.contactRenewer.maintain());
     this.runInBackground('placement', this.leaderPlacement.maintain());
     this.runInBackground('store records', this.maintainStoreRecords());
   }
 
+  /** Keeps known which instances may still be running without an entry. */
+  private maintainKnownInstances(): void {
+    const groups = [...this.groups.keys()];
+    this.runInBackground('read of rosters', this.instances.maintain(groups));
+    // A primary is chosen by the failover leader, which may need the logs of
+    // drained instances as well.
+    const isFailoverLeader = this.leaderLease.getFencingToken() !== null;
+    this.runInBackground(
+      'probes of removed instances',
+      this.removedInstanceProber.maintain(isFailoverLeader),
+    );
+  }
+
   /**
    * Maintains what this proxy keeps in the store: its registration, failover
    * leadership and, as the leader, the rosters and the removal of expired
@@ -835,10 +849,6 @@
     await this.leaderLease.maintain();
     const fencingToken = this.leaderLease.getFencingToken();
     if (fencingToken !== null && this.directory.isListed) {
-      this.runInBackground(
-        'probes of removed instances',
-        this.removedInstanceProber.maintain(),
-      );
       this.runInBackground(
         'rosters',
         this.instances.roster.maintain([...this.groups.keys()], fencingToken),
