--- a/packages/gateway/src/simulation/large_configuration_test.ts
+++ b/packages/gateway/src/simulation/large_configuration_test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {runHistory} from './failover_history.js';
 import type {HistoryFault, HistoryPlan} from './history_fault.js';
+import {planReadersLostInTurn} from './zone_mutants.js';
 import type {TransferPlan} from './simulated_transfers.js';
 
 /**
@@ -93,6 +94,12 @@
     ).toEqual([]);
   });
 
+  it('of the usual size arrives though each next zone reader has lost the store', async () => {
+    for (const plan of planReadersLostInTurn()) {
+      expect((await runHistory(plan)).violations).toEqual([]);
+    }
+  });
+
   it('of the usual size arrives in the same histories', async () => {
     expect(
       await findViolations(
