A relayed listing of the control table is awaited while it arrives

Computed at the size to design for, 470 registrations and 870 group records of some 250 bytes are 335 KB, 0.38 s of a link of 7 Mbit/s. It is limited like the other reads now: 400 ms to the first byte, 1 s between two pieces.

--- a/packages/gateway/src/peer/trpc_peer_client.ts
+++ b/packages/gateway/src/peer/trpc_peer_client.ts
@@ -36,13 +36,13 @@
 /** Timeout of a call, after which the other proxy counts as unreachable. */
 const CALL_TIMEOUT_MS = 400;
 
-/** Longest time between two pieces of an update from a zone reader. */
+/** Longest time between two pieces of a response with table rows. */
 const STALL_TIMEOUT_MS = 1_000;
 
 const CALL_TIMEOUTS: HttpTimeouts = {timeoutMs: CALL_TIMEOUT_MS};
 
-/** For a request to a zone reader that is answered at once. */
-const UPDATE_TIMEOUTS: HttpTimeouts = {
+/** For a read of tables that is answered at once; its response may be large. */
+const READ_TIMEOUTS: HttpTimeouts = {
   timeoutMs: CALL_TIMEOUT_MS,
   stallTimeoutMs: STALL_TIMEOUT_MS,
 };
@@ -139,7 +139,7 @@
     peer: EntryVmRecord,
     request: ZoneUpdateRequest,
   ): Promise<Result<ZoneUpdate | null, PeerError>> {
-    const timeouts = request.waitMs === 0 ? UPDATE_TIMEOUTS : FOLLOW_TIMEOUTS;
+    const timeouts = request.waitMs === 0 ? READ_TIMEOUTS : FOLLOW_TIMEOUTS;
     const response = await this.call(() =>
       this.getClient(peer, timeouts).followZone.query(request),
     );
@@ -159,7 +159,7 @@
     peer: EntryVmRecord,
   ): Promise<Result<Result<TableListing, PlatformError>, PeerError>> {
     const response = await this.call(() =>
-      this.getClient(peer).listControl.query(),
+      this.getClient(peer, READ_TIMEOUTS).listControl.query(),
     );
     if (!response.ok) {
       return response;
