A zone reader's proof counts also if its revision is lower than the follower's

The revision of a watcher is raised by watches without changes to the store's global counter, that of the reader's updates only by changes; an update with the lower revision was dropped with its proof, so a follower that had read the store once went on reading it besides its reader for good. Callers saw nothing; it cost calls to the store. If the reader knew all changes at a time, the follower, whose revision is at least as high, knows them too. A process without a configuration never counts as current. The new test failed before.

--- a/packages/gateway/src/directory/table_watcher.ts
+++ b/packages/gateway/src/directory/table_watcher.ts
@@ -173,14 +173,16 @@
     isListing: boolean,
     currentAsOf: ClockReading | null = null,
   ): void {
+    if (currentAsOf !== null) {
+      // If the other proxy knew all changes then, so does this one, whose revision
+      // is at least as high once the update is applied.
+      this.current.record(currentAsOf);
+    }
     if (update.revision < (this.revision ?? 0)) {
       return;
     }
     this.revision = update.revision;
     this.hasMissedChanges = false;
-    if (currentAsOf !== null) {
-      this.current.record(currentAsOf);
-    }
     this.recordWatched(this.options.clock.nowMs() - UPDATE_INTERVAL_MS);
     try {
       this.passOn(update, isListing);
--- a/packages/gateway/src/directory/table_watcher_test.ts
+++ b/packages/gateway/src/directory/table_watcher_test.ts
@@ -287,6 +287,21 @@
     expect(seen).toEqual([]);
   });
 
+  // A follower read the store besides its reader for good, since an empty watch had
+  // raised its own revision above that of the reader's last change.
+  it('takes a proof from a zone reader whose revision is lower', async () => {
+    table.listings = [success(changes(5, 'a'))];
+    table.watches = [success(changes(9))];
+    watcher.start();
+    await advanceClock(clock, FIRST_WATCH_MS + 10);
+    watcher.pause();
+    await advanceClock(clock, 2_000);
+    expect(watcher.isReadDue(1_000)).toBe(true);
+    watcher.applyUpdate(changes(7), false, {timeMs: clock.nowMs(), epoch: 0});
+    expect(watcher.isReadDue(1_000)).toBe(false);
+    expect(seen).toEqual(['list 5']);
+  });
+
   // What a failed listener had not applied was never sent again.
   it('has to read the table after it could not apply an update', async () => {
     table.listings = [success(changes(5, 'a')), success(changes(5, 'a'))];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -684,7 +684,11 @@
 
   isConfigurationCurrent(): boolean {
     const ageMs = this.getConfigurationAgeMs();
-    return ageMs !== null && ageMs <= this.options.configurationApplyMs;
+    return (
+      this.configuration.current !== null &&
+      ageMs !== null &&
+      ageMs <= this.options.configurationApplyMs
+    );
   }
 
   requestFreshnessBound(group: GroupRuntime): Promise<void> {
