--- a/packages/gateway/src/configuration/configuration_history_test.ts
+++ b/packages/gateway/src/configuration/configuration_history_test.ts
@@ -1,19 +1,7 @@
 import {beforeEach, describe, expect, it} from 'vitest';
+import {createConfiguration} from '../testing/create_configuration.js';
 import {createDatabaseRoute} from '../testing/create_database_route.js';
-import {EMPTY_CONFIGURATION} from './configuration_delta.js';
 import {ConfigurationHistory} from './configuration_history.js';
-import type {ServiceConfiguration} from './service_configuration.js';
-
-function createConfiguration(
-  version: number,
-  ...names: readonly string[]
-): ServiceConfiguration {
-  return {
-    ...EMPTY_CONFIGURATION,
-    version,
-    routes: new Map(names.map(name => [name, createDatabaseRoute(name)])),
-  };
-}
 
 describe('ConfigurationHistory', () => {
   let reader: ConfigurationHistory;
--- a/packages/gateway/src/zone/apply_zone_update_test.ts
+++ b/packages/gateway/src/zone/apply_zone_update_test.ts
@@ -1,7 +1,6 @@
 import {SeededRandom} from '@filbertrun/base/random_source.js';
 import {VirtualClock} from '@filbertrun/base/virtual_clock.js';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {EMPTY_CONFIGURATION} from '../configuration/configuration_delta.js';
 import {ConfigurationHistory} from '../configuration/configuration_history.js';
 import type {ServiceConfiguration} from '../configuration/service_configuration.js';
 import {ContactTracker} from '../control/contact_tracker.js';
@@ -10,7 +9,7 @@
 import {TableWatcher} from '../directory/table_watcher.js';
 import {ClockJumpDetector} from '../group/clock_jump_detector.js';
 import {InMemoryEventRecorder} from '../observability/gateway_event_recorder.js';
-import {createDatabaseRoute} from '../testing/create_database_route.js';
+import {createConfiguration} from '../testing/create_configuration.js';
 import {FakeControlTable} from '../testing/fake_control_table.js';
 import {createEntry} from '../testing/fake_instances.js';
 import {FakeWallClock} from '../testing/fake_wall_clock.js';
@@ -19,17 +18,6 @@
 
 const START_MS = 10_000;
 
-function createConfiguration(
-  version: number,
-  ...names: readonly string[]
-): ServiceConfiguration {
-  return {
-    ...EMPTY_CONFIGURATION,
-    version,
-    routes: new Map(names.map(name => [name, createDatabaseRoute(name)])),
-  };
-}
-
 describe('applyZoneUpdate', () => {
   let clock: VirtualClock;
   let clockJumpDetector: ClockJumpDetector;
