--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -298,8 +298,9 @@
    * Sends a statement; returns its id, the times, the lines of the answer (null
    * if the connection ended without one), its code and whether it succeeded.
    */
-  async query(text) {
+  async query(text, handleId = () => {}) {
     const id = `q${(++lastId).toString(16).padStart(8, '0')}`;
+    handleId(id);
     const sentMs = nowMs();
     this.record.note(`${this.name} sent ${id} ${text}`);
     const lines = await this.exchange(`QUERY ${id} ${text}`);
