--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -55,6 +55,7 @@
     });
     this.child.stdout.on('data', chunk => this.output.push(chunk));
     this.child.stderr.on('data', chunk => this.output.push(chunk));
+    this.end = undefined;
     this.ended = new Promise(resolve =>
       this.child.once('exit', (code, signal) => {
         this.end = {code, signal, atMs: nowMs()};
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -23,19 +23,25 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Finds the first of `count` adjacent free ports. */
+const reserved = new Set();
+
+/** Finds the first of `count` adjacent free ports, which are not given again. */
 export async function findPorts(count) {
   for (;;) {
     const first = 20_000 + Math.floor(Math.random() * 12_000);
     let isFree = true;
     for (let port = first; port < first + count && isFree; port++) {
-      isFree = await new Promise(resolve => {
+      isFree = !reserved.has(port);
+      isFree &&= await new Promise(resolve => {
         const server = net.createServer();
         server.once('error', () => resolve(false));
         server.listen(port, HOST, () => server.close(() => resolve(true)));
       });
     }
     if (isFree) {
+      for (let port = first; port < first + count; port++) {
+        reserved.add(port);
+      }
       return first;
     }
   }
@@ -196,6 +202,26 @@
 const HEARTBEAT_MS = 1_200;
 const NETWORK_MS = 1;
 
+/** Sends rows no faster than they are taken. */
+async function sendRows(socket, {rowCount, rowBytes}) {
+  const perChunk = Math.max(1, Math.floor(65_536 / rowBytes));
+  const row = `ROW ${'r'.repeat(rowBytes - 6)}\r\n`;
+  for (let sent = 0; sent < rowCount; sent += perChunk) {
+    const chunk = row.repeat(Math.min(perChunk, rowCount - sent));
+    if (!socket.destroyed && !socket.write(chunk, 'latin1')) {
+      await new Promise(resolve => {
+        const goOn = () => {
+          socket.removeListener('drain', goOn);
+          socket.removeListener('close', goOn);
+          resolve();
+        };
+        socket.on('drain', goOn);
+        socket.on('close', goOn);
+      });
+    }
+  }
+}
+
 /** One instance of the group. */
 class Instance {
   sockets = new Set();
@@ -302,7 +328,11 @@
       return;
     }
     const id = first;
-    const answer = await this.run(session, id, rest);
+    let answer = await this.run(session, id, rest);
+    if (!Array.isArray(answer)) {
+      await sendRows(socket, answer);
+      answer = [answer.complete];
+    }
     if (socket.destroyed) {
       return;
     }
@@ -360,6 +390,10 @@
         await sleep(this.group.getWorkMs(id) ?? WORK_MS);
         const seen = this.log.slice(0, this.seenCount);
         this.group.onRun({id, kind: 'read', instance: this, log: seen});
+        const rowSizes = this.group.getRowSizes(rest[0]);
+        if (rowSizes !== undefined) {
+          return {...rowSizes, complete};
+        }
         const commit = seen.findLast(({items}) => items.has(rest[0]));
         return [`ROW ${commit?.items.get(rest[0]) ?? 'none'}`, complete];
       }
@@ -458,6 +492,8 @@
   /** Time of work on a statement, by its id; undefined for the usual time. */
   getWorkMs = () => undefined;
   onPromote = () => {};
+  /** Number and size of the rows of an item; undefined for one usual row. */
+  getRowSizes = () => undefined;
 
   constructor(store, name) {
     Object.assign(this, {store, name});
