--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -91,8 +91,8 @@
 export class Deployment {
   proxies = [];
 
-  constructor(record, store, group) {
-    Object.assign(this, {record, store, group});
+  constructor(record, store, groups, api) {
+    Object.assign(this, {record, store, groups, api});
     this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
   }
 
@@ -108,7 +108,7 @@
       });
       proxy.settingsFile = path.join(this.folder, `${name}.json`);
       const storePort = storeFor?.(proxy) ?? this.store.port;
-      const apiPort = apiFor?.(proxy) ?? this.group.apiPort;
+      const apiPort = apiFor?.(proxy) ?? this.api.port;
       writeFileSync(
         proxy.settingsFile,
         createSettings(proxy, zones, storePort, apiPort, bounds),
@@ -129,6 +129,7 @@
   }
 
   async stop() {
+    this.isStopping = true;
     for (const proxy of this.proxies) {
       if (proxy.end === undefined) {
         proxy.signal('SIGCONT');
@@ -136,7 +137,8 @@
         await proxy.ended;
       }
     }
-    this.group.stop();
+    this.groups.forEach(group => group.stop());
+    this.api.stop();
     this.store.stop();
     rmSync(this.folder, {recursive: true, force: true});
   }
@@ -203,40 +205,52 @@
   });
 }
 
-/** The operator's configuration, with the routes of the site's three kinds. */
-export function createConfiguration(version, service, timeouts = {}) {
-  const route = (name, database, routeType, rest) => ({
-    name,
-    database,
-    prefix: '/',
-    routeType,
-    backend: service,
-    attempts: 2,
-    timeoutMs: 1000,
-    targetLatencyMs: 200,
-    priority: 1,
-    ...rest,
-  });
+/**
+ * The operator's configuration. Each service has a route of each of the site's
+ * three kinds: `booking`, `rig` and `board`, and the same with a number for the
+ * second service and those after it.
+ */
+export function createConfiguration(version, ...services) {
+  const routes = [];
+  for (const [index, service] of services.entries()) {
+    const suffix = index === 0 ? '' : String(index + 1);
+    const add = (kind, routeType, rest) =>
+      routes.push({
+        name: `r-${kind}${suffix}`,
+        database: `${kind}${suffix}`,
+        prefix: '/',
+        routeType,
+        backend: service,
+        attempts: 2,
+        ...rest,
+      });
+    add('booking', 'primary', {
+      timeoutMs: 1000,
+      targetLatencyMs: 200,
+      priority: 1,
+    });
+    add('rig', 'read_your_writes', {
+      timeoutMs: 1000,
+      targetLatencyMs: 400,
+      priority: 2,
+      maxStalenessMs: 2500,
+    });
+    add('board', 'bounded_staleness', {
+      timeoutMs: 2000,
+      targetLatencyMs: 600,
+      priority: 2,
+      maxStalenessMs: 1500,
+    });
+  }
   return {
     version,
-    routes: [
-      route('r-booking', 'booking', 'primary', {...timeouts.booking}),
-      route('r-rig', 'rig', 'read_your_writes', {
-        priority: 2,
-        targetLatencyMs: 400,
-        maxStalenessMs: 2500,
-      }),
-      route('r-board', 'board', 'bounded_staleness', {
-        priority: 2,
-        timeoutMs: 2000,
-        targetLatencyMs: 600,
-        maxStalenessMs: 1500,
-        ...timeouts.board,
-      }),
-    ],
-    backends: [
-      {name: service, healthPath: '/healthz', maxConns: 22, syncReplicas: 1},
-    ],
+    routes,
+    backends: services.map(name => ({
+      name,
+      healthPath: '/healthz',
+      maxConns: 22,
+      syncReplicas: 1,
+    })),
     limits: {idleTimeoutMs: 15000, txIdleMs: 3000},
   };
 }
@@ -309,9 +323,8 @@
     const result = lines?.find(line => /^(COMPLETE|ERROR)/.test(line)) ?? null;
     const isDone = result?.startsWith('COMPLETE') ?? false;
     const row = lines?.find(line => line.startsWith('ROW '))?.slice(4) ?? null;
-    this.record.note(
-      `${this.name} answered ${id} ${lines === null ? '(no answer)' : lines.join(' | ')}`,
-    );
+    const shown = lines === null ? '(no answer)' : lines.slice(-3).join(' | ');
+    this.record.note(`${this.name} answered ${id} ${shown.slice(0, 300)}`);
     return {id, text, sentMs, answeredMs, lines, result, row, isDone};
   }
 
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -67,6 +67,8 @@
   history = [];
   ver = 0;
   waiters = new Set();
+  /** How many times as long as usual the answers take. */
+  slowness = 1;
   /** Called with each row that is written or removed. */
   onWrite = () => {};
 
@@ -148,7 +150,7 @@
             row => row.table === table && row.part === '' && row.key >= from,
           )
           .sort((one, other) => (one.key < other.key ? -1 : 1));
-        await sleep(4);
+        await sleep(4 * this.slowness);
         send(200, {rows: rows.slice(0, limit), morePages: rows.length > limit});
         return;
       }
@@ -173,7 +175,7 @@
       }
       case 'POST /-/rows-tx': {
         const {expectedRev = [], puts = [], remove = []} = JSON.parse(text);
-        await sleep(5);
+        await sleep(5 * this.slowness);
         const current = expectedRev.map(
           name =>
             [...this.rows.values()].find(row => isSame(row, name)) ?? {
@@ -481,17 +483,50 @@
   }
 }
 
-/** A group of one primary and two replicas, and the API that promotes. */
+/** The API of the platform for the duty of one node at a time. */
+export class Api {
+  calls = [];
+  /** Called with each call as it is accepted. */
+  onCall = () => {};
+
+  async start(groups) {
+    this.port = await findPorts(1);
+    this.server = http.createServer((request, response) => {
+      const chunks = [];
+      request.on('data', chunk => chunks.push(chunk));
+      request.on('end', () => {
+        const {backend, id} = JSON.parse(Buffer.concat(chunks).toString());
+        const call = {
+          backend,
+          id,
+          holder: request.headers['lease-holder'],
+          token: Number(request.headers['fencing-token']),
+          atMs: nowMs(),
+        };
+        this.calls.push(call);
+        this.onCall(call);
+        const group = groups.find(({name}) => name === backend);
+        response.writeHead(group?.promote(id) ?? 404).end('{}');
+      });
+    });
+    await new Promise(resolve => this.server.listen(this.port, HOST, resolve));
+  }
+
+  stop() {
+    this.server?.closeAllConnections();
+    this.server?.close();
+  }
+}
+
+/** A group of one primary and two replicas. */
 export class Group {
   instances = [];
   term = 1;
-  promotions = [];
   capacity = 3;
   promoteMs = 1_000;
   onRun = () => {};
   /** Time of work on a statement, by its id; undefined for the usual time. */
   getWorkMs = () => undefined;
-  onPromote = () => {};
   /** Number and size of the rows of an item; undefined for one usual row. */
   getRowSizes = () => undefined;
 
@@ -514,28 +549,11 @@
       setInterval(() => this.replicate(), 50),
       setInterval(() => this.beat(), HEARTBEAT_MS),
     ];
-    this.apiPort = await findPorts(1);
-    this.api = http.createServer((request, response) => {
-      const chunks = [];
-      request.on('data', chunk => chunks.push(chunk));
-      request.on('end', () => {
-        const call = {
-          ...JSON.parse(Buffer.concat(chunks).toString()),
-          holder: request.headers['lease-holder'],
-          token: Number(request.headers['fencing-token']),
-          atMs: nowMs(),
-        };
-        response.writeHead(this.promote(call)).end('{}');
-      });
-    });
-    await new Promise(resolve => this.api.listen(this.apiPort, HOST, resolve));
   }
 
   stop() {
     this.timers?.forEach(timer => clearInterval(timer));
     this.instances.filter(({isUp}) => isUp).forEach(one => one.kill());
-    this.api?.closeAllConnections();
-    this.api?.close();
   }
 
   /** The running primary of the newest term, or undefined. */
@@ -571,10 +589,8 @@
     }
   }
 
-  promote(call) {
-    this.promotions.push(call);
-    this.onPromote(call);
-    const target = this.instances.find(({id, isUp}) => id === call.id && isUp);
+  promote(id) {
+    const target = this.instances.find(one => one.id === id && one.isUp);
     if (target === undefined) {
       return 409;
     }
