--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -317,7 +317,7 @@
     const id = `q${(++lastId).toString(16).padStart(8, '0')}`;
     handleId(id);
     const sentMs = nowMs();
-    this.record.note(`${this.name} sent ${id} ${text}`);
+    this.record.note(`${this.name} sent ${id} ${text.slice(0, 80)}`);
     const lines = await this.exchange(`QUERY ${id} ${text}`);
     const answeredMs = nowMs();
     const result = lines?.find(line => /^(COMPLETE|ERROR)/.test(line)) ?? null;
