--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -509,6 +509,7 @@
         response.writeHead(group?.promote(id) ?? 404).end('{}');
       });
     });
+    this.server.keepAliveTimeout = 60_000;
     await new Promise(resolve => this.server.listen(this.port, HOST, resolve));
   }
 
